Add workspace, message types, shared program parts and design

Cause: an empty repository; the parts need one contract before they can be written side by side.

Conclusion: the contract compiles; the subsystems follow.

--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,9 @@
+//! Parts that all bilberrywind programs share: settings, logs, metrics,
+//! credentials, signals and the HTTP server loop.
+
+pub mod access;
+pub mod logs;
+pub mod metrics;
+pub mod program;
+pub mod server;
+pub mod settings;
--- /dev/null
+++ b/crates/base/src/logs.rs
@@ -0,0 +1,103 @@
+//! Logs as JSON lines.
+//!
+//! Each line holds `ts`, `level`, `target`, `message` and the key-value pairs
+//! of the log call.
+
+use std::{collections, io, time};
+
+use serde::{Deserialize, Serialize};
+
+use crate::settings;
+
+/// Log settings.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(default)]
+pub struct Settings {
+    /// The level of everything: `error`, `warn`, `info`, `debug` or `trace`.
+    pub level: String,
+    /// Levels of single modules, for example `bw_entry::batch: debug`.
+    pub modules: collections::BTreeMap<String, String>,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            level: "info".to_owned(),
+            modules: collections::BTreeMap::new(),
+        }
+    }
+}
+
+impl settings::Check for Settings {
+    fn check(&self, report: &mut settings::Report) {
+        let reason = "must be error, warn, info, debug or trace";
+        let valid = self.level.parse::<log::LevelFilter>().is_ok();
+        report.require(valid, "logs.level", &self.level, reason);
+        for (module, level) in &self.modules {
+            let valid = level.parse::<log::LevelFilter>().is_ok();
+            report.require(valid, &format!("logs.modules.{module}"), level, reason);
+        }
+    }
+}
+
+/// Starts logging to standard error. Later calls in one process have no effect.
+pub fn init(settings: &Settings) {
+    let mut dispatch = fern::Dispatch::new()
+        .level(settings.level.parse().unwrap_or(log::LevelFilter::Info))
+        // These report each connection and frame at debug.
+        .level_for("hyper_util", log::LevelFilter::Warn)
+        .level_for("jsonrpsee_server", log::LevelFilter::Warn)
+        .level_for("soketto", log::LevelFilter::Warn)
+        .level_for("gotham", log::LevelFilter::Warn)
+        .level_for("tracing", log::LevelFilter::Warn);
+    for (module, level) in &settings.modules {
+        if let Ok(level) = level.parse() {
+            dispatch = dispatch.level_for(module.clone(), level);
+        }
+    }
+    let applied = dispatch
+        .format(|out, _, record| out.finish(format_args!("{}", line(record))))
+        .chain(io::stderr())
+        .apply();
+    // Embedded roles share the logger that the first of them started.
+    drop(applied);
+}
+
+/// Renders a record as one JSON line without the line end.
+pub fn line(record: &log::Record<'_>) -> String {
+    let mut fields = Fields(serde_json::Map::new());
+    let now = humantime::format_rfc3339_millis(time::SystemTime::now());
+    fields.put("ts", now.to_string());
+    fields.put("level", record.level().as_str().to_ascii_lowercase());
+    fields.put("target", record.target().to_owned());
+    fields.put("message", record.args().to_string());
+    // The visitor of this crate never fails.
+    let _ = record.key_values().visit(&mut fields);
+    serde_json::Value::Object(fields.0).to_string()
+}
+
+struct Fields(serde_json::Map<String, serde_json::Value>);
+
+impl Fields {
+    fn put(&mut self, key: &str, value: String) {
+        self.0
+            .insert(key.to_owned(), serde_json::Value::String(value));
+    }
+}
+
+impl<'kvs> log::kv::VisitSource<'kvs> for Fields {
+    fn visit_pair(
+        &mut self,
+        key: log::kv::Key<'kvs>,
+        value: log::kv::Value<'kvs>,
+    ) -> Result<(), log::kv::Error> {
+        let json = match (value.to_u64(), value.to_i64(), value.to_bool()) {
+            (Some(number), _, _) => number.into(),
+            (_, Some(number), _) => number.into(),
+            (_, _, Some(flag)) => flag.into(),
+            _ => value.to_string().into(),
+        };
+        self.0.insert(key.as_str().to_owned(), json);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/base/src/settings.rs
@@ -0,0 +1,203 @@
+//! Settings in YAML, checked as a whole before anything starts.
+
+use std::{fmt, fs, path};
+
+use serde::de;
+
+/// A settings type that can check its own values.
+pub trait Check {
+    /// Adds a problem to the report for each value that is not allowed.
+    fn check(&self, report: &mut Report);
+}
+
+/// One problem of a settings file.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Problem {
+    /// The field, for example `limits.body_bytes`.
+    pub field: String,
+    /// The line in the file, from 1, if known.
+    pub line: Option<usize>,
+    /// The value that was found, if there was one.
+    pub value: Option<String>,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+/// Collects the problems of a settings file.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    problems: Vec<Problem>,
+}
+
+impl Report {
+    /// Adds a problem with a value.
+    pub fn add(&mut self, field: &str, value: impl fmt::Display, reason: impl Into<String>) {
+        self.problems.push(Problem {
+            field: field.to_owned(),
+            line: None,
+            value: Some(value.to_string()),
+            reason: reason.into(),
+        });
+    }
+
+    /// Adds a problem unless the condition holds.
+    pub fn require(&mut self, holds: bool, field: &str, value: impl fmt::Display, reason: &str) {
+        if !holds {
+            self.add(field, value, reason);
+        }
+    }
+
+    /// Adds a problem unless the value is an `IP:port` address.
+    pub fn require_address(&mut self, field: &str, value: &str) {
+        let valid = value.parse::<std::net::SocketAddr>().is_ok();
+        self.require(
+            valid,
+            field,
+            value,
+            "must be IP:port, for example 127.0.0.1:8080",
+        );
+    }
+
+    /// Returns the problems.
+    pub fn problems(&self) -> &[Problem] {
+        &self.problems
+    }
+}
+
+/// All problems of a settings file.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Error {
+    /// The file.
+    pub file: path::PathBuf,
+    /// The problems, in the order they were found.
+    pub problems: Vec<Problem>,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (position, problem) in self.problems.iter().enumerate() {
+            if position > 0 {
+                writeln!(formatter)?;
+            }
+            write!(formatter, "{}", self.file.display())?;
+            if let Some(line) = problem.line {
+                write!(formatter, ":{line}")?;
+            }
+            write!(formatter, ": {}", problem.field)?;
+            if let Some(value) = &problem.value {
+                write!(formatter, " = {value}")?;
+            }
+            write!(formatter, ": {}", problem.reason)?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+///
+/// Returns every problem that was found: an unreadable file, invalid YAML,
+/// unknown fields, values of the wrong type and values that are not allowed.
+pub fn load<T>(file: &path::Path) -> Result<T, Error>
+where
+    T: de::DeserializeOwned + Check,
+{
+    let text = fs::read_to_string(file).map_err(|error| whole(file, None, error.to_string()))?;
+    parse(file, &text)
+}
+
+/// Checks settings text; `file` only names it in problems.
+///
+/// # Errors
+///
+/// Fails like [`load`].
+pub fn parse<T>(file: &path::Path, text: &str) -> Result<T, Error>
+where
+    T: de::DeserializeOwned + Check,
+{
+    let mut report = Report::default();
+    let document = serde_norway::Deserializer::from_str(text);
+    let parsed: Result<T, serde_norway::Error> = serde_ignored::deserialize(document, |field| {
+        report.problems.push(Problem {
+            field: field.to_string(),
+            line: None,
+            value: None,
+            reason: "unknown field".to_owned(),
+        });
+    });
+    match parsed {
+        Ok(settings) => {
+            settings.check(&mut report);
+            finish(file, text, report, settings)
+        }
+        Err(error) => {
+            let line = error.location().map(|location| location.line());
+            let mut failure = whole(file, line, error.to_string());
+            failure.problems.extend(located(text, report));
+            Err(failure)
+        }
+    }
+}
+
+fn finish<T>(file: &path::Path, text: &str, report: Report, settings: T) -> Result<T, Error> {
+    if report.problems.is_empty() {
+        return Ok(settings);
+    }
+    Err(Error {
+        file: file.to_owned(),
+        problems: located(text, report),
+    })
+}
+
+fn whole(file: &path::Path, line: Option<usize>, reason: String) -> Error {
+    // serde_norway starts messages about a field with its path and a colon.
+    let (field, reason) = match reason.split_once(": ") {
+        Some((field, rest)) if !field.contains(' ') => (field.to_owned(), rest.to_owned()),
+        _ => ("file".to_owned(), reason),
+    };
+    Error {
+        file: file.to_owned(),
+        problems: vec![Problem {
+            field,
+            line,
+            value: None,
+            reason,
+        }],
+    }
+}
+
+fn located(text: &str, report: Report) -> Vec<Problem> {
+    report
+        .problems
+        .into_iter()
+        .map(|problem| Problem {
+            line: problem.line.or_else(|| line_of(text, &problem.field)),
+            ..problem
+        })
+        .collect()
+}
+
+/// Finds the line of a dotted field path by following the indentation.
+fn line_of(text: &str, field: &str) -> Option<usize> {
+    let mut wanted = field
+        .split('.')
+        .filter(|part| part.parse::<usize>().is_err());
+    let mut part = wanted.next()?;
+    let mut found = None;
+    for (number, line) in text.lines().enumerate() {
+        let content = line.trim_start().trim_start_matches("- ");
+        let key = content.split(':').next().unwrap_or("").trim();
+        if key != part || !content.contains(':') {
+            continue;
+        }
+        found = Some(number + 1);
+        match wanted.next() {
+            Some(next) => part = next,
+            None => return found,
+        }
+    }
+    found
+}
--- /dev/null
+++ b/crates/client/src/link.rs
@@ -0,0 +1,106 @@
+//! One WebSocket connection to one control replica, opened on demand.
+
+use std::{sync, time};
+
+use jsonrpsee::{
+    core::{client as rpc_client, params, traits},
+    ws_client,
+};
+use serde::de;
+use tokio::sync as async_sync;
+
+use bw_wire::name;
+
+/// Largest message that the client takes, in bytes.
+const MAX_MESSAGE_BYTES: u32 = 64 * 1024 * 1024;
+
+/// A connection that reopens itself after it breaks.
+pub(crate) struct Link {
+    address: name::Name,
+    token: Option<name::Name>,
+    timeout: time::Duration,
+    client: async_sync::Mutex<Option<sync::Arc<ws_client::WsClient>>>,
+}
+
+impl Link {
+    pub(crate) fn new(
+        address: name::Name,
+        token: Option<name::Name>,
+        timeout: time::Duration,
+    ) -> Link {
+        Link {
+            address,
+            token,
+            timeout,
+            client: async_sync::Mutex::new(None),
+        }
+    }
+
+    /// Calls a method and drops the connection when it turns out broken.
+    pub(crate) async fn call<R, P>(&self, method: &str, params: P) -> Result<R, rpc_client::Error>
+    where
+        R: de::DeserializeOwned,
+        P: traits::ToRpcParams + Send,
+    {
+        use jsonrpsee::core::client::ClientT;
+
+        let client = self.connect().await?;
+        let answer = client.request(method, params).await;
+        if matches!(
+            answer,
+            Err(rpc_client::Error::RestartNeeded(_)
+                | rpc_client::Error::Transport(_)
+                | rpc_client::Error::ServiceDisconnect)
+        ) {
+            self.forget(&client).await;
+        }
+        answer
+    }
+
+    async fn connect(&self) -> Result<sync::Arc<ws_client::WsClient>, rpc_client::Error> {
+        let mut slot = self.client.lock().await;
+        if let Some(client) = slot.as_ref()
+            && client.is_connected()
+        {
+            return Ok(sync::Arc::clone(client));
+        }
+        let mut headers = ws_client::HeaderMap::new();
+        if let Some(token) = &self.token
+            && let Ok(value) = ws_client::HeaderValue::from_str(&format!("Bearer {token}"))
+        {
+            headers.insert("authorization", value);
+        }
+        let client = ws_client::WsClientBuilder::default()
+            .set_headers(headers)
+            .connection_timeout(self.timeout)
+            .request_timeout(self.timeout)
+            .max_request_size(MAX_MESSAGE_BYTES)
+            .max_response_size(MAX_MESSAGE_BYTES)
+            .build(format!("ws://{}", self.address))
+            .await?;
+        let client = sync::Arc::new(client);
+        *slot = Some(sync::Arc::clone(&client));
+        Ok(client)
+    }
+
+    async fn forget(&self, broken: &sync::Arc<ws_client::WsClient>) {
+        let mut slot = self.client.lock().await;
+        if slot
+            .as_ref()
+            .is_some_and(|held| sync::Arc::ptr_eq(held, broken))
+        {
+            *slot = None;
+        }
+    }
+}
+
+/// Encodes one parameter by position.
+pub(crate) fn one<P: serde::Serialize>(
+    param: &P,
+) -> Result<params::ArrayParams, rpc_client::Error> {
+    let mut params = params::ArrayParams::new();
+    params
+        .insert(param)
+        .map_err(rpc_client::Error::ParseError)?;
+    Ok(params)
+}
--- /dev/null
+++ b/crates/wire/src/backend.rs
@@ -0,0 +1,164 @@
+//! The protocol between entry VMs, the control leader and backend servers.
+
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumString, IntoStaticStr};
+
+use crate::{fingerprint, name};
+
+/// Path to which backend servers announce and renew themselves.
+pub const ANNOUNCE_PATH: &str = "/backend/announce";
+/// Path to which engines publish cache events.
+pub const CACHE_EVENTS_PATH: &str = "/backend/cache-events";
+/// Path on a backend server that takes orders.
+pub const ORDERS_PATH: &str = "/backend/orders";
+/// Interval at which backend servers renew their announcement.
+pub const RENEW_INTERVAL_MS: u64 = 1_000;
+/// Age of the last proof of not leaving after which no new work is sent.
+pub const PROOF_MAX_AGE_MS: u64 = 3_000;
+
+/// What a backend server runs.
+#[derive(
+    Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq, EnumString, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Kind {
+    /// A model engine.
+    Engine,
+    /// A plain service.
+    Service,
+}
+
+/// Whether a backend server takes new work.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Display,
+    Eq,
+    Hash,
+    IntoStaticStr,
+    PartialEq,
+    EnumString,
+    Serialize,
+    Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum State {
+    /// Takes work.
+    Ready,
+    /// Loads weights and takes no work yet.
+    Loading,
+    /// Finishes its work and takes nothing new.
+    Leaving,
+}
+
+/// A model that an engine has loaded.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Loaded {
+    /// The model.
+    pub model: name::Name,
+    /// The version of the weights.
+    pub version: name::Name,
+    /// The loaded adapters.
+    pub adapters: Vec<name::Name>,
+}
+
+/// A load report, which lags behind the truth.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests in the running batch.
+    pub running: u32,
+    /// Admitted requests that wait for KV memory.
+    pub waiting: u32,
+    /// KV memory in use, from 0 to 1.
+    pub kv_used: f32,
+    /// Duration of the last decode step, in milliseconds.
+    pub step_ms: f32,
+    /// Age of the figures when they were sent, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// What a backend server says about itself, at start and with each renewal.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Announcement {
+    /// The backend server's stable id.
+    pub id: name::Name,
+    /// Grows with each start of the process.
+    pub incarnation: u64,
+    /// Grows with each announcement of one incarnation.
+    pub sequence: u64,
+    /// `IP:port` of its HTTP API.
+    pub address: name::Name,
+    /// What it runs.
+    pub kind: Kind,
+    /// The service it belongs to: the plain service's name, or the deployment of an engine.
+    pub service: name::Name,
+    /// Its failure domain.
+    pub failure_domain: name::Name,
+    /// Whether it takes new work.
+    pub state: State,
+    /// Loaded models, empty for plain services.
+    pub loaded: Vec<Loaded>,
+    /// Number of requests that it runs well at once.
+    pub capacity: u32,
+    /// The highest fencing number of an order that it obeyed.
+    pub fence: u64,
+    /// The load report.
+    pub load: Load,
+}
+
+/// The answer to an announcement.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Announced {
+    /// When to renew, in milliseconds.
+    pub renew_ms: u64,
+}
+
+/// A change in an engine's prefix cache.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct CacheEvents {
+    /// The engine.
+    pub id: name::Name,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// The number of the first event; a jump shows a gap.
+    pub sequence: u64,
+    /// Prefix blocks added.
+    pub stored: Vec<fingerprint::Fingerprint>,
+    /// Prefix blocks removed.
+    pub removed: Vec<fingerprint::Fingerprint>,
+}
+
+/// An order from the control leader to a backend server.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Order {
+    /// The fencing number; grows with each order.
+    pub fence: u64,
+    /// What to do.
+    pub action: Action,
+}
+
+/// What an order asks for.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Action {
+    /// Load a version of a model with adapters, in place of what is loaded.
+    Load {
+        /// The model.
+        model: name::Name,
+        /// The version of the weights.
+        version: name::Name,
+        /// The adapters.
+        adapters: Vec<name::Name>,
+    },
+    /// Unload a model.
+    Unload {
+        /// The model.
+        model: name::Name,
+    },
+    /// Stop taking new work and finish the rest.
+    Leave,
+}
--- /dev/null
+++ b/crates/wire/src/peer.rs
@@ -0,0 +1,36 @@
+//! The exchange between entry VMs.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{backend, command, name};
+
+/// A message from one entry VM to another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Message {
+    /// A backend server says that it leaves.
+    Leaving(backend::Announcement),
+    /// The sender's online requests in flight on a backend server whose batch
+    /// work the receiver owns.
+    Online {
+        /// The sender.
+        entry: name::Name,
+        /// The sender's incarnation.
+        incarnation: u64,
+        /// Grows with each message, so that reordered ones can be dropped.
+        sequence: u64,
+        /// The backend server.
+        backend: name::Name,
+        /// Requests in flight.
+        online: u32,
+    },
+    /// A request became a suspect or was struck again.
+    Suspect(command::work::Suspect),
+    /// A backend server is reserved for the isolated run of a suspect.
+    Reserve {
+        /// The backend server.
+        backend: name::Name,
+        /// The reservation's duration in milliseconds; 0 ends it.
+        duration_ms: u64,
+    },
+}
--- /dev/null
+++ b/crates/wire/src/query.rs
@@ -0,0 +1,184 @@
+//! Linearizable reads of the state machines.
+
+use std::collections;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{command, intent, name, openai};
+
+/// A query to any group.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Query {
+    /// The configuration in force (group 0).
+    Config,
+    /// The latest revisions, newest first (group 0).
+    History {
+        /// The most revisions to return.
+        limit: u32,
+    },
+    /// A file's description (work groups).
+    File {
+        /// The file.
+        file: name::Name,
+        /// The owner.
+        team: name::Name,
+    },
+    /// A team's files in this group.
+    Files {
+        /// The owner.
+        team: name::Name,
+    },
+    /// A chunk of an input file.
+    FileChunk {
+        /// The file.
+        file: name::Name,
+        /// The owner.
+        team: name::Name,
+        /// The chunk's number.
+        chunk: u32,
+    },
+    /// A job.
+    Job {
+        /// The job.
+        job: name::Name,
+        /// The owner.
+        team: name::Name,
+    },
+    /// A team's jobs in this group, or all teams' when absent.
+    Jobs {
+        /// The owner.
+        team: Option<name::Name>,
+    },
+    /// Recorded outcomes of a chunk of a job.
+    Results {
+        /// The job.
+        job: name::Name,
+        /// The owner.
+        team: name::Name,
+        /// The chunk's number.
+        chunk: u32,
+    },
+    /// How much work waits in this group.
+    Backlog,
+    /// All suspects of this group.
+    Suspects,
+}
+
+/// The answer to a query.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Answer {
+    /// The object does not exist, or belongs to another team.
+    NotFound,
+    /// The configuration in force.
+    Config {
+        /// The revision.
+        revision: u64,
+        /// The intent.
+        intent: Box<intent::Intent>,
+    },
+    /// Revisions, newest first.
+    History(Vec<command::config::Revision>),
+    /// A file.
+    File(File),
+    /// Files.
+    Files(Vec<File>),
+    /// Lines of a chunk.
+    Lines(Vec<command::work::Line>),
+    /// A job.
+    Job(Box<Job>),
+    /// Jobs.
+    Jobs(Vec<Job>),
+    /// Results of a chunk, in line order, with the custom ids.
+    Results(Vec<ItemResult>),
+    /// Waiting work.
+    Backlog(Backlog),
+    /// Suspects.
+    Suspects(Vec<command::work::Suspect>),
+}
+
+/// A stored file.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct File {
+    /// The file.
+    pub id: name::Name,
+    /// The owner.
+    pub team: name::Name,
+    /// The caller's file name.
+    pub filename: String,
+    /// The purpose.
+    pub purpose: String,
+    /// Size as uploaded, in bytes.
+    pub bytes: u64,
+    /// Unix time in milliseconds.
+    pub created_ms: u64,
+    /// The number of chunks.
+    pub chunks: u32,
+    /// The number of items.
+    pub items: u64,
+}
+
+/// The state of a job.
+#[derive(
+    Clone, Copy, Debug, Eq, PartialEq, strum::Display, strum::IntoStaticStr, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum JobState {
+    /// Items are open.
+    InProgress,
+    /// Every item has an outcome.
+    Completed,
+    /// Cancelled before every item had an outcome.
+    Cancelled,
+    /// The completion window passed before every item had an outcome.
+    Expired,
+}
+
+/// A job.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Job {
+    /// The job.
+    pub id: name::Name,
+    /// The owner.
+    pub team: name::Name,
+    /// The input file.
+    pub file: name::Name,
+    /// The path that the items call.
+    pub endpoint: String,
+    /// The state.
+    pub state: JobState,
+    /// Unix time in milliseconds.
+    pub created_ms: u64,
+    /// When the job is due, Unix time in milliseconds.
+    pub due_ms: u64,
+    /// When the job reached its final state, Unix time in milliseconds.
+    pub ended_ms: Option<u64>,
+    /// The number of chunks.
+    pub chunks: u32,
+    /// Item counts.
+    pub counts: openai::Counts,
+    /// The caller's metadata.
+    pub metadata: collections::BTreeMap<String, String>,
+}
+
+/// A recorded outcome with the caller's id.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct ItemResult {
+    /// The caller's id, if the line could be read.
+    pub custom_id: Option<String>,
+    /// The outcome.
+    pub outcome: command::work::Outcome,
+}
+
+/// Waiting work of a group.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Backlog {
+    /// Chunks that can be taken now.
+    pub chunks: u32,
+    /// Items without an outcome.
+    pub items: u64,
+    /// The earliest due time of an open job, Unix time in milliseconds.
+    pub earliest_due_ms: Option<u64>,
+}
--- /dev/null
+++ b/crates/wire/src/rpc.rs
@@ -0,0 +1,112 @@
+//! Methods of the JSON-RPC interfaces between the system's processes.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{command, member, name, query};
+
+/// Consensus messages between control replicas, as base64 text.
+pub const RAFT: &str = "raft";
+/// Proposes a command.
+pub const PROPOSE: &str = "propose";
+/// Runs a linearizable query.
+pub const QUERY: &str = "query";
+/// The exchange with entry VMs.
+pub const SYNC: &str = "sync";
+/// The state of a control replica.
+pub const STATUS: &str = "status";
+/// Changes the members of all groups.
+pub const MEMBERS: &str = "members";
+/// How far a revision is in force.
+pub const IN_FORCE: &str = "in_force";
+/// A message between entry VMs.
+pub const PEER: &str = "peer";
+
+/// Error code: this replica does not lead the group; the data holds a [`Redirect`].
+pub const NOT_LEADER: i32 = -32_001;
+/// Error code: the outcome is unknown; the command may have been applied.
+pub const OUTCOME_UNKNOWN: i32 = -32_002;
+/// Error code: too much work is waiting; the command was not applied.
+pub const BUSY: i32 = -32_003;
+/// Error code: the credentials are missing or wrong.
+pub const UNAUTHORIZED: i32 = -32_004;
+
+/// Parameters of [`PROPOSE`].
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Propose {
+    /// The group.
+    pub group: u32,
+    /// The command.
+    pub command: command::Command,
+}
+
+/// Parameters of [`QUERY`].
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Ask {
+    /// The group.
+    pub group: u32,
+    /// The query.
+    pub query: query::Query,
+}
+
+/// Data of a [`NOT_LEADER`] error.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Redirect {
+    /// `IP:port` of the leader's control port, if known.
+    pub leader: Option<name::Name>,
+}
+
+/// The answer of [`IN_FORCE`].
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct InForce {
+    /// The current revision.
+    pub revision: u64,
+    /// Whether every entry VM serves the asked revision or holds no lease.
+    pub everywhere: bool,
+    /// Entry VMs that hold a lease and have not reported it yet.
+    pub waiting_for: Vec<name::Name>,
+}
+
+/// The answer of [`STATUS`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// The replica's name.
+    pub replica: name::Name,
+    /// Its groups.
+    pub groups: Vec<GroupStatus>,
+    /// Entry VMs with a lease, on the leader of group 0.
+    pub entries: Vec<EntryStatus>,
+    /// Backend servers, on the leader of group 0.
+    pub backends: Vec<crate::backend::Announcement>,
+}
+
+/// The state of one group at a replica.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct GroupStatus {
+    /// The group.
+    pub group: u32,
+    /// `leader`, `follower`, `candidate` or `learner`.
+    pub role: String,
+    /// The term.
+    pub term: u64,
+    /// The last committed index.
+    pub commit: u64,
+    /// The last applied index.
+    pub applied: u64,
+    /// The leader, if known.
+    pub leader: Option<u64>,
+    /// The members.
+    pub members: Vec<member::Member>,
+}
+
+/// The state of an entry VM.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct EntryStatus {
+    /// Its name.
+    pub entry: name::Name,
+    /// Its failure domain.
+    pub failure_domain: name::Name,
+    /// The revision it last reported.
+    pub revision: u64,
+    /// Milliseconds since its last `sync`.
+    pub age_ms: u64,
+}
--- /dev/null
+++ b/programs/engine/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/programs/load/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
