--- a/programs/entry/src/lib.rs
+++ b/programs/entry/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! The program on each entry VM.
+
+pub mod files;
