--- a/crates/base/src/program.rs
+++ b/crates/base/src/program.rs
@@ -1,4 +1,4 @@
-//! The common frame of a program: settings, `--check`, signals and exit status.
+//! The common frame of a program: arguments, settings, signals and exit status.
 
 use std::{future, io, path, process};
 
@@ -11,6 +11,56 @@
 /// Exit status after a failure to start or run.
 pub const EXIT_FAILURE: u8 = 1;
 
+/// One program of bilberrywind.
+#[derive(argh::FromArgs)]
+struct Arguments {
+    /// settings file in YAML
+    #[argh(option)]
+    config: Option<path::PathBuf>,
+    /// check the settings and exit
+    #[argh(switch)]
+    check: bool,
+    /// print the version and exit
+    #[argh(switch)]
+    version: bool,
+}
+
+/// Runs a daemon: reads the arguments, loads and checks the settings, and hands
+/// them to `run` unless only a check or the version was asked for.
+pub fn main<T>(
+    name: &str,
+    version: &str,
+    run: impl FnOnce(T) -> anyhow::Result<()>,
+) -> process::ExitCode
+where
+    T: serde::de::DeserializeOwned + settings::Check,
+{
+    let arguments: Arguments = argh::from_env();
+    if arguments.version {
+        print_version(name, version);
+        return process::ExitCode::SUCCESS;
+    }
+    let Some(file) = arguments.config else {
+        eprintln!("{name}: --config FILE.yaml is required; --help shows the options");
+        return process::ExitCode::from(EXIT_SETTINGS);
+    };
+    let settings = match load(&file) {
+        Ok(settings) => settings,
+        Err(status) => return status,
+    };
+    if arguments.check {
+        return process::ExitCode::SUCCESS;
+    }
+    match run(settings) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!("{error:#}");
+            eprintln!("{name}: {error:#}");
+            process::ExitCode::from(EXIT_FAILURE)
+        }
+    }
+}
+
 /// Loads settings, or prints every problem to standard error.
 ///
 /// # Errors
