Add first version of routing, admission, retry and pacing

Cause: the entry program needs the types of the decisions to call them. Change: router, admission, retry and pacer with builders; sans-I/O, time and random numbers passed in. Conclusion: the public types are ready to be called.

--- /dev/null
+++ b/crates/policy/src/pacer/server.rs
@@ -0,0 +1,339 @@
+//! One owned backend server.
+
+use std::collections;
+
+use bw_wire::{backend, name};
+
+use super::{Builder, Facts, Online, peak};
+
+/// Window in which a `sync` answer may still describe an earlier count.
+const SYNC_LAG_MS: u64 = 1_500;
+/// Time from an online arrival until a cancelled stream has left its place: the
+/// peer message, the cancel and one decode step.
+const REACTION_MS: u64 = 50;
+/// Time after which a burst counts half in the headroom.
+const BURST_HALF_LIFE_MS: f32 = 5_000.0;
+/// Largest capacity that is believed; a larger one is a wrong announcement.
+const MAX_CAPACITY: u32 = 4_096;
+/// Share of the capacity in use below which reported waiting requests are not
+/// believed: the engine has places for them.
+const WAITING_MIN_USE: f32 = 0.8;
+/// Preemptions after which a stream is cancelled last, so that it ends some day.
+const PROTECTED_AFTER: u32 = 3;
+
+/// A batch stream.
+#[derive(Clone, Debug)]
+pub struct Stream {
+    /// Its number, unique on this entry VM.
+    pub id: u64,
+    /// Tokens of the prompt and of what is already generated, which a resume
+    /// prefills again.
+    pub tokens: u32,
+    /// How often it was preempted.
+    pub preempted: u32,
+    /// Whether its job may miss its due time.
+    pub urgent: bool,
+}
+
+#[derive(Debug)]
+struct Running {
+    stream: Stream,
+    is_cancelled: bool,
+    is_floor: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Peer {
+    incarnation: u64,
+    sequence: u64,
+    online: u32,
+}
+
+#[derive(Debug)]
+pub(super) struct Server {
+    incarnation: u64,
+    capacity: u32,
+    usable: bool,
+    load: backend::Load,
+    load_at_ms: u64,
+    own: u32,
+    peers: collections::BTreeMap<name::Name, Peer>,
+    peer_peak: peak::Peak,
+    fleet: Option<u32>,
+    online: u32,
+    online_peak: peak::Peak,
+    recent: collections::VecDeque<(u64, u32)>,
+    burst: f32,
+    burst_at_ms: u64,
+    streams: Vec<Running>,
+    floor: bool,
+    ramp: f32,
+    ramp_at_ms: u64,
+}
+
+impl Server {
+    pub(super) fn new(facts: &Facts, now_ms: u64) -> Server {
+        let mut server = Server {
+            incarnation: facts.incarnation,
+            capacity: 1,
+            usable: false,
+            load: backend::Load::default(),
+            load_at_ms: 0,
+            own: 0,
+            peers: collections::BTreeMap::new(),
+            peer_peak: peak::Peak::default(),
+            fleet: None,
+            online: 0,
+            online_peak: peak::Peak::default(),
+            recent: collections::VecDeque::new(),
+            burst: 0.0,
+            burst_at_ms: now_ms,
+            streams: Vec::new(),
+            floor: false,
+            ramp: 0.0,
+            ramp_at_ms: now_ms,
+        };
+        server.update(facts, now_ms);
+        server
+    }
+
+    pub(super) fn update(&mut self, facts: &Facts, now_ms: u64) {
+        self.incarnation = facts.incarnation;
+        self.capacity = facts.capacity.clamp(1, MAX_CAPACITY);
+        self.usable = facts.usable;
+        self.load = facts.load;
+        let age_ms = facts.load_age_ms + u64::from(facts.load.age_ms);
+        self.load_at_ms = now_ms.saturating_sub(age_ms);
+    }
+
+    pub(super) fn set_own(&mut self, online: u32, now_ms: u64) {
+        self.own = online;
+        self.recount(now_ms);
+    }
+
+    pub(super) fn set_peer(&mut self, message: &Online, now_ms: u64) {
+        let known = self.peers.get(&message.entry).copied();
+        let is_old = known.is_some_and(|known| {
+            (message.incarnation, message.sequence) <= (known.incarnation, known.sequence)
+        });
+        if is_old {
+            return;
+        }
+        let peer = Peer {
+            incarnation: message.incarnation,
+            sequence: message.sequence,
+            online: message.online,
+        };
+        self.peers.insert(message.entry.clone(), peer);
+        self.recount(now_ms);
+    }
+
+    pub(super) fn set_fleet(&mut self, online: u32, now_ms: u64) {
+        // An answer describes a moment of the recent past. Only a count above
+        // all that messages said since then shows that messages were lost.
+        let explained = self.peer_peak.max(SYNC_LAG_MS, now_ms);
+        self.fleet = (online > explained).then_some(online);
+        self.recount(now_ms);
+    }
+
+    pub(super) fn retain_peers(&mut self, live: &collections::BTreeSet<name::Name>, now_ms: u64) {
+        self.peers.retain(|entry, _| live.contains(entry));
+        self.recount(now_ms);
+    }
+
+    pub(super) fn start(&mut self, stream: Stream) {
+        let is_floor = self.floor;
+        self.floor = false;
+        self.streams.push(Running {
+            stream,
+            is_cancelled: false,
+            is_floor,
+        });
+    }
+
+    pub(super) fn progress(&mut self, stream: u64, tokens: u32) {
+        let running = self
+            .streams
+            .iter_mut()
+            .find(|running| running.stream.id == stream);
+        if let Some(running) = running {
+            running.stream.tokens = tokens;
+        }
+    }
+
+    pub(super) fn stop(&mut self, stream: u64) {
+        self.streams.retain(|running| running.stream.id != stream);
+    }
+
+    pub(super) fn streams(&self) -> impl Iterator<Item = u64> {
+        self.streams.iter().map(|running| running.stream.id)
+    }
+
+    pub(super) fn running(&self) -> u32 {
+        self.streams.len() as u32
+    }
+
+    /// Returns the share of the capacity in use.
+    pub(super) fn use_share(&self) -> f32 {
+        (self.online + self.running()) as f32 / self.capacity as f32
+    }
+
+    /// Returns how many streams the server is to run when it is filled.
+    pub(super) fn target(&mut self, settings: &Builder, now_ms: u64) -> u32 {
+        if !self.usable {
+            return 0;
+        }
+        let online = self.online_peak.max(settings.hold_ms, now_ms);
+        let headroom = self.headroom(settings, now_ms);
+        let free = self.capacity.saturating_sub(online + headroom);
+        free.saturating_sub(self.waiting(settings, now_ms))
+    }
+
+    /// Returns how many streams may start now.
+    pub(super) fn room(&mut self, settings: &Builder, now_ms: u64) -> u32 {
+        let target = self.target(settings, now_ms);
+        self.refill(settings, now_ms);
+        if self.kv_used(settings, now_ms) >= settings.kv_stop {
+            return 0;
+        }
+        let missing = target.saturating_sub(self.running());
+        let allowed = missing.min(self.ramp as u32);
+        self.ramp -= allowed as f32;
+        allowed
+    }
+
+    /// Names the streams to cancel now and marks them as cancelled.
+    pub(super) fn surplus(&mut self, settings: &Builder, now_ms: u64) -> Vec<u64> {
+        let active = self
+            .streams
+            .iter()
+            .filter(|running| !running.is_cancelled)
+            .count() as u32;
+        let surplus = active.saturating_sub(self.ceiling(settings, now_ms));
+        let mut names = Vec::new();
+        for _ in 0..surplus {
+            let Some(running) = self.cheapest(settings, now_ms) else {
+                break;
+            };
+            running.is_cancelled = true;
+            names.push(running.stream.id);
+        }
+        names
+    }
+
+    pub(super) fn takes_floor(&self, settings: &Builder, now_ms: u64) -> bool {
+        self.usable
+            && self.running() == 0
+            && self.waiting(settings, now_ms) == 0
+            && self.kv_used(settings, now_ms) < settings.kv_stop
+    }
+
+    pub(super) fn grant_floor(&mut self) {
+        self.floor = true;
+    }
+
+    /// Returns the number of streams above which they are cancelled.
+    ///
+    /// The headroom is there to be used: only half of it is won back by
+    /// cancelling, the rest by streams that end. Without this, each arrival
+    /// would cancel a stream.
+    fn ceiling(&mut self, settings: &Builder, now_ms: u64) -> u32 {
+        if !self.usable {
+            return 0;
+        }
+        let headroom = self.headroom(settings, now_ms) / 2;
+        let free = self.capacity.saturating_sub(self.online + headroom);
+        let ceiling = free.saturating_sub(self.waiting(settings, now_ms));
+        if self.kv_used(settings, now_ms) >= settings.kv_preempt {
+            return ceiling.min(self.running() * 7 / 8);
+        }
+        ceiling
+    }
+
+    /// Returns the places kept free for arrivals: the configured share, or the
+    /// largest recent rise within the time that cancelling takes.
+    fn headroom(&self, settings: &Builder, now_ms: u64) -> u32 {
+        let least = (self.capacity as f32 * settings.headroom).ceil().max(1.0);
+        self.faded_burst(now_ms).max(least) as u32
+    }
+
+    fn faded_burst(&self, now_ms: u64) -> f32 {
+        let age_ms = now_ms.saturating_sub(self.burst_at_ms) as f32;
+        self.burst * (-age_ms / BURST_HALF_LIFE_MS).exp2()
+    }
+
+    /// Returns the reported waiting requests, if the report is fresh and fits
+    /// what else is known.
+    fn waiting(&self, settings: &Builder, now_ms: u64) -> u32 {
+        let is_fresh = now_ms.saturating_sub(self.load_at_ms) <= settings.report_max_age_ms;
+        let fits = self.use_share() >= WAITING_MIN_USE
+            || self.kv_used(settings, now_ms) >= WAITING_MIN_USE;
+        if is_fresh && fits {
+            self.load.waiting.min(self.capacity)
+        } else {
+            0
+        }
+    }
+
+    fn kv_used(&self, settings: &Builder, now_ms: u64) -> f32 {
+        let is_fresh = now_ms.saturating_sub(self.load_at_ms) <= settings.report_max_age_ms;
+        let is_valid = (0.0..=1.0).contains(&self.load.kv_used);
+        if is_fresh && is_valid {
+            self.load.kv_used
+        } else {
+            0.0
+        }
+    }
+
+    /// Returns the running stream that is cancelled first: not urgent, not
+    /// preempted often, and with the least to prefill again.
+    fn cheapest(&mut self, settings: &Builder, now_ms: u64) -> Option<&mut Running> {
+        let engine_waits = self.waiting(settings, now_ms) > 0 || !self.usable;
+        self.streams
+            .iter_mut()
+            .filter(|running| !running.is_cancelled)
+            .filter(|running| engine_waits || !running.is_floor)
+            .min_by_key(|running| {
+                (
+                    running.stream.preempted >= PROTECTED_AFTER,
+                    running.stream.urgent,
+                    running.stream.preempted,
+                    running.stream.tokens,
+                    running.stream.id,
+                )
+            })
+    }
+
+    fn recount(&mut self, now_ms: u64) {
+        let peers: u32 = self.peers.values().map(|peer| peer.online).sum();
+        self.peer_peak.add(peers, now_ms);
+        let others = peers.max(self.fleet.unwrap_or(0));
+        let before = self.online;
+        self.online = self.own + others;
+        self.online_peak.add(self.online, now_ms);
+        if self.online != before {
+            self.note_burst(now_ms);
+        }
+    }
+
+    fn note_burst(&mut self, now_ms: u64) {
+        while let Some(&(at_ms, _)) = self.recent.front()
+            && now_ms.saturating_sub(at_ms) > REACTION_MS
+        {
+            self.recent.pop_front();
+        }
+        let least = self.recent.iter().map(|&(_, online)| online).min();
+        let rise = self.online.saturating_sub(least.unwrap_or(self.online)) as f32;
+        self.burst = rise.max(self.faded_burst(now_ms));
+        self.burst_at_ms = now_ms;
+        self.recent.push_back((now_ms, self.online));
+    }
+
+    fn refill(&mut self, settings: &Builder, now_ms: u64) {
+        let elapsed_ms = now_ms.saturating_sub(self.ramp_at_ms) as f32;
+        self.ramp_at_ms = now_ms;
+        let capacity = self.capacity as f32;
+        let earned = elapsed_ms * capacity / settings.ramp_ms as f32;
+        self.ramp = (self.ramp + earned).min((capacity / 4.0).max(1.0));
+    }
+}
--- /dev/null
+++ b/crates/policy/src/pacer/share.rs
@@ -0,0 +1,160 @@
+//! The order in which waiting batch items get places.
+
+use std::collections;
+
+use bw_wire::name;
+
+/// Every this many places, one goes to an urgent item ahead of its turn.
+const URGENT_EVERY: u64 = 2;
+/// Scale of the virtual time: a team with weight 1 advances by this per item.
+const STRIDE: u64 = 1 << 20;
+
+/// An item that waits for a place.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Item<T> {
+    /// The team.
+    pub team: name::Name,
+    /// The team's weight.
+    pub weight: u32,
+    /// When the job is due, on the caller's clock.
+    pub due_ms: u64,
+    /// How often the item was preempted.
+    pub preempted: u32,
+    /// What is to be run.
+    pub work: T,
+}
+
+#[derive(Debug)]
+struct Team<T> {
+    pass: u64,
+    weight: u32,
+    /// Items by whether they were never preempted, due time and arrival: a
+    /// preempted item holds memory and goes first.
+    items: collections::BTreeMap<(bool, u64, u64), Item<T>>,
+}
+
+/// Waiting items, shared among teams by weight, with urgent ones ahead.
+///
+/// Every second place goes to the most urgent item, if any is urgent; the
+/// others go to teams in proportion to their weights. Urgent jobs so cannot
+/// starve the rest, nor the rest them.
+#[derive(Debug)]
+pub struct Share<T> {
+    teams: collections::BTreeMap<name::Name, Team<T>>,
+    pass: u64,
+    arrivals: u64,
+    taken: u64,
+    len: usize,
+}
+
+impl<T> Default for Share<T> {
+    fn default() -> Share<T> {
+        Share {
+            teams: collections::BTreeMap::new(),
+            pass: 0,
+            arrivals: 0,
+            taken: 0,
+            len: 0,
+        }
+    }
+}
+
+impl<T> Share<T> {
+    /// Creates an empty queue.
+    pub fn new() -> Share<T> {
+        Share::default()
+    }
+
+    /// Adds an item.
+    pub fn push(&mut self, item: Item<T>) {
+        // A team that joins counts as just served, so that leaving and joining
+        // again gains nothing.
+        let pass = self.pass + STRIDE / u64::from(item.weight.max(1));
+        let team = self.teams.entry(item.team.clone()).or_insert_with(|| Team {
+            pass,
+            weight: 1,
+            items: collections::BTreeMap::new(),
+        });
+        team.weight = item.weight.max(1);
+        self.arrivals += 1;
+        let key = (item.preempted == 0, item.due_ms, self.arrivals);
+        team.items.insert(key, item);
+        self.len += 1;
+    }
+
+    /// Takes the next item. Items due before `urgent_before_ms` are urgent.
+    pub fn pop(&mut self, urgent_before_ms: u64) -> Option<Item<T>> {
+        self.taken += 1;
+        let most_urgent = self
+            .taken
+            .is_multiple_of(URGENT_EVERY)
+            .then(|| self.most_urgent(urgent_before_ms))
+            .flatten();
+        let urgent = most_urgent.is_some();
+        let name = most_urgent.or_else(|| self.next_team())?;
+        let team = self.teams.get_mut(&name)?;
+        let key = if urgent {
+            earliest(team)
+        } else {
+            team.items.keys().next().copied()
+        }?;
+        let item = team.items.remove(&key);
+        if !urgent {
+            self.pass = self.pass.max(team.pass);
+        }
+        team.pass += STRIDE / u64::from(team.weight);
+        if team.items.is_empty() {
+            self.teams.remove(&name);
+        }
+        self.len -= 1;
+        item
+    }
+
+    /// Removes the items that a predicate selects and returns them.
+    pub fn take_if(&mut self, mut select: impl FnMut(&Item<T>) -> bool) -> Vec<Item<T>> {
+        let mut taken = Vec::new();
+        for team in self.teams.values_mut() {
+            taken.extend(team.items.extract_if(.., |_, item| select(item)));
+        }
+        self.teams.retain(|_, team| !team.items.is_empty());
+        self.len -= taken.len();
+        taken.into_iter().map(|(_, item)| item).collect()
+    }
+
+    /// Returns the number of items.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Returns whether there are no items.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    fn next_team(&self) -> Option<name::Name> {
+        self.teams
+            .iter()
+            .min_by_key(|(_, team)| team.pass)
+            .map(|(name, _)| name.clone())
+    }
+
+    fn most_urgent(&self, urgent_before_ms: u64) -> Option<name::Name> {
+        self.teams
+            .iter()
+            .filter_map(|(name, team)| Some((earliest(team)?.1, name)))
+            .filter(|&(due_ms, _)| due_ms < urgent_before_ms)
+            .min()
+            .map(|(_, name)| name.clone())
+    }
+}
+
+/// Returns the key of the item of a team that is due first.
+fn earliest<T>(team: &Team<T>) -> Option<(bool, u64, u64)> {
+    let resumed = team.items.range(..(true, 0, 0)).next();
+    let fresh = team.items.range((true, 0, 0)..).next();
+    resumed
+        .into_iter()
+        .chain(fresh)
+        .map(|(&key, _)| key)
+        .min_by_key(|&(_, due_ms, _)| due_ms)
+}
--- /dev/null
+++ b/crates/policy/src/retry/mod.rs
@@ -0,0 +1,252 @@
+//! Retries and hedges within a budget.
+//!
+//! A [`Retry`] holds one budget per service: every finished request earns a
+//! share of one retry. While a service fails, retries are therefore a fixed
+//! share of the load that it still answers and cannot grow into a storm. A
+//! [`Call`] follows one request over all its attempts and combines their
+//! verdicts.
+
+mod budget;
+mod call;
+mod latency;
+
+use std::collections;
+
+use bw_wire::{name, refusal};
+
+use budget::Budget;
+use latency::Latency;
+
+pub use call::{Call, Failure, Reason, Stop};
+
+/// Settings of a [`Retry`].
+#[derive(Clone, Debug)]
+pub struct Builder {
+    pub(crate) ratio: f32,
+    pub(crate) trickle_per_s: f32,
+    pub(crate) max_tokens: f32,
+    pub(crate) max_attempts: u32,
+    pub(crate) max_resumes: u32,
+    pub(crate) hedge_quantile: f64,
+    pub(crate) hedge_min_ms: u64,
+    pub(crate) hedge_samples: u64,
+    pub(crate) window_ms: u64,
+}
+
+impl Default for Builder {
+    fn default() -> Builder {
+        Builder {
+            ratio: 0.1,
+            trickle_per_s: 2.0,
+            max_tokens: 50.0,
+            max_attempts: 3,
+            max_resumes: 8,
+            hedge_quantile: 0.95,
+            hedge_min_ms: 20,
+            hedge_samples: 50,
+            window_ms: 10_000,
+        }
+    }
+}
+
+impl Builder {
+    /// Starts from the defaults.
+    pub fn new() -> Builder {
+        Builder::default()
+    }
+
+    /// Sets the share of a retry that a finished request earns.
+    pub fn ratio(mut self, ratio: f32) -> Builder {
+        self.ratio = ratio.clamp(0.0, 1.0);
+        self
+    }
+
+    /// Sets the retries a second that are allowed without any finished request.
+    pub fn trickle_per_s(mut self, retries: f32) -> Builder {
+        self.trickle_per_s = retries.max(0.0);
+        self
+    }
+
+    /// Sets how many retries can be saved up.
+    pub fn max_tokens(mut self, retries: f32) -> Builder {
+        self.max_tokens = retries.max(1.0);
+        self
+    }
+
+    /// Sets the largest number of attempts without progress, hedges included.
+    pub fn max_attempts(mut self, attempts: u32) -> Builder {
+        self.max_attempts = attempts.max(1);
+        self
+    }
+
+    /// Sets how often a stream that made progress is resumed.
+    pub fn max_resumes(mut self, resumes: u32) -> Builder {
+        self.max_resumes = resumes;
+        self
+    }
+
+    /// Sets the quantile of recent first-token times after which a request is
+    /// hedged, and the least such time.
+    pub fn hedge(mut self, quantile: f64, min_ms: u64) -> Builder {
+        self.hedge_quantile = quantile.clamp(0.5, 1.0);
+        self.hedge_min_ms = min_ms;
+        self
+    }
+
+    /// Builds a retry policy without services.
+    pub fn build(self) -> Retry {
+        Retry {
+            settings: self,
+            services: collections::BTreeMap::new(),
+        }
+    }
+}
+
+/// What to do after an attempt failed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Decision {
+    /// Send the request again at once, to another replica if there is one.
+    Again {
+        /// Why, for counters.
+        reason: Reason,
+        /// The time left until the caller's deadline, to be passed on.
+        remaining_ms: Option<u64>,
+    },
+    /// Another attempt is still running; wait for it.
+    Wait,
+    /// Give up and send the refusal at once.
+    GiveUp {
+        /// Why, for counters.
+        stop: Stop,
+        /// The refusal with the combined verdict.
+        refusal: refusal::Refusal,
+    },
+}
+
+#[derive(Debug)]
+struct Service {
+    budget: Budget,
+    first: Latency,
+}
+
+/// Retry budgets and first-token times by service.
+#[derive(Debug)]
+pub struct Retry {
+    settings: Builder,
+    services: collections::BTreeMap<name::Name, Service>,
+}
+
+impl Retry {
+    /// Counts a request that finished well.
+    pub fn succeeded(&mut self, service: &name::Name, now_ms: u64) {
+        let ratio = self.settings.ratio;
+        self.service(service, now_ms).budget.earn(ratio, now_ms);
+    }
+
+    /// Takes the measured time from sending a request to its first token or
+    /// response byte.
+    pub fn observe_first(&mut self, service: &name::Name, first_ms: u64, now_ms: u64) {
+        self.service(service, now_ms).first.add(first_ms, now_ms);
+    }
+
+    /// Decides what follows a failed attempt and counts it in `call`.
+    pub fn failed(
+        &mut self,
+        service: &name::Name,
+        call: &mut Call,
+        failure: Failure,
+        now_ms: u64,
+    ) -> Decision {
+        call.end(failure);
+        if call.running > 0 {
+            return Decision::Wait;
+        }
+        if let Some(stop) = self.obstacle(call, now_ms) {
+            return give_up(call, failure, stop);
+        }
+        if !call.has_paid() && !self.service(service, now_ms).budget.spend(now_ms) {
+            return give_up(call, failure, Stop::Budget);
+        }
+        call.begin();
+        Decision::Again {
+            reason: failure.reason(),
+            remaining_ms: call.remaining_ms(now_ms),
+        }
+    }
+
+    /// Returns after how long without a first token a request may be hedged.
+    /// Absent while too few first-token times are known.
+    pub fn hedge_after_ms(&mut self, service: &name::Name, now_ms: u64) -> Option<u64> {
+        let settings = self.settings.clone();
+        let first = &mut self.service(service, now_ms).first;
+        let quantile_ms = first.quantile(settings.hedge_quantile, settings.hedge_samples)?;
+        Some(quantile_ms.max(settings.hedge_min_ms))
+    }
+
+    /// Decides whether a request that waits for its first token gets a second
+    /// attempt beside the first, and counts it in `call` if so.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason, for counters; the first attempt goes on.
+    pub fn hedge(
+        &mut self,
+        service: &name::Name,
+        call: &mut Call,
+        now_ms: u64,
+    ) -> Result<Option<u64>, Stop> {
+        if !call.repeatable {
+            return Err(Stop::NotRepeatable);
+        }
+        if call.progressed || call.running != 1 || call.hedged {
+            return Err(Stop::Attempts);
+        }
+        if let Some(stop) = self.obstacle(call, now_ms) {
+            return Err(stop);
+        }
+        if !self.service(service, now_ms).budget.spend(now_ms) {
+            return Err(Stop::Budget);
+        }
+        call.hedged = true;
+        call.begin();
+        Ok(call.remaining_ms(now_ms))
+    }
+
+    /// Returns how many retries a service has left.
+    pub fn tokens(&mut self, service: &name::Name, now_ms: u64) -> f32 {
+        self.service(service, now_ms).budget.tokens(now_ms)
+    }
+
+    /// Returns why a call may not be sent again, if it may not.
+    fn obstacle(&self, call: &Call, now_ms: u64) -> Option<Stop> {
+        if call.suspect {
+            return Some(Stop::Suspect);
+        }
+        if !call.may_repeat() {
+            return Some(Stop::NotRepeatable);
+        }
+        if call.remaining_ms(now_ms) == Some(0) {
+            return Some(Stop::Deadline);
+        }
+        let is_over =
+            call.attempts >= self.settings.max_attempts || call.resumes > self.settings.max_resumes;
+        is_over.then_some(Stop::Attempts)
+    }
+
+    fn service(&mut self, service: &name::Name, now_ms: u64) -> &mut Service {
+        let settings = &self.settings;
+        self.services
+            .entry(service.clone())
+            .or_insert_with(|| Service {
+                budget: Budget::new(settings.max_tokens, settings.trickle_per_s, now_ms),
+                first: Latency::new(settings.window_ms, now_ms),
+            })
+    }
+}
+
+fn give_up(call: &Call, failure: Failure, stop: Stop) -> Decision {
+    Decision::GiveUp {
+        stop,
+        refusal: stop.refusal(failure, call.verdict()),
+    }
+}
--- /dev/null
+++ b/crates/policy/src/router/mod.rs
@@ -0,0 +1,442 @@
+//! Choice of the backend server that runs a request.
+//!
+//! A [`Router`] keeps what one entry VM knows of the backend servers: its own
+//! requests in flight, which are exact; the other entry VMs' counts, which are
+//! up to a `sync` interval old; and load reports, which lag and can be wrong.
+//! [`Router::choose`] compares a few randomly drawn replicas and the likely
+//! holders of the request's prompt prefix by one score.
+
+mod cache;
+mod choice;
+mod replica;
+
+use std::collections;
+
+use bw_wire::{backend, fingerprint, name};
+use rand::Rng;
+
+pub use choice::{Choice, Fit, Request, Target, Unavailable};
+
+use replica::Replica;
+
+/// Settings of a [`Router`].
+#[derive(Clone, Debug)]
+pub struct Builder {
+    pub(crate) sample: usize,
+    pub(crate) near: f32,
+    pub(crate) affinity: f32,
+    pub(crate) cached_blocks: usize,
+    pub(crate) domain: Option<name::Name>,
+    pub(crate) domain_weight: f32,
+    pub(crate) slow_start_ms: u64,
+    pub(crate) report_half_life_ms: u64,
+    pub(crate) fleet_half_life_ms: u64,
+    pub(crate) unexplained: f32,
+    pub(crate) proof_max_age_ms: u64,
+    pub(crate) forget_ms: u64,
+}
+
+impl Default for Builder {
+    fn default() -> Builder {
+        Builder {
+            sample: 2,
+            near: 0.02,
+            affinity: 0.25,
+            cached_blocks: 65_536,
+            domain: None,
+            domain_weight: 0.0,
+            slow_start_ms: 5_000,
+            report_half_life_ms: 500,
+            fleet_half_life_ms: 2_000,
+            unexplained: 0.5,
+            proof_max_age_ms: backend::PROOF_MAX_AGE_MS,
+            forget_ms: 60_000,
+        }
+    }
+}
+
+impl Builder {
+    /// Starts from the defaults.
+    pub fn new() -> Builder {
+        Builder::default()
+    }
+
+    /// Sets how many randomly drawn replicas are compared; at least 1.
+    pub fn sample(mut self, replicas: usize) -> Builder {
+        self.sample = replicas.max(1);
+        self
+    }
+
+    /// Sets the difference in score below which replicas count as equal.
+    pub fn near(mut self, score: f32) -> Builder {
+        self.near = score.max(0.0);
+        self
+    }
+
+    /// Sets the share of a replica's capacity that a whole cached prefix is worth.
+    pub fn affinity(mut self, share: f32) -> Builder {
+        self.affinity = share.max(0.0);
+        self
+    }
+
+    /// Sets how many prefix blocks each of the two cache generations remembers.
+    pub fn cached_blocks(mut self, blocks: usize) -> Builder {
+        self.cached_blocks = blocks.max(1);
+        self
+    }
+
+    /// Sets the own failure domain and the share of a replica's capacity that
+    /// staying in it is worth.
+    pub fn failure_domain(mut self, domain: name::Name, weight: f32) -> Builder {
+        self.domain = Some(domain);
+        self.domain_weight = weight.max(0.0);
+        self
+    }
+
+    /// Sets how long a replica that just joined gets less than its share.
+    pub fn slow_start_ms(mut self, duration_ms: u64) -> Builder {
+        self.slow_start_ms = duration_ms;
+        self
+    }
+
+    /// Sets the age at which a load report counts half.
+    pub fn report_half_life_ms(mut self, duration_ms: u64) -> Builder {
+        self.report_half_life_ms = duration_ms.max(1);
+        self
+    }
+
+    /// Sets the age at which the other entry VMs' counts count half.
+    pub fn fleet_half_life_ms(mut self, duration_ms: u64) -> Builder {
+        self.fleet_half_life_ms = duration_ms.max(1);
+        self
+    }
+
+    /// Sets the weight of reported requests that no count explains. They are
+    /// mostly batch streams, which give way to online work.
+    pub fn unexplained(mut self, weight: f32) -> Builder {
+        self.unexplained = weight.clamp(0.0, 1.0);
+        self
+    }
+
+    /// Sets the age of the last proof of not leaving beyond which a replica is
+    /// not used.
+    pub fn proof_max_age_ms(mut self, age_ms: u64) -> Builder {
+        self.proof_max_age_ms = age_ms;
+        self
+    }
+
+    /// Builds an empty router.
+    pub fn build(self) -> Router {
+        Router {
+            cache: cache::Cache::new(self.cached_blocks),
+            settings: self,
+            replicas: Vec::new(),
+            free: Vec::new(),
+            slots: collections::BTreeMap::new(),
+            models: collections::HashMap::new(),
+            services: collections::HashMap::new(),
+            drained: collections::BTreeSet::new(),
+        }
+    }
+}
+
+/// What one entry VM knows of the backend servers.
+#[derive(Debug)]
+pub struct Router {
+    settings: Builder,
+    replicas: Vec<Replica>,
+    free: Vec<usize>,
+    slots: collections::BTreeMap<name::Name, usize>,
+    models: collections::HashMap<name::Name, Vec<usize>>,
+    services: collections::HashMap<name::Name, Vec<usize>>,
+    drained: collections::BTreeSet<name::Name>,
+    cache: cache::Cache,
+}
+
+impl Router {
+    /// Takes an announcement that is `age_ms` old, heard directly or through
+    /// control. Repeated and reordered announcements have no effect beyond the
+    /// proof that they carry.
+    pub fn announce(&mut self, announcement: &backend::Announcement, age_ms: u64, now_ms: u64) {
+        let at_ms = now_ms.saturating_sub(age_ms);
+        let Some(&slot) = self.slots.get(&announcement.id) else {
+            self.insert(announcement, at_ms, now_ms);
+            return;
+        };
+        let replica = &mut self.replicas[slot];
+        if replica.is_older(announcement) {
+            return;
+        }
+        if announcement.incarnation > replica.announcement.incarnation {
+            replica.restart(announcement, at_ms, now_ms);
+            self.index(slot);
+            return;
+        }
+        let changed = replica.announcement.loaded != announcement.loaded
+            || replica.announcement.service != announcement.service;
+        replica.renew(announcement, at_ms, now_ms);
+        if changed {
+            self.index(slot);
+        }
+    }
+
+    /// Takes a successful probe of `/healthz` that was sent at `sent_ms`.
+    pub fn proof(&mut self, id: &str, incarnation: u64, sent_ms: u64) {
+        if let Some(replica) = self.get_mut(id)
+            && replica.announcement.incarnation == incarnation
+        {
+            replica.proof_ms = replica.proof_ms.max(sent_ms);
+        }
+    }
+
+    /// Marks an incarnation as leaving. Nothing but a later incarnation undoes it.
+    pub fn leaving(&mut self, id: &str, incarnation: u64) {
+        if let Some(replica) = self.get_mut(id)
+            && replica.announcement.incarnation <= incarnation
+        {
+            replica.leaving = true;
+        }
+    }
+
+    /// Replaces the set of drained backend servers.
+    pub fn drain(&mut self, drained: &collections::BTreeSet<name::Name>) {
+        self.drained.clone_from(drained);
+        for replica in &mut self.replicas {
+            replica.drained = drained.contains(&replica.announcement.id);
+        }
+    }
+
+    /// Takes the other entry VMs' online requests in flight from a `sync`
+    /// answer. A backend server without an entry has none.
+    pub fn fleet(&mut self, online: &collections::BTreeMap<name::Name, u32>, now_ms: u64) {
+        for replica in &mut self.replicas {
+            replica.fleet = online.get(&replica.announcement.id).copied().unwrap_or(0);
+            replica.fleet_ms = now_ms;
+        }
+    }
+
+    /// Takes cache events. A gap or a restart makes what was known of the
+    /// engine's cache doubtful.
+    pub fn cache_events(&mut self, events: &backend::CacheEvents, now_ms: u64) {
+        let Some(&slot) = self.slots.get(&events.id) else {
+            return;
+        };
+        let replica = &mut self.replicas[slot];
+        if replica.announcement.incarnation != events.incarnation {
+            return;
+        }
+        let count = (events.stored.len() + events.removed.len()) as u64;
+        if events.sequence < replica.next_event {
+            return;
+        }
+        if events.sequence > replica.next_event {
+            replica.gap = replica.gap.wrapping_add(1);
+        }
+        replica.next_event = events.sequence + count.max(1);
+        let holder = replica.holder(slot);
+        for &block in &events.stored {
+            self.cache.insert(block, holder, now_ms);
+        }
+        for &block in &events.removed {
+            self.cache.remove(block, holder);
+        }
+    }
+
+    /// Sets whether health rules exclude a replica, and the factor by which its
+    /// load counts as more than it is.
+    pub fn judge(&mut self, id: &str, excluded: bool, penalty: f32) {
+        if let Some(replica) = self.get_mut(id) {
+            replica.excluded = excluded;
+            replica.penalty = if penalty.is_finite() {
+                penalty.clamp(1.0, 16.0)
+            } else {
+                1.0
+            };
+        }
+    }
+
+    /// Starts the slow start of a replica again, for example after an ejection.
+    pub fn ramp(&mut self, id: &str, now_ms: u64) {
+        if let Some(replica) = self.get_mut(id) {
+            replica.joined_ms = now_ms;
+        }
+    }
+
+    /// Keeps a replica free of new work until `until_ms`, for the isolated run
+    /// of a suspect; 0 ends the reservation.
+    pub fn reserve(&mut self, id: &str, until_ms: u64) {
+        if let Some(replica) = self.get_mut(id) {
+            replica.reserved_ms = until_ms;
+        }
+    }
+
+    /// Counts a request as in flight on the chosen replica and remembers its
+    /// prefix there.
+    pub fn begin(&mut self, choice: &Choice, request: &Request<'_>, now_ms: u64) {
+        let Some(&slot) = self.slots.get(&choice.id) else {
+            return;
+        };
+        let replica = &mut self.replicas[slot];
+        if replica.announcement.incarnation != choice.incarnation {
+            return;
+        }
+        replica.change_online(1, now_ms);
+        if request.fit != Fit::Any {
+            replica.suspects += 1;
+        }
+        let holder = replica.holder(slot);
+        for &block in request.prefix {
+            self.cache.insert(block, holder, now_ms);
+        }
+    }
+
+    /// Counts a request that [`Router::begin`] counted as no longer in flight.
+    pub fn end(&mut self, choice: &Choice, fit: Fit, now_ms: u64) {
+        let Some(replica) = self.get_mut(&choice.id) else {
+            return;
+        };
+        if replica.announcement.incarnation != choice.incarnation {
+            return;
+        }
+        replica.change_online(-1, now_ms);
+        if fit != Fit::Any {
+            replica.suspects = replica.suspects.saturating_sub(1);
+        }
+    }
+
+    /// Chooses a replica. The caller passes the choice to [`Router::begin`]
+    /// before it gives up the lock under which it called.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the main reason why no replica can be used.
+    pub fn choose<R: Rng>(
+        &self,
+        request: &Request<'_>,
+        now_ms: u64,
+        random: &mut R,
+    ) -> Result<Choice, Unavailable> {
+        choice::choose(self, request, now_ms, random)
+    }
+
+    /// Returns the own online requests in flight by backend server.
+    pub fn online(&self) -> collections::BTreeMap<name::Name, u32> {
+        self.slots
+            .iter()
+            .filter(|&(_, &slot)| self.replicas[slot].online > 0)
+            .map(|(id, &slot)| (id.clone(), self.replicas[slot].online))
+            .collect()
+    }
+
+    /// Returns the own online requests in flight on one backend server.
+    pub fn online_on(&self, id: &str) -> u32 {
+        self.get(id).map_or(0, |replica| replica.online)
+    }
+
+    /// Returns whether new work may be sent to a backend server.
+    pub fn is_usable(&self, id: &str, now_ms: u64) -> bool {
+        self.get(id)
+            .is_some_and(|replica| replica.obstacle(&self.settings, now_ms).is_none())
+    }
+
+    /// Returns the latest announcement of a backend server.
+    pub fn announcement(&self, id: &str) -> Option<&backend::Announcement> {
+        self.get(id).map(|replica| &replica.announcement)
+    }
+
+    /// Returns the usable backend servers whose last proof is older than
+    /// `age_ms`, so that they can be probed before they fall out of use.
+    pub fn aging(&self, age_ms: u64, now_ms: u64) -> Vec<name::Name> {
+        self.slots
+            .values()
+            .map(|&slot| &self.replicas[slot])
+            .filter(|replica| !replica.leaving)
+            .filter(|replica| now_ms.saturating_sub(replica.proof_ms) > age_ms)
+            .map(|replica| replica.announcement.id.clone())
+            .collect()
+    }
+
+    /// Forgets backend servers that were not heard of for a minute and run
+    /// nothing of this entry VM.
+    pub fn sweep(&mut self, now_ms: u64) {
+        let forget_ms = self.settings.forget_ms;
+        let gone: Vec<(name::Name, usize)> = self
+            .slots
+            .iter()
+            .filter(|&(_, &slot)| {
+                let replica = &self.replicas[slot];
+                replica.online == 0 && now_ms.saturating_sub(replica.proof_ms) > forget_ms
+            })
+            .map(|(id, &slot)| (id.clone(), slot))
+            .collect();
+        for (id, slot) in gone {
+            self.slots.remove(&id);
+            self.unindex(slot);
+            self.free.push(slot);
+        }
+    }
+
+    /// Returns how many leading blocks of a prefix a backend server likely holds.
+    pub fn cached_prefix(&self, id: &str, prefix: &[fingerprint::Fingerprint]) -> usize {
+        let Some(&slot) = self.slots.get(id) else {
+            return 0;
+        };
+        let holder = self.replicas[slot].holder(slot);
+        self.cache.match_length(prefix, holder)
+    }
+
+    fn insert(&mut self, announcement: &backend::Announcement, at_ms: u64, now_ms: u64) {
+        let mut replica = Replica::new(announcement, at_ms, now_ms);
+        replica.drained = self.drained.contains(&announcement.id);
+        let slot = match self.free.pop() {
+            Some(slot) => {
+                replica.epoch = self.replicas[slot].epoch.wrapping_add(1);
+                self.replicas[slot] = replica;
+                slot
+            }
+            None => {
+                self.replicas.push(replica);
+                self.replicas.len() - 1
+            }
+        };
+        self.slots.insert(announcement.id.clone(), slot);
+        self.index(slot);
+    }
+
+    fn index(&mut self, slot: usize) {
+        self.unindex(slot);
+        let announcement = &self.replicas[slot].announcement;
+        match announcement.kind {
+            backend::Kind::Engine => {
+                for loaded in &announcement.loaded {
+                    let list = self.models.entry(loaded.model.clone()).or_default();
+                    if !list.contains(&slot) {
+                        list.push(slot);
+                    }
+                }
+            }
+            backend::Kind::Service => {
+                let list = self.services.entry(announcement.service.clone());
+                list.or_default().push(slot);
+            }
+        }
+    }
+
+    fn unindex(&mut self, slot: usize) {
+        for map in [&mut self.models, &mut self.services] {
+            for list in map.values_mut() {
+                list.retain(|&other| other != slot);
+            }
+            map.retain(|_, list| !list.is_empty());
+        }
+    }
+
+    fn get(&self, id: &str) -> Option<&Replica> {
+        self.slots.get(id).map(|&slot| &self.replicas[slot])
+    }
+
+    fn get_mut(&mut self, id: &str) -> Option<&mut Replica> {
+        let slot = *self.slots.get(id)?;
+        self.replicas.get_mut(slot)
+    }
+}
