Add health, suspect and placement rules

Cause: replicas that freeze, requests that crash replicas and placement orders need decisions. Change: the modules health, suspect and placement, sans-I/O like the others.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,9 @@
 //! number of replicas and allocate little.
 
 pub mod admission;
+pub mod health;
 pub mod pacer;
+pub mod placement;
 pub mod retry;
 pub mod router;
+pub mod suspect;
--- /dev/null
+++ b/crates/policy/src/placement/engine.rs
@@ -0,0 +1,198 @@
+//! One engine and the order that it is carrying out.
+
+use bw_wire::{backend, intent, name};
+
+/// Pause after a failed order; it doubles with each failure in a row.
+const BACKOFF_MS: u64 = 5_000;
+/// Upper bound of the pause.
+const BACKOFF_MAX_MS: u64 = 300_000;
+
+#[derive(Clone, Debug)]
+struct Pending {
+    action: backend::Action,
+    at_ms: u64,
+    /// The incarnation that the order was sent to; a restart loses the order.
+    incarnation: u64,
+}
+
+#[derive(Debug)]
+pub(super) struct Engine {
+    pub(super) heard_ms: u64,
+    announcement: backend::Announcement,
+    pending: Option<Pending>,
+    settled_ms: u64,
+    failures: u32,
+    retry_ms: u64,
+}
+
+impl Engine {
+    pub(super) fn new(announcement: &backend::Announcement, heard_ms: u64, now_ms: u64) -> Engine {
+        Engine {
+            heard_ms,
+            announcement: announcement.clone(),
+            pending: None,
+            settled_ms: now_ms,
+            failures: 0,
+            retry_ms: 0,
+        }
+    }
+
+    pub(super) fn update(
+        &mut self,
+        announcement: &backend::Announcement,
+        heard_ms: u64,
+        now_ms: u64,
+    ) {
+        let known = (self.announcement.incarnation, self.announcement.sequence);
+        if (announcement.incarnation, announcement.sequence) < known {
+            return;
+        }
+        self.heard_ms = self.heard_ms.max(heard_ms);
+        if self.announcement.loaded != announcement.loaded {
+            self.settled_ms = now_ms;
+        }
+        self.announcement.clone_from(announcement);
+        if self
+            .pending
+            .as_ref()
+            .is_some_and(|pending| self.is_done(pending))
+        {
+            self.pending = None;
+            self.failures = 0;
+        }
+    }
+
+    pub(super) fn order(&mut self, action: backend::Action, now_ms: u64) {
+        self.pending = Some(Pending {
+            action,
+            at_ms: now_ms,
+            incarnation: self.announcement.incarnation,
+        });
+    }
+
+    pub(super) fn fail(&mut self, now_ms: u64) {
+        self.pending = None;
+        let pause_ms = BACKOFF_MS << self.failures.min(10);
+        self.failures += 1;
+        self.retry_ms = now_ms + pause_ms.min(BACKOFF_MAX_MS);
+    }
+
+    /// Gives up on an order that has had no effect in time.
+    pub(super) fn expire(&mut self, order_timeout_ms: u64, load_timeout_ms: u64, now_ms: u64) {
+        let Some(pending) = &self.pending else {
+            return;
+        };
+        let age_ms = now_ms.saturating_sub(pending.at_ms);
+        let is_loading = self.announcement.state == backend::State::Loading;
+        let allowed_ms = if is_loading {
+            load_timeout_ms
+        } else {
+            order_timeout_ms
+        };
+        let is_lost = self.announcement.incarnation > pending.incarnation && !is_loading;
+        if age_ms > allowed_ms || is_lost {
+            self.fail(now_ms);
+        }
+    }
+
+    pub(super) fn deployment(&self) -> &name::Name {
+        &self.announcement.service
+    }
+
+    pub(super) fn domain(&self) -> &name::Name {
+        &self.announcement.failure_domain
+    }
+
+    pub(super) fn is_leaving(&self) -> bool {
+        self.announcement.state == backend::State::Leaving
+    }
+
+    /// Returns the model that the engine has or is to get.
+    pub(super) fn model(&self) -> Option<&name::Name> {
+        match self.pending.as_ref().map(|pending| &pending.action) {
+            Some(backend::Action::Load { model, .. }) => Some(model),
+            Some(backend::Action::Unload { .. } | backend::Action::Leave) => None,
+            None => self.announcement.loaded.first().map(|loaded| &loaded.model),
+        }
+    }
+
+    pub(super) fn takes_orders(&self, now_ms: u64) -> bool {
+        self.pending.is_none()
+            && self.announcement.state == backend::State::Ready
+            && now_ms >= self.retry_ms
+    }
+
+    pub(super) fn is_settled(&self, settle_ms: u64, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.settled_ms) >= settle_ms
+    }
+
+    pub(super) fn is_ready_with(&self, model: &name::Name) -> bool {
+        self.pending.is_none()
+            && self.announcement.state == backend::State::Ready
+            && self.loaded(model).is_some()
+    }
+
+    pub(super) fn is_current(&self, name: &name::Name, model: &intent::Model) -> bool {
+        self.loaded(name).is_some_and(|loaded| {
+            loaded.version == model.version
+                && model
+                    .adapters
+                    .iter()
+                    .all(|adapter| loaded.adapters.contains(adapter))
+        })
+    }
+
+    pub(super) fn becomes_current(&self, name: &name::Name, model: &intent::Model) -> bool {
+        match self.pending.as_ref().map(|pending| &pending.action) {
+            Some(backend::Action::Load {
+                model: ordered,
+                version,
+                ..
+            }) => ordered == name && *version == model.version,
+            Some(_) => false,
+            None => !self.is_leaving() && self.is_current(name, model),
+        }
+    }
+
+    pub(super) fn is_in_progress_of(&self, name: &name::Name) -> bool {
+        match self.pending.as_ref().map(|pending| &pending.action) {
+            Some(backend::Action::Load { model, .. } | backend::Action::Unload { model }) => {
+                model == name
+            }
+            Some(backend::Action::Leave) | None => false,
+        }
+    }
+
+    pub(super) fn loads_unknown(&self) -> bool {
+        self.pending.is_none()
+            && self.announcement.state == backend::State::Loading
+            && self.announcement.loaded.is_empty()
+    }
+
+    fn loaded(&self, model: &name::Name) -> Option<&backend::Loaded> {
+        self.announcement
+            .loaded
+            .iter()
+            .find(|loaded| loaded.model == *model)
+    }
+
+    fn is_done(&self, pending: &Pending) -> bool {
+        match &pending.action {
+            backend::Action::Load {
+                model,
+                version,
+                adapters,
+            } => {
+                self.announcement.state == backend::State::Ready
+                    && self.loaded(model).is_some_and(|loaded| {
+                        loaded.version == *version
+                            && adapters
+                                .iter()
+                                .all(|adapter| loaded.adapters.contains(adapter))
+                    })
+            }
+            backend::Action::Unload { model } => self.loaded(model).is_none(),
+            backend::Action::Leave => self.is_leaving(),
+        }
+    }
+}
