coord: add the public interface and storage

Cause: bw-control is written against the coordination library at the same time and needs its names and signatures.

Change: Host, Builder, Machine, Edge, Input, Output, Refusal, Status and Stats; member lists with quorum rules; message types; the Disk trait with a directory and an in-memory disk that injects faults. Host::step has no effect yet.

Conclusion: bw-control can be compiled against this; replication follows.

--- /dev/null
+++ b/crates/coord/src/host/builder.rs
@@ -0,0 +1,192 @@
+//! Construction of a host.
+
+use std::collections::BTreeMap;
+
+use crate::{GroupId, ReplicaId, host, member, storage};
+
+/// Default smallest election timeout.
+const ELECTION_TIMEOUT_MS: u64 = 1_000;
+/// Default interval between heartbeats; ten of them fit into an election
+/// timeout, so that a few lost ones cause no election.
+const HEARTBEAT_INTERVAL_MS: u64 = 100;
+/// Default share of the election timeout that clocks may drift apart, as a divisor.
+const DRIFT_DIVISOR: u64 = 10;
+/// Default size of a log segment.
+const SEGMENT_BYTES: u64 = 16 << 20;
+/// Default size of the log since the last snapshot that causes a snapshot.
+const SNAPSHOT_LOG_BYTES: u64 = 16 << 20;
+/// Default size of the entries kept after a snapshot for replicas that lag.
+const RETAINED_BYTES: u64 = 4 << 20;
+/// Default size of a piece of a snapshot.
+const CHUNK_BYTES: usize = 256 << 10;
+/// Default size of the entries in one message.
+const APPEND_BYTES: u64 = 1 << 20;
+/// Default size of entries sent to a replica and not yet acknowledged.
+const INFLIGHT_BYTES: u64 = 8 << 20;
+/// Default size of uncommitted entries above which proposals are refused as busy.
+const PENDING_BYTES: u64 = 64 << 20;
+
+/// Limits and times of a host.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Options {
+    pub election_timeout_ms: u64,
+    pub heartbeat_interval_ms: u64,
+    pub drift_margin_ms: u64,
+    pub segment_bytes: u64,
+    pub snapshot_log_bytes: u64,
+    pub retained_bytes: u64,
+    pub chunk_bytes: usize,
+    pub append_bytes: u64,
+    pub inflight_bytes: u64,
+    pub pending_bytes: u64,
+    pub span_domains: bool,
+    pub lease_reads: bool,
+    pub seed: u64,
+}
+
+/// Builds a [`host::Host`].
+pub struct Builder<E: host::Edge> {
+    replica: ReplicaId,
+    members: Vec<member::Member>,
+    machines: BTreeMap<GroupId, E::Machine>,
+    options: Options,
+}
+
+impl<E: host::Edge> Builder<E> {
+    /// Starts with a replica id and the first members of every group.
+    ///
+    /// The members count only when the disk is empty; later the log holds them.
+    /// All first members are started with the same list. A replica that joins
+    /// an existing group is started with an empty list (or one that it is not
+    /// part of): it waits until a leader adds it as a learner. A replica whose
+    /// disk was lost must join under a new id: started with the old id and the
+    /// first members it would vote a second time.
+    pub fn new(replica: ReplicaId, members: Vec<member::Member>) -> Builder<E> {
+        Builder {
+            replica,
+            members,
+            machines: BTreeMap::new(),
+            options: Options {
+                election_timeout_ms: ELECTION_TIMEOUT_MS,
+                heartbeat_interval_ms: HEARTBEAT_INTERVAL_MS,
+                drift_margin_ms: ELECTION_TIMEOUT_MS / DRIFT_DIVISOR,
+                segment_bytes: SEGMENT_BYTES,
+                snapshot_log_bytes: SNAPSHOT_LOG_BYTES,
+                retained_bytes: RETAINED_BYTES,
+                chunk_bytes: CHUNK_BYTES,
+                append_bytes: APPEND_BYTES,
+                inflight_bytes: INFLIGHT_BYTES,
+                pending_bytes: PENDING_BYTES,
+                span_domains: false,
+                lease_reads: true,
+                seed: replica.0,
+            },
+        }
+    }
+
+    /// Adds a group with its state machine in the initial state.
+    pub fn group(mut self, group: GroupId, machine: E::Machine) -> Builder<E> {
+        self.machines.insert(group, machine);
+        self
+    }
+
+    /// Requires that every commit spans at least two failure domains.
+    pub fn span_failure_domains(mut self, required: bool) -> Builder<E> {
+        self.options.span_domains = required;
+        self
+    }
+
+    /// Sets the smallest election timeout; a tenth of it becomes the heartbeat
+    /// interval and the clock-drift margin. All replicas use the same.
+    pub fn election_timeout_ms(mut self, timeout_ms: u64) -> Builder<E> {
+        self.options.election_timeout_ms = timeout_ms;
+        self.options.heartbeat_interval_ms = (timeout_ms / DRIFT_DIVISOR).max(1);
+        self.options.drift_margin_ms = (timeout_ms / DRIFT_DIVISOR).max(1);
+        self
+    }
+
+    /// Sets the interval between heartbeats.
+    pub fn heartbeat_interval_ms(mut self, interval_ms: u64) -> Builder<E> {
+        self.options.heartbeat_interval_ms = interval_ms;
+        self
+    }
+
+    /// Sets by how much two clocks may drift apart during one election timeout.
+    pub fn drift_margin_ms(mut self, margin_ms: u64) -> Builder<E> {
+        self.options.drift_margin_ms = margin_ms;
+        self
+    }
+
+    /// Sets the size at which a new segment of the write-ahead log is started.
+    pub fn segment_bytes(mut self, bytes: u64) -> Builder<E> {
+        self.options.segment_bytes = bytes;
+        self
+    }
+
+    /// Sets the size of a group's log since its last snapshot that causes a
+    /// snapshot. A state larger than this is written only once the log has
+    /// grown by the size of the state, so that the cost stays proportional.
+    pub fn snapshot_log_bytes(mut self, bytes: u64) -> Builder<E> {
+        self.options.snapshot_log_bytes = bytes;
+        self
+    }
+
+    /// Sets the size of the entries that stay in memory after a snapshot for
+    /// replicas that lag a little.
+    pub fn retained_bytes(mut self, bytes: u64) -> Builder<E> {
+        self.options.retained_bytes = bytes;
+        self
+    }
+
+    /// Sets the size of the pieces in which a snapshot is sent.
+    pub fn chunk_bytes(mut self, bytes: usize) -> Builder<E> {
+        self.options.chunk_bytes = bytes.max(1);
+        self
+    }
+
+    /// Sets the size of the entries in one message.
+    pub fn append_bytes(mut self, bytes: u64) -> Builder<E> {
+        self.options.append_bytes = bytes;
+        self
+    }
+
+    /// Sets the size of the entries that may be on the way to one replica.
+    pub fn inflight_bytes(mut self, bytes: u64) -> Builder<E> {
+        self.options.inflight_bytes = bytes;
+        self
+    }
+
+    /// Sets the size of a group's uncommitted entries above which proposals are
+    /// refused as busy.
+    pub fn pending_bytes(mut self, bytes: u64) -> Builder<E> {
+        self.options.pending_bytes = bytes;
+        self
+    }
+
+    /// Chooses whether a leader with a lease serves reads without asking the
+    /// others; otherwise every read waits for one round of heartbeats.
+    pub fn lease_reads(mut self, enabled: bool) -> Builder<E> {
+        self.options.lease_reads = enabled;
+        self
+    }
+
+    /// Sets the seed of the election timeouts.
+    pub fn seed(mut self, seed: u64) -> Builder<E> {
+        self.options.seed = seed;
+        self
+    }
+
+    /// Recovers the replica from its disk, or initializes an empty disk.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the disk fails, holds damaged data or belongs to another replica.
+    pub fn open(self, disk: E::Disk) -> Result<host::Host<E>, storage::Error> {
+        let _ = (self.members, self.options);
+        Ok(host::Host {
+            replica: self.replica,
+            machines: self.machines,
+            _disk: disk,
+        })
+    }
+}
--- /dev/null
+++ b/crates/coord/src/storage/error.rs
@@ -0,0 +1,124 @@
+//! Errors of durable storage.
+
+use std::{fmt, io, sync};
+
+use crate::{GroupId, ReplicaId, host};
+
+/// Why a replica cannot go on. Every variant stops the replica.
+#[derive(Clone, Debug)]
+pub enum Error {
+    /// The disk is full.
+    Full {
+        /// The file that could not grow.
+        file: String,
+    },
+    /// A file operation failed.
+    Io {
+        /// The operation.
+        operation: &'static str,
+        /// The file.
+        file: String,
+        /// The cause.
+        source: sync::Arc<io::Error>,
+    },
+    /// Stored data is damaged. The replica may have forgotten a vote or an
+    /// acknowledged entry, so it must be replaced under a new replica id.
+    Corrupt {
+        /// The file.
+        file: String,
+        /// The position in the file in bytes.
+        offset: u64,
+        /// What is wrong there.
+        reason: &'static str,
+    },
+    /// The directory belongs to another replica.
+    ForeignReplica {
+        /// The replica that wrote the files.
+        stored: ReplicaId,
+        /// The replica that was to be opened.
+        expected: ReplicaId,
+    },
+    /// The files hold a group that the program does not run.
+    UnknownGroup {
+        /// The group.
+        group: GroupId,
+    },
+    /// Another process uses the directory.
+    Locked {
+        /// The lock file.
+        file: String,
+    },
+    /// The state machine refused a snapshot whose checksum is right.
+    Restore {
+        /// The group.
+        group: GroupId,
+        /// The cause.
+        source: host::RestoreError,
+    },
+    /// The replica stopped after an earlier error.
+    Stopped,
+}
+
+impl Error {
+    /// Classifies an I/O error.
+    pub(crate) fn io(operation: &'static str, file: &str, source: io::Error) -> Error {
+        match source.kind() {
+            io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded => Error::Full {
+                file: file.to_owned(),
+            },
+            _ => Error::Io {
+                operation,
+                file: file.to_owned(),
+                source: sync::Arc::new(source),
+            },
+        }
+    }
+
+    pub(crate) fn corrupt(file: &str, offset: u64, reason: &'static str) -> Error {
+        Error::Corrupt {
+            file: file.to_owned(),
+            offset,
+            reason,
+        }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Error::Full { file } => write!(formatter, "disk full while writing {file}"),
+            Error::Io {
+                operation,
+                file,
+                source,
+            } => write!(formatter, "cannot {operation} {file}: {source}"),
+            Error::Corrupt {
+                file,
+                offset,
+                reason,
+            } => write!(formatter, "{file} is corrupt at byte {offset}: {reason}"),
+            Error::ForeignReplica { stored, expected } => write!(
+                formatter,
+                "the files belong to replica {stored}, not to replica {expected}"
+            ),
+            Error::UnknownGroup { group } => {
+                write!(formatter, "the files hold unknown group {group}")
+            }
+            Error::Locked { file } => write!(formatter, "another process holds {file}"),
+            Error::Restore { group, source } => {
+                write!(formatter, "cannot restore group {group}: {source}")
+            }
+            Error::Stopped => formatter.write_str("the replica stopped after an earlier error"),
+        }
+    }
+}
+
+impl std::error::Error for Error {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match self {
+            Error::Io { source, .. } => Some(source),
+            Error::Restore { source, .. } => Some(source),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/coord/src/storage/memory.rs
@@ -0,0 +1,204 @@
+//! A disk in memory with fault injection.
+
+use std::{collections::BTreeMap, io, sync};
+
+use crate::storage::{Disk, Error, File};
+
+/// What a crash leaves of data that was not synced.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Loss {
+    /// Nothing.
+    All,
+    /// Everything, as when only the process dies.
+    Nothing,
+    /// At most this number of bytes of each file: a torn write.
+    Torn {
+        /// Unsynced bytes kept per file.
+        keep: usize,
+    },
+    /// The right size, but zeros after this number of bytes: a write whose
+    /// metadata reached the disk before its data.
+    Zeroed {
+        /// Unsynced bytes kept per file before the zeros.
+        keep: usize,
+    },
+}
+
+/// A disk in memory that can lose, tear and corrupt data, run full and fail.
+///
+/// Clones share the same content, so that a test keeps a handle to the disk of
+/// a running host.
+#[derive(Clone, Debug, Default)]
+pub struct Memory {
+    content: sync::Arc<sync::Mutex<Content>>,
+}
+
+#[derive(Debug, Default)]
+struct Content {
+    files: BTreeMap<String, Stored>,
+    capacity: Option<u64>,
+    failing_syncs: u64,
+    syncs: u64,
+}
+
+#[derive(Debug, Default)]
+struct Stored {
+    data: Vec<u8>,
+    synced: usize,
+}
+
+impl Memory {
+    /// Returns an empty disk without a size limit.
+    pub fn new() -> Memory {
+        Memory::default()
+    }
+
+    /// Drops data that was not synced, as a crash of the machine does.
+    pub fn crash(&self, loss: Loss) {
+        let mut content = self.lock();
+        for file in content.files.values_mut() {
+            file.lose(loss);
+        }
+        // A file that never was synced does not exist after the crash.
+        content
+            .files
+            .retain(|_, file| file.synced > 0 || !file.data.is_empty());
+        for file in content.files.values_mut() {
+            file.synced = file.data.len();
+        }
+    }
+
+    /// Removes all files: the disk is lost.
+    pub fn wipe(&self) {
+        self.lock().files.clear();
+    }
+
+    /// Limits the total size of all files in bytes.
+    pub fn set_capacity(&self, bytes: Option<u64>) {
+        self.lock().capacity = bytes;
+    }
+
+    /// Lets the next syncs fail.
+    pub fn fail_syncs(&self, count: u64) {
+        self.lock().failing_syncs = count;
+    }
+
+    /// Inverts a byte of a file and returns whether it exists.
+    pub fn corrupt(&self, name: &str, offset: usize) -> bool {
+        let mut content = self.lock();
+        let byte = content
+            .files
+            .get_mut(name)
+            .and_then(|file| file.data.get_mut(offset));
+        match byte {
+            Some(byte) => {
+                *byte = !*byte;
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Returns the number of syncs.
+    pub fn syncs(&self) -> u64 {
+        self.lock().syncs
+    }
+
+    /// Returns the total size of all files in bytes.
+    pub fn used(&self) -> u64 {
+        self.lock().used()
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, Content> {
+        self.content
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+impl Content {
+    fn used(&self) -> u64 {
+        self.files.values().map(|file| file.data.len() as u64).sum()
+    }
+}
+
+impl Stored {
+    fn lose(&mut self, loss: Loss) {
+        let size = self.data.len();
+        match loss {
+            Loss::All => self.data.truncate(self.synced),
+            Loss::Nothing => {}
+            Loss::Torn { keep } => self.data.truncate(self.synced.saturating_add(keep)),
+            Loss::Zeroed { keep } => {
+                self.data.truncate(self.synced.saturating_add(keep));
+                self.data.resize(size, 0);
+            }
+        }
+    }
+}
+
+fn missing(operation: &'static str, name: &str) -> Error {
+    Error::io(operation, name, io::ErrorKind::NotFound.into())
+}
+
+impl Disk for Memory {
+    fn append(&mut self, name: &str, data: &[u8]) -> Result<(), Error> {
+        let mut content = self.lock();
+        let used = content.used() + data.len() as u64;
+        if content.capacity.is_some_and(|capacity| used > capacity) {
+            return Err(Error::Full {
+                file: name.to_owned(),
+            });
+        }
+        let file = content.files.entry(name.to_owned()).or_default();
+        file.data.extend_from_slice(data);
+        Ok(())
+    }
+
+    fn sync(&mut self, name: &str) -> Result<(), Error> {
+        let mut content = self.lock();
+        content.syncs += 1;
+        if content.failing_syncs > 0 {
+            content.failing_syncs -= 1;
+            return Err(Error::io("sync", name, io::Error::other("injected fault")));
+        }
+        let Some(file) = content.files.get_mut(name) else {
+            return Err(missing("sync", name));
+        };
+        file.synced = file.data.len();
+        Ok(())
+    }
+
+    fn read(&mut self, name: &str, offset: u64, length: usize) -> Result<Vec<u8>, Error> {
+        let content = self.lock();
+        let Some(file) = content.files.get(name) else {
+            return Err(missing("read", name));
+        };
+        let start = usize::try_from(offset).unwrap_or(usize::MAX);
+        let rest = file.data.get(start..).unwrap_or_default();
+        Ok(rest[..length.min(rest.len())].to_vec())
+    }
+
+    fn remove(&mut self, name: &str) -> Result<(), Error> {
+        self.lock().files.remove(name);
+        Ok(())
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> Result<(), Error> {
+        let mut content = self.lock();
+        let Some(file) = content.files.remove(from) else {
+            return Err(missing("rename", from));
+        };
+        content.files.insert(to.to_owned(), file);
+        Ok(())
+    }
+
+    fn list(&mut self) -> Result<Vec<File>, Error> {
+        let content = self.lock();
+        let files = content.files.iter().map(|(name, file)| File {
+            name: name.clone(),
+            size: file.data.len() as u64,
+        });
+        Ok(files.collect())
+    }
+}
--- /dev/null
+++ b/crates/coord/src/storage/mod.rs
@@ -0,0 +1,69 @@
+//! Durable storage of a replica.
+
+mod directory;
+mod error;
+mod memory;
+
+pub use directory::Directory;
+pub use error::Error;
+pub use memory::{Loss, Memory};
+
+/// A file on a disk.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct File {
+    /// The name, without a directory.
+    pub name: String,
+    /// The size in bytes.
+    pub size: u64,
+}
+
+/// The file system as the library uses it: a flat set of files that only grow.
+///
+/// After an error nothing that was written since the last successful sync can
+/// be trusted, so the library stops using the disk.
+pub trait Disk {
+    /// Appends to a file, which is created if it is absent. The data may be lost
+    /// in a crash until [`Disk::sync`] returns.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the disk is full or the write fails.
+    fn append(&mut self, name: &str, data: &[u8]) -> Result<(), Error>;
+
+    /// Makes the content and the existence of a file durable.
+    ///
+    /// # Errors
+    ///
+    /// Fails if durability cannot be guaranteed.
+    fn sync(&mut self, name: &str) -> Result<(), Error>;
+
+    /// Reads at most `length` bytes from an offset. The result is shorter only
+    /// at the end of the file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file is absent or the read fails.
+    fn read(&mut self, name: &str, offset: u64, length: usize) -> Result<Vec<u8>, Error>;
+
+    /// Removes a file, durably on success. Removing an absent file succeeds.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the removal fails.
+    fn remove(&mut self, name: &str) -> Result<(), Error>;
+
+    /// Renames a synced file atomically and durably, replacing any file of the
+    /// new name.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file is absent or the renaming fails.
+    fn rename(&mut self, from: &str, to: &str) -> Result<(), Error>;
+
+    /// Lists all files, sorted by name.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file system cannot be read.
+    fn list(&mut self) -> Result<Vec<File>, Error>;
+}
