Test health and suspect rules

Change: tests for frozen, slow and failing replicas, bounds with a third lost, own pauses, probes, restarts; strikes, crashes counted once, clearing against older answers, bounded isolated runs, and one poisonous request that is sent 20 times among 400 bystanders over 40 seeds. The poisonous request crashes at most 3 replicas and no bystander breaks more than once. Conclusion: bystanders are not blamed.

--- /dev/null
+++ b/crates/policy/tests/health.rs
@@ -0,0 +1,248 @@
+//! Tests of ejection and probing.
+
+use std::collections;
+
+use bw_policy::health::{self, Change, Ejection, Facts, Flight, Health, Outcome, Standing};
+use bw_wire::name;
+use rstest::rstest;
+
+fn id(index: usize) -> name::Name {
+    format!("e{index:02}").into()
+}
+
+fn facts(index: usize, requests: f32) -> Facts {
+    Facts {
+        id: id(index),
+        incarnation: 1,
+        group: "m".into(),
+        capacity: 32,
+        requests,
+    }
+}
+
+/// Returns `replicas` healthy replicas with a first-token time of 100 ms, and
+/// the time after that.
+fn group(replicas: usize, requests: f32) -> (Health, u64) {
+    let mut health = health::Builder::new().build();
+    for index in 0..replicas {
+        health.update(facts(index, requests), 0);
+    }
+    let mut now_ms = 0;
+    for _ in 0..20 {
+        (0..replicas).for_each(|index| run(&mut health, index, now_ms, 100, Outcome::Done));
+        now_ms += 100;
+        assert_eq!(health.tick(now_ms), []);
+    }
+    (health, now_ms)
+}
+
+/// Runs one request with a given first-token time.
+fn run(health: &mut Health, index: usize, now_ms: u64, first_ms: u64, outcome: Outcome) {
+    let mut flight = health.begin(&id(index), now_ms);
+    health.progress(&mut flight, now_ms + first_ms);
+    health.end(flight, outcome, now_ms + first_ms);
+}
+
+fn ejected(changes: &[Change]) -> Vec<(name::Name, Ejection)> {
+    changes
+        .iter()
+        .filter_map(|change| match change {
+            Change::Ejected { id, why } => Some((id.clone(), *why)),
+            Change::Probe { .. } | Change::Restored { .. } => None,
+        })
+        .collect()
+}
+
+/// Ticks every 50 ms, with a token each time from the flights of healthy
+/// replicas, and returns all changes.
+fn tick_for(
+    health: &mut Health,
+    alive: &mut [Flight],
+    start_ms: u64,
+    duration_ms: u64,
+) -> Vec<Change> {
+    let mut changes = Vec::new();
+    for now_ms in (start_ms..=start_ms + duration_ms).step_by(50) {
+        for flight in alive.iter_mut() {
+            health.progress(flight, now_ms);
+        }
+        changes.extend(health.tick(now_ms));
+    }
+    changes
+}
+
+/// Guards against a frozen replica that keeps its share of the requests, both
+/// when it freezes while decoding and before any first token.
+#[rstest]
+#[case::while_decoding(true, 550)]
+#[case::before_first_token(false, 600)]
+fn frozen_replicas_are_ejected(#[case] decoding: bool, #[case] within_ms: u64) {
+    let (mut health, now_ms) = group(4, 4.0);
+    let mut frozen = health.begin(&id(0), now_ms);
+    if decoding {
+        health.progress(&mut frozen, now_ms);
+    }
+    let mut alive: Vec<Flight> = (1..4)
+        .map(|index| health.begin(&id(index), now_ms))
+        .collect();
+    let early = tick_for(&mut health, &mut alive, now_ms, 450);
+    assert_eq!(early, []);
+    let changes = tick_for(&mut health, &mut alive, now_ms + 500, within_ms - 500);
+    assert_eq!(ejected(&changes), [(id(0), Ejection::Frozen)]);
+    assert_eq!(health.standing("e00"), Standing::Ejected(Ejection::Frozen));
+}
+
+/// Guards against ejections for what is no fault: idleness, cancelled
+/// requests, a slow fleet, and a pause of this process itself.
+#[rstest]
+#[case::idle(|_: &mut Health, _: u64| {})]
+#[case::cancelled(|health: &mut Health, now_ms: u64| {
+    for _ in 0..50 {
+        let flight = health.begin(&id(0), now_ms);
+        health.end(flight, Outcome::Cancelled, now_ms);
+    }
+})]
+#[case::all_slow(|health: &mut Health, now_ms: u64| {
+    for _ in 0..100 {
+        (0..4).for_each(|index| run(health, index, now_ms, 5_000, Outcome::Done));
+    }
+})]
+fn blameless_replicas_stay(#[case] happen: fn(&mut Health, u64)) {
+    let (mut health, now_ms) = group(4, 4.0);
+    happen(&mut health, now_ms);
+    let changes = tick_for(&mut health, &mut [], now_ms, 10_000);
+    assert_eq!(changes, []);
+}
+
+/// Guards against ejecting half the fleet because this process did not run.
+#[test]
+fn own_pauses_are_no_replicas_fault() {
+    let (mut health, now_ms) = group(4, 4.0);
+    let mut flights: Vec<Flight> = (0..4)
+        .map(|index| health.begin(&id(index), now_ms))
+        .collect();
+    assert_eq!(tick_for(&mut health, &mut flights, now_ms, 200), []);
+    let resumed_ms = now_ms + 30_000;
+    assert_eq!(health.tick(resumed_ms), []);
+    assert_eq!(
+        tick_for(&mut health, &mut flights, resumed_ms + 50, 1_000),
+        []
+    );
+}
+
+/// Guards against replicas whose requests fail or crawl while others serve
+/// well, and against ejection for a little of either.
+#[rstest]
+#[case::all_fail(20, 100, Outcome::Failed, Some(Ejection::Failing))]
+#[case::few_fail(2, 100, Outcome::Failed, None)]
+#[case::slow(30, 600, Outcome::Done, Some(Ejection::Slow))]
+#[case::a_little_slow(30, 250, Outcome::Done, None)]
+fn bad_replicas_are_ejected(
+    #[case] requests: usize,
+    #[case] first_ms: u64,
+    #[case] outcome: Outcome,
+    #[case] why: Option<Ejection>,
+) {
+    let (mut health, now_ms) = group(4, 4.0);
+    for _ in 0..requests {
+        run(&mut health, 0, now_ms, first_ms, outcome);
+    }
+    let changes = health.tick(now_ms + 100);
+    let expected: Vec<_> = why.map(|why| (id(0), why)).into_iter().collect();
+    assert_eq!(ejected(&changes), expected);
+    let penalty = health.penalty("e00");
+    assert_eq!(penalty > 1.5, first_ms > 200, "penalty {penalty}");
+}
+
+/// Guards against ejecting so many replicas that the rest falls over, with a
+/// third of the replicas lost as well.
+#[rstest]
+#[case::frozen_up_to_half(12, 8.0, Outcome::Cancelled, 6)]
+#[case::failing_within_capacity(12, 8.0, Outcome::Failed, 6)]
+#[case::failing_under_load(12, 24.0, Outcome::Failed, 2)]
+#[case::a_third_lost(8, 24.0, Outcome::Failed, 1)]
+#[case::the_only_one(1, 1.0, Outcome::Failed, 0)]
+fn ejections_are_bounded(
+    #[case] replicas: usize,
+    #[case] requests: f32,
+    #[case] outcome: Outcome,
+    #[case] allowed: usize,
+) {
+    let (mut health, now_ms) = group(replicas, requests);
+    let mut flights = Vec::new();
+    for index in 0..replicas {
+        match outcome {
+            Outcome::Failed => {
+                for _ in 0..40 {
+                    let flight = health.begin(&id(index), now_ms);
+                    health.end(flight, Outcome::Failed, now_ms);
+                }
+            }
+            _ => flights.push(health.begin(&id(index), now_ms)),
+        }
+    }
+    let changes = tick_for(&mut health, &mut [], now_ms, 900);
+    assert_eq!(ejected(&changes).len(), allowed);
+}
+
+/// Guards against a replica that is never used again, and against probes that
+/// a replica which stays bad gets again and again.
+#[test]
+fn ejected_replicas_are_probed_and_restored() {
+    let (mut health, now_ms) = group(4, 4.0);
+    for _ in 0..20 {
+        run(&mut health, 0, now_ms, 100, Outcome::Failed);
+    }
+    let start_ms = now_ms + 100;
+    assert_eq!(
+        ejected(&health.tick(start_ms)),
+        [(id(0), Ejection::Failing)]
+    );
+    let mut probes = Vec::new();
+    for now_ms in (start_ms..start_ms + 20_000).step_by(50) {
+        if health.tick(now_ms).contains(&Change::Probe { id: id(0) }) {
+            probes.push(now_ms - start_ms);
+            assert_eq!(health.probed("e00", None, now_ms), None);
+        }
+    }
+    assert_eq!(probes, [1_000, 3_000, 7_000, 15_000]);
+    let due_ms = start_ms + 31_000;
+    assert_eq!(health.tick(due_ms), [Change::Probe { id: id(0) }]);
+    let slow = health.probed("e00", Some(5_000), due_ms);
+    assert_eq!(slow, None, "a slow answer restores nothing");
+    let due_ms = due_ms + 30_000;
+    assert_eq!(health.tick(due_ms), [Change::Probe { id: id(0) }]);
+    let restored = health.probed("e00", Some(90), due_ms);
+    assert_eq!(restored, Some(Change::Restored { id: id(0) }));
+    assert_eq!(health.standing("e00"), Standing::Healthy);
+    assert_eq!(tick_for(&mut health, &mut [], due_ms, 5_000), []);
+}
+
+/// Guards against judging a restarted replica by what its last incarnation did.
+#[test]
+fn restarts_begin_healthy() {
+    let (mut health, now_ms) = group(4, 4.0);
+    let old: Vec<Flight> = (0..20).map(|_| health.begin(&id(0), now_ms)).collect();
+    for _ in 0..20 {
+        run(&mut health, 0, now_ms, 100, Outcome::Failed);
+    }
+    health.tick(now_ms + 100);
+    let restarted = Facts {
+        incarnation: 2,
+        ..facts(0, 0.0)
+    };
+    health.update(restarted, now_ms + 200);
+    for flight in old {
+        health.end(flight, Outcome::Failed, now_ms + 200);
+    }
+    assert_eq!(health.standing("e00"), Standing::Healthy);
+    health.update(facts(0, 0.0), now_ms + 300);
+    assert_eq!(
+        health.tick(now_ms + 200),
+        [],
+        "late ends and facts change nothing"
+    );
+    let known = collections::BTreeSet::from([id(1)]);
+    health.retain(|id| known.contains(id));
+    assert_eq!(health.standing("e00"), Standing::Healthy);
+}
--- /dev/null
+++ b/crates/policy/tests/suspect.rs
@@ -0,0 +1,251 @@
+//! Tests of the rules for requests that crash backend servers.
+
+mod common;
+
+use std::collections;
+
+use bw_policy::{
+    router::{self, Request, Target},
+    suspect::{self, Evidence, Flight, Suspects, Treatment},
+};
+use bw_wire::{command::work, fingerprint::Fingerprint, name, refusal, verdict};
+use rstest::rstest;
+
+const POISON: Fingerprint = Fingerprint(0, 0);
+
+fn crash(suspects: &mut Suspects, crash: u64, isolated: bool) -> usize {
+    let flight = Flight {
+        fingerprint: POISON,
+        isolated,
+    };
+    suspects
+        .crashed(&"e00".into(), crash, &[flight], crash)
+        .len()
+}
+
+/// Guards against a suspect that keeps running with others, and against one
+/// that runs isolated more than once.
+#[rstest]
+#[case::no_strike(&[], "normal")]
+#[case::one(&[false], "dispersed")]
+#[case::two(&[false, false], "isolated")]
+#[case::three(&[false, false, true], "refused")]
+#[case::three_in_company(&[false, false, false], "refused")]
+#[case::isolated_early(&[true], "refused")]
+fn strikes_decide_the_treatment(#[case] crashes: &[bool], #[case] expected: &str) {
+    let mut suspects = suspect::Builder::new().build();
+    for (number, &isolated) in (1..).zip(crashes) {
+        assert_eq!(crash(&mut suspects, number, isolated), 1);
+    }
+    let treatment = match suspects.treatment(POISON) {
+        Treatment::Normal => "normal",
+        Treatment::Dispersed => "dispersed",
+        Treatment::Isolated => "isolated",
+        Treatment::Refused(refusal) => {
+            assert_eq!(refusal.reason, refusal::Reason::PoisonousRequest);
+            assert_eq!(refusal.verdict, verdict::Verdict::MayHaveRun);
+            assert_eq!(refusal.retry_after_s, None);
+            "refused"
+        }
+    };
+    assert_eq!(treatment, expected);
+}
+
+/// Guards against one crash that counts several times, because each of the
+/// streams to the backend server reports it.
+#[test]
+fn each_crash_counts_once() {
+    let mut suspects = suspect::Builder::new().build();
+    assert_eq!(crash(&mut suspects, 1, false), 1);
+    assert_eq!(crash(&mut suspects, 1, false), 0);
+    assert_eq!(suspects.treatment(POISON), Treatment::Dispersed);
+}
+
+/// Guards against strikes for what is no crash.
+#[rstest]
+#[case::connection_only(Evidence { broken: true, ..Evidence::default() }, false)]
+#[case::then_refused(Evidence { broken: true, refused: true, ..Evidence::default() }, true)]
+#[case::restarted(Evidence { broken: true, restarted: true, ..Evidence::default() }, true)]
+#[case::orderly_leave(Evidence { broken: true, refused: true, leaving: true, ..Evidence::default() }, false)]
+#[case::restarted_idle(Evidence { restarted: true, ..Evidence::default() }, false)]
+fn only_crashes_are_counted(#[case] evidence: Evidence, #[case] expected: bool) {
+    assert_eq!(evidence.is_crash(), expected);
+}
+
+/// Guards against a cleared suspect that an older `sync` answer brings back,
+/// and against a new one that such an answer drops.
+#[test]
+fn news_outweighs_older_answers() {
+    let mut suspects = suspect::Builder::new().sync_grace_ms(1_000).build();
+    crash(&mut suspects, 1, false);
+    suspects.sync(&[], 500);
+    assert_eq!(suspects.treatment(POISON), Treatment::Dispersed);
+    let listed = suspects.get(POISON).expect("listed");
+    let cleared = suspects.finished(POISON, 600);
+    assert_eq!(
+        cleared,
+        Some(work::Command::Clear {
+            fingerprint: POISON
+        })
+    );
+    assert_eq!(suspects.finished(POISON, 600), None);
+    suspects.sync(&[listed], 700);
+    assert_eq!(suspects.treatment(POISON), Treatment::Normal);
+    suspects.sync(&[listed], 2_000);
+    assert_eq!(suspects.treatment(POISON), Treatment::Dispersed);
+    suspects.sync(&[], 4_000);
+    assert_eq!(suspects.treatment(POISON), Treatment::Normal);
+}
+
+/// Guards against strikes that are lost between entry VMs.
+#[test]
+fn peers_strikes_are_merged() {
+    let mut suspects = suspect::Builder::new().build();
+    crash(&mut suspects, 1, false);
+    let told = work::Suspect {
+        fingerprint: POISON,
+        strikes: 2,
+        isolated: 0,
+        until_ms: 9,
+    };
+    suspects.merge(&told, 10);
+    suspects.merge(&work::Suspect { strikes: 1, ..told }, 11);
+    assert_eq!(suspects.get(POISON), Some(told));
+}
+
+/// Guards against many poisonous requests that take the whole fleet out of use
+/// with isolated runs, and against unbounded memory.
+#[test]
+fn isolated_runs_and_memory_are_bounded() {
+    let mut suspects = suspect::Builder::new().max_suspects(100).build();
+    let flights: Vec<Flight> = (0..1_000)
+        .map(|number| Flight {
+            fingerprint: Fingerprint(1, number),
+            isolated: false,
+        })
+        .collect();
+    suspects.crashed(&"e00".into(), 1, &flights, 0);
+    assert_eq!(suspects.len(), 100);
+    suspects.crashed(&"e00".into(), 2, &flights[900..], 0);
+    let (first, second) = (Fingerprint(1, 950), Fingerprint(1, 960));
+    assert_eq!(suspects.treatment(first), Treatment::Isolated);
+    suspects.isolate(first);
+    let Treatment::Refused(refusal) = suspects.treatment(second) else {
+        panic!("a second isolated run");
+    };
+    assert_eq!(refusal.verdict, verdict::Verdict::NotRun);
+    suspects.abandoned(first);
+    assert_eq!(suspects.treatment(second), Treatment::Isolated);
+}
+
+/// Guards against bystanders that are blamed: one poisonous request is sent
+/// again and again among 400 others on 12 replicas, over 40 seeds.
+#[test]
+fn bystanders_are_not_blamed() {
+    for seed in 0..40 {
+        let outcome = poisoned_fleet(seed);
+        assert!(
+            outcome.crashes <= 3,
+            "seed {seed}: {} crashes",
+            outcome.crashes
+        );
+        assert_eq!(outcome.refused, 0, "seed {seed}: bystanders refused");
+        assert!(
+            outcome.most_breaks <= 1,
+            "seed {seed}: {} breaks",
+            outcome.most_breaks
+        );
+        assert!(outcome.poison_refused, "seed {seed}");
+    }
+}
+
+#[derive(Debug, Default)]
+struct Outcome {
+    crashes: u64,
+    refused: u32,
+    most_breaks: u32,
+    poison_refused: bool,
+}
+
+/// Runs rounds in which every request runs on some replica. A replica that
+/// runs the poisonous request crashes; its other requests break and run again
+/// in the next round.
+fn poisoned_fleet(seed: u64) -> Outcome {
+    use rand::SeedableRng;
+    let mut random = rand_pcg::Pcg64Mcg::seed_from_u64(seed);
+    let mut suspects = suspect::Builder::new().build();
+    let mut outcome = Outcome::default();
+    let mut breaks: collections::BTreeMap<Fingerprint, u32> = collections::BTreeMap::new();
+    let mut open: Vec<Fingerprint> = Vec::new();
+    let mut next = 0;
+    for round in 1..=20u64 {
+        // Each round brings the poisonous request and 20 new ones.
+        open.push(POISON);
+        open.extend((0..20).map(|_| {
+            next += 1;
+            Fingerprint(1, next)
+        }));
+        let mut router = router::Builder::new().slow_start_ms(0).build();
+        for index in 0..12 {
+            let mut replica = common::engine(&format!("e{index:02}"));
+            replica.incarnation = round;
+            router.announce(&replica, 0, 0);
+        }
+        // Isolated runs come first: they need an empty replica.
+        open.sort_by_key(|&request| {
+            let fit = suspects.treatment(request).fit();
+            fit.map_or(0, |fit| 2 - fit as u8)
+        });
+        let mut placed: collections::BTreeMap<name::Name, Vec<Flight>> =
+            collections::BTreeMap::new();
+        let mut waiting = Vec::new();
+        for request in open.drain(..) {
+            let treatment = suspects.treatment(request);
+            let Some(fit) = treatment.fit() else {
+                outcome.poison_refused |= request == POISON;
+                outcome.refused += u32::from(request != POISON);
+                continue;
+            };
+            let target = Target::Model {
+                model: "m",
+                adapter: None,
+            };
+            let wanted = Request {
+                fit,
+                ..Request::new(target)
+            };
+            let Ok(choice) = router.choose(&wanted, 0, &mut random) else {
+                waiting.push(request);
+                continue;
+            };
+            router.begin(&choice, &wanted, 0);
+            let isolated = fit == router::Fit::Isolated;
+            if isolated {
+                suspects.isolate(request);
+                router.reserve(&choice.id, 1);
+            }
+            placed.entry(choice.id).or_default().push(Flight {
+                fingerprint: request,
+                isolated,
+            });
+        }
+        open = waiting;
+        for (id, flights) in placed {
+            let crashes = flights.iter().any(|flight| flight.fingerprint == POISON);
+            if !crashes {
+                for flight in flights {
+                    suspects.finished(flight.fingerprint, round);
+                }
+                continue;
+            }
+            outcome.crashes += 1;
+            suspects.crashed(&id, round, &flights, round);
+            for flight in flights.iter().filter(|flight| flight.fingerprint != POISON) {
+                open.push(flight.fingerprint);
+                *breaks.entry(flight.fingerprint).or_insert(0) += 1;
+            }
+        }
+    }
+    outcome.most_breaks = breaks.values().copied().max().unwrap_or(0);
+    outcome
+}
