--- a/programs/engine/src/api.rs
+++ b/programs/engine/src/api.rs
@@ -14,6 +14,8 @@
 
 /// Largest accepted request body.
 const BODY_LIMIT_BYTES: usize = 16 * 1024 * 1024;
+/// Time for a connection to write the last part of an answer before it is cut.
+const CUT_PAUSE: time::Duration = time::Duration::from_millis(20);
 /// Id of the other request in a crossed answer when there was no other request.
 const UNRELATED_ID: &str = "unrelated-request";
 
@@ -431,7 +433,13 @@
 where
     S: futures_util::Stream<Item = io::Result<Bytes>> + Send + 'static,
 {
-    let frames = parts.map(|part| part.map(hyper::body::Frame::data));
+    let frames = parts.then(|part| async {
+        if part.is_err() {
+            // An error drops what the connection has not written yet.
+            tokio::time::sleep(CUT_PAUSE).await;
+        }
+        part.map(hyper::body::Frame::data)
+    });
     hyper::Response::new(Body::new(StreamBody::new(frames)))
 }
 
--- a/programs/engine/src/main.rs
+++ b/programs/engine/src/main.rs
@@ -1,56 +1,21 @@
 //! Runs one stand-in backend server.
 
-use std::{path, process};
+use std::{process, time};
 
 use bw_base::{logs, program};
-use bw_engine::Ended;
+use bw_engine::{Ended, Handle, Settings};
 
 /// Exit status after a request with the crash marker.
-const EXIT_CRASHED: u8 = 70;
-
-/// Stand-in for a model engine or a plain service.
-#[derive(argh::FromArgs)]
-struct Arguments {
-    /// settings file in YAML
-    #[argh(option)]
-    config: Option<path::PathBuf>,
-    /// check the settings and exit
-    #[argh(switch)]
-    check: bool,
-    /// print the version and exit
-    #[argh(switch)]
-    version: bool,
-}
+const EXIT_CRASHED: i32 = 70;
+/// Interval at which the main thread looks whether the server has crashed.
+const CRASH_POLL: time::Duration = time::Duration::from_millis(10);
 
 fn main() -> process::ExitCode {
-    let arguments: Arguments = argh::from_env();
-    if arguments.version {
-        program::print_version(env!("CARGO_BIN_NAME"), env!("CARGO_PKG_VERSION"));
-        return process::ExitCode::SUCCESS;
-    }
-    let Some(file) = arguments.config else {
-        eprintln!("--config FILE.yaml is required; --help shows the options");
-        return process::ExitCode::from(program::EXIT_SETTINGS);
-    };
-    let settings: bw_engine::Settings = match program::load(&file) {
-        Ok(settings) => settings,
-        Err(status) => return status,
-    };
-    if arguments.check {
-        return process::ExitCode::SUCCESS;
-    }
-    logs::init(&settings.logs);
-    match run(settings) {
-        Ok(Ended::Crashed) => process::ExitCode::from(EXIT_CRASHED),
-        Ok(_) => process::ExitCode::SUCCESS,
-        Err(error) => {
-            log::error!("{error:#}");
-            process::ExitCode::from(program::EXIT_FAILURE)
-        }
-    }
+    program::main(env!("CARGO_BIN_NAME"), env!("CARGO_PKG_VERSION"), run)
 }
 
-fn run(settings: bw_engine::Settings) -> anyhow::Result<Ended> {
+fn run(settings: Settings) -> anyhow::Result<()> {
+    logs::init(&settings.logs);
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
@@ -62,12 +27,15 @@
         }
     })?;
     handle.stop();
-    Ok(handle.wait())
+    if handle.wait() == Ended::Crashed {
+        process::exit(EXIT_CRASHED);
+    }
+    Ok(())
 }
 
 /// Waits until a server has ended by itself.
-async fn ended(handle: &bw_engine::Handle) {
+async fn ended(handle: &Handle) {
     while !handle.is_finished() {
-        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+        tokio::time::sleep(CRASH_POLL).await;
     }
 }
