state: add the config and work machines

Cause: control replicas need deterministic machines for the configuration and for batch work that decide alike on every replica and after a restart.

Change: work machine with files, jobs, chunk leases, outcomes stored once, claims, attempts and suspects; config machine with plans, confirms, history, resends and the weight-store budget. wire gains Command::Tune, because retention times and team weights must come through the log to be the same on all replicas.

--- /dev/null
+++ b/crates/state/src/config/requests.rs
@@ -0,0 +1,72 @@
+//! Answered requests, so that a resend gets the first answer again.
+
+use std::collections;
+
+use serde::{Deserialize, Serialize};
+
+use bw_wire::{command::config, fingerprint, name};
+
+/// How long an answer is kept. Operators resend within minutes.
+const KEPT_MS: u64 = 24 * 3_600_000;
+/// Most answers kept, above the 1,520 calls of a day with 760 changes.
+const KEPT_MAX: usize = 4_096;
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(super) struct Requests {
+    answers: collections::BTreeMap<name::Name, Answer>,
+    /// Requests in the order of their answers.
+    order: collections::VecDeque<name::Name>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Answer {
+    content: fingerprint::Fingerprint,
+    reply: config::Reply,
+    at_ms: u64,
+}
+
+/// Returns the fingerprint of a whole command.
+pub(super) fn content(command: &config::Command) -> fingerprint::Fingerprint {
+    let bytes = postcard::to_allocvec(command).unwrap_or_default();
+    fingerprint::Fingerprint::of_bytes(&bytes)
+}
+
+impl Requests {
+    /// Returns the answer to a request that was answered before.
+    pub(super) fn known(
+        &self,
+        request: &name::Name,
+        content: fingerprint::Fingerprint,
+    ) -> Option<config::Reply> {
+        let answer = self.answers.get(request)?;
+        match answer.content == content {
+            true => Some(answer.reply.clone()),
+            false => Some(config::Reply::RequestConflict),
+        }
+    }
+
+    /// Keeps the answer to a new request and drops old ones.
+    pub(super) fn add(
+        &mut self,
+        now_ms: u64,
+        request: name::Name,
+        content: fingerprint::Fingerprint,
+        reply: config::Reply,
+    ) {
+        while let Some(oldest) = self.order.front() {
+            let at_ms = self.answers.get(oldest).map_or(0, |answer| answer.at_ms);
+            if self.order.len() < KEPT_MAX && now_ms < at_ms.saturating_add(KEPT_MS) {
+                break;
+            }
+            self.answers.remove(oldest);
+            self.order.pop_front();
+        }
+        self.order.push_back(request.clone());
+        let answer = Answer {
+            content,
+            reply,
+            at_ms: now_ms,
+        };
+        self.answers.insert(request, answer);
+    }
+}
--- /dev/null
+++ b/crates/state/src/work/files.rs
@@ -0,0 +1,273 @@
+//! Uploaded files in chunks.
+
+use std::collections;
+
+use serde::{Deserialize, Serialize};
+
+use bw_wire::{command::work, name, query};
+
+use super::invalid;
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(super) struct Files {
+    files: collections::BTreeMap<name::Name, File>,
+    bytes: u64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct File {
+    created_ms: u64,
+    /// The time of the last chunk, seal, use by a job, or deletion.
+    touched_ms: u64,
+    chunks: collections::BTreeMap<u32, Vec<work::Line>>,
+    seal: Option<Seal>,
+    /// Jobs that refer to it; their results need its custom ids.
+    jobs: u32,
+    /// Jobs among them that are still in progress.
+    open_jobs: u32,
+    /// Hidden from its owner, and dropped once no job refers to it.
+    deleted: bool,
+}
+
+/// What completes a file.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub(super) struct Seal {
+    pub(super) team: name::Name,
+    pub(super) filename: String,
+    pub(super) purpose: String,
+    pub(super) bytes: u64,
+    pub(super) chunks: u32,
+}
+
+impl Files {
+    pub(super) fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    pub(super) fn put(
+        &mut self,
+        now_ms: u64,
+        id: name::Name,
+        chunk: u32,
+        lines: Vec<work::Line>,
+        room: u64,
+    ) -> work::Reply {
+        let size = match check(&lines) {
+            Ok(size) => size,
+            Err(message) => return invalid(message),
+        };
+        if let Some(file) = self.files.get(&id) {
+            match file.chunks.get(&chunk) {
+                Some(stored) if *stored == lines => return work::Reply::Ok,
+                Some(_) => return invalid("the chunk is stored with another content"),
+                None if file.seal.is_some() || file.deleted => {
+                    return invalid("the file is complete");
+                }
+                None => {}
+            }
+        }
+        if size > room {
+            return invalid("the storage for batch files is full");
+        }
+        let file = self.files.entry(id).or_insert_with(|| empty(now_ms));
+        file.touched_ms = now_ms;
+        file.chunks.insert(chunk, lines);
+        self.bytes += size;
+        work::Reply::Ok
+    }
+
+    pub(super) fn seal(&mut self, now_ms: u64, id: &name::Name, seal: Seal) -> work::Reply {
+        if seal.chunks == 0 && !self.files.contains_key(id) {
+            self.files.insert(id.clone(), empty(now_ms));
+        }
+        let Some(file) = self.files.get_mut(id) else {
+            return work::Reply::NotFound;
+        };
+        if let Some(known) = &file.seal {
+            return match (known.team == seal.team && !file.deleted, *known == seal) {
+                (false, _) => work::Reply::NotFound,
+                (true, true) => work::Reply::Ok,
+                (true, false) => invalid("the file is complete"),
+            };
+        }
+        if !file.chunks.keys().copied().eq(0..seal.chunks) {
+            return invalid("chunks are missing");
+        }
+        let numbers = file.chunks.values().flatten().map(|line| line.number);
+        if !numbers.is_sorted_by(|before, after| before < after) {
+            return invalid("line numbers do not ascend");
+        }
+        file.touched_ms = now_ms;
+        file.seal = Some(seal);
+        work::Reply::Ok
+    }
+
+    pub(super) fn delete(
+        &mut self,
+        now_ms: u64,
+        id: &name::Name,
+        team: &name::Name,
+    ) -> work::Reply {
+        let owned = |file: &&mut File| file.seal.as_ref().is_some_and(|seal| seal.team == *team);
+        let Some(file) = self.files.get_mut(id).filter(owned) else {
+            return work::Reply::NotFound;
+        };
+        if file.open_jobs > 0 {
+            return invalid("a batch that uses the file is in progress");
+        }
+        if !file.deleted {
+            file.deleted = true;
+            file.touched_ms = now_ms;
+            self.bytes -= file.clear_unused();
+        }
+        // The entry stays for a while, so that a resend gets the same answer.
+        work::Reply::Ok
+    }
+
+    pub(super) fn describe(&self, id: &name::Name, team: &name::Name) -> Option<query::File> {
+        let (_, file) = self.files.get_key_value(id)?;
+        describe(id, file).filter(|file| file.team == *team)
+    }
+
+    pub(super) fn list(&self, team: &name::Name) -> Vec<query::File> {
+        self.files
+            .iter()
+            .filter_map(|(id, file)| describe(id, file))
+            .filter(|file| file.team == *team)
+            .collect()
+    }
+
+    /// Returns a chunk of a file that its owner can see.
+    pub(super) fn lines(
+        &self,
+        id: &name::Name,
+        team: &name::Name,
+        chunk: u32,
+    ) -> Option<&[work::Line]> {
+        let file = self.files.get(id).filter(|file| !file.deleted)?;
+        file.seal.as_ref().filter(|seal| seal.team == *team)?;
+        file.chunks.get(&chunk).map(Vec::as_slice)
+    }
+
+    /// Returns a chunk of a file that a job refers to.
+    pub(super) fn chunk(&self, id: &name::Name, chunk: u32) -> &[work::Line] {
+        let chunks = self.files.get(id).map(|file| &file.chunks);
+        chunks
+            .and_then(|chunks| chunks.get(&chunk))
+            .map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the number of chunks of a file that a team can use.
+    pub(super) fn usable(&self, id: &name::Name, team: &name::Name) -> Option<u32> {
+        let file = self.files.get(id).filter(|file| !file.deleted)?;
+        let seal = file.seal.as_ref().filter(|seal| seal.team == *team)?;
+        Some(seal.chunks)
+    }
+
+    /// Counts a job that starts to use a file.
+    pub(super) fn job_created(&mut self, id: &name::Name) {
+        if let Some(file) = self.files.get_mut(id) {
+            file.jobs += 1;
+            file.open_jobs += 1;
+        }
+    }
+
+    /// Counts a job that ended.
+    pub(super) fn job_ended(&mut self, now_ms: u64, id: &name::Name) {
+        if let Some(file) = self.files.get_mut(id) {
+            file.open_jobs -= 1;
+            file.touched_ms = now_ms;
+        }
+    }
+
+    /// Counts an ended job that was dropped.
+    pub(super) fn job_dropped(&mut self, id: &name::Name) {
+        if let Some(file) = self.files.get_mut(id) {
+            file.jobs -= 1;
+            self.bytes -= file.clear_unused();
+        }
+    }
+
+    pub(super) fn expire(&mut self, now_ms: u64, retention: &work::Retention) {
+        let mut freed = 0;
+        self.files.retain(|_, file| {
+            let keep_ms = match &file.seal {
+                Some(_) if !file.deleted => retention.file_ms,
+                _ => retention.unsealed_ms,
+            };
+            let keep = file.jobs > 0 || now_ms < file.touched_ms.saturating_add(keep_ms);
+            if !keep {
+                freed += file.size();
+            }
+            keep
+        });
+        self.bytes -= freed;
+    }
+}
+
+impl File {
+    fn size(&self) -> u64 {
+        self.chunks.values().flatten().map(size).sum()
+    }
+
+    /// Drops the content of a deleted file without jobs and returns its size.
+    fn clear_unused(&mut self) -> u64 {
+        if !self.deleted || self.jobs > 0 {
+            return 0;
+        }
+        let size = self.size();
+        self.chunks.clear();
+        size
+    }
+}
+
+fn empty(now_ms: u64) -> File {
+    File {
+        created_ms: now_ms,
+        touched_ms: now_ms,
+        chunks: collections::BTreeMap::new(),
+        seal: None,
+        jobs: 0,
+        open_jobs: 0,
+        deleted: false,
+    }
+}
+
+fn describe(id: &name::Name, file: &File) -> Option<query::File> {
+    let seal = file.seal.as_ref().filter(|_| !file.deleted)?;
+    Some(query::File {
+        id: id.clone(),
+        team: seal.team.clone(),
+        filename: seal.filename.clone(),
+        purpose: seal.purpose.clone(),
+        bytes: seal.bytes,
+        created_ms: file.created_ms,
+        chunks: seal.chunks,
+        items: file.chunks.values().map(|lines| lines.len() as u64).sum(),
+    })
+}
+
+/// Checks a chunk and returns its size.
+fn check(lines: &[work::Line]) -> Result<u64, &'static str> {
+    if lines.is_empty() || lines.len() > work::CHUNK_ITEMS {
+        return Err("a chunk holds 1 to 256 lines");
+    }
+    if !lines.is_sorted_by(|before, after| before.number < after.number) {
+        return Err("line numbers do not ascend");
+    }
+    let bytes: u64 = lines.iter().map(size).sum();
+    let last = lines.last().map_or(0, size);
+    // A chunk is full once it reaches the limit, so the last line may cross it.
+    if bytes - last > work::CHUNK_BYTES as u64 {
+        return Err("a chunk holds at most 256 KiB");
+    }
+    Ok(bytes)
+}
+
+fn size(line: &work::Line) -> u64 {
+    let content = match &line.content {
+        work::Content::Request { url, body } => url.len() + body.len(),
+        work::Content::Bad { code, message } => code.len() + message.len(),
+    };
+    (content + line.custom_id.as_ref().map_or(0, String::len)) as u64
+}
--- /dev/null
+++ b/crates/state/src/work/mod.rs
@@ -0,0 +1,271 @@
+//! The work machine: files, jobs, claims, attempts and suspects of one group.
+
+mod attempts;
+mod claims;
+mod files;
+mod jobs;
+mod ready;
+mod share;
+mod suspects;
+
+use serde::{Deserialize, Serialize};
+
+use bw_wire::{command, command::work, name, query};
+
+use crate::snapshot;
+
+/// The state of one work group.
+#[derive(Clone, Debug, Default)]
+pub struct Machine {
+    state: State,
+}
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+struct State {
+    applied: u64,
+    now_ms: u64,
+    tuning: work::Tuning,
+    files: files::Files,
+    jobs: jobs::Jobs,
+    claims: claims::Claims,
+    attempts: attempts::Attempts,
+    suspects: suspects::Suspects,
+}
+
+/// A team's idempotency key.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+struct Owned {
+    team: name::Name,
+    key: name::Name,
+}
+
+impl Machine {
+    /// Creates an empty machine.
+    pub fn new() -> Machine {
+        Machine::default()
+    }
+
+    /// Returns the index of the last applied command.
+    pub fn applied(&self) -> u64 {
+        self.state.applied
+    }
+
+    /// Returns the machine's time, Unix time in milliseconds.
+    pub fn now_ms(&self) -> u64 {
+        self.state.now_ms
+    }
+
+    /// Returns the tuning in use.
+    pub fn tuning(&self) -> &work::Tuning {
+        &self.state.tuning
+    }
+
+    /// Returns the bytes of stored input lines and results.
+    pub fn bytes(&self) -> u64 {
+        self.state.files.bytes() + self.state.jobs.bytes()
+    }
+
+    /// Applies a command.
+    pub fn apply(&mut self, index: u64, stamped: command::Stamped<work::Command>) -> work::Reply {
+        let state = &mut self.state;
+        state.applied = index;
+        state.now_ms = state.now_ms.max(stamped.now_ms);
+        state.jobs.advance(state.now_ms, &mut state.files);
+        state.run(stamped.command)
+    }
+
+    /// Answers a query about a work group, or `None` for one about group 0.
+    pub fn query(&self, query: &query::Query) -> Option<query::Answer> {
+        let state = &self.state;
+        let answer = match query {
+            query::Query::Config | query::Query::History { .. } => return None,
+            query::Query::File { file, team } => {
+                state.files.describe(file, team).map(query::Answer::File)
+            }
+            query::Query::Files { team } => Some(query::Answer::Files(state.files.list(team))),
+            query::Query::FileChunk { file, team, chunk } => state
+                .files
+                .lines(file, team, *chunk)
+                .map(|lines| query::Answer::Lines(lines.to_vec())),
+            query::Query::Job { job, team } => state
+                .jobs
+                .describe(job, team)
+                .map(|job| query::Answer::Job(Box::new(job))),
+            query::Query::Jobs { team } => {
+                Some(query::Answer::Jobs(state.jobs.list(team.as_ref())))
+            }
+            query::Query::Results { job, team, chunk } => state
+                .jobs
+                .results(job, team, *chunk, &state.files)
+                .map(query::Answer::Results),
+            query::Query::Backlog => Some(query::Answer::Backlog(state.jobs.backlog())),
+            query::Query::Suspects => Some(query::Answer::Suspects(state.suspects.list())),
+        };
+        Some(answer.unwrap_or(query::Answer::NotFound))
+    }
+
+    /// Encodes the whole state.
+    pub fn snapshot(&self) -> Vec<u8> {
+        snapshot::encode(&self.state)
+    }
+
+    /// Replaces the state by a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the snapshot has another version or is damaged; the state
+    /// stays as it was.
+    pub fn restore(&mut self, data: &[u8]) -> Result<(), snapshot::Error> {
+        let mut state: State = snapshot::decode(data)?;
+        state.jobs.rebuild();
+        self.state = state;
+        Ok(())
+    }
+}
+
+impl State {
+    fn run(&mut self, command: work::Command) -> work::Reply {
+        let now_ms = self.now_ms;
+        match command {
+            work::Command::FileChunk { file, chunk, lines } => {
+                let stored = self.files.bytes() + self.jobs.bytes();
+                let room = self.tuning.retention.max_bytes.saturating_sub(stored);
+                self.files.put(now_ms, file, chunk, lines, room)
+            }
+            work::Command::FileSeal {
+                file,
+                team,
+                filename,
+                purpose,
+                bytes,
+                chunks,
+            } => {
+                let seal = files::Seal {
+                    team,
+                    filename,
+                    purpose,
+                    bytes,
+                    chunks,
+                };
+                self.files.seal(now_ms, &file, seal)
+            }
+            work::Command::FileDelete { file, team } => self.files.delete(now_ms, &file, &team),
+            work::Command::Claim {
+                team,
+                key,
+                body,
+                value,
+            } => self.claims.bind(now_ms, Owned { team, key }, body, value),
+            work::Command::JobCreate {
+                job,
+                team,
+                file,
+                endpoint,
+                window_ms,
+                metadata,
+            } => {
+                let order = jobs::Order {
+                    team,
+                    file,
+                    endpoint,
+                    window_ms,
+                    metadata,
+                };
+                self.jobs.create(now_ms, job, order, &mut self.files)
+            }
+            work::Command::JobCancel { job, team } => {
+                self.jobs.cancel(now_ms, &job, &team, &mut self.files)
+            }
+            work::Command::Take {
+                holder,
+                want,
+                lease_ms,
+            } => {
+                let until_ms = lease_end(now_ms, lease_ms);
+                self.jobs
+                    .take(now_ms, &holder, want, until_ms, &self.files, &self.tuning)
+            }
+            work::Command::Renew {
+                holder,
+                chunks,
+                lease_ms,
+            } => {
+                let until_ms = lease_end(now_ms, lease_ms);
+                self.jobs.renew(&holder, chunks, until_ms)
+            }
+            work::Command::Release { holder, chunks } => self.jobs.release(&holder, &chunks),
+            work::Command::Record { chunk, outcomes } => {
+                self.jobs.record(now_ms, &chunk, outcomes, &mut self.files)
+            }
+            work::Command::AttemptBegin {
+                team,
+                key,
+                body,
+                holder,
+                timeout_ms,
+                holder_gone,
+            } => {
+                let call = attempts::Call {
+                    body,
+                    holder,
+                    until_ms: now_ms.saturating_add(timeout_ms),
+                    holder_gone,
+                };
+                self.attempts.begin(now_ms, Owned { team, key }, call)
+            }
+            work::Command::AttemptEnd {
+                team,
+                key,
+                attempt,
+                outcome,
+            } => self
+                .attempts
+                .end(now_ms, &Owned { team, key }, attempt, outcome),
+            work::Command::Strike {
+                fingerprint,
+                backend,
+                isolated,
+            } => {
+                let until_ms = now_ms.saturating_add(self.tuning.retention.suspect_ms);
+                work::Reply::Suspect(
+                    self.suspects
+                        .strike(fingerprint, backend, isolated, until_ms),
+                )
+            }
+            work::Command::Clear { fingerprint } => {
+                self.suspects.clear(&fingerprint);
+                work::Reply::Ok
+            }
+            work::Command::Expire => {
+                self.expire();
+                work::Reply::Ok
+            }
+            work::Command::Tune { tuning } => {
+                self.tuning = *tuning;
+                work::Reply::Ok
+            }
+        }
+    }
+
+    fn expire(&mut self) {
+        let retention = &self.tuning.retention;
+        self.jobs.expire(self.now_ms, retention, &mut self.files);
+        self.files.expire(self.now_ms, retention);
+        self.claims.expire(self.now_ms, retention);
+        self.attempts.expire(self.now_ms, retention);
+        self.suspects.expire(self.now_ms);
+    }
+}
+
+/// Longest lease, so that a wrong value cannot hold a chunk back for good.
+const LEASE_MAX_MS: u64 = 600_000;
+
+fn lease_end(now_ms: u64, lease_ms: u64) -> u64 {
+    now_ms.saturating_add(lease_ms.min(LEASE_MAX_MS))
+}
+
+fn invalid(message: impl Into<String>) -> work::Reply {
+    work::Reply::Invalid {
+        message: message.into(),
+    }
+}
--- a/crates/wire/src/command/work.rs
+++ b/crates/wire/src/command/work.rs
@@ -259,8 +259,77 @@
     },
     /// Drops what has expired. Proposed by the leader.
     Expire,
+    /// Replaces the tuning. Proposed by the leader when its settings or the
+    /// declared weights differ, so that all replicas decide alike.
+    Tune {
+        /// The new tuning.
+        tuning: Box<Tuning>,
+    },
+}
+
+/// What work machines take from settings and from the configuration.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Tuning {
+    /// How long things are kept.
+    pub retention: Retention,
+    /// How long before its due time a job goes ahead of fair sharing, in
+    /// milliseconds. At most a quarter of the job's window counts.
+    pub urgent_ms: u64,
+    /// Batch weights of single teams.
+    pub weights: collections::BTreeMap<name::Name, u32>,
+    /// Batch weight of all other teams.
+    pub default_weight: u32,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Tuning {
+            retention: Retention::default(),
+            urgent_ms: HOUR_MS,
+            weights: collections::BTreeMap::new(),
+            default_weight: 1,
+        }
+    }
 }
 
+/// How long a work machine keeps things, in milliseconds, and how much it stores.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Retention {
+    /// A file without a seal, from its last chunk.
+    pub unsealed_ms: u64,
+    /// A sealed file, from its last use by a job that ended.
+    pub file_ms: u64,
+    /// A job with its results, from its end.
+    pub job_ms: u64,
+    /// An idempotency claim, from the call that bound it.
+    pub claim_ms: u64,
+    /// An attempt, from its outcome or its deadline.
+    pub attempt_ms: u64,
+    /// A suspect, from its last strike.
+    pub suspect_ms: u64,
+    /// Most bytes of input lines and results; new file chunks are refused above it.
+    pub max_bytes: u64,
+}
+
+impl Default for Retention {
+    fn default() -> Self {
+        Retention {
+            unsealed_ms: HOUR_MS,
+            file_ms: 48 * HOUR_MS,
+            job_ms: 48 * HOUR_MS,
+            // Longer than a job can last, so that a resend finds the first job.
+            claim_ms: 7 * 24 * HOUR_MS,
+            attempt_ms: 48 * HOUR_MS,
+            suspect_ms: 6 * HOUR_MS,
+            max_bytes: 2 * 1024 * 1024 * 1024,
+        }
+    }
+}
+
+/// Milliseconds in an hour.
+const HOUR_MS: u64 = 3_600_000;
+
 /// A suspected request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Suspect {
