--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use bw_coord::host;
 use bw_wire::{command, query};
 
 use crate::{config, snapshot, work};
@@ -116,6 +117,20 @@
     }
 }
 
+impl host::Machine for Machine {
+    fn apply(&mut self, index: u64, command: &[u8]) -> Vec<u8> {
+        self.apply_bytes(index, command)
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        Machine::snapshot(self)
+    }
+
+    fn restore(&mut self, data: &[u8]) -> Result<(), host::RestoreError> {
+        Machine::restore(self, data).map_err(|error| host::RestoreError::new(error.to_string()))
+    }
+}
+
 /// Encodes a command for the log.
 ///
 /// # Panics
--- a/crates/state/src/work/jobs.rs
+++ b/crates/state/src/work/jobs.rs
@@ -10,6 +10,8 @@
 
 /// Most chunks that one command leases, which bounds the size of a reply.
 const TAKE_MAX: u32 = 64;
+/// Lowest HTTP status that counts as a failed item.
+const FAILURE_STATUS: u16 = 400;
 /// One in this many chunks goes by fair sharing even when urgent jobs wait, so
 /// that urgent jobs cannot starve the other teams.
 const FAIR_EVERY: u64 = 4;
@@ -590,9 +592,11 @@
         }
         match &outcome.result {
             work::Result::Answer {
-                status: 200..=299, ..
-            } => counts.completed += 1,
-            _ => counts.failed += 1,
+                status: FAILURE_STATUS..,
+                ..
+            }
+            | work::Result::Failed { .. } => counts.failed += 1,
+            work::Result::Answer { .. } => counts.completed += 1,
         }
         self.open -= 1;
         tally.stored += 1;
--- a/crates/wire/src/command/work.rs
+++ b/crates/wire/src/command/work.rs
@@ -316,11 +316,11 @@
     fn default() -> Self {
         Retention {
             unsealed_ms: HOUR_MS,
-            file_ms: 48 * HOUR_MS,
-            job_ms: 48 * HOUR_MS,
-            // Longer than a job can last, so that a resend finds the first job.
-            claim_ms: 7 * 24 * HOUR_MS,
-            attempt_ms: 48 * HOUR_MS,
+            file_ms: 30 * DAY_MS,
+            job_ms: 30 * DAY_MS,
+            // Not shorter than a job is kept, so that a resend finds the first job.
+            claim_ms: 31 * DAY_MS,
+            attempt_ms: 7 * DAY_MS,
             suspect_ms: 6 * HOUR_MS,
             max_bytes: 2 * 1024 * 1024 * 1024,
         }
@@ -329,6 +329,8 @@
 
 /// Milliseconds in an hour.
 const HOUR_MS: u64 = 3_600_000;
+/// Milliseconds in a day.
+const DAY_MS: u64 = 24 * HOUR_MS;
 
 /// A suspected request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
