control: add the control program

Cause: entry VMs and operators need one process that owns the replicated state, the registry and placement.

Change: one control thread owns the host of all groups and the soft state; one network thread runs the jsonrpsee port, links to other replicas, admin endpoints and orders. Registry and placement are pure and tested without processes.

--- /dev/null
+++ b/programs/control/src/core/answer.rs
@@ -0,0 +1,167 @@
+//! Answers to calls whose command or read came back from the log.
+
+use bw_coord::{GroupId, host};
+use bw_state::machine;
+use bw_wire::{backend, command, command::config, query, rpc, sync};
+
+use crate::{
+    core::{Core, Waiting, members},
+    metrics,
+    network::{call::Failure, orders},
+    placement,
+    registry::{self, Replaced},
+};
+
+impl Core {
+    pub(super) fn proposed(&mut self, ticket: u64, result: Result<Vec<u8>, host::Refusal>) {
+        match self.tickets.take(ticket) {
+            Some(Waiting::Propose(reply)) => {
+                let answer = match result {
+                    Ok(bytes) => machine::decode_reply(&bytes)
+                        .map_err(|error| Failure::Invalid(error.to_string())),
+                    Err(refusal) => Err(self.failure(refusal)),
+                };
+                // The caller may have gone.
+                let _ = reply.send(answer);
+            }
+            Some(Waiting::Members(reply)) => {
+                let answer = match result {
+                    Ok(_) => Ok(members::of_group(&self.parts.host, GroupId(0))),
+                    Err(refusal) => Err(self.failure(refusal)),
+                };
+                let _ = reply.send(answer);
+            }
+            Some(Waiting::Order(plan)) => self.ordered(plan, result),
+            _ => {}
+        }
+    }
+
+    pub(super) fn read_ready(&mut self, ticket: u64, result: Result<(), host::Refusal>) {
+        let refused = result.err().map(|refusal| self.failure(refusal));
+        match self.tickets.take(ticket) {
+            Some(Waiting::Query {
+                group,
+                query,
+                reply,
+            }) => {
+                let answer = refused.map_or_else(|| self.query(group, &query), Err);
+                let _ = reply.send(answer);
+            }
+            Some(Waiting::Sync { request, reply }) => {
+                let answer = match refused {
+                    None => self.sync(*request),
+                    Some(failure) => Err(failure),
+                };
+                let _ = reply.send(answer);
+            }
+            Some(Waiting::InForce { revision, reply }) => {
+                let answer = refused.map_or_else(|| self.in_force(revision), Err);
+                let _ = reply.send(answer);
+            }
+            _ => {}
+        }
+    }
+
+    fn query(&self, group: u32, query: &query::Query) -> Result<query::Answer, Failure> {
+        let machine = self.parts.host.machine(GroupId(group));
+        let answer = machine.and_then(|machine| machine.query(query));
+        answer.ok_or_else(|| Failure::Invalid("the query does not belong to this group".to_owned()))
+    }
+
+    fn sync(&mut self, request: sync::Request) -> Result<sync::Response, Failure> {
+        let now_ms = self.clock.now_ms();
+        if self.leads_since_ms.is_none() {
+            return Err(Failure::NotLeader(None));
+        }
+        let suspects = self.suspects();
+        let Some(machine::Machine::Config(config)) = self.parts.host.machine(GroupId(0)) else {
+            return Err(Failure::NotLeader(None));
+        };
+        let current = registry::Current {
+            revision: config.revision(),
+            intent: config.intent(),
+        };
+        let response = self.registry.sync(now_ms, request, current);
+        let response = response.map_err(|Replaced| {
+            Failure::Invalid("a newer process of this entry VM has reported".to_owned())
+        })?;
+        Ok(sync::Response {
+            suspects,
+            ..response
+        })
+    }
+
+    /// Returns the suspects of all work groups, as far as this replica knows.
+    fn suspects(&self) -> Vec<command::work::Suspect> {
+        let groups = 1..=self.parts.settings.work_groups;
+        let answers = groups.filter_map(|group| {
+            let machine = self.parts.host.machine(GroupId(group))?;
+            machine.query(&query::Query::Suspects)
+        });
+        let lists = answers.filter_map(|answer| match answer {
+            query::Answer::Suspects(suspects) => Some(suspects),
+            _ => None,
+        });
+        lists.flatten().collect()
+    }
+
+    fn in_force(&self, asked: u64) -> Result<rpc::InForce, Failure> {
+        let machine = self.parts.host.machine(GroupId(0));
+        match (self.leads_since_ms, machine) {
+            (Some(_), Some(machine::Machine::Config(config))) => {
+                let now_ms = self.clock.now_ms();
+                Ok(self.registry.in_force(now_ms, asked, config.revision()))
+            }
+            _ => Err(Failure::NotLeader(None)),
+        }
+    }
+
+    /// Sends an order whose fencing number was assigned.
+    fn ordered(&mut self, plan: placement::Plan, result: Result<Vec<u8>, host::Refusal>) {
+        let now_ms = self.clock.now_ms();
+        let reply = result
+            .ok()
+            .and_then(|bytes| machine::decode_reply(&bytes).ok());
+        match reply {
+            Some(command::Reply::Config(config::Reply::Ordered { fence })) => {
+                self.send_order(now_ms, plan, fence);
+            }
+            Some(command::Reply::Config(config::Reply::Wait { retry_ms })) => {
+                metrics::RETRIES
+                    .with_label_values(&["weight_store_budget"])
+                    .inc();
+                self.placement
+                    .pending()
+                    .wait(now_ms, &plan.backend, retry_ms);
+            }
+            _ => self.placement.pending().failed(now_ms, &plan.backend),
+        }
+    }
+
+    /// Sends an order, unless the lease is too short for an engine that would
+    /// also obey an old one.
+    fn send_order(&mut self, now_ms: u64, plan: placement::Plan, fence: u64) {
+        let status = self.parts.host.status(GroupId(0));
+        let lease_ms = status.map_or(0, |status| status.lease_remaining_ms);
+        let order_ms = self.parts.settings.timeouts.order_ms;
+        if self.leads_since_ms.is_none() || lease_ms == 0 {
+            return self.placement.pending().failed(now_ms, &plan.backend);
+        }
+        if !plan.checks_fencing && lease_ms <= order_ms {
+            metrics::RETRIES.with_label_values(&["order_lease"]).inc();
+            return self.placement.pending().failed(now_ms, &plan.backend);
+        }
+        // The step may have waited for the disk, so the lease counts from its start.
+        let spare_ms = lease_ms.saturating_sub(order_ms);
+        let last_ms = self.stepped_ms + spare_ms;
+        self.parts.orders.send(orders::Order {
+            backend: plan.backend,
+            address: plan.address,
+            order: backend::Order {
+                fence,
+                action: plan.action,
+            },
+            not_after: (!plan.checks_fencing).then(|| self.clock.instant(last_ms)),
+        });
+    }
+}
--- /dev/null
+++ b/programs/control/src/core/chores.rs
@@ -0,0 +1,259 @@
+//! Recurring work of the control thread.
+
+use std::collections;
+
+use bw_coord::{GroupId, host, node};
+use bw_state::machine;
+use bw_wire::{
+    backend, command,
+    command::{config, work},
+    sync,
+};
+
+use crate::{
+    core::{Core, Waiting},
+    metrics, placement, settings,
+};
+
+/// Interval of health, addresses and gauges.
+const OBSERVE_MS: u64 = 250;
+/// Interval of placement, tuning and members.
+const CONTROL_MS: u64 = 1_000;
+/// Interval at which a leader drops what has expired from its group.
+const EXPIRE_MS: u64 = 10_000;
+/// Age of the last renewal after which an engine is replaced. Longer than a
+/// restart takes, so that a short silence moves no model.
+const ENGINE_GONE_MS: u64 = 10_000;
+
+/// When recurring work is due next.
+#[derive(Debug, Default)]
+pub(super) struct Timers {
+    observe_ms: u64,
+    control_ms: u64,
+    expire_ms: u64,
+}
+
+/// Returns the times of the placement controller.
+pub(super) fn placement_settings(settings: &settings::Settings) -> placement::Settings {
+    placement::Settings {
+        // All entry VMs have reported by then, and any lease of the previous
+        // leader, which is shorter than an election timeout, is over.
+        warm_up_ms: sync::CONFIG_LEASE_MS.max(settings.timeouts.election_ms),
+        order_ms: settings.timeouts.order_ms,
+        load_ms: settings.timeouts.load_ms,
+        fresh_ms: backend::PROOF_MAX_AGE_MS,
+        gone_ms: ENGINE_GONE_MS,
+    }
+}
+
+impl Core {
+    pub(super) fn run_chores(&mut self) {
+        let now_ms = self.clock.now_ms();
+        if now_ms >= self.timers.observe_ms {
+            self.timers.observe_ms = now_ms + OBSERVE_MS;
+            self.connect();
+            self.observe(now_ms);
+        }
+        if now_ms >= self.timers.control_ms {
+            self.timers.control_ms = now_ms + CONTROL_MS;
+            self.tune();
+            self.align_members(now_ms);
+            self.place(now_ms);
+        }
+        if now_ms >= self.timers.expire_ms {
+            self.timers.expire_ms = now_ms + EXPIRE_MS;
+            self.expire();
+        }
+    }
+
+    /// Opens links to all members.
+    pub(super) fn connect(&mut self) {
+        let addresses = self.addresses();
+        self.parts.links.set(&addresses);
+    }
+
+    fn leads(&self, group: u32) -> bool {
+        let status = self.parts.host.status(GroupId(group));
+        status.is_some_and(|status| status.role == node::Role::Leader)
+    }
+
+    fn chore(&mut self, group: u32, command: work::Command) {
+        let command = command::Command::Work(command);
+        let input = self.propose(group, command, Waiting::Chore);
+        self.own.push(input);
+    }
+
+    /// Proposes to drop what has expired in the groups that this replica leads.
+    fn expire(&mut self) {
+        for group in 1..=self.parts.settings.work_groups {
+            if self.leads(group) {
+                self.chore(group, work::Command::Expire);
+            }
+        }
+    }
+
+    /// Proposes the tuning to groups that have another one.
+    fn tune(&mut self) {
+        let Some(wanted) = self.tuning() else {
+            return;
+        };
+        for group in 1..=self.parts.settings.work_groups {
+            let machine = self.parts.host.machine(GroupId(group));
+            let differs = match machine {
+                Some(machine::Machine::Work(machine)) => *machine.tuning() != wanted,
+                _ => false,
+            };
+            if differs && self.leads(group) {
+                let tuning = Box::new(wanted.clone());
+                self.chore(group, work::Command::Tune { tuning });
+            }
+        }
+    }
+
+    fn tuning(&self) -> Option<work::Tuning> {
+        let machine = self.parts.host.machine(GroupId(0))?;
+        let machine::Machine::Config(config) = machine else {
+            return None;
+        };
+        let intent = config.intent();
+        let default_weight = intent.default_limits.batch_weight;
+        let weights: collections::BTreeMap<_, _> = intent
+            .teams
+            .iter()
+            .map(|(team, limits)| (team.clone(), limits.batch_weight))
+            .filter(|(_, weight)| *weight != default_weight)
+            .collect();
+        Some(work::Tuning {
+            retention: self.parts.settings.retention,
+            weights,
+            default_weight,
+            ..work::Tuning::default()
+        })
+    }
+
+    /// Gives the orders that placement asks for.
+    fn place(&mut self, now_ms: u64) {
+        if self.leads_since_ms.is_none() || self.stopping.is_some() {
+            return;
+        }
+        self.registry.expire(now_ms);
+        let Some(machine::Machine::Config(config)) = self.parts.host.machine(GroupId(0)) else {
+            return;
+        };
+        let decision = self.placement.decide(placement::Input {
+            now_ms,
+            since_ms: self.registry.since_ms(),
+            intent: config.intent(),
+            backends: self.registry.backends(),
+        });
+        for (model, missing) in &decision.missing {
+            let gauge = metrics::PLACEMENT.with_label_values(&[model.as_str()]);
+            gauge.set(i64::from(*missing));
+        }
+        for plan in decision.plans {
+            self.give(now_ms, plan);
+        }
+    }
+
+    /// Records an order in the log, which assigns its fencing number.
+    fn give(&mut self, now_ms: u64, plan: placement::Plan) {
+        let settings = placement_settings(&self.parts.settings);
+        let pending = self.placement.pending();
+        let action = plan.action.clone();
+        pending.begin(now_ms, &plan.backend, plan.incarnation, action, &settings);
+        let command = command::Command::Config(config::Command::Order {
+            backend: plan.backend.clone(),
+            action: plan.action.clone(),
+            fetch_mb: plan.fetch_mb,
+        });
+        let input = self.propose(0, command, Waiting::Order(plan));
+        self.own.push(input);
+    }
+
+    fn observe(&mut self, now_ms: u64) {
+        let mut ready = true;
+        for group in 0..=self.parts.settings.work_groups {
+            let Some(status) = self.parts.host.status(GroupId(group)) else {
+                ready = false;
+                continue;
+            };
+            ready &= status.leader.is_some();
+            observe_group(group, &status);
+            if let Some(machine::Machine::Work(machine)) = self.parts.host.machine(GroupId(group)) {
+                let gauge = metrics::STORED.with_label_values(&[&group.to_string()]);
+                gauge.set(machine.bytes() as i64);
+            }
+        }
+        if let Some(machine::Machine::Config(config)) = self.parts.host.machine(GroupId(0)) {
+            let labels: [&str; 0] = [];
+            let gauge = metrics::REVISION.with_label_values(&labels);
+            gauge.set(config.revision() as i64);
+        }
+        self.observe_registry(now_ms);
+        let stats = self.parts.host.stats();
+        let totals = [
+            ("entries", stats.entries),
+            ("syncs", stats.syncs),
+            ("log_bytes", stats.log_bytes),
+            ("snapshots", stats.snapshots),
+            ("snapshot_bytes", stats.snapshot_bytes),
+        ];
+        for (name, total) in totals {
+            metrics::DISK.with_label_values(&[name]).set(total as i64);
+        }
+        self.parts.health.set_stats(stats);
+        self.parts.health.looped(ready && self.stopping.is_none());
+    }
+
+    fn observe_registry(&self, now_ms: u64) {
+        let labels: [&str; 0] = [];
+        let leads = self.leads_since_ms.is_some();
+        let (entries, backends) = match leads {
+            true => (
+                self.registry.entries(now_ms).len(),
+                self.registry.backends().len(),
+            ),
+            false => (0, 0),
+        };
+        metrics::ENTRIES
+            .with_label_values(&labels)
+            .set(entries as i64);
+        metrics::BACKENDS
+            .with_label_values(&labels)
+            .set(backends as i64);
+    }
+}
+
+fn observe_group(group: u32, status: &host::Status) {
+    let name = group.to_string();
+    let positions = [
+        ("commit", status.commit),
+        ("applied", status.applied),
+        ("last", status.last_index),
+        ("snapshot", status.snapshot_index),
+    ];
+    for (position, index) in positions {
+        metrics::LOG
+            .with_label_values(&[&name, position])
+            .set(index as i64);
+    }
+    let voters = status.members.iter().filter(|member| member.voter).count();
+    let learners = status.members.len() - voters;
+    metrics::MEMBERS
+        .with_label_values(&[&name, "voter"])
+        .set(voters as i64);
+    metrics::MEMBERS
+        .with_label_values(&[&name, "learner"])
+        .set(learners as i64);
+    metrics::TERM
+        .with_label_values(&[&name])
+        .set(status.term as i64);
+    let leads = status.role == node::Role::Leader;
+    metrics::LEADER
+        .with_label_values(&[&name])
+        .set(i64::from(leads));
+    let lease_ms = status.lease_remaining_ms;
+    metrics::LEASE
+        .with_label_values(&[&name])
+        .set(lease_ms as i64);
+}
--- /dev/null
+++ b/programs/control/src/core/clock.rs
@@ -0,0 +1,55 @@
+//! The clocks of the control thread.
+
+use std::{collections, time};
+
+/// The monotonic clock, and the stamps of commands derived from it.
+///
+/// The wall clock is read once at the start: when it jumps later, stamps go on
+/// at the pace of the monotonic clock.
+#[derive(Debug)]
+pub(crate) struct Clock {
+    start: time::Instant,
+    wall_ms: u64,
+    stamps: collections::BTreeMap<u32, Stamp>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Stamp {
+    mono_ms: u64,
+    stamp_ms: u64,
+}
+
+impl Clock {
+    pub(crate) fn new() -> Clock {
+        let wall = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+        Clock {
+            start: time::Instant::now(),
+            wall_ms: wall.map_or(0, |wall| wall.as_millis() as u64),
+            stamps: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Returns the monotonic time, in milliseconds since the start.
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64
+    }
+
+    /// Returns the instant of a monotonic time.
+    pub(crate) fn instant(&self, mono_ms: u64) -> time::Instant {
+        self.start + time::Duration::from_millis(mono_ms)
+    }
+
+    /// Stamps a command to a group.
+    ///
+    /// The machine's own time can be ahead after a leader with a fast clock. It
+    /// then goes on from there instead of standing still, so that leases and
+    /// windows keep ending.
+    pub(crate) fn stamp(&mut self, group: u32, machine_ms: u64) -> u64 {
+        let mono_ms = self.now_ms();
+        let last = self.stamps.get(&group);
+        let carried = last.map_or(0, |last| last.stamp_ms + (mono_ms - last.mono_ms));
+        let stamp_ms = (self.wall_ms + mono_ms).max(carried).max(machine_ms);
+        self.stamps.insert(group, Stamp { mono_ms, stamp_ms });
+        stamp_ms
+    }
+}
--- /dev/null
+++ b/programs/control/src/core/waiting.rs
@@ -0,0 +1,51 @@
+//! Calls that wait for the replicated log.
+
+use std::collections;
+
+use bw_wire::{command, member, query, sync};
+
+use crate::{network::call, placement};
+
+/// Who waits for a ticket, and for what.
+pub(crate) enum Waiting {
+    Propose(call::Reply<command::Reply>),
+    Query {
+        group: u32,
+        query: query::Query,
+        reply: call::Reply<query::Answer>,
+    },
+    Sync {
+        request: Box<sync::Request>,
+        reply: call::Reply<sync::Response>,
+    },
+    InForce {
+        revision: u64,
+        reply: call::Reply<bw_wire::rpc::InForce>,
+    },
+    Members(call::Reply<Vec<member::Member>>),
+    /// An order that placement wants to give.
+    Order(placement::Plan),
+    /// A proposal of the leader itself, whose result does not matter.
+    Chore,
+}
+
+/// Waiting calls by ticket.
+#[derive(Default)]
+pub(crate) struct Tickets {
+    last: u64,
+    waiting: collections::HashMap<u64, Waiting>,
+}
+
+impl Tickets {
+    /// Files a call and returns its ticket.
+    pub(crate) fn add(&mut self, waiting: Waiting) -> u64 {
+        self.last += 1;
+        self.waiting.insert(self.last, waiting);
+        self.last
+    }
+
+    /// Returns the call of a ticket.
+    pub(crate) fn take(&mut self, ticket: u64) -> Option<Waiting> {
+        self.waiting.remove(&ticket)
+    }
+}
--- /dev/null
+++ b/programs/control/src/handle.rs
@@ -0,0 +1,260 @@
+//! Starts and stops the threads of a control replica.
+
+use std::{io, net, sync, sync::mpsc, thread, time};
+
+use anyhow::Context;
+use jsonrpsee::server;
+use tokio::{runtime, sync as async_sync};
+use tokio_util::sync::CancellationToken;
+
+use bw_base::{access, program};
+use bw_coord::{GroupId, ReplicaId, host, storage};
+use bw_state::machine;
+
+use crate::{
+    core,
+    network::{
+        admin, auth,
+        call::{Call, Caller},
+        links, methods, orders,
+    },
+    settings,
+};
+
+/// Calls that may wait for the control thread; more are refused as busy.
+const CALLS_MAX: usize = 16_384;
+/// Most connections to the control port: all entry VMs of the planned fleet,
+/// replicas and operators.
+const CONNECTIONS_MAX: u32 = 2_000;
+/// Largest call and answer, in bytes.
+const MESSAGE_BYTES_MAX: u32 = 64 * 1024 * 1024;
+/// Time limit for open connections after the control thread ended.
+const DRAIN_LIMIT: time::Duration = time::Duration::from_secs(2);
+
+/// A running control replica.
+pub struct Handle {
+    address: net::SocketAddr,
+    admin_address: net::SocketAddr,
+    caller: Caller,
+    stop_network: CancellationToken,
+    health: sync::Arc<admin::Health>,
+    control: thread::JoinHandle<Result<(), storage::Error>>,
+    network: thread::JoinHandle<()>,
+    /// Resolves once the control thread has ended.
+    ended: async_sync::oneshot::Receiver<()>,
+}
+
+/// Starts a control replica with its own threads.
+///
+/// # Errors
+///
+/// Fails if a token file or the data folder cannot be read, the data is damaged
+/// or an address cannot be bound.
+pub fn start(settings: settings::Settings) -> anyhow::Result<Handle> {
+    let tokens = match &settings.token_file {
+        Some(file) => {
+            let tokens = access::Tokens::load(file);
+            let tokens = tokens.with_context(|| format!("token file {}", file.display()))?;
+            Some(sync::Arc::new(tokens))
+        }
+        None => None,
+    };
+    let host =
+        open(&settings).with_context(|| format!("data folder {}", settings.data.display()))?;
+    let health = sync::Arc::new(admin::Health::new(tokens.clone()));
+    let (caller, calls) = Caller::new(CALLS_MAX);
+    let stop_network = CancellationToken::new();
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let spawner = runtime.handle().clone();
+    let own_token = tokens
+        .as_ref()
+        .and_then(|tokens| tokens.token_of(&settings.token_name))
+        .map(str::to_owned);
+    let network = Network {
+        listen: settings.listen.as_str().to_owned(),
+        admin: settings.admin.as_str().to_owned(),
+        context: methods::Context {
+            caller: caller.clone(),
+            work_groups: settings.work_groups,
+            replica_name: tokens.as_ref().map(|_| settings.token_name.clone()),
+        },
+        tokens,
+        health: sync::Arc::clone(&health),
+        stop: stop_network.clone(),
+    };
+    let (bound, addresses) = mpsc::sync_channel(1);
+    let network = thread::Builder::new()
+        .name("network".to_owned())
+        .spawn(move || network.run(&runtime, &bound))?;
+    let Ok(addresses) = addresses.recv() else {
+        let _ = network.join();
+        anyhow::bail!("the network thread ended at its start");
+    };
+    let (address, admin_address) = match addresses {
+        Ok(addresses) => addresses,
+        Err(error) => {
+            let _ = network.join();
+            return Err(error);
+        }
+    };
+    let order_timeout = time::Duration::from_millis(settings.timeouts.order_ms);
+    let own = ReplicaId(settings.replica);
+    let parts = core::Parts {
+        links: links::Links::new(own, own_token, spawner.clone(), stop_network.clone()),
+        orders: orders::Sender::new(spawner, order_timeout, caller.clone(), stop_network.clone()),
+        health: sync::Arc::clone(&health),
+        settings,
+        host,
+        calls,
+    };
+    let (end, ended) = async_sync::oneshot::channel();
+    let control = thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || {
+            let result = core::Core::new(parts).run();
+            // Nobody may be waiting.
+            let _ = end.send(());
+            result
+        })?;
+    Ok(Handle {
+        address,
+        admin_address,
+        caller,
+        stop_network,
+        health,
+        control,
+        network,
+        ended,
+    })
+}
+
+impl Handle {
+    /// Returns the bound address of the control port.
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Returns the bound address of the admin endpoints.
+    pub fn admin_address(&self) -> net::SocketAddr {
+        self.admin_address
+    }
+
+    /// Returns totals of the write-ahead log, at most a second old.
+    pub fn stats(&self) -> host::Stats {
+        self.health.stats()
+    }
+
+    /// Runs until `SIGTERM` or a failure, then stops.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the disk failed or the signal handlers cannot be installed.
+    pub fn run(mut self) -> anyhow::Result<()> {
+        let runtime = runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let signalled: io::Result<()> = runtime.block_on(async {
+            tokio::select! {
+                signal = program::stop_signal() => signal,
+                _ = &mut self.ended => Ok(()),
+            }
+        });
+        self.stop()?;
+        Ok(signalled?)
+    }
+
+    /// Hands leadership over, ends all threads and waits for them.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the disk had failed or a thread had panicked.
+    pub fn stop(self) -> anyhow::Result<()> {
+        while !self.control.is_finished() && !self.caller.send(Call::Stop) {
+            // The queue is full; the control thread empties it.
+            thread::sleep(time::Duration::from_millis(1));
+        }
+        let control = self.control.join();
+        self.stop_network.cancel();
+        let network = self.network.join();
+        let result = control.map_err(|_| anyhow::anyhow!("the control thread panicked"))?;
+        network.map_err(|_| anyhow::anyhow!("the network thread panicked"))?;
+        result.context("the replica stopped")
+    }
+}
+
+fn open(settings: &settings::Settings) -> Result<host::Host<core::Edge>, storage::Error> {
+    let members = settings.first_members();
+    let members = members.iter().map(core::member).collect();
+    let mut builder = host::Builder::<core::Edge>::new(ReplicaId(settings.replica), members)
+        .span_failure_domains(settings.spans_domains())
+        .election_timeout_ms(settings.timeouts.election_ms);
+    for group in 0..=settings.work_groups {
+        builder = builder.group(GroupId(group), machine::Machine::for_group(group));
+    }
+    builder.open(storage::Directory::open(&settings.data)?)
+}
+
+struct Network {
+    listen: String,
+    admin: String,
+    context: methods::Context,
+    tokens: Option<sync::Arc<access::Tokens>>,
+    health: sync::Arc<admin::Health>,
+    stop: CancellationToken,
+}
+
+type Bound = anyhow::Result<(net::SocketAddr, net::SocketAddr)>;
+
+impl Network {
+    /// Binds the addresses and serves until it is told to stop.
+    fn run(self, runtime: &runtime::Runtime, bound: &mpsc::SyncSender<Bound>) {
+        runtime.block_on(async {
+            let stop = self.stop.clone();
+            match self.serve().await {
+                Ok((control, admin, address)) => {
+                    // The starting thread waits for this.
+                    let _ = bound.send(Ok((address, admin.address())));
+                    stop.cancelled().await;
+                    // Stopping twice is no error that matters.
+                    let _ = control.stop();
+                    let _ = tokio::time::timeout(DRAIN_LIMIT, control.stopped()).await;
+                    admin.drain(DRAIN_LIMIT).await;
+                }
+                Err(error) => {
+                    let _ = bound.send(Err(error));
+                }
+            }
+        });
+    }
+
+    async fn serve(
+        self,
+    ) -> anyhow::Result<(
+        server::ServerHandle,
+        bw_base::server::Server,
+        net::SocketAddr,
+    )> {
+        let config = server::ServerConfig::builder()
+            .max_connections(CONNECTIONS_MAX)
+            .max_request_body_size(MESSAGE_BYTES_MAX)
+            .max_response_body_size(MESSAGE_BYTES_MAX)
+            .set_tcp_no_delay(true)
+            .build();
+        let middleware = tower::ServiceBuilder::new().layer(auth::Layer::new(self.tokens));
+        let control = server::Server::builder()
+            .set_config(config)
+            .set_http_middleware(middleware)
+            .build(&self.listen)
+            .await
+            .with_context(|| format!("control port {}", self.listen))?;
+        let address = control.local_addr()?;
+        let admin = bw_base::server::Builder::default()
+            .serve(&self.admin, admin::router(self.health))
+            .await
+            .with_context(|| format!("admin address {}", self.admin))?;
+        let control = control.start(methods::module(self.context)?);
+        Ok((control, admin, address))
+    }
+}
--- a/programs/control/src/lib.rs
+++ b/programs/control/src/lib.rs
@@ -1,1 +1,15 @@
-//! Placeholder.
+//! The control program: replicated state, registry and placement orders.
+//!
+//! One control thread owns the replicated logs and all soft state. A network
+//! thread runs the control port, the links to the other replicas, the admin
+//! endpoints and the orders to backend servers; it only moves messages.
+
+mod core;
+mod handle;
+mod metrics;
+mod network;
+pub mod placement;
+pub mod registry;
+pub mod settings;
+
+pub use handle::{Handle, start};
--- /dev/null
+++ b/programs/control/src/network/links.rs
@@ -0,0 +1,198 @@
+//! Links to the other replicas.
+//!
+//! Each link has a bounded queue and a task that sends what has gathered in one
+//! call. A full queue or a broken connection drops messages: consensus repeats
+//! what is needed, and the control thread never waits for the network.
+
+use std::{collections, sync, time};
+
+use jsonrpsee::{
+    core::{ClientError, client::ClientT, params},
+    ws_client,
+};
+use tokio::{runtime, sync as async_sync, task};
+use tokio_util::sync::CancellationToken;
+
+use bw_coord::{ReplicaId, message};
+use bw_wire::{name, rpc};
+
+use crate::{
+    metrics,
+    network::methods::{self, Batch},
+};
+
+/// Messages that may wait for one replica.
+const QUEUE_MESSAGES: usize = 4_096;
+/// Most messages in one call.
+const BATCH_MESSAGES: usize = 256;
+/// Calls under way to one replica; enough to fill a link of some milliseconds.
+const CALLS_MAX: usize = 32;
+/// Time limit of connecting and of one call.
+const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(2_000);
+/// Pause after a failed connection attempt.
+const RECONNECT_PAUSE: time::Duration = time::Duration::from_millis(100);
+/// Largest message between replicas, in bytes.
+const MESSAGE_BYTES_MAX: u32 = 64 * 1024 * 1024;
+
+/// The links of a replica.
+pub(crate) struct Links {
+    own: ReplicaId,
+    token: Option<String>,
+    runtime: runtime::Handle,
+    stop: CancellationToken,
+    links: collections::BTreeMap<ReplicaId, Link>,
+}
+
+struct Link {
+    address: name::Name,
+    queue: async_sync::mpsc::Sender<message::Envelope>,
+}
+
+impl Links {
+    pub(crate) fn new(
+        own: ReplicaId,
+        token: Option<String>,
+        runtime: runtime::Handle,
+        stop: CancellationToken,
+    ) -> Links {
+        Links {
+            own,
+            token,
+            runtime,
+            stop,
+            links: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Sets the addresses of the replicas; links to others are closed.
+    pub(crate) fn set(&mut self, addresses: &collections::BTreeMap<ReplicaId, name::Name>) {
+        self.links
+            .retain(|replica, link| addresses.get(replica) == Some(&link.address));
+        for (replica, address) in addresses {
+            if *replica != self.own && !self.links.contains_key(replica) {
+                let link = self.open(address.clone());
+                self.links.insert(*replica, link);
+            }
+        }
+    }
+
+    /// Queues a message.
+    pub(crate) fn send(&self, to: ReplicaId, message: message::Envelope) {
+        let reason = match self.links.get(&to) {
+            Some(link) if link.queue.try_send(message).is_ok() => return,
+            Some(_) => "queue_full",
+            None => "no_address",
+        };
+        metrics::RAFT_DROPPED.with_label_values(&[reason]).inc();
+    }
+
+    fn open(&self, address: name::Name) -> Link {
+        let (queue, messages) = async_sync::mpsc::channel(QUEUE_MESSAGES);
+        let task = Task {
+            own: self.own,
+            address: address.clone(),
+            token: self.token.clone(),
+            messages,
+        };
+        let stop = self.stop.clone();
+        self.runtime.spawn(async move {
+            stop.run_until_cancelled(task.run()).await;
+        });
+        Link { address, queue }
+    }
+}
+
+struct Task {
+    own: ReplicaId,
+    address: name::Name,
+    token: Option<String>,
+    messages: async_sync::mpsc::Receiver<message::Envelope>,
+}
+
+impl Task {
+    /// Sends until the link is closed.
+    async fn run(mut self) {
+        while let Some(first) = self.messages.recv().await {
+            match self.connect().await {
+                Ok(client) => self.serve(sync::Arc::new(client), first).await,
+                Err(error) => {
+                    log::debug!(address = self.address.as_str(); "no connection: {error}");
+                    metrics::RETRIES
+                        .with_label_values(&["replica_connect"])
+                        .inc();
+                    tokio::time::sleep(RECONNECT_PAUSE).await;
+                    // What gathered meanwhile is out of date.
+                    while self.messages.try_recv().is_ok() {}
+                }
+            }
+        }
+    }
+
+    /// Sends over one connection until it breaks.
+    async fn serve(&mut self, client: sync::Arc<ws_client::WsClient>, first: message::Envelope) {
+        let mut next = Some(first);
+        let mut calls = task::JoinSet::new();
+        while client.is_connected() {
+            let Some(message) = next.take() else {
+                match self.messages.recv().await {
+                    Some(message) => next = Some(message),
+                    None => break,
+                }
+                continue;
+            };
+            let text = methods::encode(&self.gather(message));
+            let client = sync::Arc::clone(&client);
+            // Tasks of this runtime start in the order they are spawned, and
+            // the client sends in the order of its calls.
+            calls.spawn(async move {
+                let mut params = params::ArrayParams::new();
+                if params.insert(text).is_ok() {
+                    report(client.request::<(), _>(rpc::RAFT, params).await);
+                }
+            });
+            while calls.len() >= CALLS_MAX && calls.join_next().await.is_some() {}
+            while calls.try_join_next().is_some() {}
+        }
+    }
+
+    /// Collects what is waiting.
+    fn gather(&mut self, first: message::Envelope) -> Batch {
+        let mut messages = vec![message::encode(&first)];
+        while messages.len() < BATCH_MESSAGES
+            && let Ok(message) = self.messages.try_recv()
+        {
+            messages.push(message::encode(&message));
+        }
+        Batch {
+            from: self.own.0,
+            messages,
+        }
+    }
+
+    async fn connect(&self) -> Result<ws_client::WsClient, ClientError> {
+        let mut headers = ws_client::HeaderMap::new();
+        if let Some(token) = &self.token
+            && let Ok(value) = ws_client::HeaderValue::from_str(&format!("Bearer {token}"))
+        {
+            headers.insert("authorization", value);
+        }
+        ws_client::WsClientBuilder::default()
+            .set_headers(headers)
+            .connection_timeout(CALL_TIMEOUT)
+            .request_timeout(CALL_TIMEOUT)
+            .max_request_size(MESSAGE_BYTES_MAX)
+            .max_response_size(MESSAGE_BYTES_MAX)
+            .max_concurrent_requests(CALLS_MAX * 2)
+            .build(format!("ws://{}", self.address))
+            .await
+    }
+}
+
+fn report(result: Result<(), ClientError>) {
+    if let Err(error) = result {
+        log::debug!("consensus messages not delivered: {error}");
+        metrics::RAFT_DROPPED
+            .with_label_values(&["call_failed"])
+            .inc();
+    }
+}
--- /dev/null
+++ b/programs/control/tests/placement.rs
@@ -0,0 +1,285 @@
+//! Placement on a small simulated fleet of engines.
+
+use std::collections;
+
+use bw_control::{
+    placement::{Input, Placement, Plan, Settings},
+    registry::Backend,
+};
+use bw_wire::{backend, intent, name::Name};
+
+const SETTINGS: Settings = Settings {
+    warm_up_ms: 4_000,
+    order_ms: 500,
+    load_ms: 60_000,
+    fresh_ms: 3_000,
+    gone_ms: 10_000,
+};
+const LOAD_MS: u64 = 5_000;
+
+/// Engines that obey orders after a load time.
+struct Fleet {
+    now_ms: u64,
+    intent: intent::Intent,
+    backends: collections::BTreeMap<Name, Backend>,
+    loading: collections::BTreeMap<Name, (u64, backend::Loaded)>,
+    placement: Placement,
+    orders: u32,
+    /// The fewest ready replicas of model `m` since it was last reset.
+    fewest_ready: usize,
+}
+
+impl Fleet {
+    fn new(engines: usize, checks_fencing: bool) -> Fleet {
+        let mut intent = intent::Intent::default();
+        let deployment = intent::Deployment { checks_fencing };
+        intent.deployments.insert("d".into(), deployment);
+        let mut fleet = Fleet {
+            now_ms: 0,
+            intent,
+            backends: collections::BTreeMap::new(),
+            loading: collections::BTreeMap::new(),
+            placement: Placement::new(SETTINGS),
+            orders: 0,
+            fewest_ready: 0,
+        };
+        for number in 0..engines {
+            fleet.announce(&format!("e{number}"));
+        }
+        fleet
+    }
+
+    fn announce(&mut self, id: &str) {
+        let announcement = backend::Announcement {
+            id: id.into(),
+            incarnation: 1,
+            sequence: 1,
+            address: "127.0.0.1:1".into(),
+            kind: backend::Kind::Engine,
+            service: "d".into(),
+            failure_domain: "z".into(),
+            state: backend::State::Ready,
+            loaded: Vec::new(),
+            capacity: 8,
+            fence: 0,
+            load: backend::Load::default(),
+        };
+        let known = Backend {
+            announcement,
+            renewed_ms: self.now_ms,
+        };
+        self.backends.insert(id.into(), known);
+    }
+
+    fn declare(&mut self, model: &str, version: &str, replicas: u32, min_ready: u32) {
+        let declared = intent::Model {
+            version: version.into(),
+            deployment: "d".into(),
+            replicas,
+            min_ready,
+            ..intent::Model::default()
+        };
+        self.intent.models.insert(model.into(), declared);
+    }
+
+    /// Decides once and lets the engines obey.
+    fn tick(&mut self, silent: &[&str]) -> Vec<Plan> {
+        self.now_ms += 1_000;
+        for (id, known) in &mut self.backends {
+            if silent.contains(&id.as_str()) {
+                continue;
+            }
+            known.renewed_ms = self.now_ms;
+            if let Some((done_ms, loaded)) = self.loading.get(id)
+                && *done_ms <= self.now_ms
+            {
+                known.announcement.state = backend::State::Ready;
+                known.announcement.loaded = vec![loaded.clone()];
+                self.loading.remove(id);
+            }
+        }
+        let decision = self.placement.decide(Input {
+            now_ms: self.now_ms,
+            since_ms: 0,
+            intent: &self.intent,
+            backends: &self.backends,
+        });
+        for plan in &decision.plans {
+            self.obey(plan);
+        }
+        self.fewest_ready = self.fewest_ready.min(self.ready("m"));
+        decision.plans
+    }
+
+    fn obey(&mut self, plan: &Plan) {
+        self.orders += 1;
+        let action = plan.action.clone();
+        self.placement.pending().begin(
+            self.now_ms,
+            &plan.backend,
+            plan.incarnation,
+            action,
+            &SETTINGS,
+        );
+        let backend::Action::Load {
+            model,
+            version,
+            adapters,
+        } = plan.action.clone()
+        else {
+            panic!("unexpected order {plan:?}");
+        };
+        let loaded = backend::Loaded {
+            model,
+            version,
+            adapters,
+        };
+        let until_ms = self.now_ms + LOAD_MS;
+        self.loading
+            .insert(plan.backend.clone(), (until_ms, loaded));
+        let known = self.backends.get_mut(&plan.backend).expect("known engine");
+        known.announcement.state = backend::State::Loading;
+        known.announcement.loaded.clear();
+    }
+
+    fn run(&mut self, ticks: u32) {
+        for _ in 0..ticks {
+            self.tick(&[]);
+        }
+    }
+
+    fn ready(&self, model: &str) -> usize {
+        let ready = self.backends.values().filter(|known| {
+            let announced = &known.announcement;
+            announced.state == backend::State::Ready
+                && announced
+                    .loaded
+                    .iter()
+                    .any(|loaded| loaded.model.as_str() == model)
+        });
+        ready.count()
+    }
+
+    fn version(&self, model: &str, version: &str) -> usize {
+        let loaded = self
+            .backends
+            .values()
+            .flat_map(|known| &known.announcement.loaded);
+        loaded
+            .filter(|loaded| loaded.model.as_str() == model && loaded.version.as_str() == version)
+            .count()
+    }
+}
+
+/// Guards against orders that go on although nothing differs.
+#[test]
+fn a_placed_fleet_gets_no_orders() {
+    let mut fleet = Fleet::new(5, true);
+    fleet.declare("m", "1", 3, 1);
+    fleet.declare("n", "1", 2, 1);
+    fleet.run(30);
+    assert_eq!(
+        (fleet.ready("m"), fleet.ready("n"), fleet.orders),
+        (3, 2, 5)
+    );
+    fleet.run(300);
+    assert_eq!(fleet.orders, 5);
+}
+
+/// Guards against a version change that takes too many replicas at once.
+#[test]
+fn a_roll_keeps_the_floor() {
+    let mut fleet = Fleet::new(4, true);
+    fleet.declare("m", "1", 4, 3);
+    fleet.run(30);
+    fleet.fewest_ready = usize::MAX;
+    fleet.declare("m", "2", 4, 3);
+    fleet.run(60);
+    assert_eq!(fleet.version("m", "2"), 4);
+    assert_eq!(fleet.fewest_ready, 3);
+}
+
+/// Guards against a floor that is broken because no replica can be spared.
+#[test]
+fn a_roll_without_a_spare_replica_waits() {
+    let mut fleet = Fleet::new(2, true);
+    fleet.declare("m", "1", 2, 2);
+    fleet.run(30);
+    fleet.declare("m", "2", 2, 2);
+    fleet.run(60);
+    assert_eq!(fleet.version("m", "1"), 2);
+    // A third engine makes room for the roll.
+    fleet.announce("spare");
+    fleet.run(60);
+    assert_eq!(fleet.version("m", "2"), 2);
+}
+
+/// Guards against models that move because an engine was silent for a moment.
+#[test]
+fn a_short_silence_moves_nothing() {
+    let mut fleet = Fleet::new(4, true);
+    fleet.declare("m", "1", 2, 1);
+    fleet.run(30);
+    let orders = fleet.orders;
+    for _ in 0..8 {
+        fleet.tick(&["e0", "e1"]);
+    }
+    fleet.run(10);
+    assert_eq!(fleet.orders, orders);
+    // An engine that is gone is replaced once.
+    for _ in 0..40 {
+        fleet.tick(&["e0"]);
+    }
+    assert_eq!(fleet.orders, orders + 1);
+}
+
+/// Guards against two models that take an engine from each other in turn.
+#[test]
+fn scarce_engines_are_not_passed_around() {
+    let mut fleet = Fleet::new(3, true);
+    fleet.declare("m", "1", 3, 1);
+    fleet.declare("n", "1", 3, 1);
+    fleet.run(100);
+    let orders = fleet.orders;
+    fleet.run(100);
+    assert_eq!((orders, fleet.orders), (3, 3));
+    // Replicas above the declared number are given to the model that lacks some.
+    fleet.declare("m", "1", 1, 1);
+    fleet.run(100);
+    assert_eq!((fleet.ready("m"), fleet.ready("n")), (1, 2));
+}
+
+/// Guards against an order that meets one of the previous leader.
+#[test]
+fn a_new_leader_waits() {
+    for (checks_fencing, first_ms) in [(true, 4_000), (false, 5_000)] {
+        let mut fleet = Fleet::new(1, checks_fencing);
+        fleet.declare("m", "1", 1, 1);
+        while fleet.tick(&[]).is_empty() {}
+        assert_eq!(fleet.now_ms, first_ms);
+    }
+}
+
+/// Guards against orders that are repeated while the budget or an engine refuses.
+#[test]
+fn refused_orders_wait() {
+    let mut fleet = Fleet::new(2, true);
+    fleet.declare("m", "1", 1, 1);
+    fleet.now_ms = 10_000;
+    let plan = loop {
+        if let Some(plan) = fleet.tick(&[]).pop() {
+            break plan;
+        }
+    };
+    assert_eq!(plan.fetch_mb, 1_000);
+    // The engine did not get the order.
+    let known = fleet.backends.get_mut(&plan.backend).expect("known engine");
+    known.announcement.state = backend::State::Ready;
+    fleet.loading.clear();
+    fleet
+        .placement
+        .pending()
+        .wait(fleet.now_ms, &plan.backend, 3_500);
+    let waited = (1..).find(|_| !fleet.tick(&[]).is_empty());
+    assert_eq!(waited, Some(4));
+}
--- /dev/null
+++ b/programs/control/tests/registry.rs
@@ -0,0 +1,177 @@
+//! Leases, force and ownership in the registry.
+
+use std::collections;
+
+use bw_control::registry::{Current, Registry, Replaced};
+use bw_wire::{backend, intent, name::Name, sync};
+
+const LEASE_MS: u64 = sync::CONFIG_LEASE_MS;
+
+fn request(entry: &str, incarnation: u64, revision: u64) -> sync::Request {
+    sync::Request {
+        entry: entry.into(),
+        incarnation,
+        failure_domain: "z".into(),
+        peer_address: "127.0.0.1:9".into(),
+        revision,
+        leader_term: 1,
+        heard: Vec::new(),
+        online: collections::BTreeMap::new(),
+        draining: false,
+    }
+}
+
+fn heard(id: &str, sequence: u64, age_ms: u64) -> sync::Heard {
+    sync::Heard {
+        announcement: backend::Announcement {
+            id: id.into(),
+            incarnation: 1,
+            sequence,
+            address: "127.0.0.1:1".into(),
+            kind: backend::Kind::Engine,
+            service: "d".into(),
+            failure_domain: "z".into(),
+            state: backend::State::Ready,
+            loaded: Vec::new(),
+            capacity: 8,
+            fence: 0,
+            load: backend::Load::default(),
+        },
+        age_ms,
+    }
+}
+
+fn sync_at(registry: &mut Registry, now_ms: u64, request: sync::Request) -> sync::Response {
+    let intent = intent::Intent::default();
+    let current = Current {
+        revision: 7,
+        intent: &intent,
+    };
+    registry
+        .sync(now_ms, request, current)
+        .expect("newest process")
+}
+
+/// Guards against "in force" while an entry VM may still serve an old revision.
+#[test]
+fn a_revision_is_in_force_once_every_lease_carries_it() {
+    let mut registry = Registry::default();
+    registry.reset(1_000, 3);
+    sync_at(&mut registry, 1_500, request("a", 1, 7));
+    // Entry VMs that only the previous leader knew may hold leases.
+    assert!(!registry.in_force(1_500, 7, 7).everywhere);
+    let later = 1_000 + LEASE_MS + 200;
+    sync_at(&mut registry, later, request("a", 1, 7));
+    assert!(registry.in_force(later, 7, 7).everywhere);
+    let response = sync_at(&mut registry, later, request("b", 1, 6));
+    assert!(response.intent.is_some());
+    let status = registry.in_force(later + 10, 7, 7);
+    assert_eq!(
+        (status.everywhere, status.waiting_for),
+        (false, vec!["b".into()])
+    );
+    // A silent entry VM stops by itself.
+    assert!(registry.in_force(later + LEASE_MS + 200, 7, 7).everywhere);
+    // A revision that does not exist yet is not in force.
+    assert!(!registry.in_force(later + LEASE_MS + 200, 8, 7).everywhere);
+}
+
+/// Guards against an older process that is forgotten although it holds a lease.
+#[test]
+fn the_lease_of_an_older_process_counts() {
+    let mut registry = Registry::default();
+    registry.reset(0, 1);
+    sync_at(&mut registry, 10_000, request("a", 1, 6));
+    sync_at(&mut registry, 10_100, request("a", 2, 7));
+    assert_eq!(
+        registry.in_force(10_200, 7, 7).waiting_for,
+        [Name::from("a")]
+    );
+    let intent = intent::Intent::default();
+    let current = Current {
+        revision: 7,
+        intent: &intent,
+    };
+    let late = registry.sync(10_300, request("a", 1, 7), current);
+    assert_eq!(late, Err(Replaced));
+    assert!(registry.in_force(10_000 + LEASE_MS + 200, 7, 7).everywhere);
+}
+
+/// Guards against two owners of one backend server.
+#[test]
+fn ownership_moves_only_after_the_old_lease() {
+    let mut registry = Registry::default();
+    registry.reset(0, 1);
+    let mut first = request("a", 1, 7);
+    first.heard = (0..32)
+        .map(|number| heard(&format!("e{number}"), 1, 0))
+        .collect();
+    let response = sync_at(&mut registry, 2_000, first.clone());
+    assert!(
+        response.owners.is_empty(),
+        "leases of the previous leader may run"
+    );
+    let response = sync_at(&mut registry, 10_000, first);
+    assert!(response.owners.values().all(|owner| owner.as_str() == "a"));
+    let response = sync_at(&mut registry, 10_100, request("b", 1, 7));
+    let kept = response.owners.len();
+    assert!(kept < 32 && response.owners.values().all(|owner| owner.as_str() == "a"));
+    // `a` stays silent: what moves goes to `b` when the lease is over, not before.
+    let response = sync_at(&mut registry, 10_000 + LEASE_MS, request("b", 1, 7));
+    assert!(response.owners.values().all(|owner| owner.as_str() == "a"));
+    let response = sync_at(&mut registry, 10_300 + LEASE_MS, request("b", 1, 7));
+    assert_eq!(response.owners.len(), 32);
+    assert!(response.owners.values().all(|owner| owner.as_str() == "b"));
+}
+
+/// Guards against an entry VM that takes batch work while it shuts down.
+#[test]
+fn a_draining_entry_vm_owns_nothing() {
+    let mut registry = Registry::default();
+    registry.reset(0, 1);
+    let mut draining = request("a", 1, 7);
+    draining.heard = vec![heard("e", 1, 0)];
+    draining.draining = true;
+    let response = sync_at(&mut registry, 10_000, draining);
+    assert!(response.owners.is_empty());
+}
+
+/// Guards against a reordered announcement that revives a backend server.
+#[test]
+fn the_newest_announcement_counts() {
+    let mut registry = Registry::default();
+    registry.reset(0, 1);
+    let mut newer = heard("e", 5, 100);
+    newer.announcement.state = backend::State::Leaving;
+    let mut report = request("a", 1, 7);
+    report.heard = vec![newer, heard("e", 4, 0)];
+    let response = sync_at(&mut registry, 10_000, report);
+    assert_eq!(
+        response.backends[0].announcement.state,
+        backend::State::Leaving
+    );
+    assert_eq!(response.backends[0].age_ms, 100);
+    // The same announcement heard again does not count as a renewal.
+    let mut again = request("b", 1, 7);
+    again.heard = vec![heard("e", 5, 0)];
+    let response = sync_at(&mut registry, 11_000, again);
+    assert_eq!(response.backends[0].age_ms, 1_100);
+}
+
+/// Guards against counts of the asking entry VM or of a dead one.
+#[test]
+fn online_counts_are_those_of_live_others() {
+    let mut registry = Registry::default();
+    registry.reset(0, 1);
+    for (entry, count) in [("a", 1), ("b", 10), ("c", 100)] {
+        let mut report = request(entry, 1, 7);
+        report.online.insert("e".into(), count);
+        sync_at(&mut registry, 10_000, report);
+    }
+    let response = sync_at(&mut registry, 10_500, request("a", 1, 7));
+    assert_eq!(response.online.get("e"), Some(&110));
+    assert_eq!(response.peers.len(), 2);
+    let response = sync_at(&mut registry, 10_500 + LEASE_MS, request("a", 1, 7));
+    assert_eq!(response.online.get("e"), None);
+    assert!(response.peers.is_empty());
+}
