--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod name;
 pub mod openai;
 pub mod peer;
+pub mod prefix;
 pub mod query;
 pub mod refusal;
 pub mod rpc;
--- /dev/null
+++ b/programs/entry/src/api/announce.rs
@@ -0,0 +1,85 @@
+//! Announcements and cache events of backend servers.
+
+use bw_wire::{backend, refusal};
+use gotham::http;
+use serde::de;
+
+use super::{Body, Head, Response, json, require};
+use crate::{context, controller, filter};
+
+/// The longest id or name in an announcement, in bytes.
+const MAX_NAME_BYTES: usize = 128;
+
+/// Takes an announcement. It is in force before the answer is sent; the control
+/// thread passes it on.
+pub(super) async fn announce(
+    context: &context::Context,
+    head: &Head,
+    body: Body,
+) -> Result<Response, refusal::Refusal> {
+    let announcement: backend::Announcement = read(context, head, body).await?;
+    check(&announcement)?;
+    context.shared.table.announce(&announcement, 0);
+    let taken = context
+        .events
+        .send(controller::Event::Announced(announcement));
+    if !taken {
+        let message = "too many announcements wait";
+        return Err(refusal::Refusal::not_run(
+            refusal::Reason::Overloaded,
+            message,
+        ));
+    }
+    json(&backend::Announced {
+        renew_ms: backend::RENEW_INTERVAL_MS,
+    })
+}
+
+/// Takes cache events. They are hints, so that lost ones do no harm.
+pub(super) async fn cache_events(
+    context: &context::Context,
+    head: &Head,
+    body: Body,
+) -> Result<Response, refusal::Refusal> {
+    let events: backend::CacheEvents = read(context, head, body).await?;
+    context.events.send(controller::Event::Cached(events));
+    json(&serde_json::json!({}))
+}
+
+async fn read<T: de::DeserializeOwned>(
+    context: &context::Context,
+    head: &Head,
+    body: Body,
+) -> Result<T, refusal::Refusal> {
+    require(head, &http::Method::POST)?;
+    let shared = &context.shared;
+    filter::access::check(&shared.credentials.backends, &head.headers)?;
+    let bytes = filter::body::read(&shared.settings.limits, &head.headers, body).await?;
+    serde_json::from_slice(&bytes).map_err(|error| {
+        let reason = match error.classify() {
+            serde_json::error::Category::Data => refusal::Reason::InvalidField,
+            _ => refusal::Reason::InvalidJson,
+        };
+        refusal::Refusal::not_run(reason, format!("the body is not valid: {error}"))
+    })
+}
+
+fn check(announcement: &backend::Announcement) -> Result<(), refusal::Refusal> {
+    let invalid = |field: &str, reason: &str| {
+        let message = format!("{field} {reason}");
+        refusal::Refusal::not_run(refusal::Reason::InvalidField, message).param(field)
+    };
+    for (field, name) in [("id", &announcement.id), ("service", &announcement.service)] {
+        if name.is_empty() || name.len() > MAX_NAME_BYTES {
+            return Err(invalid(field, "must be 1 to 128 bytes"));
+        }
+    }
+    let address = announcement.address.parse::<std::net::SocketAddr>();
+    if address.is_err() {
+        return Err(invalid("address", "must be IP:port"));
+    }
+    if announcement.capacity == 0 {
+        return Err(invalid("capacity", "must be positive"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/programs/entry/src/api/completions.rs
@@ -0,0 +1,41 @@
+//! `/v1/chat/completions` and `/v1/completions`
+
+use std::sync;
+
+use bw_wire::refusal;
+use gotham::http;
+
+use super::{Body, Head, Response, require};
+use crate::{context, filter, online, upstream};
+
+/// Answers a request to an engine.
+pub(super) async fn answer(
+    context: &sync::Arc<context::Context>,
+    head: &Head,
+    api: upstream::Api,
+    body: Body,
+) -> Result<Response, refusal::Refusal> {
+    require(head, &http::Method::POST)?;
+    let request = filter::online(context, head, api, body).await?;
+    if !head.is_marked_once() {
+        let run = online::Run::new(sync::Arc::clone(context), request, true);
+        return online::respond(run).await;
+    }
+    let content = request.body.value.to_string();
+    let key = online::Key::of(head, &request.team, content.as_bytes(), request.deadline_ms)?;
+    let run = online::Run::new(sync::Arc::clone(context), request, false);
+    online::once(context, key, run_once(run)).await
+}
+
+/// Runs a request to its end. A streamed answer is recorded as the text of the
+/// stream, so that a resend gets the same.
+async fn run_once(mut run: online::Run) -> online::Outcome {
+    match online::transcript(&mut run).await {
+        Ok((content_type, body)) => online::Outcome::Done {
+            status: http::StatusCode::OK,
+            content_type: content_type.to_owned(),
+            body,
+        },
+        Err(refusal) => online::Outcome::of_refusal(refusal),
+    }
+}
--- /dev/null
+++ b/programs/entry/src/context.rs
@@ -0,0 +1,144 @@
+//! What all requests of the process share.
+
+use std::{io, sync};
+
+use bw_client::control;
+use bw_policy::{retry, router};
+use bw_wire::peer;
+use tokio::sync as async_sync;
+
+use crate::{clock, controller, drain, files, filter, routing, settings, snapshot, upstream};
+
+/// Peer messages that a slow subscriber may lag behind.
+const PEER_MESSAGES: usize = 1_024;
+
+/// The state that traffic threads and the control thread share.
+pub struct Shared {
+    /// The settings.
+    pub settings: settings::Settings,
+    /// The accepted credentials.
+    pub credentials: settings::Credentials,
+    /// The clock of all ages and leases.
+    pub clock: clock::Clock,
+    /// Backend servers and requests in flight.
+    pub table: sync::Arc<routing::Table>,
+    /// The published configuration and fleet.
+    pub snapshot: snapshot::Cell,
+    /// The configuration lease.
+    pub lease: snapshot::Lease,
+    /// Admission of online requests.
+    pub admission: filter::Admission,
+    /// Retry budgets.
+    pub retry: sync::Mutex<retry::Retry>,
+    /// The state of the shutdown.
+    pub drain: drain::Drain,
+    /// Grows with each start of the process.
+    pub incarnation: u64,
+    /// Messages of other entry VMs, for the batch dispatcher.
+    pub peer_messages: async_sync::broadcast::Sender<peer::Message>,
+}
+
+impl Shared {
+    /// Builds the shared state.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a token file cannot be read.
+    pub fn new(settings: settings::Settings) -> io::Result<Shared> {
+        let clock = clock::Clock::start();
+        let incarnation = clock::unix_ms();
+        let builder = router::Builder::new().failure_domain(settings.failure_domain.clone(), 0.0);
+        // Entry VMs that start at the same time draw different replicas.
+        let seed = xxhash_rust::xxh3::xxh3_64(settings.name.as_bytes()) ^ incarnation;
+        Ok(Shared {
+            credentials: settings::Credentials::load(&settings)?,
+            table: sync::Arc::new(routing::Table::new(builder, clock, seed)),
+            clock,
+            admission: filter::Admission::new(&settings.policy),
+            retry: sync::Mutex::new(retry_policy(&settings.policy)),
+            snapshot: snapshot::Cell::default(),
+            lease: snapshot::Lease::default(),
+            drain: drain::Drain::default(),
+            incarnation,
+            peer_messages: async_sync::broadcast::Sender::new(PEER_MESSAGES),
+            settings,
+        })
+    }
+
+    /// Runs a short operation on the retry budgets.
+    pub fn with_retry<R>(&self, operation: impl FnOnce(&mut retry::Retry, u64) -> R) -> R {
+        let now_ms = self.clock.now_ms();
+        let retry = self.retry.lock();
+        operation(
+            &mut retry.unwrap_or_else(sync::PoisonError::into_inner),
+            now_ms,
+        )
+    }
+
+    /// Names this process in records: entry VM and incarnation.
+    pub fn holder(&self) -> String {
+        format!("{}/{}", self.settings.name, self.incarnation)
+    }
+
+    /// Returns a client of the control replicas for the current runtime.
+    pub fn control_client(&self) -> control::Client {
+        control::Builder::new(self.settings.control.clone())
+            .token(self.credentials.control.clone())
+            .build()
+    }
+
+    /// Returns a client of backend servers for the current runtime.
+    pub fn upstream_client(&self) -> upstream::Client {
+        upstream::Builder::default()
+            .connect_timeout(settings::ms(self.settings.timeouts.connect_ms))
+            .build()
+    }
+}
+
+fn retry_policy(settings: &settings::Policy) -> retry::Retry {
+    retry::Builder::new()
+        .ratio(settings.retry_share)
+        .max_tokens(settings.retry_reserve as f32)
+        .max_attempts(settings.max_attempts)
+        .hedge(settings.hedge_quantile, settings.hedge_min_ms)
+        .build()
+}
+
+/// The context of the traffic threads.
+pub struct Context {
+    /// What the control thread shares.
+    pub shared: sync::Arc<Shared>,
+    /// The queue to the control thread.
+    pub events: controller::Sender,
+    /// The client of backend servers.
+    pub upstream: upstream::Client,
+    /// The client of the control replicas.
+    pub control: control::Client,
+    /// Files and batch jobs.
+    pub files: files::Store,
+    /// Requests that run or wait.
+    pub open: filter::Open,
+}
+
+impl Context {
+    /// Builds the context on the runtime of the traffic threads.
+    pub fn new(shared: sync::Arc<Shared>, events: controller::Sender) -> Context {
+        let control = shared.control_client();
+        let limits = &shared.settings.limits;
+        let files = files::Builder::new(control.clone(), shared.settings.groups)
+            .limits(files::Limits {
+                file_bytes: limits.file_bytes,
+                line_bytes: limits.line_bytes,
+                items: limits.file_items,
+            })
+            .build();
+        Context {
+            events,
+            upstream: shared.upstream_client(),
+            control,
+            files,
+            open: filter::Open::new(limits.open_streams),
+            shared,
+        }
+    }
+}
--- /dev/null
+++ b/programs/entry/src/controller/exchange.rs
@@ -0,0 +1,216 @@
+//! The exchange with the control leader.
+
+use std::sync;
+
+use bw_client::control;
+use bw_wire::{name, sync as wire_sync};
+
+use super::run::{Controller, Done};
+use crate::{metrics, snapshot};
+
+/// Shortest time between two exchanges, in milliseconds.
+const MIN_INTERVAL_MS: u64 = 50;
+
+/// When the next exchange is due and what the last one said.
+#[derive(Debug)]
+pub(super) struct Schedule {
+    running: bool,
+    last_sent_ms: u64,
+    urgent: bool,
+    full_report: bool,
+    leader_term: u64,
+}
+
+impl Default for Schedule {
+    fn default() -> Self {
+        Schedule {
+            running: false,
+            last_sent_ms: 0,
+            urgent: true,
+            full_report: true,
+            leader_term: 0,
+        }
+    }
+}
+
+impl Schedule {
+    /// Asks for an exchange as soon as possible.
+    pub(super) fn hurry(&mut self) {
+        self.urgent = true;
+    }
+
+    /// Returns when the next exchange is due; none while one is running.
+    pub(super) fn due_ms(&self) -> Option<u64> {
+        let interval_ms = match self.urgent {
+            true => MIN_INTERVAL_MS,
+            false => wire_sync::INTERVAL_MS,
+        };
+        (!self.running).then_some(self.last_sent_ms + interval_ms)
+    }
+}
+
+/// A finished exchange.
+#[derive(Debug)]
+pub(super) struct Synced {
+    sent_ms: u64,
+    heard: Vec<wire_sync::Heard>,
+    result: Result<wire_sync::Response, control::Error>,
+}
+
+impl Controller {
+    /// Starts an exchange; its result arrives as [`Done::Synced`].
+    pub(super) fn start_sync(&mut self) {
+        let now_ms = self.shared.clock.now_ms();
+        self.schedule.running = true;
+        self.schedule.urgent = false;
+        self.schedule.last_sent_ms = now_ms;
+        let request = self.sync_request(now_ms);
+        let client = self.sync_client.clone();
+        self.tasks.spawn(async move {
+            let result = client.sync(&request).await;
+            Done::Synced(Box::new(Synced {
+                sent_ms: now_ms,
+                heard: request.heard,
+                result,
+            }))
+        });
+    }
+
+    fn sync_request(&self, now_ms: u64) -> wire_sync::Request {
+        let settings = &self.shared.settings;
+        wire_sync::Request {
+            entry: settings.name.clone(),
+            incarnation: self.shared.incarnation,
+            failure_domain: settings.failure_domain.clone(),
+            peer_address: self.peer_address.clone(),
+            revision: self.state.revision,
+            leader_term: self.schedule.leader_term,
+            heard: self.registry.report(now_ms, self.schedule.full_report),
+            online: self.shared.table.online(),
+            draining: self.shared.drain.is_draining(),
+        }
+    }
+
+    /// Takes the result of an exchange.
+    pub(super) fn finish_sync(&mut self, synced: Synced) {
+        self.schedule.running = false;
+        match synced.result {
+            Ok(response) => {
+                metrics::SYNCS.with_label_values(&["answered"]).inc();
+                self.registry.reported(&synced.heard);
+                self.apply(synced.sent_ms, response);
+            }
+            Err(error) => {
+                metrics::SYNCS.with_label_values(&["failed"]).inc();
+                log::warn!("exchange with control failed: {error}");
+            }
+        }
+    }
+
+    fn apply(&mut self, sent_ms: u64, response: wire_sync::Response) {
+        let term_changed = response.leader_term != self.schedule.leader_term;
+        self.schedule.full_report = term_changed;
+        self.schedule.leader_term = response.leader_term;
+        if term_changed {
+            // A new leader knows no backend servers yet.
+            self.schedule.hurry();
+        }
+        self.take_backends(sent_ms, &response.backends);
+        self.peers.update(&response.peers);
+        let now_ms = self.shared.clock.now_ms();
+        self.shared
+            .table
+            .with(|router, now_ms| router.fleet(&response.online, now_ms));
+        self.state.online = response.online;
+        let mut changed = self.suspects.replace(&response.suspects, now_ms);
+        self.note_absent(&response.peers, now_ms);
+        changed |= replace(&mut self.state.peers, response.peers);
+        changed |= replace(&mut self.state.owners, sync::Arc::new(response.owners));
+        let revision = self.state.revision;
+        if let Some(intent) = response.intent
+            && response.revision > revision
+        {
+            log::info!(revision = response.revision; "configuration applied");
+            self.state.revision = response.revision;
+            self.state.intent = sync::Arc::new(*intent);
+            let drained = &self.state.intent.drained;
+            self.shared.table.with(|router, _| router.drain(drained));
+            // Operators are told sooner that it is in force.
+            self.schedule.hurry();
+            changed = true;
+        }
+        if changed {
+            self.publish();
+        }
+        self.extend_lease(sent_ms, response.revision, response.lease_ms);
+    }
+
+    /// Extends the lease if what is published here is what the leader has.
+    ///
+    /// The lease counts from the time the request was sent, so that it ends
+    /// here no later than the leader assumes, however long the answer took.
+    fn extend_lease(&self, sent_ms: u64, revision: u64, lease_ms: u64) {
+        if revision != self.state.revision {
+            log::warn!(
+                served = self.state.revision, leader = revision;
+                "lease not extended, the leader has another revision"
+            );
+            return;
+        }
+        if revision == 0 {
+            log::debug!("no configuration has been declared yet");
+        }
+        let lease_ms = lease_ms.min(wire_sync::CONFIG_LEASE_MS);
+        self.shared.lease.extend(sent_ms + lease_ms);
+    }
+
+    /// Notes since when entry VMs are missing from the list.
+    fn note_absent(&mut self, listed: &[wire_sync::Peer], now_ms: u64) {
+        let is_listed = |entry: &name::Name| listed.iter().any(|peer| peer.entry == *entry);
+        let mut absent = (*self.state.absent).clone();
+        absent.retain(|entry, _| !is_listed(entry));
+        for peer in &self.state.peers {
+            if !is_listed(&peer.entry) {
+                absent.entry(peer.entry.clone()).or_insert(now_ms);
+            }
+        }
+        if absent != *self.state.absent {
+            self.state.absent = sync::Arc::new(absent);
+        }
+    }
+
+    fn take_backends(&mut self, sent_ms: u64, backends: &[wire_sync::Heard]) {
+        let now_ms = self.shared.clock.now_ms();
+        for heard in backends {
+            // The age holds when the answer was written, which was after the
+            // request was sent. Counting from there errs toward older.
+            let heard_ms = sent_ms.saturating_sub(heard.age_ms);
+            let announcement = &heard.announcement;
+            self.registry.hear(announcement, heard_ms, false);
+            let age_ms = now_ms.saturating_sub(heard_ms);
+            self.shared.table.announce(announcement, age_ms);
+        }
+    }
+
+    /// Publishes a snapshot of the control state.
+    pub(super) fn publish(&self) {
+        let entries = u32::try_from(self.state.peers.len() + 1).unwrap_or(u32::MAX);
+        self.shared.admission.configure(&self.state.intent, entries);
+        self.shared.snapshot.store(snapshot::Snapshot {
+            revision: self.state.revision,
+            intent: sync::Arc::clone(&self.state.intent),
+            peers: self.state.peers.clone(),
+            absent: sync::Arc::clone(&self.state.absent),
+            owners: sync::Arc::clone(&self.state.owners),
+            suspects: sync::Arc::new(self.suspects.snapshot()),
+        });
+    }
+}
+
+fn replace<T: PartialEq>(held: &mut T, next: T) -> bool {
+    if *held == next {
+        return false;
+    }
+    *held = next;
+    true
+}
--- /dev/null
+++ b/programs/entry/src/controller/run.rs
@@ -0,0 +1,461 @@
+//! The loop of the control thread.
+
+use std::{collections, io, net, sync, time};
+
+use bw_client::control;
+use bw_wire::{backend, command, fingerprint, id, name, peer};
+use jsonrpsee::server::ServerHandle;
+use tokio::{sync as async_sync, task, time as async_time};
+
+use super::{
+    Event, Sender,
+    exchange::{Schedule, Synced},
+    peers, probe, registry, suspects,
+};
+use crate::{context, metrics, snapshot, upstream};
+
+/// Time limit of one call to one control replica during an exchange. Two calls
+/// fit into the configuration lease, so that one hung replica does not end it.
+const SYNC_CALL: time::Duration = time::Duration::from_millis(1_000);
+/// Time limit of a whole exchange.
+const SYNC_TOTAL: time::Duration = time::Duration::from_millis(2_000);
+/// How long changes of in-flight counts are collected before owners are told.
+const COALESCE: time::Duration = time::Duration::from_millis(5);
+/// Interval at which proofs are looked at.
+const TICK: time::Duration = time::Duration::from_millis(100);
+/// Ticks between two updates of the gauges.
+const GAUGE_TICKS: u64 = 10;
+/// Interval at which waiting requests are looked at.
+const ADMISSION_TICK: time::Duration = time::Duration::from_millis(20);
+/// Fewest requests of a model that run here at once.
+const MIN_CONCURRENT: u32 = 4;
+
+/// The published part of the control state.
+#[derive(Debug, Default)]
+pub(super) struct State {
+    pub(super) revision: u64,
+    pub(super) intent: sync::Arc<bw_wire::intent::Intent>,
+    pub(super) peers: Vec<bw_wire::sync::Peer>,
+    pub(super) absent: sync::Arc<collections::BTreeMap<name::Name, u64>>,
+    pub(super) owners: sync::Arc<collections::BTreeMap<name::Name, name::Name>>,
+    pub(super) online: collections::BTreeMap<name::Name, u32>,
+}
+
+/// A finished task of the control thread.
+#[derive(Debug)]
+pub(super) enum Done {
+    Synced(Box<Synced>),
+    Probed(probe::Probed),
+    Struck(Option<command::work::Suspect>),
+    Nothing,
+}
+
+/// What the controller is built from.
+pub struct Parts {
+    /// The shared state.
+    pub shared: sync::Arc<context::Shared>,
+    /// The queue of events.
+    pub events: async_sync::mpsc::Receiver<Event>,
+    /// The other end of the queue, for the peer server.
+    pub sender: Sender,
+}
+
+/// The state of the control thread.
+pub struct Controller {
+    pub(super) shared: sync::Arc<context::Shared>,
+    pub(super) peer_address: name::Name,
+    pub(super) state: State,
+    pub(super) registry: registry::Registry,
+    pub(super) suspects: suspects::Table,
+    pub(super) peers: peers::Peers,
+    pub(super) schedule: Schedule,
+    pub(super) sync_client: control::Client,
+    pub(super) tasks: task::JoinSet<Done>,
+    client: control::Client,
+    upstream: upstream::Client,
+    events: async_sync::mpsc::Receiver<Event>,
+    server: ServerHandle,
+    probes: probe::Probes,
+    told: collections::BTreeMap<name::Name, u32>,
+    sequence: u64,
+    ticks: u64,
+}
+
+impl Controller {
+    /// Binds the peer address and builds the controller on the current runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the peer address cannot be bound.
+    pub async fn bind(parts: Parts) -> io::Result<Controller> {
+        let shared = parts.shared;
+        let settings = &shared.settings;
+        let tokens = shared.credentials.peers.clone();
+        let own_token = tokens
+            .as_ref()
+            .and_then(|tokens| tokens.token_of(&settings.name))
+            .map(name::Name::from);
+        let (address, server) = peers::serve(&settings.peer_address, tokens, parts.sender).await?;
+        let sync_client = control::Builder::new(settings.control.clone())
+            .token(shared.credentials.control.clone())
+            .call_timeout(SYNC_CALL)
+            .total_timeout(SYNC_TOTAL)
+            .build();
+        Ok(Controller {
+            peer_address: address.to_string().into(),
+            state: State::default(),
+            registry: registry::Registry::default(),
+            suspects: suspects::Table::default(),
+            peers: peers::Peers::new(own_token),
+            schedule: Schedule::default(),
+            sync_client,
+            tasks: task::JoinSet::new(),
+            client: shared.control_client(),
+            upstream: shared.upstream_client(),
+            events: parts.events,
+            server,
+            probes: probe::Probes::default(),
+            told: collections::BTreeMap::new(),
+            sequence: 0,
+            ticks: 0,
+            shared,
+        })
+    }
+
+    /// Returns the bound address of the peer exchange.
+    pub fn peer_address(&self) -> Option<net::SocketAddr> {
+        self.peer_address.parse().ok()
+    }
+
+    /// Runs until `stop` resolves.
+    pub async fn run(mut self, stop: async_sync::oneshot::Receiver<()>) {
+        let shared = sync::Arc::clone(&self.shared);
+        let mut ticks = async_time::interval(TICK);
+        ticks.set_missed_tick_behavior(async_time::MissedTickBehavior::Delay);
+        let mut admission_ticks = async_time::interval(ADMISSION_TICK);
+        admission_ticks.set_missed_tick_behavior(async_time::MissedTickBehavior::Delay);
+        let mut flush_at: Option<async_time::Instant> = None;
+        let mut draining = false;
+        tokio::pin!(stop);
+        loop {
+            let sync_in = self.sync_in();
+            tokio::select! {
+                _ = &mut stop => break,
+                Some(event) = self.events.recv() => self.handle(event),
+                Some(done) = self.tasks.join_next() => self.finish(done),
+                _ = async_time::sleep(sync_in.unwrap_or_default()), if sync_in.is_some() => {
+                    self.start_sync();
+                }
+                _ = shared.table.changed(), if flush_at.is_none() => {
+                    flush_at = Some(async_time::Instant::now() + COALESCE);
+                }
+                _ = sleep_until(flush_at), if flush_at.is_some() => {
+                    flush_at = None;
+                    self.tell_owners();
+                }
+                _ = shared.drain.started(), if !draining => {
+                    draining = true;
+                    self.schedule.hurry();
+                }
+                _ = ticks.tick() => self.tick(),
+                _ = admission_ticks.tick() => {
+                    shared.admission.tick(shared.clock.now_ms());
+                }
+            }
+        }
+        // The handle reports only that the server was already stopped.
+        let _ = self.server.stop();
+        self.server.stopped().await;
+        self.tasks.shutdown().await;
+    }
+
+    fn sync_in(&self) -> Option<time::Duration> {
+        let now_ms = self.shared.clock.now_ms();
+        let due_ms = self.schedule.due_ms()?;
+        Some(time::Duration::from_millis(due_ms.saturating_sub(now_ms)))
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Announced(announcement) => self.announced(announcement),
+            Event::Cached(events) => self
+                .shared
+                .table
+                .with(|router, now_ms| router.cache_events(&events, now_ms)),
+            Event::Peer(message) => self.peer(message),
+            Event::Struck {
+                fingerprint,
+                backend,
+                incarnation,
+                isolated,
+            } => self.struck(fingerprint, &backend, incarnation, isolated),
+            Event::Cleared(fingerprint) => self.cleared(fingerprint),
+            Event::Reserved {
+                backend,
+                duration_ms,
+            } => self.reserved(backend, duration_ms),
+        }
+    }
+
+    fn announced(&mut self, announcement: backend::Announcement) {
+        let now_ms = self.shared.clock.now_ms();
+        self.probes.heard(&announcement.id);
+        if !self.registry.hear(&announcement, now_ms, true) {
+            return;
+        }
+        self.schedule.hurry();
+        if announcement.state == backend::State::Leaving {
+            log::info!(backend = announcement.id.as_str(); "backend server leaves");
+            self.peers.broadcast(peer::Message::Leaving(announcement));
+        }
+    }
+
+    fn peer(&mut self, message: peer::Message) {
+        let now_ms = self.shared.clock.now_ms();
+        match &message {
+            peer::Message::Leaving(announcement) => {
+                if announcement.state == backend::State::Leaving {
+                    self.registry.hear(announcement, now_ms, false);
+                    self.shared.table.announce(announcement, 0);
+                }
+            }
+            peer::Message::Suspect(suspect) => {
+                self.suspects.merge(suspect, now_ms);
+                self.publish();
+            }
+            peer::Message::Reserve {
+                backend,
+                duration_ms,
+            } => self.reserve(backend, *duration_ms),
+            peer::Message::Online { .. } => {}
+        }
+        // Nobody listens while the dispatcher is not running.
+        let _ = self.shared.peer_messages.send(message);
+    }
+
+    fn struck(
+        &mut self,
+        fingerprint: fingerprint::Fingerprint,
+        backend: &name::Name,
+        incarnation: u64,
+        isolated: bool,
+    ) {
+        let now_ms = self.shared.clock.now_ms();
+        let suspect = self.suspects.strike(fingerprint, isolated, now_ms);
+        self.publish();
+        self.peers.broadcast(peer::Message::Suspect(suspect));
+        let client = self.client.clone();
+        let group = self.suspect_group(&fingerprint);
+        let command = command::work::Command::Strike {
+            fingerprint,
+            backend: format!("{backend}/{incarnation}").into(),
+            isolated,
+        };
+        self.tasks.spawn(async move {
+            match client.work(group, command).await {
+                Ok(command::work::Reply::Suspect(suspect)) => Done::Struck(Some(suspect)),
+                Ok(_) => Done::Struck(None),
+                Err(error) => {
+                    log::warn!("strike not recorded: {error}");
+                    Done::Struck(None)
+                }
+            }
+        });
+    }
+
+    fn cleared(&mut self, fingerprint: fingerprint::Fingerprint) {
+        self.suspects.clear(&fingerprint);
+        self.publish();
+        let client = self.client.clone();
+        let group = self.suspect_group(&fingerprint);
+        self.tasks.spawn(async move {
+            let command = command::work::Command::Clear { fingerprint };
+            if let Err(error) = client.work(group, command).await {
+                log::warn!("suspect not cleared: {error}");
+            }
+            Done::Nothing
+        });
+    }
+
+    fn suspect_group(&self, fingerprint: &fingerprint::Fingerprint) -> u32 {
+        let key = fingerprint.to_string();
+        id::group_for(key.as_bytes(), self.shared.settings.groups)
+    }
+
+    fn reserved(&mut self, backend: name::Name, duration_ms: u64) {
+        self.reserve(&backend, duration_ms);
+        let message = peer::Message::Reserve {
+            backend,
+            duration_ms,
+        };
+        self.peers.broadcast(message.clone());
+        // Nobody listens while the dispatcher is not running.
+        let _ = self.shared.peer_messages.send(message);
+    }
+
+    fn reserve(&self, backend: &name::Name, duration_ms: u64) {
+        self.shared.table.with(|router, now_ms| {
+            let until_ms = match duration_ms {
+                0 => 0,
+                _ => now_ms + duration_ms,
+            };
+            router.reserve(backend, until_ms);
+        });
+    }
+
+    fn finish(&mut self, done: Result<Done, task::JoinError>) {
+        match done {
+            Ok(Done::Synced(synced)) => self.finish_sync(*synced),
+            Ok(Done::Probed(probed)) => self.probed(&probed),
+            Ok(Done::Struck(Some(suspect))) => {
+                let now_ms = self.shared.clock.now_ms();
+                self.suspects.merge(&suspect, now_ms);
+                self.publish();
+                self.peers.broadcast(peer::Message::Suspect(suspect));
+            }
+            Ok(Done::Struck(None) | Done::Nothing) => {}
+            Err(error) => log::error!("task of the control thread failed: {error}"),
+        }
+    }
+
+    fn probed(&mut self, probed: &probe::Probed) {
+        self.probes.end(probed);
+        // An unhealthy answer needs no action: the proof runs out.
+        if probed.healthy == Some(true) {
+            self.shared
+                .table
+                .with(|router, _| router.proof(&probed.id, probed.incarnation, probed.sent_ms));
+        }
+    }
+
+    /// Tells the owners of batch work about changed online counts.
+    fn tell_owners(&mut self) {
+        let online = self.shared.table.online();
+        let own = &self.shared.settings.name;
+        for (backend, owner) in self.state.owners.iter() {
+            let count = online.get(backend).copied().unwrap_or(0);
+            let told = self.told.get(backend).copied().unwrap_or(0);
+            if owner == own || count == told {
+                continue;
+            }
+            self.sequence += 1;
+            let message = peer::Message::Online {
+                entry: own.clone(),
+                incarnation: self.shared.incarnation,
+                sequence: self.sequence,
+                backend: backend.clone(),
+                online: count,
+            };
+            self.peers.send(owner, message);
+        }
+        self.told = online;
+    }
+
+    fn tick(&mut self) {
+        let now_ms = self.shared.clock.now_ms();
+        self.ticks += 1;
+        let aging = self
+            .shared
+            .table
+            .with(|router, now_ms| router.aging(probe::PROBE_AGE_MS, now_ms));
+        for id in aging {
+            self.probe(&id, now_ms);
+        }
+        self.resize_admission(now_ms);
+        if self.ticks.is_multiple_of(GAUGE_TICKS) {
+            self.registry.sweep(now_ms);
+            self.shared
+                .table
+                .with(|router, now_ms| router.sweep(now_ms));
+            self.update_gauges(now_ms);
+        }
+    }
+
+    /// Sets how many requests of each model run here at once.
+    ///
+    /// Entry VMs share the capacity evenly, but what the others leave unused
+    /// may be taken here: the load balancer does not spread load evenly.
+    fn resize_admission(&mut self, now_ms: u64) {
+        let factor = self.shared.settings.policy.oversubscription;
+        let entries = self.state.peers.len() as u64 + 1;
+        for model in self.state.intent.models.keys() {
+            let (capacity, elsewhere) = self.capacity_of(model);
+            let places = (capacity as f32 * factor) as u64;
+            let share = (places / entries).max(places.saturating_sub(elsewhere));
+            let concurrent = u32::try_from(share).unwrap_or(u32::MAX);
+            let concurrent = concurrent.max(MIN_CONCURRENT);
+            self.shared.admission.resize(model, concurrent, now_ms);
+        }
+    }
+
+    /// Returns the capacity of a model's usable backend servers, and the online
+    /// requests of other entry VMs there.
+    fn capacity_of(&self, model: &name::Name) -> (u64, u64) {
+        let serving = self.registry.announcements().filter(|announcement| {
+            announcement.state == backend::State::Ready
+                && announcement
+                    .loaded
+                    .iter()
+                    .any(|loaded| loaded.model == *model)
+        });
+        serving.fold((0, 0), |(capacity, elsewhere), announcement| {
+            let online = self.state.online.get(&announcement.id);
+            (
+                capacity + u64::from(announcement.capacity),
+                elsewhere + u64::from(online.copied().unwrap_or(0)),
+            )
+        })
+    }
+
+    fn probe(&mut self, id: &name::Name, now_ms: u64) {
+        let Some(announcement) = self.registry.get(id) else {
+            return;
+        };
+        if !self.probes.start(announcement, now_ms) {
+            return;
+        }
+        let upstream = self.upstream.clone();
+        let address = announcement.address.clone();
+        let id = id.clone();
+        let incarnation = announcement.incarnation;
+        self.tasks.spawn(async move {
+            let healthy = upstream.healthy(&address, probe::TIMEOUT).await.ok();
+            Done::Probed(probe::Probed {
+                id,
+                incarnation,
+                sent_ms: now_ms,
+                healthy,
+            })
+        });
+    }
+
+    fn update_gauges(&self, now_ms: u64) {
+        let entry = self.shared.settings.name.as_str();
+        let lease: &snapshot::Lease = &self.shared.lease;
+        let gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+        metrics::LEASE_MS
+            .with_label_values(&[entry])
+            .set(gauge(lease.remaining_ms(now_ms)));
+        metrics::REVISION
+            .with_label_values(&[entry])
+            .set(gauge(self.state.revision));
+        let states = [
+            backend::State::Ready,
+            backend::State::Loading,
+            backend::State::Leaving,
+        ];
+        for state in states {
+            let count = self.registry.announcements();
+            let count = count.filter(|known| known.state == state).count();
+            metrics::REPLICAS
+                .with_label_values(&[entry, state.into()])
+                .set(gauge(count as u64));
+        }
+    }
+}
+
+async fn sleep_until(at: Option<async_time::Instant>) {
+    if let Some(at) = at {
+        async_time::sleep_until(at).await;
+    }
+}
--- /dev/null
+++ b/programs/entry/src/filter/admission.rs
@@ -0,0 +1,261 @@
+//! Admits requests by the lease, the limits of teams and the load.
+
+use std::{collections, sync};
+
+use bw_policy::admission;
+use bw_wire::{intent, name, refusal};
+use tokio::sync as async_sync;
+
+use crate::{context, metrics, settings};
+
+pub use admission::Request;
+
+type Grant = Result<(), refusal::Refusal>;
+
+/// Checks that new work may be taken at all.
+///
+/// # Errors
+///
+/// Refuses while the process drains and without a configuration lease.
+pub fn check_open(shared: &context::Shared) -> Result<(), refusal::Refusal> {
+    if shared.drain.is_draining() {
+        let message = "the entry VM is shutting down";
+        return Err(refusal::Refusal::not_run(
+            refusal::Reason::ShuttingDown,
+            message,
+        ));
+    }
+    check_lease(shared)
+}
+
+/// Checks that the configuration lease is valid.
+///
+/// # Errors
+///
+/// Refuses without a configuration lease.
+pub fn check_lease(shared: &context::Shared) -> Result<(), refusal::Refusal> {
+    if shared.lease.is_valid(shared.clock.now_ms()) {
+        return Ok(());
+    }
+    let message = "the entry VM has no contact with control and may hold an old configuration";
+    Err(refusal::Refusal::not_run(
+        refusal::Reason::ConfigurationStale,
+        message,
+    ))
+}
+
+/// The limits and queues, shared by all threads.
+pub struct Admission {
+    state: sync::Mutex<State>,
+}
+
+struct State {
+    policy: admission::Admission,
+    waiting: collections::HashMap<admission::Ticket, async_sync::oneshot::Sender<Grant>>,
+    events: Vec<admission::Event>,
+}
+
+impl Admission {
+    /// Creates the limits of settings, with the default limits of teams.
+    pub fn new(settings: &settings::Policy) -> Admission {
+        let builder = admission::Builder::new().queue(settings.queue);
+        Admission {
+            state: sync::Mutex::new(State {
+                policy: builder.build(),
+                waiting: collections::HashMap::new(),
+                events: Vec::new(),
+            }),
+        }
+    }
+
+    /// Takes the declared limits and the number of live entry VMs.
+    pub fn configure(&self, intent: &intent::Intent, entries: u32) {
+        self.lock().policy.configure(intent, entries);
+    }
+
+    /// Sets how many requests of a service may run here at once.
+    pub fn resize(&self, service: &name::Name, concurrent: u32, now_ms: u64) {
+        let mut state = self.lock();
+        let State { policy, events, .. } = &mut *state;
+        policy.resize(service, concurrent, now_ms, events);
+        state.deliver();
+    }
+
+    /// Refuses waiting requests whose deadline can no longer be met.
+    pub fn tick(&self, now_ms: u64) {
+        let mut state = self.lock();
+        let State { policy, events, .. } = &mut *state;
+        policy.tick(now_ms, events);
+        state.deliver();
+    }
+
+    /// Takes the measured time to the first token.
+    pub fn observe_first(&self, service: &name::Name, first_ms: u64, now_ms: u64) {
+        self.lock().policy.observe_first(service, first_ms, now_ms);
+    }
+
+    /// Returns the number of waiting requests of a service.
+    pub fn queued(&self, service: &str) -> u32 {
+        self.lock().policy.queued(service)
+    }
+
+    /// Admits a request, after a wait if all places are taken.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a request over a limit, and one whose deadline cannot be met.
+    pub async fn admit(
+        shared: &sync::Arc<context::Shared>,
+        request: Request,
+    ) -> Result<Place, refusal::Refusal> {
+        let queued = shared.admission.enter(&request, shared.clock.now_ms())?;
+        if let Some((ticket, grant)) = queued {
+            let waiting = Waiting {
+                shared,
+                request: &request,
+                ticket,
+                grant: Some(grant),
+            };
+            waiting.wait().await?;
+        }
+        let place = Place {
+            shared: sync::Arc::clone(shared),
+            request,
+        };
+        // The lease may have ended during the wait.
+        check_lease(shared)?;
+        Ok(place)
+    }
+
+    fn enter(
+        &self,
+        request: &Request,
+        now_ms: u64,
+    ) -> Result<Option<(admission::Ticket, async_sync::oneshot::Receiver<Grant>)>, refusal::Refusal>
+    {
+        let mut state = self.lock();
+        let State { policy, events, .. } = &mut *state;
+        let admitted = policy.admit(request, now_ms, events);
+        state.deliver();
+        match admitted {
+            Ok(admission::Admitted::Run) => Ok(None),
+            Ok(admission::Admitted::Queued(ticket)) => {
+                let (sender, receiver) = async_sync::oneshot::channel();
+                state.waiting.insert(ticket, sender);
+                Ok(Some((ticket, receiver)))
+            }
+            Err((_, refusal)) => Err(refusal),
+        }
+    }
+
+    fn finish(&self, request: &Request, now_ms: u64) {
+        let mut state = self.lock();
+        let State { policy, events, .. } = &mut *state;
+        policy.finish(&request.team, &request.service, now_ms, events);
+        state.deliver();
+    }
+
+    /// Ends the wait of a request whose caller left. Returns whether it was
+    /// still waiting.
+    fn cancel(&self, request: &Request, ticket: admission::Ticket) -> bool {
+        let mut state = self.lock();
+        state.waiting.remove(&ticket);
+        state.policy.cancel(&request.team, &request.service, ticket)
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, State> {
+        self.state
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Passes decisions on to the requests that wait for them.
+    fn deliver(&mut self) {
+        for event in self.events.drain(..) {
+            let (ticket, grant) = match event {
+                admission::Event::Run(ticket) => (ticket, Ok(())),
+                admission::Event::Refused(ticket, refusal) => (ticket, Err(refusal)),
+            };
+            if let Some(waiting) = self.waiting.remove(&ticket) {
+                // A caller that left gives the place back when its request is dropped.
+                let _ = waiting.send(grant);
+            }
+        }
+    }
+}
+
+/// A request that waits. Dropping it takes it out of the queue.
+struct Waiting<'a> {
+    shared: &'a context::Shared,
+    request: &'a Request,
+    ticket: admission::Ticket,
+    grant: Option<async_sync::oneshot::Receiver<Grant>>,
+}
+
+impl Waiting<'_> {
+    async fn wait(mut self) -> Grant {
+        let queued = metrics::QUEUED.with_label_values(&[self.request.service.as_str()]);
+        let _count = Count::new(queued);
+        let Some(grant) = &mut self.grant else {
+            return Ok(());
+        };
+        let grant = grant.await;
+        self.grant = None;
+        grant.unwrap_or_else(|_| {
+            let message = "the admission queue was closed";
+            Err(refusal::Refusal::not_run(
+                refusal::Reason::ShuttingDown,
+                message,
+            ))
+        })
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let Some(mut grant) = self.grant.take() else {
+            return;
+        };
+        let admission = &self.shared.admission;
+        if admission.cancel(self.request, self.ticket) {
+            return;
+        }
+        // The place was granted, but nobody is there to take it.
+        if matches!(grant.try_recv(), Ok(Ok(()))) {
+            admission.finish(self.request, self.shared.clock.now_ms());
+        }
+    }
+}
+
+/// Counts something in a gauge until it is dropped.
+struct Count {
+    gauge: prometheus::IntGauge,
+}
+
+impl Count {
+    fn new(gauge: prometheus::IntGauge) -> Count {
+        gauge.inc();
+        Count { gauge }
+    }
+}
+
+impl Drop for Count {
+    fn drop(&mut self) {
+        self.gauge.dec();
+    }
+}
+
+/// A place among the running requests, given back when it is dropped.
+pub struct Place {
+    shared: sync::Arc<context::Shared>,
+    request: Request,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let now_ms = self.shared.clock.now_ms();
+        self.shared.admission.finish(&self.request, now_ms);
+    }
+}
--- /dev/null
+++ b/programs/entry/src/filter/mod.rs
@@ -0,0 +1,94 @@
+//! The filter chain of online requests.
+//!
+//! A request passes, in this order: open streams, body limits, credentials and
+//! team, parse, deadline, suspects, admission. Routing, the call to the backend
+//! server and the answer follow in [`crate::online`]. Connection limits and the
+//! header timeout are kept by the server loop.
+
+pub mod access;
+pub mod admission;
+pub mod body;
+pub mod deadline;
+pub mod open;
+pub mod parse;
+pub mod suspect;
+
+use std::{sync, time};
+
+use bw_wire::{fingerprint, name, refusal};
+
+use crate::{api, context, upstream};
+
+pub use admission::Admission;
+pub use open::Open;
+
+/// A request that may be sent to a backend server.
+pub struct Admitted {
+    /// The request id.
+    pub id: name::Name,
+    /// When the request arrived.
+    pub received: time::Instant,
+    /// The team.
+    pub team: name::Name,
+    /// The API that it calls.
+    pub api: upstream::Api,
+    /// The checked body.
+    pub body: parse::Body,
+    /// The model and adapter.
+    pub target: parse::Target,
+    /// Until when the caller waits, on the process clock.
+    pub deadline_ms: u64,
+    /// The request's fingerprint.
+    pub fingerprint: fingerprint::Fingerprint,
+    /// How it may share a backend server.
+    pub suspicion: suspect::Suspicion,
+    /// Its place among the running requests, until it is dropped.
+    pub place: admission::Place,
+    /// Its place among the open streams, until it is dropped.
+    pub open: open::Guard,
+}
+
+/// Passes an online request through the chain.
+///
+/// # Errors
+///
+/// Returns the refusal of the first filter that refuses.
+pub async fn online(
+    context: &sync::Arc<context::Context>,
+    head: &api::Head,
+    api: upstream::Api,
+    body: api::Body,
+) -> Result<Admitted, refusal::Refusal> {
+    let shared = &context.shared;
+    admission::check_open(shared)?;
+    let open = context.open.enter()?;
+    let team = access::team(&shared.credentials, &head.headers)?;
+    let bytes = body::read(&shared.settings.limits, &head.headers, body).await?;
+    let body = parse::online(api, &bytes)?;
+    drop(bytes);
+    let deadline_ms = deadline::of(shared, head)?;
+    let snapshot = shared.snapshot.load();
+    let target = parse::target(&snapshot.intent, &body.model)?;
+    let fingerprint = body.fingerprint();
+    let suspicion = suspect::check(&snapshot.suspects, &fingerprint)?;
+    let service = target.model.clone();
+    let request = admission::Request {
+        team: team.clone(),
+        service,
+        deadline_ms: Some(deadline_ms),
+    };
+    let place = Admission::admit(shared, request).await?;
+    Ok(Admitted {
+        id: head.id.clone(),
+        received: head.received,
+        team,
+        api,
+        body,
+        target,
+        deadline_ms,
+        fingerprint,
+        suspicion,
+        place,
+        open,
+    })
+}
--- /dev/null
+++ b/programs/entry/src/metrics.rs
@@ -0,0 +1,155 @@
+//! Metrics of the entry program.
+
+use std::sync::LazyLock;
+
+use bw_base::metrics;
+use bw_wire::refusal;
+
+/// Upper bounds of latency histograms, in seconds.
+const LATENCY_S: &[f64] = &[
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
+];
+
+/// Refusals by reason and verdict.
+pub static REFUSALS: LazyLock<prometheus::IntCounterVec> = LazyLock::new(|| {
+    metrics::counter(
+        "bw_entry_refusals_total",
+        "Refused requests",
+        &["reason", "verdict"],
+    )
+});
+
+/// Retries by the cause that led to them.
+pub static RETRIES: LazyLock<prometheus::IntCounterVec> = LazyLock::new(|| {
+    metrics::counter(
+        "bw_entry_retries_total",
+        "Attempts after the first one, by the failure of the earlier attempt",
+        &["cause"],
+    )
+});
+
+/// Answered requests by path.
+pub static ANSWERS: LazyLock<prometheus::IntCounterVec> = LazyLock::new(|| {
+    metrics::counter(
+        "bw_entry_answers_total",
+        "Completely answered requests",
+        &["path"],
+    )
+});
+
+/// Requests whose caller left before the answer was complete.
+pub static ABANDONED: LazyLock<prometheus::IntCounterVec> = LazyLock::new(|| {
+    metrics::counter(
+        "bw_entry_abandoned_total",
+        "Requests whose caller left before the answer was complete",
+        &["path"],
+    )
+});
+
+/// Hedges by outcome.
+pub static HEDGES: LazyLock<prometheus::IntCounterVec> = LazyLock::new(|| {
+    metrics::counter(
+        "bw_entry_hedges_total",
+        "Second attempts that were started before the first one failed",
+        &["outcome"],
+    )
+});
+
+/// Crashes of backend servers with the request in flight.
+pub static STRIKES: LazyLock<prometheus::IntCounterVec> = LazyLock::new(|| {
+    metrics::counter(
+        "bw_entry_strikes_total",
+        "Requests that were in flight on a backend server that crashed",
+        &["isolated"],
+    )
+});
+
+/// Events to the control thread that were dropped because its queue was full.
+pub static DROPPED_EVENTS: LazyLock<prometheus::IntCounterVec> = LazyLock::new(|| {
+    metrics::counter(
+        "bw_entry_dropped_events_total",
+        "Events for the control thread that found its queue full",
+        &["event"],
+    )
+});
+
+/// Exchanges with the control leader by outcome.
+pub static SYNCS: LazyLock<prometheus::IntCounterVec> = LazyLock::new(|| {
+    metrics::counter(
+        "bw_entry_syncs_total",
+        "Exchanges with the control leader",
+        &["outcome"],
+    )
+});
+
+/// Time from the arrival of a request to its first token.
+pub static FIRST_TOKEN: LazyLock<prometheus::HistogramVec> = LazyLock::new(|| {
+    metrics::histogram(
+        "bw_entry_first_token_seconds",
+        "Time from the arrival of an online request to its first token",
+        &["path"],
+        LATENCY_S,
+    )
+});
+
+/// Time between two tokens.
+pub static BETWEEN_TOKENS: LazyLock<prometheus::HistogramVec> = LazyLock::new(|| {
+    metrics::histogram(
+        "bw_entry_between_tokens_seconds",
+        "Time between two tokens of an online request",
+        &["path"],
+        LATENCY_S,
+    )
+});
+
+/// Requests that are being handled.
+pub static IN_FLIGHT: LazyLock<prometheus::IntGaugeVec> = LazyLock::new(|| {
+    metrics::gauge(
+        "bw_entry_in_flight",
+        "Requests that are being handled",
+        &["class"],
+    )
+});
+
+/// Requests that wait for admission.
+pub static QUEUED: LazyLock<prometheus::IntGaugeVec> = LazyLock::new(|| {
+    metrics::gauge(
+        "bw_entry_queued",
+        "Online requests that wait for admission",
+        &["service"],
+    )
+});
+
+/// Known backend servers by state.
+pub static REPLICAS: LazyLock<prometheus::IntGaugeVec> = LazyLock::new(|| {
+    metrics::gauge(
+        "bw_entry_replicas",
+        "Known backend servers by state",
+        &["entry", "state"],
+    )
+});
+
+/// The configuration revision in force here.
+pub static REVISION: LazyLock<prometheus::IntGaugeVec> = LazyLock::new(|| {
+    metrics::gauge(
+        "bw_entry_config_revision",
+        "Configuration revision in force",
+        &["entry"],
+    )
+});
+
+/// Remaining configuration lease.
+pub static LEASE_MS: LazyLock<prometheus::IntGaugeVec> = LazyLock::new(|| {
+    metrics::gauge(
+        "bw_entry_config_lease_remaining_milliseconds",
+        "Remaining time of the configuration lease",
+        &["entry"],
+    )
+});
+
+/// Counts a refusal.
+pub fn count_refusal(refusal: &refusal::Refusal) {
+    let reason: &str = refusal.reason.into();
+    let verdict: &str = refusal.verdict.into();
+    REFUSALS.with_label_values(&[reason, verdict]).inc();
+}
--- /dev/null
+++ b/programs/entry/src/online/mod.rs
@@ -0,0 +1,14 @@
+//! Runs online requests on backend servers: routing, retries, hedges, resumes,
+//! suspects, and requests that run at most once.
+
+mod once;
+mod render;
+mod run;
+mod stream;
+
+pub(crate) use once::time_left;
+pub use once::{Key, Outcome, once};
+pub use render::Render;
+pub use run::Run;
+pub(crate) use run::failure;
+pub use stream::{respond, transcript};
--- /dev/null
+++ b/programs/entry/src/online/once.rs
@@ -0,0 +1,336 @@
+//! Requests that run at most once.
+
+use std::{future, sync, time};
+
+use base64::Engine;
+use bw_client::control;
+use bw_wire::{
+    command::work::{AttemptOutcome, Command, Reply},
+    fingerprint, header, id, name, refusal,
+};
+use bytes::Bytes;
+use gotham::http;
+
+use crate::{api, context, settings};
+
+/// Time beyond the deadline of a request in which its outcome can be recorded.
+const RECORD_MS: u64 = 15_000;
+/// Pause between two tries to record an outcome.
+const RECORD_PAUSE: time::Duration = time::Duration::from_millis(200);
+/// The largest answer that is kept for resends, in bytes.
+const MAX_ANSWER_BYTES: usize = 1024 * 1024;
+
+/// Identifies a request that runs at most once.
+pub struct Key {
+    /// The team.
+    pub team: name::Name,
+    /// The idempotency key.
+    pub key: name::Name,
+    /// The fingerprint of method, path and body.
+    pub body: fingerprint::Fingerprint,
+    /// The request id.
+    pub request_id: name::Name,
+    /// Until when the caller waits, on the process clock.
+    pub deadline_ms: u64,
+}
+
+impl Key {
+    /// Takes the key from the headers. A request id that the caller chose
+    /// serves as key too.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a request without a key: a resend of it could not be told from
+    /// a new request.
+    pub fn of(
+        head: &api::Head,
+        team: &name::Name,
+        body: &[u8],
+        deadline_ms: u64,
+    ) -> Result<Key, refusal::Refusal> {
+        let given = head.text(header::IDEMPOTENCY_KEY).map(name::Name::from);
+        let key = given.or_else(|| head.id_given.then(|| head.id.clone()));
+        let key = key.filter(|key| !key.is_empty() && key.len() <= 256);
+        let key = key.ok_or_else(|| {
+            let message = "a request that is not repeatable needs an Idempotency-Key";
+            refusal::Refusal::not_run(refusal::Reason::InvalidField, message)
+                .param(header::IDEMPOTENCY_KEY)
+        })?;
+        let mut content = format!("{} {}\n", head.method, head.uri).into_bytes();
+        content.extend_from_slice(body);
+        Ok(Key {
+            team: team.clone(),
+            key,
+            body: fingerprint::Fingerprint::of_bytes(&content),
+            request_id: head.id.clone(),
+            deadline_ms,
+        })
+    }
+
+    fn group(&self, groups: u32) -> u32 {
+        id::group_for(format!("{}\n{}", self.team, self.key).as_bytes(), groups)
+    }
+}
+
+/// What came of an attempt.
+pub enum Outcome {
+    /// It ran, and this is the answer.
+    Done {
+        /// The status.
+        status: http::StatusCode,
+        /// The content type.
+        content_type: String,
+        /// The body.
+        body: Bytes,
+    },
+    /// It provably did not run.
+    NotRun(refusal::Refusal),
+    /// Whether it ran is unknown.
+    Unknown(refusal::Refusal),
+}
+
+impl Outcome {
+    /// Sorts a refusal by its verdict.
+    pub fn of_refusal(refusal: refusal::Refusal) -> Outcome {
+        match refusal.verdict {
+            bw_wire::verdict::Verdict::NotRun => Outcome::NotRun(refusal),
+            bw_wire::verdict::Verdict::MayHaveRun => Outcome::Unknown(refusal),
+        }
+    }
+
+    fn record(&self) -> AttemptOutcome {
+        match self {
+            Outcome::Done { body, .. } if body.len() > MAX_ANSWER_BYTES => too_large(),
+            Outcome::Done {
+                status,
+                content_type,
+                body,
+            } => {
+                let text = std::str::from_utf8(body);
+                AttemptOutcome::Done {
+                    status: status.as_u16(),
+                    content_type: content_type.clone(),
+                    binary: text.is_err(),
+                    body: match text {
+                        Ok(text) => text.to_owned(),
+                        Err(_) => base64::engine::general_purpose::STANDARD.encode(body),
+                    },
+                }
+            }
+            Outcome::NotRun(_) => AttemptOutcome::NotRun,
+            Outcome::Unknown(_) => AttemptOutcome::Unknown,
+        }
+    }
+}
+
+/// Runs an operation at most once for a key.
+///
+/// It runs to its end even if the caller leaves or the process drains, so that
+/// its outcome is recorded. A resend gets the recorded answer.
+///
+/// # Errors
+///
+/// Returns the refusal that belongs to the state of the key.
+pub async fn once<F>(
+    context: &sync::Arc<context::Context>,
+    key: Key,
+    operation: F,
+) -> Result<api::Response, refusal::Refusal>
+where
+    F: future::Future<Output = Outcome> + Send + 'static,
+{
+    let task_context = sync::Arc::clone(context);
+    let running = context
+        .shared
+        .drain
+        .finish(async move { run(&task_context, &key, operation).await });
+    match running.await {
+        Ok(answer) => answer,
+        Err(error) => {
+            let message = format!("the request failed: {error}");
+            Err(unknown(message))
+        }
+    }
+}
+
+async fn run<F>(
+    context: &context::Context,
+    key: &Key,
+    operation: F,
+) -> Result<api::Response, refusal::Refusal>
+where
+    F: future::Future<Output = Outcome>,
+{
+    let attempt = match begin(context, key).await? {
+        Begun::Run(attempt) => attempt,
+        Begun::Known(outcome) => return recorded(outcome),
+    };
+    let outcome = operation.await;
+    let known = end(context, key, attempt, outcome.record()).await?;
+    match (known, outcome) {
+        (Some(known), _) => recorded(known),
+        (None, Outcome::NotRun(refusal)) => Err(refusal),
+        (None, outcome) => recorded(outcome.record()),
+    }
+}
+
+enum Begun {
+    Run(u64),
+    Known(AttemptOutcome),
+}
+
+async fn begin(context: &context::Context, key: &Key) -> Result<Begun, refusal::Refusal> {
+    let shared = &context.shared;
+    let left_ms = key.deadline_ms.saturating_sub(shared.clock.now_ms());
+    let group = key.group(shared.settings.groups);
+    let mut holder_gone = false;
+    loop {
+        let command = Command::AttemptBegin {
+            team: key.team.clone(),
+            key: key.key.clone(),
+            body: key.body,
+            holder: format!("{}/{}", shared.holder(), key.request_id).into(),
+            timeout_ms: left_ms + RECORD_MS,
+            holder_gone,
+        };
+        // Nothing has been sent to a backend server yet, whatever became of
+        // the command.
+        let reply = context.control.work(group, command).await;
+        let reply = reply.map_err(|error| {
+            let message = format!("the control replicas did not answer: {}", error.message);
+            refusal::Refusal::not_run(refusal::Reason::ControlUnavailable, message)
+        })?;
+        return match reply {
+            Reply::Begin { attempt } => Ok(Begun::Run(attempt)),
+            Reply::Known { outcome } => Ok(Begun::Known(outcome)),
+            Reply::KeyConflict => {
+                let message = "the idempotency key was used with another request";
+                let reason = refusal::Reason::KeyConflict;
+                Err(refusal::Refusal::not_run(reason, message))
+            }
+            Reply::InProgress { holder } => {
+                if !holder_gone && is_gone(shared, &holder) {
+                    holder_gone = true;
+                    continue;
+                }
+                let message = "the request with this idempotency key is still running";
+                let reason = refusal::Reason::KeyInProgress;
+                Err(refusal::Refusal::may_have_run(reason, message))
+            }
+            other => {
+                let message = format!("unexpected reply of control: {other:?}");
+                Err(refusal::Refusal::not_run(
+                    refusal::Reason::Internal,
+                    message,
+                ))
+            }
+        };
+    }
+}
+
+/// Returns whether the process that holds an attempt is gone. If in doubt it
+/// counts as alive: the deadline of the attempt settles the rest.
+fn is_gone(shared: &context::Shared, holder: &str) -> bool {
+    let mut parts = holder.splitn(3, '/');
+    let (Some(entry), Some(incarnation)) = (parts.next(), parts.next()) else {
+        return false;
+    };
+    let Ok(incarnation) = incarnation.parse::<u64>() else {
+        return false;
+    };
+    if entry == shared.settings.name.as_str() {
+        return incarnation != shared.incarnation;
+    }
+    shared
+        .snapshot
+        .load()
+        .is_gone(entry, incarnation, shared.clock.now_ms())
+}
+
+/// Records an outcome. Returns the outcome that stands if it is another one.
+async fn end(
+    context: &context::Context,
+    key: &Key,
+    attempt: u64,
+    outcome: AttemptOutcome,
+) -> Result<Option<AttemptOutcome>, refusal::Refusal> {
+    let shared = &context.shared;
+    let group = key.group(shared.settings.groups);
+    let give_up_ms = key.deadline_ms + RECORD_MS;
+    loop {
+        let command = Command::AttemptEnd {
+            team: key.team.clone(),
+            key: key.key.clone(),
+            attempt,
+            outcome: outcome.clone(),
+        };
+        let error: control::Error = match context.control.work(group, command).await {
+            Ok(Reply::Known { outcome: stands }) => {
+                return Ok((stands != outcome).then_some(stands));
+            }
+            Ok(Reply::Ok) => return Ok(None),
+            Ok(other) => {
+                let message = format!("the outcome was not recorded: {other:?}");
+                return Err(unknown(message));
+            }
+            Err(error) => error,
+        };
+        log::warn!(request_id = key.request_id.as_str(); "outcome not recorded yet: {error}");
+        if shared.clock.now_ms() >= give_up_ms {
+            return Err(unknown("the outcome could not be recorded"));
+        }
+        tokio::time::sleep(RECORD_PAUSE).await;
+    }
+}
+
+/// Returns the answer that belongs to a recorded outcome.
+fn recorded(outcome: AttemptOutcome) -> Result<api::Response, refusal::Refusal> {
+    match outcome {
+        AttemptOutcome::Done {
+            status,
+            content_type,
+            body,
+            binary,
+        } => {
+            let body = match binary {
+                false => Bytes::from(body),
+                true => base64::engine::general_purpose::STANDARD
+                    .decode(body)
+                    .map_err(|_| unknown("the recorded answer cannot be read"))?
+                    .into(),
+            };
+            let status = http::StatusCode::from_u16(status)
+                .map_err(|_| unknown("the recorded answer cannot be read"))?;
+            Ok(api::full(status, &content_type, body))
+        }
+        AttemptOutcome::NotRun => {
+            let message = "the request did not run";
+            let reason = refusal::Reason::NoBackend;
+            Err(refusal::Refusal::not_run(reason, message))
+        }
+        AttemptOutcome::Unknown => Err(unknown(
+            "the request may have run, its outcome is unknown, and it will not run again",
+        )),
+    }
+}
+
+fn unknown(message: impl Into<String>) -> refusal::Refusal {
+    refusal::Refusal::may_have_run(refusal::Reason::OutcomeUnknown, message)
+}
+
+/// Returns the outcome of a request that ran and whose answer is too large to keep.
+fn too_large() -> AttemptOutcome {
+    let message = format!("the request ran, but its answer exceeds {MAX_ANSWER_BYTES} bytes");
+    let refusal = refusal::Refusal::may_have_run(refusal::Reason::BackendFailed, message);
+    AttemptOutcome::Done {
+        status: refusal.reason.status(),
+        content_type: "application/json".to_owned(),
+        body: serde_json::json!(refusal.body()).to_string(),
+        binary: false,
+    }
+}
+
+/// Returns the longest time that an operation may take.
+pub(crate) fn time_left(shared: &context::Shared, deadline_ms: u64) -> time::Duration {
+    settings::ms(deadline_ms.saturating_sub(shared.clock.now_ms()))
+}
--- /dev/null
+++ b/programs/entry/src/program.rs
@@ -0,0 +1,244 @@
+//! Starts and stops the parts of the entry program.
+
+use std::{net, sync, thread};
+
+use anyhow::Context as _;
+use bw_base::server;
+use tokio::{runtime, sync as async_sync};
+
+use crate::{api, context, controller, settings};
+
+/// Stack of a traffic thread. Handlers are shallow; the default of 2 MiB would
+/// only cost address space.
+const STACK_BYTES: usize = 1024 * 1024;
+
+/// A running entry program.
+pub struct Handle {
+    address: net::SocketAddr,
+    admin_address: net::SocketAddr,
+    peer_address: net::SocketAddr,
+    context: sync::Arc<context::Context>,
+    traffic: Option<thread::JoinHandle<()>>,
+}
+
+impl Handle {
+    /// Returns the address for callers.
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Returns the address for health checks and metrics.
+    pub fn admin_address(&self) -> net::SocketAddr {
+        self.admin_address
+    }
+
+    /// Returns the address for other entry VMs.
+    pub fn peer_address(&self) -> net::SocketAddr {
+        self.peer_address
+    }
+
+    /// Returns the state that the threads share.
+    pub fn shared(&self) -> &sync::Arc<context::Shared> {
+        &self.context.shared
+    }
+
+    /// Starts a graceful shutdown, without waiting for its end.
+    pub fn drain(&self) {
+        self.context.shared.drain.start();
+    }
+
+    /// Waits until a shutdown has ended. Running requests finish first.
+    pub fn join(mut self) {
+        self.join_threads();
+    }
+
+    fn join_threads(&mut self) {
+        if let Some(traffic) = self.traffic.take()
+            && traffic.join().is_err()
+        {
+            log::error!("the traffic thread panicked");
+        }
+    }
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        self.drain();
+        self.join_threads();
+    }
+}
+
+/// The bound addresses of the servers.
+struct Bound {
+    address: net::SocketAddr,
+    admin_address: net::SocketAddr,
+    context: sync::Arc<context::Context>,
+}
+
+/// Starts the program on its own threads.
+///
+/// # Errors
+///
+/// Fails when a token file cannot be read or an address cannot be bound.
+pub fn start(settings: settings::Settings) -> anyhow::Result<Handle> {
+    let shared = context::Shared::new(settings).context("cannot read a token file")?;
+    let shared = sync::Arc::new(shared);
+    let (sender, events) = controller::queue();
+    let parts = controller::Parts {
+        shared: sync::Arc::clone(&shared),
+        events,
+        sender: sender.clone(),
+    };
+    let control = Control::start(parts)?;
+    let peer_address = control.peer_address;
+    let (bound_sender, bound) = sync::mpsc::channel();
+    let traffic = thread::Builder::new()
+        .name("traffic".to_owned())
+        .spawn(move || traffic(shared, sender, control, &bound_sender))?;
+    match bound.recv() {
+        Ok(Ok(bound)) => Ok(Handle {
+            address: bound.address,
+            admin_address: bound.admin_address,
+            peer_address,
+            context: bound.context,
+            traffic: Some(traffic),
+        }),
+        failed => {
+            let joined = traffic.join();
+            drop(joined);
+            match failed {
+                Ok(Err(error)) => Err(error),
+                _ => Err(anyhow::anyhow!("the traffic thread ended early")),
+            }
+        }
+    }
+}
+
+/// The control thread.
+struct Control {
+    peer_address: net::SocketAddr,
+    stop: Option<async_sync::oneshot::Sender<()>>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl Control {
+    fn start(parts: controller::Parts) -> anyhow::Result<Control> {
+        let runtime = runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let address = parts.shared.settings.peer_address.clone();
+        let controller = runtime
+            .block_on(controller::Controller::bind(parts))
+            .with_context(|| format!("cannot listen on {address}"))?;
+        let peer_address = controller.peer_address().context("no peer address")?;
+        let (stop, stopped) = async_sync::oneshot::channel();
+        let thread = thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || runtime.block_on(controller.run(stopped)))?;
+        Ok(Control {
+            peer_address,
+            stop: Some(stop),
+            thread: Some(thread),
+        })
+    }
+}
+
+impl Drop for Control {
+    fn drop(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            // The thread may have ended already.
+            let _ = stop.send(());
+        }
+        if let Some(thread) = self.thread.take()
+            && thread.join().is_err()
+        {
+            log::error!("the control thread panicked");
+        }
+    }
+}
+
+/// Runs the servers until the process drains.
+fn traffic(
+    shared: sync::Arc<context::Shared>,
+    sender: controller::Sender,
+    control: Control,
+    bound: &sync::mpsc::Sender<anyhow::Result<Bound>>,
+) {
+    let runtime = runtime::Builder::new_multi_thread()
+        .worker_threads(shared.settings.threads)
+        .thread_name("traffic-worker")
+        .thread_stack_size(STACK_BYTES)
+        .enable_all()
+        .build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            // The receiver waits for this message.
+            let _ = bound.send(Err(error.into()));
+            return;
+        }
+    };
+    runtime.block_on(serve(shared, sender, bound));
+    // Control is stopped last, so that outcomes could be recorded.
+    drop(control);
+}
+
+async fn serve(
+    shared: sync::Arc<context::Shared>,
+    sender: controller::Sender,
+    bound: &sync::mpsc::Sender<anyhow::Result<Bound>>,
+) {
+    let context = sync::Arc::new(context::Context::new(shared, sender));
+    let servers = match bind(&context).await {
+        Ok(servers) => servers,
+        Err(error) => {
+            // The receiver waits for this message.
+            let _ = bound.send(Err(error));
+            return;
+        }
+    };
+    let (callers, admin) = servers;
+    let addresses = Bound {
+        address: callers.address(),
+        admin_address: admin.address(),
+        context: sync::Arc::clone(&context),
+    };
+    log::info!(address = addresses.address.to_string().as_str(); "entry VM started");
+    // The receiver waits for this message.
+    let _ = bound.send(Ok(addresses));
+    let shared = &context.shared;
+    shared.drain.started().await;
+    log::info!("entry VM is shutting down");
+    let timeouts = &shared.settings.timeouts;
+    // Requests that still arrive are refused until the load balancer has left.
+    tokio::time::sleep(settings::ms(timeouts.linger_ms)).await;
+    let finished = callers.drain(settings::ms(timeouts.drain_ms)).await;
+    if !finished {
+        log::error!("requests were cut off after the time limit of the shutdown");
+    }
+    shared.drain.release().await;
+    admin.drain(settings::ms(1_000)).await;
+    log::info!("entry VM stopped");
+}
+
+async fn bind(
+    context: &sync::Arc<context::Context>,
+) -> anyhow::Result<(server::Server, server::Server)> {
+    let settings = &context.shared.settings;
+    let limits = &settings.limits;
+    let builder = server::Builder::default()
+        .max_connections(limits.connections)
+        .header_timeout(settings::ms(limits.header_timeout_ms));
+    let traffic = api::Factory::new(sync::Arc::clone(context), api::Interface::Traffic);
+    let callers = builder
+        .clone()
+        .serve(&settings.address, traffic)
+        .await
+        .with_context(|| format!("cannot listen on {}", settings.address))?;
+    let admin = api::Factory::new(sync::Arc::clone(context), api::Interface::Admin);
+    let admin = builder
+        .serve(&settings.admin_address, admin)
+        .await
+        .with_context(|| format!("cannot listen on {}", settings.admin_address))?;
+    Ok((callers, admin))
+}
--- a/programs/entry/src/upstream/stream.rs
+++ b/programs/entry/src/upstream/stream.rs
@@ -28,7 +28,6 @@
     body: body::Incoming,
     lines: sse::Lines,
     request_id: name::Name,
-    answer_id: Option<String>,
     first_token_at: Option<async_time::Instant>,
     between_tokens: time::Duration,
     resumed_tokens: u64,
@@ -49,7 +48,6 @@
             body,
             lines: sse::Lines::default(),
             request_id,
-            answer_id: None,
             first_token_at: Some(first_token_at),
             between_tokens,
             resumed_tokens,
@@ -114,7 +112,7 @@
         if let Some(error) = chunk.error {
             return Err(Error::may_have_run(Cause::Failed, error.to_string()));
         }
-        self.check_id(chunk.id)?;
+        self.check_id(chunk.id.as_deref())?;
         if chunk.usage.is_some() {
             self.usage = chunk.usage;
         }
@@ -145,16 +143,13 @@
         Ok(Some(Delta { text, tokens: 1 }))
     }
 
-    /// Checks that all chunks belong to one answer.
-    fn check_id(&mut self, id: Option<String>) -> Result<(), Error> {
-        match (&self.answer_id, id) {
-            (Some(first), Some(id)) if *first != id => Err(Error::may_have_run(
-                Cause::Mismatched,
-                format!("a chunk of {id} stands in the answer {first}"),
-            )),
-            (None, Some(id)) => {
-                self.answer_id = Some(id);
-                Ok(())
+    /// Checks that a chunk belongs to this request: the id of an answer ends
+    /// with the request id.
+    fn check_id(&self, id: Option<&str>) -> Result<(), Error> {
+        match id {
+            Some(id) if !id.ends_with(self.request_id.as_str()) => {
+                let message = format!("{id} stands in the answer to {}", self.request_id);
+                Err(Error::may_have_run(Cause::Mismatched, message))
             }
             _ => Ok(()),
         }
