Test the path of a request with fakes at the interfaces

The control replica, the backend servers and the callers of the tests are small fakes that speak the published protocols; backend servers answer by a script of faults. The control thread now binds its own address, so that the program can be started inside a runtime.

--- a/programs/entry/src/controller/run.rs
+++ b/programs/entry/src/controller/run.rs
@@ -64,6 +64,7 @@
 pub struct Controller {
     pub(super) shared: sync::Arc<context::Shared>,
     pub(super) peer_address: name::Name,
+    bound: net::SocketAddr,
     pub(super) state: State,
     pub(super) registry: registry::Registry,
     pub(super) suspects: suspects::Table,
@@ -103,6 +104,7 @@
             .build();
         Ok(Controller {
             peer_address: address.to_string().into(),
+            bound: address,
             state: State::default(),
             registry: registry::Registry::default(),
             suspects: suspects::Table::default(),
@@ -123,8 +125,8 @@
     }
 
     /// Returns the bound address of the peer exchange.
-    pub fn peer_address(&self) -> Option<net::SocketAddr> {
-        self.peer_address.parse().ok()
+    pub fn peer_address(&self) -> net::SocketAddr {
+        self.bound
     }
 
     /// Runs until `stop` resolves.
--- a/programs/entry/src/program.rs
+++ b/programs/entry/src/program.rs
@@ -122,27 +122,55 @@
 }
 
 impl Control {
+    /// Starts the control thread and waits until its address is bound.
     fn start(parts: controller::Parts) -> anyhow::Result<Control> {
-        let runtime = runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()?;
-        let address = parts.shared.settings.peer_address.clone();
-        let controller = runtime
-            .block_on(controller::Controller::bind(parts))
-            .with_context(|| format!("cannot listen on {address}"))?;
-        let peer_address = controller.peer_address().context("no peer address")?;
         let (stop, stopped) = async_sync::oneshot::channel();
+        let (bound_sender, bound) = sync::mpsc::channel();
         let thread = thread::Builder::new()
             .name("control".to_owned())
-            .spawn(move || runtime.block_on(controller.run(stopped)))?;
-        Ok(Control {
-            peer_address,
+            .spawn(move || run_control(parts, stopped, &bound_sender))?;
+        let mut control = Control {
+            peer_address: net::SocketAddr::from(([0, 0, 0, 0], 0)),
             stop: Some(stop),
             thread: Some(thread),
-        })
+        };
+        control.peer_address = bound.recv().context("the control thread ended early")??;
+        Ok(control)
     }
 }
 
+fn run_control(
+    parts: controller::Parts,
+    stopped: async_sync::oneshot::Receiver<()>,
+    bound: &sync::mpsc::Sender<anyhow::Result<net::SocketAddr>>,
+) {
+    let address = parts.shared.settings.peer_address.clone();
+    let runtime = runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            // The receiver waits for this message.
+            let _ = bound.send(Err(error.into()));
+            return;
+        }
+    };
+    runtime.block_on(async {
+        let controller = match controller::Controller::bind(parts).await {
+            Ok(controller) => controller,
+            Err(error) => {
+                let error = anyhow::Error::from(error);
+                let error = error.context(format!("cannot listen on {address}"));
+                // The receiver waits for this message.
+                let _ = bound.send(Err(error));
+                return;
+            }
+        };
+        // The receiver waits for this message.
+        let _ = bound.send(Ok(controller.peer_address()));
+        controller.run(stopped).await;
+    });
+}
+
 impl Drop for Control {
     fn drop(&mut self) {
         if let Some(stop) = self.stop.take() {
--- /dev/null
+++ b/programs/entry/tests/support/backend.rs
@@ -0,0 +1,350 @@
+//! A backend server that answers by a script.
+
+use std::{
+    collections,
+    io::{BufRead, BufReader, Read, Write},
+    net,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread, time,
+};
+
+use bw_wire::backend;
+
+use super::{caller, control};
+
+/// The number of tokens of each whole answer.
+pub const TOKENS: usize = 6;
+
+/// How a request is answered.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Answer {
+    /// The whole answer, from where a resume asks for it.
+    Whole,
+    /// The whole answer, with a pause before each token.
+    Slow(time::Duration),
+    /// The connection is closed after this many tokens.
+    CutAfter(usize),
+    /// The stream ends properly after this many tokens, without the end mark.
+    NoEnd(usize),
+    /// Nothing more is sent after this many tokens.
+    FreezeAfter(usize),
+    /// The connection is closed before the head of the answer.
+    Close,
+    /// Nothing is sent at all.
+    Freeze,
+    /// 503 with verdict not run.
+    Refuse,
+    /// This status, without a verdict.
+    Status(u16),
+    /// The echoed request id is another one.
+    CrossedId,
+    /// The chunks are of another answer.
+    CrossedChunk,
+    /// A token is sent twice.
+    Doubled,
+    /// A chunk is not JSON.
+    Garbage,
+}
+
+/// A request as it arrived.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub path: String,
+    pub headers: collections::HashMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+/// A running fake.
+pub struct Backend {
+    pub id: String,
+    pub address: String,
+    pub seen: Arc<Mutex<Vec<Seen>>>,
+    pub script: Arc<Mutex<collections::VecDeque<Answer>>>,
+    /// Connections that callers closed before their answer was complete.
+    pub cancelled: Arc<AtomicU64>,
+    pub healthy: Arc<AtomicBool>,
+    announces: Arc<Mutex<backend::Announcement>>,
+    renews: Arc<AtomicBool>,
+}
+
+impl Backend {
+    /// Starts an engine. The script's last answer repeats.
+    pub fn engine(id: &str, script: &[Answer]) -> Backend {
+        let listener = net::TcpListener::bind("127.0.0.1:0").expect("the fake listens");
+        let address = listener.local_addr().expect("an address").to_string();
+        let backend = Backend {
+            id: id.to_owned(),
+            announces: Arc::new(Mutex::new(control::announcement(id, &address, 0))),
+            address,
+            seen: Arc::default(),
+            script: Arc::new(Mutex::new(script.iter().copied().collect())),
+            cancelled: Arc::default(),
+            healthy: Arc::new(AtomicBool::new(true)),
+            renews: Arc::new(AtomicBool::new(true)),
+        };
+        let server = Server {
+            seen: Arc::clone(&backend.seen),
+            script: Arc::clone(&backend.script),
+            cancelled: Arc::clone(&backend.cancelled),
+            healthy: Arc::clone(&backend.healthy),
+        };
+        thread::spawn(move || server.run(&listener));
+        backend
+    }
+
+    /// Starts a plain service.
+    pub fn service(id: &str, service: &str, script: &[Answer]) -> Backend {
+        let backend = Backend::engine(id, script);
+        {
+            let mut announcement = backend.announces.lock().expect("lock");
+            announcement.kind = backend::Kind::Service;
+            announcement.service = service.into();
+            announcement.loaded.clear();
+        }
+        backend
+    }
+
+    /// Announces an address at which nobody listens.
+    pub fn unreachable(id: &str) -> Backend {
+        let backend = Backend::engine(id, &[Answer::Whole]);
+        let listener = net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let closed = listener.local_addr().expect("an address").to_string();
+        backend.announces.lock().expect("lock").address = closed.as_str().into();
+        backend
+    }
+
+    /// Announces to an entry VM until the fake is dropped or [`Backend::silence`].
+    pub fn renew(&self, entry: &str) {
+        self.announce(entry);
+        let (entry, announces) = (entry.to_owned(), Arc::clone(&self.announces));
+        let renews = Arc::clone(&self.renews);
+        thread::spawn(move || {
+            while renews.load(Ordering::SeqCst) {
+                post(&entry, &announces);
+                thread::sleep(time::Duration::from_millis(300));
+            }
+        });
+    }
+
+    /// Announces once.
+    pub fn announce(&self, entry: &str) {
+        let response = post(entry, &self.announces);
+        assert_eq!(response.status, 200, "{}", response.text());
+    }
+
+    /// Changes what is announced.
+    pub fn change(&self, change: impl FnOnce(&mut backend::Announcement)) {
+        change(&mut self.announces.lock().expect("lock"));
+    }
+
+    /// Stops to renew.
+    pub fn silence(&self) {
+        self.renews.store(false, Ordering::SeqCst);
+    }
+
+    pub fn count(&self) -> usize {
+        self.seen.lock().expect("lock").len()
+    }
+}
+
+impl Drop for Backend {
+    fn drop(&mut self) {
+        self.silence();
+    }
+}
+
+fn post(entry: &str, announces: &Mutex<backend::Announcement>) -> caller::Response {
+    let body = {
+        let mut announcement = announces.lock().expect("lock");
+        announcement.sequence += 1;
+        serde_json::to_string(&*announcement).expect("JSON")
+    };
+    let Ok(mut stream) = net::TcpStream::connect(entry) else {
+        return caller::get_nothing();
+    };
+    let head = caller::head("POST", backend::ANNOUNCE_PATH, &[], body.len());
+    // The entry VM may have been stopped by the test.
+    let _ = stream.write_all(&head);
+    let _ = stream.write_all(body.as_bytes());
+    caller::read(&mut stream)
+}
+
+struct Server {
+    seen: Arc<Mutex<Vec<Seen>>>,
+    script: Arc<Mutex<collections::VecDeque<Answer>>>,
+    cancelled: Arc<AtomicU64>,
+    healthy: Arc<AtomicBool>,
+}
+
+impl Server {
+    fn run(self, listener: &net::TcpListener) {
+        let server = Arc::new(self);
+        for stream in listener.incoming().flatten() {
+            let server = Arc::clone(&server);
+            thread::spawn(move || while server.serve(&stream) {});
+        }
+    }
+
+    /// Answers one request and returns whether the connection stays open.
+    fn serve(&self, stream: &net::TcpStream) -> bool {
+        let Some(seen) = read_request(stream) else {
+            return false;
+        };
+        if seen.path == "/healthz" {
+            let status = if self.healthy.load(Ordering::SeqCst) {
+                200
+            } else {
+                503
+            };
+            return send(stream, &whole(status, "", "ok"));
+        }
+        let answer = {
+            let mut script = self.script.lock().expect("lock");
+            match script.len() {
+                0 => Answer::Whole,
+                1 => script[0],
+                _ => script.pop_front().expect("an answer"),
+            }
+        };
+        self.seen.lock().expect("lock").push(seen.clone());
+        self.answer(stream, &seen, answer)
+    }
+
+    fn answer(&self, stream: &net::TcpStream, seen: &Seen, answer: Answer) -> bool {
+        let id = seen
+            .headers
+            .get("bw-request-id")
+            .cloned()
+            .unwrap_or_default();
+        let echoed = match answer {
+            Answer::CrossedId => "another".to_owned(),
+            _ => id.clone(),
+        };
+        let echo = format!("bw-request-id: {echoed}\r\n");
+        match answer {
+            Answer::Close => return false,
+            Answer::Freeze => return hang(stream),
+            Answer::Refuse => {
+                let headers = format!("{echo}bw-verdict: not_run\r\n");
+                return send(stream, &whole(503, &headers, "{}"));
+            }
+            Answer::Status(status) => return send(stream, &whole(status, &echo, "{}")),
+            _ => {}
+        }
+        if !seen.path.starts_with("/v1/") {
+            return send(stream, &whole(200, &echo, "done"));
+        }
+        let head = format!("HTTP/1.1 200 OK\r\n{echo}transfer-encoding: chunked\r\n\r\n");
+        let mut open = send(stream, &head);
+        let resumed = seen.headers.get("bw-resume-tokens");
+        let resumed: usize = resumed.map_or(0, |value| value.parse().expect("a number"));
+        let chunk_id = match answer {
+            Answer::CrossedChunk => "chatcmpl-another".to_owned(),
+            _ => format!("chatcmpl-{id}"),
+        };
+        for token in resumed..TOKENS {
+            match answer {
+                Answer::CutAfter(count) if token >= count => return false,
+                Answer::NoEnd(count) if token >= count => {
+                    send(stream, "0\r\n\r\n");
+                    return true;
+                }
+                Answer::FreezeAfter(count) if token >= count => return hang(stream),
+                Answer::Slow(pause) => thread::sleep(pause),
+                Answer::Garbage if token == 1 => open &= send(stream, &event("{nonsense")),
+                _ => {}
+            }
+            let repeats = if answer == Answer::Doubled && token == 2 {
+                2
+            } else {
+                1
+            };
+            for _ in 0..repeats {
+                open &= send(stream, &event(&chunk(&chunk_id, Some(token), None)));
+            }
+            if !open {
+                self.cancelled.fetch_add(1, Ordering::SeqCst);
+                return false;
+            }
+        }
+        let end = [
+            event(&chunk(&chunk_id, None, Some("stop"))),
+            event(&usage(&chunk_id)),
+            event("[DONE]"),
+            "0\r\n\r\n".to_owned(),
+        ];
+        send(stream, &end.concat())
+    }
+}
+
+/// Returns the text of a whole answer.
+pub fn whole_text() -> String {
+    (0..TOKENS).map(|token| format!(" t{token}")).collect()
+}
+
+fn chunk(id: &str, token: Option<usize>, finish: Option<&str>) -> String {
+    let content = token.map(|token| format!(" t{token}"));
+    let choice = serde_json::json!({
+        "index": 0,
+        "delta": { "content": content },
+        "finish_reason": finish,
+    });
+    serde_json::json!({ "id": id, "choices": [choice] }).to_string()
+}
+
+fn usage(id: &str) -> String {
+    let usage = serde_json::json!({
+        "prompt_tokens": 2,
+        "completion_tokens": TOKENS,
+        "total_tokens": TOKENS + 2,
+    });
+    serde_json::json!({ "id": id, "choices": [], "usage": usage }).to_string()
+}
+
+fn event(data: &str) -> String {
+    let event = format!("data: {data}\n\n");
+    format!("{:x}\r\n{event}\r\n", event.len())
+}
+
+fn whole(status: u16, headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!("HTTP/1.1 {status} X\r\n{headers}content-length: {length}\r\n\r\n{body}")
+}
+
+fn send(mut stream: &net::TcpStream, text: &str) -> bool {
+    stream.write_all(text.as_bytes()).is_ok()
+}
+
+/// Waits until the other side closes the connection.
+fn hang(mut stream: &net::TcpStream) -> bool {
+    let _ = stream.read(&mut [0; 1]);
+    false
+}
+
+fn read_request(stream: &net::TcpStream) -> Option<Seen> {
+    let mut reader = BufReader::new(stream);
+    let mut line = String::new();
+    reader.read_line(&mut line).ok().filter(|read| *read > 0)?;
+    let path = line.split(' ').nth(1)?.to_owned();
+    let mut headers = collections::HashMap::new();
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok().filter(|read| *read > 0)?;
+        let Some((name, value)) = line.trim().split_once(':') else {
+            break;
+        };
+        headers.insert(name.to_lowercase(), value.trim().to_owned());
+    }
+    let length = headers.get("content-length");
+    let length = length.and_then(|value| value.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    Some(Seen {
+        path,
+        headers,
+        body,
+    })
+}
--- /dev/null
+++ b/programs/entry/tests/support/control.rs
@@ -0,0 +1,278 @@
+//! A control replica that leads and keeps attempts in memory.
+
+use std::{
+    collections,
+    sync::{self, Arc},
+};
+
+use bw_wire::{
+    backend,
+    command::{
+        self,
+        work::{AttemptOutcome, Command, Reply, Suspect},
+    },
+    intent, name, rpc, sync as wire_sync,
+};
+use jsonrpsee::{RpcModule, server::ServerBuilder, types::ErrorObjectOwned};
+use tokio::runtime;
+
+/// What the fake holds and does.
+pub struct State {
+    /// No answers while set.
+    pub silent: bool,
+    pub revision: u64,
+    pub intent: intent::Intent,
+    pub lease_ms: u64,
+    pub peers: Vec<wire_sync::Peer>,
+    pub owners: collections::BTreeMap<name::Name, name::Name>,
+    pub backends: Vec<wire_sync::Heard>,
+    pub suspects: Vec<Suspect>,
+    pub syncs: Vec<wire_sync::Request>,
+    pub strikes: Vec<(name::Name, bool)>,
+    pub cleared: usize,
+    pub attempts: collections::HashMap<name::Name, Attempt>,
+}
+
+/// A recorded attempt.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    pub number: u64,
+    pub holder: name::Name,
+    pub outcome: Option<AttemptOutcome>,
+}
+
+/// A running fake.
+pub struct Control {
+    pub state: Arc<sync::Mutex<State>>,
+    address: String,
+    _runtime: runtime::Runtime,
+}
+
+impl Control {
+    pub fn start() -> Control {
+        let state = Arc::new(sync::Mutex::new(State {
+            silent: false,
+            revision: 1,
+            intent: intent(),
+            lease_ms: wire_sync::CONFIG_LEASE_MS,
+            peers: Vec::new(),
+            owners: collections::BTreeMap::new(),
+            backends: Vec::new(),
+            suspects: Vec::new(),
+            syncs: Vec::new(),
+            strikes: Vec::new(),
+            cleared: 0,
+            attempts: collections::HashMap::new(),
+        }));
+        let runtime = runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .expect("a runtime");
+        let module = module(&state);
+        let address = runtime.block_on(async move {
+            let server = ServerBuilder::default().build("127.0.0.1:0").await;
+            let server = server.expect("control listens");
+            let address = server.local_addr().expect("an address");
+            let handle = server.start(module);
+            tokio::spawn(handle.stopped());
+            address.to_string()
+        });
+        Control {
+            state,
+            address,
+            _runtime: runtime,
+        }
+    }
+
+    pub fn address(&self) -> String {
+        self.address.clone()
+    }
+
+    pub fn lock(&self) -> sync::MutexGuard<'_, State> {
+        self.state.lock().expect("not poisoned")
+    }
+}
+
+/// Returns an intent with model `m` and its adapter, a repeatable service and
+/// one that is not.
+pub fn intent() -> intent::Intent {
+    let model = intent::Model {
+        adapters: vec!["m-fine".into()],
+        ..intent::Model::default()
+    };
+    let once = intent::Service {
+        repeatable: false,
+        ..intent::Service::default()
+    };
+    intent::Intent {
+        models: [("m".into(), model)].into(),
+        services: [
+            ("quote".into(), intent::Service::default()),
+            ("invoice".into(), once),
+        ]
+        .into(),
+        ..intent::Intent::default()
+    }
+}
+
+fn module(state: &Arc<sync::Mutex<State>>) -> RpcModule<Arc<sync::Mutex<State>>> {
+    let mut module = RpcModule::new(Arc::clone(state));
+    module
+        .register_async_method(rpc::SYNC, |params, state, _| async move {
+            heard(&state).await;
+            let request: wire_sync::Request = params.one()?;
+            Ok::<_, ErrorObjectOwned>(sync_reply(&mut state.lock().expect("lock"), request))
+        })
+        .expect("registered");
+    module
+        .register_async_method(rpc::PROPOSE, |params, state, _| async move {
+            heard(&state).await;
+            let propose: rpc::Propose = params.one()?;
+            let command::Command::Work(command) = propose.command else {
+                panic!("entry VMs propose work only");
+            };
+            let reply = work_reply(&mut state.lock().expect("lock"), command);
+            Ok::<_, ErrorObjectOwned>(command::Reply::Work(reply))
+        })
+        .expect("registered");
+    module
+}
+
+/// Waits until the fake is no longer silent.
+async fn heard(state: &Arc<sync::Mutex<State>>) {
+    while state.lock().expect("lock").silent {
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+}
+
+fn sync_reply(state: &mut State, request: wire_sync::Request) -> wire_sync::Response {
+    for heard in &request.heard {
+        let id = &heard.announcement.id;
+        state.backends.retain(|known| known.announcement.id != *id);
+        state.backends.push(heard.clone());
+    }
+    let newer = state.revision > request.revision;
+    let peers = state
+        .peers
+        .iter()
+        .filter(|peer| peer.entry != request.entry);
+    let response = wire_sync::Response {
+        leader_term: 1,
+        lease_ms: state.lease_ms,
+        revision: state.revision,
+        intent: newer.then(|| Box::new(state.intent.clone())),
+        backends: Vec::new(),
+        peers: peers.cloned().collect(),
+        online: collections::BTreeMap::new(),
+        owners: state.owners.clone(),
+        suspects: state.suspects.clone(),
+    };
+    state.syncs.push(request);
+    response
+}
+
+fn work_reply(state: &mut State, command: Command) -> Reply {
+    match command {
+        Command::AttemptBegin {
+            key,
+            holder,
+            holder_gone,
+            ..
+        } => {
+            let fresh = Attempt {
+                number: 1,
+                holder: holder.clone(),
+                outcome: None,
+            };
+            let Some(attempt) = state.attempts.get_mut(&key) else {
+                state.attempts.insert(key, fresh);
+                return Reply::Begin { attempt: 1 };
+            };
+            match &attempt.outcome {
+                Some(AttemptOutcome::NotRun) => {
+                    attempt.number += 1;
+                    attempt.holder = holder;
+                    attempt.outcome = None;
+                    Reply::Begin {
+                        attempt: attempt.number,
+                    }
+                }
+                Some(outcome) => Reply::Known {
+                    outcome: outcome.clone(),
+                },
+                None if holder_gone => {
+                    attempt.outcome = Some(AttemptOutcome::Unknown);
+                    Reply::Known {
+                        outcome: AttemptOutcome::Unknown,
+                    }
+                }
+                None => Reply::InProgress {
+                    holder: attempt.holder.clone(),
+                },
+            }
+        }
+        Command::AttemptEnd { key, outcome, .. } => {
+            let attempt = state.attempts.get_mut(&key).expect("a begun attempt");
+            let stands = attempt.outcome.get_or_insert(outcome).clone();
+            Reply::Known { outcome: stands }
+        }
+        Command::Strike {
+            fingerprint,
+            backend,
+            isolated,
+        } => {
+            state.strikes.push((backend, isolated));
+            let known = state.suspects.iter_mut();
+            let mut known = known.filter(|suspect| suspect.fingerprint == fingerprint);
+            let suspect = match known.next() {
+                Some(suspect) => {
+                    suspect.strikes += 1;
+                    suspect.isolated += u32::from(isolated);
+                    *suspect
+                }
+                None => {
+                    let suspect = Suspect {
+                        fingerprint,
+                        strikes: 1,
+                        isolated: u32::from(isolated),
+                        until_ms: u64::MAX,
+                    };
+                    state.suspects.push(suspect);
+                    suspect
+                }
+            };
+            Reply::Suspect(suspect)
+        }
+        Command::Clear { fingerprint } => {
+            state.cleared += 1;
+            state
+                .suspects
+                .retain(|suspect| suspect.fingerprint != fingerprint);
+            Reply::Ok
+        }
+        _ => Reply::Ok,
+    }
+}
+
+/// Returns an announcement of an engine with model `m`.
+pub fn announcement(id: &str, address: &str, sequence: u64) -> backend::Announcement {
+    backend::Announcement {
+        id: id.into(),
+        incarnation: 1,
+        sequence,
+        address: address.into(),
+        kind: backend::Kind::Engine,
+        service: "default".into(),
+        failure_domain: "a".into(),
+        state: backend::State::Ready,
+        loaded: vec![backend::Loaded {
+            model: "m".into(),
+            version: "1".into(),
+            adapters: Vec::new(),
+        }],
+        capacity: 32,
+        fence: 0,
+        load: backend::Load::default(),
+    }
+}
