--- a/programs/dev/tests/fleet/http.rs
+++ b/programs/dev/tests/fleet/http.rs
@@ -38,12 +38,18 @@
 
     /// Returns the stable code of a refusal.
     pub fn code(&self) -> String {
-        self.json()["error"]["code"].as_str().unwrap_or("").to_owned()
+        self.json()["error"]["code"]
+            .as_str()
+            .unwrap_or("")
+            .to_owned()
     }
 
     /// Returns the verdict of a refusal.
     pub fn verdict(&self) -> String {
-        self.json()["error"]["verdict"].as_str().unwrap_or("").to_owned()
+        self.json()["error"]["verdict"]
+            .as_str()
+            .unwrap_or("")
+            .to_owned()
     }
 }
 
--- a/programs/dev/tests/fleet/process.rs
+++ b/programs/dev/tests/fleet/process.rs
@@ -53,7 +53,11 @@
             if let Some(status) = self.child.try_wait().expect("process state") {
                 return status;
             }
-            assert!(start.elapsed() < EXIT_LIMIT, "process does not end: {}", self.log());
+            assert!(
+                start.elapsed() < EXIT_LIMIT,
+                "process does not end: {}",
+                self.log()
+            );
             thread::sleep(EXIT_POLL);
         }
     }
@@ -78,7 +82,10 @@
 /// Finds a program next to the test's own build output.
 fn binary(program: &str) -> path::PathBuf {
     let test = std::env::current_exe().expect("path of the test");
-    let folder = test.parent().and_then(path::Path::parent).expect("target folder");
+    let folder = test
+        .parent()
+        .and_then(path::Path::parent)
+        .expect("target folder");
     let file = folder.join(program);
     assert!(
         file.exists(),
