--- a/crates/coord/src/host/builder.rs
+++ b/crates/coord/src/host/builder.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::{GroupId, ReplicaId, host, member, storage};
+use crate::{GroupId, ReplicaId, host, host::recovery, member, storage};
 
 /// Default smallest election timeout.
 const ELECTION_TIMEOUT_MS: u64 = 1_000;
@@ -44,6 +44,14 @@
     pub seed: u64,
 }
 
+impl Options {
+    /// Returns for how long after a broadcast the leader lease holds.
+    pub fn lease_ms(&self) -> u64 {
+        self.election_timeout_ms
+            .saturating_sub(self.drift_margin_ms)
+    }
+}
+
 /// Builds a [`host::Host`].
 pub struct Builder<E: host::Edge> {
     replica: ReplicaId,
@@ -182,11 +190,12 @@
     ///
     /// Fails if the disk fails, holds damaged data or belongs to another replica.
     pub fn open(self, disk: E::Disk) -> Result<host::Host<E>, storage::Error> {
-        let _ = (self.members, self.options);
-        Ok(host::Host {
-            replica: self.replica,
-            machines: self.machines,
-            _disk: disk,
-        })
+        recovery::open(
+            self.replica,
+            self.members,
+            self.machines,
+            self.options,
+            disk,
+        )
     }
 }
--- a/crates/coord/src/host/mod.rs
+++ b/crates/coord/src/host/mod.rs
@@ -2,12 +2,15 @@
 
 mod builder;
 mod event;
+mod group;
+mod recovery;
 
 use std::{collections::BTreeMap, fmt};
 
-use crate::{GroupId, ReplicaId, member, node, storage};
+use crate::{GroupId, ReplicaId, member, node, storage, wal};
 
 pub use builder::Builder;
+pub(crate) use builder::Options;
 pub use event::{Input, Output, Refusal};
 
 /// A deterministic replicated state machine.
@@ -102,8 +105,13 @@
 /// All groups of a process with one shared write-ahead log.
 pub struct Host<E: Edge> {
     replica: ReplicaId,
-    machines: BTreeMap<GroupId, E::Machine>,
-    _disk: E::Disk,
+    options: Options,
+    disk: E::Disk,
+    wal: wal::Wal,
+    groups: BTreeMap<GroupId, group::Group<E::Machine>>,
+    now_ms: u64,
+    stopped: bool,
+    stats: Stats,
 }
 
 impl<E: Edge> Host<E> {
@@ -111,9 +119,9 @@
     ///
     /// `now_ms` is a monotonic clock in milliseconds, read after the inputs were
     /// collected: a lease read is only linearizable if the clock was read after
-    /// the read was received. Outputs emitted before the disk sync reach
-    /// `emit` before it, so that the network overlaps with the disk. One sync
-    /// covers everything that the step writes.
+    /// the read was received. Appends of a leader reach `emit` before the disk
+    /// sync, so that the network overlaps with the disk. One sync covers
+    /// everything that the step writes.
     ///
     /// # Errors
     ///
@@ -126,28 +134,204 @@
         now_ms: u64,
         emit: &mut dyn FnMut(Output),
     ) -> Result<(), storage::Error> {
-        let _ = (inputs, now_ms, emit);
-        Ok(())
+        if self.stopped {
+            refuse_all(inputs.into_iter(), emit);
+            return Err(storage::Error::Stopped);
+        }
+        self.now_ms = self.now_ms.max(now_ms);
+        let mut inputs = inputs.into_iter();
+        let result = self.run(&mut inputs, emit);
+        if let Err(error) = &result {
+            log::error!("replica {} stops: {error}", self.replica);
+            self.stop(emit);
+            refuse_all(inputs, emit);
+        }
+        result
     }
 
     /// Returns the state machine of a group.
     pub fn machine(&self, group: GroupId) -> Option<&E::Machine> {
-        self.machines.get(&group)
+        self.groups.get(&group).map(|group| &group.machine)
     }
 
     /// Returns the state of this replica in a group.
     pub fn status(&self, group: GroupId) -> Option<Status> {
-        let _ = group;
-        None
+        self.groups.get(&group).map(group::Group::status)
     }
 
     /// Returns totals since the host was opened.
     pub fn stats(&self) -> Stats {
-        Stats::default()
+        self.stats
     }
 
     /// Returns the id of this replica.
     pub fn replica(&self) -> ReplicaId {
         self.replica
     }
+
+    fn run(
+        &mut self,
+        inputs: &mut std::vec::IntoIter<Input>,
+        emit: &mut dyn FnMut(Output),
+    ) -> Result<(), storage::Error> {
+        for group in self.groups.values_mut() {
+            group.node.set_now(self.now_ms);
+        }
+        for input in inputs {
+            self.handle(input, emit)?;
+        }
+        for group in self.groups.values_mut() {
+            group.node.tick();
+            group.node.replicate();
+            group.send_pieces(&mut self.disk, self.options.chunk_bytes)?;
+            group.emit_early(emit);
+            group.apply(emit);
+        }
+        self.persist()?;
+        for group in self.groups.values_mut() {
+            group.emit_late(emit);
+            group.node.persisted();
+            group.apply(emit);
+            group.node.finish_transfer();
+            group.finish(emit);
+        }
+        self.write_snapshots()
+    }
+
+    fn handle(&mut self, input: Input, emit: &mut dyn FnMut(Output)) -> Result<(), storage::Error> {
+        let group = match &input {
+            Input::Tick => return Ok(()),
+            Input::Message { message, .. } => message.group(),
+            Input::Propose { group, .. }
+            | Input::Read { group, .. }
+            | Input::Transfer { group }
+            | Input::ChangeMembers { group, .. } => *group,
+        };
+        let Some(group) = self.groups.get_mut(&group) else {
+            refuse(input, emit);
+            return Ok(());
+        };
+        match input {
+            Input::Tick => {}
+            Input::Message { from, message } => {
+                group.node.receive(from, message);
+                self.stats.snapshots += group.install(&mut self.disk)?;
+            }
+            Input::Propose {
+                ticket, command, ..
+            } => group.propose(ticket, command, emit),
+            Input::Read { ticket, .. } => group.node.read(ticket),
+            Input::Transfer { .. } => group.node.transfer(),
+            Input::ChangeMembers { ticket, change, .. } => {
+                group.change_members(ticket, &change, emit);
+            }
+        }
+        Ok(())
+    }
+
+    /// Writes the records of all groups with one sync.
+    fn persist(&mut self) -> Result<(), storage::Error> {
+        for (id, group) in &mut self.groups {
+            for record in group.node.take_records() {
+                self.stats.entries += u64::from(matches!(record, wal::Record::Entry(_)));
+                self.wal.push(*id, &record);
+            }
+        }
+        if !self.wal.has_pending() {
+            return Ok(());
+        }
+        self.relocate();
+        if self.wal.opens_segment() {
+            for (id, group) in &self.groups {
+                self.wal.push(*id, &group.node.vote_record());
+            }
+        }
+        self.stats.log_bytes += self.wal.commit(&mut self.disk)?;
+        self.stats.syncs += 1;
+        let groups = &self.groups;
+        self.wal
+            .remove_covered(&mut self.disk, |group| snapshot_index(groups, group))
+    }
+
+    /// Writes the live entries of quiet groups anew, so that old segments can be
+    /// removed.
+    fn relocate(&mut self) {
+        let groups = &self.groups;
+        let live_bytes = groups
+            .values()
+            .map(|group| group.node.log().live_bytes())
+            .sum();
+        let quiet = self
+            .wal
+            .groups_to_relocate(live_bytes, |group| snapshot_index(groups, group));
+        for id in quiet {
+            let Some(group) = groups.get(&id) else {
+                continue;
+            };
+            for entry in group.node.log().live() {
+                self.wal.push(id, &wal::Record::Entry(entry.clone()));
+            }
+            self.wal.note_relocated(id);
+        }
+    }
+
+    /// Continues the snapshot that is being written, or starts one that is due.
+    /// Only one is written at a time, which bounds the memory and the delay.
+    fn write_snapshots(&mut self) -> Result<(), storage::Error> {
+        let writing = self
+            .groups
+            .iter()
+            .find(|(_, group)| group.is_writing())
+            .or_else(|| {
+                let mut groups = self.groups.iter();
+                groups.find(|(_, group)| group.snapshot_due(&self.options))
+            });
+        let Some((id, _)) = writing else {
+            return Ok(());
+        };
+        let Some(group) = self.groups.get_mut(&id.clone()) else {
+            return Ok(());
+        };
+        if let Some(size) = group.write_snapshot(&mut self.disk)? {
+            self.stats.snapshots += 1;
+            self.stats.snapshot_bytes += size;
+        }
+        Ok(())
+    }
+
+    fn stop(&mut self, emit: &mut dyn FnMut(Output)) {
+        self.stopped = true;
+        for group in self.groups.values_mut() {
+            group.stop(emit);
+        }
+    }
+}
+
+fn snapshot_index<M: Machine>(groups: &BTreeMap<GroupId, group::Group<M>>, id: GroupId) -> u64 {
+    groups
+        .get(&id)
+        .map_or(0, |group| group.node.log().snapshot().index)
+}
+
+fn refuse_all(inputs: impl Iterator<Item = Input>, emit: &mut dyn FnMut(Output)) {
+    for input in inputs {
+        refuse(input, emit);
+    }
+}
+
+/// Answers an input of a host that has stopped or does not run the group.
+fn refuse(input: Input, emit: &mut dyn FnMut(Output)) {
+    match input {
+        Input::Propose { ticket, .. } | Input::ChangeMembers { ticket, .. } => {
+            emit(Output::Proposed {
+                ticket,
+                result: Err(Refusal::Stopped),
+            });
+        }
+        Input::Read { ticket, .. } => emit(Output::ReadReady {
+            ticket,
+            result: Err(Refusal::Stopped),
+        }),
+        Input::Tick | Input::Message { .. } | Input::Transfer { .. } => {}
+    }
 }
--- /dev/null
+++ b/crates/coord/src/host/recovery.rs
@@ -0,0 +1,136 @@
+//! Recovery of a host from its disk.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    GroupId, ReplicaId,
+    host::{Edge, Host, Machine, Options, Stats, group},
+    member::{self, Member},
+    message::SnapshotMeta,
+    node,
+    snapshot::{self, Stored, Writer},
+    storage::{Disk, Error},
+    wal,
+};
+
+/// Opens a host.
+pub(super) fn open<E: Edge>(
+    replica: ReplicaId,
+    members: Vec<Member>,
+    machines: BTreeMap<GroupId, E::Machine>,
+    options: Options,
+    mut disk: E::Disk,
+) -> Result<Host<E>, Error> {
+    let mut snapshots = latest_snapshots(&mut disk)?;
+    let (mut wal, mut replays) = wal::Wal::open(&mut disk, replica, options.segment_bytes)?;
+    check_known(&machines, snapshots.keys().chain(replays.keys()))?;
+    let list = member::List::new(members);
+    let mut groups = BTreeMap::new();
+    for (id, machine) in machines {
+        let replay = replays.remove(&id);
+        let stored = match snapshots.remove(&id) {
+            Some(stored) => stored,
+            None if replay.is_none() => first_snapshot(&mut disk, id, &list)?,
+            None => return Err(incomplete(id, "the snapshot is missing")),
+        };
+        if replay.is_none() {
+            if stored.meta.index > 0 {
+                return Err(Error::corrupt(&stored.name, 0, "the log is missing"));
+            }
+            let (term, vote) = (0, None);
+            wal.push(id, &wal::Record::Vote { term, vote });
+        }
+        let replay = replay.unwrap_or_default();
+        let group = recover(&mut disk, replica, id, options, machine, stored, replay)?;
+        groups.insert(id, group);
+    }
+    if wal.opens_segment() {
+        for (id, group) in &groups {
+            wal.push(*id, &group.node.vote_record());
+        }
+    }
+    if wal.has_pending() {
+        wal.commit(&mut disk)?;
+    }
+    Ok(Host {
+        replica,
+        options,
+        disk,
+        wal,
+        groups,
+        now_ms: 0,
+        stopped: false,
+        stats: Stats::default(),
+    })
+}
+
+/// Builds an error about the records of a group, which no single file holds.
+fn incomplete(group: GroupId, reason: &'static str) -> Error {
+    Error::corrupt(&format!("write-ahead log of group {group}"), 0, reason)
+}
+
+fn check_known<'a, M>(
+    machines: &BTreeMap<GroupId, M>,
+    mut found: impl Iterator<Item = &'a GroupId>,
+) -> Result<(), Error> {
+    match found.find(|group| !machines.contains_key(group)) {
+        Some(group) => Err(Error::UnknownGroup { group: *group }),
+        None => Ok(()),
+    }
+}
+
+/// Returns the latest snapshot of each group and removes the older ones.
+fn latest_snapshots<D: Disk>(disk: &mut D) -> Result<BTreeMap<GroupId, Stored>, Error> {
+    let mut latest: BTreeMap<GroupId, Stored> = BTreeMap::new();
+    for (group, stored) in snapshot::list(disk)? {
+        if let Some(earlier) = latest.insert(group, stored) {
+            disk.remove(&earlier.name)?;
+        }
+    }
+    Ok(latest)
+}
+
+/// Stores the first members of a group as a snapshot of the empty log.
+fn first_snapshot<D: Disk>(
+    disk: &mut D,
+    group: GroupId,
+    list: &member::List,
+) -> Result<Stored, Error> {
+    let meta = SnapshotMeta {
+        index: 0,
+        term: 0,
+        members: list.clone(),
+        size: 0,
+        crc: crc32fast::hash(&[]),
+    };
+    Writer::new(group, meta, &[]).complete(disk)
+}
+
+fn recover<D: Disk, M: Machine>(
+    disk: &mut D,
+    replica: ReplicaId,
+    id: GroupId,
+    options: Options,
+    mut machine: M,
+    stored: Stored,
+    replay: wal::Replay,
+) -> Result<group::Group<M>, Error> {
+    let data = stored.read_all(disk)?;
+    if stored.meta.index > 0 {
+        machine
+            .restore(&data)
+            .map_err(|source| Error::Restore { group: id, source })?;
+    }
+    let (term, vote) = (replay.term, replay.vote);
+    let entries = replay
+        .after(stored.meta.index, stored.meta.term)
+        .ok_or_else(|| incomplete(id, "entries are missing"))?;
+    let durable = node::Durable {
+        term,
+        vote,
+        snapshot: stored.meta.clone(),
+        entries,
+    };
+    let node = node::Node::new(replica, id, options, durable);
+    Ok(group::Group::new(id, node, machine, stored))
+}
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -42,14 +42,13 @@
 //! # Ok::<(), storage::Error>(())
 //! ```
 
-// The replication that uses these parts follows in later commits.
-#![allow(dead_code, unused_imports)]
-
 pub mod host;
 mod id;
 pub mod member;
 pub mod message;
 pub mod node;
+mod snapshot;
 pub mod storage;
+mod wal;
 
 pub use id::{GroupId, ReplicaId};
--- /dev/null
+++ b/crates/coord/src/node/follow.rs
@@ -0,0 +1,219 @@
+//! The follower: appends and snapshots of the leader.
+
+use crate::{
+    ReplicaId,
+    message::{
+        Append, AppendOutcome, AppendReply, Beat, Body, Chunk, ChunkProgress, ChunkReply, Entry,
+        SnapshotMeta,
+    },
+    node::{Install, Node, Role},
+    wal::Record,
+};
+
+/// A snapshot of which the first bytes have arrived.
+#[derive(Debug)]
+pub(super) struct Incoming {
+    meta: SnapshotMeta,
+    data: Vec<u8>,
+}
+
+impl Node {
+    /// Tells the sender of an older term about the current one.
+    pub(super) fn answer_stale(&mut self, to: ReplicaId, body: &Body) {
+        let (beat, prev_index) = match body {
+            Body::Append(append) => (append.beat, append.prev_index),
+            Body::Snapshot(chunk) => (chunk.beat, chunk.meta.index),
+            _ => return,
+        };
+        let hint_index = self.log.commit();
+        self.reply_append(
+            to,
+            beat,
+            AppendOutcome::Rejected {
+                prev_index,
+                hint_index,
+            },
+        );
+    }
+
+    /// Notes a message of the term's leader. Returns false if this replica
+    /// itself leads the term, which no correct message can contradict.
+    fn hear_leader(&mut self, from: ReplicaId) -> bool {
+        if self.role == Role::Leader {
+            ::log::error!(
+                "group {}: replica {from} also claims to lead term {}",
+                self.group,
+                self.term
+            );
+            return false;
+        }
+        if self.leader != Some(from) || self.role == Role::Candidate {
+            self.become_follower(self.term, Some(from));
+        }
+        self.quiet_until_ms = self
+            .quiet_until_ms
+            .max(self.now_ms + self.options.election_timeout_ms);
+        self.reset_election_timer();
+        true
+    }
+
+    pub(super) fn on_append(&mut self, from: ReplicaId, append: Append) {
+        if !self.hear_leader(from) {
+            return;
+        }
+        let beat = append.beat;
+        let outcome = self.accept(append);
+        self.reply_append(from, beat, outcome);
+    }
+
+    fn reply_append(&mut self, to: ReplicaId, beat: Beat, outcome: AppendOutcome) {
+        self.send_late(to, Body::AppendReply(AppendReply { beat, outcome }));
+    }
+
+    fn accept(&mut self, append: Append) -> AppendOutcome {
+        let commit = self.log.commit();
+        let prev_index = append.prev_index;
+        // Committed entries equal the leader's, even if they are compacted here.
+        let matches =
+            prev_index <= commit || self.log.term_at(prev_index) == Some(append.prev_term);
+        let contiguous = append
+            .entries
+            .iter()
+            .zip(prev_index + 1..)
+            .all(|(entry, index)| entry.index == index);
+        if !matches || !contiguous {
+            return AppendOutcome::Rejected {
+                prev_index,
+                hint_index: self.hint(prev_index),
+            };
+        }
+        let match_index = commit.max(prev_index + append.entries.len() as u64);
+        for entry in append.entries {
+            self.accept_entry(entry);
+        }
+        self.log.advance_commit(append.commit.min(match_index));
+        AppendOutcome::Accepted { match_index }
+    }
+
+    fn accept_entry(&mut self, entry: Entry) {
+        if entry.index <= self.log.commit() {
+            return;
+        }
+        match self.log.term_at(entry.index) {
+            Some(term) if term == entry.term => return,
+            Some(_) => self.truncate(entry.index),
+            None => {}
+        }
+        self.append(entry);
+    }
+
+    fn truncate(&mut self, from: u64) {
+        self.log.truncate(from);
+        self.members.truncate(from);
+        self.durable_index = self.durable_index.min(from - 1);
+        self.members_changed();
+    }
+
+    /// Returns the last index that may match the leader's log.
+    fn hint(&self, prev_index: u64) -> u64 {
+        let last_index = self.log.last_index();
+        if prev_index > last_index {
+            return last_index;
+        }
+        let before_term = self.log.term_start(prev_index) - 1;
+        before_term.max(self.log.commit())
+    }
+
+    pub(super) fn on_chunk(&mut self, from: ReplicaId, chunk: Chunk) {
+        if !self.hear_leader(from) {
+            return;
+        }
+        let meta = &chunk.meta;
+        let beat = chunk.beat;
+        let index = meta.index;
+        if self.log.term_at(index) == Some(meta.term) {
+            // The entries up to the snapshot are here and equal the leader's.
+            self.log.advance_commit(index);
+        }
+        let commit = self.log.commit();
+        if index <= commit {
+            self.incoming = None;
+            self.reply_chunk(
+                from,
+                beat,
+                index,
+                ChunkProgress::Installed { index: commit },
+            );
+            return;
+        }
+        let size = meta.size;
+        let offset = self.collect(chunk);
+        if offset < size {
+            self.reply_chunk(from, beat, index, ChunkProgress::Next { offset });
+            return;
+        }
+        self.complete_snapshot(from, beat);
+    }
+
+    /// Adds a piece if it is the next one and returns the next missing byte.
+    fn collect(&mut self, chunk: Chunk) -> u64 {
+        let incoming = match &mut self.incoming {
+            Some(incoming) if incoming.meta == chunk.meta => incoming,
+            other => other.insert(Incoming {
+                meta: chunk.meta,
+                data: Vec::new(),
+            }),
+        };
+        if chunk.offset == incoming.data.len() as u64 {
+            incoming.data.extend_from_slice(&chunk.data);
+        }
+        incoming.data.len() as u64
+    }
+
+    fn complete_snapshot(&mut self, from: ReplicaId, beat: Beat) {
+        let Some(Incoming { meta, data }) = self.incoming.take() else {
+            return;
+        };
+        let valid = data.len() as u64 == meta.size && crc32fast::hash(&data) == meta.crc;
+        if !valid {
+            ::log::error!(
+                "group {}: snapshot {} of replica {from} is damaged",
+                self.group,
+                meta.index
+            );
+            return;
+        }
+        self.out.install = Some(Install {
+            meta,
+            data,
+            from,
+            beat,
+        });
+    }
+
+    fn reply_chunk(&mut self, to: ReplicaId, beat: Beat, index: u64, progress: ChunkProgress) {
+        let reply = ChunkReply {
+            beat,
+            index,
+            progress,
+        };
+        self.send_late(to, Body::SnapshotReply(reply));
+    }
+
+    /// Replaces the log by a snapshot that the host has stored and restored.
+    pub fn installed(&mut self, install: &Install) {
+        let meta = install.meta.clone();
+        let index = meta.index;
+        self.members = crate::member::History::new(index, meta.members.clone());
+        // Records of entries that this step appended before are superseded.
+        self.out.records.push(Record::Reset {
+            index,
+            term: meta.term,
+        });
+        self.durable_index = index;
+        self.log.reset(meta);
+        self.members_changed();
+        let progress = ChunkProgress::Installed { index };
+        self.reply_chunk(install.from, install.beat, index, progress);
+    }
+}
--- /dev/null
+++ b/crates/coord/src/node/progress.rs
@@ -0,0 +1,125 @@
+//! What a leader knows of another replica.
+
+use std::collections::VecDeque;
+
+use crate::message::Beat;
+
+/// Appends that may be on the way to one replica.
+const MAX_INFLIGHT_APPENDS: usize = 256;
+
+/// How entries are sent to a replica.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Mode {
+    /// The last matching entry is being looked for with empty appends.
+    Probe,
+    /// Entries are sent without waiting for replies.
+    Replicate,
+    /// The replica lacks entries that are no longer in the log.
+    Snapshot {
+        /// The index that the snapshot covers.
+        index: u64,
+        /// The next byte to send.
+        offset: u64,
+        /// When that byte was sent, if it was.
+        sent_ms: Option<u64>,
+    },
+}
+
+/// The state of replication to one replica.
+#[derive(Debug)]
+pub(crate) struct Progress {
+    /// The last index that the replica is known to hold durably.
+    pub match_index: u64,
+    /// The next index to send.
+    pub next_index: u64,
+    pub mode: Mode,
+    /// When the replica was last heard, by the leader's clock.
+    pub heard_ms: u64,
+    /// The latest broadcast that the replica answered.
+    pub answered: Option<Beat>,
+    inflight: VecDeque<Inflight>,
+    inflight_bytes: u64,
+}
+
+#[derive(Debug)]
+struct Inflight {
+    last_index: u64,
+    bytes: u64,
+}
+
+impl Progress {
+    pub fn new(next_index: u64, now_ms: u64) -> Progress {
+        Progress {
+            match_index: 0,
+            next_index,
+            mode: Mode::Replicate,
+            heard_ms: now_ms,
+            answered: None,
+            inflight: VecDeque::new(),
+            inflight_bytes: 0,
+        }
+    }
+
+    /// Notes any reply to a broadcast.
+    pub fn answered(&mut self, beat: Beat, now_ms: u64) {
+        self.heard_ms = now_ms;
+        let latest = self.answered.get_or_insert(beat);
+        latest.round = latest.round.max(beat.round);
+        latest.sent_ms = latest.sent_ms.max(beat.sent_ms);
+    }
+
+    /// Returns whether more entries may be sent.
+    pub fn has_room(&self, max_bytes: u64) -> bool {
+        self.mode == Mode::Replicate
+            && self.inflight_bytes < max_bytes
+            && self.inflight.len() < MAX_INFLIGHT_APPENDS
+    }
+
+    /// Notes entries that were sent.
+    pub fn sent(&mut self, last_index: u64, bytes: u64) {
+        self.next_index = last_index + 1;
+        self.inflight_bytes += bytes;
+        self.inflight.push_back(Inflight { last_index, bytes });
+    }
+
+    /// Notes that the replica holds the log up to an index.
+    pub fn accepted(&mut self, match_index: u64) {
+        self.match_index = self.match_index.max(match_index);
+        self.next_index = self.next_index.max(self.match_index + 1);
+        while let Some(oldest) = self.inflight.front() {
+            if oldest.last_index > self.match_index {
+                break;
+            }
+            self.inflight_bytes -= oldest.bytes;
+            self.inflight.pop_front();
+        }
+        if self.mode == Mode::Probe {
+            self.mode = Mode::Replicate;
+        }
+    }
+
+    /// Moves back after a rejection. Returns whether it was a current one.
+    pub fn rejected(&mut self, prev_index: u64, hint_index: u64) -> bool {
+        let current = match self.mode {
+            Mode::Probe => prev_index + 1 == self.next_index,
+            Mode::Replicate => prev_index < self.next_index,
+            Mode::Snapshot { .. } => false,
+        };
+        // A rejection of an acknowledged entry is late, or the replica lost its
+        // disk and must not count any more; neither is worth a new attempt.
+        if !current || prev_index <= self.match_index {
+            return false;
+        }
+        let next = hint_index.min(prev_index.saturating_sub(1)) + 1;
+        self.restart(next.max(self.match_index + 1), Mode::Probe);
+        true
+    }
+
+    /// Continues at an index in another mode.
+    pub fn restart(&mut self, next_index: u64, mode: Mode) {
+        self.next_index = next_index;
+        self.mode = mode;
+        self.inflight.clear();
+        self.inflight_bytes = 0;
+    }
+}
--- /dev/null
+++ b/crates/coord/src/snapshot/mod.rs
@@ -0,0 +1,154 @@
+//! Snapshot files.
+//!
+//! A file holds the length and checksum of the description, the description,
+//! and the data of the state machine.
+
+use crate::{
+    GroupId,
+    message::SnapshotMeta,
+    storage::{self, Disk, Error, TEMPORARY_SUFFIX},
+};
+
+const PREFIX: &str = "snapshot-";
+const PREAMBLE_BYTES: usize = 8;
+
+/// Bytes of a snapshot that one step writes, so that a large snapshot does not
+/// hold up the other groups for long.
+const PIECE_BYTES: usize = 4 << 20;
+
+/// A complete snapshot on the disk.
+#[derive(Clone, Debug)]
+pub(crate) struct Stored {
+    pub name: String,
+    pub meta: SnapshotMeta,
+    data_offset: u64,
+}
+
+impl Stored {
+    /// Reads a piece of the data.
+    pub fn read<D: Disk>(
+        &self,
+        disk: &mut D,
+        offset: u64,
+        length: usize,
+    ) -> Result<Vec<u8>, Error> {
+        disk.read(&self.name, self.data_offset + offset, length)
+    }
+
+    /// Reads all data and checks it.
+    pub fn read_all<D: Disk>(&self, disk: &mut D) -> Result<Vec<u8>, Error> {
+        let data = self.read(disk, 0, usize::MAX)?;
+        let valid = data.len() as u64 == self.meta.size && crc32fast::hash(&data) == self.meta.crc;
+        if valid {
+            Ok(data)
+        } else {
+            Err(Error::corrupt(
+                &self.name,
+                self.data_offset,
+                "wrong checksum",
+            ))
+        }
+    }
+}
+
+/// A snapshot that is being written.
+#[derive(Debug)]
+pub(crate) struct Writer {
+    stored: Stored,
+    bytes: Vec<u8>,
+    written: usize,
+}
+
+impl Writer {
+    pub fn new(group: GroupId, meta: SnapshotMeta, data: &[u8]) -> Writer {
+        let description = postcard::to_stdvec(&meta).expect("descriptions are encodable");
+        let mut bytes = Vec::with_capacity(PREAMBLE_BYTES + description.len() + data.len());
+        bytes.extend((description.len() as u32).to_le_bytes());
+        bytes.extend(crc32fast::hash(&description).to_le_bytes());
+        bytes.extend(description);
+        let data_offset = bytes.len() as u64;
+        bytes.extend(data);
+        Writer {
+            stored: Stored {
+                name: format!("{PREFIX}{:08x}-{:016x}", group.0, meta.index),
+                meta,
+                data_offset,
+            },
+            bytes,
+            written: 0,
+        }
+    }
+
+    /// Writes one piece and returns the snapshot once it is complete and durable.
+    pub fn advance<D: Disk>(&mut self, disk: &mut D) -> Result<Option<Stored>, Error> {
+        let temporary = format!("{}{TEMPORARY_SUFFIX}", self.stored.name);
+        let end = self.bytes.len().min(self.written + PIECE_BYTES);
+        if self.written == 0 {
+            // An earlier attempt may have been abandoned.
+            disk.remove(&temporary)?;
+        }
+        disk.append(&temporary, &self.bytes[self.written..end])?;
+        // Each piece is synced, so that the last sync is not a long one.
+        disk.sync(&temporary)?;
+        self.written = end;
+        if end < self.bytes.len() {
+            return Ok(None);
+        }
+        disk.rename(&temporary, &self.stored.name)?;
+        Ok(Some(self.stored.clone()))
+    }
+
+    /// Writes all remaining pieces.
+    pub fn complete<D: Disk>(mut self, disk: &mut D) -> Result<Stored, Error> {
+        loop {
+            if let Some(stored) = self.advance(disk)? {
+                return Ok(stored);
+            }
+        }
+    }
+}
+
+/// Returns the snapshots on a disk by group and rising index, and removes
+/// incomplete files.
+pub(crate) fn list<D: Disk>(disk: &mut D) -> Result<Vec<(GroupId, Stored)>, Error> {
+    let mut found = Vec::new();
+    for file in disk.list()? {
+        if file.name.ends_with(TEMPORARY_SUFFIX) {
+            disk.remove(&file.name)?;
+        } else if let Some(rest) = file.name.strip_prefix(PREFIX) {
+            found.push(open(disk, &file, rest)?);
+        }
+    }
+    Ok(found)
+}
+
+fn open<D: Disk>(
+    disk: &mut D,
+    file: &storage::File,
+    rest: &str,
+) -> Result<(GroupId, Stored), Error> {
+    let wrong = |reason| Error::corrupt(&file.name, 0, reason);
+    let group = rest
+        .split_once('-')
+        .and_then(|(group, _)| u32::from_str_radix(group, 16).ok())
+        .ok_or_else(|| wrong("snapshot name"))?;
+    let preamble = disk.read(&file.name, 0, PREAMBLE_BYTES)?;
+    let Some((length, crc)) = preamble.split_at_checked(PREAMBLE_BYTES / 2) else {
+        return Err(wrong("short snapshot"));
+    };
+    let number = |bytes: &[u8]| bytes.try_into().map(u32::from_le_bytes);
+    let (Ok(length), Ok(crc)) = (number(length), number(crc)) else {
+        return Err(wrong("short snapshot"));
+    };
+    let description = disk.read(&file.name, PREAMBLE_BYTES as u64, length as usize)?;
+    if crc32fast::hash(&description) != crc {
+        return Err(wrong("wrong checksum of the description"));
+    }
+    let meta = postcard::from_bytes(&description).map_err(|_| wrong("malformed description"))?;
+    let stored = Stored {
+        name: file.name.clone(),
+        meta,
+        data_offset: (PREAMBLE_BYTES + description.len()) as u64,
+    };
+    Ok((GroupId(group), stored))
+}
--- a/crates/coord/src/storage/directory.rs
+++ b/crates/coord/src/storage/directory.rs
@@ -99,8 +99,9 @@
     fn remove_file(&mut self, name: &str) -> io::Result<()> {
         self.writers.remove(name);
         match fs::remove_file(self.path.join(name)) {
-            Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
-            _ => self.sync_entries(),
+            Ok(()) => self.sync_entries(),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(()),
+            Err(error) => Err(error),
         }
     }
 
--- a/crates/coord/src/storage/memory.rs
+++ b/crates/coord/src/storage/memory.rs
@@ -4,6 +4,9 @@
 
 use crate::storage::{Disk, Error, File};
 
+/// Disks write whole sectors of at least this size.
+const SECTOR_BYTES: usize = 512;
+
 /// What a crash leaves of data that was not synced.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Loss {
@@ -16,8 +19,8 @@
         /// Unsynced bytes kept per file.
         keep: usize,
     },
-    /// The right size, but zeros after this number of bytes: a write whose
-    /// metadata reached the disk before its data.
+    /// The right size, but zeros from the first whole sector after this number
+    /// of bytes: a write whose metadata reached the disk before its data.
     Zeroed {
         /// Unsynced bytes kept per file before the zeros.
         keep: usize,
@@ -130,7 +133,8 @@
             Loss::Nothing => {}
             Loss::Torn { keep } => self.data.truncate(self.synced.saturating_add(keep)),
             Loss::Zeroed { keep } => {
-                self.data.truncate(self.synced.saturating_add(keep));
+                let kept = self.synced.saturating_add(keep);
+                self.data.truncate(kept.next_multiple_of(SECTOR_BYTES));
                 self.data.resize(size, 0);
             }
         }
--- a/crates/coord/src/storage/mod.rs
+++ b/crates/coord/src/storage/mod.rs
@@ -8,6 +8,9 @@
 pub use error::Error;
 pub use memory::{Loss, Memory};
 
+/// Suffix of files that are not complete yet; they are removed at the next start.
+pub(crate) const TEMPORARY_SUFFIX: &str = ".tmp";
+
 /// A file on a disk.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct File {
--- /dev/null
+++ b/crates/coord/src/wal/mod.rs
@@ -0,0 +1,194 @@
+//! The write-ahead log that all groups of a host share.
+//!
+//! The log is a series of segment files. Each step of the host appends one
+//! frame with the records of all groups and syncs once. A frame is written only
+//! after the sync of the one before it, so everything in front of a valid frame
+//! had been synced: damage there is corruption, damage behind the last valid
+//! frame may be a torn write.
+
+mod frame;
+mod replay;
+
+use std::collections::{BTreeMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{GroupId, ReplicaId, message, storage};
+
+pub(crate) use replay::Replay;
+
+const SEGMENT_PREFIX: &str = "wal-";
+
+/// Segments that are kept before entries of quiet groups are written anew to
+/// free the oldest one.
+const RELOCATION_SEGMENTS: usize = 4;
+
+/// A record of one group.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum Record {
+    /// The term and the vote in it.
+    Vote { term: u64, vote: Option<ReplicaId> },
+    /// An entry, which replaces different entries at and after its index.
+    Entry(message::Entry),
+    /// A snapshot of this index and term replaced the whole log.
+    Reset { index: u64, term: u64 },
+}
+
+#[derive(Debug)]
+struct Segment {
+    number: u64,
+    size: u64,
+    /// The highest index of each group in this segment that is not written
+    /// again in a later segment.
+    last: BTreeMap<GroupId, u64>,
+}
+
+impl Segment {
+    fn new(number: u64) -> Segment {
+        Segment {
+            number,
+            size: 0,
+            last: BTreeMap::new(),
+        }
+    }
+
+    fn name(&self) -> String {
+        format!("{SEGMENT_PREFIX}{:016x}", self.number)
+    }
+
+    fn note(&mut self, group: GroupId, index: u64) {
+        let last = self.last.entry(group).or_default();
+        *last = index.max(*last);
+    }
+}
+
+/// The open log.
+#[derive(Debug)]
+pub(crate) struct Wal {
+    replica: ReplicaId,
+    segment_bytes: u64,
+    /// The sequence number of the next frame.
+    sequence: u64,
+    segments: VecDeque<Segment>,
+    /// The frame that is being built.
+    frame: frame::Builder,
+    /// Highest index of each group in the frame that is being built.
+    noted: BTreeMap<GroupId, u64>,
+    /// Groups whose live entries are all in the frame that is being built.
+    relocated: Vec<GroupId>,
+}
+
+impl Wal {
+    /// Opens the log and replays its records.
+    pub fn open<D: storage::Disk>(
+        disk: &mut D,
+        replica: ReplicaId,
+        segment_bytes: u64,
+    ) -> Result<(Wal, BTreeMap<GroupId, Replay>), storage::Error> {
+        let recovered = replay::run(disk, replica)?;
+        let wal = Wal {
+            replica,
+            segment_bytes,
+            sequence: recovered.sequence,
+            segments: recovered.segments,
+            frame: frame::Builder::new(replica),
+            noted: BTreeMap::new(),
+            relocated: Vec::new(),
+        };
+        Ok((wal, recovered.groups))
+    }
+
+    /// Adds a record to the frame.
+    pub fn push(&mut self, group: GroupId, record: &Record) {
+        if let Record::Entry(entry) = record {
+            let last = self.noted.entry(group).or_default();
+            *last = entry.index.max(*last);
+        }
+        self.frame.push(group, record);
+    }
+
+    /// Returns whether the frame has records.
+    pub fn has_pending(&self) -> bool {
+        !self.frame.is_empty()
+    }
+
+    /// Returns whether the next frame opens a segment. It must then hold the
+    /// vote of every group, because older segments will be removed.
+    pub fn opens_segment(&self) -> bool {
+        self.segments
+            .back()
+            .is_none_or(|segment| segment.size >= self.segment_bytes)
+    }
+
+    /// Writes and syncs the frame. Returns its size in bytes.
+    pub fn commit<D: storage::Disk>(&mut self, disk: &mut D) -> Result<u64, storage::Error> {
+        if self.opens_segment() {
+            let number = self.segments.back().map_or(1, |last| last.number + 1);
+            self.segments.push_back(Segment::new(number));
+        }
+        let bytes = self.frame.finish(self.sequence);
+        let size = bytes.len() as u64;
+        let last = self.segments.len() - 1;
+        let name = self.segments[last].name();
+        disk.append(&name, bytes)?;
+        disk.sync(&name)?;
+        self.sequence += 1;
+        self.frame = frame::Builder::reuse(self.replica, std::mem::take(&mut self.frame));
+        for group in self.relocated.drain(..) {
+            for segment in &mut self.segments {
+                segment.last.remove(&group);
+            }
+        }
+        let segment = &mut self.segments[last];
+        segment.size += size;
+        for (group, index) in std::mem::take(&mut self.noted) {
+            segment.note(group, index);
+        }
+        Ok(size)
+    }
+
+    /// Removes the oldest segments while snapshots cover all their entries.
+    pub fn remove_covered<D: storage::Disk>(
+        &mut self,
+        disk: &mut D,
+        snapshot_index: impl Fn(GroupId) -> u64,
+    ) -> Result<(), storage::Error> {
+        while self.segments.len() > 1 {
+            let oldest = &self.segments[0];
+            let covered = oldest
+                .last
+                .iter()
+                .all(|(group, index)| *index <= snapshot_index(*group));
+            if !covered {
+                break;
+            }
+            disk.remove(&oldest.name())?;
+            self.segments.pop_front();
+        }
+        Ok(())
+    }
+
+    /// Returns the groups that keep the oldest segment, if the log is larger
+    /// than its live entries justify. The bound of twice the live entries keeps
+    /// the cost of writing them anew proportional to what was logged since.
+    pub fn groups_to_relocate(
+        &self,
+        live_bytes: u64,
+        snapshot_index: impl Fn(GroupId) -> u64,
+    ) -> Vec<GroupId> {
+        let size: u64 = self.segments.iter().map(|segment| segment.size).sum();
+        if self.segments.len() <= RELOCATION_SEGMENTS || size <= 2 * live_bytes {
+            return Vec::new();
+        }
+        let oldest = self.segments[0].last.iter();
+        oldest
+            .filter(|(group, index)| **index > snapshot_index(**group))
+            .map(|(group, _)| *group)
+            .collect()
+    }
+
+    /// Notes that the frame holds all live entries of a group.
+    pub fn note_relocated(&mut self, group: GroupId) {
+        self.relocated.push(group);
+    }
+}
--- /dev/null
+++ b/crates/coord/tests/failures.rs
@@ -0,0 +1,528 @@
+//! Failures of processes, disks and networks, each injected on its own.
+
+mod common;
+
+use bw_coord::{
+    GroupId, ReplicaId, host, member, message, node,
+    storage::{self, Disk, Loss},
+};
+use common::{Cluster, ELECTION_TIMEOUT_MS, FIRST, GROUPS, Options};
+use rstest::rstest;
+
+fn cluster(replicas: u64, seed: u64) -> Cluster {
+    Cluster::new(Options::new(replicas, seed))
+}
+
+fn segments(cluster: &Cluster, id: u64) -> Vec<storage::File> {
+    let mut disk = cluster.slots[&id].disk.clone();
+    let files = disk.list().expect("readable");
+    let is_segment = |file: &storage::File| file.name.starts_with("wal-");
+    files.into_iter().filter(is_segment).collect()
+}
+
+/// Guards against answering before a quorum has the entry on disk.
+#[rstest]
+fn acknowledged_entry_survives_the_leader_killed_right_after(
+    #[values(3, 5)] replicas: u64,
+    #[values(Loss::All, Loss::Torn { keep: 7 })] loss: Loss,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut cluster = cluster(replicas, seed);
+    let leader = cluster.await_leader(FIRST);
+    let ticket = cluster.write(leader, FIRST, 100);
+    while !cluster.answers.contains_key(&ticket) {
+        cluster.run(1);
+    }
+    cluster.lose_disk(leader);
+    for id in 1..=replicas {
+        if id != leader {
+            cluster.crash(id, loss);
+            cluster.start(id).expect("a torn tail is no damage");
+        }
+    }
+    cluster.settle();
+    assert!(cluster.sequence[&FIRST].contains(&ticket));
+}
+
+/// Guards against counting a repaired replica before it holds the log: the
+/// second loss then takes the only other copy.
+#[rstest]
+fn entries_survive_a_second_disk_lost_right_after_the_first_was_replaced(
+    #[values(1, 2, 3, 4)] seed: u64,
+) {
+    let mut cluster = cluster(3, seed);
+    for _ in 0..60 {
+        cluster.write_acked(FIRST, 100);
+    }
+    cluster.lose_disk(3);
+    cluster.create(4, Vec::new());
+    let add = cluster.learner(4, 2);
+    cluster.change_all(&add);
+    cluster.await_voter(4);
+    cluster.change_all(&member::Change::Remove {
+        replica: ReplicaId(3),
+    });
+    cluster.lose_disk(1);
+    cluster.settle();
+    assert!(cluster.acked[&FIRST].len() > 60);
+}
+
+/// Guards against counting a learner that does not receive the log.
+#[rstest]
+fn learner_without_the_log_never_votes() {
+    let mut cluster = cluster(3, 5);
+    cluster.await_leader(FIRST);
+    cluster.create(4, Vec::new());
+    for other in 1..=3 {
+        cluster.blocked.insert((4, other));
+    }
+    let add = cluster.learner(4, 0);
+    cluster.change_all(&add);
+    for _ in 0..20 {
+        cluster.write_acked(FIRST, 100);
+    }
+    assert!(!cluster.is_voter(FIRST, 4));
+    cluster.blocked.clear();
+    cluster.await_voter(4);
+    cluster.settle();
+}
+
+/// Guards against an append that is counted twice or entries that vanish when
+/// the last write of a crashed process is incomplete.
+#[rstest]
+fn torn_tail_is_dropped_and_the_replica_rejoins(
+    #[values(Loss::Torn { keep: 1 }, Loss::Torn { keep: 30 }, Loss::Zeroed { keep: 0 }, Loss::Zeroed { keep: 700 })]
+    loss: Loss,
+    #[values(1, 2)] seed: u64,
+) {
+    let mut cluster = cluster(3, seed);
+    for _ in 0..5 {
+        cluster.write_acked(FIRST, 100);
+    }
+    let leader = cluster.await_leader(FIRST);
+    // The sync fails after the append, so the record is on its way to the disk.
+    cluster.slots[&leader].disk.fail_syncs(1);
+    let ticket = cluster.write(leader, FIRST, 2_000);
+    cluster.run(1);
+    assert!(matches!(
+        cluster.slots[&leader].error,
+        Some(storage::Error::Io {
+            operation: "sync",
+            ..
+        })
+    ));
+    assert!(matches!(
+        cluster.answers.get(&ticket),
+        Some(Err(host::Refusal::Lost))
+    ));
+    cluster.crash(leader, loss);
+    cluster.start(leader).expect("a torn tail is no damage");
+    cluster.settle();
+}
+
+/// Guards against silently forgetting a vote or an acknowledged entry.
+#[rstest]
+#[case::middle(0.5)]
+#[case::first_segment(0.0)]
+#[case::tail(1.0)]
+fn corrupt_record_stops_the_replica_until_it_is_replaced(#[case] position: f64) {
+    let mut options = Options::new(3, 7);
+    options.snapshot_log_bytes = 1 << 20;
+    let mut cluster = Cluster::new(options);
+    for _ in 0..30 {
+        cluster.write_acked(FIRST, 300);
+    }
+    cluster.crash(2, Loss::Nothing);
+    let files = segments(&cluster, 2);
+    let file = &files[((files.len() - 1) as f64 * position) as usize];
+    let offset = (file.size - 40) as f64 * position.max(0.2);
+    assert!(cluster.slots[&2].disk.corrupt(&file.name, offset as usize));
+    let error = cluster.start(2).expect_err("damage is found");
+    assert!(matches!(error, storage::Error::Corrupt { .. }), "{error}");
+    cluster.lose_disk(2);
+    cluster.create(4, Vec::new());
+    let add = cluster.learner(4, 1);
+    cluster.change_all(&add);
+    cluster.await_voter(4);
+    cluster.change_all(&member::Change::Remove {
+        replica: ReplicaId(2),
+    });
+    cluster.settle();
+}
+
+/// Guards against a segment that vanished from the middle of the log.
+#[rstest]
+fn missing_segment_stops_the_replica() {
+    let mut options = Options::new(3, 8);
+    options.snapshot_log_bytes = 1 << 20;
+    let mut cluster = Cluster::new(options);
+    for _ in 0..40 {
+        cluster.write_acked(FIRST, 400);
+    }
+    cluster.crash(2, Loss::Nothing);
+    let files = segments(&cluster, 2);
+    assert!(files.len() > 3);
+    let mut disk = cluster.slots[&2].disk.clone();
+    disk.remove(&files[1].name).expect("removable");
+    let error = cluster.start(2).expect_err("damage is found");
+    assert!(matches!(error, storage::Error::Corrupt { .. }), "{error}");
+}
+
+/// Guards against a snapshot that changed on the disk.
+#[rstest]
+fn corrupt_snapshot_stops_the_replica() {
+    let mut cluster = cluster(3, 9);
+    for _ in 0..60 {
+        cluster.write_acked(FIRST, 200);
+    }
+    cluster.crash(1, Loss::Nothing);
+    let mut disk = cluster.slots[&1].disk.clone();
+    let files = disk.list().expect("readable");
+    let snapshot = files
+        .iter()
+        .find(|file| file.name.starts_with("snapshot-00000000"))
+        .expect("a snapshot was taken");
+    disk.corrupt(&snapshot.name, snapshot.size as usize - 1);
+    let error = cluster.start(1).expect_err("damage is found");
+    assert!(matches!(error, storage::Error::Corrupt { .. }), "{error}");
+}
+
+/// Guards against acknowledging what was not made durable.
+#[rstest]
+#[case::full_disk(true)]
+#[case::failing_sync(false)]
+fn broken_disk_stops_its_replica_and_the_others_continue(
+    #[case] full: bool,
+    #[values(true, false)] at_leader: bool,
+) {
+    let mut cluster = cluster(3, 11);
+    cluster.write_acked(FIRST, 100);
+    let leader = cluster.await_leader(FIRST);
+    let broken = if at_leader { leader } else { leader % 3 + 1 };
+    let disk = cluster.slots[&broken].disk.clone();
+    if full {
+        disk.set_capacity(Some(disk.used()));
+    } else {
+        disk.fail_syncs(1);
+    }
+    let ticket = cluster.write(leader, FIRST, 100);
+    cluster.run(200);
+    let expected_full = matches!(
+        cluster.slots[&broken].error,
+        Some(storage::Error::Full { .. })
+    );
+    assert_eq!(expected_full, full);
+    assert!(cluster.slots[&broken].host.is_none());
+    assert_eq!(
+        matches!(cluster.answers.get(&ticket), Some(Ok(_))),
+        !at_leader
+    );
+    cluster.settle();
+}
+
+/// Guards against use of a host after its disk failed.
+#[rstest]
+fn stopped_host_refuses_every_input() {
+    let disk = storage::Memory::new();
+    let members = vec![member::Member::voter(ReplicaId(1), "", "zone-a")];
+    let mut host = host::Builder::<common::Edge>::new(ReplicaId(1), members)
+        .group(FIRST, common::Journal::default())
+        .open(disk.clone())
+        .expect("an empty disk opens");
+    let mut now = 0;
+    while host.status(FIRST).expect("known").lease_remaining_ms == 0 {
+        now += 100;
+        host.step(vec![host::Input::Tick], now, &mut |_| {})
+            .expect("healthy disk");
+    }
+    disk.fail_syncs(1);
+    let propose = |ticket| host::Input::Propose {
+        group: FIRST,
+        ticket,
+        command: vec![0; 8],
+    };
+    let mut answers = Vec::new();
+    let mut collect = |output| {
+        if let host::Output::Proposed { ticket, result } = output {
+            answers.push((ticket, result));
+        }
+    };
+    assert!(host.step(vec![propose(1)], now, &mut collect).is_err());
+    assert!(host.step(vec![propose(2)], now, &mut collect).is_err());
+    let expected = [
+        (1, Err(host::Refusal::Lost)),
+        (2, Err(host::Refusal::Stopped)),
+    ];
+    assert_eq!(answers, expected);
+    let status = host.status(FIRST).expect("known");
+    assert_eq!(status.role, node::Role::Follower);
+    assert_eq!(status.lease_remaining_ms, 0);
+}
+
+/// Guards against two leaders that both act: the cut-off one must stop serving
+/// before another one is elected.
+#[rstest]
+fn silently_cut_off_leader_stops_serving_reads_and_writes(
+    #[values(true, false)] lease_reads: bool,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut options = Options::new(3, seed);
+    options.lease_reads = lease_reads;
+    let mut cluster = Cluster::new(options);
+    let old = cluster.await_leader(FIRST);
+    cluster.isolate(old, true);
+    let write = cluster.write(old, FIRST, 8);
+    let mut reads = Vec::new();
+    for _ in 0..100 {
+        reads.push(cluster.read(old, FIRST));
+        // Writes of a new leader make a stale read of the old one visible.
+        if let Some(new) = cluster.leader(FIRST).filter(|new| *new != old) {
+            cluster.write(new, FIRST, 8);
+        }
+        cluster.run(10);
+    }
+    assert_eq!(cluster.answers.get(&write), Some(&Err(host::Refusal::Lost)));
+    let last = cluster.answers.get(&reads[99]);
+    assert!(matches!(last, Some(Err(host::Refusal::NotLeader { .. }))));
+    assert_ne!(cluster.leader(FIRST), Some(old));
+    cluster.settle();
+}
+
+/// Guards against a replica that returns and disturbs a healthy leader.
+#[rstest]
+fn returning_replica_does_not_depose_the_leader(#[values(1, 2, 3, 4)] seed: u64) {
+    let mut cluster = cluster(3, seed);
+    let leader = cluster.await_leader(FIRST);
+    let cut_off = leader % 3 + 1;
+    let term = cluster.status(leader, FIRST).expect("running").term;
+    cluster.isolate(cut_off, true);
+    cluster.run(10 * ELECTION_TIMEOUT_MS);
+    cluster.isolate(cut_off, false);
+    cluster.run(5 * ELECTION_TIMEOUT_MS);
+    let status = cluster.status(leader, FIRST).expect("running");
+    assert_eq!((status.role, status.term), (node::Role::Leader, term));
+}
+
+/// Guards against a replica that never catches up once its entries are gone
+/// from the others' logs.
+#[rstest]
+fn replica_that_missed_hundreds_of_entries_catches_up(
+    #[values(0, 5_000)] padding: usize,
+    #[values(false, true)] unreliable: bool,
+) {
+    let mut options = Options::new(3, 21);
+    options.padding = padding;
+    let mut cluster = Cluster::new(options);
+    let leader = cluster.await_leader(FIRST);
+    let behind = leader % 3 + 1;
+    cluster.crash(behind, Loss::All);
+    for _ in 0..60 {
+        for _ in 0..10 {
+            cluster.write(leader, FIRST, 64);
+        }
+        cluster.run(20);
+    }
+    let status = cluster.status(leader, FIRST).expect("running");
+    assert!(status.snapshot_index > 300, "{}", status.snapshot_index);
+    if unreliable {
+        cluster.network = common::Network {
+            loss: 0.1,
+            duplication: 0.1,
+            max_delay_ms: 20,
+        };
+    }
+    cluster.start(behind).expect("healthy disk");
+    cluster.run(30 * ELECTION_TIMEOUT_MS);
+    cluster.settle();
+    let caught_up = cluster.status(behind, FIRST).expect("running");
+    assert!(caught_up.applied >= status.applied);
+    // The installed snapshot must survive a restart.
+    cluster.crash(behind, Loss::All);
+    cluster.start(behind).expect("healthy disk");
+    cluster.settle();
+}
+
+/// Guards against losing leadership for an election timeout, or proposals, on a
+/// graceful stop.
+#[rstest]
+fn transfer_on_stop_hands_over_without_losing_a_proposal(
+    #[values(3, 5)] replicas: u64,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut cluster = cluster(replicas, seed);
+    let old = cluster.await_leader(FIRST);
+    let before: Vec<u64> = (0..20).map(|_| cluster.write(old, FIRST, 50)).collect();
+    cluster.transfer(old, FIRST);
+    let refused = cluster.write(old, FIRST, 50);
+    cluster.run(ELECTION_TIMEOUT_MS / 2);
+    let new = cluster.leader(FIRST).expect("handed over");
+    assert_ne!(new, old);
+    for ticket in before {
+        assert!(matches!(cluster.answers.get(&ticket), Some(Ok(_))));
+    }
+    assert_eq!(
+        cluster.answers.get(&refused),
+        Some(&Err(host::Refusal::Busy))
+    );
+    cluster.crash(old, Loss::All);
+    cluster.start(old).expect("healthy disk");
+    cluster.settle();
+}
+
+/// Guards against a commit that a single failure domain could take away.
+#[rstest]
+#[case::required(true)]
+#[case::not_required(false)]
+fn commit_waits_for_a_second_failure_domain_if_required(#[case] required: bool) {
+    let mut options = Options::new(3, 31);
+    options.domains = vec![0, 0, 1];
+    options.span_domains = required;
+    let mut cluster = Cluster::new(options);
+    let mut leader = cluster.await_leader(FIRST);
+    while leader == 3 {
+        cluster.transfer(leader, FIRST);
+        cluster.run(ELECTION_TIMEOUT_MS);
+        leader = cluster.await_leader(FIRST);
+    }
+    cluster.isolate(3, true);
+    let ticket = cluster.write(leader, FIRST, 10);
+    cluster.run(100);
+    assert_eq!(cluster.answers.contains_key(&ticket), !required);
+    cluster.isolate(3, false);
+    cluster.run(100);
+    assert!(matches!(cluster.answers.get(&ticket), Some(Ok(_))));
+}
+
+/// Guards against membership changes that make the group unsafe or unusable.
+#[rstest]
+#[case::used_id(
+    member::Change::Add(member::Member::learner(ReplicaId(9), "", "zone-a")),
+    member::Invalid::ReplicaIdUsed
+)]
+#[case::moved(
+    member::Change::Add(member::Member::learner(ReplicaId(1), "", "zone-c")),
+    member::Invalid::FailureDomainChanged
+)]
+#[case::one_domain(member::Change::Remove { replica: ReplicaId(3) }, member::Invalid::TooFewFailureDomains)]
+fn invalid_change_is_refused(#[case] change: member::Change, #[case] reason: member::Invalid) {
+    let mut options = Options::new(3, 41);
+    options.domains = vec![0, 0, 1];
+    let mut cluster = Cluster::new(options);
+    cluster.await_leader(FIRST);
+    cluster.create(9, Vec::new());
+    let add = cluster.learner(9, 0);
+    cluster.change_all(&add);
+    cluster.await_voter(9);
+    cluster.change_all(&member::Change::Remove {
+        replica: ReplicaId(9),
+    });
+    let leader = cluster.await_leader(FIRST);
+    let ticket = cluster.change(leader, FIRST, change);
+    cluster.run(100);
+    let expected = Err(host::Refusal::InvalidChange { reason });
+    assert_eq!(cluster.answers.get(&ticket), Some(&expected));
+}
+
+/// Guards against a leader that keeps leading a group it was removed from.
+#[rstest]
+fn removed_leader_hands_over(#[values(1, 2, 3)] seed: u64) {
+    let mut cluster = cluster(5, seed);
+    let old = cluster.await_leader(FIRST);
+    cluster.change_all(&member::Change::Remove {
+        replica: ReplicaId(old),
+    });
+    cluster.run(ELECTION_TIMEOUT_MS);
+    let new = cluster.await_leader(FIRST);
+    assert_ne!(new, old);
+    assert!(!cluster.is_voter(FIRST, old));
+    cluster.settle();
+}
+
+/// Guards against a log that grows without bound because one group is quiet.
+#[rstest]
+fn quiet_group_does_not_keep_old_segments(#[values(1, 2)] seed: u64) {
+    let mut cluster = cluster(3, seed);
+    cluster.write_acked(common::SECOND, 100);
+    for _ in 0..100 {
+        let leader = cluster.await_leader(FIRST);
+        for _ in 0..5 {
+            cluster.write(leader, FIRST, 300);
+        }
+        cluster.run(30);
+    }
+    for id in 1..=3 {
+        let used = cluster.slots[&id].disk.used();
+        assert!(used < 80 << 10, "replica {id} uses {used} bytes");
+        cluster.crash(id, Loss::All);
+        cluster.start(id).expect("healthy disk");
+    }
+    cluster.settle();
+}
+
+/// Guards against a snapshot after every few entries once the state is large.
+#[rstest]
+fn snapshots_of_a_large_state_stay_rare() {
+    let mut options = Options::new(1, 51);
+    options.span_domains = false;
+    options.padding = 64 << 10;
+    let mut cluster = Cluster::new(options);
+    for _ in 0..200 {
+        cluster.write_acked(FIRST, 1_000);
+    }
+    let host = cluster.slots[&1].host.as_ref().expect("running");
+    let stats = host.stats();
+    assert!(stats.snapshots > 0);
+    assert!(stats.snapshot_bytes <= 2 * stats.log_bytes, "{stats:?}");
+}
+
+/// Guards against one sync per group or per entry.
+#[rstest]
+fn one_sync_covers_a_step_of_all_groups() {
+    let mut options = Options::new(1, 52);
+    options.span_domains = false;
+    let mut cluster = Cluster::new(options);
+    for group in GROUPS {
+        cluster.await_leader(group);
+    }
+    let before = cluster.slots[&1].disk.syncs();
+    for group in GROUPS {
+        for _ in 0..10 {
+            cluster.write(1, group, 20);
+        }
+    }
+    cluster.run(1);
+    assert_eq!(cluster.slots[&1].disk.syncs() - before, 1);
+    assert_eq!(cluster.acked[&FIRST].len(), 10);
+}
+
+/// Guards against opening the files of another replica or with a group missing.
+#[rstest]
+#[case::replica(2, &[FIRST, common::SECOND], "belong to replica 1")]
+#[case::group(1, &[FIRST], "unknown group 1")]
+fn files_of_another_setup_are_refused(
+    #[case] replica: u64,
+    #[case] groups: &[GroupId],
+    #[case] message: &str,
+) {
+    let mut cluster = cluster(3, 53);
+    cluster.run(10);
+    cluster.crash(1, Loss::Nothing);
+    let mut builder = host::Builder::<common::Edge>::new(ReplicaId(replica), Vec::new());
+    for group in groups {
+        builder = builder.group(*group, common::Journal::default());
+    }
+    let error = builder
+        .open(cluster.slots[&1].disk.clone())
+        .err()
+        .expect("refused");
+    assert!(error.to_string().contains(message), "{error}");
+}
+
+/// Guards against a panic on bytes that are not a message.
+#[rstest]
+#[case::empty(&[])]
+#[case::unknown_body(&[0, 1, 99])]
+#[case::trailing(&[0, 1, 6, 0])]
+fn malformed_message_is_refused(#[case] bytes: &[u8]) {
+    assert!(message::decode(bytes).is_err());
+}
