Test pacing and placement; start batch streams evenly

Cause: pacing and placement had no tests. The pacer let a quarter of a server's capacity start at once, whose prefills would delay online first tokens.

--- a/crates/policy/src/pacer/mod.rs
+++ b/crates/policy/src/pacer/mod.rs
@@ -34,7 +34,7 @@
         Builder {
             headroom: 0.03,
             hold_ms: 200,
-            ramp_ms: 500,
+            ramp_ms: 1_500,
             starve_ms: 30_000,
             kv_stop: 0.92,
             kv_preempt: 0.97,
@@ -62,7 +62,8 @@
         self
     }
 
-    /// Sets the time in which an idle server is filled.
+    /// Sets the time in which an idle server is filled. Streams start evenly over
+    /// it, because the prefills of many at once delay online first tokens.
     pub fn ramp_ms(mut self, duration_ms: u64) -> Builder {
         self.ramp_ms = duration_ms.max(1);
         self
--- a/crates/policy/src/pacer/server.rs
+++ b/crates/policy/src/pacer/server.rs
@@ -13,6 +13,9 @@
 const REACTION_MS: u64 = 50;
 /// Time after which a burst counts half in the headroom.
 const BURST_HALF_LIFE_MS: f32 = 5_000.0;
+/// Longest time between two calls that start streams: what it earns may start
+/// at once.
+const START_WINDOW_MS: f32 = 50.0;
 /// Largest capacity that is believed; a larger one is a wrong announcement.
 const MAX_CAPACITY: u32 = 4_096;
 /// Share of the capacity in use below which reported waiting requests are not
@@ -334,6 +337,7 @@
         self.ramp_at_ms = now_ms;
         let capacity = self.capacity as f32;
         let earned = elapsed_ms * capacity / settings.ramp_ms as f32;
-        self.ramp = (self.ramp + earned).min((capacity / 4.0).max(1.0));
+        let at_once = capacity * START_WINDOW_MS / settings.ramp_ms as f32;
+        self.ramp = (self.ramp + earned).min(at_once.max(1.0));
     }
 }
--- /dev/null
+++ b/crates/policy/tests/pacer.rs
@@ -0,0 +1,382 @@
+//! Tests of the pacing of batch streams.
+
+mod common;
+
+use std::collections;
+
+use bw_policy::pacer::{self, Facts, Item, Online, Pacer, Share, Stream};
+use bw_wire::{backend, name};
+use common::{CAPACITY, load};
+use proptest::prelude::*;
+use rstest::rstest;
+
+const ID: &str = "e00";
+const NO_STREAMS: [u64; 0] = [];
+
+fn facts(id: &str, load: backend::Load) -> Facts {
+    Facts {
+        id: id.into(),
+        incarnation: 1,
+        capacity: CAPACITY,
+        usable: true,
+        load,
+        load_age_ms: 0,
+    }
+}
+
+fn stream(id: u64) -> Stream {
+    Stream {
+        id,
+        tokens: 100,
+        preempted: 0,
+        urgent: false,
+    }
+}
+
+fn pacer() -> Pacer {
+    let mut pacer = pacer::Builder::new().build();
+    pacer.update(&facts(ID, load(0, 0)), 0);
+    pacer.backlog(1_000_000, 0);
+    pacer
+}
+
+/// Starts what there is room for, every 10 ms until `end_ms`.
+fn fill(pacer: &mut Pacer, start_ms: u64, end_ms: u64) {
+    let mut next = start_ms * 1_000;
+    for now_ms in (start_ms..=end_ms).step_by(10) {
+        for room in pacer.room(now_ms) {
+            for _ in 0..room.streams {
+                pacer.started(&room.id, stream(next), now_ms);
+                next += 1;
+            }
+        }
+    }
+}
+
+fn online(entry: &str, sequence: u64, count: u32) -> Online {
+    Online {
+        entry: entry.into(),
+        incarnation: 1,
+        sequence,
+        backend: ID.into(),
+        online: count,
+    }
+}
+
+/// Guards against idle capacity that stays idle, and against filling it with a
+/// burst of prefills at once.
+#[rstest]
+#[case::all_idle(0)]
+#[case::half_online(16)]
+fn idle_capacity_is_filled_within_two_seconds(#[case] busy: u32) {
+    let mut pacer = pacer();
+    pacer.own_online(ID, busy, 0);
+    fill(&mut pacer, 0, 100);
+    assert!(pacer.running(ID) <= 4, "{} after 100 ms", pacer.running(ID));
+    fill(&mut pacer, 110, 2_000);
+    let idle = CAPACITY - busy;
+    let running = pacer.running(ID);
+    assert!(running < idle, "a place is kept free");
+    assert!(running as f32 >= 0.9 * idle as f32, "{running} of {idle}");
+}
+
+/// Guards against online arrivals that find no place: own ones, peers' ones,
+/// and those that only the answer to `sync` shows.
+#[rstest]
+#[case::own(|pacer: &mut Pacer| pacer.own_online(ID, 20, 5_000))]
+#[case::peers(|pacer: &mut Pacer| {
+    let mut surplus = pacer.peer_online(&online("entry-2", 1, 10), 5_000);
+    surplus.extend(pacer.peer_online(&online("entry-3", 1, 10), 5_000));
+    surplus
+})]
+#[case::lost_messages(|pacer: &mut Pacer| pacer.fleet_online(&[(name::Name::from(ID), 20)].into(), 5_000))]
+fn a_burst_of_online_preempts_at_once(#[case] burst: fn(&mut Pacer) -> Vec<u64>) {
+    let mut pacer = pacer();
+    fill(&mut pacer, 0, 4_990);
+    let before = pacer.running(ID);
+    let cancelled = burst(&mut pacer);
+    assert!(20 + before - cancelled.len() as u32 <= CAPACITY);
+    let again = pacer.surplus(5_001);
+    assert_eq!(again, NO_STREAMS, "a cancelled stream is named once");
+    for stream in cancelled {
+        pacer.stopped(ID, stream, 5_010);
+    }
+    assert_eq!(pacer.room(5_010), [], "nothing starts while online is high");
+}
+
+/// Guards against a late or repeated message that undoes a newer one, and
+/// against counts of entry VMs that are gone.
+#[test]
+fn peers_counts_follow_the_latest_message() {
+    let mut pacer = pacer();
+    pacer.peer_online(&online("entry-2", 7, 20), 0);
+    pacer.peer_online(&online("entry-2", 6, 0), 0);
+    pacer.peer_online(&online("entry-2", 7, 0), 0);
+    assert!(pacer.target(ID, 1_000) <= 12);
+    pacer.peer_online(
+        &Online {
+            incarnation: 2,
+            ..online("entry-2", 1, 4)
+        },
+        1_000,
+    );
+    assert!((24..28).contains(&pacer.target(ID, 2_000)));
+    pacer.retain_peers(&collections::BTreeSet::new(), 2_000);
+    assert!(pacer.target(ID, 3_000) > 28);
+}
+
+/// Guards against a `sync` answer from before the latest messages that holds
+/// capacity back, and against one that is ignored though messages were lost.
+#[test]
+fn sync_answers_only_make_up_for_lost_messages() {
+    let mut pacer = pacer();
+    pacer.peer_online(&online("entry-2", 1, 20), 1_000);
+    pacer.peer_online(&online("entry-2", 2, 0), 1_400);
+    pacer.fleet_online(&[(ID.into(), 20)].into(), 1_500);
+    assert!(
+        pacer.target(ID, 2_000) > 28,
+        "the answer is older than the message"
+    );
+    pacer.fleet_online(&[(ID.into(), 20)].into(), 4_000);
+    assert!(pacer.target(ID, 4_000) <= 12, "messages were lost");
+    pacer.fleet_online(&collections::BTreeMap::new(), 4_500);
+    assert!(pacer.target(ID, 5_000) > 28);
+}
+
+/// Guards against a short dip of online work that starts streams which the
+/// next rise cancels.
+#[test]
+fn short_dips_are_not_filled() {
+    let mut pacer = pacer();
+    pacer.own_online(ID, 20, 0);
+    fill(&mut pacer, 0, 3_000);
+    let before = pacer.running(ID);
+    pacer.own_online(ID, 15, 3_010);
+    fill(&mut pacer, 3_010, 3_100);
+    assert_eq!(pacer.running(ID), before);
+    fill(&mut pacer, 3_110, 5_000);
+    assert!(pacer.running(ID) > before);
+}
+
+/// Guards against batch work that keeps an engine's queue or memory full, and
+/// against reports that stop batch work for no reason.
+#[rstest]
+#[case::memory_short(backend::Load { kv_used: 0.95, ..load(28, 0) }, 0, 0)]
+#[case::memory_full(backend::Load { kv_used: 0.99, ..load(28, 0) }, 0, 3)]
+#[case::requests_wait(load(32, 6), 0, 5)]
+#[case::stale(backend::Load { kv_used: 0.99, ..load(32, 30) }, 10_000, 0)]
+#[case::not_a_number(backend::Load { kv_used: f32::NAN, ..load(28, 0) }, 0, 0)]
+fn load_reports_cut_batch_work(
+    #[case] report: backend::Load,
+    #[case] load_age_ms: u64,
+    #[case] least_cancelled: usize,
+) {
+    let mut pacer = pacer();
+    fill(&mut pacer, 0, 5_000);
+    let facts = Facts {
+        load_age_ms,
+        ..facts(ID, report)
+    };
+    pacer.update(&facts, 10_000);
+    let cancelled = pacer.surplus(10_000).len();
+    let expected = least_cancelled..=least_cancelled + 2 * least_cancelled.min(1);
+    assert!(expected.contains(&cancelled), "{cancelled} cancelled");
+}
+
+/// Guards against a false report of waiting requests on an idle server.
+#[test]
+fn waiting_is_not_believed_of_an_idle_server() {
+    let mut pacer = pacer();
+    pacer.update(&facts(ID, load(0, 500)), 0);
+    assert!(pacer.target(ID, 0) > 28);
+}
+
+/// Guards against streams that are cancelled again and again, and against
+/// cancelling what costs most to run again or is due soon.
+#[test]
+fn the_cheapest_streams_are_preempted() {
+    let mut pacer = pacer();
+    let streams = [
+        Stream {
+            tokens: 5,
+            preempted: 3,
+            ..stream(1)
+        },
+        Stream {
+            tokens: 10,
+            urgent: true,
+            ..stream(2)
+        },
+        Stream {
+            tokens: 900,
+            ..stream(3)
+        },
+        Stream {
+            tokens: 20,
+            ..stream(4)
+        },
+        Stream {
+            tokens: 1,
+            preempted: 1,
+            ..stream(5)
+        },
+    ];
+    for stream in streams {
+        pacer.started(ID, stream, 0);
+    }
+    pacer.progressed(ID, 4, 400);
+    let order: Vec<u64> = (0..=5)
+        .flat_map(|more| pacer.own_online(ID, 26 + more, 0))
+        .collect();
+    assert_eq!(order, [4, 3, 5, 2, 1]);
+}
+
+/// Guards against batch work that never runs again under lasting online load,
+/// and against a floor that makes online requests wait.
+#[rstest]
+#[case::after_long_wait(load(32, 0), 31_000, 1)]
+#[case::not_before(load(32, 0), 29_000, 0)]
+#[case::never_while_requests_wait(load(32, 1), 31_000, 0)]
+fn batch_work_does_not_starve_for_ever(
+    #[case] report: backend::Load,
+    #[case] now_ms: u64,
+    #[case] expected: u32,
+) {
+    let mut pacer = pacer();
+    pacer.own_online(ID, 40, 0);
+    pacer.update(&facts(ID, report), now_ms);
+    let streams: u32 = pacer.room(now_ms).iter().map(|room| room.streams).sum();
+    assert_eq!(streams, expected);
+    if expected > 0 {
+        pacer.started(ID, stream(1), now_ms);
+        assert_eq!(pacer.own_online(ID, 41, now_ms + 10), NO_STREAMS);
+        assert_eq!(pacer.room(now_ms + 20), [], "one at a time");
+        pacer.stopped(ID, 1, now_ms + 100);
+        assert_eq!(pacer.room(now_ms + 200), [], "and not at once again");
+    }
+}
+
+/// Guards against streams on a server whose batch work belongs to another
+/// entry VM now, or that takes no new work.
+#[test]
+fn lost_servers_are_emptied() {
+    let mut pacer = pacer();
+    fill(&mut pacer, 0, 500);
+    let running = pacer.running(ID) as usize;
+    assert!(running > 0);
+    pacer.update(
+        &Facts {
+            usable: false,
+            ..facts(ID, load(0, 0))
+        },
+        600,
+    );
+    assert_eq!(pacer.room(600), []);
+    assert_eq!(pacer.retain(&collections::BTreeSet::new()).len(), running);
+    assert_eq!(pacer.running(ID), 0);
+}
+
+fn item(team: &str, weight: u32, due_ms: u64, work: u32) -> Item<u32> {
+    Item {
+        team: team.into(),
+        weight,
+        due_ms,
+        preempted: 0,
+        work,
+    }
+}
+
+/// Guards against a team with a huge job that shuts out the others, and
+/// against a team that gains by leaving and joining.
+#[rstest]
+#[case::even(1, 1, 50)]
+#[case::weighted(3, 1, 75)]
+#[case::short_queue(1, 1, 50)]
+fn places_are_shared_by_weight(#[case] a: u32, #[case] b: u32, #[case] expected: i32) {
+    let mut share = Share::new();
+    for work in 0..1_000 {
+        share.push(item("a", a, 1_000, work));
+    }
+    share.push(item("b", b, 1_000, 0));
+    let mut taken = 0;
+    for _ in 0..100 {
+        let next = share.pop(0).expect("an item");
+        taken += i32::from(next.team.as_str() == "a");
+        if next.team.as_str() == "b" {
+            share.push(item("b", b, 1_000, 0));
+        }
+    }
+    assert!((taken - expected).abs() <= 2, "a got {taken} of 100");
+}
+
+/// Guards against jobs that miss their due time behind others, and against
+/// urgent jobs that starve the rest.
+#[test]
+fn urgent_items_get_every_second_place() {
+    let mut share = Share::new();
+    for work in 0..100 {
+        share.push(item("big", 1, 1_000_000, work));
+        share.push(item("late", 1, 500, work));
+        share.push(item("other", 1, 1_000_000, work));
+    }
+    let mut counts = collections::BTreeMap::new();
+    for _ in 0..60 {
+        let next = share.pop(1_000).expect("an item");
+        *counts.entry(next.team).or_insert(0) += 1;
+    }
+    assert!(counts["late"] >= 30, "{counts:?}");
+    assert!(counts["big"] >= 10 && counts["other"] >= 10, "{counts:?}");
+}
+
+/// Guards against preempted items, which hold text and leases, that wait
+/// behind new ones, and against a cancelled job that stays queued.
+#[test]
+fn preempted_items_resume_first_and_cancelled_ones_leave() {
+    let mut share = Share::new();
+    share.push(item("a", 1, 10, 1));
+    share.push(Item {
+        preempted: 1,
+        ..item("a", 1, 20, 2)
+    });
+    share.push(item("a", 1, 5, 3));
+    let removed = share.take_if(|item| item.work == 3);
+    assert_eq!(removed.len(), 1);
+    let order: Vec<u32> = std::iter::from_fn(|| share.pop(0))
+        .map(|item| item.work)
+        .collect();
+    assert_eq!(order, [2, 1]);
+    assert!(share.is_empty());
+}
+
+proptest! {
+    /// Guards against more work than the server holds, whatever happens: the
+    /// streams that stay and the online requests fit into the capacity.
+    #[test]
+    fn streams_and_online_fit_the_capacity(
+        changes in proptest::collection::vec((0u32..48, 0u32..48, 1u64..400), 1..60),
+    ) {
+        let mut pacer = pacer();
+        let mut now_ms = 0;
+        let mut next = 0;
+        let mut running: collections::BTreeSet<u64> = collections::BTreeSet::new();
+        for (sequence, (own, peer, pause_ms)) in (1..).zip(changes) {
+            now_ms += pause_ms;
+            let mut cancelled = pacer.own_online(ID, own, now_ms);
+            cancelled.extend(pacer.peer_online(&online("entry-2", sequence, peer), now_ms));
+            for stream in cancelled {
+                prop_assert!(running.remove(&stream), "{stream} does not run");
+                pacer.stopped(ID, stream, now_ms);
+            }
+            let free = CAPACITY.saturating_sub(own + peer);
+            prop_assert!(running.len() as u32 <= free);
+            for room in pacer.room(now_ms) {
+                for _ in 0..room.streams {
+                    pacer.started(ID, stream(next), now_ms);
+                    running.insert(next);
+                    next += 1;
+                }
+            }
+            prop_assert!(running.len() as u32 <= free);
+        }
+    }
+}
