--- a/crates/policy/src/pacer/mod.rs
+++ b/crates/policy/src/pacer/mod.rs
@@ -23,6 +23,7 @@
     pub(crate) headroom: f32,
     pub(crate) hold_ms: u64,
     pub(crate) ramp_ms: u64,
+    pub(crate) quiet_ms: u64,
     pub(crate) starve_ms: u64,
     pub(crate) kv_stop: f32,
     pub(crate) kv_preempt: f32,
@@ -35,6 +36,7 @@
             headroom: 0.03,
             hold_ms: 200,
             ramp_ms: 1_500,
+            quiet_ms: 100,
             starve_ms: 30_000,
             kv_stop: 0.92,
             kv_preempt: 0.97,
@@ -69,6 +71,13 @@
         self
     }
 
+    /// Sets how long after an online arrival no stream starts, so that the prompt
+    /// of the stream is not computed before that of the arrival.
+    pub fn quiet_ms(mut self, duration_ms: u64) -> Builder {
+        self.quiet_ms = duration_ms;
+        self
+    }
+
     /// Sets how long a backlog waits without any running stream before one is
     /// admitted beside full online load.
     pub fn starve_ms(mut self, duration_ms: u64) -> Builder {
--- a/crates/policy/src/pacer/server.rs
+++ b/crates/policy/src/pacer/server.rs
@@ -66,6 +66,7 @@
     online: u32,
     online_peak: peak::Peak,
     recent: collections::VecDeque<(u64, u32)>,
+    arrived_ms: Option<u64>,
     burst: f32,
     burst_at_ms: u64,
     streams: Vec<Running>,
@@ -89,6 +90,7 @@
             online: 0,
             online_peak: peak::Peak::default(),
             recent: collections::VecDeque::new(),
+            arrived_ms: None,
             burst: 0.0,
             burst_at_ms: now_ms,
             streams: Vec::new(),
@@ -196,7 +198,10 @@
     pub(super) fn room(&mut self, settings: &Builder, now_ms: u64) -> u32 {
         let target = self.target(settings, now_ms);
         self.refill(settings, now_ms);
-        if self.kv_used(settings, now_ms) >= settings.kv_stop {
+        let is_quiet = self
+            .arrived_ms
+            .is_some_and(|arrived_ms| now_ms.saturating_sub(arrived_ms) < settings.quiet_ms);
+        if is_quiet || self.kv_used(settings, now_ms) >= settings.kv_stop {
             return 0;
         }
         let missing = target.saturating_sub(self.running());
@@ -317,6 +322,9 @@
         if self.online != before {
             self.note_burst(now_ms);
         }
+        if self.online > before {
+            self.arrived_ms = Some(now_ms);
+        }
     }
 
     fn note_burst(&mut self, now_ms: u64) {
--- a/crates/policy/src/router/choice.rs
+++ b/crates/policy/src/router/choice.rs
@@ -8,6 +8,9 @@
 /// Draws per wanted sample before all replicas are looked at.
 const DRAWS_PER_SAMPLE: usize = 4;
 
+/// Home replicas that are compared beside the drawn ones.
+const HOMES: usize = 4;
+
 /// What a request is for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Target<'a> {
@@ -139,12 +142,9 @@
     now_ms: u64,
     random: &mut R,
 ) -> Result<Choice, Unavailable> {
-    let slots = match request.target {
-        Target::Model { model, .. } => router.models.get(model),
-        Target::Service(service) => router.services.get(service),
-    };
-    let slots = slots.map(Vec::as_slice).unwrap_or_default();
+    let slots = router.all.get(request.target);
     let mut candidates = draw(router, request, slots, now_ms, random)?;
+    add_homes(router, request, &mut candidates, now_ms, random);
     add_holders(router, request, &mut candidates, now_ms);
     let scored: Vec<Scored> = candidates
         .into_iter()
@@ -226,6 +226,26 @@
     Ok(usable)
 }
 
+fn add_homes<R: Rng>(
+    router: &Router,
+    request: &Request<'_>,
+    candidates: &mut Vec<usize>,
+    now_ms: u64,
+    random: &mut R,
+) {
+    let homes = router.homes.get(request.target);
+    if homes.is_empty() || router.settings.home == 0.0 || request.fit == Fit::Isolated {
+        return;
+    }
+    let start = random.random_range(0..homes.len());
+    let turned = homes[start..].iter().chain(&homes[..start]);
+    for &slot in turned.take(HOMES) {
+        if !candidates.contains(&slot) && obstacle(router, request, slot, now_ms).is_none() {
+            candidates.push(slot);
+        }
+    }
+}
+
 fn add_holders(router: &Router, request: &Request<'_>, candidates: &mut Vec<usize>, now_ms: u64) {
     if router.settings.affinity == 0.0 || request.fit == Fit::Isolated {
         return;
@@ -308,12 +328,21 @@
     let replica = &router.replicas[slot];
     let holder = replica.holder(slot);
     let cached_blocks = router.cache.match_length(request.prefix, holder);
-    let mut score = replica.load(settings, now_ms);
+    let load = replica.load(settings, now_ms);
+    let recent = settings.recent * replica.recent(settings, now_ms);
+    let mut bonus = 0.0;
     if let Some(last) = cached_blocks.checked_sub(1) {
         let share = cached_blocks as f32 / request.prefix.len() as f32;
         let confidence = router.cache.confidence(&request.prefix[last], holder);
-        score -= settings.affinity * share * confidence;
+        bonus += settings.affinity * share * confidence;
+    }
+    if router.home.contains(&replica.announcement.id) {
+        bonus += settings.home;
     }
+    // The fuller a replica, the less its cache and its being home count; at its
+    // capacity they count nothing.
+    let free = (1.0 - load).max(0.0);
+    let mut score = load + recent - bonus * free;
     let is_remote = settings
         .domain
         .as_ref()
--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -32,6 +32,9 @@
     pub(crate) report_half_life_ms: u64,
     pub(crate) fleet_half_life_ms: u64,
     pub(crate) unexplained: f32,
+    pub(crate) home: f32,
+    pub(crate) recent: f32,
+    pub(crate) recent_half_life_ms: u64,
     pub(crate) proof_max_age_ms: u64,
     pub(crate) forget_ms: u64,
 }
@@ -41,7 +44,7 @@
         Builder {
             sample: 2,
             near: 0.02,
-            affinity: 0.25,
+            affinity: 1.5,
             cached_blocks: 65_536,
             domain: None,
             domain_weight: 0.0,
@@ -49,6 +52,9 @@
             report_half_life_ms: 500,
             fleet_half_life_ms: 2_000,
             unexplained: 0.5,
+            home: 2.0,
+            recent: 1.0,
+            recent_half_life_ms: 50,
             proof_max_age_ms: backend::PROOF_MAX_AGE_MS,
             forget_ms: 60_000,
         }
@@ -73,7 +79,8 @@
         self
     }
 
-    /// Sets the share of a replica's capacity that a whole cached prefix is worth.
+    /// Sets the share of a replica's capacity that a whole cached prefix is worth
+    /// while the replica is idle.
     pub fn affinity(mut self, share: f32) -> Builder {
         self.affinity = share.max(0.0);
         self
@@ -118,6 +125,25 @@
         self
     }
 
+    /// Sets the share of a replica's capacity that sending to an idle home
+    /// replica is worth; see [`Router::home`].
+    pub fn home(mut self, share: f32) -> Builder {
+        self.home = share.max(0.0);
+        self
+    }
+
+    /// Sets the share of a replica's capacity that a request sent just now is
+    /// worth, and the age at which it counts half.
+    ///
+    /// A first token waits for the prompts that are computed before it, and
+    /// hardly for streams that decode. Requests in flight, which mostly decode,
+    /// say little about that; requests sent within the last steps do.
+    pub fn recent(mut self, share: f32, half_life_ms: u64) -> Builder {
+        self.recent = share.max(0.0);
+        self.recent_half_life_ms = half_life_ms.max(1);
+        self
+    }
+
     /// Sets the age of the last proof of not leaving beyond which a replica is
     /// not used.
     pub fn proof_max_age_ms(mut self, age_ms: u64) -> Builder {
@@ -133,13 +159,57 @@
             replicas: Vec::new(),
             free: Vec::new(),
             slots: collections::BTreeMap::new(),
-            models: collections::HashMap::new(),
-            services: collections::HashMap::new(),
+            all: Index::default(),
+            homes: Index::default(),
+            home: collections::BTreeSet::new(),
             drained: collections::BTreeSet::new(),
         }
     }
 }
 
+/// Replicas by what they serve.
+#[derive(Debug, Default)]
+struct Index {
+    models: collections::HashMap<name::Name, Vec<usize>>,
+    services: collections::HashMap<name::Name, Vec<usize>>,
+}
+
+impl Index {
+    fn get(&self, target: Target<'_>) -> &[usize] {
+        let slots = match target {
+            Target::Model { model, .. } => self.models.get(model),
+            Target::Service(service) => self.services.get(service),
+        };
+        slots.map(Vec::as_slice).unwrap_or_default()
+    }
+
+    fn insert(&mut self, announcement: &backend::Announcement, slot: usize) {
+        match announcement.kind {
+            backend::Kind::Engine => {
+                for loaded in &announcement.loaded {
+                    let list = self.models.entry(loaded.model.clone()).or_default();
+                    if !list.contains(&slot) {
+                        list.push(slot);
+                    }
+                }
+            }
+            backend::Kind::Service => {
+                let list = self.services.entry(announcement.service.clone());
+                list.or_default().push(slot);
+            }
+        }
+    }
+
+    fn remove(&mut self, slot: usize) {
+        for map in [&mut self.models, &mut self.services] {
+            for list in map.values_mut() {
+                list.retain(|&other| other != slot);
+            }
+            map.retain(|_, list| !list.is_empty());
+        }
+    }
+}
+
 /// What one entry VM knows of the backend servers.
 #[derive(Debug)]
 pub struct Router {
@@ -147,8 +217,9 @@
     replicas: Vec<Replica>,
     free: Vec<usize>,
     slots: collections::BTreeMap<name::Name, usize>,
-    models: collections::HashMap<name::Name, Vec<usize>>,
-    services: collections::HashMap<name::Name, Vec<usize>>,
+    all: Index,
+    homes: Index,
+    home: collections::BTreeSet<name::Name>,
     drained: collections::BTreeSet<name::Name>,
     cache: cache::Cache,
 }
@@ -206,6 +277,24 @@
         }
     }
 
+    /// Replaces the set of home replicas: those whose batch work this entry VM
+    /// owns.
+    ///
+    /// Each replica is home to one entry VM, which sends its requests there
+    /// first. What entry VMs do not know of each other, the requests of the
+    /// last moments, then collides less, and batch work gives way without a
+    /// message to another entry VM.
+    pub fn home(&mut self, home: &collections::BTreeSet<name::Name>) {
+        if self.home == *home {
+            return;
+        }
+        self.home.clone_from(home);
+        let slots: Vec<usize> = self.slots.values().copied().collect();
+        for slot in slots {
+            self.index(slot);
+        }
+    }
+
     /// Takes the other entry VMs' online requests in flight from a `sync`
     /// answer. A backend server without an entry has none.
     pub fn fleet(&mut self, online: &collections::BTreeMap<name::Name, u32>, now_ms: u64) {
@@ -281,6 +370,7 @@
             return;
         }
         replica.change_online(1, now_ms);
+        replica.note_sent(&self.settings, now_ms);
         if request.fit != Fit::Any {
             replica.suspects += 1;
         }
@@ -406,29 +496,15 @@
     fn index(&mut self, slot: usize) {
         self.unindex(slot);
         let announcement = &self.replicas[slot].announcement;
-        match announcement.kind {
-            backend::Kind::Engine => {
-                for loaded in &announcement.loaded {
-                    let list = self.models.entry(loaded.model.clone()).or_default();
-                    if !list.contains(&slot) {
-                        list.push(slot);
-                    }
-                }
-            }
-            backend::Kind::Service => {
-                let list = self.services.entry(announcement.service.clone());
-                list.or_default().push(slot);
-            }
+        self.all.insert(announcement, slot);
+        if self.home.contains(&announcement.id) {
+            self.homes.insert(announcement, slot);
         }
     }
 
     fn unindex(&mut self, slot: usize) {
-        for map in [&mut self.models, &mut self.services] {
-            for list in map.values_mut() {
-                list.retain(|&other| other != slot);
-            }
-            map.retain(|_, list| !list.is_empty());
-        }
+        self.all.remove(slot);
+        self.homes.remove(slot);
     }
 
     fn get(&self, id: &str) -> Option<&Replica> {
--- a/crates/policy/src/router/replica.rs
+++ b/crates/policy/src/router/replica.rs
@@ -32,6 +32,8 @@
     pub(super) next_event: u64,
     pub(super) gap: u8,
     pub(super) epoch: u16,
+    recent: f32,
+    recent_ms: u64,
     report: Option<Report>,
     history: collections::VecDeque<(u64, u32)>,
 }
@@ -63,6 +65,8 @@
             next_event: 0,
             gap: 0,
             epoch: 0,
+            recent: 0.0,
+            recent_ms: 0,
             report: None,
             history: collections::VecDeque::new(),
         };
@@ -149,6 +153,24 @@
         (self.requests(settings, now_ms) + 1.0) / ramped * self.penalty
     }
 
+    /// Counts a request that is sent now.
+    pub(super) fn note_sent(&mut self, settings: &Builder, now_ms: u64) {
+        self.recent = self.sent_recently(settings, now_ms) + 1.0;
+        self.recent_ms = now_ms;
+    }
+
+    /// Returns the weighted number of requests sent just now, relative to the
+    /// replica's share during its slow start.
+    pub(super) fn recent(&self, settings: &Builder, now_ms: u64) -> f32 {
+        self.sent_recently(settings, now_ms) * self.penalty / self.ramp(settings, now_ms)
+    }
+
+    /// Returns the number of requests sent just now, each counting half after a
+    /// half-life.
+    fn sent_recently(&self, settings: &Builder, now_ms: u64) -> f32 {
+        self.recent * decay(self.recent_ms, now_ms, settings.recent_half_life_ms)
+    }
+
     /// Returns the estimated number of requests at the replica.
     ///
     /// The counts are the base. A report moves the estimate by at most half of
