Use the health and suspect rules, and test faults and wrong requests

Health and suspect rules of bw-policy replace the simple ones: slots report progress and outcome, the control thread ejects, probes and restores backend servers, and a broken connection counts as a crash only with evidence (refused connection or a later incarnation). A text whose length contradicts the token count of the engine is generated again, or ends the stream with an error.

--- a/programs/entry/src/context.rs
+++ b/programs/entry/src/context.rs
@@ -3,7 +3,7 @@
 use std::{io, sync};
 
 use bw_client::control;
-use bw_policy::{retry, router};
+use bw_policy::{retry, router, suspect};
 use bw_wire::peer;
 use tokio::sync as async_sync;
 
@@ -30,6 +30,8 @@
     pub admission: filter::Admission,
     /// Retry budgets.
     pub retry: sync::Mutex<retry::Retry>,
+    /// Requests that were in flight when backend servers crashed.
+    pub suspects: sync::Mutex<suspect::Suspects>,
     /// The state of the shutdown.
     pub drain: drain::Drain,
     /// Grows with each start of the process.
@@ -56,6 +58,7 @@
             clock,
             admission: filter::Admission::new(&settings.policy),
             retry: sync::Mutex::new(retry_policy(&settings.policy)),
+            suspects: sync::Mutex::new(suspect::Builder::new().build()),
             snapshot: snapshot::Cell::default(),
             lease: snapshot::Lease::default(),
             drain: drain::Drain::default(),
@@ -75,6 +78,16 @@
         )
     }
 
+    /// Runs a short operation on the suspects.
+    pub fn with_suspects<R>(&self, operation: impl FnOnce(&mut suspect::Suspects, u64) -> R) -> R {
+        let now_ms = self.clock.now_ms();
+        let suspects = self.suspects.lock();
+        operation(
+            &mut suspects.unwrap_or_else(sync::PoisonError::into_inner),
+            now_ms,
+        )
+    }
+
     /// Names this process in records: entry VM and incarnation.
     pub fn holder(&self) -> String {
         format!("{}/{}", self.settings.name, self.incarnation)
--- a/programs/entry/src/controller/exchange.rs
+++ b/programs/entry/src/controller/exchange.rs
@@ -120,11 +120,12 @@
         let now_ms = self.shared.clock.now_ms();
         self.shared
             .table
-            .with(|router, now_ms| router.fleet(&response.online, now_ms));
+            .with(|state, now_ms| state.router.fleet(&response.online, now_ms));
         self.state.online = response.online;
-        let mut changed = self.suspects.replace(&response.suspects, now_ms);
+        self.shared
+            .with_suspects(|suspects, now_ms| suspects.sync(&response.suspects, now_ms));
         self.note_absent(&response.peers, now_ms);
-        changed |= replace(&mut self.state.peers, response.peers);
+        let mut changed = replace(&mut self.state.peers, response.peers);
         changed |= replace(&mut self.state.owners, sync::Arc::new(response.owners));
         let revision = self.state.revision;
         if let Some(intent) = response.intent
@@ -134,7 +135,9 @@
             self.state.revision = response.revision;
             self.state.intent = sync::Arc::new(*intent);
             let drained = &self.state.intent.drained;
-            self.shared.table.with(|router, _| router.drain(drained));
+            self.shared
+                .table
+                .with(|state, _| state.router.drain(drained));
             // Operators are told sooner that it is in force.
             self.schedule.hurry();
             changed = true;
@@ -202,7 +205,6 @@
             peers: self.state.peers.clone(),
             absent: sync::Arc::clone(&self.state.absent),
             owners: sync::Arc::clone(&self.state.owners),
-            suspects: sync::Arc::new(self.suspects.snapshot()),
         });
     }
 }
--- a/programs/entry/src/controller/mod.rs
+++ b/programs/entry/src/controller/mod.rs
@@ -6,13 +6,14 @@
 
 mod exchange;
 mod guard;
+mod health;
 mod peers;
 mod probe;
 mod registry;
 mod run;
-mod suspects;
 
-use bw_wire::{backend, fingerprint, name, peer};
+use bw_policy::suspect;
+use bw_wire::{backend, command, name, peer};
 use tokio::sync as async_sync;
 
 use crate::metrics;
@@ -33,19 +34,11 @@
     Cached(backend::CacheEvents),
     /// Another entry VM sent a message.
     Peer(peer::Message),
-    /// A backend server crashed while it ran a request.
-    Struck {
-        /// The request.
-        fingerprint: fingerprint::Fingerprint,
-        /// The backend server.
-        backend: name::Name,
-        /// Its incarnation.
-        incarnation: u64,
-        /// Whether the request ran isolated.
-        isolated: bool,
-    },
-    /// A suspect finished.
-    Cleared(fingerprint::Fingerprint),
+    /// A strike or the clearing of a suspect is to be recorded and told.
+    Suspect(command::work::Command),
+    /// A connection to a backend server broke while it ran a request, and it
+    /// is not known yet whether it crashed.
+    Broken(Break),
     /// A backend server is reserved for the isolated run of a suspect.
     Reserved {
         /// The backend server.
@@ -55,6 +48,17 @@
     },
 }
 
+/// A request whose connection broke.
+#[derive(Clone, Debug)]
+pub struct Break {
+    /// The backend server.
+    pub backend: name::Name,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// The request.
+    pub flight: suspect::Flight,
+}
+
 /// The traffic threads' end of the queue to the control thread.
 #[derive(Clone)]
 pub struct Sender {
--- a/programs/entry/src/controller/run.rs
+++ b/programs/entry/src/controller/run.rs
@@ -8,9 +8,9 @@
 use tokio::{sync as async_sync, task, time as async_time};
 
 use super::{
-    Event, Sender,
+    Break, Event, Sender,
     exchange::{Schedule, Synced},
-    peers, probe, registry, suspects,
+    health, peers, probe, registry,
 };
 use crate::{context, metrics, snapshot, upstream};
 
@@ -21,10 +21,15 @@
 const SYNC_TOTAL: time::Duration = time::Duration::from_millis(2_000);
 /// How long changes of in-flight counts are collected before owners are told.
 const COALESCE: time::Duration = time::Duration::from_millis(5);
-/// Interval at which proofs are looked at.
-const TICK: time::Duration = time::Duration::from_millis(100);
+/// Interval at which proofs and health are looked at.
+const TICK: time::Duration = time::Duration::from_millis(50);
+/// Ticks between two updates of health facts and admission limits.
+const HEALTH_TICKS: u64 = 5;
 /// Ticks between two updates of the gauges.
-const GAUGE_TICKS: u64 = 10;
+const GAUGE_TICKS: u64 = 20;
+/// How long after a broken connection a restart of the backend server is taken
+/// as its cause.
+const BREAK_MS: u64 = 30_000;
 /// Interval at which waiting requests are looked at.
 const ADMISSION_TICK: time::Duration = time::Duration::from_millis(20);
 /// Fewest requests of a model that run here at once.
@@ -46,7 +51,8 @@
 pub(super) enum Done {
     Synced(Box<Synced>),
     Probed(probe::Probed),
-    Struck(Option<command::work::Suspect>),
+    HealthProbed(health::Probed),
+    Struck(command::work::Suspect),
     Nothing,
 }
 
@@ -67,13 +73,13 @@
     bound: net::SocketAddr,
     pub(super) state: State,
     pub(super) registry: registry::Registry,
-    pub(super) suspects: suspects::Table,
     pub(super) peers: peers::Peers,
     pub(super) schedule: Schedule,
     pub(super) sync_client: control::Client,
     pub(super) tasks: task::JoinSet<Done>,
     client: control::Client,
-    upstream: upstream::Client,
+    pub(super) upstream: upstream::Client,
+    breaks: Vec<(u64, Break)>,
     events: async_sync::mpsc::Receiver<Event>,
     server: ServerHandle,
     probes: probe::Probes,
@@ -107,13 +113,13 @@
             bound: address,
             state: State::default(),
             registry: registry::Registry::default(),
-            suspects: suspects::Table::default(),
             peers: peers::Peers::new(own_token),
             schedule: Schedule::default(),
             sync_client,
             tasks: task::JoinSet::new(),
             client: shared.control_client(),
             upstream: shared.upstream_client(),
+            breaks: Vec::new(),
             events: parts.events,
             server,
             probes: probe::Probes::default(),
@@ -183,15 +189,13 @@
             Event::Cached(events) => self
                 .shared
                 .table
-                .with(|router, now_ms| router.cache_events(&events, now_ms)),
+                .with(|state, now_ms| state.router.cache_events(&events, now_ms)),
             Event::Peer(message) => self.peer(message),
-            Event::Struck {
-                fingerprint,
-                backend,
-                incarnation,
-                isolated,
-            } => self.struck(fingerprint, &backend, incarnation, isolated),
-            Event::Cleared(fingerprint) => self.cleared(fingerprint),
+            Event::Suspect(command) => self.record(command),
+            Event::Broken(broken) => {
+                let now_ms = self.shared.clock.now_ms();
+                self.breaks.push((now_ms, broken));
+            }
             Event::Reserved {
                 backend,
                 duration_ms,
@@ -221,10 +225,9 @@
                     self.shared.table.announce(announcement, 0);
                 }
             }
-            peer::Message::Suspect(suspect) => {
-                self.suspects.merge(suspect, now_ms);
-                self.publish();
-            }
+            peer::Message::Suspect(suspect) => self
+                .shared
+                .with_suspects(|suspects, now_ms| suspects.merge(suspect, now_ms)),
             peer::Message::Reserve {
                 backend,
                 duration_ms,
@@ -235,48 +238,57 @@
         let _ = self.shared.peer_messages.send(message);
     }
 
-    fn struck(
-        &mut self,
-        fingerprint: fingerprint::Fingerprint,
-        backend: &name::Name,
-        incarnation: u64,
-        isolated: bool,
-    ) {
-        let now_ms = self.shared.clock.now_ms();
-        let suspect = self.suspects.strike(fingerprint, isolated, now_ms);
-        self.publish();
-        self.peers.broadcast(peer::Message::Suspect(suspect));
+    /// Records a strike or the clearing of a suspect, and tells the others.
+    fn record(&mut self, command: command::work::Command) {
+        let fingerprint = match &command {
+            command::work::Command::Strike { fingerprint, .. }
+            | command::work::Command::Clear { fingerprint } => *fingerprint,
+            other => {
+                log::error!("not a command about a suspect: {other:?}");
+                return;
+            }
+        };
+        let known = self
+            .shared
+            .with_suspects(|suspects, _| suspects.get(fingerprint));
+        if let Some(suspect) = known {
+            self.peers.broadcast(peer::Message::Suspect(suspect));
+        }
         let client = self.client.clone();
         let group = self.suspect_group(&fingerprint);
-        let command = command::work::Command::Strike {
-            fingerprint,
-            backend: format!("{backend}/{incarnation}").into(),
-            isolated,
-        };
         self.tasks.spawn(async move {
             match client.work(group, command).await {
-                Ok(command::work::Reply::Suspect(suspect)) => Done::Struck(Some(suspect)),
-                Ok(_) => Done::Struck(None),
+                Ok(command::work::Reply::Suspect(suspect)) => Done::Struck(suspect),
+                Ok(_) => Done::Nothing,
                 Err(error) => {
-                    log::warn!("strike not recorded: {error}");
-                    Done::Struck(None)
+                    log::warn!("suspect {fingerprint} not recorded: {error}");
+                    Done::Nothing
                 }
             }
         });
     }
 
-    fn cleared(&mut self, fingerprint: fingerprint::Fingerprint) {
-        self.suspects.clear(&fingerprint);
-        self.publish();
-        let client = self.client.clone();
-        let group = self.suspect_group(&fingerprint);
-        self.tasks.spawn(async move {
-            let command = command::work::Command::Clear { fingerprint };
-            if let Err(error) = client.work(group, command).await {
-                log::warn!("suspect not cleared: {error}");
+    /// Counts strikes for connections that broke before a later incarnation of
+    /// the backend server announced itself.
+    fn settle_breaks(&mut self, now_ms: u64) {
+        let mut commands = Vec::new();
+        let shared = &self.shared;
+        self.breaks.retain(|(at_ms, broken)| {
+            if shared
+                .table
+                .has_restarted(&broken.backend, broken.incarnation)
+            {
+                let flights = [broken.flight];
+                commands.extend(shared.with_suspects(|suspects, now_ms| {
+                    suspects.crashed(&broken.backend, broken.incarnation, &flights, now_ms)
+                }));
+                return false;
             }
-            Done::Nothing
+            now_ms.saturating_sub(*at_ms) < BREAK_MS
         });
+        for command in commands {
+            self.record(command);
+        }
     }
 
     fn suspect_group(&self, fingerprint: &fingerprint::Fingerprint) -> u32 {
@@ -296,12 +308,12 @@
     }
 
     fn reserve(&self, backend: &name::Name, duration_ms: u64) {
-        self.shared.table.with(|router, now_ms| {
+        self.shared.table.with(|state, now_ms| {
             let until_ms = match duration_ms {
                 0 => 0,
                 _ => now_ms + duration_ms,
             };
-            router.reserve(backend, until_ms);
+            state.router.reserve(backend, until_ms);
         });
     }
 
@@ -309,13 +321,13 @@
         match done {
             Ok(Done::Synced(synced)) => self.finish_sync(*synced),
             Ok(Done::Probed(probed)) => self.probed(&probed),
-            Ok(Done::Struck(Some(suspect))) => {
-                let now_ms = self.shared.clock.now_ms();
-                self.suspects.merge(&suspect, now_ms);
-                self.publish();
+            Ok(Done::HealthProbed(probed)) => self.health_probed(&probed),
+            Ok(Done::Struck(suspect)) => {
+                self.shared
+                    .with_suspects(|suspects, now_ms| suspects.merge(&suspect, now_ms));
                 self.peers.broadcast(peer::Message::Suspect(suspect));
             }
-            Ok(Done::Struck(None) | Done::Nothing) => {}
+            Ok(Done::Nothing) => {}
             Err(error) => log::error!("task of the control thread failed: {error}"),
         }
     }
@@ -324,9 +336,11 @@
         self.probes.end(probed);
         // An unhealthy answer needs no action: the proof runs out.
         if probed.healthy == Some(true) {
-            self.shared
-                .table
-                .with(|router, _| router.proof(&probed.id, probed.incarnation, probed.sent_ms));
+            self.shared.table.with(|state, _| {
+                state
+                    .router
+                    .proof(&probed.id, probed.incarnation, probed.sent_ms)
+            });
         }
     }
 
@@ -359,16 +373,21 @@
         let aging = self
             .shared
             .table
-            .with(|router, now_ms| router.aging(probe::PROBE_AGE_MS, now_ms));
+            .with(|state, now_ms| state.router.aging(probe::PROBE_AGE_MS, now_ms));
         for id in aging {
             self.probe(&id, now_ms);
         }
-        self.resize_admission(now_ms);
+        self.settle_breaks(now_ms);
+        self.judge();
+        if self.ticks.is_multiple_of(HEALTH_TICKS) {
+            self.resize_admission(now_ms);
+            self.update_health();
+        }
         if self.ticks.is_multiple_of(GAUGE_TICKS) {
             self.registry.sweep(now_ms);
             self.shared
                 .table
-                .with(|router, now_ms| router.sweep(now_ms));
+                .with(|state, now_ms| state.router.sweep(now_ms));
             self.update_gauges(now_ms);
         }
     }
--- a/programs/entry/src/filter/mod.rs
+++ b/programs/entry/src/filter/mod.rs
@@ -40,8 +40,6 @@
     pub deadline_ms: u64,
     /// The request's fingerprint.
     pub fingerprint: fingerprint::Fingerprint,
-    /// How it may share a backend server.
-    pub suspicion: suspect::Suspicion,
     /// Its place among the running requests, until it is dropped.
     pub place: admission::Place,
     /// Its place among the open streams, until it is dropped.
@@ -70,7 +68,7 @@
     let snapshot = shared.snapshot.load();
     let target = parse::target(&snapshot.intent, &body.model)?;
     let fingerprint = body.fingerprint();
-    let suspicion = suspect::check(&snapshot.suspects, &fingerprint)?;
+    suspect::check(shared, fingerprint)?;
     let service = target.model.clone();
     let request = admission::Request {
         team: team.clone(),
@@ -87,7 +85,6 @@
         target,
         deadline_ms,
         fingerprint,
-        suspicion,
         place,
         open,
     })
--- a/programs/entry/src/metrics.rs
+++ b/programs/entry/src/metrics.rs
@@ -64,6 +64,15 @@
     )
 });
 
+/// Ejections of backend servers by reason.
+pub static EJECTIONS: LazyLock<prometheus::IntCounterVec> = LazyLock::new(|| {
+    metrics::counter(
+        "bw_entry_ejections_total",
+        "Backend servers that were taken out of use as unhealthy",
+        &["reason"],
+    )
+});
+
 /// Events to the control thread that were dropped because its queue was full.
 pub static DROPPED_EVENTS: LazyLock<prometheus::IntCounterVec> = LazyLock::new(|| {
     metrics::counter(
--- a/programs/entry/src/online/run.rs
+++ b/programs/entry/src/online/run.rs
@@ -2,7 +2,7 @@
 
 use std::{future, pin, sync, time};
 
-use bw_policy::{retry, router};
+use bw_policy::{health, retry, router, suspect};
 use bw_wire::{fingerprint, name, refusal, verdict};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use tokio::time as async_time;
@@ -20,15 +20,20 @@
 /// ends sooner. Renewed reservations would outlive an entry VM that dies.
 const RESERVE_MS: u64 = 30_000;
 
+/// The backend server of an attempt.
+struct Held {
+    slot: routing::Slot,
+    reservation: Option<Reservation>,
+}
+
 /// An attempt that has sent its first event.
 struct Attempt {
-    slot: routing::Slot,
+    held: Held,
     stream: upstream::Stream,
     hedge: bool,
-    _reservation: Option<Reservation>,
 }
 
-type Started = Result<(Attempt, Event), (routing::Slot, bool, upstream::Error)>;
+type Started = Result<(Attempt, Event), (Held, upstream::Error)>;
 type Starting = pin::Pin<Box<dyn future::Future<Output = Started> + Send>>;
 
 /// A request to an engine, which is answered once however many attempts it takes.
@@ -40,7 +45,6 @@
     request: filter::Admitted,
     prefix: Vec<fingerprint::Fingerprint>,
     call: retry::Call,
-    suspicion: filter::suspect::Suspicion,
     deadline: async_time::Instant,
     attempts: u32,
     running: bool,
@@ -64,7 +68,6 @@
         Run {
             prefix: request.body.prefix(),
             call: retry::Call::new(repeatable, Some(request.deadline_ms)),
-            suspicion: request.suspicion,
             deadline: async_time::Instant::now() + left,
             attempts: 0,
             running: false,
@@ -122,6 +125,12 @@
         }
     }
 
+    /// Returns a refusal with the verdict over all attempts.
+    fn with_verdict(&self, refusal: refusal::Refusal) -> refusal::Refusal {
+        let verdict = refusal.verdict.and(self.call.verdict());
+        refusal.verdict(verdict)
+    }
+
     async fn step(&mut self) -> Result<Event, refusal::Refusal> {
         loop {
             let Some(attempt) = &mut self.current else {
@@ -134,7 +143,7 @@
                         continue;
                     };
                     // No other attempt runs beside one that has begun to answer.
-                    self.failed(&attempt.slot, &error)?;
+                    self.failed(attempt.held, &error).await?;
                 }
             }
         }
@@ -161,9 +170,8 @@
                     self.current = Some(attempt);
                     return Ok(event);
                 }
-                Err((slot, _, error)) => {
-                    if self.failed(&slot, &error)? {
-                        drop(slot);
+                Err((held, error)) => {
+                    if self.failed(held, &error).await? {
                         let next = self.launch().await?;
                         starting.push(next);
                     }
@@ -182,7 +190,7 @@
     }
 
     fn hedge_at(&self) -> Option<async_time::Instant> {
-        if self.suspicion.is_suspect() || self.tokens > 0 {
+        if self.tokens > 0 {
             return None;
         }
         let model = &self.request.target.model;
@@ -196,7 +204,12 @@
     /// Starts a second attempt if the budget allows it and another backend
     /// server is free.
     fn hedge(&mut self) -> Option<Starting> {
-        let fit = self.suspicion.fit().ok()?;
+        let shared = &self.context.shared;
+        let fit = filter::suspect::check(shared, self.request.fingerprint).ok()?;
+        // A suspect runs on one backend server at a time.
+        if fit != router::Fit::Any {
+            return None;
+        }
         let slot = self.pick(fit).ok()?;
         let model = &self.request.target.model;
         if self.avoid.contains(&slot.choice().id) {
@@ -214,18 +227,25 @@
             return None;
         }
         metrics::HEDGES.with_label_values(&["started"]).inc();
-        Some(self.start(slot, true))
+        let held = Held {
+            slot,
+            reservation: None,
+        };
+        Some(self.start(held, true))
     }
 
     /// Starts an attempt on a chosen backend server.
     async fn launch(&mut self) -> Result<Starting, refusal::Refusal> {
-        let fit = self.suspicion.fit()?;
+        let shared = &self.context.shared;
+        let fit = filter::suspect::check(shared, self.request.fingerprint)
+            .map_err(|refusal| self.with_verdict(refusal))?;
         let slot = match fit {
             router::Fit::Isolated => self.pick_isolated().await,
             _ => self.pick(fit),
         };
         let slot = slot.map_err(|why| why.refusal().verdict(self.call.verdict()))?;
-        Ok(self.start(slot, false))
+        let held = self.hold(slot)?;
+        Ok(self.start(held, false))
     }
 
     fn pick(&self, fit: router::Fit) -> Result<routing::Slot, router::Unavailable> {
@@ -257,16 +277,42 @@
         }
     }
 
-    fn start(&mut self, slot: routing::Slot, hedge: bool) -> Starting {
+    /// Reserves the backend server of an isolated run. Another such run of the
+    /// same request may have begun since it was checked.
+    fn hold(&self, slot: routing::Slot) -> Result<Held, refusal::Refusal> {
+        if slot.fit() != router::Fit::Isolated {
+            return Ok(Held {
+                slot,
+                reservation: None,
+            });
+        }
+        let fingerprint = self.request.fingerprint;
+        let treatment = self.context.shared.with_suspects(|suspects, _| {
+            let treatment = suspects.treatment(fingerprint);
+            if treatment == suspect::Treatment::Isolated {
+                suspects.isolate(fingerprint);
+            }
+            treatment
+        });
+        if let suspect::Treatment::Refused(refusal) = treatment {
+            return Err(self.with_verdict(refusal));
+        }
+        let reservation = Reservation::new(&self.context, &slot, fingerprint);
+        Ok(Held {
+            slot,
+            reservation: Some(reservation),
+        })
+    }
+
+    fn start(&mut self, held: Held, hedge: bool) -> Starting {
         self.attempts += 1;
         self.running = true;
+        let choice = held.slot.choice();
         // Later attempts of this request go elsewhere while there is a choice.
-        self.avoid.push(slot.choice().id.clone());
-        let reservation = (slot.fit() == router::Fit::Isolated)
-            .then(|| Reservation::new(&self.context, slot.choice().id.clone()));
+        self.avoid.push(choice.id.clone());
         let timeouts = &self.context.shared.settings.timeouts;
         let call = upstream::Call {
-            address: slot.choice().address.clone(),
+            address: choice.address.clone(),
             api: self.request.api,
             body: upstream::resumed(&self.request.body.value, &self.text),
             request_id: format!("{}-{}", self.request.id, self.attempts).into(),
@@ -282,19 +328,22 @@
             model: self.request.target.model.clone(),
             observe: self.tokens == 0,
             hedge,
-            slot,
-            reservation,
+            held,
         };
         Box::pin(started.run(call))
     }
 
     /// Decides what follows a failed attempt. Returns whether another attempt
     /// has to be started; if not, one is still running.
-    fn failed(
+    async fn failed(
         &mut self,
-        slot: &routing::Slot,
+        held: Held,
         error: &upstream::Error,
     ) -> Result<bool, refusal::Refusal> {
+        let Held {
+            mut slot,
+            reservation,
+        } = held;
         log::info!(
             request_id = self.request.id.as_str(),
             team = self.request.team.as_str(),
@@ -302,13 +351,23 @@
             verdict = <&str>::from(error.verdict);
             "attempt failed: {error}"
         );
-        if error.crash() {
-            self.strike(slot);
+        slot.ended(health_outcome(error.cause));
+        let is_isolated = slot.fit() == router::Fit::Isolated;
+        let choice = slot.choice().clone();
+        drop(slot);
+        if error.cause == Cause::Broken {
+            self.broken(&choice, is_isolated).await;
         }
+        // Held until the strike is counted, so that no other run of the same
+        // request begins in between.
+        drop(reservation);
         if error.cause == Cause::Rejected {
             self.running = false;
             return Err(rejection(error));
         }
+        if error.cause == Cause::Corrupt {
+            self.discard(error)?;
+        }
         let model = &self.request.target.model;
         let call = &mut self.call;
         let failure = failure(error.cause);
@@ -316,41 +375,77 @@
             .context
             .shared
             .with_retry(|retry, now_ms| retry.failed(model, call, failure, now_ms));
+        if decision == retry::Decision::Wait {
+            return Ok(false);
+        }
+        self.running = false;
+        // A suspect that is refused from now on hears the actual reason.
+        let fingerprint = self.request.fingerprint;
+        filter::suspect::check(&self.context.shared, fingerprint)
+            .map_err(|refusal| self.with_verdict(refusal))?;
         match decision {
-            retry::Decision::Wait => Ok(false),
+            // A suspect runs isolated at most once.
+            retry::Decision::Again { .. } if is_isolated => Err(self.with_verdict(error.refusal())),
             retry::Decision::Again { reason, .. } => {
-                self.running = false;
-                self.suspicion
-                    .fit()
-                    .map_err(|refusal| refusal.verdict(self.call.verdict()))?;
                 metrics::RETRIES
                     .with_label_values(&[<&str>::from(reason)])
                     .inc();
                 Ok(true)
             }
             retry::Decision::GiveUp { refusal, .. } => {
-                self.running = false;
-                self.suspicion
-                    .fit()
-                    .map_err(|refusal| refusal.verdict(self.call.verdict()))?;
                 let message = format!("{}: {}", refusal.message, error.message);
                 Err(refusal::Refusal { message, ..refusal })
             }
+            retry::Decision::Wait => Ok(false),
         }
     }
 
-    /// Counts that a backend server crashed while it ran this request.
-    fn strike(&mut self, slot: &routing::Slot) {
-        let isolated = slot.fit() == router::Fit::Isolated;
-        self.suspicion.strike(isolated);
-        let label = if isolated { "yes" } else { "no" };
-        metrics::STRIKES.with_label_values(&[label]).inc();
-        self.context.events.send(controller::Event::Struck {
+    /// Throws away a text that is not what was generated, so that the request
+    /// can start over. A stream has passed it on to the caller and ends here.
+    fn discard(&mut self, error: &upstream::Error) -> Result<(), refusal::Refusal> {
+        if self.request.body.stream {
+            self.running = false;
+            return Err(error.refusal());
+        }
+        self.text.clear();
+        self.tokens = 0;
+        Ok(())
+    }
+
+    /// Finds out whether a backend server to which the connection broke has
+    /// crashed, and counts a strike if so.
+    async fn broken(&self, choice: &router::Choice, isolated: bool) {
+        let table = &self.context.shared.table;
+        let evidence = suspect::Evidence {
+            broken: true,
+            refused: self.context.upstream.refuses(&choice.address).await,
+            restarted: table.has_restarted(&choice.id, choice.incarnation),
+            leaving: table.is_leaving(&choice.id),
+        };
+        let flight = suspect::Flight {
             fingerprint: self.request.fingerprint,
-            backend: slot.choice().id.clone(),
-            incarnation: slot.choice().incarnation,
             isolated,
+        };
+        if !evidence.is_crash() {
+            // A fast restart shows only when the new incarnation announces itself.
+            let broken = controller::Break {
+                backend: choice.id.clone(),
+                incarnation: choice.incarnation,
+                flight,
+            };
+            self.context.events.send(controller::Event::Broken(broken));
+            return;
+        }
+        let label = if isolated { "yes" } else { "no" };
+        metrics::STRIKES.with_label_values(&[label]).inc();
+        let commands = self.context.shared.with_suspects(|suspects, now_ms| {
+            suspects.crashed(&choice.id, choice.incarnation, &[flight], now_ms)
         });
+        for command in commands {
+            self.context
+                .events
+                .send(controller::Event::Suspect(command));
+        }
     }
 
     fn account(&mut self, event: &Event) {
@@ -365,6 +460,9 @@
                 let elapsed = now.duration_since(since).as_secs_f64();
                 histogram.with_label_values(&[path]).observe(elapsed);
                 self.last_token = Some(now);
+                if let Some(attempt) = &mut self.current {
+                    attempt.held.slot.progress();
+                }
                 self.call.progress();
                 self.text.push_str(&delta.text);
                 self.tokens += u64::from(delta.tokens);
@@ -375,14 +473,22 @@
 
     fn succeeded(&mut self, path: &str) {
         self.finished = true;
-        self.current = None;
+        if let Some(mut attempt) = self.current.take() {
+            attempt.held.slot.ended(health::Outcome::Done);
+        }
         let model = &self.request.target.model;
         self.context
             .shared
             .with_retry(|retry, now_ms| retry.succeeded(model, now_ms));
-        if self.suspicion.is_suspect() {
-            let cleared = controller::Event::Cleared(self.request.fingerprint);
-            self.context.events.send(cleared);
+        let fingerprint = self.request.fingerprint;
+        let cleared = self
+            .context
+            .shared
+            .with_suspects(|suspects, now_ms| suspects.finished(fingerprint, now_ms));
+        if let Some(command) = cleared {
+            self.context
+                .events
+                .send(controller::Event::Suspect(command));
         }
         metrics::ANSWERS.with_label_values(&[path]).inc();
         log::debug!(
@@ -426,8 +532,7 @@
     model: name::Name,
     observe: bool,
     hedge: bool,
-    slot: routing::Slot,
-    reservation: Option<Reservation>,
+    held: Held,
 }
 
 impl Attempting {
@@ -435,20 +540,19 @@
         let sent = time::Instant::now();
         let mut stream = match self.context.upstream.generate(call).await {
             Ok(stream) => stream,
-            Err(error) => return Err((self.slot, self.hedge, error)),
+            Err(error) => return Err((self.held, error)),
         };
         let event = match stream.next().await {
             Ok(event) => event,
-            Err(error) => return Err((self.slot, self.hedge, error)),
+            Err(error) => return Err((self.held, error)),
         };
         if self.observe {
             self.observe_first(sent);
         }
         let attempt = Attempt {
-            slot: self.slot,
+            held: self.held,
             stream,
             hedge: self.hedge,
-            _reservation: self.reservation,
         };
         Ok((attempt, event))
     }
@@ -466,27 +570,50 @@
 
 /// A backend server that is kept free for an isolated run, until it is dropped.
 struct Reservation {
-    events: controller::Sender,
+    context: sync::Arc<context::Context>,
     backend: name::Name,
+    fingerprint: fingerprint::Fingerprint,
 }
 
 impl Reservation {
-    fn new(context: &context::Context, backend: name::Name) -> Reservation {
-        let events = context.events.clone();
-        events.send(controller::Event::Reserved {
-            backend: backend.clone(),
-            duration_ms: RESERVE_MS,
+    fn new(
+        context: &sync::Arc<context::Context>,
+        slot: &routing::Slot,
+        fingerprint: fingerprint::Fingerprint,
+    ) -> Reservation {
+        let reservation = Reservation {
+            context: sync::Arc::clone(context),
+            backend: slot.choice().id.clone(),
+            fingerprint,
+        };
+        reservation.announce(RESERVE_MS);
+        reservation
+    }
+
+    fn announce(&self, duration_ms: u64) {
+        self.context.events.send(controller::Event::Reserved {
+            backend: self.backend.clone(),
+            duration_ms,
         });
-        Reservation { events, backend }
     }
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.events.send(controller::Event::Reserved {
-            backend: self.backend.clone(),
-            duration_ms: 0,
-        });
+        let fingerprint = self.fingerprint;
+        self.context
+            .shared
+            .with_suspects(|suspects, _| suspects.abandoned(fingerprint));
+        self.announce(0);
+    }
+}
+
+/// Returns how the health rules see a failure.
+fn health_outcome(cause: Cause) -> health::Outcome {
+    match cause {
+        // A refusal and a fault of the request say nothing about the health.
+        Cause::Refused | Cause::Rejected => health::Outcome::Cancelled,
+        _ => health::Outcome::Failed,
     }
 }
 
@@ -498,7 +625,7 @@
         Cause::Rejected | Cause::Failed => retry::Failure::Status,
         Cause::Broken => retry::Failure::Broken,
         Cause::FirstTokenTimeout | Cause::TokenTimeout => retry::Failure::Stalled,
-        Cause::Mismatched | Cause::Malformed => retry::Failure::Mismatched,
+        Cause::Mismatched | Cause::Malformed | Cause::Corrupt => retry::Failure::Mismatched,
     }
 }
 
--- a/programs/entry/src/routing.rs
+++ b/programs/entry/src/routing.rs
@@ -1,15 +1,20 @@
 //! The backend servers as the traffic threads see them, and the choice among them.
 
-use std::{collections, sync};
+use std::{collections, sync, time};
 
-use bw_policy::router;
+use bw_policy::{health, router};
 use bw_wire::{backend, name};
 use rand::SeedableRng;
 use tokio::sync as async_sync;
 
 use crate::clock;
 
-/// The router and the counts of requests in flight, shared by all threads.
+/// How often a stream reports that it moves on. Health rules look for silences
+/// of half a second and more, so that reporting each token would gain nothing.
+const PROGRESS_INTERVAL: time::Duration = time::Duration::from_millis(20);
+
+/// The router, the health of backend servers and the counts of requests in
+/// flight, shared by all threads.
 ///
 /// Every operation is short: the control thread takes the lock once for each
 /// announcement, never for a whole exchange.
@@ -19,8 +24,12 @@
     changed: async_sync::Notify,
 }
 
-struct State {
-    router: router::Router,
+/// What the lock of a [`Table`] guards.
+pub struct State {
+    /// The choice of backend servers.
+    pub router: router::Router,
+    /// Their health.
+    pub health: health::Health,
     random: rand_pcg::Pcg64Mcg,
 }
 
@@ -30,6 +39,7 @@
         Table {
             state: sync::Mutex::new(State {
                 router: builder.build(),
+                health: health::Builder::new().build(),
                 random: rand_pcg::Pcg64Mcg::seed_from_u64(seed),
             }),
             clock,
@@ -39,14 +49,17 @@
 
     /// Takes an announcement that is `age_ms` old.
     pub fn announce(&self, announcement: &backend::Announcement, age_ms: u64) {
-        let now_ms = self.clock.now_ms();
-        self.lock().router.announce(announcement, age_ms, now_ms);
+        self.with(|state, now_ms| state.router.announce(announcement, age_ms, now_ms));
     }
 
-    /// Runs a short operation on the router.
-    pub fn with<R>(&self, operation: impl FnOnce(&mut router::Router, u64) -> R) -> R {
+    /// Runs a short operation on the state, with the time of the process clock.
+    pub fn with<R>(&self, operation: impl FnOnce(&mut State, u64) -> R) -> R {
         let now_ms = self.clock.now_ms();
-        operation(&mut self.lock().router, now_ms)
+        let state = self.state.lock();
+        operation(
+            &mut state.unwrap_or_else(sync::PoisonError::into_inner),
+            now_ms,
+        )
     }
 
     /// Chooses a backend server and counts the request as in flight there
@@ -59,35 +72,48 @@
         self: &sync::Arc<Self>,
         request: &router::Request<'_>,
     ) -> Result<Slot, router::Unavailable> {
-        let now_ms = self.clock.now_ms();
-        let mut state = self.lock();
-        let State { router, random } = &mut *state;
-        let choice = router.choose(request, now_ms, random)?;
-        router.begin(&choice, request, now_ms);
-        drop(state);
+        let (choice, flight) = self.with(|state, now_ms| {
+            let choice = state.router.choose(request, now_ms, &mut state.random)?;
+            state.router.begin(&choice, request, now_ms);
+            let flight = state.health.begin(&choice.id, now_ms);
+            Ok((choice, flight))
+        })?;
         self.changed.notify_one();
         Ok(Slot {
             table: sync::Arc::clone(self),
             choice,
             fit: request.fit,
+            flight: Some(flight),
+            outcome: health::Outcome::Cancelled,
+            progressed: None,
         })
     }
 
     /// Returns the online requests in flight by backend server.
     pub fn online(&self) -> collections::BTreeMap<name::Name, u32> {
-        self.lock().router.online()
+        self.with(|state, _| state.router.online())
+    }
+
+    /// Returns whether a later incarnation of a backend server is known.
+    pub fn has_restarted(&self, id: &str, incarnation: u64) -> bool {
+        self.with(|state, _| {
+            let known = state.router.announcement(id);
+            known.is_some_and(|known| known.incarnation > incarnation)
+        })
+    }
+
+    /// Returns whether a backend server has said that it leaves.
+    pub fn is_leaving(&self, id: &str) -> bool {
+        self.with(|state, _| {
+            let known = state.router.announcement(id);
+            known.is_some_and(|known| known.state == backend::State::Leaving)
+        })
     }
 
     /// Waits until a count changed since the last call.
     pub async fn changed(&self) {
         self.changed.notified().await;
     }
-
-    fn lock(&self) -> sync::MutexGuard<'_, State> {
-        self.state
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
-    }
 }
 
 /// A request in flight on a backend server.
@@ -95,6 +121,9 @@
     table: sync::Arc<Table>,
     choice: router::Choice,
     fit: router::Fit,
+    flight: Option<health::Flight>,
+    outcome: health::Outcome,
+    progressed: Option<time::Instant>,
 }
 
 impl Slot {
@@ -107,12 +136,39 @@
     pub fn fit(&self) -> router::Fit {
         self.fit
     }
+
+    /// Notes a token or a response byte.
+    pub fn progress(&mut self) {
+        let now = time::Instant::now();
+        let recent = self
+            .progressed
+            .is_some_and(|last| now.duration_since(last) < PROGRESS_INTERVAL);
+        if recent {
+            return;
+        }
+        self.progressed = Some(now);
+        if let Some(flight) = &mut self.flight {
+            self.table
+                .with(|state, now_ms| state.health.progress(flight, now_ms));
+        }
+    }
+
+    /// Notes how the request ended. A slot that is dropped without counts as
+    /// cancelled, which says nothing about the backend server.
+    pub fn ended(&mut self, outcome: health::Outcome) {
+        self.outcome = outcome;
+    }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        let now_ms = self.table.clock.now_ms();
-        self.table.lock().router.end(&self.choice, self.fit, now_ms);
+        let flight = self.flight.take();
+        self.table.with(|state, now_ms| {
+            state.router.end(&self.choice, self.fit, now_ms);
+            if let Some(flight) = flight {
+                state.health.end(flight, self.outcome, now_ms);
+            }
+        });
         self.table.changed.notify_one();
     }
 }
--- a/programs/entry/src/snapshot.rs
+++ b/programs/entry/src/snapshot.rs
@@ -5,7 +5,7 @@
     sync::{self, atomic},
 };
 
-use bw_wire::{command, fingerprint, intent, name, sync as wire_sync};
+use bw_wire::{intent, name, sync as wire_sync};
 
 /// An immutable view of the configuration and the fleet.
 #[derive(Clone, Debug, Default)]
@@ -21,8 +21,6 @@
     pub absent: sync::Arc<collections::BTreeMap<name::Name, u64>>,
     /// The entry VM that owns each backend server's batch work.
     pub owners: sync::Arc<collections::BTreeMap<name::Name, name::Name>>,
-    /// Suspected requests.
-    pub suspects: sync::Arc<collections::HashMap<fingerprint::Fingerprint, command::work::Suspect>>,
 }
 
 /// Time after which an entry VM that is no longer listed counts as gone: its
--- a/programs/entry/src/upstream/call.rs
+++ b/programs/entry/src/upstream/call.rs
@@ -1,6 +1,6 @@
 //! Sends requests to backend servers.
 
-use std::time;
+use std::{io, time};
 
 use bw_wire::{header, name, verdict};
 use bytes::Bytes;
@@ -11,7 +11,7 @@
     client::legacy::{self, connect},
     rt,
 };
-use tokio::time as async_time;
+use tokio::{net, time as async_time};
 
 use super::{
     error::{Cause, Error},
@@ -25,6 +25,9 @@
 /// so that the backend server rarely closes a connection that is being reused.
 const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
+/// Time limit for the refusal of a connection.
+const REFUSAL_TIMEOUT: time::Duration = time::Duration::from_millis(200);
+
 /// The work class of a call.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -201,6 +204,17 @@
         Ok(healthy)
     }
 
+    /// Returns whether a backend server refuses connections, which a process
+    /// that is gone does at once.
+    pub async fn refuses(&self, address: &name::Name) -> bool {
+        let connecting = net::TcpStream::connect(address.as_str());
+        let connected = async_time::timeout(REFUSAL_TIMEOUT, connecting).await;
+        matches!(
+            connected,
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused
+        )
+    }
+
     async fn send(
         &self,
         request: http::Request<Full<Bytes>>,
--- a/programs/entry/src/upstream/error.rs
+++ b/programs/entry/src/upstream/error.rs
@@ -27,8 +27,11 @@
     TokenTimeout,
     /// The answer belongs to another request.
     Mismatched,
-    /// The answer is not of the agreed form, or its parts contradict each other.
+    /// The answer is not of the agreed form.
     Malformed,
+    /// The text differs in length from what the engine says it generated, so
+    /// that tokens are missing or doubled somewhere in it.
+    Corrupt,
 }
 
 /// A failed call.
@@ -80,28 +83,17 @@
         self.cause != Cause::Rejected
     }
 
-    /// Returns whether the backend server seems to have crashed.
-    ///
-    /// A broken connection is the only sign of a crash that is visible at
-    /// once; a crash that is followed by a fast restart leaves no other.
-    pub fn crash(&self) -> bool {
-        self.cause == Cause::Broken
-    }
-
-    /// Returns whether the backend server seems to be frozen or overloaded.
-    pub fn frozen(&self) -> bool {
-        matches!(self.cause, Cause::FirstTokenTimeout | Cause::TokenTimeout)
-    }
-
     /// Returns the refusal for a caller whose request is given up on.
     pub fn refusal(&self) -> refusal::Refusal {
         let reason = match self.cause {
             Cause::Unreachable | Cause::Refused => refusal::Reason::NoBackend,
             Cause::Rejected => refusal::Reason::InvalidField,
             Cause::FirstTokenTimeout | Cause::TokenTimeout => refusal::Reason::BackendTimeout,
-            Cause::Failed | Cause::Broken | Cause::Mismatched | Cause::Malformed => {
-                refusal::Reason::BackendFailed
-            }
+            Cause::Failed
+            | Cause::Broken
+            | Cause::Mismatched
+            | Cause::Malformed
+            | Cause::Corrupt => refusal::Reason::BackendFailed,
         };
         refusal::Refusal::not_run(reason, self.message.clone()).verdict(self.verdict)
     }
--- a/programs/entry/src/upstream/stream.rs
+++ b/programs/entry/src/upstream/stream.rs
@@ -162,10 +162,13 @@
         if let Some(usage) = self.usage {
             let total = self.tokens + self.resumed_tokens;
             if usage.completion_tokens != total {
-                return Err(malformed(format!(
-                    "{} of {} tokens arrived for request {}",
-                    total, usage.completion_tokens, self.request_id
-                )));
+                return Err(Error::may_have_run(
+                    Cause::Corrupt,
+                    format!(
+                        "{} tokens arrived of {} that were generated",
+                        total, usage.completion_tokens
+                    ),
+                ));
             }
         }
         // Reading to the end of the body returns the connection to the pool.
--- /dev/null
+++ b/programs/entry/tests/fault.rs
@@ -0,0 +1,185 @@
+//! Backend servers that fail before, in and after their answers.
+
+mod support;
+
+use rstest::rstest;
+use support::{
+    backend::{Answer, Backend, whole_text},
+    caller, chat_body, fleet, fleet_with, wait_for,
+};
+
+use std::time;
+
+fn impatient(settings: &mut bw_entry::settings::Settings) {
+    settings.timeouts.first_token_ms = 300;
+    settings.timeouts.between_tokens_ms = 300;
+}
+
+/// Guards against text that is lost, doubled or of another request when a
+/// stream has to go on elsewhere: the one answer of the caller stays whole.
+#[rstest]
+#[case::close(Answer::Close)]
+#[case::freeze(Answer::Freeze)]
+#[case::refuse(Answer::Refuse)]
+#[case::error(Answer::Status(500))]
+#[case::cut_before_the_first_token(Answer::CutAfter(0))]
+#[case::cut(Answer::CutAfter(3))]
+#[case::cut_before_the_end_mark(Answer::CutAfter(5))]
+#[case::no_end_mark(Answer::NoEnd(3))]
+#[case::frozen_stream(Answer::FreezeAfter(2))]
+#[case::crossed_id(Answer::CrossedId)]
+#[case::crossed_chunk(Answer::CrossedChunk)]
+#[case::garbage(Answer::Garbage)]
+fn a_later_attempt_completes_the_answer(
+    #[case] fault: Answer,
+    #[values(true, false)] stream: bool,
+) {
+    let bad = Backend::engine("bad", &[fault, Answer::Whole]);
+    let fleet = fleet_with(vec![bad], impatient);
+    let response = fleet.chat(&chat_body(stream));
+    assert_eq!(response.status, 200, "{}", response.text());
+    assert!(response.complete);
+    let text = match stream {
+        true => response.streamed_text(),
+        false => response.json()["choices"][0]["message"]["content"]
+            .as_str()
+            .expect("text")
+            .to_owned(),
+    };
+    assert_eq!(text, whole_text());
+    assert_eq!(fleet.backends[0].count(), 2);
+}
+
+/// Guards against a resume that starts over or skips text: it names the text
+/// and its length in tokens.
+#[rstest]
+fn a_resume_names_the_text_that_was_sent() {
+    let fleet = fleet(vec![Backend::engine(
+        "e1",
+        &[Answer::CutAfter(3), Answer::Whole],
+    )]);
+    fleet.chat(&chat_body(true));
+    let seen = fleet.backends[0].seen.lock().expect("lock").clone();
+    let body: serde_json::Value = serde_json::from_slice(&seen[1].body).expect("JSON");
+    assert_eq!(seen[1].headers["bw-resume-tokens"], "3");
+    assert_eq!(body["bw_resume_text"], " t0 t1 t2");
+    assert_ne!(
+        seen[0].headers["bw-request-id"],
+        seen[1].headers["bw-request-id"]
+    );
+}
+
+/// Guards against a false "not run", and against a stream that ends without
+/// saying that it is incomplete.
+#[rstest]
+#[case::refused_by_the_backend(Answer::Refuse, "no_backend|backend_failed", "not_run")]
+#[case::closed(Answer::Close, "backend_failed", "may_have_run")]
+#[case::error(Answer::Status(500), "backend_failed", "may_have_run")]
+#[case::unavailable_without_verdict(Answer::Status(503), "backend_failed", "may_have_run")]
+#[case::frozen(Answer::Freeze, "backend_timeout", "may_have_run")]
+#[case::cut_before_the_first_token(Answer::CutAfter(0), "backend_failed", "may_have_run")]
+#[case::crossed(Answer::CrossedId, "backend_failed", "may_have_run")]
+#[case::rejected(Answer::Status(400), "invalid_field", "may_have_run")]
+fn a_request_that_fails_everywhere_has_a_true_verdict(
+    #[case] fault: Answer,
+    #[case] codes: &str,
+    #[case] verdict: &str,
+) {
+    let backends = vec![
+        Backend::engine("e1", &[fault]),
+        Backend::engine("e2", &[fault]),
+    ];
+    let fleet = fleet_with(backends, impatient);
+    let response = fleet.chat(&chat_body(true));
+    let (code, said) = response.refusal();
+    assert!(codes.split('|').any(|known| known == code), "{code}");
+    assert_eq!(said, verdict);
+    assert_eq!(response.header("bw-verdict"), Some(verdict));
+    let line = format!("bw_entry_refusals_total{{reason=\"{code}\",verdict=\"{verdict}\"}}");
+    assert!(fleet.metric(&line) >= 1.0, "{line}");
+}
+
+/// Guards against "may have run" for a request that was sent nowhere.
+#[rstest]
+fn a_refused_connection_means_not_run() {
+    let fleet = fleet(vec![Backend::unreachable("gone")]);
+    let (_, verdict) = fleet.chat(&chat_body(true)).refusal();
+    assert_eq!(verdict, "not_run");
+}
+
+/// Guards against a silently truncated stream: it ends with an error event and
+/// without the end mark.
+#[rstest]
+#[case::cut(Answer::CutAfter(3))]
+#[case::no_end_mark(Answer::NoEnd(3))]
+#[case::frozen(Answer::FreezeAfter(3))]
+fn a_stream_that_cannot_go_on_ends_with_an_error(#[case] fault: Answer) {
+    let script = [fault, Answer::Refuse];
+    let fleet = fleet_with(vec![Backend::engine("e1", &script)], impatient);
+    let response = fleet.chat(&chat_body(true));
+    assert_eq!(response.status, 200);
+    let events = response.events();
+    let last: serde_json::Value =
+        serde_json::from_str(events.last().expect("an event")).expect("JSON");
+    let (code, verdict) = caller::refusal_of(&last);
+    assert!(!code.is_empty(), "{last}");
+    assert_eq!(verdict, "may_have_run");
+    assert!(!events.contains(&"[DONE]".to_owned()));
+    assert_eq!(response.streamed_text(), " t0 t1 t2");
+}
+
+/// Guards against a doubled token that passes as a whole answer: what the
+/// caller has not seen is generated again, and a stream ends with an error.
+#[rstest]
+fn a_doubled_token_is_not_a_whole_answer() {
+    let script = [Answer::Doubled, Answer::Whole, Answer::Doubled];
+    let fleet = fleet(vec![Backend::engine("e1", &script)]);
+    let response = fleet.chat(&chat_body(false)).json();
+    let text = &response["choices"][0]["message"]["content"];
+    assert_eq!(*text, whole_text());
+    let streamed = fleet.chat(&chat_body(true));
+    assert!(!streamed.events().contains(&"[DONE]".to_owned()));
+    assert_eq!(fleet.backends[0].count(), 3, "the stream is not resumed");
+}
+
+/// Guards against work that goes on for a caller that left.
+#[rstest]
+fn a_caller_that_leaves_cancels_the_request() {
+    let pause = time::Duration::from_millis(50);
+    let fleet = fleet(vec![Backend::engine("e1", &[Answer::Slow(pause)])]);
+    let body = chat_body(true).to_string();
+    let mut stream = caller::connect(&fleet.address());
+    let head = caller::head("POST", "/v1/chat/completions", &[], body.len());
+    std::io::Write::write_all(&mut stream, &[head.as_slice(), body.as_bytes()].concat())
+        .expect("sent");
+    wait_for("the request to arrive", || fleet.backends[0].count() == 1);
+    drop(stream);
+    let cancelled = &fleet.backends[0].cancelled;
+    wait_for("the cancel to arrive", || {
+        cancelled.load(std::sync::atomic::Ordering::SeqCst) == 1
+    });
+}
+
+/// Guards against a request that crashes one backend server after another: it
+/// is struck each time, then runs alone, and is refused after that.
+#[rstest]
+fn a_request_that_crashes_backend_servers_is_refused() {
+    let crash = |id: &str| Backend::engine(id, &[Answer::Close]);
+    let fleet = fleet(vec![crash("e1"), crash("e2"), crash("e3"), crash("e4")]);
+    for backend in &fleet.backends {
+        backend.refuse_after(1);
+    }
+    let mut last = (String::new(), String::new());
+    for _ in 0..4 {
+        last = fleet.chat(&chat_body(true)).refusal();
+    }
+    assert_eq!(
+        last,
+        ("poisonous_request".to_owned(), "may_have_run".to_owned())
+    );
+    let runs: usize = fleet.backends.iter().map(Backend::count).sum();
+    assert_eq!(runs, 3, "it ran at three crashes and no more");
+    let strikes = fleet.control.lock().strikes.clone();
+    assert_eq!(strikes.len(), 3, "{strikes:?}");
+    assert!(strikes[2].1, "the third run was isolated");
+}
--- a/programs/entry/tests/support/backend.rs
+++ b/programs/entry/tests/support/backend.rs
@@ -6,7 +6,7 @@
     net,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     thread, time,
 };
@@ -66,6 +66,7 @@
     /// Connections that callers closed before their answer was complete.
     pub cancelled: Arc<AtomicU64>,
     pub healthy: Arc<AtomicBool>,
+    limit: Arc<AtomicUsize>,
     announces: Arc<Mutex<backend::Announcement>>,
     renews: Arc<AtomicBool>,
 }
@@ -74,6 +75,7 @@
     /// Starts an engine. The script's last answer repeats.
     pub fn engine(id: &str, script: &[Answer]) -> Backend {
         let listener = net::TcpListener::bind("127.0.0.1:0").expect("the fake listens");
+        listener.set_nonblocking(true).expect("not blocking");
         let address = listener.local_addr().expect("an address").to_string();
         let backend = Backend {
             id: id.to_owned(),
@@ -83,6 +85,7 @@
             script: Arc::new(Mutex::new(script.iter().copied().collect())),
             cancelled: Arc::default(),
             healthy: Arc::new(AtomicBool::new(true)),
+            limit: Arc::new(AtomicUsize::new(usize::MAX)),
             renews: Arc::new(AtomicBool::new(true)),
         };
         let server = Server {
@@ -90,8 +93,10 @@
             script: Arc::clone(&backend.script),
             cancelled: Arc::clone(&backend.cancelled),
             healthy: Arc::clone(&backend.healthy),
+            limit: Arc::clone(&backend.limit),
+            listener: Mutex::new(Some(listener)),
         };
-        thread::spawn(move || server.run(&listener));
+        thread::spawn(move || server.run());
         backend
     }
 
@@ -140,6 +145,12 @@
         change(&mut self.announces.lock().expect("lock"));
     }
 
+    /// Refuses connections once this many requests have arrived, like a
+    /// process that crashed.
+    pub fn refuse_after(&self, requests: usize) {
+        self.limit.store(requests, Ordering::SeqCst);
+    }
+
     /// Stops to renew.
     pub fn silence(&self) {
         self.renews.store(false, Ordering::SeqCst);
@@ -177,12 +188,27 @@
     script: Arc<Mutex<collections::VecDeque<Answer>>>,
     cancelled: Arc<AtomicU64>,
     healthy: Arc<AtomicBool>,
+    limit: Arc<AtomicUsize>,
+    /// Taken when the fake crashes, which closes the address.
+    listener: Mutex<Option<net::TcpListener>>,
 }
 
 impl Server {
-    fn run(self, listener: &net::TcpListener) {
+    fn run(self) {
         let server = Arc::new(self);
-        for stream in listener.incoming().flatten() {
+        loop {
+            let accepted = {
+                let listener = server.listener.lock().expect("lock");
+                let Some(listener) = &*listener else {
+                    return;
+                };
+                listener.accept()
+            };
+            let Ok((stream, _)) = accepted else {
+                thread::sleep(time::Duration::from_millis(1));
+                continue;
+            };
+            stream.set_nonblocking(false).expect("blocking");
             let server = Arc::clone(&server);
             thread::spawn(move || while server.serve(&stream) {});
         }
@@ -209,7 +235,14 @@
                 _ => script.pop_front().expect("an answer"),
             }
         };
-        self.seen.lock().expect("lock").push(seen.clone());
+        let arrived = {
+            let mut arrived = self.seen.lock().expect("lock");
+            arrived.push(seen.clone());
+            arrived.len()
+        };
+        if arrived >= self.limit.load(Ordering::SeqCst) {
+            self.listener.lock().expect("lock").take();
+        }
         self.answer(stream, &seen, answer)
     }
 
