Test the lease, leaving, single runs and the shutdown

Attempts of requests that are not repeatable are held under a name that no other request has: a resend under the same request id would have been taken for the same holder and would have run a second time.

--- a/programs/entry/src/api/mod.rs
+++ b/programs/entry/src/api/mod.rs
@@ -31,6 +31,9 @@
     pub id: name::Name,
     /// Whether the caller chose the request id.
     pub id_given: bool,
+    /// The request id with a part that no other request has. Callers can use an
+    /// id twice.
+    pub unique_id: name::Name,
     /// When the request arrived.
     pub received: time::Instant,
     /// The method.
@@ -106,10 +109,15 @@
     ) -> pin::Pin<Box<dyn future::Future<Output = handler::HandlerResult> + Send>> {
         Box::pin(async move {
             let headers: http::HeaderMap = state.take();
+            let fresh = name::Name::from(ulid::Ulid::new().to_string());
             let given = given_id(&headers);
             let head = Head {
                 id_given: given.is_some(),
-                id: given.unwrap_or_else(|| ulid::Ulid::new().to_string().into()),
+                unique_id: match &given {
+                    Some(given) => format!("{given}-{fresh}").into(),
+                    None => fresh.clone(),
+                },
+                id: given.unwrap_or(fresh),
                 received: time::Instant::now(),
                 method: state.take(),
                 uri: state.take(),
--- a/programs/entry/src/api/service.rs
+++ b/programs/entry/src/api/service.rs
@@ -72,6 +72,7 @@
     let call = Call {
         context: sync::Arc::clone(context),
         request_id: head.id.clone(),
+        unique_id: head.unique_id.clone(),
         team,
         service,
         method: head.method.clone(),
@@ -132,6 +133,7 @@
 struct Call {
     context: sync::Arc<context::Context>,
     request_id: name::Name,
+    unique_id: name::Name,
     team: name::Name,
     service: name::Name,
     method: http::Method,
@@ -227,7 +229,7 @@
             path: self.path.clone(),
             headers: self.headers.clone(),
             body: self.body.clone(),
-            request_id: format!("{}-{}", self.request_id, self.attempts).into(),
+            request_id: format!("{}-{}", self.unique_id, self.attempts).into(),
             timeout: online::time_left(&self.context.shared, self.deadline_ms),
         }
     }
--- a/programs/entry/src/filter/mod.rs
+++ b/programs/entry/src/filter/mod.rs
@@ -26,6 +26,8 @@
 pub struct Admitted {
     /// The request id.
     pub id: name::Name,
+    /// The request id with a part that no other request has.
+    pub unique_id: name::Name,
     /// When the request arrived.
     pub received: time::Instant,
     /// The team.
@@ -78,6 +80,7 @@
     let place = Admission::admit(shared, request).await?;
     Ok(Admitted {
         id: head.id.clone(),
+        unique_id: head.unique_id.clone(),
         received: head.received,
         team,
         api,
--- a/programs/entry/src/online/once.rs
+++ b/programs/entry/src/online/once.rs
@@ -30,6 +30,9 @@
     pub body: fingerprint::Fingerprint,
     /// The request id.
     pub request_id: name::Name,
+    /// A part of the holder's name that no other request has: the same holder
+    /// gets the same attempt again, which another request must not.
+    pub unique_id: name::Name,
     /// Until when the caller waits, on the process clock.
     pub deadline_ms: u64,
 }
@@ -63,6 +66,7 @@
             key,
             body: fingerprint::Fingerprint::of_bytes(&content),
             request_id: head.id.clone(),
+            unique_id: head.unique_id.clone(),
             deadline_ms,
         })
     }
@@ -189,7 +193,7 @@
             team: key.team.clone(),
             key: key.key.clone(),
             body: key.body,
-            holder: format!("{}/{}", shared.holder(), key.request_id).into(),
+            holder: format!("{}/{}", shared.holder(), key.unique_id).into(),
             timeout_ms: left_ms + RECORD_MS,
             holder_gone,
         };
--- a/programs/entry/src/online/run.rs
+++ b/programs/entry/src/online/run.rs
@@ -315,7 +315,7 @@
             address: choice.address.clone(),
             api: self.request.api,
             body: upstream::resumed(&self.request.body.value, &self.text),
-            request_id: format!("{}-{}", self.request.id, self.attempts).into(),
+            request_id: format!("{}-{}", self.request.unique_id, self.attempts).into(),
             class: upstream::Class::Online,
             resume_tokens: self.tokens,
             timeouts: upstream::Timeouts {
--- /dev/null
+++ b/programs/entry/tests/control.rs
@@ -0,0 +1,266 @@
+//! The exchange with control, the lease, and backend servers that leave.
+
+mod support;
+
+use std::{thread, time};
+
+use bw_wire::{backend as protocol, sync as wire_sync};
+use rstest::rstest;
+use support::{
+    Fleet,
+    backend::{Answer, Backend},
+    caller, chat_body, fleet, fleet_with, start, wait_for,
+};
+
+/// Guards against an entry VM that serves an old configuration on and on after
+/// it lost contact: new work is refused and the load balancer is told.
+#[rstest]
+fn new_work_is_refused_without_a_lease() {
+    let fleet = fleet(vec![Backend::engine("e1", &[Answer::Whole])]);
+    assert_eq!(fleet.chat(&chat_body(true)).status, 200);
+    fleet.control.lock().silent = true;
+    let admin = fleet.entry.admin_address().to_string();
+    wait_for("the lease to end", || {
+        caller::get(&admin, "/readyz").status == 503
+    });
+    let response = fleet.chat(&chat_body(true));
+    assert_eq!(response.status, 503);
+    let refusal = ("configuration_stale".to_owned(), "not_run".to_owned());
+    assert_eq!(response.refusal(), refusal);
+    assert!(response.header("retry-after").is_some());
+    assert_eq!(fleet.backends[0].count(), 1);
+    assert_eq!(caller::get(&admin, "/healthz").status, 200);
+    fleet.control.lock().silent = false;
+    wait_for("the lease", || caller::get(&admin, "/readyz").status == 200);
+}
+
+/// Guards against a lease that counts from the arrival of a late answer: then
+/// it would be nearly whole right after one.
+#[rstest]
+fn the_lease_counts_from_the_time_of_sending() {
+    let control = support::control::Control::start();
+    control.lock().answer_ms = 800;
+    let entry = start(&control, "entry-1", |_| {});
+    let shared = entry.shared();
+    let longest = (0..300)
+        .map(|_| {
+            thread::sleep(time::Duration::from_millis(5));
+            shared.lease.remaining_ms(shared.clock.now_ms())
+        })
+        .max();
+    let longest = longest.expect("a lease");
+    assert!(
+        longest > 0 && longest <= wire_sync::CONFIG_LEASE_MS - 800,
+        "{longest}"
+    );
+}
+
+/// Guards against a lease for a configuration that the leader does not have,
+/// and against a configuration that reverts.
+#[rstest]
+fn an_older_revision_neither_applies_nor_extends_the_lease() {
+    let fleet = fleet(Vec::new());
+    fleet.control.lock().revision = 5;
+    let shared = fleet.entry.shared();
+    wait_for("revision 5", || shared.snapshot.load().revision == 5);
+    {
+        let mut control = fleet.control.lock();
+        control.revision = 4;
+        control.intent.models.clear();
+    }
+    let admin = fleet.entry.admin_address().to_string();
+    wait_for("the lease to end", || {
+        caller::get(&admin, "/readyz").status == 503
+    });
+    assert_eq!(shared.snapshot.load().revision, 5);
+    assert!(!shared.snapshot.load().intent.models.is_empty());
+}
+
+/// Guards against a revision that is reported before it is in force.
+#[rstest]
+fn a_revision_is_reported_once_it_is_in_force() {
+    let fleet = fleet(Vec::new());
+    {
+        let mut control = fleet.control.lock();
+        let model = control.intent.models.values().next().cloned();
+        control
+            .intent
+            .models
+            .insert("new".into(), model.expect("a model"));
+        control.revision = 2;
+    }
+    wait_for("the report", || {
+        let control = fleet.control.lock();
+        control.syncs.last().is_some_and(|sync| sync.revision == 2)
+    });
+    assert_eq!(caller::get(&fleet.address(), "/v1/models/new").status, 200);
+}
+
+/// Sends requests one after another and returns how many reached the backend
+/// server in that time.
+fn reached(fleet: &Fleet, requests: usize) -> usize {
+    let before = fleet.backends[0].count();
+    for _ in 0..requests {
+        fleet.chat(&chat_body(false));
+    }
+    fleet.backends[0].count() - before
+}
+
+/// Guards against work for a backend server that said that it leaves, also
+/// when an older announcement arrives late.
+#[rstest]
+fn a_leaving_backend_server_gets_nothing_new() {
+    let fleet = fleet(vec![Backend::engine("e1", &[Answer::Whole])]);
+    assert_eq!(reached(&fleet, 3), 3);
+    let backend = &fleet.backends[0];
+    backend.silence();
+    backend.change(|announcement| announcement.state = protocol::State::Leaving);
+    backend.announce(&fleet.address());
+    assert_eq!(reached(&fleet, 3), 0);
+    backend.change(|announcement| {
+        announcement.state = protocol::State::Ready;
+        announcement.sequence = 1;
+    });
+    backend.announce(&fleet.address());
+    assert_eq!(reached(&fleet, 3), 0);
+    backend.change(|announcement| announcement.incarnation += 1);
+    backend.announce(&fleet.address());
+    assert_eq!(reached(&fleet, 3), 3, "a later incarnation is back");
+}
+
+/// Guards against work for a backend server whose leaving was not heard: its
+/// proof runs out after 3 s when it neither renews nor passes a probe, also on
+/// an entry VM that is cut off from control.
+#[rstest]
+#[case::connected(false)]
+#[case::cut_off(true)]
+fn a_silent_backend_server_gets_nothing_new_after_3_s(#[case] cut_off: bool) {
+    let fleet = fleet(vec![Backend::engine("e1", &[Answer::Whole])]);
+    let backend = &fleet.backends[0];
+    assert_eq!(reached(&fleet, 1), 1);
+    fleet.control.lock().silent = cut_off;
+    backend
+        .healthy
+        .store(false, std::sync::atomic::Ordering::SeqCst);
+    backend.silence();
+    thread::sleep(time::Duration::from_millis(3_500));
+    // The lease of an entry VM that is cut off ends too, which would hide
+    // whether the proof has.
+    let shared = fleet.entry.shared();
+    shared.lease.extend(shared.clock.now_ms() + 60_000);
+    let response = fleet.chat(&chat_body(false));
+    assert_eq!(
+        response.refusal(),
+        ("no_backend".to_owned(), "not_run".to_owned())
+    );
+    assert_eq!(backend.count(), 1);
+}
+
+/// Guards against backend servers that fall out of use because their renewals
+/// go to other entry VMs: a probe proves that they are there.
+#[rstest]
+fn a_probe_keeps_a_backend_server_in_use() {
+    let fleet = fleet(vec![Backend::engine("e1", &[Answer::Whole])]);
+    fleet.backends[0].silence();
+    thread::sleep(time::Duration::from_millis(4_500));
+    assert_eq!(fleet.chat(&chat_body(false)).status, 200);
+}
+
+/// Guards against a leaving notice that stays on the entry VM that heard it,
+/// and against peers that take messages without credentials.
+#[rstest]
+#[case::with_tokens(true)]
+#[case::without_tokens(false)]
+fn peers_hear_that_a_backend_server_leaves(#[case] tokens: bool) {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("peers");
+    std::fs::write(&file, "entry-1: one\nentry-2: two\n").expect("written");
+    let first = fleet_with(vec![Backend::engine("e1", &[Answer::Whole])], |settings| {
+        settings.tokens.peers = tokens.then(|| file.clone());
+    });
+    let second = start(&first.control, "entry-2", |settings| {
+        settings.tokens.peers = tokens.then(|| file.clone());
+    });
+    let backend = &first.backends[0];
+    backend.announce(&second.address().to_string());
+    let peer = |name: &str, address: String| wire_sync::Peer {
+        entry: name.into(),
+        incarnation: 1,
+        failure_domain: "a".into(),
+        address: address.as_str().into(),
+    };
+    first.control.lock().peers = vec![
+        peer("entry-1", first.entry.peer_address().to_string()),
+        peer("entry-2", second.peer_address().to_string()),
+    ];
+    wait_for("the peers", || {
+        first.entry.shared().snapshot.load().peers.len() == 1
+    });
+    backend.silence();
+    backend.change(|announcement| announcement.state = protocol::State::Leaving);
+    backend.announce(&first.address());
+    let table = &second.shared().table;
+    wait_for("the notice", || table.is_leaving("e1"));
+    let body = chat_body(false).to_string();
+    let address = second.address().to_string();
+    let response = caller::post(&address, "/v1/chat/completions", &[], &body);
+    assert_eq!(response.refusal().0, "no_backend");
+}
+
+/// Guards against strangers that take backend servers out of use.
+#[rstest]
+fn a_peer_without_credentials_is_not_heard() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("peers");
+    std::fs::write(&file, "entry-1: one\n").expect("written");
+    let fleet = fleet_with(Vec::new(), |settings| {
+        settings.tokens.peers = Some(file.clone())
+    });
+    let address = fleet.entry.peer_address().to_string();
+    let body = r#"{"jsonrpc":"2.0","id":1,"method":"peer","params":[]}"#;
+    let json = ("content-type", "application/json");
+    assert_eq!(caller::post(&address, "/", &[json], body).status, 401);
+    let token = ("authorization", "Bearer one");
+    assert_eq!(
+        caller::post(&address, "/", &[json, token], body).status,
+        200
+    );
+}
+
+/// Guards against owners of batch work that hear late of online requests.
+#[rstest]
+fn the_owner_hears_of_online_requests() {
+    let first = fleet(vec![Backend::engine("e1", &[Answer::Freeze])]);
+    let second = start(&first.control, "entry-2", |_| {});
+    let mut messages = second.shared().peer_messages.subscribe();
+    {
+        let mut control = first.control.lock();
+        control.peers = vec![wire_sync::Peer {
+            entry: "entry-2".into(),
+            incarnation: 1,
+            failure_domain: "a".into(),
+            address: second.peer_address().to_string().as_str().into(),
+        }];
+        control.owners = [("e1".into(), "entry-2".into())].into();
+    }
+    wait_for("the peers", || {
+        first.entry.shared().snapshot.load().peers.len() == 1
+    });
+    let address = first.address();
+    let request = thread::spawn(move || {
+        let headers = [("bw-deadline-ms", "1000")];
+        let body = chat_body(false).to_string();
+        caller::post(&address, "/v1/chat/completions", &headers, &body)
+    });
+    let mut counts = Vec::new();
+    wait_for("both counts", || {
+        while let Ok(message) = messages.try_recv() {
+            if let bw_wire::peer::Message::Online { online, .. } = message {
+                counts.push(online);
+            }
+        }
+        counts.len() >= 2
+    });
+    assert_eq!(counts, [1, 0]);
+    request.join().expect("ended");
+}
--- /dev/null
+++ b/programs/entry/tests/drain.rs
@@ -0,0 +1,85 @@
+//! Graceful shutdown.
+
+mod support;
+
+use std::{sync::atomic::Ordering, thread, time};
+
+use rstest::rstest;
+use support::{
+    backend::{Answer, Backend, whole_text},
+    caller, chat_body, fleet, fleet_with, wait_for,
+};
+
+/// Guards against requests that a shutdown cuts off, and against new work
+/// during it.
+#[rstest]
+#[case::stream(true)]
+#[case::whole(false)]
+fn running_requests_finish(#[case] stream: bool) {
+    let pause = time::Duration::from_millis(100);
+    let fleet = fleet_with(
+        vec![Backend::engine("e1", &[Answer::Slow(pause)])],
+        |settings| {
+            settings.timeouts.linger_ms = 300;
+        },
+    );
+    let address = fleet.address();
+    let request = thread::spawn(move || {
+        let body = chat_body(stream).to_string();
+        caller::post(&address, "/v1/chat/completions", &[], &body)
+    });
+    wait_for("the request to run", || fleet.backends[0].count() == 1);
+    fleet.entry.drain();
+    let admin = fleet.entry.admin_address().to_string();
+    assert_eq!(caller::get(&admin, "/readyz").status, 503);
+    let refused = fleet.chat(&chat_body(true));
+    assert_eq!(
+        refused.refusal(),
+        ("shutting_down".to_owned(), "not_run".to_owned())
+    );
+    fleet.entry.join();
+    let response = request.join().expect("ended");
+    assert_eq!(response.status, 200);
+    assert!(response.complete);
+    let text = match stream {
+        true => response.streamed_text(),
+        false => response.json()["choices"][0]["message"]["content"]
+            .as_str()
+            .expect("text")
+            .to_owned(),
+    };
+    assert_eq!(text, whole_text());
+    let told = fleet.control.lock().syncs.iter().any(|sync| sync.draining);
+    assert!(told, "control is told");
+}
+
+/// Guards against a record that is lost when the caller leaves and the process
+/// shuts down at the same time, and against hooks that do not run.
+#[rstest]
+fn outcomes_are_recorded_and_hooks_run_before_the_end() {
+    let pause = time::Duration::from_millis(60);
+    let fleet = fleet(vec![Backend::engine("e1", &[Answer::Slow(pause)])]);
+    let released = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let flag = std::sync::Arc::clone(&released);
+    fleet.entry.shared().drain.on_release(move || async move {
+        flag.store(true, Ordering::SeqCst);
+    });
+    let headers = [("idempotency-key", "k1"), ("bw-repeatable", "no")];
+    let body = chat_body(false).to_string();
+    let mut stream = caller::connect(&fleet.address());
+    let head = caller::head("POST", "/v1/chat/completions", &headers, body.len());
+    std::io::Write::write_all(&mut stream, &[head.as_slice(), body.as_bytes()].concat())
+        .expect("sent");
+    wait_for("the request to run", || fleet.backends[0].count() == 1);
+    drop(stream);
+    fleet.entry.drain();
+    fleet.entry.join();
+    assert!(released.load(Ordering::SeqCst));
+    let control = fleet.control.lock();
+    let outcome = &control.attempts["k1"].outcome;
+    let done = matches!(
+        outcome,
+        Some(bw_wire::command::work::AttemptOutcome::Done { .. })
+    );
+    assert!(done, "{outcome:?}");
+}
--- /dev/null
+++ b/programs/entry/tests/once.rs
@@ -0,0 +1,196 @@
+//! Requests that are not repeatable.
+
+mod support;
+
+use std::{thread, time};
+
+use bw_wire::command::work::AttemptOutcome;
+use rstest::rstest;
+use support::{
+    Fleet,
+    backend::{Answer, Backend, whole_text},
+    caller, chat_body, fleet, fleet_with, wait_for,
+};
+
+const INVOICE: &str = "/services/invoice/new";
+
+/// Returns a fleet with two backend servers of the service `invoice`.
+fn invoices(script: &[Answer]) -> Fleet {
+    fleet(vec![
+        Backend::service("s1", "invoice", script),
+        Backend::service("s2", "invoice", script),
+    ])
+}
+
+fn runs(fleet: &Fleet) -> usize {
+    fleet.backends.iter().map(Backend::count).sum()
+}
+
+fn send(fleet: &Fleet, key: &str) -> caller::Response {
+    let headers = [("idempotency-key", key)];
+    caller::post(&fleet.address(), INVOICE, &headers, "for the roll")
+}
+
+/// Guards against an invoice that is written twice: a resend gets the recorded
+/// answer.
+#[rstest]
+fn a_resend_gets_the_recorded_answer() {
+    let fleet = invoices(&[Answer::Whole]);
+    for _ in 0..3 {
+        let response = send(&fleet, "k1");
+        assert_eq!((response.status, response.text().as_str()), (200, "done"));
+    }
+    assert_eq!(runs(&fleet), 1);
+}
+
+/// Guards against a second run after an unclear first one. The caller hears at
+/// once that the outcome is unknown, and hears the same again.
+#[rstest]
+#[case::closed(Answer::Close)]
+#[case::crossed(Answer::CrossedId)]
+fn an_unclear_outcome_stays_unclear(#[case] fault: Answer) {
+    let fleet = invoices(&[fault, Answer::Whole]);
+    let first = send(&fleet, "k1").refusal();
+    let again = send(&fleet, "k1").refusal();
+    assert_eq!(
+        first,
+        ("outcome_unknown".to_owned(), "may_have_run".to_owned())
+    );
+    assert_eq!(again, first);
+    assert_eq!(runs(&fleet), 1);
+}
+
+/// Guards against a key that is lost to a request that provably did not run.
+#[rstest]
+fn a_request_that_did_not_run_may_run_later() {
+    let fleet = invoices(&[Answer::Refuse]);
+    assert_eq!(send(&fleet, "k1").refusal().1, "not_run");
+    for backend in &fleet.backends {
+        *backend.script.lock().expect("lock") = [Answer::Whole].into();
+    }
+    assert_eq!(send(&fleet, "k1").status, 200);
+}
+
+/// Guards against a refusal before running that counts as a run: the other
+/// backend server may take the request.
+#[rstest]
+fn a_refusal_before_running_allows_another_backend_server() {
+    let fleet = fleet(vec![
+        Backend::service("s1", "invoice", &[Answer::Refuse]),
+        Backend::service("s2", "invoice", &[Answer::Whole]),
+    ]);
+    for key in ["k1", "k2", "k3", "k4"] {
+        assert_eq!(send(&fleet, key).status, 200);
+    }
+    assert_eq!(fleet.backends[1].count(), 4);
+}
+
+/// Guards against a record that is lost with the caller: the request finishes
+/// and its answer is there for the resend.
+#[rstest]
+fn the_outcome_is_recorded_when_the_caller_leaves() {
+    let body = chat_body(false).to_string();
+    let headers = [("idempotency-key", "k1"), ("bw-repeatable", "no")];
+    let path = "/v1/chat/completions";
+    let pause = time::Duration::from_millis(30);
+    let fleet = fleet(vec![Backend::engine("e1", &[Answer::Slow(pause)])]);
+    let mut stream = caller::connect(&fleet.address());
+    let head = caller::head("POST", path, &headers, body.len());
+    std::io::Write::write_all(&mut stream, &[head.as_slice(), body.as_bytes()].concat())
+        .expect("sent");
+    wait_for("the request to run", || fleet.backends[0].count() == 1);
+    drop(stream);
+    wait_for("the outcome", || {
+        let control = fleet.control.lock();
+        let attempt = control.attempts.values().next();
+        attempt.is_some_and(|attempt| attempt.outcome.is_some())
+    });
+    let response = caller::post(&fleet.address(), path, &headers, &body);
+    let answer = response.json();
+    assert_eq!(answer["choices"][0]["message"]["content"], whole_text());
+    assert_eq!(fleet.backends[0].count(), 1);
+}
+
+/// Guards against a resend that runs beside the first one, also under the same
+/// request id.
+#[rstest]
+fn a_resend_meanwhile_is_told_to_wait() {
+    let fleet = invoices(&[Answer::Freeze]);
+    let address = fleet.address();
+    let headers = [
+        ("idempotency-key", "k1"),
+        ("bw-request-id", "r1"),
+        ("bw-deadline-ms", "1500"),
+    ];
+    let first = thread::spawn(move || caller::post(&address, INVOICE, &headers, "x"));
+    wait_for("the first request to run", || runs(&fleet) == 1);
+    let resend = caller::post(&fleet.address(), INVOICE, &headers, "x");
+    assert_eq!(
+        resend.refusal(),
+        ("key_in_progress".to_owned(), "may_have_run".to_owned())
+    );
+    assert!(resend.header("retry-after").is_some());
+    let first = first.join().expect("ended").refusal();
+    assert_eq!(first.0, "outcome_unknown");
+    assert_eq!(runs(&fleet), 1);
+}
+
+/// Guards against an attempt that stays open for ever when the process that
+/// held it was restarted.
+#[rstest]
+fn an_attempt_of_an_earlier_incarnation_is_unknown() {
+    let fleet = invoices(&[Answer::Whole]);
+    let earlier = support::control::Attempt {
+        number: 1,
+        holder: "entry-1/1/r".into(),
+        outcome: None,
+    };
+    fleet.control.lock().attempts.insert("k1".into(), earlier);
+    assert_eq!(send(&fleet, "k1").refusal().0, "outcome_unknown");
+    assert_eq!(runs(&fleet), 0);
+    let recorded = fleet.control.lock().attempts["k1"].outcome.clone();
+    assert_eq!(recorded, Some(AttemptOutcome::Unknown));
+}
+
+/// Guards against requests that cannot be told from new ones when resent.
+#[rstest]
+fn a_key_is_required() {
+    let fleet = invoices(&[Answer::Whole]);
+    let response = caller::post(&fleet.address(), INVOICE, &[], "x");
+    assert_eq!(
+        response.refusal(),
+        ("invalid_field".to_owned(), "not_run".to_owned())
+    );
+    assert_eq!(runs(&fleet), 0);
+}
+
+/// Guards against a request that runs although nothing could be recorded.
+#[rstest]
+fn nothing_runs_while_control_is_away() {
+    let backend = Backend::service("s1", "invoice", &[Answer::Whole]);
+    let fleet = fleet_with(vec![backend], |_| {});
+    fleet.control.lock().silent = true;
+    let response = send(&fleet, "k1");
+    assert_eq!(response.refusal().1, "not_run");
+    assert_eq!(runs(&fleet), 0);
+}
+
+/// Guards against repeatable services that lose method, path, headers or body.
+#[rstest]
+fn a_repeatable_service_gets_the_request_as_it_is() {
+    let fleet = fleet(vec![Backend::service(
+        "s1",
+        "quote",
+        &[Answer::Close, Answer::Whole],
+    )]);
+    let headers = [("x-shop", "7"), ("authorization", "Bearer team")];
+    let path = "/services/quote/boards/3?size=9";
+    let response = caller::request(&fleet.address(), "PUT", path, &headers, b"rails");
+    assert_eq!((response.status, response.text().as_str()), (200, "done"));
+    let seen = fleet.backends[0].seen.lock().expect("lock").clone();
+    let last = seen.last().expect("a request");
+    assert_eq!(last.path, "/boards/3?size=9");
+    assert_eq!(last.body, b"rails");
+    assert_eq!(last.headers["x-shop"], "7");
+    assert!(!last.headers.contains_key("authorization"));
+}
--- a/programs/entry/tests/support/control.rs
+++ b/programs/entry/tests/support/control.rs
@@ -20,6 +20,8 @@
 pub struct State {
     /// No answers while set.
     pub silent: bool,
+    /// How late answers to `sync` are.
+    pub answer_ms: u64,
     pub revision: u64,
     pub intent: intent::Intent,
     pub lease_ms: u64,
@@ -52,6 +54,7 @@
     pub fn start() -> Control {
         let state = Arc::new(sync::Mutex::new(State {
             silent: false,
+            answer_ms: 0,
             revision: 1,
             intent: intent(),
             lease_ms: wire_sync::CONFIG_LEASE_MS,
@@ -122,6 +125,8 @@
         .register_async_method(rpc::SYNC, |params, state, _| async move {
             heard(&state).await;
             let request: wire_sync::Request = params.one()?;
+            let late = state.lock().expect("lock").answer_ms;
+            tokio::time::sleep(std::time::Duration::from_millis(late)).await;
             Ok::<_, ErrorObjectOwned>(sync_reply(&mut state.lock().expect("lock"), request))
         })
         .expect("registered");
@@ -201,6 +206,9 @@
                 Some(outcome) => Reply::Known {
                     outcome: outcome.clone(),
                 },
+                None if attempt.holder == holder => Reply::Begin {
+                    attempt: attempt.number,
+                },
                 None if holder_gone => {
                     attempt.outcome = Some(AttemptOutcome::Unknown);
                     Reply::Known {
@@ -214,8 +222,14 @@
         }
         Command::AttemptEnd { key, outcome, .. } => {
             let attempt = state.attempts.get_mut(&key).expect("a begun attempt");
-            let stands = attempt.outcome.get_or_insert(outcome).clone();
-            Reply::Known { outcome: stands }
+            let stands = attempt
+                .outcome
+                .get_or_insert_with(|| outcome.clone())
+                .clone();
+            match stands == outcome {
+                true => Reply::Ok,
+                false => Reply::Known { outcome: stands },
+            }
         }
         Command::Strike {
             fingerprint,
