control: run on the replicated log, with process tests

Change: process tests on three real replicas on loopback: leader killed right after an answer, all processes killed, SIGTERM, lost disk and replacement under a new id with a second loss, two operators with one base, resends, strangers with garbage and without token.

--- /dev/null
+++ b/programs/control/tests/processes/faults.rs
@@ -0,0 +1,106 @@
+//! Kills, restarts and lost disks.
+
+use bw_client::control;
+use bw_wire::{command::work, fingerprint, member};
+
+use crate::{
+    cluster::Cluster,
+    operators::{confirm, plan, planned},
+};
+
+async fn claim(client: &control::Client, key: &str, value: &str) -> work::Reply {
+    let command = work::Command::Claim {
+        team: "t".into(),
+        key: key.into(),
+        body: fingerprint::Fingerprint(1, 1),
+        value: value.into(),
+    };
+    client.work(1, command).await.expect("an answer")
+}
+
+fn claimed(value: &str, fresh: bool) -> work::Reply {
+    work::Reply::Claimed {
+        value: value.into(),
+        fresh,
+    }
+}
+
+/// Guards against an acknowledged command that is lost with its leader, or with
+/// all processes at once.
+#[tokio::test]
+async fn answered_commands_survive_kills() {
+    let mut cluster = Cluster::start(None);
+    for round in 0..3 {
+        let leader = cluster.leader(1).await;
+        let client = cluster.client();
+        let key = format!("k{round}");
+        assert_eq!(claim(&client, &key, "first").await, claimed("first", true));
+        cluster.replica(leader).kill();
+        let client = cluster.client();
+        assert_eq!(
+            claim(&client, &key, "second").await,
+            claimed("first", false)
+        );
+        cluster.replica(leader).launch();
+    }
+    for id in 1..=3 {
+        cluster.replica(id).kill();
+    }
+    for id in 1..=3 {
+        cluster.replica(id).launch();
+    }
+    let client = cluster.client();
+    for round in 0..3 {
+        let reply = claim(&client, &format!("k{round}"), "third").await;
+        assert_eq!(reply, claimed("first", false), "{}", cluster.logs());
+    }
+}
+
+/// Guards against a graceful stop that leaves its groups without a leader or
+/// ends with an error.
+#[tokio::test]
+async fn a_graceful_stop_hands_leadership_over() {
+    let mut cluster = Cluster::start(None);
+    let leader = cluster.leader(0).await;
+    let client = cluster.client();
+    assert_eq!(claim(&client, "k", "v").await, claimed("v", true));
+    assert!(cluster.replica(leader).terminate(), "{}", cluster.logs());
+    assert_ne!(cluster.leader(0).await, leader);
+    assert_eq!(
+        claim(&cluster.client(), "k", "w").await,
+        claimed("v", false)
+    );
+}
+
+/// Guards against a lost disk that leads to lost commands, also when a second
+/// replica is lost right after the repair.
+#[tokio::test]
+async fn a_lost_disk_is_replaced_under_a_new_id() {
+    let mut cluster = Cluster::start(None);
+    let client = cluster.client();
+    assert_eq!(claim(&client, "k", "v").await, claimed("v", true));
+    let id = planned(&client, plan("p1", 0, 2)).await;
+    client.config(confirm("c1", &id)).await.expect("an answer");
+    cluster.replica(3).kill();
+    cluster.lose_disk(3);
+    // The replacement runs in the failure domain of the lost replica.
+    cluster.add(6);
+    let client = cluster.client();
+    let added = member::Change::Add(cluster.member(6));
+    client.members(&added).await.expect("added");
+    cluster.wait_for_voter(6, 2).await;
+    let removed = member::Change::Remove { replica: 3 };
+    let members = client.members(&removed).await.expect("removed");
+    assert!(members.iter().all(|member| member.replica != 3));
+    // The work groups follow after a while.
+    cluster.wait_for_members(2, &[1, 2, 6]).await;
+    cluster.replica(1).kill();
+    let client = cluster.client();
+    assert_eq!(
+        claim(&client, "k", "w").await,
+        claimed("v", false),
+        "{}",
+        cluster.logs()
+    );
+    assert_eq!(cluster.config().await, 1);
+}
--- /dev/null
+++ b/programs/control/tests/processes/main.rs
@@ -0,0 +1,6 @@
+//! Faults of real control replicas on loopback.
+
+mod cluster;
+mod faults;
+mod operators;
+mod strangers;
