--- a/programs/control/src/core/answer.rs
+++ b/programs/control/src/core/answer.rs
@@ -70,7 +70,7 @@
 
     fn sync(&mut self, request: sync::Request) -> Result<sync::Response, Failure> {
         let now_ms = self.clock.now_ms();
-        if self.leads_since_ms.is_none() {
+        if self.leads.is_none() {
             return Err(Failure::NotLeader(None));
         }
         let suspects = self.suspects();
@@ -107,7 +107,7 @@
 
     fn in_force(&self, asked: u64) -> Result<rpc::InForce, Failure> {
         let machine = self.parts.host.machine(GroupId(0));
-        match (self.leads_since_ms, machine) {
+        match (self.leads, machine) {
             (Some(_), Some(machine::Machine::Config(config))) => {
                 let now_ms = self.clock.now_ms();
                 Ok(self.registry.in_force(now_ms, asked, config.revision()))
@@ -144,7 +144,7 @@
         let status = self.parts.host.status(GroupId(0));
         let lease_ms = status.map_or(0, |status| status.lease_remaining_ms);
         let order_ms = self.parts.settings.timeouts.order_ms;
-        if self.leads_since_ms.is_none() || lease_ms == 0 {
+        if self.leads.is_none() || lease_ms == 0 {
             return self.placement.pending().failed(now_ms, &plan.backend);
         }
         if !plan.checks_fencing && lease_ms <= order_ms {
--- a/programs/control/src/core/chores.rs
+++ b/programs/control/src/core/chores.rs
@@ -72,7 +72,7 @@
         self.parts.links.set(&addresses);
     }
 
-    fn leads(&self, group: u32) -> bool {
+    fn leads_group(&self, group: u32) -> bool {
         let status = self.parts.host.status(GroupId(group));
         status.is_some_and(|status| status.role == node::Role::Leader)
     }
@@ -86,7 +86,7 @@
     /// Proposes to drop what has expired in the groups that this replica leads.
     fn expire(&mut self) {
         for group in 1..=self.parts.settings.work_groups {
-            if self.leads(group) {
+            if self.leads_group(group) {
                 self.chore(group, work::Command::Expire);
             }
         }
@@ -103,7 +103,7 @@
                 Some(machine::Machine::Work(machine)) => *machine.tuning() != wanted,
                 _ => false,
             };
-            if differs && self.leads(group) {
+            if differs && self.leads_group(group) {
                 let tuning = Box::new(wanted.clone());
                 self.chore(group, work::Command::Tune { tuning });
             }
@@ -133,7 +133,7 @@
 
     /// Gives the orders that placement asks for.
     fn place(&mut self, now_ms: u64) {
-        if self.leads_since_ms.is_none() || self.stopping.is_some() {
+        if self.leads.is_none() || self.stopping.is_some() {
             return;
         }
         self.registry.expire(now_ms);
@@ -207,7 +207,7 @@
 
     fn observe_registry(&self, now_ms: u64) {
         let labels: [&str; 0] = [];
-        let leads = self.leads_since_ms.is_some();
+        let leads = self.leads.is_some();
         let (entries, backends) = match leads {
             true => (
                 self.registry.entries(now_ms).len(),
--- a/programs/control/src/core/mod.rs
+++ b/programs/control/src/core/mod.rs
@@ -60,8 +60,8 @@
     timers: chores::Timers,
     /// The time given to the last step; leases count from it.
     stepped_ms: u64,
-    /// When this replica became leader of group 0, if it leads.
-    leads_since_ms: Option<u64>,
+    /// The term in which this replica leads group 0, if it does.
+    leads: Option<u64>,
     membership: members::Membership,
     stopping: Option<Stopping>,
 }
@@ -85,7 +85,7 @@
             placement,
             timers: chores::Timers::default(),
             stepped_ms: 0,
-            leads_since_ms: None,
+            leads: None,
             membership: members::Membership::default(),
             stopping: None,
         }
@@ -106,7 +106,9 @@
             }
             self.run_chores();
             if self.stopped() {
-                return Ok(());
+                // Calls that arrived meanwhile are sent on to the new leaders.
+                let inputs = self.collect();
+                return self.step(inputs);
             }
         }
     }
@@ -255,11 +257,10 @@
             return;
         }
         if role != node::Role::Leader {
-            self.leads_since_ms = None;
-        } else if self.leads_since_ms.is_none() {
-            let now_ms = self.clock.now_ms();
-            self.leads_since_ms = Some(now_ms);
-            self.registry.reset(now_ms, term);
+            self.leads = None;
+        } else if self.leads != Some(term) {
+            self.leads = Some(term);
+            self.registry.reset(self.clock.now_ms(), term);
             self.placement.reset();
         }
     }
@@ -298,7 +299,7 @@
     fn status(&self) -> rpc::Status {
         let now_ms = self.clock.now_ms();
         let groups = 0..=self.parts.settings.work_groups;
-        let leads = self.leads_since_ms.is_some();
+        let leads = self.leads.is_some();
         let backends = self.registry.backends().values();
         rpc::Status {
             replica: self.parts.settings.name.clone(),
--- a/programs/control/src/network/links.rs
+++ b/programs/control/src/network/links.rs
@@ -129,25 +129,40 @@
     }
 
     /// Sends over one connection until it breaks.
+    ///
+    /// A call without an answer ends the connection as well: after a partition
+    /// a new connection works at once, while TCP repeats the data of an old one
+    /// only after minutes.
     async fn serve(&mut self, client: sync::Arc<ws_client::WsClient>, first: message::Envelope) {
         let mut next = Some(first);
         let mut calls = task::JoinSet::new();
-        while client.is_connected() {
+        let silent = CancellationToken::new();
+        while client.is_connected() && !silent.is_cancelled() {
             let Some(message) = next.take() else {
-                match self.messages.recv().await {
+                let received = silent.run_until_cancelled(self.messages.recv()).await;
+                match received.flatten() {
                     Some(message) => next = Some(message),
                     None => break,
                 }
                 continue;
             };
             let text = methods::encode(&self.gather(message));
-            let client = sync::Arc::clone(&client);
+            let (client, silent) = (sync::Arc::clone(&client), silent.clone());
             // Tasks of this runtime start in the order they are spawned, and
             // the client sends in the order of its calls.
             calls.spawn(async move {
                 let mut params = params::ArrayParams::new();
-                if params.insert(text).is_ok() {
-                    report(client.request::<(), _>(rpc::RAFT, params).await);
+                if params.insert(text).is_err() {
+                    return;
+                }
+                if let Err(error) = client.request::<(), _>(rpc::RAFT, params).await {
+                    log::debug!("consensus messages not delivered: {error}");
+                    metrics::RAFT_DROPPED
+                        .with_label_values(&["call_failed"])
+                        .inc();
+                    if matches!(error, ClientError::RequestTimeout) {
+                        silent.cancel();
+                    }
                 }
             });
             while calls.len() >= CALLS_MAX && calls.join_next().await.is_some() {}
@@ -187,12 +202,3 @@
             .await
     }
 }
-
-fn report(result: Result<(), ClientError>) {
-    if let Err(error) = result {
-        log::debug!("consensus messages not delivered: {error}");
-        metrics::RAFT_DROPPED
-            .with_label_values(&["call_failed"])
-            .inc();
-    }
-}
