--- a/programs/engine/src/api.rs
+++ b/programs/engine/src/api.rs
@@ -203,6 +203,7 @@
     let execution = server.record().begin(execution(
         &call,
         fingerprint::Fingerprint::of_request(&body),
+        fingerprint::Fingerprint::of_bytes(request.prompt.as_bytes()),
         request.resume_tokens,
     ));
     let run = answer::Run::new(server, request.clone(), accepted, execution);
@@ -273,7 +274,9 @@
     }
     let active = server.activate();
     let fingerprint = fingerprint::Fingerprint::of_bytes(&body);
-    let execution = server.record().begin(execution(&call, fingerprint, 0));
+    let execution = server
+        .record()
+        .begin(execution(&call, fingerprint, fingerprint, 0));
     let (crashes, mut faults, slow_factor) = {
         let mut faults = server.faults();
         let crashes = faults.crashes(&String::from_utf8_lossy(&body));
@@ -329,6 +332,7 @@
 fn execution(
     call: &Incoming,
     fingerprint: fingerprint::Fingerprint,
+    prompt: fingerprint::Fingerprint,
     resumed_tokens: u32,
 ) -> record::Execution {
     record::Execution {
@@ -338,6 +342,7 @@
         class: call.header(header::CLASS).map(str::to_owned),
         path: call.path.clone(),
         fingerprint,
+        prompt,
         resumed_tokens,
         cached_tokens: 0,
         tokens: resumed_tokens,
--- a/programs/engine/src/handle.rs
+++ b/programs/engine/src/handle.rs
@@ -6,7 +6,7 @@
 use bw_base::server as http;
 use tokio::sync::mpsc;
 
-use crate::{announce, api, fault, server, settings};
+use crate::{announce, api, fault, record, server, settings};
 
 /// How long the last parts of finished answers may take to be written.
 const FLUSH_LIMIT: time::Duration = time::Duration::from_secs(5);
@@ -87,6 +87,11 @@
             .is_none_or(thread::JoinHandle::is_finished)
     }
 
+    /// Returns what ran so far; it can be read after the server has ended.
+    pub fn executions(&self) -> record::Executions {
+        self.server.record().executions().clone()
+    }
+
     /// Replaces the switched-on faults.
     pub fn set_faults(&self, faults: fault::Faults) {
         self.server.set_faults(faults);
--- a/programs/engine/src/record.rs
+++ b/programs/engine/src/record.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Executions and orders that are kept; older ones are dropped.
-const KEPT: usize = 20_000;
+const KEPT: usize = 100_000;
 
 /// What became of an execution.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
@@ -37,6 +37,9 @@
     pub path: String,
     /// The fingerprint of the body.
     pub fingerprint: fingerprint::Fingerprint,
+    /// The fingerprint of the prompt text, or of a plain service's body. Unlike
+    /// `fingerprint` it is the same for a resumed request.
+    pub prompt: fingerprint::Fingerprint,
     /// Output tokens that the caller had at the start.
     pub resumed_tokens: u32,
     /// Prompt tokens found in the prefix cache.
