--- /dev/null
+++ b/crates/coord/src/host/mod.rs
@@ -0,0 +1,337 @@
+//! The host of all groups of a process.
+
+mod builder;
+mod event;
+mod group;
+mod recovery;
+
+use std::{collections::BTreeMap, fmt};
+
+use crate::{GroupId, ReplicaId, member, node, storage, wal};
+
+pub use builder::Builder;
+pub(crate) use builder::Options;
+pub use event::{Input, Output, Refusal};
+
+/// A deterministic replicated state machine.
+///
+/// The result of each call depends only on the state and the arguments, so that
+/// all replicas reach the same state.
+pub trait Machine {
+    /// Applies a committed command and returns its result.
+    fn apply(&mut self, index: u64, command: &[u8]) -> Vec<u8>;
+
+    /// Returns the state as bytes.
+    fn snapshot(&self) -> Vec<u8>;
+
+    /// Replaces the state by one that [`Machine::snapshot`] returned.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes are not a state. The replica then stops.
+    fn restore(&mut self, data: &[u8]) -> Result<(), RestoreError>;
+}
+
+/// Why a state machine cannot be restored.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RestoreError {
+    reason: String,
+}
+
+impl RestoreError {
+    /// Builds an error with a reason.
+    pub fn new(reason: impl Into<String>) -> RestoreError {
+        RestoreError {
+            reason: reason.into(),
+        }
+    }
+}
+
+impl fmt::Display for RestoreError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.reason)
+    }
+}
+
+impl std::error::Error for RestoreError {}
+
+/// What a host needs from the program around it.
+pub trait Edge {
+    /// The disk.
+    type Disk: storage::Disk;
+    /// The state machine of every group.
+    type Machine: Machine;
+}
+
+/// The state of a replica in one group.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Status {
+    /// The role.
+    pub role: node::Role,
+    /// The term.
+    pub term: u64,
+    /// The leader of the term, if known.
+    pub leader: Option<ReplicaId>,
+    /// The last index known to be committed.
+    pub commit: u64,
+    /// The last index applied to the state machine.
+    pub applied: u64,
+    /// The last index in the log.
+    pub last_index: u64,
+    /// The index that the last snapshot covers.
+    pub snapshot_index: u64,
+    /// The members in force, committed or not.
+    pub members: Vec<member::Member>,
+    /// How long the leader lease holds, counted from the time given to the last
+    /// step; 0 unless this replica is the leader and has a lease.
+    pub lease_remaining_ms: u64,
+}
+
+/// Totals since the host was opened.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Stats {
+    /// Entries appended to the logs.
+    pub entries: u64,
+    /// Syncs of the write-ahead log.
+    pub syncs: u64,
+    /// Bytes written to the write-ahead log.
+    pub log_bytes: u64,
+    /// Snapshots written to the disk.
+    pub snapshots: u64,
+    /// Bytes of the snapshots written to the disk.
+    pub snapshot_bytes: u64,
+}
+
+/// All groups of a process with one shared write-ahead log.
+pub struct Host<E: Edge> {
+    replica: ReplicaId,
+    options: Options,
+    disk: E::Disk,
+    wal: wal::Wal,
+    groups: BTreeMap<GroupId, group::Group<E::Machine>>,
+    now_ms: u64,
+    stopped: bool,
+    stats: Stats,
+}
+
+impl<E: Edge> Host<E> {
+    /// Handles inputs at a time and emits the outputs.
+    ///
+    /// `now_ms` is a monotonic clock in milliseconds, read after the inputs were
+    /// collected: a lease read is only linearizable if the clock was read after
+    /// the read was received. Appends of a leader reach `emit` before the disk
+    /// sync, so that the network overlaps with the disk. One sync covers
+    /// everything that the step writes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the disk fails. The host then stops: its pending tickets are
+    /// answered with [`Refusal::Lost`], all later inputs with
+    /// [`Refusal::Stopped`], and no further message is sent.
+    pub fn step(
+        &mut self,
+        inputs: Vec<Input>,
+        now_ms: u64,
+        emit: &mut dyn FnMut(Output),
+    ) -> Result<(), storage::Error> {
+        if self.stopped {
+            refuse_all(inputs.into_iter(), emit);
+            return Err(storage::Error::Stopped);
+        }
+        self.now_ms = self.now_ms.max(now_ms);
+        let mut inputs = inputs.into_iter();
+        let result = self.run(&mut inputs, emit);
+        if let Err(error) = &result {
+            log::error!("replica {} stops: {error}", self.replica);
+            self.stop(emit);
+            refuse_all(inputs, emit);
+        }
+        result
+    }
+
+    /// Returns the state machine of a group.
+    pub fn machine(&self, group: GroupId) -> Option<&E::Machine> {
+        self.groups.get(&group).map(|group| &group.machine)
+    }
+
+    /// Returns the state of this replica in a group.
+    pub fn status(&self, group: GroupId) -> Option<Status> {
+        self.groups.get(&group).map(group::Group::status)
+    }
+
+    /// Returns totals since the host was opened.
+    pub fn stats(&self) -> Stats {
+        self.stats
+    }
+
+    /// Returns the id of this replica.
+    pub fn replica(&self) -> ReplicaId {
+        self.replica
+    }
+
+    fn run(
+        &mut self,
+        inputs: &mut std::vec::IntoIter<Input>,
+        emit: &mut dyn FnMut(Output),
+    ) -> Result<(), storage::Error> {
+        for group in self.groups.values_mut() {
+            group.node.set_now(self.now_ms);
+        }
+        for input in inputs {
+            self.handle(input, emit)?;
+        }
+        for group in self.groups.values_mut() {
+            group.node.tick();
+            group.node.replicate();
+            group.send_pieces(&mut self.disk, self.options.chunk_bytes)?;
+            group.emit_early(emit);
+            group.apply(emit);
+        }
+        self.persist()?;
+        for group in self.groups.values_mut() {
+            group.emit_late(emit);
+            group.node.persisted();
+            group.apply(emit);
+            group.node.finish_transfer();
+            group.finish(emit);
+        }
+        self.write_snapshots()
+    }
+
+    fn handle(&mut self, input: Input, emit: &mut dyn FnMut(Output)) -> Result<(), storage::Error> {
+        let group = match &input {
+            Input::Tick => return Ok(()),
+            Input::Message { message, .. } => message.group(),
+            Input::Propose { group, .. }
+            | Input::Read { group, .. }
+            | Input::Transfer { group }
+            | Input::ChangeMembers { group, .. } => *group,
+        };
+        let Some(group) = self.groups.get_mut(&group) else {
+            refuse(input, emit);
+            return Ok(());
+        };
+        match input {
+            Input::Tick => {}
+            Input::Message { from, message } => {
+                group.node.receive(from, message);
+                self.stats.snapshots += group.install(&mut self.disk)?;
+            }
+            Input::Propose {
+                ticket, command, ..
+            } => group.propose(ticket, command, emit),
+            Input::Read { ticket, .. } => group.node.read(ticket),
+            Input::Transfer { .. } => group.node.transfer(),
+            Input::ChangeMembers { ticket, change, .. } => {
+                group.change_members(ticket, &change, emit);
+            }
+        }
+        Ok(())
+    }
+
+    /// Writes the records of all groups with one sync.
+    fn persist(&mut self) -> Result<(), storage::Error> {
+        for (id, group) in &mut self.groups {
+            for record in group.node.take_records() {
+                self.stats.entries += u64::from(matches!(record, wal::Record::Entry(_)));
+                self.wal.push(*id, &record);
+            }
+        }
+        if !self.wal.has_pending() {
+            return Ok(());
+        }
+        self.relocate();
+        if self.wal.opens_segment() {
+            for (id, group) in &self.groups {
+                self.wal.push(*id, &group.node.vote_record());
+            }
+        }
+        self.stats.log_bytes += self.wal.commit(&mut self.disk)?;
+        self.stats.syncs += 1;
+        let groups = &self.groups;
+        self.wal
+            .remove_covered(&mut self.disk, |group| snapshot_index(groups, group))
+    }
+
+    /// Writes the live entries of quiet groups anew, so that old segments can be
+    /// removed.
+    fn relocate(&mut self) {
+        let groups = &self.groups;
+        let live_bytes = groups
+            .values()
+            .map(|group| group.node.log().live_bytes())
+            .sum();
+        let quiet = self
+            .wal
+            .groups_to_relocate(live_bytes, |group| snapshot_index(groups, group));
+        for id in quiet {
+            let Some(group) = groups.get(&id) else {
+                continue;
+            };
+            for entry in group.node.log().live() {
+                self.wal.push(id, &wal::Record::Entry(entry.clone()));
+            }
+            self.wal.note_relocated(id);
+        }
+    }
+
+    /// Continues the snapshot that is being written, or starts one that is due.
+    /// Only one is written at a time, which bounds the memory and the delay.
+    fn write_snapshots(&mut self) -> Result<(), storage::Error> {
+        let writing = self
+            .groups
+            .iter()
+            .find(|(_, group)| group.is_writing())
+            .or_else(|| {
+                let mut groups = self.groups.iter();
+                groups.find(|(_, group)| group.snapshot_due(&self.options))
+            });
+        let Some((id, _)) = writing else {
+            return Ok(());
+        };
+        let Some(group) = self.groups.get_mut(&id.clone()) else {
+            return Ok(());
+        };
+        if let Some(size) = group.write_snapshot(&mut self.disk)? {
+            self.stats.snapshots += 1;
+            self.stats.snapshot_bytes += size;
+        }
+        Ok(())
+    }
+
+    fn stop(&mut self, emit: &mut dyn FnMut(Output)) {
+        self.stopped = true;
+        for group in self.groups.values_mut() {
+            group.stop(emit);
+        }
+    }
+}
+
+fn snapshot_index<M: Machine>(groups: &BTreeMap<GroupId, group::Group<M>>, id: GroupId) -> u64 {
+    groups
+        .get(&id)
+        .map_or(0, |group| group.node.log().snapshot().index)
+}
+
+fn refuse_all(inputs: impl Iterator<Item = Input>, emit: &mut dyn FnMut(Output)) {
+    for input in inputs {
+        refuse(input, emit);
+    }
+}
+
+/// Answers an input of a host that has stopped or does not run the group.
+fn refuse(input: Input, emit: &mut dyn FnMut(Output)) {
+    match input {
+        Input::Propose { ticket, .. } | Input::ChangeMembers { ticket, .. } => {
+            emit(Output::Proposed {
+                ticket,
+                result: Err(Refusal::Stopped),
+            });
+        }
+        Input::Read { ticket, .. } => emit(Output::ReadReady {
+            ticket,
+            result: Err(Refusal::Stopped),
+        }),
+        Input::Tick | Input::Message { .. } | Input::Transfer { .. } => {}
+    }
+}
