--- a/crates/policy/src/pacer/server.rs
+++ b/crates/policy/src/pacer/server.rs
@@ -13,6 +13,9 @@
 const REACTION_MS: u64 = 50;
 /// Time after which a burst counts half in the headroom.
 const BURST_HALF_LIFE_MS: f32 = 5_000.0;
+/// Longest time between two calls that start streams: what it earns may start
+/// at once.
+const START_WINDOW_MS: f32 = 50.0;
 /// Largest capacity that is believed; a larger one is a wrong announcement.
 const MAX_CAPACITY: u32 = 4_096;
 /// Share of the capacity in use below which reported waiting requests are not
@@ -63,6 +66,7 @@
     online: u32,
     online_peak: peak::Peak,
     recent: collections::VecDeque<(u64, u32)>,
+    arrived_ms: Option<u64>,
     burst: f32,
     burst_at_ms: u64,
     streams: Vec<Running>,
@@ -86,6 +90,7 @@
             online: 0,
             online_peak: peak::Peak::default(),
             recent: collections::VecDeque::new(),
+            arrived_ms: None,
             burst: 0.0,
             burst_at_ms: now_ms,
             streams: Vec::new(),
@@ -193,7 +198,10 @@
     pub(super) fn room(&mut self, settings: &Builder, now_ms: u64) -> u32 {
         let target = self.target(settings, now_ms);
         self.refill(settings, now_ms);
-        if self.kv_used(settings, now_ms) >= settings.kv_stop {
+        let is_quiet = self
+            .arrived_ms
+            .is_some_and(|arrived_ms| now_ms.saturating_sub(arrived_ms) < settings.quiet_ms);
+        if is_quiet || self.kv_used(settings, now_ms) >= settings.kv_stop {
             return 0;
         }
         let missing = target.saturating_sub(self.running());
@@ -314,6 +322,9 @@
         if self.online != before {
             self.note_burst(now_ms);
         }
+        if self.online > before {
+            self.arrived_ms = Some(now_ms);
+        }
     }
 
     fn note_burst(&mut self, now_ms: u64) {
@@ -334,6 +345,7 @@
         self.ramp_at_ms = now_ms;
         let capacity = self.capacity as f32;
         let earned = elapsed_ms * capacity / settings.ramp_ms as f32;
-        self.ramp = (self.ramp + earned).min((capacity / 4.0).max(1.0));
+        let at_once = capacity * START_WINDOW_MS / settings.ramp_ms as f32;
+        self.ramp = (self.ramp + earned).min(at_once.max(1.0));
     }
 }
--- a/programs/entry/src/filter/mod.rs
+++ b/programs/entry/src/filter/mod.rs
@@ -26,6 +26,8 @@
 pub struct Admitted {
     /// The request id.
     pub id: name::Name,
+    /// The request id with a part that no other request has.
+    pub unique_id: name::Name,
     /// When the request arrived.
     pub received: time::Instant,
     /// The team.
@@ -40,8 +42,6 @@
     pub deadline_ms: u64,
     /// The request's fingerprint.
     pub fingerprint: fingerprint::Fingerprint,
-    /// How it may share a backend server.
-    pub suspicion: suspect::Suspicion,
     /// Its place among the running requests, until it is dropped.
     pub place: admission::Place,
     /// Its place among the open streams, until it is dropped.
@@ -70,7 +70,7 @@
     let snapshot = shared.snapshot.load();
     let target = parse::target(&snapshot.intent, &body.model)?;
     let fingerprint = body.fingerprint();
-    let suspicion = suspect::check(&snapshot.suspects, &fingerprint)?;
+    suspect::check(shared, fingerprint)?;
     let service = target.model.clone();
     let request = admission::Request {
         team: team.clone(),
@@ -80,6 +80,7 @@
     let place = Admission::admit(shared, request).await?;
     Ok(Admitted {
         id: head.id.clone(),
+        unique_id: head.unique_id.clone(),
         received: head.received,
         team,
         api,
@@ -87,7 +88,6 @@
         target,
         deadline_ms,
         fingerprint,
-        suspicion,
         place,
         open,
     })
