Run embedded control replicas and entry VMs in the load tool

Cause: the policy bilberrywind needed running processes, so that a comparison took several commands.

Change: bw-load starts control replicas and entry VMs on its own threads or, with isolation: processes, as processes that a fault can kill, declares the model and measures the CPU time of both roles. Scenarios can call a plain service that may not be repeated.

--- a/programs/load/src/cpu.rs
+++ b/programs/load/src/cpu.rs
@@ -1,6 +1,6 @@
 //! CPU time and memory of processes and threads, from `/proc`.
 
-use std::{fs, time};
+use std::{collections, fs, time};
 
 /// Clock ticks a second in `/proc`; fixed on Linux for all architectures.
 const TICKS_PER_S: f64 = 100.0;
@@ -12,8 +12,8 @@
 pub enum Subject {
     /// Processes by id.
     Processes(Vec<u32>),
-    /// Threads of this process whose name starts with a text.
-    Threads(&'static str),
+    /// Threads of this process by id.
+    Threads(Vec<u32>),
 }
 
 impl Subject {
@@ -21,29 +21,31 @@
     pub fn used(&self) -> Option<time::Duration> {
         let files: Vec<String> = match self {
             Subject::Processes(ids) => ids.iter().map(|id| format!("/proc/{id}/stat")).collect(),
-            Subject::Threads(prefix) => threads(prefix)?,
+            Subject::Threads(ids) => ids
+                .iter()
+                .map(|id| format!("/proc/self/task/{id}/stat"))
+                .collect(),
         };
         if files.is_empty() {
             return None;
         }
         let mut ticks = 0;
         for file in files {
-            ticks += ticks_in(&fs::read_to_string(file).ok()?)?;
+            // A process that was killed no longer counts.
+            let stat = fs::read_to_string(file).unwrap_or_default();
+            ticks += ticks_in(&stat).unwrap_or(0);
         }
         Some(time::Duration::from_secs_f64(ticks as f64 / TICKS_PER_S))
     }
 }
 
-fn threads(prefix: &str) -> Option<Vec<String>> {
-    let mut files = Vec::new();
-    for task in fs::read_dir("/proc/self/task").ok()? {
-        let folder = task.ok()?.path();
-        let name = fs::read_to_string(folder.join("comm")).unwrap_or_default();
-        if name.starts_with(prefix) {
-            files.push(folder.join("stat").to_string_lossy().into_owned());
-        }
-    }
-    Some(files)
+/// Returns the ids of the threads of this process.
+pub fn threads() -> collections::BTreeSet<u32> {
+    let tasks = fs::read_dir("/proc/self/task").into_iter().flatten();
+    let names = tasks.flatten().map(|task| task.file_name());
+    names
+        .filter_map(|name| name.to_str()?.parse().ok())
+        .collect()
 }
 
 fn ticks_in(stat: &str) -> Option<u64> {
--- a/programs/load/src/fleet.rs
+++ b/programs/load/src/fleet.rs
@@ -1,13 +1,13 @@
 //! The processes of a run: embedded ones, which this process starts and ends,
 //! and running ones, which are only addressed.
 
-use std::{sync, time};
+use std::{collections, sync, time};
 
 use anyhow::Context;
 use bw_engine::{fault, record};
 use bw_wire::{backend, fingerprint};
 
-use crate::{call, scenario, workload};
+use crate::{call, cpu, scenario, system, workload};
 
 /// Time after which a crashed engine is started again, as the platform does.
 const CRASH_RESTART: time::Duration = time::Duration::from_secs(2);
@@ -17,6 +17,10 @@
 /// The processes of one run.
 pub struct Fleet {
     engines: Vec<sync::Mutex<Slot>>,
+    /// Replicas of the plain service.
+    services: Vec<bw_engine::Handle>,
+    /// Control replicas and entry VMs, if the policy uses embedded ones.
+    system: Option<sync::Mutex<system::System>>,
     /// `IP:port` of the engines.
     pub engine_addresses: Vec<String>,
     /// `IP:port` of the entry VMs.
@@ -39,40 +43,97 @@
     /// # Errors
     ///
     /// Fails when a process cannot be started.
-    pub fn start(
+    pub async fn start(
         scenario: &scenario::Scenario,
         policy: scenario::Policy,
         seed: u64,
     ) -> anyhow::Result<Fleet> {
         let mut fleet = Fleet {
             engines: Vec::new(),
+            services: Vec::new(),
+            system: None,
             engine_addresses: scenario.processes.engines.clone(),
             entry_addresses: scenario.processes.entries.clone(),
             past: sync::Mutex::default(),
             crashes: sync::atomic::AtomicU64::new(0),
             embedded: scenario.processes.engines.is_empty(),
         };
-        if policy.uses_entries() && scenario.processes.entries.is_empty() {
-            anyhow::bail!("embedded entry VMs are not available yet; give processes.entries");
+        let system = match policy.uses_entries() && scenario.processes.entries.is_empty() {
+            true => Some(system::System::start(scenario)?),
+            false => None,
+        };
+        if let Some(system) = &system {
+            fleet.entry_addresses.clone_from(&system.entry_addresses);
+        }
+        if fleet.embedded {
+            fleet.start_engines(scenario, policy, seed)?;
         }
-        if !fleet.embedded {
-            return Ok(fleet);
+        if let Some(system) = system {
+            system.declare(scenario).await?;
+            fleet.system = Some(sync::Mutex::new(system));
         }
+        Ok(fleet)
+    }
+
+    fn start_engines(
+        &mut self,
+        scenario: &scenario::Scenario,
+        policy: scenario::Policy,
+        seed: u64,
+    ) -> anyhow::Result<()> {
+        let announce = match policy.uses_entries() {
+            true => self.entry_addresses.clone(),
+            false => Vec::new(),
+        };
         for number in 0..scenario.replicas {
             let mut settings = engine_settings(scenario, number, seed);
-            settings.announce.clone_from(&fleet.entry_addresses);
+            settings.announce.clone_from(&announce);
             let handle = bw_engine::start(settings.clone())
                 .with_context(|| format!("engine {number} does not start"))?;
             // A restart takes the same address.
             settings.address = handle.address().to_string();
-            fleet.engine_addresses.push(settings.address.clone());
-            fleet.engines.push(sync::Mutex::new(Slot {
+            self.engine_addresses.push(settings.address.clone());
+            self.engines.push(sync::Mutex::new(Slot {
                 settings,
                 handle: Some(handle),
                 ended: None,
             }));
         }
-        Ok(fleet)
+        let services = scenario.service.iter().filter(|_| policy.uses_entries());
+        for service in services {
+            for number in 0..service.replicas {
+                let settings = bw_engine::Settings {
+                    id: format!("{}-{}", service.name, number + 1).into(),
+                    address: "127.0.0.1:0".to_owned(),
+                    kind: backend::Kind::Service,
+                    service: service.name.clone(),
+                    failure_domain: scenario.failure_domain(number as usize),
+                    announce: announce.clone(),
+                    ..bw_engine::Settings::default()
+                };
+                self.services.push(bw_engine::start(settings)?);
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns whose CPU time counts as that of control replicas, and as that of
+    /// entry VMs.
+    pub fn cpu_subjects(&self) -> Option<(cpu::Subject, cpu::Subject)> {
+        self.system
+            .as_ref()
+            .map(|system| lock(system).cpu_subjects())
+    }
+
+    /// Returns how often a plain service ran a call beyond the first time.
+    pub fn repeated_calls(&self) -> u64 {
+        let mut runs = collections::BTreeMap::<String, u64>::new();
+        for service in &self.services {
+            for (key, count) in service.executions().keys {
+                *runs.entry(key).or_default() += count;
+            }
+        }
+        runs.values().map(|count| count - 1).sum()
     }
 
     /// Returns how often an engine crashed by itself.
@@ -144,7 +205,10 @@
                 }
             }
             scenario::Action::KillEntry => {
-                anyhow::bail!("embedded entry VMs are not available yet");
+                let system = self.system.as_ref().context("no embedded entry VMs")?;
+                for target in targets {
+                    lock(system).kill_entry(target)?;
+                }
             }
         }
         Ok(())
@@ -220,6 +284,13 @@
                 .unwrap_or_else(sync::PoisonError::into_inner);
             slot.handle.map(bw_engine::Handle::kill);
         }
+        for service in self.services {
+            service.kill();
+        }
+        if let Some(system) = self.system {
+            let system = system.into_inner();
+            system.unwrap_or_else(sync::PoisonError::into_inner).stop();
+        }
     }
 
     /// Keeps the executions of an engine that ends.
@@ -244,7 +315,7 @@
 /// Returns the prompts that any engine executed.
 pub fn executed_prompts(
     executions: &[record::Executions],
-) -> std::collections::HashSet<fingerprint::Fingerprint> {
+) -> collections::HashSet<fingerprint::Fingerprint> {
     let executions = executions.iter().flat_map(|log| &log.executions);
     executions.map(|execution| execution.prompt).collect()
 }
@@ -261,13 +332,12 @@
 }
 
 fn engine_settings(scenario: &scenario::Scenario, number: u32, seed: u64) -> bw_engine::Settings {
-    let domain = number as usize % scenario.failure_domains.len();
     let mut settings = bw_engine::Settings {
         id: format!("{}-{}", scenario.model, number + 1).into(),
         address: "127.0.0.1:0".to_owned(),
         kind: backend::Kind::Engine,
         service: scenario.model.clone(),
-        failure_domain: scenario.failure_domains[domain].clone(),
+        failure_domain: scenario.failure_domain(number as usize),
         models: vec![bw_engine::settings::Model {
             model: scenario.model.clone(),
             ..bw_engine::settings::Model::default()
--- a/programs/load/src/lib.rs
+++ b/programs/load/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod run;
 pub mod scenario;
 pub mod streams;
+pub mod system;
 pub mod trace;
 pub mod workload;
--- a/programs/load/src/result.rs
+++ b/programs/load/src/result.rs
@@ -88,9 +88,15 @@
     pub crashes: u64,
     /// Poisonous requests that were refused.
     pub poison_refused: u64,
-    /// CPU time of control by wall time and control replica, in percent of a
-    /// core; `None` when there is no control.
+    /// Plain service calls that were answered.
+    pub service_answered: u64,
+    /// Plain service calls that were refused.
+    pub service_refused: u64,
+    /// CPU time of a control replica by wall time, in percent of a core; the mean
+    /// over the replicas, `None` when there are none.
     pub control_cpu_percent: Option<f64>,
+    /// The same of an entry VM, traffic included.
+    pub entry_cpu_percent: Option<f64>,
 }
 
 /// The median of a figure over seeds, with the lowest and highest value.
--- a/programs/load/src/run.rs
+++ b/programs/load/src/run.rs
@@ -2,7 +2,8 @@
 
 use std::{collections, sync, time};
 
-use bw_wire::{fingerprint, verdict};
+use bw_wire::{fingerprint, header, verdict};
+use http_body_util::{BodyExt, Full};
 use tokio::task;
 
 use crate::{call, cpu, fleet, job, pace, policy, result, scenario, workload};
@@ -63,6 +64,10 @@
     pub doubled: u64,
     /// Refused poisonous requests.
     pub poison_refused: u64,
+    /// Plain service calls that were answered.
+    pub service_answered: u64,
+    /// Plain service calls that were refused.
+    pub service_refused: u64,
 }
 
 impl Run {
@@ -103,7 +108,7 @@
     policy: scenario::Policy,
     seed: u64,
 ) -> anyhow::Result<(result::Line, result::Latency)> {
-    let fleet = sync::Arc::new(fleet::Fleet::start(scenario, policy, seed)?);
+    let fleet = sync::Arc::new(fleet::Fleet::start(scenario, policy, seed).await?);
     let outcome = load(scenario, policy, seed, &fleet).await;
     // All tasks that hold the fleet have been joined.
     if let Some(fleet) = sync::Arc::into_inner(fleet) {
@@ -155,15 +160,28 @@
         true => tokio::spawn(job::run(sync::Arc::clone(&run), items, uploaded)),
         false => tokio::spawn(feed(sync::Arc::clone(&run), items)),
     };
-    let cpu = cpu_subject(scenario);
-    let cpu_before = cpu.as_ref().and_then(cpu::Subject::used);
+    let subjects = match fleet.cpu_subjects() {
+        Some((control, entry)) => [Some(control), Some(entry)],
+        None => [running_control(scenario), None],
+    };
+    let used = || subjects.each_ref().map(|subject| subject.as_ref()?.used());
+    let before = used();
     send_online(&run, seed).await;
-    let cpu_after = cpu.as_ref().and_then(cpu::Subject::used);
+    let after = used();
+    let wall = run.start.elapsed();
     batch.await??;
     helpers.shutdown().await;
 
     let executions = fleet.executions(&run.client).await?;
-    let line = line(&run, seed, fleet, &executions, cpu_before.zip(cpu_after));
+    let mut line = line(&run, seed, fleet, &executions);
+    let counts = [scenario.control_count(), scenario.entry_count()];
+    let percent = |index: usize| {
+        let used = after[index]?.saturating_sub(before[index]?);
+        let share = used.as_secs_f64() / wall.as_secs_f64();
+        Some(100.0 * share / f64::from(counts[index].max(1)))
+    };
+    line.control_cpu_percent = percent(0);
+    line.entry_cpu_percent = percent(1);
     let latency = run.tally().ttft.clone();
     Ok((line, latency))
 }
@@ -182,6 +200,20 @@
                 .into_iter()
                 .map(|arrival| (arrival.at, arrival.request)),
         );
+        if let Some(service) = run
+            .scenario
+            .service
+            .as_ref()
+            .filter(|_| run.policy.uses_entries())
+        {
+            let calls = workload::service(&run.scenario, service, seed);
+            arrivals.extend(
+                calls
+                    .into_iter()
+                    .map(|arrival| (arrival.at, arrival.request)),
+            );
+            arrivals.sort_by_key(|(at, _)| *at);
+        }
         if let Some(poison) = &run.scenario.poison {
             let request = workload::poison(&run.scenario, seed);
             let times = (poison.from_ms..run.scenario.run_ms()).step_by(poison.every_ms as usize);
@@ -195,6 +227,8 @@
     while let Some((intended, request)) = pacer.next().await {
         if request.id.starts_with("poison") {
             open.spawn(ask_poison(sync::Arc::clone(run), request));
+        } else if request.id.starts_with("call") {
+            open.spawn(call_service(sync::Arc::clone(run), request));
         } else {
             open.spawn(ask(sync::Arc::clone(run), intended, request));
         }
@@ -305,6 +339,45 @@
     }
 }
 
+/// Calls a plain service once; the call may not be repeated. The echo must be
+/// the own one.
+async fn call_service(run: sync::Arc<Run>, request: workload::Request) {
+    let (Some(service), Some(picked)) = (&run.scenario.service, run.picker.pick(None)) else {
+        return;
+    };
+    let uri = format!(
+        "http://{}/services/{}/invoices",
+        picked.address(),
+        service.name
+    );
+    let mut call = hyper::Request::post(uri)
+        .header("content-type", "application/json")
+        .header(header::IDEMPOTENCY_KEY, &request.id)
+        .header(header::REPEATABLE, "no");
+    if let Some(token) = run.token(&request.team) {
+        call = call.header("authorization", format!("Bearer {token}"));
+    }
+    let body = request.body.to_string();
+    let Ok(call) = call.body(Full::from(body.clone())) else {
+        return;
+    };
+    let Ok(answer) = run.client.send(call).await else {
+        // The entry VM may be gone; the outcome is unknown, which is allowed.
+        return;
+    };
+    let status = answer.status();
+    let Ok(echo) = answer.into_body().collect().await else {
+        return;
+    };
+    let mut tally = run.tally();
+    if status.is_success() {
+        tally.service_answered += 1;
+        tally.lost += u64::from(echo.to_bytes() != body.as_bytes());
+    } else {
+        tally.service_refused += 1;
+    }
+}
+
 /// Feeds batch items to the engines directly, with a window in flight.
 async fn feed(run: sync::Arc<Run>, items: Vec<workload::Request>) -> anyhow::Result<()> {
     let from = run.start + time::Duration::from_millis(run.scenario.batch.from_ms);
@@ -393,7 +466,7 @@
     loop {
         for (index, address) in run.picker.addresses().enumerate() {
             let uri = format!("http://{address}/readyz");
-            let request = hyper::Request::get(uri).body(http_body_util::Full::default());
+            let request = hyper::Request::get(uri).body(Full::default());
             let Ok(request) = request else {
                 continue;
             };
@@ -405,7 +478,7 @@
     }
 }
 
-fn cpu_subject(scenario: &scenario::Scenario) -> Option<cpu::Subject> {
+fn running_control(scenario: &scenario::Scenario) -> Option<cpu::Subject> {
     let pids = &scenario.processes.control_pids;
     (!pids.is_empty()).then(|| cpu::Subject::Processes(pids.clone()))
 }
@@ -415,7 +488,6 @@
     seed: u64,
     fleet: &fleet::Fleet,
     executions: &[bw_engine::record::Executions],
-    cpu: Option<(time::Duration, time::Duration)>,
 ) -> result::Line {
     let tally = run.tally();
     let executed = fleet::executed_prompts(executions);
@@ -426,12 +498,6 @@
         .count();
     let measured_s = run.scenario.measure_ms as f64 / 1_000.0;
     let places = run.scenario.engine_count() * run.scenario.engine.batch.max_sequences;
-    let controls = run.scenario.processes.control_pids.len().max(1);
-    let cpu_percent = cpu.map(|(before, after)| {
-        let used = after.saturating_sub(before).as_secs_f64();
-        let wall = run.start.elapsed().as_secs_f64();
-        100.0 * used / wall / controls as f64
-    });
     result::Line {
         scenario: run.scenario.name.clone(),
         policy: run.policy,
@@ -448,10 +514,13 @@
         batch_completed: tally.batch_completed,
         batch_failed: tally.batch_failed,
         lost: tally.lost,
-        doubled: tally.doubled,
+        doubled: tally.doubled + fleet.repeated_calls(),
         false_not_run: false_not_run as u64,
         crashes: fleet.crashes(),
         poison_refused: tally.poison_refused,
-        control_cpu_percent: cpu_percent,
+        service_answered: tally.service_answered,
+        service_refused: tally.service_refused,
+        control_cpu_percent: None,
+        entry_cpu_percent: None,
     }
 }
--- a/programs/load/src/scenario.rs
+++ b/programs/load/src/scenario.rs
@@ -90,6 +90,8 @@
     pub entries: u32,
     /// Embedded control replicas.
     pub control: u32,
+    /// How embedded entry VMs and control replicas run.
+    pub isolation: Isolation,
     /// Settings of the embedded engines; identity, addresses and model are set
     /// by the tool.
     pub engine: bw_engine::Settings,
@@ -131,6 +133,7 @@
             replicas: 0,
             entries: 0,
             control: 0,
+            isolation: Isolation::Threads,
             engine: bw_engine::Settings::default(),
             processes: Processes::default(),
             client_delay_us: 3_000,
@@ -149,6 +152,17 @@
     }
 }
 
+/// How embedded entry VMs and control replicas run.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Isolation {
+    /// On threads of this process.
+    Threads,
+    /// As processes of their own, from the programs next to this one. Entry VMs
+    /// can then be killed.
+    Processes,
+}
+
 /// Addresses of running processes.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(default)]
@@ -338,6 +352,21 @@
         }
     }
 
+    /// Returns the number of control replicas, embedded or running.
+    pub fn control_count(&self) -> u32 {
+        match self.processes.control_pids.len() {
+            0 => self.control,
+            count => u32::try_from(count).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Returns the failure domain of the process with an index.
+    pub fn failure_domain(&self, index: usize) -> name::Name {
+        let domains = self.failure_domains.len().max(1);
+        let domain = self.failure_domains.get(index % domains);
+        domain.cloned().unwrap_or_default()
+    }
+
     /// Returns the rate of online requests at a time, in requests a second.
     pub fn online_rate(&self, at_ms: u64) -> f64 {
         let burst = self
@@ -524,6 +553,16 @@
             deadline,
             "must be at least 1",
         );
+        if let Some(service) = &self.service {
+            let rate = service.requests_per_s;
+            let valid = rate > 0.0 && rate <= 1_000.0;
+            report.require(
+                valid,
+                "service.requests_per_s",
+                rate,
+                "must be above 0, at most 1000",
+            );
+        }
         if let Some(poison) = &self.poison {
             let every = poison.every_ms;
             report.require(every >= 10, "poison.every_ms", every, "must be at least 10");
@@ -554,6 +593,12 @@
                 "kill or restart",
                 "needs embedded processes; running ones can only be switched",
             );
+            report.require(
+                !entry || self.isolation == Isolation::Processes,
+                &format!("faults.{position}.action"),
+                "kill_entry",
+                "needs isolation: processes",
+            );
             if let Action::Switch(faults) = &fault.action {
                 faults.check(report);
             }
--- a/programs/load/src/workload.rs
+++ b/programs/load/src/workload.rs
@@ -105,6 +105,33 @@
     request(scenario, id, 1, prompt, 64, true)
 }
 
+/// Generates calls of a plain service.
+pub fn service(
+    scenario: &scenario::Scenario,
+    service: &scenario::Service,
+    seed: u64,
+) -> Vec<Arrival> {
+    let interval_s = 1.0 / service.requests_per_s.max(0.001);
+    let count = (scenario.run_ms() as f64 / 1_000.0 / interval_s) as u64;
+    (0..count)
+        .map(|number| Arrival {
+            at: time::Duration::from_secs_f64(interval_s * number as f64),
+            request: request(
+                scenario,
+                format!("call-{seed}-{number}"),
+                1,
+                String::new(),
+                1,
+                false,
+            ),
+        })
+        .map(|mut arrival| {
+            arrival.request.body = serde_json::json!({"invoice": arrival.request.id});
+            arrival
+        })
+        .collect()
+}
+
 /// Generates evenly spaced requests of one size, for measurements of overhead.
 pub fn even(model: &str, count: u64, interval: time::Duration, tag: &str) -> Vec<Arrival> {
     let scenario = scenario::Scenario {
--- a/programs/load/tests/scenario.rs
+++ b/programs/load/tests/scenario.rs
@@ -63,6 +63,10 @@
     "processes: {engines: ['127.0.0.1:80']}\nfaults: [{at_ms: 0, targets: [0], action: {kill: {}}}]",
     "faults.0.action"
 )]
+#[case::kill_of_a_thread(
+    "replicas: 1\nentries: 1\nfaults: [{at_ms: 0, targets: [0], action: kill_entry}]",
+    "faults.0.action"
+)]
 #[case::wrong_range(
     "replicas: 1\nbatch: {prompt_tokens: {min: 5, max: 4}}",
     "batch.prompt_tokens"
@@ -166,7 +170,8 @@
         "online_refused": 1, "refusals": {}, "online_resent": 0, "online_slot_share": share,
         "batch_items_per_s": batch, "batch_completed": 0, "batch_failed": 0, "lost": 1,
         "doubled": 0, "false_not_run": 0, "crashes": 0, "poison_refused": 0,
-        "control_cpu_percent": null,
+        "control_cpu_percent": null, "entry_cpu_percent": null, "service_answered": 0,
+        "service_refused": 0,
     }))
     .expect("a line")
 }
