state: index files and jobs by team, count claims and attempts as storage

Cause: lists of one team scanned all files and jobs of the group, expiry scanned all jobs, and claims and attempts were not bounded.

Change: derived indexes by team and by end time; claims and attempts count towards retention.max_bytes and new ones are refused above it.

Conclusion: memory of a work group is bounded by one setting.

--- a/crates/state/src/config/mod.rs
+++ b/crates/state/src/config/mod.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use bw_wire::{backend, command, command::config, intent, name, query};
+use bw_wire::{command, command::config, intent, name, query};
 
 use crate::snapshot;
 
@@ -144,11 +144,7 @@
         match command {
             config::Command::Plan { base, intent, .. } => self.plan(base, intent),
             config::Command::Confirm { operator, plan, .. } => self.confirm(operator, &plan),
-            config::Command::Order {
-                backend,
-                action,
-                fetch_mb,
-            } => self.order(&backend, &action, fetch_mb),
+            config::Command::Order { fetch_mb, .. } => self.order(fetch_mb),
         }
     }
 
@@ -217,12 +213,7 @@
         }
     }
 
-    fn order(
-        &mut self,
-        _backend: &name::Name,
-        _action: &backend::Action,
-        fetch_mb: u64,
-    ) -> config::Reply {
+    fn order(&mut self, fetch_mb: u64) -> config::Reply {
         let limit = &self.intent.weight_store;
         match self.budget.spend(self.now_ms, limit, fetch_mb) {
             Ok(()) => {
--- a/crates/state/src/work/attempts.rs
+++ b/crates/state/src/work/attempts.rs
@@ -8,10 +8,14 @@
 
 use super::{Owned, invalid};
 
+/// Memory of an attempt next to its texts, in bytes.
+const ATTEMPT_BYTES: u64 = 192;
+
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(super) struct Attempts {
     last: u64,
     attempts: collections::BTreeMap<Owned, Attempt>,
+    bytes: u64,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -33,8 +37,21 @@
 }
 
 impl Attempts {
-    pub(super) fn begin(&mut self, now_ms: u64, owned: Owned, call: Call) -> work::Reply {
+    pub(super) fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    pub(super) fn begin(
+        &mut self,
+        now_ms: u64,
+        owned: Owned,
+        call: Call,
+        room: u64,
+    ) -> work::Reply {
         let Some(attempt) = self.attempts.get_mut(&owned) else {
+            if ATTEMPT_BYTES > room {
+                return invalid("the storage of this group is full");
+            }
             return self.start(owned, call);
         };
         if attempt.body != call.body {
@@ -85,16 +102,24 @@
                 outcome: known.clone(),
             },
             None => {
+                self.bytes -= size(owned, attempt);
                 attempt.outcome = Some(outcome);
                 attempt.at_ms = now_ms;
+                self.bytes += size(owned, attempt);
                 work::Reply::Ok
             }
         }
     }
 
     pub(super) fn expire(&mut self, now_ms: u64, retention: &work::Retention) {
-        self.attempts
-            .retain(|_, attempt| now_ms < attempt.at_ms.saturating_add(retention.attempt_ms));
+        let bytes = &mut self.bytes;
+        self.attempts.retain(|owned, attempt| {
+            let keep = now_ms < attempt.at_ms.saturating_add(retention.attempt_ms);
+            if !keep {
+                *bytes -= size(owned, attempt);
+            }
+            keep
+        });
     }
 
     fn start(&mut self, owned: Owned, call: Call) -> work::Reply {
@@ -106,7 +131,18 @@
             at_ms: call.until_ms,
             outcome: None,
         };
-        self.attempts.insert(owned, attempt);
+        self.bytes += size(&owned, &attempt);
+        if let Some(before) = self.attempts.insert(owned.clone(), attempt) {
+            self.bytes -= size(&owned, &before);
+        }
         work::Reply::Begin { attempt: self.last }
     }
 }
+
+fn size(owned: &Owned, attempt: &Attempt) -> u64 {
+    let body = match &attempt.outcome {
+        Some(work::AttemptOutcome::Done { body, .. }) => body.len(),
+        _ => 0,
+    };
+    ATTEMPT_BYTES + owned.size() + (attempt.holder.len() + body) as u64
+}
--- a/crates/state/src/work/claims.rs
+++ b/crates/state/src/work/claims.rs
@@ -6,11 +6,15 @@
 
 use bw_wire::{command::work, fingerprint, name};
 
-use super::Owned;
+use super::{Owned, invalid};
+
+/// Memory of a claim next to its texts, in bytes.
+const CLAIM_BYTES: u64 = 128;
 
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(super) struct Claims {
     claims: collections::BTreeMap<Owned, Claim>,
+    bytes: u64,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -21,18 +25,32 @@
 }
 
 impl Claims {
+    pub(super) fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
     pub(super) fn bind(
         &mut self,
         now_ms: u64,
         owned: Owned,
         body: fingerprint::Fingerprint,
         value: name::Name,
+        room: u64,
     ) -> work::Reply {
-        let claim = self.claims.entry(owned).or_insert_with(|| Claim {
-            body,
-            value: value.clone(),
-            at_ms: now_ms,
-        });
+        let Some(claim) = self.claims.get(&owned) else {
+            let claim = Claim {
+                body,
+                value: value.clone(),
+                at_ms: now_ms,
+            };
+            let size = size(&owned, &claim);
+            if size > room {
+                return invalid("the storage of this group is full");
+            }
+            self.bytes += size;
+            self.claims.insert(owned, claim);
+            return work::Reply::Claimed { value, fresh: true };
+        };
         if claim.body != body {
             return work::Reply::KeyConflict;
         }
@@ -45,7 +63,17 @@
     }
 
     pub(super) fn expire(&mut self, now_ms: u64, retention: &work::Retention) {
-        self.claims
-            .retain(|_, claim| now_ms < claim.at_ms.saturating_add(retention.claim_ms));
+        let bytes = &mut self.bytes;
+        self.claims.retain(|owned, claim| {
+            let keep = now_ms < claim.at_ms.saturating_add(retention.claim_ms);
+            if !keep {
+                *bytes -= size(owned, claim);
+            }
+            keep
+        });
     }
 }
+
+fn size(owned: &Owned, claim: &Claim) -> u64 {
+    CLAIM_BYTES + owned.size() + claim.value.len() as u64
+}
--- a/crates/state/src/work/files.rs
+++ b/crates/state/src/work/files.rs
@@ -12,6 +12,9 @@
 pub(super) struct Files {
     files: collections::BTreeMap<name::Name, File>,
     bytes: u64,
+    /// Sealed files by team; derived.
+    #[serde(skip)]
+    teams: collections::BTreeSet<(name::Name, name::Name)>,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -98,6 +101,7 @@
             return invalid("line numbers do not ascend");
         }
         file.touched_ms = now_ms;
+        self.teams.insert((seal.team.clone(), id.clone()));
         file.seal = Some(seal);
         work::Reply::Ok
     }
@@ -130,13 +134,24 @@
     }
 
     pub(super) fn list(&self, team: &name::Name) -> Vec<query::File> {
-        self.files
-            .iter()
-            .filter_map(|(id, file)| describe(id, file))
-            .filter(|file| file.team == *team)
+        let first = (team.clone(), name::Name::default());
+        let owned = self.teams.range(first..);
+        owned
+            .take_while(|(owner, _)| owner == team)
+            .filter_map(|(_, id)| describe(id, self.files.get(id)?))
             .collect()
     }
 
+    /// Derives the index after the files were replaced.
+    pub(super) fn rebuild(&mut self) {
+        let sealed = self.files.iter();
+        let sealed = sealed.filter_map(|(id, file)| {
+            let seal = file.seal.as_ref()?;
+            Some((seal.team.clone(), id.clone()))
+        });
+        self.teams = sealed.collect();
+    }
+
     /// Returns a chunk of a file that its owner can see.
     pub(super) fn lines(
         &self,
@@ -190,7 +205,8 @@
 
     pub(super) fn expire(&mut self, now_ms: u64, retention: &work::Retention) {
         let mut freed = 0;
-        self.files.retain(|_, file| {
+        let teams = &mut self.teams;
+        self.files.retain(|id, file| {
             let keep_ms = match &file.seal {
                 Some(_) if !file.deleted => retention.file_ms,
                 _ => retention.unsealed_ms,
@@ -198,6 +214,9 @@
             let keep = file.jobs > 0 || now_ms < file.touched_ms.saturating_add(keep_ms);
             if !keep {
                 freed += file.size();
+                if let Some(seal) = &file.seal {
+                    teams.remove(&(seal.team.clone(), id.clone()));
+                }
             }
             keep
         });
--- a/crates/state/src/work/jobs.rs
+++ b/crates/state/src/work/jobs.rs
@@ -36,6 +36,10 @@
     leases: collections::BTreeSet<(u64, name::Name, u32)>,
     open: collections::BTreeSet<ready::Key>,
     open_items: u64,
+    /// Jobs that ended, by time.
+    ended: collections::BTreeSet<(u64, name::Name)>,
+    /// All jobs by team.
+    teams: collections::BTreeSet<(name::Name, name::Name)>,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -116,6 +120,8 @@
         files.job_created(&job.order.file);
         let open = job.open();
         self.index.open_items += open;
+        let owned = (job.order.team.clone(), id.clone());
+        self.index.teams.insert(owned);
         self.jobs.insert(id.clone(), job);
         if open == 0 {
             self.end(now_ms, &id, query::JobState::Completed, files);
@@ -271,17 +277,18 @@
         retention: &work::Retention,
         files: &mut files::Files,
     ) {
-        let mut freed = 0;
-        self.jobs.retain(|_, job| {
-            let ended_ms = job.ended_ms.unwrap_or(u64::MAX);
-            let keep = now_ms < ended_ms.saturating_add(retention.job_ms);
-            if !keep {
-                freed += job.bytes();
+        while let Some((ended_ms, _)) = self.index.ended.first()
+            && ended_ms.saturating_add(retention.job_ms) <= now_ms
+        {
+            let Some((_, id)) = self.index.ended.pop_first() else {
+                break;
+            };
+            if let Some(job) = self.jobs.remove(&id) {
+                self.bytes -= job.bytes();
                 files.job_dropped(&job.order.file);
+                self.index.teams.remove(&(job.order.team, id));
             }
-            keep
-        });
-        self.bytes -= freed;
+        }
         self.share.expire();
     }
 
@@ -291,10 +298,15 @@
     }
 
     pub(super) fn list(&self, team: Option<&name::Name>) -> Vec<query::Job> {
-        self.jobs
-            .iter()
-            .filter(|(_, job)| team.is_none_or(|team| job.order.team == *team))
-            .map(|(id, job)| job.describe(id))
+        let Some(team) = team else {
+            let jobs = self.jobs.iter();
+            return jobs.map(|(id, job)| job.describe(id)).collect();
+        };
+        let first = (team.clone(), name::Name::default());
+        let owned = self.index.teams.range(first..);
+        owned
+            .take_while(|(owner, _)| owner == team)
+            .filter_map(|(_, id)| Some(self.jobs.get(id)?.describe(id)))
             .collect()
     }
 
@@ -329,6 +341,13 @@
     /// Derives the index after the jobs were replaced.
     pub(super) fn rebuild(&mut self) {
         self.index = Index::default();
+        for (id, job) in &self.jobs {
+            let owned = (job.order.team.clone(), id.clone());
+            self.index.teams.insert(owned);
+            if let Some(ended_ms) = job.ended_ms {
+                self.index.ended.insert((ended_ms, id.clone()));
+            }
+        }
         let open: Vec<name::Name> = self
             .jobs
             .iter()
@@ -389,6 +408,7 @@
         self.index.open_items -= job.open();
         let key = job.key(id);
         self.index.open.remove(&key);
+        self.index.ended.insert((ended_ms, id.clone()));
         files.job_ended(ended_ms, &job.order.file);
         for number in 0..job.chunks.len() as u32 {
             self.drop_lease(id, number);
--- a/crates/state/src/work/mod.rs
+++ b/crates/state/src/work/mod.rs
@@ -39,6 +39,13 @@
     key: name::Name,
 }
 
+impl Owned {
+    /// Returns the size of the texts, in bytes.
+    fn size(&self) -> u64 {
+        (self.team.len() + self.key.len()) as u64
+    }
+}
+
 impl Machine {
     /// Creates an empty machine.
     pub fn new() -> Machine {
@@ -60,9 +67,9 @@
         &self.state.tuning
     }
 
-    /// Returns the bytes of stored input lines and results.
+    /// Returns the bytes of stored input lines, results, claims and attempts.
     pub fn bytes(&self) -> u64 {
-        self.state.files.bytes() + self.state.jobs.bytes()
+        self.state.bytes()
     }
 
     /// Applies a command.
@@ -117,6 +124,7 @@
     /// stays as it was.
     pub fn restore(&mut self, data: &[u8]) -> Result<(), snapshot::Error> {
         let mut state: State = snapshot::decode(data)?;
+        state.files.rebuild();
         state.jobs.rebuild();
         self.state = state;
         Ok(())
@@ -128,8 +136,7 @@
         let now_ms = self.now_ms;
         match command {
             work::Command::FileChunk { file, chunk, lines } => {
-                let stored = self.files.bytes() + self.jobs.bytes();
-                let room = self.tuning.retention.max_bytes.saturating_sub(stored);
+                let room = self.room();
                 self.files.put(now_ms, file, chunk, lines, room)
             }
             work::Command::FileSeal {
@@ -155,7 +162,11 @@
                 key,
                 body,
                 value,
-            } => self.claims.bind(now_ms, Owned { team, key }, body, value),
+            } => {
+                let room = self.room();
+                self.claims
+                    .bind(now_ms, Owned { team, key }, body, value, room)
+            }
             work::Command::JobCreate {
                 job,
                 team,
@@ -211,7 +222,8 @@
                     until_ms: now_ms.saturating_add(timeout_ms),
                     holder_gone,
                 };
-                self.attempts.begin(now_ms, Owned { team, key }, call)
+                let room = self.room();
+                self.attempts.begin(now_ms, Owned { team, key }, call, room)
             }
             work::Command::AttemptEnd {
                 team,
@@ -247,6 +259,17 @@
         }
     }
 
+    fn bytes(&self) -> u64 {
+        self.files.bytes() + self.jobs.bytes() + self.claims.bytes() + self.attempts.bytes()
+    }
+
+    /// Returns the bytes that new things may take. What completes accepted work
+    /// is always stored.
+    fn room(&self) -> u64 {
+        let most = self.tuning.retention.max_bytes;
+        most.saturating_sub(self.bytes())
+    }
+
     fn expire(&mut self) {
         let retention = &self.tuning.retention;
         self.jobs.expire(self.now_ms, retention, &mut self.files);
--- a/crates/state/tests/work_rules.rs
+++ b/crates/state/tests/work_rules.rs
@@ -518,6 +518,10 @@
         lines: vec![line(1)],
     };
     assert!(matches!(bench.run(chunk("g")), work::Reply::Invalid { .. }));
+    assert!(matches!(
+        bench.run(begin("h", false)),
+        work::Reply::Invalid { .. }
+    ));
     assert_eq!(bench.take("a", 1).len(), 1);
 }
 
--- a/crates/wire/src/command/work.rs
+++ b/crates/wire/src/command/work.rs
@@ -308,7 +308,8 @@
     pub attempt_ms: u64,
     /// A suspect, from its last strike.
     pub suspect_ms: u64,
-    /// Most bytes of input lines and results; new file chunks are refused above it.
+    /// Most bytes of input lines, results, claims and attempts; new files, claims
+    /// and attempts are refused above it.
     pub max_bytes: u64,
 }
 
--- a/programs/control/tests/processes/cluster.rs
+++ b/programs/control/tests/processes/cluster.rs
@@ -244,11 +244,17 @@
         }
     }
 
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: signal::Signal) {
+        let child = self.child.as_ref().expect("running");
+        let pid = unistd::Pid::from_raw(child.id() as i32);
+        signal::kill(pid, signal).expect("signal");
+    }
+
     /// Stops the process with `SIGTERM` and returns whether it ended well.
     pub fn terminate(&mut self) -> bool {
+        self.signal(signal::Signal::SIGTERM);
         let mut child = self.child.take().expect("running");
-        let pid = unistd::Pid::from_raw(child.id() as i32);
-        signal::kill(pid, signal::Signal::SIGTERM).expect("signal");
         let start = time::Instant::now();
         while start.elapsed() < LIMIT {
             if let Some(status) = child.try_wait().expect("process state") {
--- a/programs/control/tests/processes/faults.rs
+++ b/programs/control/tests/processes/faults.rs
@@ -1,11 +1,15 @@
 //! Kills, restarts and lost disks.
 
+use std::time;
+
+use nix::sys::signal;
+
 use bw_client::control;
-use bw_wire::{command::work, fingerprint, member};
+use bw_wire::{command::work, fingerprint, member, query};
 
 use crate::{
     cluster::Cluster,
-    operators::{confirm, plan, planned},
+    operators::{confirm, intent, plan, planned},
 };
 
 async fn claim(client: &control::Client, key: &str, value: &str) -> work::Reply {
@@ -104,3 +108,32 @@
     );
     assert_eq!(cluster.config().await, 1);
 }
+
+/// Guards against a leader that was cut off for long and then answers from its
+/// old state.
+#[tokio::test]
+async fn a_frozen_leader_answers_nothing_old() {
+    let mut cluster = Cluster::start(None);
+    let old = cluster.leader(0).await;
+    let address = cluster.replica(old).address.clone();
+    let client = cluster.client();
+    let id = planned(&client, plan("p1", 0, 2)).await;
+    client.config(confirm("c1", &id)).await.expect("an answer");
+    cluster.replica(old).signal(signal::Signal::SIGSTOP);
+    let id = planned(&client, plan("p2", 1, 3)).await;
+    client.config(confirm("c2", &id)).await.expect("an answer");
+    cluster.replica(old).signal(signal::Signal::SIGCONT);
+    let direct = control::Builder::new(vec![address])
+        .total_timeout(time::Duration::from_millis(100))
+        .build();
+    for _ in 0..20 {
+        if let Ok(answer) = direct.query(0, query::Query::Config).await {
+            let expected = query::Answer::Config {
+                revision: 2,
+                intent: intent(3),
+            };
+            assert_eq!(answer, expected);
+        }
+    }
+    assert_eq!(cluster.config().await, 2);
+}
