control: answer empty takes without the log, no wait in the first term

Cause: idle entry VMs ask every group for work, and each Take cost a disk sync on every replica; a new fleet waited one lease for leases that nobody can hold.

--- a/crates/state/src/work/jobs.rs
+++ b/crates/state/src/work/jobs.rs
@@ -338,6 +338,12 @@
         }
     }
 
+    pub(super) fn can_lease(&self, now_ms: u64) -> bool {
+        let first = self.index.leases.first();
+        let expired = first.is_some_and(|(until_ms, _, _)| *until_ms <= now_ms);
+        expired || self.index.ready.count() > 0
+    }
+
     /// Derives the index after the jobs were replaced.
     pub(super) fn rebuild(&mut self) {
         self.index = Index::default();
--- a/crates/state/src/work/mod.rs
+++ b/crates/state/src/work/mod.rs
@@ -72,6 +72,11 @@
         self.state.bytes()
     }
 
+    /// Returns whether a `Take` at this time may lease a chunk.
+    pub fn can_lease(&self, now_ms: u64) -> bool {
+        self.state.jobs.can_lease(now_ms)
+    }
+
     /// Applies a command.
     pub fn apply(&mut self, index: u64, stamped: command::Stamped<work::Command>) -> work::Reply {
         let state = &mut self.state;
--- a/programs/control/src/core/chores.rs
+++ b/programs/control/src/core/chores.rs
@@ -72,7 +72,7 @@
         self.parts.links.set(&addresses);
     }
 
-    fn leads_group(&self, group: u32) -> bool {
+    pub(super) fn leads_group(&self, group: u32) -> bool {
         let status = self.parts.host.status(GroupId(group));
         status.is_some_and(|status| status.role == node::Role::Leader)
     }
--- a/programs/control/src/core/clock.rs
+++ b/programs/control/src/core/clock.rs
@@ -45,11 +45,17 @@
     /// then goes on from there instead of standing still, so that leases and
     /// windows keep ending.
     pub(crate) fn stamp(&mut self, group: u32, machine_ms: u64) -> u64 {
+        let stamp_ms = self.time(group, machine_ms);
         let mono_ms = self.now_ms();
-        let last = self.stamps.get(&group);
-        let carried = last.map_or(0, |last| last.stamp_ms + (mono_ms - last.mono_ms));
-        let stamp_ms = (self.wall_ms + mono_ms).max(carried).max(machine_ms);
         self.stamps.insert(group, Stamp { mono_ms, stamp_ms });
         stamp_ms
     }
+
+    /// Returns the time that a command to a group would be stamped with.
+    pub(crate) fn time(&self, group: u32, machine_ms: u64) -> u64 {
+        let mono_ms = self.now_ms();
+        let last = self.stamps.get(&group);
+        let carried = last.map_or(0, |last| last.stamp_ms + (mono_ms - last.mono_ms));
+        (self.wall_ms + mono_ms).max(carried).max(machine_ms)
+    }
 }
--- a/programs/control/src/core/mod.rs
+++ b/programs/control/src/core/mod.rs
@@ -157,6 +157,16 @@
                 let messages = messages.into_iter();
                 inputs.extend(messages.map(|message| host::Input::Message { from, message }));
             }
+            Call::Propose {
+                group,
+                command,
+                reply,
+            } if self.has_nothing_for(group, &command) => {
+                let leases = Vec::new();
+                let taken = command::work::Reply::Taken { leases };
+                // The caller may have gone.
+                let _ = reply.send(Ok(command::Reply::Work(taken)));
+            }
             Call::Propose {
                 group,
                 command,
@@ -203,6 +213,23 @@
         }
     }
 
+    /// Returns whether a command is a `Take` that would lease nothing.
+    ///
+    /// Idle entry VMs ask all the time, and each command in the log costs a disk
+    /// sync on every replica. An empty answer promises nothing, so it needs no
+    /// log, and it may even be a little old.
+    fn has_nothing_for(&self, group: u32, command: &command::Command) -> bool {
+        let take = matches!(
+            command,
+            command::Command::Work(command::work::Command::Take { .. })
+        );
+        let machine = self.parts.host.machine(GroupId(group));
+        let (true, Some(machine::Machine::Work(work))) = (take, machine) else {
+            return false;
+        };
+        self.leads_group(group) && !work.can_lease(self.clock.time(group, work.now_ms()))
+    }
+
     /// Stamps a command and files who waits for it.
     fn propose(&mut self, group: u32, command: command::Command, waiting: Waiting) -> host::Input {
         let machine = self.parts.host.machine(GroupId(group));
--- a/programs/control/src/registry/mod.rs
+++ b/programs/control/src/registry/mod.rs
@@ -12,12 +12,17 @@
 /// How long a backend server that no longer renews stays listed.
 const BACKEND_KEPT_MS: u64 = 30_000;
 
+/// The term of the first leader ever.
+const FIRST_TERM: u64 = 1;
+
 /// The registry.
 #[derive(Debug, Default)]
 pub struct Registry {
     /// When this replica became leader, and its term.
     since_ms: u64,
     term: u64,
+    /// From when on no lease of a previous leader can be running.
+    settled_ms: u64,
     entries: collections::BTreeMap<Key, Entry>,
     backends: collections::BTreeMap<name::Name, Backend>,
     owners: owners::Owners,
@@ -66,9 +71,12 @@
 impl Registry {
     /// Starts anew at the beginning of a leadership.
     pub fn reset(&mut self, now_ms: u64, term: u64) {
+        // Nobody led before the first term.
+        let wait_ms = if term <= FIRST_TERM { 0 } else { lease_ms() };
         *self = Registry {
             since_ms: now_ms,
             term,
+            settled_ms: now_ms + wait_ms,
             ..Registry::default()
         };
     }
@@ -126,7 +134,7 @@
             .map(|(key, _)| key.entry.clone())
             .collect();
         // Entry VMs that only the previous leader knew may hold a lease from it.
-        let complete = now_ms >= self.since_ms + lease_ms();
+        let complete = now_ms >= self.settled_ms;
         rpc::InForce {
             revision,
             everywhere: complete && asked <= revision && waiting_for.is_empty(),
@@ -188,7 +196,7 @@
     /// Assigns batch ownership among live entry VMs.
     fn assign(&mut self, now_ms: u64) {
         // Ownership that the previous leader granted ends with its leases.
-        if now_ms < self.since_ms + lease_ms() {
+        if now_ms < self.settled_ms {
             return;
         }
         let live = self.entries.iter();
--- a/programs/control/tests/settings.rs
+++ b/programs/control/tests/settings.rs
@@ -52,3 +52,26 @@
     assert_eq!(settings.first_members().len(), 1);
     assert!(!settings.spans_domains());
 }
+
+/// Guards against a program that starts with wrong settings, or whose check
+/// does not tell.
+#[rstest::rstest]
+#[case("name: control-1", 0)]
+#[case("work_groups: 0", 2)]
+fn the_program_checks_its_settings(#[case] text: &str, #[case] status: i32) {
+    let folder = tempfile::tempdir().expect("folder");
+    let file = folder.path().join("control.yaml");
+    std::fs::write(&file, text).expect("settings");
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_bw-control"))
+        .arg("--config")
+        .arg(&file)
+        .arg("--check")
+        .output()
+        .expect("process");
+    assert_eq!(output.status.code(), Some(status));
+    let errors = String::from_utf8(output.stderr).expect("text");
+    assert_eq!(
+        errors.contains("control.yaml:1: work_groups = 0"),
+        status == 2
+    );
+}
