--- a/crates/policy/src/pacer/share.rs
+++ b/crates/policy/src/pacer/share.rs
@@ -121,6 +121,11 @@
         taken.into_iter().map(|(_, item)| item).collect()
     }
 
+    /// Returns the items, in no particular order.
+    pub fn iter(&self) -> impl Iterator<Item = &Item<T>> {
+        self.teams.values().flat_map(|team| team.items.values())
+    }
+
     /// Returns the number of items.
     pub fn len(&self) -> usize {
         self.len
--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -162,6 +162,7 @@
             all: Index::default(),
             homes: Index::default(),
             home: collections::BTreeSet::new(),
+            fleet_ms: 0,
             drained: collections::BTreeSet::new(),
         }
     }
@@ -220,6 +221,7 @@
     all: Index,
     homes: Index,
     home: collections::BTreeSet<name::Name>,
+    fleet_ms: u64,
     drained: collections::BTreeSet<name::Name>,
     cache: cache::Cache,
 }
@@ -298,6 +300,7 @@
     /// Takes the other entry VMs' online requests in flight from a `sync`
     /// answer. A backend server without an entry has none.
     pub fn fleet(&mut self, online: &collections::BTreeMap<name::Name, u32>, now_ms: u64) {
+        self.fleet_ms = now_ms;
         for replica in &mut self.replicas {
             replica.fleet = online.get(&replica.announcement.id).copied().unwrap_or(0);
             replica.fleet_ms = now_ms;
@@ -423,6 +426,20 @@
         self.get(id).map_or(0, |replica| replica.online)
     }
 
+    /// Returns the other entry VMs' online requests on one backend server, and
+    /// when they were learnt.
+    pub fn fleet_on(&self, id: &str) -> (u32, u64) {
+        (
+            self.get(id).map_or(0, |replica| replica.fleet),
+            self.fleet_ms,
+        )
+    }
+
+    /// Returns when the latest renewal of a backend server was heard.
+    pub fn heard_ms(&self, id: &str) -> Option<u64> {
+        self.get(id).map(|replica| replica.heard_ms)
+    }
+
     /// Returns whether new work may be sent to a backend server.
     pub fn is_usable(&self, id: &str, now_ms: u64) -> bool {
         self.get(id)
--- a/crates/policy/src/router/replica.rs
+++ b/crates/policy/src/router/replica.rs
@@ -19,6 +19,7 @@
 pub(super) struct Replica {
     pub(super) announcement: backend::Announcement,
     pub(super) proof_ms: u64,
+    pub(super) heard_ms: u64,
     pub(super) joined_ms: u64,
     pub(super) leaving: bool,
     pub(super) drained: bool,
@@ -52,6 +53,7 @@
         let mut replica = Replica {
             announcement: announcement.clone(),
             proof_ms: 0,
+            heard_ms: 0,
             joined_ms: now_ms,
             leaving: false,
             drained: false,
@@ -96,6 +98,7 @@
 
     /// Takes an announcement of the same incarnation that is not older.
     pub(super) fn renew(&mut self, announcement: &backend::Announcement, at_ms: u64, now_ms: u64) {
+        self.heard_ms = self.heard_ms.max(at_ms);
         let was_ready = self.announcement.state == backend::State::Ready;
         match announcement.state {
             backend::State::Leaving => self.leaving = true,
--- /dev/null
+++ b/programs/entry/src/batch/isolate.rs
@@ -0,0 +1,98 @@
+//! The isolated run of an item with two strikes.
+
+use std::sync;
+
+use bw_wire::name;
+
+use super::{item, queue::Item};
+use crate::{context, controller};
+
+/// How long a backend server is reserved, unless the run ends sooner.
+const RESERVE_MS: u64 = 30_000;
+/// Time after which the other entry VMs' counts show that they have stopped to
+/// send work to the reserved backend server.
+const SETTLE_MS: u64 = 1_000;
+/// How long the item waits for its backend server to become empty.
+const WAIT_MS: u64 = 10_000;
+
+/// An item that waits for, or runs on, a backend server without other work.
+pub(super) struct Isolation {
+    context: sync::Arc<context::Context>,
+    pub(super) place: item::Place,
+    /// Absent while the item runs.
+    item: Option<Item>,
+    since_ms: u64,
+}
+
+impl Isolation {
+    /// Reserves a backend server.
+    pub(super) fn new(
+        context: &sync::Arc<context::Context>,
+        place: item::Place,
+        item: Item,
+        now_ms: u64,
+    ) -> Isolation {
+        let fingerprint = item.work.fingerprint;
+        context
+            .shared
+            .with_suspects(|suspects, _| suspects.isolate(fingerprint));
+        let isolation = Isolation {
+            context: sync::Arc::clone(context),
+            place,
+            item: Some(item),
+            since_ms: now_ms,
+        };
+        isolation.announce(RESERVE_MS);
+        isolation
+    }
+
+    /// Returns the item when its backend server is empty.
+    pub(super) fn ready(&mut self, batch_streams: u32, now_ms: u64) -> Option<Item> {
+        let age_ms = now_ms.saturating_sub(self.since_ms);
+        let backend = &self.place.backend;
+        let online = self.context.shared.table.with(|state, _| {
+            let (others, _) = state.router.fleet_on(backend);
+            state.router.online_on(backend) + others
+        });
+        if age_ms < SETTLE_MS || batch_streams > 0 || online > 0 {
+            return None;
+        }
+        self.item.take()
+    }
+
+    /// Returns the item when it has waited too long.
+    pub(super) fn overdue(&mut self, now_ms: u64) -> Option<Item> {
+        if now_ms.saturating_sub(self.since_ms) < WAIT_MS {
+            return None;
+        }
+        let item = self.item.take()?;
+        let fingerprint = item.work.fingerprint;
+        self.context
+            .shared
+            .with_suspects(|suspects, _| suspects.abandoned(fingerprint));
+        Some(item)
+    }
+
+    pub(super) fn backend(&self) -> &name::Name {
+        &self.place.backend
+    }
+
+    fn announce(&self, duration_ms: u64) {
+        self.context.events.send(controller::Event::Reserved {
+            backend: self.place.backend.clone(),
+            duration_ms,
+        });
+    }
+}
+
+impl Drop for Isolation {
+    fn drop(&mut self) {
+        if let Some(item) = &self.item {
+            let fingerprint = item.work.fingerprint;
+            self.context
+                .shared
+                .with_suspects(|suspects, _| suspects.abandoned(fingerprint));
+        }
+        self.announce(0);
+    }
+}
--- a/programs/entry/src/lib.rs
+++ b/programs/entry/src/lib.rs
@@ -2,6 +2,7 @@
 //! dispatch on each entry VM.
 
 pub mod api;
+pub mod batch;
 pub mod clock;
 pub mod context;
 pub mod controller;
--- a/programs/entry/src/program.rs
+++ b/programs/entry/src/program.rs
@@ -6,7 +6,7 @@
 use bw_base::server;
 use tokio::{runtime, sync as async_sync};
 
-use crate::{api, context, controller, settings};
+use crate::{api, batch, context, controller, settings};
 
 /// Stack of a traffic thread. Handlers are shallow; the default of 2 MiB would
 /// only cost address space.
@@ -226,6 +226,7 @@
         }
     };
     let (callers, admin) = servers;
+    batch::Builder::new().spawn(&context);
     let addresses = Bound {
         address: callers.address(),
         admin_address: admin.address(),
