Test the batch dispatcher; fix the pacer's sliding peak

Cause: the dispatcher had no tests. Its first test found that capacity was never filled again after a burst: the sliding maximum renewed an old peak each time that an unchanged count was set. An isolated run that ended without crash also stayed marked. Tests run the dispatcher against the real work machine and fake backend servers. Tried on a scratch change: without preemption, kept text, giving leases back, the attempt limit, refusals that are no attempts, or isolation, at least one test fails.

--- a/crates/policy/src/pacer/peak.rs
+++ b/crates/policy/src/pacer/peak.rs
@@ -5,27 +5,39 @@
 /// A sliding maximum. Only values that can still become the maximum are kept.
 #[derive(Debug, Default)]
 pub(super) struct Peak {
-    values: collections::VecDeque<(u64, u32)>,
+    /// Values in falling order, with the time until which they held; the last
+    /// one still holds.
+    values: collections::VecDeque<(u32, u64)>,
 }
 
 impl Peak {
-    /// Adds the value that holds from `now_ms` on.
-    pub(super) fn add(&mut self, value: u32, now_ms: u64) {
-        while self.values.back().is_some_and(|&(_, other)| other <= value) {
+    /// Sets the value that holds from `now_ms` on. Setting it again to the same
+    /// value changes nothing.
+    pub(super) fn set(&mut self, value: u32, now_ms: u64) {
+        while self.values.back().is_some_and(|&(other, _)| other < value) {
             self.values.pop_back();
         }
-        self.values.push_back((now_ms, value));
+        match self.values.back_mut() {
+            Some((other, until_ms)) if *other == value => *until_ms = u64::MAX,
+            back => {
+                if let Some((_, until_ms)) = back {
+                    *until_ms = now_ms.min(*until_ms);
+                }
+                self.values.push_back((value, u64::MAX));
+            }
+        }
     }
 
-    /// Returns the largest value that held within the last `window_ms`. A value
-    /// holds until the next one that is kept, which is never too short.
+    /// Returns the largest value that held within the last `window_ms`.
     pub(super) fn max(&mut self, window_ms: u64, now_ms: u64) -> u32 {
         let start_ms = now_ms.saturating_sub(window_ms);
-        while let Some(&(next_ms, _)) = self.values.get(1)
-            && next_ms <= start_ms
+        while self
+            .values
+            .front()
+            .is_some_and(|&(_, until_ms)| until_ms <= start_ms)
         {
             self.values.pop_front();
         }
-        self.values.front().map_or(0, |&(_, value)| value)
+        self.values.front().map_or(0, |&(value, _)| value)
     }
 }
--- a/crates/policy/src/pacer/server.rs
+++ b/crates/policy/src/pacer/server.rs
@@ -262,7 +262,8 @@
     /// largest recent rise within the time that cancelling takes.
     fn headroom(&self, settings: &Builder, now_ms: u64) -> u32 {
         let least = (self.capacity as f32 * settings.headroom).ceil().max(1.0);
-        self.faded_burst(now_ms).max(least) as u32
+        let most = (self.capacity as f32 * settings.max_headroom).max(least);
+        self.faded_burst(now_ms).clamp(least, most) as u32
     }
 
     fn faded_burst(&self, now_ms: u64) -> f32 {
@@ -314,11 +315,11 @@
 
     fn recount(&mut self, now_ms: u64) {
         let peers: u32 = self.peers.values().map(|peer| peer.online).sum();
-        self.peer_peak.add(peers, now_ms);
+        self.peer_peak.set(peers, now_ms);
         let others = peers.max(self.fleet.unwrap_or(0));
         let before = self.online;
         self.online = self.own + others;
-        self.online_peak.add(self.online, now_ms);
+        self.online_peak.set(self.online, now_ms);
         if self.online != before {
             self.note_burst(now_ms);
         }
--- a/crates/policy/tests/pacer.rs
+++ b/crates/policy/tests/pacer.rs
@@ -44,6 +44,8 @@
 fn fill(pacer: &mut Pacer, start_ms: u64, end_ms: u64) {
     let mut next = start_ms * 1_000;
     for now_ms in (start_ms..=end_ms).step_by(10) {
+        // Counts that do not change are told again and again.
+        pacer.fleet_online(&collections::BTreeMap::new(), now_ms);
         for room in pacer.room(now_ms) {
             for _ in 0..room.streams {
                 pacer.started(&room.id, stream(next), now_ms);
@@ -80,6 +82,22 @@
     assert!(running as f32 >= 0.9 * idle as f32, "{running} of {idle}");
 }
 
+/// Guards against capacity that stays idle after a burst of online work.
+#[test]
+fn idle_capacity_is_filled_again_after_a_burst() {
+    let mut pacer = pacer();
+    fill(&mut pacer, 0, 3_000);
+    for stream in pacer.own_online(ID, CAPACITY, 3_010) {
+        pacer.stopped(ID, stream, 3_020);
+    }
+    fill(&mut pacer, 3_030, 6_000);
+    assert_eq!(pacer.running(ID), 0);
+    pacer.own_online(ID, 0, 6_010);
+    fill(&mut pacer, 6_010, 8_010);
+    let running = pacer.running(ID);
+    assert!(running as f32 >= 0.9 * CAPACITY as f32, "{running}");
+}
+
 /// Guards against online arrivals that find no place: own ones, peers' ones,
 /// and those that only the answer to `sync` shows.
 #[rstest]
--- a/programs/entry/src/batch/isolate.rs
+++ b/programs/entry/src/batch/isolate.rs
@@ -2,7 +2,7 @@
 
 use std::sync;
 
-use bw_wire::name;
+use bw_wire::{fingerprint, name};
 
 use super::{item, queue::Item};
 use crate::{context, controller};
@@ -21,6 +21,7 @@
     pub(super) place: item::Place,
     /// Absent while the item runs.
     item: Option<Item>,
+    fingerprint: fingerprint::Fingerprint,
     since_ms: u64,
 }
 
@@ -40,6 +41,7 @@
             context: sync::Arc::clone(context),
             place,
             item: Some(item),
+            fingerprint,
             since_ms: now_ms,
         };
         isolation.announce(RESERVE_MS);
@@ -65,12 +67,7 @@
         if now_ms.saturating_sub(self.since_ms) < WAIT_MS {
             return None;
         }
-        let item = self.item.take()?;
-        let fingerprint = item.work.fingerprint;
-        self.context
-            .shared
-            .with_suspects(|suspects, _| suspects.abandoned(fingerprint));
-        Some(item)
+        self.item.take()
     }
 
     pub(super) fn backend(&self) -> &name::Name {
@@ -87,12 +84,11 @@
 
 impl Drop for Isolation {
     fn drop(&mut self) {
-        if let Some(item) = &self.item {
-            let fingerprint = item.work.fingerprint;
-            self.context
-                .shared
-                .with_suspects(|suspects, _| suspects.abandoned(fingerprint));
-        }
+        // Also after a run that neither finished nor crashed.
+        let fingerprint = self.fingerprint;
+        self.context
+            .shared
+            .with_suspects(|suspects, _| suspects.abandoned(fingerprint));
         self.announce(0);
     }
 }
--- /dev/null
+++ b/programs/entry/tests/batch.rs
@@ -0,0 +1,510 @@
+//! Tests of the batch dispatcher against a real work machine and fake backend
+//! servers.
+
+mod support;
+
+use std::{
+    collections,
+    sync::{self, Arc, atomic::Ordering},
+    time,
+};
+
+use bw_entry::{Handle, settings};
+use bw_state::work;
+use bw_wire::{
+    command::{
+        self,
+        work::{Command, Content, Line, Outcome, Reply, Result, Suspect},
+    },
+    fingerprint::Fingerprint,
+    name, openai, query, rpc, sync as wire_sync,
+};
+use jsonrpsee::{RpcModule, server::ServerBuilder, types::ErrorObjectOwned};
+use rstest::rstest;
+use support::{
+    backend::{self, Answer, Backend},
+    control, wait_for,
+};
+use tokio::runtime;
+
+const JOB: &str = "batch_g1_1";
+const FILE: &str = "file-g1-1";
+const SLOW: Answer = Answer::Slow(time::Duration::from_millis(100));
+
+/// What the control replica holds: one work group.
+struct State {
+    machine: work::Machine,
+    index: u64,
+    owners: collections::BTreeMap<name::Name, name::Name>,
+    /// Online requests of other entry VMs.
+    online: collections::BTreeMap<name::Name, u32>,
+    /// Renewals that were answered.
+    renewals: usize,
+    /// Largest number of outcomes in one record.
+    largest_record: usize,
+}
+
+impl State {
+    fn suspects(&self) -> Vec<Suspect> {
+        match self.machine.query(&query::Query::Suspects) {
+            Some(query::Answer::Suspects(suspects)) => suspects,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn apply(&mut self, command: Command) -> Reply {
+        match &command {
+            Command::Renew { .. } => self.renewals += 1,
+            Command::Record { outcomes, .. } => {
+                self.largest_record = self.largest_record.max(outcomes.len());
+            }
+            _ => {}
+        }
+        self.index += 1;
+        let now_ms = unix_ms();
+        self.machine
+            .apply(self.index, command::Stamped { now_ms, command })
+    }
+}
+
+/// A control replica, the entry program and backend servers.
+struct Fleet {
+    state: Arc<sync::Mutex<State>>,
+    entry: Option<Handle>,
+    backends: Vec<Backend>,
+    _runtime: runtime::Runtime,
+}
+
+impl Fleet {
+    /// Starts a fleet in which the entry VM owns all backend servers.
+    fn start(backends: Vec<Backend>) -> Fleet {
+        let owners = backends
+            .iter()
+            .map(|backend| (backend.id.as_str().into(), "entry-1".into()));
+        let state = Arc::new(sync::Mutex::new(State {
+            machine: work::Machine::new(),
+            index: 0,
+            owners: owners.collect(),
+            online: collections::BTreeMap::new(),
+            renewals: 0,
+            largest_record: 0,
+        }));
+        let runtime = runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .expect("a runtime");
+        let module = module(&state);
+        let address = runtime.block_on(async move {
+            let server = ServerBuilder::default().build("127.0.0.1:0").await;
+            let server = server.expect("control listens");
+            let address = server.local_addr().expect("an address");
+            tokio::spawn(server.start(module).stopped());
+            address.to_string()
+        });
+        let mut settings = settings::Settings {
+            name: "entry-1".into(),
+            failure_domain: "a".into(),
+            address: "127.0.0.1:0".to_owned(),
+            peer_address: "127.0.0.1:0".to_owned(),
+            admin_address: "127.0.0.1:0".to_owned(),
+            control: vec![address.as_str().into()],
+            groups: 1,
+            ..settings::Settings::default()
+        };
+        settings.timeouts.linger_ms = 0;
+        let entry = bw_entry::start(settings).expect("the entry program starts");
+        for backend in &backends {
+            backend.renew(&entry.address().to_string());
+        }
+        Fleet {
+            state,
+            entry: Some(entry),
+            backends,
+            _runtime: runtime,
+        }
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, State> {
+        self.state.lock().expect("not poisoned")
+    }
+
+    /// Creates a job with these lines.
+    fn submit(&self, lines: Vec<Line>) {
+        let mut state = self.lock();
+        let team = name::Name::from("guild");
+        let seal = Command::FileSeal {
+            file: FILE.into(),
+            team: team.clone(),
+            filename: "input.jsonl".to_owned(),
+            purpose: "batch".to_owned(),
+            bytes: 1,
+            chunks: 1,
+        };
+        let create = Command::JobCreate {
+            job: JOB.into(),
+            team,
+            file: FILE.into(),
+            endpoint: "/v1/chat/completions".to_owned(),
+            window_ms: 24 * 3_600_000,
+            metadata: collections::BTreeMap::new(),
+        };
+        let chunk = Command::FileChunk {
+            file: FILE.into(),
+            chunk: 0,
+            lines,
+        };
+        assert_eq!(state.apply(chunk), Reply::Ok);
+        assert_eq!(state.apply(seal), Reply::Ok);
+        let created = state.apply(create);
+        assert!(matches!(created, Reply::Job(_)), "{created:?}");
+    }
+
+    fn job(&self) -> query::Job {
+        let query = query::Query::Job {
+            job: JOB.into(),
+            team: "guild".into(),
+        };
+        match self.lock().machine.query(&query) {
+            Some(query::Answer::Job(job)) => *job,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn wait_done(&self) {
+        wait_for("the job to complete", || {
+            self.job().state == query::JobState::Completed
+        });
+    }
+
+    fn results(&self) -> Vec<Outcome> {
+        let query = query::Query::Results {
+            job: JOB.into(),
+            team: "guild".into(),
+            chunk: 0,
+        };
+        match self.lock().machine.query(&query) {
+            Some(query::Answer::Results(results)) => {
+                results.into_iter().map(|result| result.outcome).collect()
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Returns the requests that all backend servers saw.
+    fn requests(&self) -> usize {
+        self.backends.iter().map(Backend::count).sum()
+    }
+
+    fn cancelled(&self) -> u64 {
+        let cancelled = |backend: &Backend| backend.cancelled.load(Ordering::SeqCst);
+        self.backends.iter().map(cancelled).sum()
+    }
+
+    fn stop_entry(&mut self) {
+        if let Some(entry) = self.entry.take() {
+            entry.drain();
+            entry.join();
+        }
+    }
+}
+
+fn module(state: &Arc<sync::Mutex<State>>) -> RpcModule<Arc<sync::Mutex<State>>> {
+    let mut module = RpcModule::new(Arc::clone(state));
+    module
+        .register_method(rpc::SYNC, |params, state, _| {
+            let request: wire_sync::Request = params.one()?;
+            let state = state.lock().expect("not poisoned");
+            Ok::<_, ErrorObjectOwned>(wire_sync::Response {
+                leader_term: 1,
+                lease_ms: wire_sync::CONFIG_LEASE_MS,
+                revision: 1,
+                intent: (request.revision == 0).then(|| Box::new(control::intent())),
+                backends: Vec::new(),
+                peers: Vec::new(),
+                online: state.online.clone(),
+                owners: state.owners.clone(),
+                suspects: state.suspects(),
+            })
+        })
+        .expect("registered");
+    module
+        .register_method(rpc::PROPOSE, |params, state, _| {
+            let propose: rpc::Propose = params.one()?;
+            let command::Command::Work(command) = propose.command else {
+                panic!("entry VMs propose work only");
+            };
+            let reply = state.lock().expect("not poisoned").apply(command);
+            Ok::<_, ErrorObjectOwned>(command::Reply::Work(reply))
+        })
+        .expect("registered");
+    module
+        .register_method(rpc::QUERY, |params, state, _| {
+            let ask: rpc::Ask = params.one()?;
+            let state = state.lock().expect("not poisoned");
+            let answer = state.machine.query(&ask.query);
+            Ok::<_, ErrorObjectOwned>(answer.unwrap_or(query::Answer::NotFound))
+        })
+        .expect("registered");
+    module
+}
+
+fn unix_ms() -> u64 {
+    let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+    since.expect("after 1970").as_millis() as u64
+}
+
+fn line(number: u32) -> Line {
+    let body = serde_json::json!({
+        "model": "m",
+        "messages": [{ "role": "user", "content": format!("item {number}") }],
+    });
+    content(number, "/v1/chat/completions", &body.to_string())
+}
+
+fn content(number: u32, url: &str, body: &str) -> Line {
+    Line {
+        number,
+        custom_id: Some(format!("item-{number}")),
+        content: Content::Request {
+            url: url.to_owned(),
+            body: body.to_owned(),
+        },
+    }
+}
+
+fn answered_text(outcome: &Outcome) -> String {
+    let Result::Answer { status: 200, body } = &outcome.result else {
+        panic!("{outcome:?}");
+    };
+    let body: serde_json::Value = serde_json::from_str(body).expect("JSON");
+    assert_eq!(body["object"], "chat.completion");
+    let text = &body["choices"][0]["message"]["content"];
+    text.as_str().expect("a text").to_owned()
+}
+
+/// Guards against items that are lost or run twice, and against outcomes that
+/// are recorded one by one.
+#[test]
+fn every_item_runs_once_and_outcomes_are_grouped() {
+    let backends = vec![
+        Backend::engine("e1", &[Answer::Whole]),
+        Backend::engine("e2", &[Answer::Whole]),
+    ];
+    let fleet = Fleet::start(backends);
+    fleet.submit((1..=60).map(line).collect());
+    fleet.wait_done();
+    let results = fleet.results();
+    assert_eq!(results.len(), 60);
+    for outcome in &results {
+        assert_eq!(answered_text(outcome), backend::whole_text());
+    }
+    assert_eq!(fleet.requests(), 60);
+    assert!(fleet.backends.iter().all(|backend| backend.count() > 0));
+    let largest = fleet.lock().largest_record;
+    assert!(largest > 1, "at most {largest} outcomes in a record");
+}
+
+/// Guards against lines that cannot be run and hold up their job.
+#[rstest]
+#[case::bad_line(Line { content: Content::Bad { code: "invalid_json".into(), message: "no".into() }, ..line(2) }, "invalid_json")]
+#[case::not_json(content(2, "/v1/chat/completions", "{"), "invalid_json")]
+#[case::unknown_path(content(2, "/v1/embeddings", "{}"), "invalid_field")]
+#[case::unknown_model(
+    content(
+        2,
+        "/v1/chat/completions",
+        r#"{"model":"x","messages":[{"role":"user","content":"c"}]}"#
+    ),
+    "model_not_found"
+)]
+fn lines_that_cannot_run_fail_alone(#[case] bad: Line, #[case] expected: &str) {
+    let fleet = Fleet::start(vec![Backend::engine("e1", &[Answer::Whole])]);
+    fleet.submit(vec![line(1), bad, line(3)]);
+    fleet.wait_done();
+    let results = fleet.results();
+    let Result::Failed { code, .. } = &results[1].result else {
+        panic!("{results:?}");
+    };
+    assert_eq!(code, expected);
+    assert_eq!(answered_text(&results[0]), backend::whole_text());
+    assert_eq!(answered_text(&results[2]), backend::whole_text());
+    assert_eq!(fleet.requests(), 2);
+}
+
+/// Guards against items that are given up too soon, never, or without a code.
+#[rstest]
+#[case::refused_then_runs(&[Answer::Refuse, Answer::Refuse, Answer::Refuse, Answer::Refuse, Answer::Refuse, Answer::Refuse, Answer::Whole], 7, None)]
+#[case::broken_then_resumed(&[Answer::CutAfter(2), Answer::Whole], 2, None)]
+#[case::corrupt_then_runs(&[Answer::Doubled, Answer::Whole], 2, None)]
+#[case::always_fails(&[Answer::Status(500)], 5, Some("backend_failed"))]
+fn failed_attempts_are_repeated_within_bounds(
+    #[case] script: &[Answer],
+    #[case] requests: usize,
+    #[case] code: Option<&str>,
+) {
+    let fleet = Fleet::start(vec![Backend::engine("e1", script)]);
+    fleet.submit(vec![line(1)]);
+    fleet.wait_done();
+    assert_eq!(fleet.requests(), requests);
+    let results = fleet.results();
+    match code {
+        None => assert_eq!(answered_text(&results[0]), backend::whole_text()),
+        Some(expected) => {
+            let Result::Failed { code, .. } = &results[0].result else {
+                panic!("{results:?}");
+            };
+            assert_eq!(code, expected);
+        }
+    }
+}
+
+/// Guards against an item that is repeated although it is itself at fault.
+#[test]
+fn rejected_items_get_the_answer_of_the_engine() {
+    let fleet = Fleet::start(vec![Backend::engine("e1", &[Answer::Status(400)])]);
+    fleet.submit(vec![line(1)]);
+    fleet.wait_done();
+    assert_eq!(fleet.requests(), 1);
+    let results = fleet.results();
+    assert!(
+        matches!(results[0].result, Result::Answer { status: 400, .. }),
+        "{results:?}"
+    );
+    let counts = fleet.job().counts;
+    let expected = openai::Counts {
+        total: 1,
+        completed: 0,
+        failed: 1,
+    };
+    assert_eq!(counts, expected);
+}
+
+/// Guards against batch work that stays when online work rises, and against
+/// tokens that are generated again when it resumes.
+#[test]
+fn online_work_preempts_and_items_resume_with_their_text() {
+    let fleet = Fleet::start(vec![Backend::engine("e1", &[SLOW])]);
+    fleet.submit((1..=8).map(line).collect());
+    wait_for("items to run", || fleet.requests() >= 4);
+    fleet.lock().online.insert("e1".into(), 32);
+    wait_for("items to be cancelled", || fleet.cancelled() >= 1);
+    let running = fleet.requests();
+    std::thread::sleep(time::Duration::from_millis(700));
+    assert_eq!(
+        fleet.requests(),
+        running,
+        "nothing starts beside full online load"
+    );
+    fleet.lock().online.clear();
+    fleet.wait_done();
+    for outcome in &fleet.results() {
+        assert_eq!(answered_text(outcome), backend::whole_text());
+    }
+    let seen = fleet.backends[0].seen.lock().expect("lock");
+    let resumed = seen
+        .iter()
+        .filter(|seen| seen.headers.contains_key("bw-resume-tokens"))
+        .count();
+    assert!(resumed >= 1, "no item was resumed");
+    let batch = seen.iter().all(|seen| {
+        seen.headers
+            .get("bw-class")
+            .is_some_and(|class| class == "batch")
+    });
+    assert!(batch);
+}
+
+/// Guards against a cancelled job that goes on.
+#[test]
+fn cancelled_jobs_stop() {
+    let fleet = Fleet::start(vec![Backend::engine("e1", &[SLOW])]);
+    fleet.submit((1..=200).map(line).collect());
+    wait_for("items to run", || fleet.requests() >= 5);
+    fleet.lock().apply(Command::JobCancel {
+        job: JOB.into(),
+        team: "guild".into(),
+    });
+    wait_for("items to be cancelled", || fleet.cancelled() >= 1);
+    let renewals = fleet.lock().renewals;
+    let requests = fleet.requests();
+    std::thread::sleep(time::Duration::from_millis(700));
+    assert_eq!(fleet.requests(), requests);
+    assert_eq!(fleet.lock().renewals, renewals, "no lease is held any more");
+    assert_eq!(fleet.job().state, query::JobState::Cancelled);
+}
+
+/// Guards against leases that nobody can take until they expire, and against
+/// outcomes that are lost at a shutdown.
+#[test]
+fn a_shutdown_records_outcomes_and_gives_leases_back() {
+    let mut fleet = Fleet::start(vec![Backend::engine(
+        "e1",
+        &[Answer::Whole, Answer::Whole, Answer::Whole, SLOW],
+    )]);
+    fleet.submit((1..=100).map(line).collect());
+    wait_for("items to run", || fleet.requests() >= 5);
+    let backlog = |fleet: &Fleet| match fleet.lock().machine.query(&query::Query::Backlog) {
+        Some(query::Answer::Backlog(backlog)) => backlog,
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(backlog(&fleet).chunks, 0, "the chunk is leased");
+    fleet.stop_entry();
+    let left = backlog(&fleet);
+    assert_eq!(left.chunks, 1, "the chunk can be taken at once");
+    let done = fleet.results().len();
+    assert!(done >= 3, "{done} outcomes");
+    assert_eq!(left.items, 100 - done as u64);
+}
+
+/// Guards against a poisonous item that crashes one backend server after the
+/// other, and against other items that pay for it.
+#[test]
+fn poisonous_items_are_given_up_after_three_crashes() {
+    let crashing = |id: &str| {
+        let backend = Backend::engine(id, &[Answer::Close]);
+        backend.refuse_after(1);
+        backend
+    };
+    let backends = ["e1", "e2", "e3", "e4", "e5"].map(crashing);
+    let fleet = Fleet::start(backends.into());
+    fleet.submit(vec![line(1)]);
+    fleet.wait_done();
+    let results = fleet.results();
+    let Result::Failed { code, .. } = &results[0].result else {
+        panic!("{results:?}");
+    };
+    assert_eq!(code, "poisonous_request");
+    assert_eq!(fleet.requests(), 3);
+    let Content::Request { body, .. } = line(1).content else {
+        panic!("a request");
+    };
+    let body = serde_json::from_str(&body).expect("JSON");
+    let suspects = fleet.lock().suspects();
+    assert_eq!(suspects.len(), 1);
+    assert_eq!(suspects[0].fingerprint, Fingerprint::of_request(&body));
+    assert_eq!((suspects[0].strikes, suspects[0].isolated), (3, 1));
+}
+
+/// Guards against work on backend servers whose batch work belongs to another
+/// entry VM.
+#[test]
+fn items_run_on_owned_backend_servers_only() {
+    let backends = vec![
+        Backend::engine("e1", &[Answer::Whole]),
+        Backend::engine("e2", &[SLOW]),
+    ];
+    let fleet = Fleet::start(backends);
+    fleet.submit((1..=40).map(line).collect());
+    wait_for("both to run items", || {
+        fleet.backends.iter().all(|backend| backend.count() > 0)
+    });
+    fleet.lock().owners.insert("e2".into(), "entry-2".into());
+    wait_for("items to be cancelled", || {
+        fleet.backends[1].cancelled.load(Ordering::SeqCst) >= 1
+    });
+    let before = fleet.backends[1].count();
+    fleet.wait_done();
+    assert_eq!(fleet.backends[1].count(), before);
+    assert_eq!(fleet.results().len(), 40);
+}
