Let overhead and streams start their own fleet

Cause: both measurements needed a fleet that was started by hand.

Change: without addresses, bw-load starts one engine, one control replica and one entry VM for the measurement.

--- a/programs/load/src/fleet.rs
+++ b/programs/load/src/fleet.rs
@@ -125,6 +125,16 @@
             .map(|system| lock(system).cpu_subjects())
     }
 
+    /// Returns the process id of the first entry VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it is not a process of its own.
+    pub fn entry_pid(&self) -> anyhow::Result<u32> {
+        let system = self.system.as_ref().context("no embedded entry VMs")?;
+        lock(system).entry_pid()
+    }
+
     /// Returns how often a plain service ran a call beyond the first time.
     pub fn repeated_calls(&self) -> u64 {
         let mut runs = collections::BTreeMap::<String, u64>::new();
@@ -312,6 +322,47 @@
     }
 }
 
+/// How fast the engine of a measurement works.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Pace {
+    /// Steps of 1 ms, so that the engine adds little to a measured latency.
+    Fast,
+    /// Steps of half a second, so that streams stay open.
+    Slow,
+}
+
+/// Starts one engine on a thread, one control replica and one entry VM as
+/// processes of their own.
+///
+/// # Errors
+///
+/// Fails when one of them does not start.
+pub async fn single(model: &str, pace: Pace) -> anyhow::Result<Fleet> {
+    let mut scenario = scenario::Scenario {
+        name: "single".to_owned(),
+        model: model.into(),
+        replicas: 1,
+        entries: 1,
+        control: 1,
+        isolation: scenario::Isolation::Processes,
+        ..scenario::Scenario::default()
+    };
+    let batch = &mut scenario.engine.batch;
+    batch.step_base_us = match pace {
+        Pace::Fast => 1_000,
+        Pace::Slow => 500_000,
+    };
+    batch.step_per_sequence_us = 1;
+    batch.step_per_prefill_token_us = 1;
+    batch.max_sequences = 20_000;
+    batch.max_waiting = 20_000;
+    batch.kv_blocks = 4_000_000;
+    batch.prefill_chunk_tokens = 100_000;
+    // The entry VM limits what it sends by the announced capacity.
+    scenario.engine.capacity = 20_000;
+    Fleet::start(&scenario, scenario::Policy::Bilberrywind, 1).await
+}
+
 /// Returns the prompts that any engine executed.
 pub fn executed_prompts(
     executions: &[record::Executions],
--- a/programs/load/src/main.rs
+++ b/programs/load/src/main.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Context;
 use bw_base::{logs, program};
-use bw_load::{overhead, plot, result, run, scenario, streams, trace};
+use bw_load::{fleet, overhead, plot, result, run, scenario, streams, trace};
 
 /// Load and experiment tool for bilberrywind; loopback only.
 #[derive(argh::FromArgs)]
@@ -96,12 +96,12 @@
     /// number of streams
     #[argh(option)]
     count: u32,
-    /// IP:port of the entry VM
+    /// IP:port of the entry VM; without it, an own fleet is started
     #[argh(option)]
-    address: String,
+    address: Option<String>,
     /// process id of the entry VM
     #[argh(option)]
-    pid: u32,
+    pid: Option<u32>,
     /// seconds that the streams stay open
     #[argh(option, default = "5")]
     hold: u32,
@@ -119,10 +119,10 @@
 struct Overhead {
     /// IP:port of the engine behind the entry VM
     #[argh(option)]
-    direct: String,
-    /// IP:port of the entry VM
+    direct: Option<String>,
+    /// IP:port of the entry VM; without it, an own fleet is started
     #[argh(option)]
-    entry: String,
+    entry: Option<String>,
     /// requests a second
     #[argh(option, default = "500")]
     rate: u32,
@@ -252,41 +252,73 @@
 }
 
 async fn measure_streams(command: Streams) -> anyhow::Result<process::ExitCode> {
-    require_loopback(&command.address)?;
+    let (address, pid, own) = match (command.address, command.pid) {
+        (Some(address), Some(pid)) => (address, pid, None),
+        (None, None) => {
+            // Streams stay open while the engine works through them slowly.
+            let own = fleet::single(&command.model, fleet::Pace::Slow).await?;
+            (own.entry_addresses[0].clone(), own.entry_pid()?, Some(own))
+        }
+        _ => anyhow::bail!("give --address and --pid, or neither"),
+    };
+    require_loopback(&address)?;
     let plan = streams::Plan {
-        address: command.address,
-        pid: command.pid,
+        address,
+        pid,
         count: command.count,
         hold_s: command.hold,
         model: command.model,
         token: command.token,
     };
-    print(&streams::measure(&plan).await?)?;
+    let measured = streams::measure(&plan).await;
+    stop(own).await?;
+    print(&measured?)?;
     Ok(process::ExitCode::SUCCESS)
 }
 
 async fn measure_overhead(command: Overhead) -> anyhow::Result<process::ExitCode> {
-    require_loopback(&command.direct)?;
-    require_loopback(&command.entry)?;
     let requests = u64::from(command.rate) * u64::from(command.block) * u64::from(command.blocks);
     anyhow::ensure!(command.rate > 0, "--rate must be at least 1");
     anyhow::ensure!(
         requests <= scenario::MAX_REQUESTS,
         "too many requests: {requests}"
     );
+    let (direct, entry, own) = match (command.direct, command.entry) {
+        (Some(direct), Some(entry)) => (direct, entry, None),
+        (None, None) => {
+            let own = fleet::single(&command.model, fleet::Pace::Fast).await?;
+            let addresses = (
+                own.engine_addresses[0].clone(),
+                own.entry_addresses[0].clone(),
+            );
+            (addresses.0, addresses.1, Some(own))
+        }
+        _ => anyhow::bail!("give --direct and --entry, or neither"),
+    };
+    require_loopback(&direct)?;
+    require_loopback(&entry)?;
     let plan = overhead::Plan {
-        direct: command.direct,
-        entry: command.entry,
+        direct,
+        entry,
         model: command.model,
         token: command.token,
         rate: command.rate,
         blocks: command.blocks,
         block_s: command.block,
     };
-    print(&overhead::measure(&plan).await)?;
+    let measured = overhead::measure(&plan).await;
+    stop(own).await?;
+    print(&measured)?;
     Ok(process::ExitCode::SUCCESS)
 }
 
+async fn stop(own: Option<fleet::Fleet>) -> anyhow::Result<()> {
+    if let Some(own) = own {
+        tokio::task::spawn_blocking(|| own.stop()).await?;
+    }
+    Ok(())
+}
+
 fn destination(
     address: String,
     token: Option<String>,
--- a/programs/load/src/system.rs
+++ b/programs/load/src/system.rs
@@ -289,6 +289,18 @@
         )
     }
 
+    /// Returns the process id of the first entry VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it is not a process of its own.
+    pub fn entry_pid(&self) -> anyhow::Result<u32> {
+        match self.entries.first() {
+            Some(Some(Entry::Process(child))) => Ok(child.id()),
+            _ => anyhow::bail!("the entry VM has no process of its own"),
+        }
+    }
+
     /// Ends all of them.
     pub fn stop(self) {
         for entry in self.entries.into_iter().flatten() {
