--- a/programs/engine/tests/order.rs
+++ b/programs/engine/tests/order.rs
@@ -2,10 +2,16 @@
 
 mod support;
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bw_engine::{Ended, start};
-use bw_wire::backend::{Action, Announcement, Order, State};
+use bw_wire::{
+    backend::{ANNOUNCE_PATH, Action, Announcement, CACHE_EVENTS_PATH, CacheEvents, Order, State},
+    prefix,
+};
 use http_body_util::{BodyExt, Full};
 use hyper_util::rt;
 use rstest::rstest;
@@ -134,27 +140,43 @@
     }
 }
 
-/// A server that takes announcements, in the place of an entry VM.
-async fn entry() -> (String, mpsc::UnboundedReceiver<Announcement>) {
+/// What an entry VM hears from backend servers.
+struct Entry {
+    address: String,
+    announcements: mpsc::UnboundedReceiver<Announcement>,
+    cache_events: mpsc::UnboundedReceiver<CacheEvents>,
+}
+
+/// Starts a server that listens in the place of an entry VM.
+async fn entry() -> Entry {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
         .await
         .expect("binds");
     let address = listener.local_addr().expect("bound").to_string();
-    let (sender, receiver) = mpsc::unbounded_channel();
-    let sender = Arc::new(sender);
+    let (announcement, announcements) = mpsc::unbounded_channel();
+    let (cache_event, cache_events) = mpsc::unbounded_channel();
+    let senders = Arc::new((announcement, cache_event));
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            let sender = Arc::clone(&sender);
+            let senders = Arc::clone(&senders);
             let service = hyper::service::service_fn(move |request: hyper::Request<_>| {
-                let sender = Arc::clone(&sender);
+                let senders = Arc::clone(&senders);
                 async move {
                     let path = request.uri().path().to_owned();
                     let body: hyper::body::Incoming = request.into_body();
                     let body = body.collect().await?.to_bytes();
-                    if path == "/backend/announce" {
-                        let announcement = serde_json::from_slice(&body).expect("announcement");
-                        let _ = sender.send(announcement);
-                    }
+                    // A test that has ended no longer listens.
+                    let _ = match path.as_str() {
+                        ANNOUNCE_PATH => {
+                            let message = serde_json::from_slice(&body).expect("announcement");
+                            senders.0.send(message).is_ok()
+                        }
+                        CACHE_EVENTS_PATH => {
+                            let message = serde_json::from_slice(&body).expect("cache events");
+                            senders.1.send(message).is_ok()
+                        }
+                        path => panic!("unexpected path {path}"),
+                    };
                     let answer = Full::<bytes::Bytes>::from("{\"renew_ms\":1000}");
                     Ok::<_, hyper::Error>(hyper::Response::new(answer))
                 }
@@ -164,17 +186,57 @@
             tokio::spawn(connection);
         }
     });
-    (address, receiver)
+    Entry {
+        address,
+        announcements,
+        cache_events,
+    }
+}
+
+/// Guards against cache events that are early, miss blocks, or hide a loss: an
+/// entry VM sees a gap only by a jump of the sequence.
+#[rstest]
+#[case::all(0.0, 3)]
+#[case::none(1.0, 0)]
+#[tokio::test]
+async fn cache_events(#[case] loss: f64, #[case] messages: usize) {
+    let mut entry = entry().await;
+    let mut settings = engine();
+    settings.announce = vec![entry.address.clone()];
+    settings.cache_events.interval_ms = 20;
+    settings.cache_events.delay_ms = 200;
+    settings.cache_events.loss = loss;
+    let handle = start(settings).expect("starts");
+    let client = client();
+    let mut next = 1;
+    for number in 0..messages.max(1) {
+        let prompt = format!("{number} {}", "batting ".repeat(40));
+        let body = chat(&prompt, 4, false);
+        let asked = Instant::now();
+        send_json(&client, post(&handle, "/v1/chat/completions"), &body).await;
+        if messages == 0 {
+            let heard = tokio::time::timeout(Duration::from_millis(600), entry.cache_events.recv());
+            assert!(heard.await.is_err(), "a lost message arrived");
+            continue;
+        }
+        let prompt = prefix::prompt(&body);
+        let blocks = prefix::blocks(support::MODEL, &prompt);
+        let heard = entry.cache_events.recv().await.expect("cache events");
+        assert!(asked.elapsed() >= Duration::from_millis(200));
+        assert_eq!((heard.sequence, heard.stored), (next, blocks.clone()));
+        next += blocks.len() as u64;
+    }
 }
 
 /// Guards against missing renewals, a leaving notice that is late, and renewals
 /// after it.
 #[tokio::test]
 async fn announcements() {
-    let (address, mut heard) = entry().await;
+    let entry = entry().await;
+    let mut heard = entry.announcements;
     let mut settings = engine();
     // The first address refuses connections; a load balancer would pass it over.
-    settings.announce = vec!["127.0.0.1:1".to_owned(), address];
+    settings.announce = vec!["127.0.0.1:1".to_owned(), entry.address];
     settings.incarnation = Some(7);
     let handle = start(settings).expect("starts");
     let first = heard.recv().await.expect("an announcement");
@@ -193,9 +255,10 @@
 /// Guards against a frozen process that is still heard, where that is asked for.
 #[tokio::test]
 async fn frozen_announcements_stop() {
-    let (address, mut heard) = entry().await;
+    let entry = entry().await;
+    let mut heard = entry.announcements;
     let mut settings = engine();
-    settings.announce = vec![address];
+    settings.announce = vec![entry.address];
     let handle = start(settings).expect("starts");
     heard.recv().await.expect("an announcement");
     let client = client();
