Release an engine's read buffer before the next read

An empty slice of the last frame kept the connection's 8 KiB read buffer shared, so that hyper took a new one for each read.

--- a/programs/entry/src/upstream/sse.rs
+++ b/programs/entry/src/upstream/sse.rs
@@ -48,6 +48,11 @@
             return Ok(None);
         }
         self.frame.advance(1);
+        if self.frame.is_empty() {
+            // An empty slice would keep the connection's read buffer from being
+            // used again, so that each read took a new one.
+            self.frame = Bytes::new();
+        }
         if self.partial.is_empty() {
             return Ok(Some(part));
         }
