--- a/crates/policy/src/router/replica.rs
+++ b/crates/policy/src/router/replica.rs
@@ -19,6 +19,7 @@
 pub(super) struct Replica {
     pub(super) announcement: backend::Announcement,
     pub(super) proof_ms: u64,
+    pub(super) heard_ms: u64,
     pub(super) joined_ms: u64,
     pub(super) leaving: bool,
     pub(super) drained: bool,
@@ -32,6 +33,8 @@
     pub(super) next_event: u64,
     pub(super) gap: u8,
     pub(super) epoch: u16,
+    recent: f32,
+    recent_ms: u64,
     report: Option<Report>,
     history: collections::VecDeque<(u64, u32)>,
 }
@@ -50,6 +53,7 @@
         let mut replica = Replica {
             announcement: announcement.clone(),
             proof_ms: 0,
+            heard_ms: 0,
             joined_ms: now_ms,
             leaving: false,
             drained: false,
@@ -63,6 +67,8 @@
             next_event: 0,
             gap: 0,
             epoch: 0,
+            recent: 0.0,
+            recent_ms: 0,
             report: None,
             history: collections::VecDeque::new(),
         };
@@ -92,6 +98,7 @@
 
     /// Takes an announcement of the same incarnation that is not older.
     pub(super) fn renew(&mut self, announcement: &backend::Announcement, at_ms: u64, now_ms: u64) {
+        self.heard_ms = self.heard_ms.max(at_ms);
         let was_ready = self.announcement.state == backend::State::Ready;
         match announcement.state {
             backend::State::Leaving => self.leaving = true,
@@ -149,6 +156,24 @@
         (self.requests(settings, now_ms) + 1.0) / ramped * self.penalty
     }
 
+    /// Counts a request that is sent now.
+    pub(super) fn note_sent(&mut self, settings: &Builder, now_ms: u64) {
+        self.recent = self.sent_recently(settings, now_ms) + 1.0;
+        self.recent_ms = now_ms;
+    }
+
+    /// Returns the weighted number of requests sent just now, relative to the
+    /// replica's share during its slow start.
+    pub(super) fn recent(&self, settings: &Builder, now_ms: u64) -> f32 {
+        self.sent_recently(settings, now_ms) * self.penalty / self.ramp(settings, now_ms)
+    }
+
+    /// Returns the number of requests sent just now, each counting half after a
+    /// half-life.
+    fn sent_recently(&self, settings: &Builder, now_ms: u64) -> f32 {
+        self.recent * decay(self.recent_ms, now_ms, settings.recent_half_life_ms)
+    }
+
     /// Returns the estimated number of requests at the replica.
     ///
     /// The counts are the base. A report moves the estimate by at most half of
