Keep streams of a lost backend server from failing together

After a backend server with several streams had died, each of them was a suspect with one strike. Suspects are kept apart, so the only server left for some of them was the dead one, and they gave up after three refused connections within a millisecond.

Keeping suspects apart is now a preference. A server that failed a request is used again only after a growing pause and if there is no other, and a later attempt waits up to 2 s for a server to appear. Batch leases are given back when a shutdown begins and no longer after the last online request.

--- a/programs/entry/src/api/service.rs
+++ b/programs/entry/src/api/service.rs
@@ -197,7 +197,7 @@
         &mut self,
     ) -> Result<(routing::Slot, http::Response<body::Incoming>), refusal::Refusal> {
         loop {
-            let slot = self.pick()?;
+            let slot = self.pick().await?;
             let forward = self.forward(&slot);
             let error = match self.context.upstream.forward(forward).await {
                 Ok(response) => {
@@ -210,16 +210,27 @@
         }
     }
 
-    fn pick(&mut self) -> Result<routing::Slot, refusal::Refusal> {
+    /// Picks a backend server that has not failed this request, or after a
+    /// pause one that has.
+    async fn pick(&mut self) -> Result<routing::Slot, refusal::Refusal> {
+        let mut slot = self.pick_now()?;
+        if self.avoid.contains(&slot.choice().id) {
+            drop(slot);
+            tokio::time::sleep(online::backoff(self.attempts)).await;
+            slot = self.pick_now()?;
+        }
+        self.attempts += 1;
+        self.avoid.push(slot.choice().id.clone());
+        Ok(slot)
+    }
+
+    fn pick_now(&self) -> Result<routing::Slot, refusal::Refusal> {
         let request = router::Request {
             avoid: &self.avoid,
             ..router::Request::new(router::Target::Service(&self.service))
         };
         let slot = self.context.shared.table.pick(&request);
-        let slot = slot.map_err(|why| why.refusal().verdict(self.retry.verdict()))?;
-        self.attempts += 1;
-        self.avoid.push(slot.choice().id.clone());
-        Ok(slot)
+        slot.map_err(|why| why.refusal().verdict(self.retry.verdict()))
     }
 
     fn forward(&self, slot: &routing::Slot) -> upstream::Forward {
--- a/programs/entry/src/drain.rs
+++ b/programs/entry/src/drain.rs
@@ -63,12 +63,16 @@
         self.lock_hooks().push(hook);
     }
 
-    /// Runs the hooks and waits for the futures that must finish.
+    /// Runs the hooks.
     pub async fn release(&self) {
         let hooks = std::mem::take(&mut *self.lock_hooks());
         for hook in hooks {
             hook().await;
         }
+    }
+
+    /// Waits for the futures that must finish.
+    pub async fn finished(&self) {
         self.tasks.close();
         self.tasks.wait().await;
     }
--- a/programs/entry/src/online/mod.rs
+++ b/programs/entry/src/online/mod.rs
@@ -10,5 +10,5 @@
 pub use once::{Key, Outcome, once};
 pub use render::Render;
 pub use run::Run;
-pub(crate) use run::failure;
+pub(crate) use run::{backoff, failure};
 pub use stream::{respond, transcript};
--- a/programs/entry/src/online/run.rs
+++ b/programs/entry/src/online/run.rs
@@ -16,6 +16,11 @@
 const ISOLATION_PAUSE: time::Duration = time::Duration::from_millis(20);
 /// How long a suspect waits for a backend server that is free of other work.
 const ISOLATION_WAIT: time::Duration = time::Duration::from_secs(10);
+/// Pause before the second attempt when every backend server in use has failed
+/// this request; it doubles with each attempt.
+const RETRY_PAUSE: time::Duration = time::Duration::from_millis(20);
+/// How long a later attempt waits for any backend server.
+const RETRY_WAIT: time::Duration = time::Duration::from_secs(2);
 /// How long a backend server stays reserved for an isolated run, unless the run
 /// ends sooner. Renewed reservations would outlive an entry VM that dies.
 const RESERVE_MS: u64 = 30_000;
@@ -212,7 +217,7 @@
         }
         let slot = self.pick(fit).ok()?;
         let model = &self.request.target.model;
-        if self.avoid.contains(&slot.choice().id) {
+        if self.has_failed(&slot) {
             return None;
         }
         let call = &mut self.call;
@@ -241,7 +246,7 @@
             .map_err(|refusal| self.with_verdict(refusal))?;
         let slot = match fit {
             router::Fit::Isolated => self.pick_isolated().await,
-            _ => self.pick(fit),
+            _ => self.pick_next(fit).await,
         };
         let slot = slot.map_err(|why| why.refusal().verdict(self.call.verdict()))?;
         let held = self.hold(slot)?;
@@ -262,6 +267,46 @@
         self.context.shared.table.pick(&request)
     }
 
+    /// Picks a backend server that has not failed this request. If there is
+    /// none, it takes one that has after a pause, or waits for one to appear.
+    async fn pick_next(&self, fit: router::Fit) -> Result<routing::Slot, router::Unavailable> {
+        let give_up = async_time::Instant::now() + RETRY_WAIT;
+        let mut paused = false;
+        loop {
+            let picked = self.pick_spread(fit);
+            let is_new = picked.as_ref().is_ok_and(|slot| !self.has_failed(slot));
+            if is_new || self.attempts == 0 {
+                return picked;
+            }
+            let is_over = async_time::Instant::now() >= give_up;
+            if is_over || (paused && picked.is_ok()) {
+                return picked;
+            }
+            drop(picked);
+            async_time::sleep(backoff(self.attempts)).await;
+            paused = true;
+        }
+    }
+
+    /// Picks a backend server without another suspect if possible. Suspects
+    /// with one strike are kept apart, but none of them waits or fails for it.
+    fn pick_spread(&self, fit: router::Fit) -> Result<routing::Slot, router::Unavailable> {
+        let picked = self.pick(fit);
+        let is_apart = picked.as_ref().is_ok_and(|slot| !self.has_failed(slot));
+        if is_apart || fit != router::Fit::Dispersed {
+            return picked;
+        }
+        let together = self.pick(router::Fit::Any);
+        if together.as_ref().is_ok_and(|slot| !self.has_failed(slot)) {
+            return together;
+        }
+        picked.or(together)
+    }
+
+    fn has_failed(&self, slot: &routing::Slot) -> bool {
+        self.avoid.contains(&slot.choice().id)
+    }
+
     async fn pick_isolated(&self) -> Result<routing::Slot, router::Unavailable> {
         let give_up = async_time::Instant::now() + ISOLATION_WAIT;
         loop {
@@ -608,6 +653,12 @@
     }
 }
 
+/// Returns the pause before a further attempt on a backend server that has
+/// failed the request.
+pub(crate) fn backoff(attempts: u32) -> time::Duration {
+    RETRY_PAUSE * 2_u32.saturating_pow(attempts.saturating_sub(1).min(5))
+}
+
 /// Returns how the health rules see a failure.
 fn health_outcome(cause: Cause) -> health::Outcome {
     match cause {
--- a/programs/entry/src/program.rs
+++ b/programs/entry/src/program.rs
@@ -239,13 +239,18 @@
     shared.drain.started().await;
     log::info!("entry VM is shutting down");
     let timeouts = &shared.settings.timeouts;
-    // Requests that still arrive are refused until the load balancer has left.
-    tokio::time::sleep(settings::ms(timeouts.linger_ms)).await;
-    let finished = callers.drain(settings::ms(timeouts.drain_ms)).await;
+    let online = async {
+        // Requests that still arrive are refused until the load balancer has left.
+        tokio::time::sleep(settings::ms(timeouts.linger_ms)).await;
+        callers.drain(settings::ms(timeouts.drain_ms)).await
+    };
+    // Leases are given back at once, so that others take the work over while
+    // online requests still run here.
+    let (finished, ()) = tokio::join!(online, shared.drain.release());
     if !finished {
         log::error!("requests were cut off after the time limit of the shutdown");
     }
-    shared.drain.release().await;
+    shared.drain.finished().await;
     admin.drain(settings::ms(1_000)).await;
     log::info!("entry VM stopped");
 }
--- a/programs/entry/tests/fault.rs
+++ b/programs/entry/tests/fault.rs
@@ -8,7 +8,7 @@
     caller, chat_body, fleet, fleet_with, wait_for,
 };
 
-use std::time;
+use std::{thread, time};
 
 fn impatient(settings: &mut bw_entry::settings::Settings) {
     settings.timeouts.first_token_ms = 300;
@@ -183,3 +183,49 @@
     assert_eq!(strikes.len(), 3, "{strikes:?}");
     assert!(strikes[2].1, "the third run was isolated");
 }
+
+/// Guards against requests that fail because the only backend server without
+/// another suspect is the one that has just crashed under all of them.
+#[rstest]
+fn streams_of_a_lost_backend_server_go_on_together() {
+    let pause = time::Duration::from_millis(30);
+    let backends = vec![
+        Backend::engine("e1", &[Answer::SlowCutAfter(3)]),
+        Backend::engine("e2", &[Answer::Slow(pause)]),
+    ];
+    let fleet = fleet(backends);
+    // All requests start on the first one; then it dies and the second is there.
+    fleet.backends[0].refuse_after(6);
+    fleet
+        .entry
+        .shared()
+        .table
+        .with(|state, _| state.router.reserve("e2", u64::MAX));
+    let requests: Vec<_> = (0..6)
+        .map(|number| {
+            let address = fleet.address();
+            let mut body = chat_body(true);
+            body["messages"][0]["content"] = format!("request {number}").into();
+            thread::spawn(move || {
+                caller::post(&address, "/v1/chat/completions", &[], &body.to_string())
+            })
+        })
+        .collect();
+    wait_for("all requests to run", || fleet.backends[0].count() == 6);
+    fleet
+        .entry
+        .shared()
+        .table
+        .with(|state, _| state.router.reserve("e2", 0));
+    for request in requests {
+        let response = request.join().expect("ended");
+        assert_eq!(
+            response.streamed_text(),
+            whole_text(),
+            "{}",
+            response.text()
+        );
+        assert_eq!(response.events().last().map(String::as_str), Some("[DONE]"));
+    }
+    assert_eq!(fleet.backends[1].count(), 6);
+}
--- a/programs/entry/tests/support/backend.rs
+++ b/programs/entry/tests/support/backend.rs
@@ -27,6 +27,8 @@
     Slow(time::Duration),
     /// The connection is closed after this many tokens.
     CutAfter(usize),
+    /// Like [`Answer::CutAfter`], after pauses of 100 ms.
+    SlowCutAfter(usize),
     /// The stream ends properly after this many tokens, without the end mark.
     NoEnd(usize),
     /// Nothing more is sent after this many tokens.
@@ -286,6 +288,8 @@
                     return true;
                 }
                 Answer::FreezeAfter(count) if token >= count => return hang(stream),
+                Answer::SlowCutAfter(count) if token >= count => return false,
+                Answer::SlowCutAfter(_) => thread::sleep(time::Duration::from_millis(100)),
                 Answer::Slow(pause) => thread::sleep(pause),
                 Answer::Garbage if token == 1 => open &= send(stream, &event("{nonsense")),
                 _ => {}
