Test with a valid request to an unknown model; print logs of failed uploads

Cause: the batch line of the unknown model had no messages and was rightly refused for that; a failed upload in a control test showed no logs. Change: the line has a message; the harness prints the logs.

--- a/programs/dev/tests/fleet/mod.rs
+++ b/programs/dev/tests/fleet/mod.rs
@@ -339,7 +339,7 @@
             .send()
             .await
             .expect("upload answer");
-        assert_eq!(answer.status, 200, "{}", answer.text());
+        assert_eq!(answer.status, 200, "{}\n{}", answer.text(), self.logs());
         answer.json()["id"].as_str().expect("file id").to_owned()
     }
 
@@ -451,7 +451,7 @@
         let all = [&self.controls, &self.entries, &self.engines, &self.services];
         for process in all.into_iter().flatten().flatten() {
             let log = process.log();
-            let skip = log.lines().count().saturating_sub(15);
+            let skip = log.lines().count().saturating_sub(40);
             text.push_str("----\n");
             for line in log.lines().skip(skip) {
                 text.push_str(line);
--- a/programs/dev/tests/whole_path.rs
+++ b/programs/dev/tests/whole_path.rs
@@ -65,7 +65,7 @@
     let address = fleet.entry_address(0);
     let good = fleet::batch_lines(2, 2);
     let unknown_field = r#"{"custom_id":"u","method":"POST","url":"/v1/chat/completions","body":{"model":"desk"},"x":1}"#;
-    let unknown_model = r#"{"custom_id":"m","method":"POST","url":"/v1/chat/completions","body":{"model":"nope","messages":[]}}"#;
+    let unknown_model = r#"{"custom_id":"m","method":"POST","url":"/v1/chat/completions","body":{"model":"nope","messages":[{"role":"user","content":"x"}]}}"#;
     let twice = fleet::batch_lines(1, 2);
     let lines = format!("{good}{{broken\n{unknown_field}\n\n{twice}{unknown_model}\n");
     let job = fleet.submit(&address, &lines, None).await;
