--- a/programs/dev/src/declare.rs
+++ b/programs/dev/src/declare.rs
@@ -7,8 +7,11 @@
 
 use crate::{roles, settings};
 
-/// Identifies the first plan and confirm, so that a repeat has no effect.
-const REQUEST: &str = "bw-dev/first";
+/// Identifies the first plan, so that a repeat has no effect.
+const PLAN_REQUEST: &str = "bw-dev/plan";
+/// Identifies the first confirm. Request ids are shared by all commands, so it
+/// differs from that of the plan.
+const CONFIRM_REQUEST: &str = "bw-dev/confirm";
 
 /// Declares the model, unless something has been declared before.
 pub(crate) fn model(settings: &settings::Settings) -> anyhow::Result<()> {
@@ -29,7 +32,7 @@
         return Ok(());
     }
     let command = config::Command::Plan {
-        request: REQUEST.into(),
+        request: PLAN_REQUEST.into(),
         operator: "bw-dev".into(),
         base: revision,
         intent: Box::new(intent),
@@ -39,7 +42,7 @@
         other => anyhow::bail!("the plan was refused: {other:?}"),
     };
     let command = config::Command::Confirm {
-        request: REQUEST.into(),
+        request: CONFIRM_REQUEST.into(),
         operator: "bw-dev".into(),
         plan,
     };
--- a/programs/dev/tests/fleet/mod.rs
+++ b/programs/dev/tests/fleet/mod.rs
@@ -325,22 +325,7 @@
 
     /// Uploads a batch file and returns its id.
     pub async fn upload(&self, address: &str, lines: &str) -> String {
-        let boundary = "test-boundary-7f3a";
-        let body = format!(
-            "--{boundary}\r\nContent-Disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n\
-             --{boundary}\r\nContent-Disposition: form-data; name=\"file\"; filename=\"a.jsonl\"\r\n\
-             Content-Type: application/jsonl\r\n\r\n{lines}\r\n--{boundary}--\r\n"
-        );
-        let content_type = format!("multipart/form-data; boundary={boundary}");
-        let answer = self
-            .http
-            .post(address, "/v1/files")
-            .bytes(&content_type, body)
-            .send()
-            .await
-            .expect("upload answer");
-        assert_eq!(answer.status, 200, "{}\n{}", answer.text(), self.logs());
-        answer.json()["id"].as_str().expect("file id").to_owned()
+        upload(&self.http, address, lines).await
     }
 
     /// Starts a request that creates a job.
@@ -488,3 +473,22 @@
         })
         .collect()
 }
+
+/// Uploads a batch file and returns its id.
+pub async fn upload(client: &http::Client, address: &str, lines: &str) -> String {
+    let boundary = "test-boundary-7f3a";
+    let body = format!(
+        "--{boundary}\r\nContent-Disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n\
+         --{boundary}\r\nContent-Disposition: form-data; name=\"file\"; filename=\"a.jsonl\"\r\n\
+         Content-Type: application/jsonl\r\n\r\n{lines}\r\n--{boundary}--\r\n"
+    );
+    let content_type = format!("multipart/form-data; boundary={boundary}");
+    let answer = client
+        .post(address, "/v1/files")
+        .bytes(&content_type, body)
+        .send()
+        .await
+        .expect("upload answer");
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    answer.json()["id"].as_str().expect("file id").to_owned()
+}
