Report why streams were not opened and skip faults a policy cannot have

Cause: 24 of 10,000 streams were not opened and the tool did not say why; the healthy run of a poison scenario sent the poisonous request; baselines logged an error for entry VMs that they do not use; the rolling scenarios took longer than their run.

--- a/programs/load/src/fleet.rs
+++ b/programs/load/src/fleet.rs
@@ -327,7 +327,7 @@
 pub enum Pace {
     /// Steps of 1 ms, so that the engine adds little to a measured latency.
     Fast,
-    /// Steps of half a second, so that streams stay open.
+    /// Steps of 200 ms, so that streams stay open.
     Slow,
 }
 
@@ -350,7 +350,7 @@
     let batch = &mut scenario.engine.batch;
     batch.step_base_us = match pace {
         Pace::Fast => 1_000,
-        Pace::Slow => 500_000,
+        Pace::Slow => 200_000,
     };
     batch.step_per_sequence_us = 1;
     batch.step_per_prefill_token_us = 1;
--- a/programs/load/src/run.rs
+++ b/programs/load/src/run.rs
@@ -214,7 +214,8 @@
             );
             arrivals.sort_by_key(|(at, _)| *at);
         }
-        if let Some(poison) = &run.scenario.poison {
+        let poison = run.scenario.poison.as_ref();
+        if let Some(poison) = poison.filter(|_| run.policy.has_faults()) {
             let request = workload::poison(&run.scenario, seed);
             let times = (poison.from_ms..run.scenario.run_ms()).step_by(poison.every_ms as usize);
             let times = times.map(time::Duration::from_millis);
@@ -449,6 +450,10 @@
     helpers: &mut task::JoinSet<()>,
 ) {
     for fault in run.scenario.faults.clone() {
+        let of_entry = matches!(fault.action, scenario::Action::KillEntry);
+        if of_entry && !run.policy.uses_entries() {
+            continue;
+        }
         let (run, fleet) = (sync::Arc::clone(run), sync::Arc::clone(fleet));
         helpers.spawn(async move {
             let at = run.start + time::Duration::from_millis(fault.at_ms);
--- a/programs/load/src/streams.rs
+++ b/programs/load/src/streams.rs
@@ -1,6 +1,6 @@
 //! Memory of an entry process with many open streams.
 
-use std::time;
+use std::{collections, time};
 
 use anyhow::Context;
 use http_body_util::{BodyExt, Full};
@@ -41,6 +41,8 @@
     pub wanted: u32,
     /// Streams that answered 200.
     pub opened: u32,
+    /// Why the others were not opened: status or error, with their number.
+    pub not_opened: collections::BTreeMap<String, u32>,
     /// Streams that were still open when memory was read.
     pub open: u32,
     /// Resident memory before, in megabytes.
@@ -70,11 +72,12 @@
         streams.spawn(async move {
             let stream = tokio::time::timeout(OPEN_LIMIT, open(&client, &plan, number)).await;
             drop(permit);
-            let Ok(Some(mut body)) = stream else {
+            let stream = stream.unwrap_or_else(|_| Err("timeout".to_owned()));
+            // The receiver lives until all streams are counted.
+            let _ = opened.send(stream.as_ref().err().cloned());
+            let Ok(mut body) = stream else {
                 return;
             };
-            // The receiver lives until all streams are counted.
-            let _ = opened.send(());
             while let Some(Ok(_)) = body.frame().await {}
         });
     }
@@ -86,12 +89,17 @@
     let (open_kb, peak_kb) = read()?;
     streams.shutdown().await;
     let mut answered = 0;
-    while count.try_recv().is_ok() {
-        answered += 1;
+    let mut not_opened = collections::BTreeMap::new();
+    while let Ok(error) = count.try_recv() {
+        match error {
+            None => answered += 1,
+            Some(error) => *not_opened.entry(error).or_insert(0) += 1,
+        }
     }
     Ok(Memory {
         wanted: plan.count,
         opened: answered,
+        not_opened,
         open,
         before_mb: before_kb as f64 / 1_024.0,
         open_mb: open_kb as f64 / 1_024.0,
@@ -99,7 +107,11 @@
     })
 }
 
-async fn open(client: &call::Client, plan: &Plan, number: u32) -> Option<hyper::body::Incoming> {
+async fn open(
+    client: &call::Client,
+    plan: &Plan,
+    number: u32,
+) -> Result<hyper::body::Incoming, String> {
     let body = serde_json::json!({
         "model": plan.model,
         "messages": [{"role": "user", "content": format!("stream {number}")}],
@@ -112,9 +124,14 @@
     if let Some(token) = &plan.token {
         request = request.header("authorization", format!("Bearer {token}"));
     }
-    let request = request.body(Full::from(body.to_string())).ok()?;
-    let response = client.send(request).await.ok()?;
-    (response.status() == 200).then(|| response.into_body())
+    let request = request.body(Full::from(body.to_string()));
+    let request = request.map_err(|error| error.to_string())?;
+    let response = client.send(request).await;
+    let response = response.map_err(|error| error.to_string())?;
+    match response.status().as_u16() {
+        200 => Ok(response.into_body()),
+        status => Err(status.to_string()),
+    }
 }
 
 fn raise_file_limit(needed: u64) -> anyhow::Result<()> {
