Measure what an item, a report, a watcher and a team cost

Cause: docs/CAPACITY.md needs slopes from a committed command. Change: the example slopes of bw-dev measures CPU time, memory and bytes of the work machine, the configuration machine, the registry's exchange and admission, each at three sizes.

--- /dev/null
+++ b/programs/dev/examples/slopes.rs
@@ -0,0 +1,407 @@
+//! Measures what an item, a replica report, a watcher and a team cost, each at
+//! three sizes, and prints one JSON line a measurement for `docs/CAPACITY.md`.
+//!
+//! Run it with `cargo run --release -p bw-dev --example slopes`. Open streams
+//! are measured by `bw-load streams`, as they need a running entry program.
+//! CPU time is that of this thread; memory is the growth of the resident set,
+//! and everything that was built is kept until the end of its measurement.
+
+use std::{collections, fs, hint};
+
+use bw_control::registry;
+use bw_policy::admission;
+use bw_state::work;
+use bw_wire::{backend, command, intent, name, sync};
+use nix::time;
+use serde_json::json;
+
+const ITEM_SIZES: [u32; 3] = [25_600, 102_400, 409_600];
+const BACKEND_SIZES: [u32; 3] = [24, 240, 870];
+const ENTRY_SIZES: [u32; 3] = [8, 64, 370];
+const TEAM_SIZES: [u32; 3] = [1_000, 8_000, 32_000];
+const REVISION_SIZES: [u32; 3] = [100, 400, 1_600];
+const ITEMS_PER_CHUNK: u32 = 256;
+/// Text of one item's body, which makes a line of about 300 bytes.
+const BODY_BYTES: usize = 220;
+/// Repeats of an exchange, so that the clock's resolution does not matter.
+const EXCHANGES: u32 = 20;
+
+fn main() {
+    // Warm-up, so that the first measurement does not pay for the allocator.
+    items(1_024);
+    for size in ITEM_SIZES {
+        println!("{}", items(size));
+    }
+    for size in REVISION_SIZES {
+        println!("{}", revisions(size));
+    }
+    for size in BACKEND_SIZES {
+        println!("{}", reports(size));
+    }
+    for size in ENTRY_SIZES {
+        println!("{}", watchers(size));
+    }
+    for size in TEAM_SIZES {
+        println!("{}", teams(size));
+    }
+}
+
+/// Takes items through the work machine: upload, job, lease, outcome.
+fn items(count: u32) -> serde_json::Value {
+    let before = Usage::now();
+    let mut machine = work::Machine::new();
+    let mut log = Log::default();
+    let chunks = count / ITEMS_PER_CHUNK;
+    for chunk in 0..chunks {
+        log.apply(&mut machine, file_chunk(chunk));
+    }
+    log.apply(&mut machine, seal(chunks));
+    log.apply(&mut machine, create());
+    let mut left = chunks;
+    while left > 0 {
+        let reply = log.apply(&mut machine, take(left.min(16)));
+        let command::work::Reply::Taken { leases } = reply else {
+            panic!("no lease: {reply:?}");
+        };
+        for lease in leases {
+            left -= 1;
+            log.apply(&mut machine, record(&lease));
+        }
+    }
+    let used = before.until_now();
+    let snapshot = machine.snapshot();
+    json!({
+        "measure": "item",
+        "size": count,
+        "cpu_us_each": used.cpu_us / f64::from(count),
+        "memory_bytes_each": used.memory_bytes / f64::from(count),
+        "log_bytes_each": log.bytes as f64 / f64::from(count),
+        "snapshot_bytes_each": snapshot.len() as f64 / f64::from(count),
+    })
+}
+
+#[derive(Default)]
+struct Log {
+    index: u64,
+    bytes: usize,
+}
+
+impl Log {
+    fn apply(
+        &mut self,
+        machine: &mut work::Machine,
+        command: command::work::Command,
+    ) -> command::work::Reply {
+        self.index += 1;
+        let stamped = command::Stamped {
+            now_ms: 1_000 + self.index,
+            command,
+        };
+        let encoded = postcard::to_stdvec(&stamped).expect("command is encoded");
+        self.bytes += encoded.len();
+        let stamped = postcard::from_bytes(&encoded).expect("command is decoded");
+        machine.apply(self.index, stamped)
+    }
+}
+
+fn file_chunk(chunk: u32) -> command::work::Command {
+    let first = chunk * ITEMS_PER_CHUNK;
+    let lines = (first..first + ITEMS_PER_CHUNK)
+        .map(|number| command::work::Line {
+            number: number + 1,
+            custom_id: Some(format!("item-{number:08}")),
+            content: command::work::Content::Request {
+                url: "/v1/chat/completions".to_owned(),
+                body: "x".repeat(BODY_BYTES),
+            },
+        })
+        .collect();
+    command::work::Command::FileChunk {
+        file: "file-g1-a".into(),
+        chunk,
+        lines,
+    }
+}
+
+fn seal(chunks: u32) -> command::work::Command {
+    command::work::Command::FileSeal {
+        file: "file-g1-a".into(),
+        team: "team".into(),
+        filename: "a.jsonl".to_owned(),
+        purpose: "batch".to_owned(),
+        bytes: 1,
+        chunks,
+    }
+}
+
+fn create() -> command::work::Command {
+    command::work::Command::JobCreate {
+        job: "batch_g1_a".into(),
+        team: "team".into(),
+        file: "file-g1-a".into(),
+        endpoint: "/v1/chat/completions".to_owned(),
+        window_ms: 24 * 3_600_000,
+        metadata: collections::BTreeMap::new(),
+    }
+}
+
+fn take(want: u32) -> command::work::Command {
+    command::work::Command::Take {
+        holder: "entry-1/1".into(),
+        want,
+        lease_ms: 3_600_000,
+    }
+}
+
+fn record(lease: &command::work::Lease) -> command::work::Command {
+    let outcomes = lease
+        .lines
+        .iter()
+        .map(|line| command::work::Outcome {
+            number: line.number,
+            result: command::work::Result::Answer {
+                status: 200,
+                body: "y".repeat(BODY_BYTES),
+            },
+        })
+        .collect();
+    command::work::Command::Record {
+        chunk: lease.chunk.clone(),
+        outcomes,
+    }
+}
+
+/// Encodes configuration changes as the log and a snapshot delta carry them.
+fn revisions(count: u32) -> serde_json::Value {
+    let before = Usage::now();
+    let mut machine = bw_state::config::Machine::new();
+    let mut bytes = 0;
+    for number in 0..count {
+        let plan = command::config::Command::Plan {
+            request: format!("plan-{number}").into(),
+            operator: "operator".into(),
+            base: u64::from(number),
+            intent: Box::new(intent_of(number)),
+        };
+        let index = u64::from(number) * 2;
+        let (reply, size) = change(&mut machine, index + 1, plan);
+        let command::config::Reply::Planned { plan, .. } = reply else {
+            panic!("no plan: {reply:?}");
+        };
+        let confirm = command::config::Command::Confirm {
+            request: format!("confirm-{number}").into(),
+            operator: "operator".into(),
+            plan,
+        };
+        bytes += size + change(&mut machine, index + 2, confirm).1;
+    }
+    let used = before.until_now();
+    json!({
+        "measure": "revision",
+        "size": count,
+        "cpu_us_each": used.cpu_us / f64::from(count),
+        "log_bytes_each": bytes as f64 / f64::from(count),
+        "memory_bytes_each": used.memory_bytes / f64::from(count),
+    })
+}
+
+fn change(
+    machine: &mut bw_state::config::Machine,
+    index: u64,
+    command: command::config::Command,
+) -> (command::config::Reply, usize) {
+    let stamped = command::Stamped {
+        now_ms: index * 1_000,
+        command,
+    };
+    let size = postcard::to_stdvec(&stamped)
+        .expect("command is encoded")
+        .len();
+    (machine.apply(index, stamped), size)
+}
+
+fn intent_of(number: u32) -> intent::Intent {
+    let mut intent = intent::Intent::default();
+    intent
+        .deployments
+        .insert("engines".into(), intent::Deployment::default());
+    for model in 0..9 {
+        let model_intent = intent::Model {
+            version: format!("{number}").into(),
+            deployment: "engines".into(),
+            ..intent::Model::default()
+        };
+        intent
+            .models
+            .insert(format!("model-{model}").into(), model_intent);
+    }
+    intent
+}
+
+/// Exchanges the reports of many backend servers with one entry VM.
+fn reports(count: u32) -> serde_json::Value {
+    exchange("replica report", count, 8, count)
+}
+
+/// Exchanges with many entry VMs before 24 backend servers for each eight.
+fn watchers(count: u32) -> serde_json::Value {
+    exchange("watcher", count, count, 24)
+}
+
+fn exchange(measure: &str, size: u32, entries: u32, backends: u32) -> serde_json::Value {
+    let mut registry = registry::Registry::default();
+    registry.reset(0, 1);
+    let intent = intent_of(1);
+    let current = registry::Current {
+        revision: 1,
+        intent: &intent,
+    };
+    let mut bytes_up = 0;
+    let mut bytes_down = 0;
+    let memory = Usage::now();
+    let mut now_ms = 1;
+    for entry in 0..entries {
+        let request = report(entry, backends, backends);
+        hint::black_box(registry.sync(now_ms, request, current).expect("answer"));
+    }
+    let memory = memory.until_now();
+    let before = Usage::now();
+    for _ in 0..EXCHANGES {
+        now_ms += sync::INTERVAL_MS;
+        for entry in 0..entries {
+            // The balancer spreads renewals, one a second, over the entry VMs.
+            let heard = backends.div_ceil(entries * 2);
+            let up = serde_json::to_vec(&report(entry, heard, backends)).expect("encoded");
+            bytes_up += up.len();
+            let request = serde_json::from_slice(&up).expect("decoded");
+            let answer = registry.sync(now_ms, request, current).expect("answer");
+            let down = serde_json::to_vec(&answer).expect("encoded");
+            bytes_down += down.len();
+            hint::black_box(down);
+        }
+    }
+    let used = before.until_now();
+    let exchanges = f64::from(EXCHANGES * entries);
+    json!({
+        "measure": measure,
+        "size": size,
+        "entries": entries,
+        "backends": backends,
+        "cpu_us_exchange": used.cpu_us / exchanges,
+        "bytes_up_exchange": bytes_up as f64 / exchanges,
+        "bytes_down_exchange": bytes_down as f64 / exchanges,
+        "memory_bytes_leader": memory.memory_bytes,
+    })
+}
+
+fn report(entry: u32, heard: u32, backends: u32) -> sync::Request {
+    let online = (0..backends)
+        .map(|backend| (format!("engine-{backend}").into(), backend % 16))
+        .collect();
+    sync::Request {
+        entry: format!("entry-{entry}").into(),
+        incarnation: 1,
+        failure_domain: "ljub-a".into(),
+        peer_address: "127.0.0.1:8090".into(),
+        revision: 1,
+        leader_term: 1,
+        heard: (0..heard).map(announcement).collect(),
+        online,
+        draining: false,
+    }
+}
+
+fn announcement(number: u32) -> sync::Heard {
+    let announcement = backend::Announcement {
+        id: format!("engine-{number}").into(),
+        incarnation: 1,
+        sequence: 1,
+        address: "127.0.0.1:9001".into(),
+        kind: backend::Kind::Engine,
+        service: "engines".into(),
+        failure_domain: "ljub-a".into(),
+        state: backend::State::Ready,
+        loaded: vec![backend::Loaded {
+            model: "batting-desk".into(),
+            version: "1".into(),
+            adapters: Vec::new(),
+        }],
+        capacity: 32,
+        fence: 0,
+        load: backend::Load::default(),
+    };
+    sync::Heard {
+        announcement,
+        age_ms: 200,
+    }
+}
+
+/// Admits requests of many teams on one entry VM.
+fn teams(count: u32) -> serde_json::Value {
+    let service: name::Name = "batting-desk".into();
+    let names: Vec<name::Name> = (0..count)
+        .map(|team| format!("team-{team}").into())
+        .collect();
+    let before = Usage::now();
+    let mut admission = admission::Builder::new().build();
+    admission.configure(&intent::Intent::default(), 8);
+    let mut events = Vec::new();
+    for (number, team) in names.iter().enumerate() {
+        let request = admission::Request {
+            team: team.clone(),
+            service: service.clone(),
+            deadline_ms: None,
+        };
+        let admitted = admission.admit(&request, number as u64 / 100, &mut events);
+        hint::black_box(admitted.is_ok());
+        admission.finish(team, &service, number as u64 / 100, &mut events);
+        events.clear();
+    }
+    let used = before.until_now();
+    json!({
+        "measure": "team",
+        "size": count,
+        "kept": admission.teams(),
+        "cpu_us_each": used.cpu_us / f64::from(count),
+        "memory_bytes_each": used.memory_bytes / f64::from(count),
+    })
+}
+
+/// CPU time of this thread and resident memory of this process.
+struct Usage {
+    cpu_us: f64,
+    memory_bytes: f64,
+}
+
+impl Usage {
+    fn now() -> Usage {
+        let clock = time::ClockId::CLOCK_THREAD_CPUTIME_ID;
+        let used = time::clock_gettime(clock).expect("thread clock");
+        Usage {
+            cpu_us: used.tv_sec() as f64 * 1e6 + used.tv_nsec() as f64 / 1e3,
+            memory_bytes: resident_bytes(),
+        }
+    }
+
+    fn until_now(&self) -> Usage {
+        let now = Usage::now();
+        Usage {
+            cpu_us: now.cpu_us - self.cpu_us,
+            memory_bytes: now.memory_bytes - self.memory_bytes,
+        }
+    }
+}
+
+fn resident_bytes() -> f64 {
+    let text = fs::read_to_string("/proc/self/smaps_rollup").expect("memory of this process");
+    let line = text
+        .lines()
+        .find(|line| line.starts_with("Rss:"))
+        .expect("Rss line");
+    let kilobytes: f64 = line
+        .split_whitespace()
+        .nth(1)
+        .and_then(|number| number.parse().ok())
+        .expect("number of kilobytes");
+    kilobytes * 1_024.0
+}
