Show what an engine's costs do to online latency beside batch

Cause: it was open how much of the online latency beside batch the engine's costs explain. Change: the queueing experiment varies the cost of a sequence and of a prompt token.

--- a/crates/policy/examples/queueing.rs
+++ b/crates/policy/examples/queueing.rs
@@ -49,6 +49,8 @@
     online_per_s: f64,
     burst: f64,
     seconds: u64,
+    /// Added to a step for each sequence and for each prompt token.
+    costs_us: (u64, u64),
     pick: Pick,
     router: router::Builder,
     batch: Batch,
@@ -66,6 +68,7 @@
             online_per_s,
             burst: 1.0,
             seconds: 60,
+            costs_us: (STEP_PER_SEQUENCE_US, STEP_PER_PROMPT_TOKEN_US),
             pick: Pick::Policy,
             router: router::Builder::new().slow_start_ms(0),
             batch: Batch::None,
@@ -590,7 +593,7 @@
         if state.step_end_us.take().is_some() {
             finish_step(state, &mut tokens);
         }
-        start_step(state, self.now_us);
+        start_step(state, self.scenario.costs_us, self.now_us);
         for (id, batch, is_last, is_first) in tokens {
             if batch {
                 self.batch_token(replica, id, is_last);
@@ -680,7 +683,8 @@
     state.running.retain(|sequence| sequence.output_left > 0);
 }
 
-fn start_step(state: &mut Replica, now_us: u64) {
+fn start_step(state: &mut Replica, costs_us: (u64, u64), now_us: u64) {
+    let (per_sequence_us, per_prompt_token_us) = costs_us;
     while state.running.len() < CAPACITY
         && let Some(sequence) = state.waiting.pop_front()
     {
@@ -695,10 +699,10 @@
         let prompt = sequence.prompt_left.min(budget);
         budget -= prompt;
         if sequence.prompt_left == 0 {
-            duration_us += STEP_PER_SEQUENCE_US;
+            duration_us += per_sequence_us;
             sequence.in_step = 1;
         } else {
-            duration_us += u64::from(prompt) * STEP_PER_PROMPT_TOKEN_US;
+            duration_us += u64::from(prompt) * per_prompt_token_us;
             sequence.in_step = prompt;
         }
     }
@@ -847,6 +851,27 @@
     ]
 }
 
+/// Shows what the engine's costs do to the ratio.
+fn costs() -> Vec<Scenario> {
+    let variant = |costs_us: (u64, u64), batch: Batch| {
+        let kind = match batch {
+            Batch::None => "online alone",
+            _ => "paced",
+        };
+        let label = format!("{kind}, {} and {} us", costs_us.0, costs_us.1);
+        Scenario {
+            costs_us,
+            batch,
+            ..Scenario::new(&label, 50.0)
+        }
+    };
+    let all = [(250, 50), (250, 10), (50, 50), (50, 10), (10, 2)];
+    let paced = || Batch::Paced(pacer::Builder::new());
+    all.into_iter()
+        .flat_map(|costs| [variant(costs, Batch::None), variant(costs, paced())])
+        .collect()
+}
+
 fn pacing(online_per_s: f64, burst: f64) -> Vec<Scenario> {
     let variant = |label: &str, batch: Batch| Scenario {
         burst,
@@ -927,6 +952,11 @@
             &pacing(50.0, 3.0),
         );
     }
+    if wanted("costs") {
+        for pair in costs().chunks(2) {
+            table("Costs of a sequence and of a prompt token", pair);
+        }
+    }
     if wanted("cost") {
         cost();
     }
