Give each embedded fleet a loopback address of its own

A restart that failed for the same reason was not tried again.

Conclusion: the cause is removed rather than the test relaxed.

--- a/programs/load/src/fleet.rs
+++ b/programs/load/src/fleet.rs
@@ -377,8 +377,11 @@
             slot.handle = Some(handle);
             slot.ended = None;
         }
-        // The next look tries again.
-        Err(error) => log::warn!("{} does not start again: {error:#}", slot.settings.id),
+        Err(error) => {
+            log::warn!("{} does not start again: {error:#}", slot.settings.id);
+            // A later look tries again, for example when its port is free.
+            slot.ended = Some(time::Instant::now());
+        }
     }
 }
 
--- a/programs/load/src/system.rs
+++ b/programs/load/src/system.rs
@@ -3,7 +3,7 @@
 //! They run on threads of this process, or as processes of their own, which
 //! have a CPU time of their own and can be killed.
 
-use std::{collections, env, fs, net, path, process, time};
+use std::{env, fs, path, process, sync::atomic, time};
 
 use anyhow::Context;
 use bw_client::control;
@@ -19,6 +19,16 @@
 /// How long entry VMs may take to stop; their requests are over by then.
 const STOP_MS: u64 = 1_000;
 
+/// The second number of the first loopback IP address; the process tests of
+/// `bw-dev` use 64 to 191.
+const FIRST_SUBNET: u32 = 192;
+/// How many second numbers are used.
+const SUBNETS: u32 = 63;
+/// Below the range that the system gives to outgoing connections.
+const FIRST_PORT: u32 = 7_001;
+/// Fleets that this process has started.
+static FLEETS: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+
 /// Control replicas and entry VMs.
 pub struct System {
     controls: Vec<Control>,
@@ -57,7 +67,7 @@
     /// Fails when one of them does not start.
     pub fn start(scenario: &scenario::Scenario) -> anyhow::Result<System> {
         let folder = tempfile::tempdir().context("temporary folder")?;
-        let ports = free_addresses(2 * scenario.control + 3 * scenario.entries)?;
+        let ports = own_addresses(2 * scenario.control + 3 * scenario.entries);
         let (control_ports, entry_ports) = ports.split_at(2 * scenario.control as usize);
         let control_addresses: Vec<name::Name> = control_ports
             .chunks(2)
@@ -356,16 +366,18 @@
     intent
 }
 
-/// Returns free loopback addresses. Another process could take one before it is
-/// used, which then fails at the start.
-fn free_addresses(count: u32) -> anyhow::Result<Vec<String>> {
-    let bind = |_| net::TcpListener::bind("127.0.0.1:0");
-    let listeners: Vec<net::TcpListener> = (0..count).map(bind).collect::<Result<_, _>>()?;
-    let mut addresses = collections::BTreeSet::new();
-    for listener in &listeners {
-        addresses.insert(listener.local_addr()?.to_string());
-    }
-    Ok(addresses.into_iter().collect())
+/// Returns addresses that nothing else uses.
+///
+/// Each fleet of each process has a loopback IP address of its own. On the shared
+/// 127.0.0.1 a port that is free now can be taken by any connection before it is
+/// bound, which happened when several fleets started at once.
+fn own_addresses(count: u32) -> Vec<String> {
+    let fleet = 1 + FLEETS.fetch_add(1, atomic::Ordering::Relaxed) % 254;
+    let pid = process::id();
+    let (high, low) = (FIRST_SUBNET + (pid >> 8) % SUBNETS, pid % 256);
+    (0..count)
+        .map(|port| format!("127.{high}.{low}.{fleet}:{}", FIRST_PORT + port))
+        .collect()
 }
 
 /// Finds a program next to this one.
