--- a/crates/coord/src/host/mod.rs
+++ b/crates/coord/src/host/mod.rs
@@ -196,7 +196,10 @@
             group.node.finish_transfer();
             group.finish(emit);
         }
-        self.write_snapshots()
+        self.write_snapshots()?;
+        let groups = &self.groups;
+        self.wal
+            .remove_covered(&mut self.disk, |group| snapshot_index(groups, group))
     }
 
     fn handle(&mut self, input: Input, emit: &mut dyn FnMut(Output)) -> Result<(), storage::Error> {
@@ -249,9 +252,7 @@
         }
         self.stats.log_bytes += self.wal.commit(&mut self.disk)?;
         self.stats.syncs += 1;
-        let groups = &self.groups;
-        self.wal
-            .remove_covered(&mut self.disk, |group| snapshot_index(groups, group))
+        Ok(())
     }
 
     /// Writes the live entries of quiet groups anew, so that old segments can be
--- a/crates/coord/src/wal/mod.rs
+++ b/crates/coord/src/wal/mod.rs
@@ -147,21 +147,22 @@
         Ok(size)
     }
 
-    /// Removes the oldest segments while snapshots cover all their entries.
+    /// Removes the oldest segment if snapshots cover all its entries. Only one
+    /// is removed at a time, because freeing a large file takes a while.
     pub fn remove_covered<D: storage::Disk>(
         &mut self,
         disk: &mut D,
         snapshot_index: impl Fn(GroupId) -> u64,
     ) -> Result<(), storage::Error> {
-        while self.segments.len() > 1 {
-            let oldest = &self.segments[0];
-            let covered = oldest
-                .last
-                .iter()
-                .all(|(group, index)| *index <= snapshot_index(*group));
-            if !covered {
-                break;
-            }
+        if self.segments.len() < 2 {
+            return Ok(());
+        }
+        let oldest = &self.segments[0];
+        let covered = oldest
+            .last
+            .iter()
+            .all(|(group, index)| *index <= snapshot_index(*group));
+        if covered {
             disk.remove(&oldest.name())?;
             self.segments.pop_front();
         }
