--- a/programs/control/src/registry/mod.rs
+++ b/programs/control/src/registry/mod.rs
@@ -3,7 +3,7 @@
 
 mod owners;
 
-use std::collections;
+use std::{collections, ops};
 
 use bw_wire::{backend, intent, name, rpc, sync};
 
@@ -12,6 +12,9 @@
 /// How long a backend server that no longer renews stays listed.
 const BACKEND_KEPT_MS: u64 = 30_000;
 
+/// Interval of expiry and assignment, which go through the whole fleet. When all
+/// entry VMs join at once, they are assigned together.
+const TIDY_MS: u64 = 100;
 /// The term of the first leader ever.
 const FIRST_TERM: u64 = 1;
 
@@ -26,6 +29,10 @@
     entries: collections::BTreeMap<Key, Entry>,
     backends: collections::BTreeMap<name::Name, Backend>,
     owners: owners::Owners,
+    /// Online requests in flight by backend server over all entry VMs listed.
+    online: collections::BTreeMap<name::Name, u32>,
+    /// When entry VMs were expired and ownership was assigned last.
+    tidied_ms: u64,
 }
 
 /// An entry VM's process. An older process of the same name may still hold a
@@ -120,8 +127,12 @@
             online: request.online,
             draining: request.draining,
         };
-        self.entries.insert(key.clone(), entry);
-        self.assign(now_ms);
+        self.put(key.clone(), entry);
+        if now_ms >= self.tidied_ms + TIDY_MS {
+            self.tidied_ms = now_ms;
+            self.expire(now_ms);
+            self.assign(now_ms);
+        }
         Ok(self.response(now_ms, &key, request.revision, current))
     }
 
@@ -157,15 +168,33 @@
 
     /// Drops what has expired.
     pub fn expire(&mut self, now_ms: u64) {
-        self.entries.retain(|_, entry| entry.has_lease(now_ms));
+        let online = &mut self.online;
+        self.entries.retain(|_, entry| {
+            let keep = entry.has_lease(now_ms);
+            if !keep {
+                subtract(online, &entry.online);
+            }
+            keep
+        });
         self.backends
             .retain(|_, backend| now_ms < backend.renewed_ms + BACKEND_KEPT_MS);
     }
 
     fn newer(&self, key: &Key) -> bool {
-        let name = |other: &&Key| other.entry == key.entry;
-        let newest = self.entries.keys().filter(name).max();
-        newest.is_some_and(|newest| newest.incarnation > key.incarnation)
+        let after = (ops::Bound::Excluded(key), ops::Bound::Unbounded);
+        let next = self.entries.range(after).next();
+        next.is_some_and(|(next, _)| next.entry == key.entry)
+    }
+
+    /// Stores the report of an entry VM in place of its last one.
+    fn put(&mut self, key: Key, entry: Entry) {
+        for (backend, count) in &entry.online {
+            let sum = self.online.entry(backend.clone()).or_default();
+            *sum = sum.saturating_add(*count);
+        }
+        if let Some(before) = self.entries.insert(key, entry) {
+            subtract(&mut self.online, &before.online);
+        }
     }
 
     fn hear(&mut self, now_ms: u64, heard: sync::Heard) {
@@ -200,11 +229,11 @@
             return;
         }
         let live = self.entries.iter();
-        let able: collections::BTreeSet<&name::Name> = live
+        let able = live
             .filter(|(_, entry)| entry.has_lease(now_ms) && !entry.draining)
-            .map(|(key, _)| &key.entry)
+            .map(|(key, _)| key.entry.clone())
             .collect();
-        self.owners.assign(now_ms, self.backends.keys(), &able);
+        self.owners.assign(now_ms, self.backends.keys(), able);
     }
 
     fn response(
@@ -224,7 +253,7 @@
             intent: newer.then(|| Box::new(current.intent.clone())),
             backends: self.heard(now_ms),
             peers: self.peers(now_ms, key),
-            online: self.online(now_ms, key),
+            online: self.online(key),
             owners,
             suspects: Vec::new(),
         }
@@ -253,18 +282,28 @@
             .collect()
     }
 
-    fn online(&self, now_ms: u64, own: &Key) -> collections::BTreeMap<name::Name, u32> {
-        let mut total = collections::BTreeMap::new();
-        for (key, entry) in &self.entries {
-            if key == own || !entry.has_lease(now_ms) {
-                continue;
-            }
-            for (backend, count) in &entry.online {
-                let sum: &mut u32 = total.entry(backend.clone()).or_default();
-                *sum = sum.saturating_add(*count);
+    /// Returns the online counts without those of one entry VM.
+    fn online(&self, own: &Key) -> collections::BTreeMap<name::Name, u32> {
+        let mut others = self.online.clone();
+        if let Some(entry) = self.entries.get(own) {
+            subtract(&mut others, &entry.online);
+        }
+        others
+    }
+}
+
+/// Takes counts out of a total and drops what becomes zero.
+fn subtract(
+    total: &mut collections::BTreeMap<name::Name, u32>,
+    counts: &collections::BTreeMap<name::Name, u32>,
+) {
+    for (backend, count) in counts {
+        if let Some(sum) = total.get_mut(backend) {
+            *sum = sum.saturating_sub(*count);
+            if *sum == 0 {
+                total.remove(backend);
             }
         }
-        total
     }
 }
 
--- a/programs/control/src/registry/owners.rs
+++ b/programs/control/src/registry/owners.rs
@@ -12,6 +12,10 @@
 #[derive(Debug, Default)]
 pub(super) struct Owners {
     owners: collections::BTreeMap<name::Name, Owner>,
+    /// The entry VMs that can own, and which of them each backend server is to
+    /// have. Kept, because hashing all pairs takes milliseconds in a large fleet.
+    able: collections::BTreeSet<name::Name>,
+    wanted: collections::BTreeMap<name::Name, name::Name>,
 }
 
 #[derive(Debug)]
@@ -29,12 +33,21 @@
         &mut self,
         now_ms: u64,
         backends: impl Iterator<Item = &'a name::Name>,
-        able: &collections::BTreeSet<&name::Name>,
+        able: collections::BTreeSet<name::Name>,
     ) {
+        if self.able != able {
+            self.able = able;
+            self.wanted.clear();
+        }
         let mut known = collections::BTreeSet::new();
         for backend in backends {
             known.insert(backend);
-            let wanted = choose(backend, able);
+            if !self.wanted.contains_key(backend)
+                && let Some(chosen) = choose(backend, &self.able)
+            {
+                self.wanted.insert(backend.clone(), chosen.clone());
+            }
+            let wanted = self.wanted.get(backend);
             match (self.owners.get_mut(backend), wanted) {
                 (Some(owner), Some(wanted)) if owner.entry == *wanted => owner.granted = true,
                 (Some(owner), _) if now_ms < owner.until_ms => owner.granted = false,
@@ -51,6 +64,7 @@
                 }
             }
         }
+        self.wanted.retain(|backend, _| known.contains(backend));
         self.owners
             .retain(|backend, owner| known.contains(backend) || now_ms < owner.until_ms);
     }
@@ -76,11 +90,11 @@
 /// so that a change of the entry VMs moves as few backend servers as possible.
 fn choose<'a>(
     backend: &name::Name,
-    able: &collections::BTreeSet<&'a name::Name>,
+    able: &'a collections::BTreeSet<name::Name>,
 ) -> Option<&'a name::Name> {
     let score = |entry: &name::Name| {
         let pair = format!("{entry}\n{backend}");
         fingerprint::Fingerprint::of_bytes(pair.as_bytes())
     };
-    able.iter().copied().max_by_key(|entry| score(entry))
+    able.iter().max_by_key(|entry| score(entry))
 }
