--- a/programs/entry/src/program.rs
+++ b/programs/entry/src/program.rs
@@ -6,7 +6,7 @@
 use bw_base::server;
 use tokio::{runtime, sync as async_sync};
 
-use crate::{api, context, controller, settings};
+use crate::{api, batch, context, controller, settings};
 
 /// Stack of a traffic thread. Handlers are shallow; the default of 2 MiB would
 /// only cost address space.
@@ -226,6 +226,7 @@
         }
     };
     let (callers, admin) = servers;
+    batch::Builder::new().spawn(&context);
     let addresses = Bound {
         address: callers.address(),
         admin_address: admin.address(),
@@ -238,13 +239,18 @@
     shared.drain.started().await;
     log::info!("entry VM is shutting down");
     let timeouts = &shared.settings.timeouts;
-    // Requests that still arrive are refused until the load balancer has left.
-    tokio::time::sleep(settings::ms(timeouts.linger_ms)).await;
-    let finished = callers.drain(settings::ms(timeouts.drain_ms)).await;
+    let online = async {
+        // Requests that still arrive are refused until the load balancer has left.
+        tokio::time::sleep(settings::ms(timeouts.linger_ms)).await;
+        callers.drain(settings::ms(timeouts.drain_ms)).await
+    };
+    // Leases are given back at once, so that others take the work over while
+    // online requests still run here.
+    let (finished, ()) = tokio::join!(online, shared.drain.release());
     if !finished {
         log::error!("requests were cut off after the time limit of the shutdown");
     }
-    shared.drain.release().await;
+    shared.drain.finished().await;
     admin.drain(settings::ms(1_000)).await;
     log::info!("entry VM stopped");
 }
