--- a/programs/dev/tests/fleet/process.rs
+++ b/programs/dev/tests/fleet/process.rs
@@ -80,7 +80,7 @@
 }
 
 /// Finds a program next to the test's own build output.
-fn binary(program: &str) -> path::PathBuf {
+pub fn binary(program: &str) -> path::PathBuf {
     let test = std::env::current_exe().expect("path of the test");
     let folder = test
         .parent()
