Let streams that just started give way to online arrivals

Change: an online arrival cancels the streams of that server that are younger than 30 ms, whose prompts are not computed yet. A stream that was preempted three times stays. Tests also hold the quiet time after an arrival. Conclusion: kept at 30 ms.

--- a/crates/policy/src/pacer/mod.rs
+++ b/crates/policy/src/pacer/mod.rs
@@ -24,6 +24,7 @@
     pub(crate) hold_ms: u64,
     pub(crate) ramp_ms: u64,
     pub(crate) quiet_ms: u64,
+    pub(crate) young_ms: u64,
     pub(crate) starve_ms: u64,
     pub(crate) kv_stop: f32,
     pub(crate) kv_preempt: f32,
@@ -37,6 +38,7 @@
             hold_ms: 200,
             ramp_ms: 1_500,
             quiet_ms: 100,
+            young_ms: 30,
             starve_ms: 30_000,
             kv_stop: 0.92,
             kv_preempt: 0.97,
@@ -78,6 +80,14 @@
         self
     }
 
+    /// Sets the age below which a stream is cancelled when an online request
+    /// arrives: its prompt is not computed yet, would be computed first, and
+    /// costs nothing to send again.
+    pub fn young_ms(mut self, age_ms: u64) -> Builder {
+        self.young_ms = age_ms;
+        self
+    }
+
     /// Sets how long a backlog waits without any running stream before one is
     /// admitted beside full online load.
     pub fn starve_ms(mut self, duration_ms: u64) -> Builder {
@@ -231,7 +241,7 @@
     /// Counts a stream that was sent to a backend server.
     pub fn started(&mut self, id: &str, stream: Stream, now_ms: u64) {
         if let Some(server) = self.servers.get_mut(id) {
-            server.start(stream);
+            server.start(stream, now_ms);
         }
         self.note_idle(now_ms);
     }
--- a/crates/policy/src/pacer/server.rs
+++ b/crates/policy/src/pacer/server.rs
@@ -36,6 +36,7 @@
 #[derive(Debug)]
 struct Running {
     stream: Stream,
+    started_ms: u64,
     is_cancelled: bool,
     is_floor: bool,
 }
@@ -61,6 +62,7 @@
     online: u32,
     online_peak: peak::Peak,
     arrived_ms: Option<u64>,
+    has_arrival: bool,
     streams: Vec<Running>,
     floor: bool,
     ramp: f32,
@@ -82,6 +84,7 @@
             online: 0,
             online_peak: peak::Peak::default(),
             arrived_ms: None,
+            has_arrival: false,
             streams: Vec::new(),
             floor: false,
             ramp: 0.0,
@@ -135,11 +138,12 @@
         self.recount(now_ms);
     }
 
-    pub(super) fn start(&mut self, stream: Stream) {
+    pub(super) fn start(&mut self, stream: Stream, now_ms: u64) {
         let is_floor = self.floor;
         self.floor = false;
         self.streams.push(Running {
             stream,
+            started_ms: now_ms,
             is_cancelled: false,
             is_floor,
         });
@@ -201,13 +205,13 @@
 
     /// Names the streams to cancel now and marks them as cancelled.
     pub(super) fn surplus(&mut self, settings: &Builder, now_ms: u64) -> Vec<u64> {
+        let mut names = self.young(settings, now_ms);
         let active = self
             .streams
             .iter()
             .filter(|running| !running.is_cancelled)
             .count() as u32;
         let surplus = active.saturating_sub(self.ceiling(settings, now_ms));
-        let mut names = Vec::new();
         for _ in 0..surplus {
             let Some(running) = self.cheapest(settings, now_ms) else {
                 break;
@@ -218,6 +222,24 @@
         names
     }
 
+    /// Names the streams that started just before an online arrival and marks
+    /// them as cancelled. Those that were preempted often stay.
+    fn young(&mut self, settings: &Builder, now_ms: u64) -> Vec<u64> {
+        if !std::mem::take(&mut self.has_arrival) {
+            return Vec::new();
+        }
+        let mut names = Vec::new();
+        for running in &mut self.streams {
+            let is_young = now_ms.saturating_sub(running.started_ms) < settings.young_ms;
+            let is_protected = running.is_floor || running.stream.preempted >= PROTECTED_AFTER;
+            if is_young && !is_protected && !running.is_cancelled {
+                running.is_cancelled = true;
+                names.push(running.stream.id);
+            }
+        }
+        names
+    }
+
     pub(super) fn takes_floor(&self, settings: &Builder, now_ms: u64) -> bool {
         self.usable
             && self.running() == 0
@@ -303,6 +325,7 @@
         self.online_peak.set(self.online, now_ms);
         if self.online > before {
             self.arrived_ms = Some(now_ms);
+            self.has_arrival = true;
         }
     }
 
--- a/crates/policy/tests/pacer.rs
+++ b/crates/policy/tests/pacer.rs
@@ -244,11 +244,48 @@
     }
     pacer.progressed(ID, 4, 400);
     let order: Vec<u64> = (0..=6)
-        .flat_map(|more| pacer.own_online(ID, 26 + more, 0))
+        .flat_map(|more| pacer.own_online(ID, 26 + more, 1_000))
         .collect();
     assert_eq!(order, [4, 3, 5, 2, 1]);
 }
 
+/// Guards against an online prompt that waits for the prompt of a stream which
+/// has just started, and against a stream that gives way for ever.
+#[rstest]
+#[case::just_started(20, 0, 5, true)]
+#[case::prompt_is_computed(40, 0, 5, false)]
+#[case::gave_way_often(20, 3, 5, false)]
+#[case::no_arrival(20, 0, 0, false)]
+fn streams_that_just_started_give_way_to_arrivals(
+    #[case] age_ms: u64,
+    #[case] preempted: u32,
+    #[case] online: u32,
+    #[case] gives_way: bool,
+) {
+    let mut pacer = pacer();
+    pacer.own_online(ID, 1, 0);
+    let stream = Stream {
+        preempted,
+        ..stream(1)
+    };
+    pacer.started(ID, stream, 1_000);
+    let cancelled = pacer.own_online(ID, online, 1_000 + age_ms);
+    assert_eq!(cancelled.len(), usize::from(gives_way));
+}
+
+/// Guards against streams that start while an arrival waits for its first
+/// token.
+#[rstest]
+#[case::within_quiet_time(1_090, 0)]
+#[case::after_it(1_110, 1)]
+fn nothing_starts_just_after_an_arrival(#[case] now_ms: u64, #[case] streams: u32) {
+    let mut pacer = pacer();
+    pacer.own_online(ID, 1, 1_000);
+    let rooms = pacer.room(now_ms);
+    let started: u32 = rooms.iter().map(|room| room.streams).sum();
+    assert_eq!(started.min(1), streams);
+}
+
 /// Guards against batch work that never runs again under lasting online load,
 /// and against a floor that makes online requests wait.
 #[rstest]
