Go past dead backend servers without using up attempts

A process test found a healthy request refused after a crash of three of six backend servers: each of its three attempts met another dead one, which still was listed because its last announcement was less than 3 s old. In the same test, an ending process could close a request's connection before its listening socket, so that the crash was not recognised.

A server that refuses a connection gets no new work from this entry VM for 500 ms, and a request goes on to another one without counting the attempt, since nothing was sent. The check for a crash asks for /healthz and tries again while connections break without an answer.

--- a/programs/entry/src/api/service.rs
+++ b/programs/entry/src/api/service.rs
@@ -264,6 +264,9 @@
             verdict = <&str>::from(error.verdict);
             "attempt failed: {error}"
         );
+        if error.cause == upstream::Cause::Unreachable {
+            self.context.shared.table.refused(&slot.choice().id);
+        }
         let service = &self.service;
         let call = &mut self.retry;
         let failure = online::failure(error.cause);
--- a/programs/entry/src/online/run.rs
+++ b/programs/entry/src/online/run.rs
@@ -19,6 +19,9 @@
 /// Pause before the second attempt when every backend server in use has failed
 /// this request; it doubles with each attempt.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(20);
+/// Backend servers that may refuse the connection of one request before that
+/// counts as a failed attempt. Nothing has been sent to them.
+const MAX_SKIPS: u32 = 16;
 /// How long a later attempt waits for any backend server.
 const RETRY_WAIT: time::Duration = time::Duration::from_secs(2);
 /// How long a backend server stays reserved for an isolated run, unless the run
@@ -52,6 +55,7 @@
     call: retry::Call,
     deadline: async_time::Instant,
     attempts: u32,
+    skips: u32,
     running: bool,
     avoid: Vec<name::Name>,
     text: String,
@@ -75,6 +79,7 @@
             call: retry::Call::new(repeatable, Some(request.deadline_ms)),
             deadline: async_time::Instant::now() + left,
             attempts: 0,
+            skips: 0,
             running: false,
             avoid: Vec::new(),
             text: String::new(),
@@ -148,7 +153,7 @@
                         continue;
                     };
                     // No other attempt runs beside one that has begun to answer.
-                    self.failed(attempt.held, &error).await?;
+                    self.failed(attempt.held, &error, true).await?;
                 }
             }
         }
@@ -176,7 +181,7 @@
                     return Ok(event);
                 }
                 Err((held, error)) => {
-                    if self.failed(held, &error).await? {
+                    if self.failed(held, &error, starting.is_empty()).await? {
                         let next = self.launch().await?;
                         starting.push(next);
                     }
@@ -384,6 +389,7 @@
         &mut self,
         held: Held,
         error: &upstream::Error,
+        alone: bool,
     ) -> Result<bool, refusal::Refusal> {
         let Held {
             mut slot,
@@ -410,6 +416,12 @@
             self.running = false;
             return Err(rejection(error));
         }
+        if error.cause == Cause::Unreachable {
+            self.context.shared.table.refused(&choice.id);
+            if alone && self.skip() {
+                return Ok(true);
+            }
+        }
         if error.cause == Cause::Corrupt {
             self.discard(error)?;
         }
@@ -445,6 +457,21 @@
         }
     }
 
+    /// Returns whether another backend server takes the place of one that
+    /// refused the connection. A dead rack would use up all attempts otherwise.
+    fn skip(&mut self) -> bool {
+        let other = self.pick(router::Fit::Any);
+        let has_other = other.is_ok_and(|slot| !self.has_failed(&slot));
+        if !has_other || self.skips >= MAX_SKIPS {
+            return false;
+        }
+        self.skips += 1;
+        self.running = false;
+        let reason: &str = retry::Reason::Unreachable.into();
+        metrics::RETRIES.with_label_values(&[reason]).inc();
+        true
+    }
+
     /// Throws away a text that is not what was generated, so that the request
     /// can start over. A stream has passed it on to the caller and ends here.
     fn discard(&mut self, error: &upstream::Error) -> Result<(), refusal::Refusal> {
@@ -481,6 +508,9 @@
             self.context.events.send(controller::Event::Broken(broken));
             return;
         }
+        if evidence.refused {
+            table.refused(&choice.id);
+        }
         let label = if isolated { "yes" } else { "no" };
         metrics::STRIKES.with_label_values(&[label]).inc();
         let commands = self.context.shared.with_suspects(|suspects, now_ms| {
--- a/programs/entry/src/routing.rs
+++ b/programs/entry/src/routing.rs
@@ -13,6 +13,10 @@
 /// of half a second and more, so that reporting each token would gain nothing.
 const PROGRESS_INTERVAL: time::Duration = time::Duration::from_millis(20);
 
+/// How long a backend server that refused a connection gets no new work. Its
+/// last announcement keeps it listed for longer than that.
+const REFUSED_MS: u64 = 500;
+
 /// The router, the health of backend servers and the counts of requests in
 /// flight, shared by all threads.
 ///
@@ -89,6 +93,12 @@
         })
     }
 
+    /// Keeps new work from a backend server that refused a connection, until
+    /// it may have been started again.
+    pub fn refused(&self, id: &str) {
+        self.with(|state, now_ms| state.router.reserve(id, now_ms + REFUSED_MS));
+    }
+
     /// Returns the online requests in flight by backend server.
     pub fn online(&self) -> collections::BTreeMap<name::Name, u32> {
         self.with(|state, _| state.router.online())
--- a/programs/entry/src/upstream/call.rs
+++ b/programs/entry/src/upstream/call.rs
@@ -1,6 +1,6 @@
 //! Sends requests to backend servers.
 
-use std::{io, time};
+use std::time;
 
 use bw_wire::{header, name, verdict};
 use bytes::Bytes;
@@ -11,7 +11,7 @@
     client::legacy::{self, connect},
     rt,
 };
-use tokio::{net, time as async_time};
+use tokio::time as async_time;
 
 use super::{
     error::{Cause, Error},
@@ -25,8 +25,12 @@
 /// so that the backend server rarely closes a connection that is being reused.
 const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
-/// Time limit for the refusal of a connection.
-const REFUSAL_TIMEOUT: time::Duration = time::Duration::from_millis(200);
+/// Time limit of one try to find out whether connections are refused.
+const REFUSAL_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+/// Tries to find out whether connections are refused.
+const REFUSAL_TRIES: u32 = 5;
+/// Pause between two of them.
+const REFUSAL_PAUSE: time::Duration = time::Duration::from_millis(20);
 
 /// The work class of a call.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, strum::IntoStaticStr)]
@@ -206,13 +210,21 @@
 
     /// Returns whether a backend server refuses connections, which a process
     /// that is gone does at once.
+    ///
+    /// A process that is ending may close the connection of a request before
+    /// its listening socket, so that a connection that breaks without an
+    /// answer is tried again.
     pub async fn refuses(&self, address: &name::Name) -> bool {
-        let connecting = net::TcpStream::connect(address.as_str());
-        let connected = async_time::timeout(REFUSAL_TIMEOUT, connecting).await;
-        matches!(
-            connected,
-            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused
-        )
+        for _ in 0..REFUSAL_TRIES {
+            match self.healthy(address, REFUSAL_TIMEOUT).await {
+                Err(error) if error.cause == Cause::Broken => {
+                    async_time::sleep(REFUSAL_PAUSE).await;
+                }
+                Err(error) => return error.cause == Cause::Unreachable,
+                Ok(_) => return false,
+            }
+        }
+        false
     }
 
     async fn send(
--- a/programs/entry/tests/fault.rs
+++ b/programs/entry/tests/fault.rs
@@ -107,6 +107,22 @@
     assert_eq!(verdict, "not_run");
 }
 
+/// Guards against a request that fails although a backend server is free,
+/// because as many others as it has attempts have just died.
+#[rstest]
+fn dead_backend_servers_use_up_no_attempts() {
+    let mut backends: Vec<_> = (0..8)
+        .map(|number| Backend::unreachable(&format!("dead-{number}")))
+        .collect();
+    backends.push(Backend::engine("e1", &[Answer::Whole]));
+    let fleet = fleet(backends);
+    for _ in 0..5 {
+        let response = fleet.chat(&chat_body(true));
+        assert_eq!(response.status, 200, "{}", response.text());
+        assert_eq!(response.streamed_text(), whole_text());
+    }
+}
+
 /// Guards against a silently truncated stream: it ends with an error event and
 /// without the end mark.
 #[rstest]
--- a/programs/entry/tests/support/backend.rs
+++ b/programs/entry/tests/support/backend.rs
@@ -96,7 +96,8 @@
             cancelled: Arc::clone(&backend.cancelled),
             healthy: Arc::clone(&backend.healthy),
             limit: Arc::clone(&backend.limit),
-            listener: Mutex::new(Some(listener)),
+            listener: Arc::new(Mutex::new(Some(listener))),
+            ended: AtomicBool::new(false),
         };
         thread::spawn(move || server.run());
         backend
@@ -192,7 +193,8 @@
     healthy: Arc<AtomicBool>,
     limit: Arc<AtomicUsize>,
     /// Taken when the fake crashes, which closes the address.
-    listener: Mutex<Option<net::TcpListener>>,
+    listener: Arc<Mutex<Option<net::TcpListener>>>,
+    ended: AtomicBool,
 }
 
 impl Server {
@@ -216,11 +218,25 @@
         }
     }
 
+    /// Ends like a process does: connections break at once, and the address
+    /// is closed a little later.
+    fn end(&self) {
+        self.ended.store(true, Ordering::SeqCst);
+        let listener = Arc::clone(&self.listener);
+        thread::spawn(move || {
+            thread::sleep(time::Duration::from_millis(30));
+            listener.lock().expect("lock").take();
+        });
+    }
+
     /// Answers one request and returns whether the connection stays open.
     fn serve(&self, stream: &net::TcpStream) -> bool {
         let Some(seen) = read_request(stream) else {
             return false;
         };
+        if seen.path == "/healthz" && self.ended.load(Ordering::SeqCst) {
+            return false;
+        }
         if seen.path == "/healthz" {
             let status = if self.healthy.load(Ordering::SeqCst) {
                 200
@@ -243,7 +259,7 @@
             arrived.len()
         };
         if arrived >= self.limit.load(Ordering::SeqCst) {
-            self.listener.lock().expect("lock").take();
+            self.end();
         }
         self.answer(stream, &seen, answer)
     }
