control: answer a change of the members once all groups have committed it

Cause: members answered when group 0 had removed a replica, and the work groups followed up to 10 s later. A second replica lost right after the answer left the work groups with two of four members for ever (found by second_replica_lost_right_after_a_repair_loses_no_job).

Change: the call waits until the change is committed in every group, at most one second; then the outcome is unknown and the client's repeat waits further. A repeat of a change that is done is answered like the first. Work groups follow the committed members of group 0 four times a second; a replica that was seen in group 0 before is removed at once, others after 10 s of an unchanged list.

Conclusion: an answered removal counts in all groups.

--- a/programs/control/src/core/answer.rs
+++ b/programs/control/src/core/answer.rs
@@ -5,7 +5,7 @@
 use bw_wire::{backend, command, command::config, query, rpc, sync};
 
 use crate::{
-    core::{Core, Waiting, members},
+    core::{Core, Waiting},
     metrics,
     network::{call::Failure, orders},
     placement,
@@ -24,13 +24,12 @@
                 // The caller may have gone.
                 let _ = reply.send(answer);
             }
-            Some(Waiting::Members(reply)) => {
-                let answer = match result {
-                    Ok(_) => Ok(members::of_group(&self.parts.host, GroupId(0))),
-                    Err(refusal) => Err(self.failure(refusal)),
-                };
-                let _ = reply.send(answer);
-            }
+            Some(Waiting::Members { change, reply }) => match result {
+                Ok(_) => self.await_groups(change, reply),
+                Err(refusal) => {
+                    let _ = reply.send(Err(self.failure(refusal)));
+                }
+            },
             Some(Waiting::Order(plan)) => self.ordered(plan, result),
             _ => {}
         }
--- a/programs/control/src/core/chores.rs
+++ b/programs/control/src/core/chores.rs
@@ -15,9 +15,9 @@
     metrics, placement, settings,
 };
 
-/// Interval of health, addresses and gauges.
+/// Interval of health, addresses, members and gauges.
 const OBSERVE_MS: u64 = 250;
-/// Interval of placement, tuning and members.
+/// Interval of placement and tuning.
 const CONTROL_MS: u64 = 1_000;
 /// Interval at which a leader drops what has expired from its group.
 const EXPIRE_MS: u64 = 10_000;
@@ -52,12 +52,12 @@
         if now_ms >= self.timers.observe_ms {
             self.timers.observe_ms = now_ms + OBSERVE_MS;
             self.connect();
+            self.align_members(now_ms);
             self.observe(now_ms);
         }
         if now_ms >= self.timers.control_ms {
             self.timers.control_ms = now_ms + CONTROL_MS;
             self.tune();
-            self.align_members(now_ms);
             self.place(now_ms);
         }
         if now_ms >= self.timers.expire_ms {
--- a/programs/control/src/core/mod.rs
+++ b/programs/control/src/core/mod.rs
@@ -63,6 +63,8 @@
     /// The term in which this replica leads group 0, if it does.
     leads: Option<u64>,
     membership: members::Membership,
+    /// Changes of the members that some group has not followed yet.
+    changes: Vec<members::Pending>,
     stopping: Option<Stopping>,
 }
 
@@ -87,6 +89,7 @@
             stepped_ms: 0,
             leads: None,
             membership: members::Membership::default(),
+            changes: Vec::new(),
             stopping: None,
         }
     }
@@ -104,6 +107,7 @@
                 self.parts.health.fail();
                 return Err(error);
             }
+            self.answer_changes();
             self.run_chores();
             if self.stopped() {
                 // Calls that arrived meanwhile are sent on to the new leaders.
@@ -191,11 +195,12 @@
                 inputs.push(self.read(0, Waiting::InForce { revision, reply }));
             }
             Call::Members { change, reply } => {
-                let ticket = self.tickets.add(Waiting::Members(reply));
+                let to_coord = members::to_coord(&change);
+                let ticket = self.tickets.add(Waiting::Members { change, reply });
                 inputs.push(host::Input::ChangeMembers {
                     group: GroupId(0),
                     ticket,
-                    change: members::to_coord(&change),
+                    change: to_coord,
                 });
             }
             Call::Status { reply } => {
--- a/programs/control/src/core/waiting.rs
+++ b/programs/control/src/core/waiting.rs
@@ -22,7 +22,10 @@
         revision: u64,
         reply: call::Reply<bw_wire::rpc::InForce>,
     },
-    Members(call::Reply<Vec<member::Member>>),
+    Members {
+        change: member::Change,
+        reply: call::Reply<Vec<member::Member>>,
+    },
     /// An order that placement wants to give.
     Order(placement::Plan),
     /// A proposal of the leader itself, whose result does not matter.
--- a/programs/control/tests/processes/faults.rs
+++ b/programs/control/tests/processes/faults.rs
@@ -96,9 +96,11 @@
     let removed = member::Change::Remove { replica: 3 };
     let members = client.members(&removed).await.expect("removed");
     assert!(members.iter().all(|member| member.replica != 3));
-    // The work groups follow after a while.
-    cluster.wait_for_members(2, &[1, 2, 6]).await;
+    // The answer covers all groups, so the next loss may come at once. A repeat
+    // of the change is answered like the first.
     cluster.replica(1).kill();
+    let repeated = cluster.client().members(&removed).await;
+    assert_eq!(repeated.map(|members| members.len()), Ok(3));
     let client = cluster.client();
     assert_eq!(
         claim(&client, "k", "w").await,
@@ -107,6 +109,7 @@
         cluster.logs()
     );
     assert_eq!(cluster.config().await, 1);
+    cluster.wait_for_members(2, &[1, 2, 6]).await;
 }
 
 /// Guards against a leader that was cut off for long and then answers from its
