--- a/programs/load/tests/run.rs
+++ b/programs/load/tests/run.rs
@@ -199,14 +199,14 @@
     assert_eq!(seen.end, End::NotConnected);
 }
 
-/// Guards against an embedded fleet that does not become ready, loses requests,
-/// repeats calls or leaves threads behind.
+/// Guards against an embedded fleet that does not become ready, loses requests or
+/// items, or repeats calls.
 #[tokio::test(flavor = "multi_thread")]
 async fn embedded_fleet() {
     let more =
         "failure_domains: [a, b, c]\nentries: 2\ncontrol: 3\nservice: {requests_per_s: 20}\n";
     let mut scenario = scenario(more);
-    scenario.batch.items = 0;
+    scenario.drain_ms = 60_000;
     let (line, _) = run::run(&scenario, Policy::Bilberrywind, 1)
         .await
         .expect("a run");
@@ -214,6 +214,7 @@
         line.online_sent > 0 && line.service_answered > 0,
         "{line:?}"
     );
+    assert_eq!((line.batch_completed, line.batch_failed), (60, 0));
     assert_eq!((line.lost, line.doubled, line.false_not_run), (0, 0, 0));
     assert_eq!((line.online_refused, line.service_refused), (0, 0));
     assert!(line.control_cpu_percent.is_some() && line.entry_cpu_percent.is_some());
