Give chunks back only when nothing of them runs or waits to be recorded

Cause: at a shutdown, and when no owned backend server has the model, chunks were given back with outcomes that were not recorded yet; their items would have run again elsewhere. Change: such chunks are kept until their outcomes are stored. A test holds that chunks which cannot run here are given back, after what can run has run.

--- a/programs/entry/src/batch/book.rs
+++ b/programs/entry/src/batch/book.rs
@@ -163,6 +163,12 @@
         self.select(|chunk| chunk.until_ms <= now_ms)
     }
 
+    /// Returns whether outcomes of a chunk wait or are being recorded.
+    pub(super) fn has_outcomes_of(&self, chunk: &work::ChunkRef) -> bool {
+        let held = self.chunks.get(&key(chunk));
+        held.is_some_and(|held| held.recording || !held.pending.is_empty())
+    }
+
     /// Returns whether outcomes wait or are being recorded.
     pub(super) fn has_outcomes(&self) -> bool {
         self.chunks
--- a/programs/entry/src/batch/dispatch.rs
+++ b/programs/entry/src/batch/dispatch.rs
@@ -275,15 +275,20 @@
             return;
         }
         self.is_draining = true;
-        let busy: Vec<&work::ChunkRef> = self.running.values().map(|run| &run.chunk).collect();
         let mut idle = Vec::new();
         for &group in self.groups.keys() {
             let held = self.book.of_group(group);
-            idle.extend(held.into_iter().filter(|chunk| !busy.contains(&chunk)));
+            idle.extend(held.into_iter().filter(|chunk| self.is_idle(chunk)));
         }
         self.release(idle);
     }
 
+    /// Returns whether nothing of a chunk runs or waits to be recorded.
+    fn is_idle(&self, chunk: &work::ChunkRef) -> bool {
+        let runs = self.running.values().any(|run| run.chunk == *chunk);
+        !runs && !self.book.has_outcomes_of(chunk)
+    }
+
     /// Renews and takes leases, and drops those that have run out.
     fn keep_leases(&mut self, now_ms: u64) {
         for chunk in self.book.expired(now_ms) {
@@ -322,7 +327,8 @@
     /// Gives chunks back for whose model this entry VM owns no backend server.
     fn give_back_unservable(&mut self, now_ms: u64) {
         let servers: Vec<backend::Announcement> = self.owned.values().cloned().collect();
-        let chunks = self.queue.unservable(&servers);
+        let mut chunks = self.queue.unservable(&servers);
+        chunks.retain(|chunk| self.is_idle(chunk));
         if chunks.is_empty() {
             self.unservable_since_ms = None;
             return;
--- a/programs/entry/tests/batch.rs
+++ b/programs/entry/tests/batch.rs
@@ -17,7 +17,7 @@
         work::{Command, Content, Line, Outcome, Reply, Result, Suspect},
     },
     fingerprint::Fingerprint,
-    name, openai, query, rpc, sync as wire_sync,
+    intent, name, openai, query, rpc, sync as wire_sync,
 };
 use jsonrpsee::{RpcModule, server::ServerBuilder, types::ErrorObjectOwned};
 use rstest::rstest;
@@ -178,6 +178,13 @@
         }
     }
 
+    fn backlog(&self) -> query::Backlog {
+        match self.lock().machine.query(&query::Query::Backlog) {
+            Some(query::Answer::Backlog(backlog)) => backlog,
+            other => panic!("{other:?}"),
+        }
+    }
+
     fn wait_done(&self) {
         wait_for("the job to complete", || {
             self.job().state == query::JobState::Completed
@@ -226,7 +233,7 @@
                 leader_term: 1,
                 lease_ms: wire_sync::CONFIG_LEASE_MS,
                 revision: 1,
-                intent: (request.revision == 0).then(|| Box::new(control::intent())),
+                intent: (request.revision == 0).then(|| Box::new(declared())),
                 backends: Vec::new(),
                 peers: Vec::new(),
                 online: state.online.clone(),
@@ -260,6 +267,13 @@
     module
 }
 
+/// Returns the intent of the other tests with a model that no engine has.
+fn declared() -> intent::Intent {
+    let mut intent = control::intent();
+    intent.models.insert("n".into(), intent::Model::default());
+    intent
+}
+
 fn unix_ms() -> u64 {
     let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
     since.expect("after 1970").as_millis() as u64
@@ -473,14 +487,10 @@
         std::thread::sleep(time::Duration::from_millis(2_500));
         state.lock().expect("not poisoned").holds_records = false;
     });
-    let backlog = |fleet: &Fleet| match fleet.lock().machine.query(&query::Query::Backlog) {
-        Some(query::Answer::Backlog(backlog)) => backlog,
-        other => panic!("{other:?}"),
-    };
-    assert_eq!(backlog(&fleet).chunks, 0, "the chunk is leased");
+    assert_eq!(fleet.backlog().chunks, 0, "the chunk is leased");
     fleet.stop_entry();
     opens.join().expect("joined");
-    let left = backlog(&fleet);
+    let left = fleet.backlog();
     assert_eq!(left.chunks, 1, "the chunk can be taken at once");
     let done = fleet.results().len();
     assert!(done >= 6, "{done} outcomes");
@@ -516,6 +526,23 @@
     assert_eq!((suspects[0].strikes, suspects[0].isolated), (3, 1));
 }
 
+/// Guards against chunks that are held although this entry VM owns no backend
+/// server for their model, while another one may.
+#[test]
+fn chunks_that_cannot_run_here_are_given_back() {
+    let fleet = Fleet::start(vec![Backend::engine("e1", &[Answer::Whole])]);
+    let body = r#"{"model":"n","messages":[{"role":"user","content":"c"}]}"#;
+    fleet.submit(vec![line(1), content(2, "/v1/chat/completions", body)]);
+    wait_for("the chunk to be leased", || fleet.backlog().chunks == 0);
+    wait_for("the chunk to be given back", || fleet.backlog().chunks == 1);
+    let counts = fleet.job().counts;
+    assert_eq!(
+        (counts.completed, counts.failed),
+        (1, 0),
+        "what can run has run"
+    );
+}
+
 /// Guards against work on backend servers whose batch work belongs to another
 /// entry VM.
 #[test]
