--- a/crates/coord/src/host/mod.rs
+++ b/crates/coord/src/host/mod.rs
@@ -21,7 +21,8 @@
     /// Applies a committed command and returns its result.
     fn apply(&mut self, index: u64, command: &[u8]) -> Vec<u8>;
 
-    /// Returns the state as bytes.
+    /// Returns the state as bytes. The host handles nothing else meanwhile, so
+    /// this must take much less than an election timeout.
     fn snapshot(&self) -> Vec<u8>;
 
     /// Replaces the state by one that [`Machine::snapshot`] returned.
@@ -195,7 +196,10 @@
             group.node.finish_transfer();
             group.finish(emit);
         }
-        self.write_snapshots()
+        self.write_snapshots()?;
+        let groups = &self.groups;
+        self.wal
+            .remove_covered(&mut self.disk, |group| snapshot_index(groups, group))
     }
 
     fn handle(&mut self, input: Input, emit: &mut dyn FnMut(Output)) -> Result<(), storage::Error> {
@@ -248,22 +252,25 @@
         }
         self.stats.log_bytes += self.wal.commit(&mut self.disk)?;
         self.stats.syncs += 1;
-        let groups = &self.groups;
-        self.wal
-            .remove_covered(&mut self.disk, |group| snapshot_index(groups, group))
+        Ok(())
     }
 
     /// Writes the live entries of quiet groups anew, so that old segments can be
     /// removed.
+    ///
+    /// Groups that log at the same rate take their snapshots before the log
+    /// exceeds the sum of their limits. Beyond that a quiet group keeps old
+    /// segments, and its entries, fewer than its limit, are written once more
+    /// for each such sum that the other groups log.
     fn relocate(&mut self) {
         let groups = &self.groups;
-        let live_bytes = groups
+        let allowed_bytes = groups
             .values()
-            .map(|group| group.node.log().live_bytes())
+            .map(|group| group.log_limit(&self.options))
             .sum();
         let quiet = self
             .wal
-            .groups_to_relocate(live_bytes, |group| snapshot_index(groups, group));
+            .groups_to_relocate(allowed_bytes, |group| snapshot_index(groups, group));
         for id in quiet {
             let Some(group) = groups.get(&id) else {
                 continue;
--- a/crates/coord/src/wal/mod.rs
+++ b/crates/coord/src/wal/mod.rs
@@ -19,9 +19,9 @@
 
 const SEGMENT_PREFIX: &str = "wal-";
 
-/// Segments that are kept before entries of quiet groups are written anew to
-/// free the oldest one.
-const RELOCATION_SEGMENTS: usize = 4;
+/// Segments in excess of the allowed size that are kept before entries of quiet
+/// groups are written anew to free the oldest one.
+const RELOCATION_SEGMENTS: u64 = 2;
 
 /// A record of one group.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -147,21 +147,22 @@
         Ok(size)
     }
 
-    /// Removes the oldest segments while snapshots cover all their entries.
+    /// Removes the oldest segment if snapshots cover all its entries. Only one
+    /// is removed at a time, because freeing a large file takes a while.
     pub fn remove_covered<D: storage::Disk>(
         &mut self,
         disk: &mut D,
         snapshot_index: impl Fn(GroupId) -> u64,
     ) -> Result<(), storage::Error> {
-        while self.segments.len() > 1 {
-            let oldest = &self.segments[0];
-            let covered = oldest
-                .last
-                .iter()
-                .all(|(group, index)| *index <= snapshot_index(*group));
-            if !covered {
-                break;
-            }
+        if self.segments.len() < 2 {
+            return Ok(());
+        }
+        let oldest = &self.segments[0];
+        let covered = oldest
+            .last
+            .iter()
+            .all(|(group, index)| *index <= snapshot_index(*group));
+        if covered {
             disk.remove(&oldest.name())?;
             self.segments.pop_front();
         }
@@ -169,15 +170,15 @@
     }
 
     /// Returns the groups that keep the oldest segment, if the log is larger
-    /// than its live entries justify. The bound of twice the live entries keeps
-    /// the cost of writing them anew proportional to what was logged since.
+    /// than a number of bytes and some segments.
     pub fn groups_to_relocate(
         &self,
-        live_bytes: u64,
+        allowed_bytes: u64,
         snapshot_index: impl Fn(GroupId) -> u64,
     ) -> Vec<GroupId> {
         let size: u64 = self.segments.iter().map(|segment| segment.size).sum();
-        if self.segments.len() <= RELOCATION_SEGMENTS || size <= 2 * live_bytes {
+        let spare = RELOCATION_SEGMENTS * self.segment_bytes;
+        if self.segments.len() < 2 || size <= allowed_bytes + spare {
             return Vec::new();
         }
         let oldest = self.segments[0].last.iter();
--- a/programs/control/src/core/mod.rs
+++ b/programs/control/src/core/mod.rs
@@ -63,6 +63,8 @@
     /// The term in which this replica leads group 0, if it does.
     leads: Option<u64>,
     membership: members::Membership,
+    /// Changes of the members that some group has not followed yet.
+    changes: Vec<members::Pending>,
     stopping: Option<Stopping>,
 }
 
@@ -87,6 +89,7 @@
             stepped_ms: 0,
             leads: None,
             membership: members::Membership::default(),
+            changes: Vec::new(),
             stopping: None,
         }
     }
@@ -104,6 +107,7 @@
                 self.parts.health.fail();
                 return Err(error);
             }
+            self.answer_changes();
             self.run_chores();
             if self.stopped() {
                 // Calls that arrived meanwhile are sent on to the new leaders.
@@ -157,6 +161,16 @@
                 let messages = messages.into_iter();
                 inputs.extend(messages.map(|message| host::Input::Message { from, message }));
             }
+            Call::Propose {
+                group,
+                command,
+                reply,
+            } if self.has_nothing_for(group, &command) => {
+                let leases = Vec::new();
+                let taken = command::work::Reply::Taken { leases };
+                // The caller may have gone.
+                let _ = reply.send(Ok(command::Reply::Work(taken)));
+            }
             Call::Propose {
                 group,
                 command,
@@ -181,11 +195,12 @@
                 inputs.push(self.read(0, Waiting::InForce { revision, reply }));
             }
             Call::Members { change, reply } => {
-                let ticket = self.tickets.add(Waiting::Members(reply));
+                let to_coord = members::to_coord(&change);
+                let ticket = self.tickets.add(Waiting::Members { change, reply });
                 inputs.push(host::Input::ChangeMembers {
                     group: GroupId(0),
                     ticket,
-                    change: members::to_coord(&change),
+                    change: to_coord,
                 });
             }
             Call::Status { reply } => {
@@ -203,6 +218,23 @@
         }
     }
 
+    /// Returns whether a command is a `Take` that would lease nothing.
+    ///
+    /// Idle entry VMs ask all the time, and each command in the log costs a disk
+    /// sync on every replica. An empty answer promises nothing, so it needs no
+    /// log, and it may even be a little old.
+    fn has_nothing_for(&self, group: u32, command: &command::Command) -> bool {
+        let take = matches!(
+            command,
+            command::Command::Work(command::work::Command::Take { .. })
+        );
+        let machine = self.parts.host.machine(GroupId(group));
+        let (true, Some(machine::Machine::Work(work))) = (take, machine) else {
+            return false;
+        };
+        self.leads_group(group) && !work.can_lease(self.clock.time(group, work.now_ms()))
+    }
+
     /// Stamps a command and files who waits for it.
     fn propose(&mut self, group: u32, command: command::Command, waiting: Waiting) -> host::Input {
         let machine = self.parts.host.machine(GroupId(group));
