Measure teams first, and keep what was measured

Cause: teams and revisions showed no memory, because they were built in memory that earlier measurements had freed. Change: the order, and nothing measured is freed. Conclusion: the example measures growth now.

--- a/programs/dev/examples/slopes.rs
+++ b/programs/dev/examples/slopes.rs
@@ -6,7 +6,7 @@
 //! CPU time is that of this thread; memory is the growth of the resident set,
 //! and everything that was built is kept until the end of its measurement.
 
-use std::{collections, fs, hint};
+use std::{collections, fs, hint, mem};
 
 use bw_control::registry;
 use bw_policy::admission;
@@ -27,23 +27,22 @@
 const EXCHANGES: u32 = 20;
 
 fn main() {
-    // Warm-up, so that the first measurement does not pay for the allocator.
-    items(1_024);
-    for size in ITEM_SIZES {
-        println!("{}", items(size));
+    // Teams come first: their memory must not come out of what others freed.
+    for size in TEAM_SIZES {
+        println!("{}", teams(size));
     }
     for size in REVISION_SIZES {
         println!("{}", revisions(size));
     }
+    for size in ITEM_SIZES {
+        println!("{}", items(size));
+    }
     for size in BACKEND_SIZES {
         println!("{}", reports(size));
     }
     for size in ENTRY_SIZES {
         println!("{}", watchers(size));
     }
-    for size in TEAM_SIZES {
-        println!("{}", teams(size));
-    }
 }
 
 /// Takes items through the work machine: upload, job, lease, outcome.
@@ -70,6 +69,8 @@
     }
     let used = before.until_now();
     let snapshot = machine.snapshot();
+    // Kept, so that later measurements do not find its memory free.
+    mem::forget(machine);
     json!({
         "measure": "item",
         "size": count,
@@ -196,6 +197,7 @@
         bytes += size + change(&mut machine, index + 2, confirm).1;
     }
     let used = before.until_now();
+    mem::forget(machine);
     json!({
         "measure": "revision",
         "size": count,
@@ -358,10 +360,12 @@
         events.clear();
     }
     let used = before.until_now();
+    let kept = admission.teams();
+    mem::forget(admission);
     json!({
         "measure": "team",
         "size": count,
-        "kept": admission.teams(),
+        "kept": kept,
         "cpu_us_each": used.cpu_us / f64::from(count),
         "memory_bytes_each": used.memory_bytes / f64::from(count),
     })
