--- a/crates/base/src/program.rs
+++ b/crates/base/src/program.rs
@@ -32,6 +32,30 @@
     version: &str,
     run: impl FnOnce(T) -> anyhow::Result<()>,
 ) -> process::ExitCode
+where
+    T: serde::de::DeserializeOwned + settings::Check,
+{
+    start(name, version, None, run)
+}
+
+/// Runs a daemon like [`main`], with default settings if no file is named.
+pub fn main_with_defaults<T>(
+    name: &str,
+    version: &str,
+    run: impl FnOnce(T) -> anyhow::Result<()>,
+) -> process::ExitCode
+where
+    T: serde::de::DeserializeOwned + settings::Check + Default,
+{
+    start(name, version, Some(T::default()), run)
+}
+
+fn start<T>(
+    name: &str,
+    version: &str,
+    defaults: Option<T>,
+    run: impl FnOnce(T) -> anyhow::Result<()>,
+) -> process::ExitCode
 where
     T: serde::de::DeserializeOwned + settings::Check,
 {
@@ -40,13 +64,16 @@
         print_version(name, version);
         return process::ExitCode::SUCCESS;
     }
-    let Some(file) = arguments.config else {
-        eprintln!("{name}: --config FILE.yaml is required; --help shows the options");
-        return process::ExitCode::from(EXIT_SETTINGS);
-    };
-    let settings = match load(&file) {
-        Ok(settings) => settings,
-        Err(status) => return status,
+    let settings = match (arguments.config, defaults) {
+        (Some(file), _) => match load(&file) {
+            Ok(settings) => settings,
+            Err(status) => return status,
+        },
+        (None, Some(defaults)) => defaults,
+        (None, None) => {
+            eprintln!("{name}: --config FILE.yaml is required; --help shows the options");
+            return process::ExitCode::from(EXIT_SETTINGS);
+        }
     };
     if arguments.check {
         return process::ExitCode::SUCCESS;
--- a/programs/dev/tests/online_failures.rs
+++ b/programs/dev/tests/online_failures.rs
@@ -69,13 +69,7 @@
     }
     for index in 0..fleet.engines.len() {
         let engine = fleet.engine_address(index);
-        let answer = fleet
-            .http
-            .post(&engine, "/debug/faults")
-            .json(&faults)
-            .send()
-            .await;
-        assert_eq!(answer.expect("answer").status, 200);
+        switch_faults(&fleet, &engine, &faults).await;
     }
     for (number, expected) in expected.iter().enumerate() {
         let answer = fleet.stream(&address, &prompt(number), 8).send().await;
@@ -219,13 +213,7 @@
     let mut fleet = with_service().await;
     let faults = json!({ "late_answer_ms": 5_000 });
     let service = fleet.service_address(0);
-    let answer = fleet
-        .http
-        .post(&service, "/debug/faults")
-        .json(&faults)
-        .send()
-        .await;
-    assert_eq!(answer.expect("answer").status, 200);
+    switch_faults(&fleet, &service, &faults).await;
     let call = tokio::spawn(invoice(&fleet, 0, "invoice-3").send());
     fleet
         .until("the service runs the call", || async {
@@ -317,13 +305,7 @@
         (json!({ "crossed_answer": true }), "may_have_run"),
     ];
     for (faults, verdict) in cases {
-        let answer = fleet
-            .http
-            .post(&engine, "/debug/faults")
-            .json(&faults)
-            .send()
-            .await;
-        assert_eq!(answer.expect("answer").status, 200);
+        switch_faults(&fleet, &engine, &faults).await;
         let before = executions(&fleet, &engine).await;
         let text = format!("verdict for {faults}");
         let answer = fleet
@@ -338,6 +320,12 @@
     }
 }
 
+async fn switch_faults(fleet: &fleet::Fleet, address: &str, faults: &Value) {
+    let call = fleet.http.post(address, "/debug/faults").json(faults);
+    let answer = call.send().await.expect("answer");
+    assert_eq!(answer.status, 200, "{}", answer.text());
+}
+
 async fn with_service() -> fleet::Fleet {
     let fleet = fleet::Builder {
         services: 1,
