--- a/crates/client/src/control.rs
+++ b/crates/client/src/control.rs
@@ -238,12 +238,12 @@
                     self.set_leader(group, Some(address));
                     return Ok(answer);
                 }
-                Err(error) => match classify(&error) {
+                Err(fault) => match classify(&fault) {
                     Next::Redirect(Some(leader)) => {
                         target = (leader != address).then_some(leader);
-                        error.to_string()
+                        fault.to_string()
                     }
-                    Next::Redirect(None) | Next::Retry => error.to_string(),
+                    Next::Redirect(None) | Next::Retry => fault.to_string(),
                     Next::Unknown(message) => {
                         verdict = verdict::Verdict::MayHaveRun;
                         message
@@ -292,7 +292,11 @@
     }
 }
 
-fn classify(error: &rpc_client::Error) -> Next {
+fn classify(fault: &link::Fault) -> Next {
+    let error = match fault {
+        link::Fault::Connect(_) => return Next::Retry,
+        link::Fault::Call(error) => error,
+    };
     match error {
         rpc_client::Error::Call(object) => match object.code() {
             rpc::NOT_LEADER => Next::Redirect(
--- a/crates/client/src/link.rs
+++ b/crates/client/src/link.rs
@@ -1,6 +1,6 @@
 //! One WebSocket connection to one control replica, opened on demand.
 
-use std::{sync, time};
+use std::{fmt, sync, time};
 
 use jsonrpsee::{
     core::{client as rpc_client, params, traits},
@@ -14,6 +14,23 @@
 /// Largest message that the client takes, in bytes.
 const MAX_MESSAGE_BYTES: u32 = 64 * 1024 * 1024;
 
+/// Why a call failed.
+#[derive(Debug)]
+pub(crate) enum Fault {
+    /// No connection could be opened, so nothing was sent.
+    Connect(rpc_client::Error),
+    /// The call was sent, or may have been.
+    Call(rpc_client::Error),
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Fault::Connect(error) | Fault::Call(error) => write!(formatter, "{error}"),
+        }
+    }
+}
+
 /// A connection that reopens itself after it breaks.
 pub(crate) struct Link {
     address: name::Name,
@@ -37,14 +54,17 @@
     }
 
     /// Calls a method and drops the connection when it turns out broken.
-    pub(crate) async fn call<R, P>(&self, method: &str, params: P) -> Result<R, rpc_client::Error>
+    ///
+    /// A timeout counts as broken: after a long partition TCP itself may take
+    /// minutes to resume, while a new connection works at once.
+    pub(crate) async fn call<R, P>(&self, method: &str, params: P) -> Result<R, Fault>
     where
         R: de::DeserializeOwned,
         P: traits::ToRpcParams + Send,
     {
         use jsonrpsee::core::client::ClientT;
 
-        let client = self.connect().await?;
+        let client = self.connect().await.map_err(Fault::Connect)?;
         let answer = client.request(method, params).await;
         if matches!(
             answer,
@@ -54,7 +74,7 @@
         ) {
             self.forget(&client).await;
         }
-        answer
+        answer.map_err(Fault::Call)
     }
 
     async fn connect(&self) -> Result<sync::Arc<ws_client::WsClient>, rpc_client::Error> {
