--- a/crates/client/src/link.rs
+++ b/crates/client/src/link.rs
@@ -70,7 +70,8 @@
             answer,
             Err(rpc_client::Error::RestartNeeded(_)
                 | rpc_client::Error::Transport(_)
-                | rpc_client::Error::ServiceDisconnect)
+                | rpc_client::Error::ServiceDisconnect
+                | rpc_client::Error::RequestTimeout)
         ) {
             self.forget(&client).await;
         }
