Refuse with storage_full when the store is full

Cause: a full store answered Invalid; for a chunk of an upload the entry program turned that into an internal error that may have run, for a claim into a bad request. Callers could not know that nothing was stored.

Change: a reply Full, the reason storage_full (503, verdict not_run, come back after 10 minutes), handled for uploads, claims and requests that are not repeatable. The existing test now demands exactly Full.

--- a/crates/state/src/work/attempts.rs
+++ b/crates/state/src/work/attempts.rs
@@ -50,7 +50,7 @@
     ) -> work::Reply {
         let Some(attempt) = self.attempts.get_mut(&owned) else {
             if ATTEMPT_BYTES > room {
-                return invalid("the storage of this group is full");
+                return work::Reply::Full;
             }
             return self.start(owned, call);
         };
--- a/crates/state/src/work/claims.rs
+++ b/crates/state/src/work/claims.rs
@@ -6,7 +6,7 @@
 
 use bw_wire::{command::work, fingerprint, name};
 
-use super::{Owned, invalid};
+use super::Owned;
 
 /// Memory of a claim next to its texts, in bytes.
 const CLAIM_BYTES: u64 = 128;
@@ -45,7 +45,7 @@
             };
             let size = size(&owned, &claim);
             if size > room {
-                return invalid("the storage of this group is full");
+                return work::Reply::Full;
             }
             self.bytes += size;
             self.claims.insert(owned, claim);
--- a/crates/state/src/work/files.rs
+++ b/crates/state/src/work/files.rs
@@ -70,7 +70,7 @@
             }
         }
         if size > room {
-            return invalid("the storage for batch files is full");
+            return work::Reply::Full;
         }
         let file = self.files.entry(id).or_insert_with(|| empty(now_ms));
         file.touched_ms = now_ms;
--- a/crates/state/tests/work_rules.rs
+++ b/crates/state/tests/work_rules.rs
@@ -517,11 +517,8 @@
         chunk: 0,
         lines: vec![line(1)],
     };
-    assert!(matches!(bench.run(chunk("g")), work::Reply::Invalid { .. }));
-    assert!(matches!(
-        bench.run(begin("h", false)),
-        work::Reply::Invalid { .. }
-    ));
+    assert_eq!(bench.run(chunk("g")), work::Reply::Full);
+    assert_eq!(bench.run(begin("h", false)), work::Reply::Full);
     assert_eq!(bench.take("a", 1).len(), 1);
 }
 
--- a/crates/wire/src/command/work.rs
+++ b/crates/wire/src/command/work.rs
@@ -382,6 +382,8 @@
         /// Whether this call bound it.
         fresh: bool,
     },
+    /// The group's storage is full; nothing was stored.
+    Full,
     /// The key is bound to another body.
     KeyConflict,
     /// The job as it stands.
--- a/crates/wire/src/refusal.rs
+++ b/crates/wire/src/refusal.rs
@@ -75,6 +75,8 @@
     OutcomeUnknown,
     /// The control replicas did not answer in time.
     ControlUnavailable,
+    /// The storage of the control replicas is full.
+    StorageFull,
     /// The plan's base revision is no longer current.
     RevisionConflict,
     /// The job already ended, so the operation has no effect.
@@ -101,7 +103,7 @@
             Reason::BackendFailed => 502,
             Reason::NoBackend | Reason::RetryBudget | Reason::ConfigurationStale => 503,
             Reason::ShuttingDown | Reason::Overloaded | Reason::ControlUnavailable => 503,
-            Reason::DeadlineUnreachable => 503,
+            Reason::DeadlineUnreachable | Reason::StorageFull => 503,
             Reason::BackendTimeout => 504,
         }
     }
@@ -113,6 +115,8 @@
             Reason::QueueFull | Reason::Overloaded | Reason::DeadlineUnreachable => Some(1),
             Reason::KeyInProgress | Reason::RetryBudget => Some(1),
             Reason::NoBackend | Reason::ControlUnavailable => Some(2),
+            // Room comes from retention, which frees it within hours at best.
+            Reason::StorageFull => Some(600),
             Reason::ConfigurationStale | Reason::ShuttingDown => Some(1),
             Reason::BackendFailed | Reason::BackendTimeout => Some(1),
             _ => None,
--- a/programs/dev/tests/fleet/mod.rs
+++ b/programs/dev/tests/fleet/mod.rs
@@ -36,6 +36,8 @@
     pub entries: usize,
     pub engines: usize,
     pub services: usize,
+    /// Extra settings of every control replica, merged at the top level.
+    pub control: Value,
     /// Extra settings of every engine, merged at the top level.
     pub engine: Value,
     /// Extra settings of every entry VM, merged at the top level.
@@ -51,6 +53,7 @@
             entries: 2,
             engines: 2,
             services: 0,
+            control: json!({}),
             engine: json!({}),
             entry: json!({}),
             empty_engines: false,
@@ -476,6 +479,13 @@
 
 /// Uploads a batch file and returns its id.
 pub async fn upload(client: &http::Client, address: &str, lines: &str) -> String {
+    let answer = try_upload(client, address, lines).await;
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    answer.json()["id"].as_str().expect("file id").to_owned()
+}
+
+/// Uploads a batch file.
+pub async fn try_upload(client: &http::Client, address: &str, lines: &str) -> http::Answer {
     let boundary = "test-boundary-7f3a";
     let body = format!(
         "--{boundary}\r\nContent-Disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n\
@@ -483,12 +493,10 @@
          Content-Type: application/jsonl\r\n\r\n{lines}\r\n--{boundary}--\r\n"
     );
     let content_type = format!("multipart/form-data; boundary={boundary}");
-    let answer = client
+    client
         .post(address, "/v1/files")
         .bytes(&content_type, body)
         .send()
         .await
-        .expect("upload answer");
-    assert_eq!(answer.status, 200, "{}", answer.text());
-    answer.json()["id"].as_str().expect("file id").to_owned()
+        .expect("upload answer")
 }
--- a/programs/dev/tests/fleet/settings.rs
+++ b/programs/dev/tests/fleet/settings.rs
@@ -23,7 +23,7 @@
             })
         })
         .collect();
-    json!({
+    let own = json!({
         "replica": index + 1,
         "name": format!("control-{index}"),
         "listen": fleet.control_address(index),
@@ -32,7 +32,8 @@
         "failure_domain": failure_domain(index),
         "members": members,
         "work_groups": 2,
-    })
+    });
+    merged(own, &fleet.spec.control)
 }
 
 /// Settings of a control replica that replaces a lost one under a new id.
--- a/programs/dev/tests/whole_path.rs
+++ b/programs/dev/tests/whole_path.rs
@@ -135,3 +135,43 @@
         .map(|line| line["custom_id"].as_str().expect("custom id").to_owned())
         .collect()
 }
+
+/// Guards against a full store that answers with an unclear error, or harms
+/// what it has accepted.
+#[tokio::test(flavor = "multi_thread")]
+async fn full_store_refuses_new_files_and_finishes_accepted_work() {
+    let fleet = fleet::Builder {
+        control: serde_json::json!({ "retention": { "max_bytes": 200_000 } }),
+        ..fleet::Builder::default()
+    }
+    .start()
+    .await;
+    let address = fleet.entry_address(0);
+    let mut jobs = Vec::new();
+    let refused = loop {
+        let lines = fleet::batch_lines(300, 2);
+        let answer = fleet::try_upload(&fleet.http, &address, &lines).await;
+        if answer.status != 200 {
+            break answer;
+        }
+        let file = answer.json()["id"].as_str().expect("file id").to_owned();
+        let answer = fleet.create(&address, &file, None).send().await;
+        let answer = answer.expect("answer");
+        if answer.status != 200 {
+            break answer;
+        }
+        jobs.push(answer.json()["id"].as_str().expect("job id").to_owned());
+        assert!(jobs.len() < 50, "the limit has no effect");
+    };
+    assert_eq!(
+        (refused.status, refused.code().as_str()),
+        (503, "storage_full")
+    );
+    assert_eq!(refused.verdict(), "not_run");
+    assert!(refused.headers.contains_key("retry-after"));
+    assert!(!jobs.is_empty());
+    for job in &jobs {
+        let job = fleet.ended(&address, job).await;
+        assert_eq!(job["request_counts"]["completed"], 300, "{job}");
+    }
+}
--- a/programs/entry/src/files/mod.rs
+++ b/programs/entry/src/files/mod.rs
@@ -107,6 +107,12 @@
     refusal::Refusal::may_have_run(refusal::Reason::Internal, message)
 }
 
+/// Refuses a call that found the storage full. The store took nothing in.
+fn full() -> refusal::Refusal {
+    let message = "the storage for batch files and idempotency keys is full";
+    refusal::Refusal::not_run(refusal::Reason::StorageFull, message)
+}
+
 fn not_found(kind: &str, id: &str) -> refusal::Refusal {
     let message = format!("no {kind} {id:?} exists");
     refusal::Refusal::not_run(refusal::Reason::NotFound, message)
--- a/programs/entry/src/files/upload.rs
+++ b/programs/entry/src/files/upload.rs
@@ -8,7 +8,7 @@
 
 use bw_wire::{command::work, fingerprint, id, name, openai, query, refusal};
 
-use super::{Store, group_of, not_found, seconds, splitter, unavailable, unexpected, unique};
+use super::{Store, full, group_of, not_found, seconds, splitter, unavailable, unexpected, unique};
 
 /// Chunks of one upload that are stored at the same time. More raise the
 /// throughput of a single upload no further and take more memory.
@@ -161,6 +161,7 @@
         };
         match self.inner.client.work(group, command).await {
             Ok(work::Reply::Ok) => Ok(()),
+            Ok(work::Reply::Full) => Err(full()),
             Ok(other) => Err(unexpected(&other)),
             // A file without a seal does not exist, so the upload did not run.
             Err(error) => Err(unavailable(&error).verdict(bw_wire::verdict::Verdict::NotRun)),
@@ -184,6 +185,7 @@
         let group = super::group_of_key(self.inner.groups, team, key);
         match self.inner.client.work(group, command).await {
             Ok(work::Reply::Claimed { value, .. }) => Ok(value),
+            Ok(work::Reply::Full) => Err(full()),
             Ok(work::Reply::KeyConflict) => Err(refusal::Refusal::not_run(
                 refusal::Reason::KeyConflict,
                 "the idempotency key was used with another body",
--- a/programs/entry/src/online/once.rs
+++ b/programs/entry/src/online/once.rs
@@ -212,6 +212,11 @@
                 let reason = refusal::Reason::KeyConflict;
                 Err(refusal::Refusal::not_run(reason, message))
             }
+            Reply::Full => {
+                let message = "the storage for idempotency keys is full";
+                let reason = refusal::Reason::StorageFull;
+                Err(refusal::Refusal::not_run(reason, message))
+            }
             Reply::InProgress { holder } => {
                 if !holder_gone && is_gone(shared, &holder) {
                     holder_gone = true;
