Lease only the chunks that the own places need; bound the quiet time

One lease took up to 8 chunks of 256 items in each group whatever the places, so that with 16 chunks two of six entry VMs held all work and the others none. Also, where online requests arrive more often than every 100 ms, the pacer started no stream. Change: one lease at a time, for the items that are missing; the quiet time is at most 0.4 of the average time between online arrivals.

--- a/crates/policy/src/pacer/server.rs
+++ b/crates/policy/src/pacer/server.rs
@@ -8,6 +8,12 @@
 
 /// Window in which a `sync` answer may still describe an earlier count.
 const SYNC_LAG_MS: u64 = 1_500;
+/// Share of the average time between online arrivals that is quiet at most.
+const QUIET_SHARE: f32 = 0.4;
+/// Longest time between online arrivals that counts in the average.
+const MAX_GAP_MS: u64 = 1_000;
+/// Weight of a new time between online arrivals in the average.
+const GAP_SMOOTHING: f32 = 0.1;
 /// Longest time between two calls that start streams: what it earns may start
 /// at once.
 const START_WINDOW_MS: f32 = 50.0;
@@ -63,6 +69,8 @@
     online_peak: peak::Peak,
     arrived_ms: Option<u64>,
     has_arrival: bool,
+    /// Average time between two online arrivals.
+    gap_ms: f32,
     streams: Vec<Running>,
     floor: bool,
     ramp: f32,
@@ -85,6 +93,7 @@
             online_peak: peak::Peak::default(),
             arrived_ms: None,
             has_arrival: false,
+            gap_ms: MAX_GAP_MS as f32,
             streams: Vec::new(),
             floor: false,
             ramp: 0.0,
@@ -191,9 +200,12 @@
     pub(super) fn room(&mut self, settings: &Builder, now_ms: u64) -> u32 {
         let target = self.target(settings, now_ms);
         self.refill(settings, now_ms);
+        // Where online requests arrive often, the quiet time is a share of their
+        // interval; otherwise no stream would start at all.
+        let quiet_ms = settings.quiet_ms.min((self.gap_ms * QUIET_SHARE) as u64);
         let is_quiet = self
             .arrived_ms
-            .is_some_and(|arrived_ms| now_ms.saturating_sub(arrived_ms) < settings.quiet_ms);
+            .is_some_and(|arrived_ms| now_ms.saturating_sub(arrived_ms) < quiet_ms);
         if is_quiet || self.kv_used(settings, now_ms) >= settings.kv_stop {
             return 0;
         }
@@ -324,7 +336,10 @@
         self.online = self.own + others;
         self.online_peak.set(self.online, now_ms);
         if self.online > before {
-            self.arrived_ms = Some(now_ms);
+            if let Some(arrived_ms) = self.arrived_ms.replace(now_ms) {
+                let gap_ms = now_ms.saturating_sub(arrived_ms).min(MAX_GAP_MS) as f32;
+                self.gap_ms += GAP_SMOOTHING * (gap_ms - self.gap_ms);
+            }
             self.has_arrival = true;
         }
     }
--- a/crates/policy/tests/pacer.rs
+++ b/crates/policy/tests/pacer.rs
@@ -286,6 +286,40 @@
     assert_eq!(started.min(1), streams);
 }
 
+/// Guards against frequent online arrivals after which no stream ever starts.
+#[test]
+fn frequent_arrivals_do_not_stop_batch_work() {
+    let mut pacer = pacer();
+    let mut next = 0;
+    let mut ends = collections::VecDeque::new();
+    let mut used = 0;
+    for now_ms in (0..6_000).step_by(5) {
+        // An arrival each 50 ms, in flight for 25 ms; streams last 3 s.
+        for stream in pacer.own_online(ID, u32::from(now_ms % 50 < 25), now_ms) {
+            pacer.stopped(ID, stream, now_ms);
+            ends.retain(|&(_, other)| other != stream);
+        }
+        while ends.front().is_some_and(|&(end_ms, _)| end_ms <= now_ms) {
+            let (_, stream) = ends.pop_front().expect("a stream");
+            pacer.stopped(ID, stream, now_ms);
+        }
+        for room in pacer.room(now_ms) {
+            for _ in 0..room.streams {
+                next += 1;
+                pacer.started(ID, stream(next), now_ms);
+                ends.push_back((now_ms + 3_000, next));
+            }
+        }
+        used += if now_ms >= 3_000 {
+            pacer.running(ID)
+        } else {
+            0
+        };
+    }
+    let average = used / 600;
+    assert!(average >= 20, "{average} of {CAPACITY} places");
+}
+
 /// Guards against batch work that never runs again under lasting online load,
 /// and against a floor that makes online requests wait.
 #[rstest]
--- a/programs/entry/src/batch/dispatch.rs
+++ b/programs/entry/src/batch/dispatch.rs
@@ -83,6 +83,8 @@
     ticks: u64,
     streams: u64,
     is_draining: bool,
+    /// Whether chunks are being leased; the groups take turns.
+    is_taking: bool,
 }
 
 impl Dispatcher {
@@ -108,6 +110,7 @@
             ticks: 0,
             streams: 0,
             is_draining: false,
+            is_taking: false,
             settings,
             context,
         }
@@ -313,15 +316,25 @@
 
     /// Returns whether more items should be leased.
     fn wants_items(&mut self, now_ms: u64) -> bool {
+        self.missing_items(now_ms) > 0
+    }
+
+    /// Returns how many more items should be leased. Taking more than the
+    /// places need would leave other entry VMs without work.
+    fn missing_items(&mut self, now_ms: u64) -> usize {
         if self.is_draining || !self.context.shared.lease.is_valid(now_ms) {
-            return false;
+            return 0;
         }
         let mut places = 0;
         for id in self.owned.keys() {
             places += self.pacer.target(id, now_ms) as usize;
         }
         // Twice the places: the next items are at hand when the first ones end.
-        places > 0 && self.queue.len() < (2 * places).max(MIN_ITEMS)
+        if places == 0 {
+            return 0;
+        }
+        let wanted = (2 * places).max(MIN_ITEMS);
+        wanted.saturating_sub(self.queue.len())
     }
 
     /// Gives chunks back for whose model this entry VM owns no backend server.
@@ -515,22 +528,27 @@
     }
 
     fn polled(&mut self, group: u32, chunks: Option<u32>, now_ms: u64) {
-        let wants_items = self.wants_items(now_ms);
+        let missing = self.missing_items(now_ms);
         let Some(state) = self.groups.get_mut(&group) else {
             return;
         };
         let waiting = chunks.unwrap_or(0);
-        if waiting == 0 || !wants_items {
+        if waiting == 0 || missing == 0 || self.is_taking {
             state.polling = false;
-            state.next_poll_ms = now_ms + self.settings.poll_ms;
+            let is_later = waiting > 0 && self.is_taking;
+            let pause_ms = if is_later { 0 } else { self.settings.poll_ms };
+            state.next_poll_ms = now_ms + pause_ms;
             return;
         }
-        let want = waiting.min(TAKE_CHUNKS);
+        self.is_taking = true;
+        let chunks = u32::try_from(missing.div_ceil(work::CHUNK_ITEMS)).unwrap_or(TAKE_CHUNKS);
+        let want = waiting.min(chunks).min(TAKE_CHUNKS);
         let call = self.remote.clone().take(group, want, now_ms);
         self.tasks.spawn(async { Done::Answered(call.await) });
     }
 
     fn taken(&mut self, group: u32, sent_ms: u64, leases: Vec<work::Lease>, now_ms: u64) {
+        self.is_taking = false;
         if let Some(state) = self.groups.get_mut(&group) {
             state.polling = false;
             if leases.is_empty() {
