Send only changes of the backend server table in sync

Each answer to `sync`, every 500 ms, repeated all announcements, peers and owners.

The request now names the version of the table that the entry VM applied last. The answer holds changed or new announcements, removed slots, and peers and owners only if they changed since that version. It is whole after a leader change, for an unknown version, and when a removal is no longer remembered. Slots are not reused within a term. Announcements in requests stay whole.

After the change, `slopes` renews each backend server once a second with another load each time and does not count the first, whole answers; before, it reported a constant load.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod prefix;
 pub mod query;
 pub mod refusal;
+pub mod renewal;
 pub mod rpc;
 pub mod sync;
 pub mod verdict;
--- a/crates/wire/src/sync.rs
+++ b/crates/wire/src/sync.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{backend, command, intent, name};
+use crate::{backend, command, intent, name, renewal};
 
 /// How long an entry VM may admit new work after it sent a `sync` that was
 /// answered, in milliseconds.
@@ -27,10 +27,13 @@
     pub revision: u64,
     /// The term of the leader that answered last; a change asks for a full report.
     pub leader_term: u64,
+    /// The version of the table in the last answer that was applied; 0 asks for
+    /// the whole table.
+    pub table: u64,
     /// Announcements heard directly since the last report, with their age.
     /// After a leader change, all that are known.
     pub heard: Vec<Heard>,
-    /// Online requests in flight by backend server.
+    /// Online requests in flight by backend server, without zeros.
     pub online: collections::BTreeMap<name::Name, u32>,
     /// Whether it is shutting down and takes no batch ownership.
     pub draining: bool,
@@ -45,6 +48,17 @@
     pub age_ms: u64,
 }
 
+/// A backend server in the leader's table.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Listed {
+    /// Its number in the table.
+    pub slot: u32,
+    /// The sequence number that renewals count from.
+    pub base: u64,
+    /// The announcement, and the age of the last one.
+    pub heard: Heard,
+}
+
 /// What the control leader answers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Response {
@@ -56,14 +70,23 @@
     pub revision: u64,
     /// The intent, if the entry VM's revision is older.
     pub intent: Option<Box<intent::Intent>>,
-    /// All known backend servers with the age of the last renewal.
-    pub backends: Vec<Heard>,
-    /// Other entry VMs.
-    pub peers: Vec<Peer>,
-    /// Online requests in flight by backend server, over the other entry VMs.
-    pub online: collections::BTreeMap<name::Name, u32>,
-    /// Owner entry VM of each backend server's batch work.
-    pub owners: collections::BTreeMap<name::Name, name::Name>,
+    /// The version of the table after this answer.
+    pub table: u64,
+    /// Whether the answer holds the whole table and replaces what is known of it.
+    pub whole: bool,
+    /// Backend servers that are new or changed since the version in the request.
+    pub backends: Vec<Listed>,
+    /// Slots of backend servers removed since that version. Slots are not reused.
+    pub removed: Vec<u32>,
+    /// Renewals of other backend servers since that version.
+    pub renewals: renewal::Packed,
+    /// Other entry VMs, if they changed since that version.
+    pub peers: Option<Vec<Peer>>,
+    /// Online requests in flight by slot, over the other entry VMs, without zeros.
+    pub online: renewal::Counts,
+    /// Owner entry VM of each backend server's batch work, if any changed since
+    /// that version.
+    pub owners: Option<collections::BTreeMap<name::Name, name::Name>>,
     /// Suspected requests.
     pub suspects: Vec<command::work::Suspect>,
 }
--- a/programs/control/examples/registry_bench.rs
+++ b/programs/control/examples/registry_bench.rs
@@ -29,15 +29,18 @@
     let mut registry_time = time::Duration::ZERO;
     let mut encode_time = time::Duration::ZERO;
     let mut bytes = 0;
+    let mut tables = vec![0; entries as usize];
     for round in 0..ROUNDS {
         let now_ms = 1_000 + round * sync::INTERVAL_MS;
         for entry in 0..entries {
-            let request = request(entry, entries, backends, round);
+            let table = tables[entry as usize];
+            let request = request(entry, entries, backends, round, table);
             let start = time::Instant::now();
             let response = registry
                 .sync(now_ms, request, current)
                 .expect("newest process");
             registry_time += start.elapsed();
+            tables[entry as usize] = response.table;
             let start = time::Instant::now();
             bytes += serde_json::to_vec(&response).expect("encodable").len();
             encode_time += start.elapsed();
@@ -60,7 +63,7 @@
 }
 
 /// Builds a report: every backend server renews once a second at some entry VM.
-fn request(entry: u64, entries: u64, backends: u64, round: u64) -> sync::Request {
+fn request(entry: u64, entries: u64, backends: u64, round: u64, table: u64) -> sync::Request {
     let heard = (0..backends).filter(|backend| (backend + round) % (entries * 2) == entry);
     sync::Request {
         entry: format!("entry-{entry}").into(),
@@ -69,6 +72,7 @@
         peer_address: "10.0.0.1:8082".into(),
         revision: 1,
         leader_term: 1,
+        table,
         heard: heard.map(|backend| announce(backend, round)).collect(),
         online: (0..backends)
             .map(|backend| (format!("batting-desk-{backend}").into(), 3))
--- a/programs/control/src/registry/mod.rs
+++ b/programs/control/src/registry/mod.rs
@@ -5,7 +5,7 @@
 
 use std::{collections, ops};
 
-use bw_wire::{backend, intent, name, rpc, sync};
+use bw_wire::{backend, intent, name, renewal, rpc, sync};
 
 /// Added to a configuration lease at the leader, for clocks that run apart.
 const LEASE_MARGIN_MS: u64 = 100;
@@ -15,6 +15,13 @@
 /// Interval of expiry and assignment, which go through the whole fleet. When all
 /// entry VMs join at once, they are assigned together.
 const TIDY_MS: u64 = 100;
+/// Removed slots that are remembered; an entry VM that is further behind gets
+/// the whole table.
+const REMOVED_KEPT: usize = 1_024;
+/// Smallest part of a load figure whose change is sent to entry VMs.
+const LOAD_PART: f32 = 0.125;
+/// Smallest change of the share of KV memory in use that is sent to entry VMs.
+const KV_STEP: f32 = 0.03;
 /// The term of the first leader ever.
 const FIRST_TERM: u64 = 1;
 
@@ -33,6 +40,17 @@
     online: collections::BTreeMap<name::Name, u32>,
     /// When entry VMs were expired and ownership was assigned last.
     tidied_ms: u64,
+    /// The version of the table in the last answer. Changes carry the next one.
+    version: u64,
+    next_slot: u32,
+    /// Removed slots with the version of their removal, oldest first.
+    removed: collections::VecDeque<(u64, u32)>,
+    /// The version below which removals are forgotten.
+    removed_from: u64,
+    /// The versions of the last change of entry VMs and of owners.
+    peers_version: u64,
+    owners_version: u64,
+    granted: collections::BTreeMap<name::Name, name::Name>,
 }
 
 /// An entry VM's process. An older process of the same name may still hold a
@@ -60,6 +78,22 @@
     pub announcement: backend::Announcement,
     /// When it last renewed.
     pub renewed_ms: u64,
+    /// What entry VMs were told of it.
+    pub row: Row,
+}
+
+/// The row of a backend server in the table that entry VMs know.
+#[derive(Clone, Debug, Default)]
+pub struct Row {
+    slot: u32,
+    /// The sequence number that renewals to entry VMs count from.
+    base: u64,
+    /// The load figures that entry VMs are told.
+    told: backend::Load,
+    /// The versions of the last change of the profile, the renewal and the load.
+    profile_version: u64,
+    renewal_version: u64,
+    load_version: u64,
 }
 
 /// The configuration and leadership that a `sync` is answered with.
@@ -133,7 +167,8 @@
             self.expire(now_ms);
             self.assign(now_ms);
         }
-        Ok(self.response(now_ms, &key, request.revision, current))
+        let since = self.since(request.leader_term, request.table);
+        Ok(self.response(now_ms, &key, request.revision, since, current))
     }
 
     /// Tells how far a revision is in force.
@@ -168,16 +203,30 @@
 
     /// Drops what has expired.
     pub fn expire(&mut self, now_ms: u64) {
+        let next = self.version + 1;
         let online = &mut self.online;
+        let peers_version = &mut self.peers_version;
         self.entries.retain(|_, entry| {
             let keep = entry.has_lease(now_ms);
             if !keep {
                 subtract(online, &entry.online);
+                *peers_version = next;
+            }
+            keep
+        });
+        let removed = &mut self.removed;
+        self.backends.retain(|_, backend| {
+            let keep = now_ms < backend.renewed_ms + BACKEND_KEPT_MS;
+            if !keep {
+                removed.push_back((next, backend.row.slot));
             }
             keep
         });
-        self.backends
-            .retain(|_, backend| now_ms < backend.renewed_ms + BACKEND_KEPT_MS);
+        while self.removed.len() > REMOVED_KEPT {
+            if let Some((version, _)) = self.removed.pop_front() {
+                self.removed_from = version;
+            }
+        }
     }
 
     fn newer(&self, key: &Key) -> bool {
@@ -192,31 +241,53 @@
             let sum = self.online.entry(backend.clone()).or_default();
             *sum = sum.saturating_add(*count);
         }
-        if let Some(before) = self.entries.insert(key, entry) {
+        let synced_ms = entry.synced_ms;
+        let listed = (entry.failure_domain.clone(), entry.address.clone());
+        let before = self.entries.insert(key, entry);
+        // An entry VM whose lease ended may be missing in answers since then.
+        let same = before.as_ref().is_some_and(|before| {
+            before.has_lease(synced_ms)
+                && before.failure_domain == listed.0
+                && before.address == listed.1
+        });
+        if !same {
+            self.peers_version = self.version + 1;
+        }
+        if let Some(before) = before {
             subtract(&mut self.online, &before.online);
         }
     }
 
     fn hear(&mut self, now_ms: u64, heard: sync::Heard) {
         let renewed_ms = now_ms.saturating_sub(heard.age_ms);
+        let next = self.version + 1;
         let place = self.backends.entry(heard.announcement.id.clone());
         match place {
             collections::btree_map::Entry::Vacant(place) => {
                 place.insert(Backend {
-                    announcement: heard.announcement,
                     renewed_ms,
+                    row: Row {
+                        slot: self.next_slot,
+                        base: heard.announcement.sequence,
+                        told: heard.announcement.load,
+                        profile_version: next,
+                        renewal_version: next,
+                        load_version: next,
+                    },
+                    announcement: heard.announcement,
                 });
+                self.next_slot += 1;
             }
             collections::btree_map::Entry::Occupied(mut place) => {
                 let known = place.get_mut();
                 let order = version(&heard.announcement).cmp(&version(&known.announcement));
                 if order.is_gt() {
-                    known.announcement = heard.announcement;
-                    known.renewed_ms = renewed_ms;
-                } else if order.is_eq() {
+                    known.renew(heard.announcement, renewed_ms, next);
+                } else if order.is_eq() && renewed_ms < known.renewed_ms {
                     // The age of one announcement is known to differ only by
                     // delays, so the oldest time is the safest.
-                    known.renewed_ms = known.renewed_ms.min(renewed_ms);
+                    known.renewed_ms = renewed_ms;
+                    known.row.renewal_version = next;
                 }
             }
         }
@@ -234,6 +305,11 @@
             .map(|(key, _)| key.entry.clone())
             .collect();
         self.owners.assign(now_ms, self.backends.keys(), able);
+        let granted = self.owners.granted();
+        if granted != self.granted {
+            self.granted = granted;
+            self.owners_version = self.version + 1;
+        }
     }
 
     fn response(
@@ -241,34 +317,71 @@
         now_ms: u64,
         key: &Key,
         revision: u64,
+        since: Option<u64>,
         current: Current<'_>,
     ) -> sync::Response {
         let newer = revision != current.revision;
-        let owners = self.owners.granted();
+        // Changes since the last answer carry this version.
+        self.version += 1;
+        let changed = |version: u64| since.is_none_or(|since| version > since);
         self.owners.renew(&key.entry, now_ms + lease_ms());
         sync::Response {
             leader_term: self.term,
             lease_ms: sync::CONFIG_LEASE_MS,
             revision: current.revision,
             intent: newer.then(|| Box::new(current.intent.clone())),
-            backends: self.heard(now_ms),
-            peers: self.peers(now_ms, key),
+            table: self.version,
+            whole: since.is_none(),
+            backends: self.listed(now_ms, since),
+            removed: self.removed_since(since),
+            renewals: self.renewals(now_ms, since),
+            peers: changed(self.peers_version).then(|| self.peers(now_ms, key)),
             online: self.online(key),
-            owners,
+            owners: changed(self.owners_version).then(|| self.granted.clone()),
             suspects: Vec::new(),
         }
     }
 
-    fn heard(&self, now_ms: u64) -> Vec<sync::Heard> {
+    /// Returns the version that an answer builds on; none if it must be whole.
+    fn since(&self, term: u64, table: u64) -> Option<u64> {
+        let known = term == self.term && table > 0 && table <= self.version;
+        (known && table >= self.removed_from).then_some(table)
+    }
+
+    fn listed(&self, now_ms: u64, since: Option<u64>) -> Vec<sync::Listed> {
+        let since = since.unwrap_or(0);
         let backends = self.backends.values();
         backends
-            .map(|backend| sync::Heard {
-                announcement: backend.announcement.clone(),
-                age_ms: now_ms.saturating_sub(backend.renewed_ms),
+            .filter(|backend| backend.row.profile_version > since)
+            .map(|backend| sync::Listed {
+                slot: backend.row.slot,
+                base: backend.row.base,
+                heard: backend.heard(now_ms),
             })
             .collect()
     }
 
+    fn removed_since(&self, since: Option<u64>) -> Vec<u32> {
+        let since = since.unwrap_or(u64::MAX);
+        let removed = self.removed.iter();
+        removed
+            .filter(|(version, _)| *version > since)
+            .map(|(_, slot)| *slot)
+            .collect()
+    }
+
+    /// Returns the renewals of backend servers whose profile an entry VM knows.
+    fn renewals(&self, now_ms: u64, since: Option<u64>) -> renewal::Packed {
+        let since = since.unwrap_or(u64::MAX);
+        let backends = self.backends.values();
+        let renewed = backends
+            .filter(|backend| {
+                backend.row.profile_version <= since && backend.row.renewal_version > since
+            })
+            .map(|backend| backend.renewal(now_ms, since));
+        renewal::Packed::new(renewed.collect())
+    }
+
     fn peers(&self, now_ms: u64, own: &Key) -> Vec<sync::Peer> {
         self.entries
             .iter()
@@ -283,12 +396,16 @@
     }
 
     /// Returns the online counts without those of one entry VM.
-    fn online(&self, own: &Key) -> collections::BTreeMap<name::Name, u32> {
+    fn online(&self, own: &Key) -> renewal::Counts {
         let mut others = self.online.clone();
         if let Some(entry) = self.entries.get(own) {
             subtract(&mut others, &entry.online);
         }
-        others
+        let slots = others.iter().filter_map(|(id, count)| {
+            let backend = self.backends.get(id)?;
+            Some((backend.row.slot, *count))
+        });
+        renewal::Counts::new(slots.collect())
     }
 }
 
@@ -307,6 +424,58 @@
     }
 }
 
+impl Backend {
+    fn renew(&mut self, announcement: backend::Announcement, renewed_ms: u64, version: u64) {
+        self.renewed_ms = renewed_ms;
+        self.row.renewal_version = version;
+        if !same_profile(&announcement, &self.announcement) {
+            self.row.base = announcement.sequence;
+            self.row.profile_version = version;
+        }
+        if differs(&announcement.load, &self.row.told) {
+            self.row.told = announcement.load;
+            self.row.load_version = version;
+        }
+        self.announcement = announcement;
+    }
+
+    fn heard(&self, now_ms: u64) -> sync::Heard {
+        sync::Heard {
+            announcement: self.announcement.clone(),
+            age_ms: now_ms.saturating_sub(self.renewed_ms),
+        }
+    }
+
+    fn renewal(&self, now_ms: u64, since: u64) -> renewal::Renewal {
+        let age_ms = now_ms.saturating_sub(self.renewed_ms);
+        let sequence = self.announcement.sequence - self.row.base;
+        let load = (self.row.load_version > since).then_some(self.row.told);
+        renewal::Renewal::new(self.row.slot, sequence, age_ms, load)
+    }
+}
+
+/// Returns whether announcements differ in sequence number and load only.
+fn same_profile(one: &backend::Announcement, other: &backend::Announcement) -> bool {
+    one.incarnation == other.incarnation
+        && one.address == other.address
+        && one.kind == other.kind
+        && one.service == other.service
+        && one.failure_domain == other.failure_domain
+        && one.state == other.state
+        && one.loaded == other.loaded
+        && one.capacity == other.capacity
+        && one.fence == other.fence
+}
+
+/// Returns whether load figures differ enough to matter for routing.
+fn differs(load: &backend::Load, told: &backend::Load) -> bool {
+    let part = |now: f32, told: f32| (now - told).abs() > told.max(now) * LOAD_PART;
+    part(load.running as f32, told.running as f32)
+        || part(load.waiting as f32, told.waiting as f32)
+        || part(load.step_ms, told.step_ms)
+        || (load.kv_used - told.kv_used).abs() > KV_STEP
+}
+
 impl Entry {
     fn has_lease(&self, now_ms: u64) -> bool {
         now_ms < self.synced_ms + lease_ms()
--- a/programs/control/tests/placement.rs
+++ b/programs/control/tests/placement.rs
@@ -4,7 +4,7 @@
 
 use bw_control::{
     placement::{Input, Placement, Plan, Settings},
-    registry::Backend,
+    registry::{Backend, Row},
 };
 use bw_wire::{backend, intent, name::Name};
 
@@ -67,6 +67,7 @@
         let known = Backend {
             announcement,
             renewed_ms: self.now_ms,
+            row: Row::default(),
         };
         self.backends.insert(id.into(), known);
     }
--- a/programs/control/tests/processes/engines.rs
+++ b/programs/control/tests/processes/engines.rs
@@ -103,6 +103,7 @@
             peer_address: "127.0.0.1:1".into(),
             revision: 1,
             leader_term: 0,
+            table: 0,
             heard: vec![heard],
             online: collections::BTreeMap::new(),
             draining: false,
--- a/programs/control/tests/registry.rs
+++ b/programs/control/tests/registry.rs
@@ -15,6 +15,7 @@
         peer_address: "127.0.0.1:9".into(),
         revision,
         leader_term: 1,
+        table: 0,
         heard: Vec::new(),
         online: collections::BTreeMap::new(),
         draining: false,
@@ -52,6 +53,27 @@
         .expect("newest process")
 }
 
+fn owners(response: &sync::Response) -> &collections::BTreeMap<Name, Name> {
+    response.owners.as_ref().expect("a whole answer")
+}
+
+fn peers(response: &sync::Response) -> &[sync::Peer] {
+    response.peers.as_ref().expect("a whole answer")
+}
+
+fn online(response: &sync::Response) -> collections::BTreeMap<Name, u32> {
+    let counts = response.online.unpack().expect("well-formed counts");
+    let id = |slot: u32| {
+        let mut listed = response.backends.iter();
+        let listed = listed.find(|listed| listed.slot == slot);
+        listed.expect("a listed slot").heard.announcement.id.clone()
+    };
+    counts
+        .into_iter()
+        .map(|(slot, count)| (id(slot), count))
+        .collect()
+}
+
 /// Guards against "in force" while an entry VM may still serve an old revision.
 #[test]
 fn a_revision_is_in_force_once_every_lease_carries_it() {
@@ -84,7 +106,7 @@
     let mut report = request("a", 1, 7);
     report.heard = vec![heard("e", 1, 0)];
     let response = sync_at(&mut registry, 1_500, report);
-    assert_eq!(response.owners.len(), 1);
+    assert_eq!(owners(&response).len(), 1);
     assert!(registry.in_force(1_500, 7, 7).everywhere);
 }
 
@@ -120,20 +142,37 @@
         .collect();
     let response = sync_at(&mut registry, 2_000, first.clone());
     assert!(
-        response.owners.is_empty(),
+        owners(&response).is_empty(),
         "leases of the previous leader may run"
     );
     let response = sync_at(&mut registry, 10_000, first);
-    assert!(response.owners.values().all(|owner| owner.as_str() == "a"));
+    assert!(
+        owners(&response)
+            .values()
+            .all(|owner| owner.as_str() == "a")
+    );
     let response = sync_at(&mut registry, 10_100, request("b", 1, 7));
-    let kept = response.owners.len();
-    assert!(kept < 32 && response.owners.values().all(|owner| owner.as_str() == "a"));
+    let kept = owners(&response).len();
+    assert!(
+        kept < 32
+            && owners(&response)
+                .values()
+                .all(|owner| owner.as_str() == "a")
+    );
     // `a` stays silent: what moves goes to `b` when the lease is over, not before.
     let response = sync_at(&mut registry, 10_000 + LEASE_MS, request("b", 1, 7));
-    assert!(response.owners.values().all(|owner| owner.as_str() == "a"));
+    assert!(
+        owners(&response)
+            .values()
+            .all(|owner| owner.as_str() == "a")
+    );
     let response = sync_at(&mut registry, 10_300 + LEASE_MS, request("b", 1, 7));
-    assert_eq!(response.owners.len(), 32);
-    assert!(response.owners.values().all(|owner| owner.as_str() == "b"));
+    assert_eq!(owners(&response).len(), 32);
+    assert!(
+        owners(&response)
+            .values()
+            .all(|owner| owner.as_str() == "b")
+    );
 }
 
 /// Guards against an entry VM that takes batch work while it shuts down.
@@ -145,7 +184,7 @@
     draining.heard = vec![heard("e", 1, 0)];
     draining.draining = true;
     let response = sync_at(&mut registry, 10_000, draining);
-    assert!(response.owners.is_empty());
+    assert!(owners(&response).is_empty());
 }
 
 /// Guards against a reordered announcement that revives a backend server.
@@ -159,15 +198,15 @@
     report.heard = vec![newer, heard("e", 4, 0)];
     let response = sync_at(&mut registry, 10_000, report);
     assert_eq!(
-        response.backends[0].announcement.state,
+        response.backends[0].heard.announcement.state,
         backend::State::Leaving
     );
-    assert_eq!(response.backends[0].age_ms, 100);
+    assert_eq!(response.backends[0].heard.age_ms, 100);
     // The same announcement heard again does not count as a renewal.
     let mut again = request("b", 1, 7);
     again.heard = vec![heard("e", 5, 0)];
     let response = sync_at(&mut registry, 11_000, again);
-    assert_eq!(response.backends[0].age_ms, 1_100);
+    assert_eq!(response.backends[0].heard.age_ms, 1_100);
 }
 
 /// Guards against counts of the asking entry VM or of a dead one.
@@ -177,13 +216,14 @@
     registry.reset(0, 2);
     for (entry, count) in [("a", 1), ("b", 10), ("c", 100)] {
         let mut report = request(entry, 1, 7);
+        report.heard = vec![heard("e", 1, 0)];
         report.online.insert("e".into(), count);
         sync_at(&mut registry, 10_000, report);
     }
     let response = sync_at(&mut registry, 10_500, request("a", 1, 7));
-    assert_eq!(response.online.get("e"), Some(&110));
-    assert_eq!(response.peers.len(), 2);
+    assert_eq!(online(&response).get("e"), Some(&110));
+    assert_eq!(peers(&response).len(), 2);
     let response = sync_at(&mut registry, 10_500 + LEASE_MS, request("a", 1, 7));
-    assert_eq!(response.online.get("e"), None);
-    assert!(response.peers.is_empty());
+    assert_eq!(online(&response).get("e"), None);
+    assert!(peers(&response).is_empty());
 }
--- a/programs/dev/examples/slopes.rs
+++ b/programs/dev/examples/slopes.rs
@@ -261,20 +261,35 @@
     let memory = Usage::now();
     let mut now_ms = 1;
     for entry in 0..entries {
-        let request = report(entry, backends, backends);
+        let request = report(entry, backends, backends, (1, 0));
         hint::black_box(registry.sync(now_ms, request, current).expect("answer"));
     }
     let memory = memory.until_now();
     let before = Usage::now();
-    for _ in 0..EXCHANGES {
+    let mut tables = vec![0; entries as usize];
+    let heard_each = backends.div_ceil(entries * 2);
+    for exchange in 0..=EXCHANGES {
+        // The first exchange carries whole tables and is not counted.
+        if exchange == 1 {
+            (bytes_up, bytes_down) = (0, 0);
+        }
+        let half = exchange % 2;
+        let sequence = u64::from(exchange) + 2;
         now_ms += sync::INTERVAL_MS;
         for entry in 0..entries {
             // The balancer spreads renewals, one a second, over the entry VMs.
-            let heard = backends.div_ceil(entries * 2);
-            let up = serde_json::to_vec(&report(entry, heard, backends)).expect("encoded");
+            let heard = heard_each;
+            let table = tables[entry as usize];
+            let mut request = report(entry, heard, backends, (sequence, table));
+            for (number, heard) in request.heard.iter_mut().enumerate() {
+                let spread = (entry * heard_each + number as u32 + half * backends / 2) % backends;
+                heard.announcement.id = format!("engine-{spread}").into();
+            }
+            let up = serde_json::to_vec(&request).expect("encoded");
             bytes_up += up.len();
             let request = serde_json::from_slice(&up).expect("decoded");
             let answer = registry.sync(now_ms, request, current).expect("answer");
+            tables[entry as usize] = answer.table;
             let down = serde_json::to_vec(&answer).expect("encoded");
             bytes_down += down.len();
             hint::black_box(down);
@@ -294,7 +309,7 @@
     })
 }
 
-fn report(entry: u32, heard: u32, backends: u32) -> sync::Request {
+fn report(entry: u32, heard: u32, backends: u32, (sequence, table): (u64, u64)) -> sync::Request {
     let online = (0..backends)
         .map(|backend| (format!("engine-{backend}").into(), backend % 16))
         .collect();
@@ -305,17 +320,20 @@
         peer_address: "127.0.0.1:8090".into(),
         revision: 1,
         leader_term: 1,
-        heard: (0..heard).map(announcement).collect(),
+        table,
+        heard: (0..heard)
+            .map(|number| announcement(number, sequence))
+            .collect(),
         online,
         draining: false,
     }
 }
 
-fn announcement(number: u32) -> sync::Heard {
+fn announcement(number: u32, sequence: u64) -> sync::Heard {
     let announcement = backend::Announcement {
         id: format!("engine-{number}").into(),
         incarnation: 1,
-        sequence: 1,
+        sequence,
         address: "127.0.0.1:9001".into(),
         kind: backend::Kind::Engine,
         service: "engines".into(),
@@ -328,7 +346,14 @@
         }],
         capacity: 32,
         fence: 0,
-        load: backend::Load::default(),
+        // Each renewal has another load, which is the worst case.
+        load: backend::Load {
+            running: 8 + 8 * (sequence % 2) as u32,
+            waiting: (sequence % 3) as u32,
+            kv_used: 0.3 + 0.1 * (sequence % 4) as f32,
+            step_ms: 20.0 + 5.0 * (sequence % 2) as f32,
+            age_ms: 40,
+        },
     };
     sync::Heard {
         announcement,
--- a/programs/entry/src/controller/exchange.rs
+++ b/programs/entry/src/controller/exchange.rs
@@ -5,7 +5,10 @@
 use bw_client::control;
 use bw_wire::{name, sync as wire_sync};
 
-use super::run::{Controller, Done};
+use super::{
+    listing,
+    run::{Controller, Done},
+};
 use crate::{metrics, snapshot};
 
 /// Shortest time between two exchanges, in milliseconds.
@@ -19,6 +22,7 @@
     urgent: bool,
     full_report: bool,
     leader_term: u64,
+    table: u64,
 }
 
 impl Default for Schedule {
@@ -29,6 +33,7 @@
             urgent: true,
             full_report: true,
             leader_term: 0,
+            table: 0,
         }
     }
 }
@@ -78,6 +83,8 @@
 
     fn sync_request(&self, now_ms: u64) -> wire_sync::Request {
         let settings = &self.shared.settings;
+        let mut online = self.shared.table.online();
+        online.retain(|_, count| *count > 0);
         wire_sync::Request {
             entry: settings.name.clone(),
             incarnation: self.shared.incarnation,
@@ -85,8 +92,9 @@
             peer_address: self.peer_address.clone(),
             revision: self.state.revision,
             leader_term: self.schedule.leader_term,
+            table: self.schedule.table,
             heard: self.registry.report(now_ms, self.schedule.full_report),
-            online: self.shared.table.online(),
+            online,
             draining: self.shared.drain.is_draining(),
         }
     }
@@ -115,18 +123,35 @@
             // A new leader knows no backend servers yet.
             self.schedule.hurry();
         }
-        self.take_backends(sent_ms, &response.backends);
-        self.peers.update(&response.peers);
+        let (heard, online) = match self.listing.apply(&response) {
+            Ok(changes) => {
+                self.schedule.table = response.table;
+                changes
+            }
+            Err(listing::Unknown) => {
+                log::warn!("answer does not fit the known table, which is asked for anew");
+                self.schedule.table = 0;
+                self.schedule.hurry();
+                return;
+            }
+        };
+        self.take_backends(sent_ms, &heard);
         let now_ms = self.shared.clock.now_ms();
         self.shared
             .table
-            .with(|state, now_ms| state.router.fleet(&response.online, now_ms));
-        self.state.online = response.online;
+            .with(|state, now_ms| state.router.fleet(&online, now_ms));
+        self.state.online = online;
         self.shared
             .with_suspects(|suspects, now_ms| suspects.sync(&response.suspects, now_ms));
-        self.note_absent(&response.peers, now_ms);
-        let mut changed = replace(&mut self.state.peers, response.peers);
-        changed |= replace(&mut self.state.owners, sync::Arc::new(response.owners));
+        let mut changed = false;
+        if let Some(peers) = response.peers {
+            self.peers.update(&peers);
+            self.note_absent(&peers, now_ms);
+            changed |= replace(&mut self.state.peers, peers);
+        }
+        if let Some(owners) = response.owners {
+            changed |= replace(&mut self.state.owners, sync::Arc::new(owners));
+        }
         let revision = self.state.revision;
         if let Some(intent) = response.intent
             && response.revision > revision
--- a/programs/entry/src/controller/mod.rs
+++ b/programs/entry/src/controller/mod.rs
@@ -7,6 +7,7 @@
 mod exchange;
 mod guard;
 mod health;
+pub mod listing;
 mod peers;
 mod probe;
 mod registry;
--- a/programs/entry/src/controller/run.rs
+++ b/programs/entry/src/controller/run.rs
@@ -10,7 +10,7 @@
 use super::{
     Break, Event, Sender,
     exchange::{Schedule, Synced},
-    health, peers, probe, registry,
+    health, listing, peers, probe, registry,
 };
 use crate::{context, metrics, snapshot, upstream};
 
@@ -73,6 +73,7 @@
     bound: net::SocketAddr,
     pub(super) state: State,
     pub(super) registry: registry::Registry,
+    pub(super) listing: listing::Listing,
     pub(super) peers: peers::Peers,
     pub(super) schedule: Schedule,
     pub(super) sync_client: control::Client,
@@ -113,6 +114,7 @@
             bound: address,
             state: State::default(),
             registry: registry::Registry::default(),
+            listing: listing::Listing::default(),
             peers: peers::Peers::new(own_token),
             schedule: Schedule::default(),
             sync_client,
--- a/programs/entry/tests/batch.rs
+++ b/programs/entry/tests/batch.rs
@@ -17,7 +17,7 @@
         work::{Command, Content, Line, Outcome, Reply, Result, Suspect},
     },
     fingerprint::Fingerprint,
-    intent, name, openai, query, rpc, sync as wire_sync,
+    intent, name, openai, query, renewal, rpc, sync as wire_sync,
 };
 use jsonrpsee::{RpcModule, server::ServerBuilder, types::ErrorObjectOwned};
 use rstest::rstest;
@@ -38,6 +38,8 @@
     owners: collections::BTreeMap<name::Name, name::Name>,
     /// Online requests of other entry VMs.
     online: collections::BTreeMap<name::Name, u32>,
+    /// Announcements that the entry VM reported.
+    heard: collections::BTreeMap<name::Name, bw_wire::backend::Announcement>,
     /// Renewals that were answered.
     renewals: usize,
     /// Records that were answered.
@@ -49,6 +51,27 @@
 }
 
 impl State {
+    /// Lists the reported backend servers, with an age that proves nothing.
+    fn listed(&self) -> Vec<wire_sync::Listed> {
+        let heard = (0..).zip(self.heard.values());
+        heard
+            .map(|(slot, announcement)| wire_sync::Listed {
+                slot,
+                base: announcement.sequence,
+                heard: wire_sync::Heard {
+                    announcement: announcement.clone(),
+                    age_ms: 29_000,
+                },
+            })
+            .collect()
+    }
+
+    fn counts(&self) -> renewal::Counts {
+        let slots = (0..).zip(self.heard.keys());
+        let counts = slots.filter_map(|(slot, id)| Some((slot, *self.online.get(id)?)));
+        renewal::Counts::new(counts.collect())
+    }
+
     fn suspects(&self) -> Vec<Suspect> {
         match self.machine.query(&query::Query::Suspects) {
             Some(query::Answer::Suspects(suspects)) => suspects,
@@ -91,6 +114,7 @@
             index: 0,
             owners: owners.collect(),
             online: collections::BTreeMap::new(),
+            heard: collections::BTreeMap::new(),
             renewals: 0,
             records: 0,
             holds_records: false,
@@ -228,16 +252,24 @@
     module
         .register_method(rpc::SYNC, |params, state, _| {
             let request: wire_sync::Request = params.one()?;
-            let state = state.lock().expect("not poisoned");
+            let mut state = state.lock().expect("not poisoned");
+            for heard in request.heard {
+                let id = heard.announcement.id.clone();
+                state.heard.insert(id, heard.announcement);
+            }
             Ok::<_, ErrorObjectOwned>(wire_sync::Response {
                 leader_term: 1,
                 lease_ms: wire_sync::CONFIG_LEASE_MS,
                 revision: 1,
                 intent: (request.revision == 0).then(|| Box::new(declared())),
-                backends: Vec::new(),
-                peers: Vec::new(),
-                online: state.online.clone(),
-                owners: state.owners.clone(),
+                table: 1,
+                whole: true,
+                backends: state.listed(),
+                removed: Vec::new(),
+                renewals: renewal::Packed::default(),
+                peers: Some(Vec::new()),
+                online: state.counts(),
+                owners: Some(state.owners.clone()),
                 suspects: state.suspects(),
             })
         })
--- a/programs/entry/tests/support/control.rs
+++ b/programs/entry/tests/support/control.rs
@@ -11,7 +11,7 @@
         self,
         work::{AttemptOutcome, Command, Reply, Suspect},
     },
-    intent, name, rpc, sync as wire_sync,
+    intent, name, renewal, rpc, sync as wire_sync,
 };
 use jsonrpsee::{RpcModule, server::ServerBuilder, types::ErrorObjectOwned};
 use tokio::runtime;
@@ -167,10 +167,14 @@
         lease_ms: state.lease_ms,
         revision: state.revision,
         intent: newer.then(|| Box::new(state.intent.clone())),
+        table: 1,
+        whole: true,
         backends: Vec::new(),
-        peers: peers.cloned().collect(),
-        online: collections::BTreeMap::new(),
-        owners: state.owners.clone(),
+        removed: Vec::new(),
+        renewals: renewal::Packed::default(),
+        peers: Some(peers.cloned().collect()),
+        online: renewal::Counts::default(),
+        owners: Some(state.owners.clone()),
         suspects: state.suspects.clone(),
     };
     state.syncs.push(request);
