Report all settings problems at once, also values of the wrong type

Cause: the YAML library stops at the first value of the wrong type or missing field, so that such problems came one at a time and hid the checks of values. The search for a field's line ignored positions in lists, so a problem in the second element was reported at the first.

Change: a value of the wrong type is replaced by a placeholder that its type accepts, and reading goes on; checks about placeholders are left out. The line is found by following indentation and list positions.

Before: `limits: {streams: many, strict: 3}` gives one problem.

--- a/crates/base/src/settings.rs
+++ b/crates/base/src/settings/mod.rs
@@ -1,5 +1,8 @@
 //! Settings in YAML, checked as a whole before anything starts.
 
+mod locate;
+mod repair;
+
 use std::{fmt, fs, path};
 
 use serde::de;
@@ -58,6 +61,16 @@
         );
     }
 
+    fn add_unknown(&mut self, fields: Vec<String>) {
+        let problems = fields.into_iter().map(|field| Problem {
+            field,
+            line: None,
+            value: None,
+            reason: "unknown field".to_owned(),
+        });
+        self.problems.extend(problems);
+    }
+
     /// Returns the problems.
     pub fn problems(&self) -> &[Problem] {
         &self.problems
@@ -105,7 +118,10 @@
 where
     T: de::DeserializeOwned + Check,
 {
-    let text = fs::read_to_string(file).map_err(|error| whole(file, None, error.to_string()))?;
+    let text = fs::read_to_string(file).map_err(|error| Error {
+        file: file.to_owned(),
+        problems: vec![syntax(None, error.to_string())],
+    })?;
     parse(file, &text)
 }
 
@@ -118,28 +134,47 @@
 where
     T: de::DeserializeOwned + Check,
 {
-    let mut report = Report::default();
+    let mut unknown = Vec::new();
     let document = serde_norway::Deserializer::from_str(text);
-    let parsed: Result<T, serde_norway::Error> = serde_ignored::deserialize(document, |field| {
-        report.problems.push(Problem {
-            field: field.to_string(),
-            line: None,
-            value: None,
-            reason: "unknown field".to_owned(),
-        });
-    });
+    let parsed: Result<T, serde_norway::Error> =
+        serde_ignored::deserialize(document, |field| unknown.push(field.to_string()));
     match parsed {
         Ok(settings) => {
+            let mut report = Report::default();
+            report.add_unknown(unknown);
             settings.check(&mut report);
             finish(file, text, report, settings)
         }
-        Err(error) => {
-            let line = error.location().map(|location| location.line());
-            let mut failure = whole(file, line, error.to_string());
-            failure.problems.extend(located(text, report));
-            Err(failure)
-        }
+        Err(error) => Err(Error {
+            file: file.to_owned(),
+            problems: all_problems::<T>(text, &error),
+        }),
+    }
+}
+
+/// Lists the problems of a text that cannot be read.
+fn all_problems<T>(text: &str, error: &serde_norway::Error) -> Vec<Problem>
+where
+    T: de::DeserializeOwned + Check,
+{
+    let found = repair::find::<T>(text).filter(|found| !found.problems.is_empty());
+    let Some(found) = found else {
+        let line = error.location().map(|location| location.line());
+        return vec![syntax(line, error.to_string())];
+    };
+    let mut report = Report::default();
+    report.add_unknown(found.unknown);
+    if let Some(settings) = &found.settings {
+        settings.check(&mut report);
     }
+    // What a check says about a placeholder is not about the file.
+    let is_replaced = |field: &str| found.problems.iter().any(|found| found.field == field);
+    report
+        .problems
+        .retain(|problem| !is_replaced(&problem.field));
+    let mut problems = found.problems;
+    problems.append(&mut report.problems);
+    located(text, Report { problems })
 }
 
 fn finish<T>(file: &path::Path, text: &str, report: Report, settings: T) -> Result<T, Error> {
@@ -152,20 +187,12 @@
     })
 }
 
-fn whole(file: &path::Path, line: Option<usize>, reason: String) -> Error {
-    // serde_norway starts messages about a field with its path and a colon.
-    let (field, reason) = match reason.split_once(": ") {
-        Some((field, rest)) if !field.contains(' ') => (field.to_owned(), rest.to_owned()),
-        _ => ("file".to_owned(), reason),
-    };
-    Error {
-        file: file.to_owned(),
-        problems: vec![Problem {
-            field,
-            line,
-            value: None,
-            reason,
-        }],
+fn syntax(line: Option<usize>, reason: String) -> Problem {
+    Problem {
+        field: "file".to_owned(),
+        line,
+        value: None,
+        reason,
     }
 }
 
@@ -174,30 +201,8 @@
         .problems
         .into_iter()
         .map(|problem| Problem {
-            line: problem.line.or_else(|| line_of(text, &problem.field)),
+            line: locate::line_of(text, &problem.field),
             ..problem
         })
         .collect()
 }
-
-/// Finds the line of a dotted field path by following the indentation.
-fn line_of(text: &str, field: &str) -> Option<usize> {
-    let mut wanted = field
-        .split('.')
-        .filter(|part| part.parse::<usize>().is_err());
-    let mut part = wanted.next()?;
-    let mut found = None;
-    for (number, line) in text.lines().enumerate() {
-        let content = line.trim_start().trim_start_matches("- ");
-        let key = content.split(':').next().unwrap_or("").trim();
-        if key != part || !content.contains(':') {
-            continue;
-        }
-        found = Some(number + 1);
-        match wanted.next() {
-            Some(next) => part = next,
-            None => return found,
-        }
-    }
-    found
-}
