Replay traces of failures against stated outcomes

One short trace of chats to a single engine was stored; jobs, keys, cancels and failures were in none.

Control replicas can be killed and restarted in scenarios too.

Conclusion: failures are now replayed from end to end; traces of real callers can be added as files.

--- a/programs/load/src/call.rs
+++ b/programs/load/src/call.rs
@@ -227,7 +227,8 @@
     }
 }
 
-async fn refusal(status: u16, response: Response<Incoming>) -> End {
+/// Reads a refusal.
+pub(crate) async fn refusal(status: u16, response: Response<Incoming>) -> End {
     let header = response
         .headers()
         .get(header::VERDICT)
--- a/programs/load/src/fleet.rs
+++ b/programs/load/src/fleet.rs
@@ -220,6 +220,21 @@
                     lock(system).kill_entry(target)?;
                 }
             }
+            scenario::Action::KillControl { restart_ms } => {
+                let system = self
+                    .system
+                    .as_ref()
+                    .context("no embedded control replicas")?;
+                for target in targets.clone() {
+                    lock(system).kill_control(target)?;
+                }
+                if let Some(restart_ms) = restart_ms {
+                    tokio::time::sleep(time::Duration::from_millis(*restart_ms)).await;
+                    for target in targets {
+                        lock(system).restart_control(target)?;
+                    }
+                }
+            }
         }
         Ok(())
     }
--- a/programs/load/src/job.rs
+++ b/programs/load/src/job.rs
@@ -59,7 +59,7 @@
         let team = items[*first].team.clone();
         let lines = own.iter().map(|index| line(&items[*index]));
         let body = multipart(&lines.collect::<String>());
-        let content_type = format!("multipart/form-data; boundary={BOUNDARY}");
+        let content_type = multipart_type();
         let answer = call(run, "POST", "/v1/files", &team, &content_type, None, body).await?;
         let created: Created = serde_json::from_slice(&answer).context("uploaded file")?;
         files.push(Uploaded {
@@ -169,7 +169,8 @@
     }
 }
 
-fn is_final(batch: &openai::Batch) -> bool {
+/// Returns whether a job has ended.
+pub(crate) fn is_final(batch: &openai::Batch) -> bool {
     ["completed", "cancelled", "expired", "failed"].contains(&batch.status.as_str())
 }
 
@@ -234,7 +235,8 @@
     Ok(())
 }
 
-fn content(response: &openai::OutputResponse) -> Option<String> {
+/// Returns the text of a result.
+pub(crate) fn content(response: &openai::OutputResponse) -> Option<String> {
     let content = response.body.pointer("/choices/0/message/content")?;
     content.as_str().map(str::to_owned)
 }
@@ -324,7 +326,8 @@
     format!("{line}\n")
 }
 
-fn multipart(lines: &str) -> Bytes {
+/// Returns the body of an upload.
+pub(crate) fn multipart(lines: &str) -> Bytes {
     let body = format!(
         "--{BOUNDARY}\r\n\
          Content-Disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n\
@@ -334,3 +337,8 @@
     );
     Bytes::from(body)
 }
+
+/// Returns the content type of an upload.
+pub(crate) fn multipart_type() -> String {
+    format!("multipart/form-data; boundary={BOUNDARY}")
+}
--- a/programs/load/src/main.rs
+++ b/programs/load/src/main.rs
@@ -1,6 +1,6 @@
 //! Runs experiments, traces and measurements from the command line.
 
-use std::{fs, io, io::Write as _, path, process, str::FromStr, time};
+use std::{fs, io, io::Write as _, path, process, str::FromStr, sync, time};
 
 use anyhow::Context;
 use bw_base::{logs, program};
@@ -78,9 +78,15 @@
     /// trace file
     #[argh(positional)]
     trace: path::PathBuf,
-    /// IP:port of an engine or entry VM
+    /// IP:port of an engine or of the entry VMs, separated by commas
     #[argh(option)]
-    address: String,
+    address: Option<String>,
+    /// scenario whose fleet is started for the replay; faults need it
+    #[argh(option)]
+    scenario: Option<path::PathBuf>,
+    /// write the trace with the outcomes that it has now to this file
+    #[argh(option)]
+    out: Option<path::PathBuf>,
     /// divides the times between requests
     #[argh(option, default = "1.0")]
     speed: f64,
@@ -218,29 +224,49 @@
         Err(status) => return Ok(status),
     };
     let limit = time::Duration::from_millis(scenario.online.deadline_ms);
-    let destination = destination(command.address, command.token, limit, 1.0)?;
+    let addresses = vec![command.address];
+    let destination = destination(addresses, command.token, limit, 1.0)?;
     let entries = trace::record(&scenario, command.seed, &destination).await?;
-    let file = fs::File::create(&command.out)
-        .with_context(|| format!("cannot write {}", command.out.display()))?;
-    let mut file = io::BufWriter::new(file);
-    for entry in &entries {
-        serde_json::to_writer(&mut file, entry)?;
-        file.write_all(b"\n")?;
-    }
-    file.flush()?;
+    write_trace(&command.out, &entries)?;
     print(&serde_json::json!({"recorded": entries.len()}))?;
     Ok(process::ExitCode::SUCCESS)
 }
 
+fn write_trace(file: &path::Path, entries: &[trace::Entry]) -> anyhow::Result<()> {
+    let created =
+        fs::File::create(file).with_context(|| format!("cannot write {}", file.display()))?;
+    let mut writer = io::BufWriter::new(created);
+    for entry in entries {
+        serde_json::to_writer(&mut writer, entry)?;
+        writer.write_all(b"\n")?;
+    }
+    Ok(writer.flush()?)
+}
+
 async fn replay(command: Replay) -> anyhow::Result<process::ExitCode> {
     anyhow::ensure!(command.speed > 0.0, "--speed must be greater than 0");
     let file = fs::File::open(&command.trace)
         .with_context(|| format!("cannot read {}", command.trace.display()))?;
     let entries = trace::read(io::BufReader::new(file))
         .with_context(|| command.trace.display().to_string())?;
+    let (addresses, own) = match (&command.address, &command.scenario) {
+        (Some(addresses), None) => (addresses.split(',').map(str::to_owned).collect(), None),
+        (None, Some(file)) => {
+            let scenario: scenario::Scenario = match program::load(file) {
+                Ok(scenario) => scenario,
+                Err(status) => return Ok(status),
+            };
+            let policy = scenario::Policy::Bilberrywind;
+            let own = fleet::Fleet::start(&scenario, policy, 1).await?;
+            (own.entry_addresses.clone(), Some(sync::Arc::new(own)))
+        }
+        _ => anyhow::bail!("give --address or --scenario"),
+    };
     let limit = time::Duration::from_secs(60);
-    let destination = destination(command.address, command.token, limit, command.speed)?;
-    let differences = trace::replay(&entries, &destination).await?;
+    let destination = destination(addresses, command.token, limit, command.speed)?;
+    let played = play(&entries, &destination, own.clone(), command.out.as_deref()).await;
+    stop(own.and_then(sync::Arc::into_inner)).await?;
+    let differences = played?;
     for difference in &differences {
         print(difference)?;
     }
@@ -251,6 +277,22 @@
     })
 }
 
+/// Replays a trace, or writes it with the outcomes that it has now.
+async fn play(
+    entries: &[trace::Entry],
+    destination: &trace::Destination,
+    own: Option<sync::Arc<fleet::Fleet>>,
+    out: Option<&path::Path>,
+) -> anyhow::Result<Vec<trace::Difference>> {
+    let Some(out) = out else {
+        return trace::replay(entries, destination, own).await;
+    };
+    let mut entries = entries.to_vec();
+    trace::state(&mut entries, destination, own).await?;
+    write_trace(out, &entries)?;
+    Ok(Vec::new())
+}
+
 async fn measure_streams(command: Streams) -> anyhow::Result<process::ExitCode> {
     let (address, pid, own) = match (command.address, command.pid) {
         (Some(address), Some(pid)) => (address, pid, None),
@@ -320,14 +362,16 @@
 }
 
 fn destination(
-    address: String,
+    addresses: Vec<String>,
     token: Option<String>,
     limit: time::Duration,
     speed: f64,
 ) -> anyhow::Result<trace::Destination> {
-    require_loopback(&address)?;
+    for address in &addresses {
+        require_loopback(address)?;
+    }
     Ok(trace::Destination {
-        address,
+        addresses,
         token,
         limit,
         speed,
--- a/programs/load/src/run.rs
+++ b/programs/load/src/run.rs
@@ -450,8 +450,11 @@
     helpers: &mut task::JoinSet<()>,
 ) {
     for fault in run.scenario.faults.clone() {
-        let of_entry = matches!(fault.action, scenario::Action::KillEntry);
-        if of_entry && !run.policy.uses_entries() {
+        let of_system = matches!(
+            fault.action,
+            scenario::Action::KillEntry | scenario::Action::KillControl { .. }
+        );
+        if of_system && !run.policy.uses_entries() {
             continue;
         }
         let (run, fleet) = (sync::Arc::clone(run), sync::Arc::clone(fleet));
--- a/programs/load/src/scenario.rs
+++ b/programs/load/src/scenario.rs
@@ -303,7 +303,7 @@
 pub struct Fault {
     /// When, in milliseconds from the start of the run.
     pub at_ms: u64,
-    /// The replicas or entry VMs, counted from 0.
+    /// The replicas, entry VMs or control replicas, counted from 0.
     pub targets: Vec<u32>,
     /// What happens to them.
     #[serde(with = "serde_norway::with::singleton_map")]
@@ -311,8 +311,8 @@
 }
 
 /// What happens to the targets of a fault.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-#[serde(rename_all = "snake_case")]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum Action {
     /// Fault switches of replicas are set.
     Switch(fault::Faults),
@@ -328,6 +328,12 @@
     },
     /// Entry VMs are killed.
     KillEntry,
+    /// Control replicas are killed, and started again after a time if one is
+    /// given.
+    KillControl {
+        /// Time until the start, in milliseconds.
+        restart_ms: Option<u64>,
+    },
 }
 
 impl Scenario {
--- a/programs/load/src/system.rs
+++ b/programs/load/src/system.rs
@@ -39,7 +39,7 @@
     pub entry_addresses: Vec<String>,
     threads: Threads,
     /// Data folders and settings; removed at the end.
-    _folder: tempfile::TempDir,
+    folder: tempfile::TempDir,
 }
 
 enum Control {
@@ -82,7 +82,7 @@
                 .collect(),
             threads: Threads::default(),
             control_addresses,
-            _folder: folder,
+            folder,
         };
         for (index, ports) in control_ports.chunks(2).enumerate() {
             system.start_control(scenario, index, ports)?;
@@ -111,7 +111,7 @@
             replica: index as u64 + 1,
             listen: ports[0].as_str().into(),
             admin: ports[1].as_str().into(),
-            data: self._folder.path().join(&name),
+            data: self.folder.path().join(&name),
             failure_domain: scenario.failure_domain(index),
             members: members.collect(),
             logs: quiet(),
@@ -177,9 +177,19 @@
         name: &str,
         settings: &T,
     ) -> anyhow::Result<process::Child> {
-        let file = self._folder.path().join(format!("{name}.yaml"));
+        let file = self.settings_file(name);
         // JSON is YAML too.
         fs::write(&file, serde_json::to_vec(settings)?)?;
+        self.launch(program, name)
+    }
+
+    fn settings_file(&self, name: &str) -> path::PathBuf {
+        self.folder.path().join(format!("{name}.yaml"))
+    }
+
+    /// Starts a program with the settings file that it has.
+    fn launch(&self, program: &str, name: &str) -> anyhow::Result<process::Child> {
+        let file = self.settings_file(name);
         let program = sibling(program)?;
         process::Command::new(&program)
             .arg("--config")
@@ -268,6 +278,34 @@
         }
     }
 
+    /// Kills a control replica.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the control replica is not a process of its own.
+    pub fn kill_control(&mut self, index: usize) -> anyhow::Result<()> {
+        let control = self.controls.get_mut(index);
+        match control.context("no such control replica")? {
+            Control::Process(child) => {
+                end(child);
+                Ok(())
+            }
+            Control::Thread(_) => anyhow::bail!("only processes can be killed"),
+        }
+    }
+
+    /// Starts a killed control replica again with the data that it has.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not start.
+    pub fn restart_control(&mut self, index: usize) -> anyhow::Result<()> {
+        let child = self.launch("bw-control", &format!("control-{}", index + 1))?;
+        let control = self.controls.get_mut(index);
+        *control.context("no such control replica")? = Control::Process(child);
+        Ok(())
+    }
+
     /// Returns whose CPU time counts as that of control replicas, and as that of
     /// entry VMs.
     pub fn cpu_subjects(&self) -> (cpu::Subject, cpu::Subject) {
--- a/programs/load/tests/run.rs
+++ b/programs/load/tests/run.rs
@@ -112,7 +112,7 @@
 
 fn destination(handle: &bw_engine::Handle) -> trace::Destination {
     trace::Destination {
-        address: handle.address().to_string(),
+        addresses: vec![handle.address().to_string()],
         token: None,
         limit: Duration::from_secs(10),
         speed: 4.0,
@@ -130,8 +130,9 @@
         .await
         .expect("a trace");
     assert!(entries.len() > 10);
-    let ends = entries.iter().map(|entry| &entry.outcome.end);
-    assert!(ends.into_iter().all(|end| *end == End::Answered));
+    let outcomes = entries.iter().map(|entry| entry.outcome.as_ref());
+    let mut ends = outcomes.map(|outcome| outcome.map(|outcome| &outcome.end));
+    assert!(ends.all(|end| end == Some(&End::Answered)));
 
     let lines: Vec<_> = entries
         .iter()
@@ -139,12 +140,21 @@
         .collect();
     let read = trace::read(BufReader::new(lines.join("\n").as_bytes())).expect("a trace");
     assert_eq!(read, entries);
-    let differences = trace::replay(&read, &destination).await.expect("a replay");
+    let differences = trace::replay(&read, &destination, None)
+        .await
+        .expect("a replay");
     assert!(differences.is_empty(), "{differences:?}");
 
-    entries[4].outcome.text = Some("0".repeat(32));
-    entries[7].outcome.finish = Some("other".to_owned());
-    let differences = trace::replay(&entries, &destination)
+    let stated = |entry: &mut trace::Entry| entry.outcome.take().expect("stated");
+    entries[4].outcome = Some(trace::Outcome {
+        text: Some("0".repeat(32)),
+        ..stated(&mut entries[4])
+    });
+    entries[7].outcome = Some(trace::Outcome {
+        finish: Some("other".to_owned()),
+        ..stated(&mut entries[7])
+    });
+    let differences = trace::replay(&entries, &destination, None)
         .await
         .expect("a replay");
     let lines: Vec<_> = differences
@@ -162,7 +172,7 @@
     let trace = include_str!("traces/engine.jsonl");
     let entries = trace::read(trace.as_bytes()).expect("a trace");
     assert!(!entries.is_empty());
-    let differences = trace::replay(&entries, &destination(&handle))
+    let differences = trace::replay(&entries, &destination(&handle), None)
         .await
         .expect("a replay");
     assert!(differences.is_empty(), "{differences:?}");
@@ -171,12 +181,13 @@
 /// Guards against broken traces that are replayed in part.
 #[rstest]
 #[case::not_json("{")]
-#[case::unknown_kind(
-    r#"{"at_ms":0,"kind":"other","team":"t","body":{},"outcome":{"end":"broken"}}"#
+#[case::unknown_event(r#"{"at_ms":0,"team":"t","event":{"other":{}},"outcome":{"end":"broken"}}"#)]
+#[case::unknown_field(
+    r#"{"at_ms":0,"team":"t","event":{"chat":{}},"kind":"chat","outcome":{"end":"broken"}}"#
 )]
 #[case::back_in_time(concat!(
-    r#"{"at_ms":5,"kind":"chat","team":"t","body":{},"outcome":{"end":"broken"}}"#, "\n",
-    r#"{"at_ms":4,"kind":"chat","team":"t","body":{},"outcome":{"end":"broken"}}"#
+    r#"{"at_ms":5,"team":"t","event":{"chat":{}},"outcome":{"end":"broken"}}"#, "\n",
+    r#"{"at_ms":4,"team":"t","event":{"chat":{}},"outcome":{"end":"broken"}}"#
 ))]
 fn wrong_traces(#[case] text: &str) {
     trace::read(text.as_bytes()).expect_err("a wrong trace");
