Decide placement by bw-policy's placement in bw-control

Cause: placement stood twice. The tested one in bw-policy was unused, and bw-control decided with one of its own.

Change: bw-control plans with `bw_policy::placement` and its own module is gone. What only the removed one guaranteed is now in the policy: a new leader waits for its warm-up and, for engines that ignore fencing numbers, for one order timeout more; silent engines get no orders and keep the one they have; an engine whose order failed does not count as ready until its next announcements; an order that was refused by the weight-store budget or not sent is no failure of the engine; adapters alone fetch nothing; a model is counted on the engines of its deployment only; adapters belong to what a pending load brings. Faults of the policy placement, found on the way and fixed: a replica that another model took in the same round still counted as ready for the floor, and a surplus replica could be taken although its model had no more ready ones than its floor. The weight-store budget that binds stays in the replicated configuration state.

Tests: all checks of programs/control/tests/placement.rs are kept; only the calls differ, and the simulated engines also obey an unload, since the policy placement removes an old version beyond the declared replicas.

--- a/crates/policy/src/placement/engine.rs
+++ b/crates/policy/src/placement/engine.rs
@@ -13,6 +13,8 @@
     at_ms: u64,
     /// The incarnation that the order was sent to; a restart loses the order.
     incarnation: u64,
+    /// Megabytes that were taken from the weight store's budget for it.
+    fetch_mb: u64,
 }
 
 #[derive(Debug)]
@@ -23,6 +25,8 @@
     settled_ms: u64,
     failures: u32,
     retry_ms: u64,
+    /// Until when an order that failed may still have been carried out.
+    uncertain_ms: u64,
 }
 
 impl Engine {
@@ -34,6 +38,7 @@
             settled_ms: now_ms,
             failures: 0,
             retry_ms: 0,
+            uncertain_ms: 0,
         }
     }
 
@@ -62,16 +67,33 @@
         }
     }
 
-    pub(super) fn order(&mut self, action: backend::Action, now_ms: u64) {
+    pub(super) fn order(&mut self, action: backend::Action, fetch_mb: u64, now_ms: u64) {
         self.pending = Some(Pending {
             action,
             at_ms: now_ms,
             incarnation: self.announcement.incarnation,
+            fetch_mb,
         });
     }
 
+    pub(super) fn is_ordered(&self) -> bool {
+        self.pending.is_some()
+    }
+
+    /// Drops an order that was not sent, and returns the megabytes taken for it.
+    pub(super) fn cancel(&mut self) -> u64 {
+        let pending = self.pending.take();
+        pending.map_or(0, |pending| pending.fetch_mb)
+    }
+
+    /// Leaves the engine alone for a while without counting a failure.
+    pub(super) fn pause(&mut self, now_ms: u64) {
+        self.retry_ms = now_ms + BACKOFF_MS;
+    }
+
     pub(super) fn fail(&mut self, now_ms: u64) {
         self.pending = None;
+        self.uncertain_ms = now_ms + BACKOFF_MS;
         let pause_ms = BACKOFF_MS << self.failures.min(10);
         self.failures += 1;
         self.retry_ms = now_ms + pause_ms.min(BACKOFF_MAX_MS);
@@ -84,7 +106,9 @@
         };
         let age_ms = now_ms.saturating_sub(pending.at_ms);
         let is_loading = self.announcement.state == backend::State::Loading;
-        let allowed_ms = if is_loading {
+        // An engine that has not been heard since may be loading.
+        let is_silent = self.heard_ms < pending.at_ms + order_timeout_ms;
+        let allowed_ms = if is_loading || is_silent {
             load_timeout_ms
         } else {
             order_timeout_ms
@@ -107,27 +131,47 @@
         self.announcement.state == backend::State::Leaving
     }
 
-    /// Returns the model that the engine has or is to get.
-    pub(super) fn model(&self) -> Option<&name::Name> {
+    /// Returns the models that the engine has or is to get.
+    pub(super) fn models(&self) -> Vec<&name::Name> {
         match self.pending.as_ref().map(|pending| &pending.action) {
-            Some(backend::Action::Load { model, .. }) => Some(model),
-            Some(backend::Action::Unload { .. } | backend::Action::Leave) => None,
-            None => self.announcement.loaded.first().map(|loaded| &loaded.model),
+            Some(backend::Action::Load { model, .. }) => vec![model],
+            Some(backend::Action::Unload { .. } | backend::Action::Leave) => Vec::new(),
+            None => self.loaded_models().collect(),
         }
     }
 
+    pub(super) fn has_or_gets(&self, model: &name::Name) -> bool {
+        self.models().contains(&model)
+    }
+
+    /// Returns the models that an order takes away from callers.
+    pub(super) fn loaded_models(&self) -> impl Iterator<Item = &name::Name> {
+        self.announcement.loaded.iter().map(|loaded| &loaded.model)
+    }
+
+    /// Returns whether the engine can be ordered now. A silent one cannot: it
+    /// may be gone or restarting.
     pub(super) fn takes_orders(&self, now_ms: u64) -> bool {
         self.pending.is_none()
             && self.announcement.state == backend::State::Ready
             && now_ms >= self.retry_ms
+            && self.is_fresh(now_ms)
+    }
+
+    /// Returns whether the last announcement still allows new work.
+    pub(super) fn is_fresh(&self, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.heard_ms) < backend::PROOF_MAX_AGE_MS
     }
 
     pub(super) fn is_settled(&self, settle_ms: u64, now_ms: u64) -> bool {
         now_ms.saturating_sub(self.settled_ms) >= settle_ms
     }
 
-    pub(super) fn is_ready_with(&self, model: &name::Name) -> bool {
+    /// Returns whether the engine serves a model. After a failed order it does
+    /// not count until its next announcements show what came of the order.
+    pub(super) fn is_ready_with(&self, model: &name::Name, now_ms: u64) -> bool {
         self.pending.is_none()
+            && now_ms >= self.uncertain_ms
             && self.announcement.state == backend::State::Ready
             && self.loaded(model).is_some()
     }
@@ -147,8 +191,8 @@
             Some(backend::Action::Load {
                 model: ordered,
                 version,
-                ..
-            }) => ordered == name && *version == model.version,
+                adapters,
+            }) => ordered == name && *version == model.version && *adapters == model.adapters,
             Some(_) => false,
             None => !self.is_leaving() && self.is_current(name, model),
         }
@@ -163,6 +207,16 @@
         }
     }
 
+    /// Returns the megabytes that a load fetches. Adapters alone are not
+    /// counted, as they are small next to the weights.
+    pub(super) fn fetch_mb(&self, name: &name::Name, model: &intent::Model) -> u64 {
+        let loaded = self.loaded(name);
+        match loaded.is_some_and(|loaded| loaded.version == model.version) {
+            true => 0,
+            false => model.size_mb,
+        }
+    }
+
     pub(super) fn loads_unknown(&self) -> bool {
         self.pending.is_none()
             && self.announcement.state == backend::State::Loading
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -22,6 +22,8 @@
     order_timeout_ms: u64,
     load_timeout_ms: u64,
     roll_share: f32,
+    warm_up_ms: u64,
+    order_ms: u64,
 }
 
 impl Default for Builder {
@@ -32,6 +34,8 @@
             order_timeout_ms: 5_000,
             load_timeout_ms: 600_000,
             roll_share: 0.25,
+            warm_up_ms: 0,
+            order_ms: 0,
         }
     }
 }
@@ -69,13 +73,25 @@
         self
     }
 
+    /// Sets how long a new leader waits until all engines have been reported and
+    /// the lease of the previous leader is over, and how long it waits more
+    /// before orders to engines that ignore fencing numbers, so that no order of
+    /// the previous leader is under way.
+    pub fn warm_up(mut self, warm_up_ms: u64, order_ms: u64) -> Builder {
+        self.warm_up_ms = warm_up_ms;
+        self.order_ms = order_ms;
+        self
+    }
+
     /// Builds a placement without engines.
     pub fn build(self) -> Placement {
         Placement {
             settings: self,
             engines: collections::BTreeMap::new(),
             store: Store::default(),
+            since_ms: 0,
             blocked: Vec::new(),
+            missing: collections::BTreeMap::new(),
         }
     }
 }
@@ -147,10 +163,21 @@
     settings: Builder,
     engines: collections::BTreeMap<name::Name, Engine>,
     store: Store,
+    since_ms: u64,
     blocked: Vec<(name::Name, Block)>,
+    missing: collections::BTreeMap<name::Name, u32>,
 }
 
 impl Placement {
+    /// Forgets everything at the beginning of a leadership.
+    pub fn reset(&mut self, since_ms: u64) {
+        let settings = self.settings.clone();
+        *self = Placement {
+            since_ms,
+            ..settings.build()
+        };
+    }
+
     /// Returns the orders to send next. An order counts as sent only after
     /// [`Placement::ordered`].
     pub fn plan(
@@ -162,6 +189,10 @@
         self.observe(backends, now_ms);
         self.store.configure(&intent.weight_store, now_ms);
         self.blocked.clear();
+        self.missing.clear();
+        if now_ms < self.since_ms + self.settings.warm_up_ms {
+            return Vec::new();
+        }
         let mut round = Round {
             budget_mb: self.store.available_mb(now_ms),
             orders: Vec::new(),
@@ -170,7 +201,7 @@
         // Models furthest below their floor come first.
         let mut models: Vec<(&name::Name, &intent::Model)> = intent.models.iter().collect();
         models.sort_by_key(|(name, model)| {
-            let ready = self.count_ready(intent, name, now_ms);
+            let ready = self.count_ready(intent, name, &round, now_ms);
             (ready >= model.min_ready.min(model.replicas), *name)
         });
         for &(name, model) in &models {
@@ -179,6 +210,7 @@
         for &(name, model) in &models {
             self.roll(intent, name, model, &mut round, now_ms);
         }
+        self.count_missing(intent, &round);
         round.orders
     }
 
@@ -186,19 +218,34 @@
     pub fn ordered(&mut self, order: &Order, now_ms: u64) {
         self.store.take(order.fetch_mb, now_ms);
         if let Some(engine) = self.engines.get_mut(&order.backend) {
-            engine.order(order.action.clone(), now_ms);
+            engine.order(order.action.clone(), order.fetch_mb, now_ms);
         }
     }
 
     /// Notes that a backend server refused an order or did not answer.
     pub fn failed(&mut self, backend: &str, now_ms: u64) {
-        if let Some(engine) = self.engines.get_mut(backend) {
+        if let Some(engine) = self.engines.get_mut(backend)
+            && engine.is_ordered()
+        {
             engine.fail(now_ms);
         }
     }
 
-    /// Notes that the replicated weight-store budget refused an order.
-    pub fn wait(&mut self, retry_ms: u64, now_ms: u64) {
+    /// Notes that an order was recorded but not sent, as the lease of this
+    /// leader was too short. The engine is not to blame.
+    pub fn unsent(&mut self, backend: &str, now_ms: u64) {
+        if let Some(engine) = self.engines.get_mut(backend) {
+            engine.cancel();
+            engine.pause(now_ms);
+        }
+    }
+
+    /// Notes that the replicated weight-store budget refused an order, which
+    /// was not sent.
+    pub fn wait(&mut self, backend: &str, retry_ms: u64, now_ms: u64) {
+        if let Some(engine) = self.engines.get_mut(backend) {
+            self.store.put_back(engine.cancel());
+        }
         self.store.wait(retry_ms, now_ms);
     }
 
@@ -207,6 +254,12 @@
         &self.blocked
     }
 
+    /// Returns how many replicas as declared each model lacks after the last
+    /// plan, without those that are ordered.
+    pub fn missing(&self) -> &collections::BTreeMap<name::Name, u32> {
+        &self.missing
+    }
+
     fn observe(&mut self, backends: &[sync::Heard], now_ms: u64) {
         for heard in backends {
             let announcement = &heard.announcement;
@@ -238,10 +291,10 @@
         round: &mut Round,
         now_ms: u64,
     ) {
-        let placed = self.count_placed(intent, name) + self.count_unknown_loads(model);
+        let placed = self.count_placed(intent, name, model) + self.count_unknown_loads(model);
         let missing = model.replicas.saturating_sub(placed);
         // While versions roll without slack, a spare engine makes the slack.
-        let wants_spare = missing == 0 && self.needs_spare(intent, name, model, now_ms);
+        let wants_spare = missing == 0 && self.needs_spare(intent, name, model, round, now_ms);
         for _ in 0..missing.max(u32::from(wants_spare)) {
             let Some(id) = self.pick(intent, name, model, round, now_ms) else {
                 if missing > 0 {
@@ -249,11 +302,12 @@
                 }
                 return;
             };
-            if !round.take(model.size_mb, self.store.burst_mb()) {
+            let fetch_mb = self.fetch_mb(&id, name, model);
+            if !round.take(fetch_mb, self.store.burst_mb()) {
                 self.blocked.push((name.clone(), Block::WeightStore));
                 return;
             }
-            round.push(id, load(name, model), model.size_mb, Reason::Missing);
+            round.push(id, load(name, model), fetch_mb, Reason::Missing);
         }
     }
 
@@ -267,15 +321,11 @@
         now_ms: u64,
     ) {
         let outdated = self.outdated(intent, name, model, round, now_ms);
-        if outdated.is_empty() {
-            return;
-        }
-        let mut ready = self.count_ready(intent, name, now_ms);
         let mut current = self.count_current(name, model);
         let at_once = ((model.replicas as f32 * self.settings.roll_share) as u32).max(1);
         let more = at_once.saturating_sub(self.count_in_progress(name));
         for id in outdated.into_iter().take(more as usize) {
-            if ready <= model.min_ready {
+            if !self.keeps_floors(intent, &id, round, now_ms) {
                 self.blocked.push((name.clone(), Block::Floor));
                 return;
             }
@@ -285,14 +335,14 @@
                 };
                 round.push(id, action, 0, Reason::Surplus);
             } else {
-                if !round.take(model.size_mb, self.store.burst_mb()) {
+                let fetch_mb = self.fetch_mb(&id, name, model);
+                if !round.take(fetch_mb, self.store.burst_mb()) {
                     self.blocked.push((name.clone(), Block::WeightStore));
                     return;
                 }
-                round.push(id, load(name, model), model.size_mb, Reason::Outdated);
+                round.push(id, load(name, model), fetch_mb, Reason::Outdated);
                 current += 1;
             }
-            ready -= 1;
         }
     }
 
@@ -312,17 +362,52 @@
                 !round.used.contains(*id)
                     && !intent.drained.contains(*id)
                     && engine.deployment() == &model.deployment
-                    && engine.takes_orders(now_ms)
-                    && engine.model() != Some(name)
+                    && self.obeys(intent, engine, now_ms)
+                    && !engine.has_or_gets(name)
                     && self.is_spare(intent, engine, round, now_ms)
+                    && self.keeps_floors(intent, id, round, now_ms)
             })
             .min_by_key(|(id, engine)| {
                 let neighbours = self.count_in_domain(name, engine.domain(), round);
-                (engine.model().is_some(), neighbours, (*id).clone())
+                (!engine.models().is_empty(), neighbours, (*id).clone())
             })
             .map(|(id, _)| id.clone())
     }
 
+    /// Returns whether an engine can be ordered now. One that ignores fencing
+    /// numbers could still get an order of the previous leader for a while.
+    fn obeys(&self, intent: &intent::Intent, engine: &Engine, now_ms: u64) -> bool {
+        let settled_ms = self.since_ms + self.settings.warm_up_ms + self.settings.order_ms;
+        let checks = checks_fencing(intent, engine.deployment()) || now_ms >= settled_ms;
+        checks && engine.takes_orders(now_ms)
+    }
+
+    /// Returns whether every model that an engine serves stays above its floor
+    /// without it. An order replaces everything that an engine has loaded.
+    fn keeps_floors(
+        &self,
+        intent: &intent::Intent,
+        id: &name::Name,
+        round: &Round,
+        now_ms: u64,
+    ) -> bool {
+        let Some(engine) = self.engines.get(id) else {
+            return false;
+        };
+        let mut served = engine
+            .loaded_models()
+            .filter(|held| self.serves(intent, id, engine, held, round, now_ms));
+        served.all(|held| {
+            let floor = intent.models.get(held).map_or(0, |model| model.min_ready);
+            floor == 0 || self.count_ready(intent, held, round, now_ms) > floor
+        })
+    }
+
+    fn fetch_mb(&self, id: &name::Name, name: &name::Name, model: &intent::Model) -> u64 {
+        let engine = self.engines.get(id);
+        engine.map_or(model.size_mb, |engine| engine.fetch_mb(name, model))
+    }
+
     /// Returns whether an engine can change its model: it is empty, or its
     /// model is not declared, or has more replicas than declared and the engine
     /// has held it for a while.
@@ -333,23 +418,22 @@
         round: &Round,
         now_ms: u64,
     ) -> bool {
-        let Some(held) = engine.model() else {
-            return true;
-        };
-        let Some(model) = intent.models.get(held) else {
-            return true;
-        };
-        if model.deployment != *engine.deployment() {
-            return true;
-        }
-        let taken = round
-            .used
-            .iter()
-            .filter_map(|id| self.engines.get(id))
-            .filter(|other| other.model() == Some(held))
-            .count() as u32;
-        let placed = self.count_placed(intent, held).saturating_sub(taken);
-        placed > model.replicas && engine.is_settled(self.settings.settle_ms, now_ms)
+        engine.models().into_iter().all(|held| {
+            let Some(model) = intent.models.get(held) else {
+                return true;
+            };
+            if model.deployment != *engine.deployment() {
+                return true;
+            }
+            let taken = round
+                .used
+                .iter()
+                .filter_map(|id| self.engines.get(id))
+                .filter(|other| other.has_or_gets(held))
+                .count() as u32;
+            let placed = self.count_placed(intent, held, model).saturating_sub(taken);
+            placed > model.replicas && engine.is_settled(self.settings.settle_ms, now_ms)
+        })
     }
 
     /// Returns whether versions have to roll, but the floor leaves no slack.
@@ -358,14 +442,17 @@
         intent: &intent::Intent,
         name: &name::Name,
         model: &intent::Model,
+        round: &Round,
         now_ms: u64,
     ) -> bool {
         let in_progress = self.count_in_progress(name);
         let outdated = self
             .engines
             .values()
-            .any(|engine| engine.is_ready_with(name) && !engine.is_current(name, model));
-        outdated && in_progress == 0 && self.count_ready(intent, name, now_ms) <= model.min_ready
+            .filter(|engine| engine.deployment() == &model.deployment)
+            .any(|engine| engine.is_ready_with(name, now_ms) && !engine.is_current(name, model));
+        let ready = self.count_ready(intent, name, round, now_ms);
+        outdated && in_progress == 0 && ready <= model.min_ready
     }
 
     fn outdated(
@@ -381,21 +468,28 @@
             .filter(|(id, engine)| {
                 !round.used.contains(*id)
                     && !intent.drained.contains(*id)
-                    && engine.takes_orders(now_ms)
-                    && engine.is_ready_with(name)
+                    && engine.deployment() == &model.deployment
+                    && self.obeys(intent, engine, now_ms)
+                    && engine.is_ready_with(name, now_ms)
                     && !engine.is_current(name, model)
             })
             .map(|(id, _)| id.clone())
             .collect()
     }
 
-    /// Counts engines that have or get a model. Drained ones do not count: they
-    /// take no new work.
-    fn count_placed(&self, intent: &intent::Intent, name: &name::Name) -> u32 {
+    /// Counts engines of a model's deployment that have or get it. Drained ones
+    /// do not count: they take no new work.
+    fn count_placed(
+        &self,
+        intent: &intent::Intent,
+        name: &name::Name,
+        model: &intent::Model,
+    ) -> u32 {
         self.engines
             .iter()
             .filter(|(id, engine)| {
-                engine.model() == Some(name)
+                engine.deployment() == &model.deployment
+                    && engine.has_or_gets(name)
                     && !engine.is_leaving()
                     && !intent.drained.contains(*id)
             })
@@ -411,27 +505,55 @@
             .count() as u32
     }
 
-    /// Counts engines that serve a model. Drained and silent ones do not: they
-    /// get no new work.
-    fn count_ready(&self, intent: &intent::Intent, name: &name::Name, now_ms: u64) -> u32 {
+    /// Counts engines that serve a model and keep it in this round.
+    fn count_ready(
+        &self,
+        intent: &intent::Intent,
+        name: &name::Name,
+        round: &Round,
+        now_ms: u64,
+    ) -> u32 {
         self.engines
             .iter()
-            .filter(|(id, engine)| {
-                engine.is_ready_with(name)
-                    && !intent.drained.contains(*id)
-                    && now_ms.saturating_sub(engine.heard_ms) < backend::PROOF_MAX_AGE_MS
-            })
+            .filter(|(id, engine)| self.serves(intent, id, engine, name, round, now_ms))
             .count() as u32
     }
 
+    /// Returns whether an engine serves a model and is not ordered otherwise in
+    /// this round. Drained and silent ones do not: they get no new work.
+    fn serves(
+        &self,
+        intent: &intent::Intent,
+        id: &name::Name,
+        engine: &Engine,
+        name: &name::Name,
+        round: &Round,
+        now_ms: u64,
+    ) -> bool {
+        engine.is_ready_with(name, now_ms)
+            && engine.is_fresh(now_ms)
+            && !intent.drained.contains(id)
+            && !round.used.contains(id)
+    }
+
     /// Counts engines that have, or are ordered to get, what is declared.
     fn count_current(&self, name: &name::Name, model: &intent::Model) -> u32 {
         self.engines
             .values()
+            .filter(|engine| engine.deployment() == &model.deployment)
             .filter(|engine| engine.becomes_current(name, model))
             .count() as u32
     }
 
+    fn count_missing(&mut self, intent: &intent::Intent, round: &Round) {
+        for (name, model) in &intent.models {
+            let ordered = round.count_loads(name);
+            let current = self.count_current(name, model) + ordered;
+            let missing = model.replicas.saturating_sub(current);
+            self.missing.insert(name.clone(), missing);
+        }
+    }
+
     fn count_in_progress(&self, name: &name::Name) -> u32 {
         self.engines
             .values()
@@ -443,7 +565,7 @@
         let held = self
             .engines
             .values()
-            .filter(|engine| engine.domain() == domain && engine.model() == Some(name))
+            .filter(|engine| engine.domain() == domain && engine.has_or_gets(name))
             .count();
         let ordered = round
             .orders
@@ -478,6 +600,13 @@
         true
     }
 
+    fn count_loads(&self, name: &name::Name) -> u32 {
+        let loads = self.orders.iter().filter(
+            |order| matches!(&order.action, backend::Action::Load { model, .. } if model == name),
+        );
+        loads.count() as u32
+    }
+
     fn push(&mut self, id: name::Name, action: backend::Action, fetch_mb: u64, reason: Reason) {
         self.used.insert(id.clone());
         self.orders.push(Order {
@@ -496,3 +625,8 @@
         adapters: model.adapters.clone(),
     }
 }
+
+fn checks_fencing(intent: &intent::Intent, deployment: &name::Name) -> bool {
+    let declared = intent.deployments.get(deployment);
+    declared.is_some_and(|deployment| deployment.checks_fencing)
+}
--- a/crates/policy/src/placement/store.rs
+++ b/crates/policy/src/placement/store.rs
@@ -44,6 +44,13 @@
         self.available = self.available.saturating_sub(thousandths(fetch_mb));
     }
 
+    /// Returns what was taken for an order that was not sent.
+    pub(super) fn put_back(&mut self, fetch_mb: u64) {
+        let full = thousandths(self.burst_mb);
+        let available = self.available.saturating_add(thousandths(fetch_mb));
+        self.available = available.min(full);
+    }
+
     pub(super) fn wait(&mut self, retry_ms: u64, now_ms: u64) {
         self.wait_until_ms = now_ms + retry_ms;
     }
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -312,6 +312,136 @@
     assert_eq!(ordered, ["e03"]);
 }
 
+/// Guards against a floor that is broken by two decisions of one round: one
+/// model gets a surplus replica while the versions of that replica's model roll.
+#[test]
+fn a_taken_replica_counts_against_the_floor() {
+    let mut fleet = Fleet::new(4, &["m", "m", "m", "m"]);
+    fleet.declare("m", "1", 4, 1);
+    fleet.run(100);
+    fleet.declare("m", "2", 3, 3);
+    fleet.declare("n", "1", 1, 1);
+    fleet.run(1);
+    assert_eq!(fleet.orders.len(), 1);
+    fleet.run(100);
+    assert_eq!(fleet.least_ready, 3);
+}
+
+/// Guards against a replica that another model takes although its own model has
+/// just as many ready ones as its floor.
+#[test]
+fn a_surplus_replica_stays_while_others_are_not_ready() {
+    let mut fleet = Fleet::new(3, &["m", "m", "m"]);
+    fleet.declare("m", "1", 3, 1);
+    fleet.run(100);
+    fleet.engines.get_mut("e01").expect("known").state = backend::State::Loading;
+    fleet.declare("m", "1", 2, 2);
+    fleet.declare("n", "1", 1, 1);
+    fleet.run(5);
+    assert_eq!(fleet.orders, []);
+    assert_eq!(fleet.placement.blocked(), [("n".into(), Block::NoEngine)]);
+}
+
+/// Guards against a model that stays on the engines of its former deployment.
+#[test]
+fn a_model_follows_its_deployment() {
+    let mut fleet = Fleet::new(3, &["m"]);
+    fleet.declare("m", "1", 1, 1);
+    for id in ["e01", "e02"] {
+        fleet.engines.get_mut(id).expect("known").service = "other".into();
+    }
+    fleet.run(5);
+    fleet
+        .intent
+        .models
+        .get_mut("m")
+        .expect("declared")
+        .deployment = "other".into();
+    fleet.run(20);
+    let ordered: Vec<&str> = fleet
+        .orders
+        .iter()
+        .map(|(_, order)| order.backend.as_str())
+        .collect();
+    assert_eq!(ordered, ["e01"]);
+}
+
+/// Guards against adapters that wait for the weight store although the weights
+/// are there.
+#[test]
+fn adapters_alone_take_no_budget() {
+    let mut fleet = Fleet::new(2, &["m", "m"]);
+    fleet.declare("m", "1", 2, 1);
+    fleet.intent.weight_store = intent::WeightStore {
+        mb_per_s: 0,
+        burst_mb: 0,
+    };
+    fleet.run(5);
+    let model = fleet.intent.models.get_mut("m").expect("declared");
+    model.adapters = vec!["fine".into()];
+    fleet.run(1);
+    let fetched: Vec<u64> = fleet
+        .orders
+        .iter()
+        .map(|(_, order)| order.fetch_mb)
+        .collect();
+    assert_eq!(fetched, [0]);
+}
+
+/// Guards against an order to an engine that may be gone, and against a second
+/// engine that is ordered because the first is silent while it loads.
+#[test]
+fn silent_engines_get_no_orders_and_keep_theirs() {
+    let mut fleet = Fleet::new(2, &[]);
+    fleet.declare("m", "1", 1, 1);
+    let heard = |fleet: &Fleet, age_ms: u64| -> Vec<sync::Heard> {
+        let engines = fleet.engines.values();
+        engines
+            .map(|engine| sync::Heard {
+                announcement: engine.clone(),
+                age_ms,
+            })
+            .collect()
+    };
+    let silent = heard(&fleet, 3_000);
+    assert_eq!(fleet.placement.plan(&fleet.intent, &silent, 10_000), []);
+    let fresh = heard(&fleet, 0);
+    let orders = fleet.placement.plan(&fleet.intent, &fresh, 20_000);
+    assert_eq!(orders.len(), 1);
+    fleet.placement.ordered(&orders[0], 20_000);
+    let later: Vec<sync::Heard> = heard(&fleet, 9_000)
+        .into_iter()
+        .map(|heard| match heard.announcement.id == orders[0].backend {
+            true => heard,
+            false => sync::Heard { age_ms: 0, ..heard },
+        })
+        .collect();
+    assert_eq!(fleet.placement.plan(&fleet.intent, &later, 29_000), []);
+}
+
+/// Guards against a floor that counts an engine whose failed order may have
+/// been carried out.
+#[test]
+fn a_failed_order_may_have_been_carried_out() {
+    let mut fleet = Fleet::new(3, &["m", "m", "m"]);
+    fleet.declare("m", "1", 3, 2);
+    fleet.run(5);
+    fleet.declare("m", "2", 3, 2);
+    let heard: Vec<sync::Heard> = fleet
+        .engines
+        .values()
+        .map(|engine| sync::Heard {
+            announcement: engine.clone(),
+            age_ms: 0,
+        })
+        .collect();
+    let orders = fleet.placement.plan(&fleet.intent, &heard, 200_000);
+    assert_eq!(orders.len(), 1);
+    fleet.placement.ordered(&orders[0], 200_000);
+    fleet.placement.failed(&orders[0].backend, 200_500);
+    assert_eq!(fleet.placement.plan(&fleet.intent, &heard, 201_000), []);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(64))]
 
--- a/programs/control/src/core/answer.rs
+++ b/programs/control/src/core/answer.rs
@@ -5,10 +5,9 @@
 use bw_wire::{backend, command, command::config, query, rpc, sync};
 
 use crate::{
-    core::{Core, Waiting},
+    core::{Core, Waiting, chores},
     metrics,
     network::{call::Failure, orders},
-    placement,
     registry::{self, Replaced},
 };
 
@@ -30,7 +29,7 @@
                     let _ = reply.send(Err(self.failure(refusal)));
                 }
             },
-            Some(Waiting::Order(plan)) => self.ordered(plan, result),
+            Some(Waiting::Order(ordered)) => self.ordered(ordered, result),
             _ => {}
         }
     }
@@ -116,51 +115,51 @@
     }
 
     /// Sends an order whose fencing number was assigned.
-    fn ordered(&mut self, plan: placement::Plan, result: Result<Vec<u8>, host::Refusal>) {
+    fn ordered(&mut self, ordered: chores::Ordered, result: Result<Vec<u8>, host::Refusal>) {
         let now_ms = self.clock.now_ms();
         let reply = result
             .ok()
             .and_then(|bytes| machine::decode_reply(&bytes).ok());
         match reply {
             Some(command::Reply::Config(config::Reply::Ordered { fence })) => {
-                self.send_order(now_ms, plan, fence);
+                self.send_order(now_ms, ordered, fence);
             }
             Some(command::Reply::Config(config::Reply::Wait { retry_ms })) => {
                 metrics::RETRIES
                     .with_label_values(&["weight_store_budget"])
                     .inc();
                 self.placement
-                    .pending()
-                    .wait(now_ms, &plan.backend, retry_ms);
+                    .wait(&ordered.order.backend, retry_ms, now_ms);
             }
-            _ => self.placement.pending().failed(now_ms, &plan.backend),
+            _ => self.placement.unsent(&ordered.order.backend, now_ms),
         }
     }
 
     /// Sends an order, unless the lease is too short for an engine that would
     /// also obey an old one.
-    fn send_order(&mut self, now_ms: u64, plan: placement::Plan, fence: u64) {
+    fn send_order(&mut self, now_ms: u64, ordered: chores::Ordered, fence: u64) {
+        let backend = ordered.order.backend;
         let status = self.parts.host.status(GroupId(0));
         let lease_ms = status.map_or(0, |status| status.lease_remaining_ms);
         let order_ms = self.parts.settings.timeouts.order_ms;
         if self.leads.is_none() || lease_ms == 0 {
-            return self.placement.pending().failed(now_ms, &plan.backend);
+            return self.placement.unsent(&backend, now_ms);
         }
-        if !plan.checks_fencing && lease_ms <= order_ms {
+        if !ordered.checks_fencing && lease_ms <= order_ms {
             metrics::RETRIES.with_label_values(&["order_lease"]).inc();
-            return self.placement.pending().failed(now_ms, &plan.backend);
+            return self.placement.unsent(&backend, now_ms);
         }
         // The step may have waited for the disk, so the lease counts from its start.
         let spare_ms = lease_ms.saturating_sub(order_ms);
         let last_ms = self.stepped_ms + spare_ms;
         self.parts.orders.send(orders::Order {
-            backend: plan.backend,
-            address: plan.address,
+            backend,
+            address: ordered.address,
             order: backend::Order {
                 fence,
-                action: plan.action,
+                action: ordered.order.action,
             },
-            not_after: (!plan.checks_fencing).then(|| self.clock.instant(last_ms)),
+            not_after: (!ordered.checks_fencing).then(|| self.clock.instant(last_ms)),
         });
     }
 }
--- a/programs/control/src/core/chores.rs
+++ b/programs/control/src/core/chores.rs
@@ -3,16 +3,17 @@
 use std::collections;
 
 use bw_coord::{GroupId, host, node};
+use bw_policy::placement;
 use bw_state::machine;
 use bw_wire::{
-    backend, command,
+    command,
     command::{config, work},
-    sync,
+    name, sync,
 };
 
 use crate::{
     core::{Core, Waiting},
-    metrics, placement, settings,
+    metrics, settings,
 };
 
 /// Interval of health, addresses, members and gauges.
@@ -33,17 +34,29 @@
     expire_ms: u64,
 }
 
-/// Returns the times of the placement controller.
-pub(super) fn placement_settings(settings: &settings::Settings) -> placement::Settings {
-    placement::Settings {
-        // All entry VMs have reported by then, and any lease of the previous
-        // leader, which is shorter than an election timeout, is over.
-        warm_up_ms: sync::CONFIG_LEASE_MS.max(settings.timeouts.election_ms),
-        order_ms: settings.timeouts.order_ms,
-        load_ms: settings.timeouts.load_ms,
-        fresh_ms: backend::PROOF_MAX_AGE_MS,
-        gone_ms: ENGINE_GONE_MS,
-    }
+/// How long an order may stay without visible effect: the order, two renewals
+/// and two exchanges with the entry VM that hears them.
+const ORDER_SEEN_MS: u64 = 5_000;
+
+/// An order with its target.
+#[derive(Clone, Debug)]
+pub(crate) struct Ordered {
+    pub(crate) order: placement::Order,
+    pub(crate) address: name::Name,
+    /// Whether the engine refuses old fencing numbers.
+    pub(crate) checks_fencing: bool,
+}
+
+/// Creates the placement of a replica.
+pub(super) fn placement(settings: &settings::Settings) -> placement::Placement {
+    // All entry VMs have reported by then, and any lease of the previous
+    // leader, which is shorter than an election timeout, is over.
+    let warm_up_ms = sync::CONFIG_LEASE_MS.max(settings.timeouts.election_ms);
+    placement::Builder::new()
+        .grace_ms(ENGINE_GONE_MS)
+        .timeouts(ORDER_SEEN_MS, settings.timeouts.load_ms)
+        .warm_up(warm_up_ms, settings.timeouts.order_ms)
+        .build()
 }
 
 impl Core {
@@ -140,33 +153,41 @@
         let Some(machine::Machine::Config(config)) = self.parts.host.machine(GroupId(0)) else {
             return;
         };
-        let decision = self.placement.decide(placement::Input {
-            now_ms,
-            since_ms: self.registry.since_ms(),
-            intent: config.intent(),
-            backends: self.registry.backends(),
-        });
-        for (model, missing) in &decision.missing {
+        let heard = self.registry.heard(now_ms);
+        let orders = self.placement.plan(config.intent(), &heard, now_ms);
+        for (model, missing) in self.placement.missing() {
             let gauge = metrics::PLACEMENT.with_label_values(&[model.as_str()]);
             gauge.set(i64::from(*missing));
         }
-        for plan in decision.plans {
-            self.give(now_ms, plan);
+        let targets = orders.into_iter().filter_map(|order| {
+            let announced = &self.registry.backends().get(&order.backend)?.announcement;
+            let deployment = config.intent().deployments.get(&announced.service);
+            Some(Ordered {
+                order,
+                address: announced.address.clone(),
+                checks_fencing: deployment.is_some_and(|declared| declared.checks_fencing),
+            })
+        });
+        let targets: Vec<Ordered> = targets.collect();
+        for ordered in targets {
+            self.give(now_ms, ordered);
         }
     }
 
     /// Records an order in the log, which assigns its fencing number.
-    fn give(&mut self, now_ms: u64, plan: placement::Plan) {
-        let settings = placement_settings(&self.parts.settings);
-        let pending = self.placement.pending();
-        let action = plan.action.clone();
-        pending.begin(now_ms, &plan.backend, plan.incarnation, action, &settings);
+    fn give(&mut self, now_ms: u64, ordered: Ordered) {
+        let order = &ordered.order;
+        self.placement.ordered(order, now_ms);
+        log::info!(
+            backend = order.backend.as_str(), reason = order.reason.to_string();
+            "placement orders {:?}", order.action
+        );
         let command = command::Command::Config(config::Command::Order {
-            backend: plan.backend.clone(),
-            action: plan.action.clone(),
-            fetch_mb: plan.fetch_mb,
+            backend: order.backend.clone(),
+            action: order.action.clone(),
+            fetch_mb: order.fetch_mb,
         });
-        let input = self.propose(0, command, Waiting::Order(plan));
+        let input = self.propose(0, command, Waiting::Order(ordered));
         self.own.push(input);
     }
 
--- a/programs/control/src/core/mod.rs
+++ b/programs/control/src/core/mod.rs
@@ -20,7 +20,7 @@
         call::{Call, Failure},
         links, orders,
     },
-    placement, registry, settings,
+    registry, settings,
 };
 use waiting::{Tickets, Waiting};
 
@@ -56,7 +56,7 @@
     /// Inputs of the leader itself for the next step.
     own: Vec<host::Input>,
     registry: registry::Registry,
-    placement: placement::Placement,
+    placement: bw_policy::placement::Placement,
     timers: chores::Timers,
     /// The time given to the last step; leases count from it.
     stepped_ms: u64,
@@ -77,7 +77,7 @@
 
 impl Core {
     pub(crate) fn new(parts: Parts) -> Core {
-        let placement = placement::Placement::new(chores::placement_settings(&parts.settings));
+        let placement = chores::placement(&parts.settings);
         Core {
             parts,
             clock: clock::Clock::new(),
@@ -211,7 +211,7 @@
                 if !obeyed {
                     metrics::RETRIES.with_label_values(&["order"]).inc();
                     let now_ms = self.clock.now_ms();
-                    self.placement.pending().failed(now_ms, &backend);
+                    self.placement.failed(&backend, now_ms);
                 }
             }
             Call::Stop => self.begin_stop(),
@@ -292,8 +292,9 @@
             self.leads = None;
         } else if self.leads != Some(term) {
             self.leads = Some(term);
-            self.registry.reset(self.clock.now_ms(), term);
-            self.placement.reset();
+            let now_ms = self.clock.now_ms();
+            self.registry.reset(now_ms, term);
+            self.placement.reset(now_ms);
         }
     }
 
--- a/programs/control/src/core/waiting.rs
+++ b/programs/control/src/core/waiting.rs
@@ -4,7 +4,7 @@
 
 use bw_wire::{command, member, query, sync};
 
-use crate::{network::call, placement};
+use crate::{core::chores, network::call};
 
 /// Who waits for a ticket, and for what.
 pub(crate) enum Waiting {
@@ -27,7 +27,7 @@
         reply: call::Reply<Vec<member::Member>>,
     },
     /// An order that placement wants to give.
-    Order(placement::Plan),
+    Order(chores::Ordered),
     /// A proposal of the leader itself, whose result does not matter.
     Chore,
 }
--- a/programs/control/src/lib.rs
+++ b/programs/control/src/lib.rs
@@ -8,7 +8,6 @@
 mod handle;
 mod metrics;
 mod network;
-pub mod placement;
 pub mod registry;
 pub mod settings;
 
--- a/programs/control/src/registry/mod.rs
+++ b/programs/control/src/registry/mod.rs
@@ -132,6 +132,12 @@
         &self.backends
     }
 
+    /// Returns the announcements of the backend servers with their ages.
+    pub fn heard(&self, now_ms: u64) -> Vec<sync::Heard> {
+        let backends = self.backends.values();
+        backends.map(|backend| backend.heard(now_ms)).collect()
+    }
+
     /// Takes in a report and answers it.
     ///
     /// # Errors
--- a/programs/control/tests/placement.rs
+++ b/programs/control/tests/placement.rs
@@ -2,19 +2,10 @@
 
 use std::collections;
 
-use bw_control::{
-    placement::{Input, Placement, Plan, Settings},
-    registry::{Backend, Row},
-};
-use bw_wire::{backend, intent, name::Name};
+use bw_control::registry::{Backend, Row};
+use bw_policy::placement::{Builder, Order, Placement};
+use bw_wire::{backend, intent, name::Name, sync};
 
-const SETTINGS: Settings = Settings {
-    warm_up_ms: 4_000,
-    order_ms: 500,
-    load_ms: 60_000,
-    fresh_ms: 3_000,
-    gone_ms: 10_000,
-};
 const LOAD_MS: u64 = 5_000;
 
 /// Engines that obey orders after a load time.
@@ -39,7 +30,11 @@
             intent,
             backends: collections::BTreeMap::new(),
             loading: collections::BTreeMap::new(),
-            placement: Placement::new(SETTINGS),
+            placement: Builder::new()
+                .grace_ms(10_000)
+                .timeouts(5_000, 60_000)
+                .warm_up(4_000, 500)
+                .build(),
             orders: 0,
             fewest_ready: 0,
         };
@@ -84,7 +79,7 @@
     }
 
     /// Decides once and lets the engines obey.
-    fn tick(&mut self, silent: &[&str]) -> Vec<Plan> {
+    fn tick(&mut self, silent: &[&str]) -> Vec<Order> {
         self.now_ms += 1_000;
         for (id, known) in &mut self.backends {
             if silent.contains(&id.as_str()) {
@@ -99,36 +94,38 @@
                 self.loading.remove(id);
             }
         }
-        let decision = self.placement.decide(Input {
-            now_ms: self.now_ms,
-            since_ms: 0,
-            intent: &self.intent,
-            backends: &self.backends,
-        });
-        for plan in &decision.plans {
-            self.obey(plan);
+        let heard: Vec<sync::Heard> = self
+            .backends
+            .values()
+            .map(|known| sync::Heard {
+                announcement: known.announcement.clone(),
+                age_ms: self.now_ms - known.renewed_ms,
+            })
+            .collect();
+        let orders = self.placement.plan(&self.intent, &heard, self.now_ms);
+        for order in &orders {
+            self.obey(order);
         }
         self.fewest_ready = self.fewest_ready.min(self.ready("m"));
-        decision.plans
+        orders
     }
 
-    fn obey(&mut self, plan: &Plan) {
+    fn obey(&mut self, order: &Order) {
         self.orders += 1;
-        let action = plan.action.clone();
-        self.placement.pending().begin(
-            self.now_ms,
-            &plan.backend,
-            plan.incarnation,
-            action,
-            &SETTINGS,
-        );
-        let backend::Action::Load {
-            model,
-            version,
-            adapters,
-        } = plan.action.clone()
-        else {
-            panic!("unexpected order {plan:?}");
+        self.placement.ordered(order, self.now_ms);
+        let known = self.backends.get_mut(&order.backend).expect("known engine");
+        let (model, version, adapters) = match order.action.clone() {
+            backend::Action::Load {
+                model,
+                version,
+                adapters,
+            } => (model, version, adapters),
+            // An old version beyond the declared replicas ends this way.
+            backend::Action::Unload { model } => {
+                let loaded = &mut known.announcement.loaded;
+                return loaded.retain(|loaded| loaded.model != model);
+            }
+            backend::Action::Leave => panic!("unexpected order {order:?}"),
         };
         let loaded = backend::Loaded {
             model,
@@ -137,8 +134,7 @@
         };
         let until_ms = self.now_ms + LOAD_MS;
         self.loading
-            .insert(plan.backend.clone(), (until_ms, loaded));
-        let known = self.backends.get_mut(&plan.backend).expect("known engine");
+            .insert(order.backend.clone(), (until_ms, loaded));
         known.announcement.state = backend::State::Loading;
         known.announcement.loaded.clear();
     }
@@ -277,10 +273,7 @@
     let known = fleet.backends.get_mut(&plan.backend).expect("known engine");
     known.announcement.state = backend::State::Ready;
     fleet.loading.clear();
-    fleet
-        .placement
-        .pending()
-        .wait(fleet.now_ms, &plan.backend, 3_500);
+    fleet.placement.wait(&plan.backend, 3_500, fleet.now_ms);
     let waited = (1..).find(|_| !fleet.tick(&[]).is_empty());
     assert_eq!(waited, Some(4));
 }
