Date announcements by the leader's clock and report renewals by slot

Cause: the leader dated an announcement by its age when the request was sent, so that the transit of the request made a proof of not leaving look younger than it is. A control process that had just started cut ages at its own start.

Without a clock value of the same leader, an announcement is listed with at least the age limit of a proof and reported again in the next exchange. Entry VMs note the time of an announcement when it arrives instead of when the control thread takes it, and a copy that arrives later is no new report. Renewals of listed backend servers go as slot, sequence number and time, with the load if it differs enough; counts go by slot. A renewal whose profile changed in the leader's table meanwhile is ignored; after an unknown table version the response asks for a full report. The response states the interval: 500 ms with up to 64 entry VMs, else 1 s. The configuration lease still counts from the time of sending, and "in force" is computed as before.

--- a/crates/wire/src/backend.rs
+++ b/crates/wire/src/backend.rs
@@ -80,6 +80,23 @@
     pub age_ms: u32,
 }
 
+impl Load {
+    /// Smallest part of a figure whose change matters for routing.
+    const PART: f32 = 0.125;
+    /// Smallest change of the share of KV memory in use that matters.
+    const KV_STEP: f32 = 0.03;
+
+    /// Returns whether the figures differ enough from others to matter for
+    /// routing.
+    pub fn differs(&self, other: &Load) -> bool {
+        let part = |one: f32, other: f32| (one - other).abs() > other.max(one) * Load::PART;
+        part(self.running as f32, other.running as f32)
+            || part(self.waiting as f32, other.waiting as f32)
+            || part(self.step_ms, other.step_ms)
+            || (self.kv_used - other.kv_used).abs() > Load::KV_STEP
+    }
+}
+
 /// What a backend server says about itself, at start and with each renewal.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -110,6 +127,21 @@
     pub load: Load,
 }
 
+impl Announcement {
+    /// Returns whether announcements differ in sequence number and load only.
+    pub fn same_profile(&self, other: &Announcement) -> bool {
+        self.incarnation == other.incarnation
+            && self.address == other.address
+            && self.kind == other.kind
+            && self.service == other.service
+            && self.failure_domain == other.failure_domain
+            && self.state == other.state
+            && self.loaded == other.loaded
+            && self.capacity == other.capacity
+            && self.fence == other.fence
+    }
+}
+
 /// The answer to an announcement.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Announced {
--- a/crates/wire/src/renewal.rs
+++ b/crates/wire/src/renewal.rs
@@ -26,6 +26,20 @@
     load: Option<Load>,
 }
 
+/// A renewal that an entry VM reports, of a backend server whose profile is the
+/// one in the table.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// The slot in the table.
+    pub slot: u32,
+    /// The sequence number.
+    pub sequence: u64,
+    /// When it was heard, as [`crate::sync::Dated::at_ms`].
+    pub at_ms: i64,
+    /// The load, if it differs enough from that in the table to matter.
+    load: Option<Load>,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 struct Load {
     running: u32,
@@ -39,6 +53,10 @@
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Packed(String);
 
+/// Encoded reports.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Reports(String);
+
 /// Encoded counts by slot.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Counts(String);
@@ -55,13 +73,7 @@
             slot,
             sequence,
             age: age_ms.div_ceil(AGE_UNIT_MS),
-            load: load.map(|load| Load {
-                running: load.running,
-                waiting: load.waiting,
-                kv_used: (load.kv_used * KV_STEPS).round() as u8,
-                step: (load.step_ms * STEP_UNITS).round() as u32,
-                age: load.age_ms.div_ceil(AGE_UNIT_MS as u32),
-            }),
+            load: load.map(Load::encode),
         }
     }
 
@@ -72,26 +84,53 @@
 
     /// Returns the load, if it changed.
     pub fn load(&self) -> Option<backend::Load> {
-        self.load.map(|load| backend::Load {
+        self.load.map(Load::decode)
+    }
+}
+
+impl Report {
+    /// Creates a report.
+    pub fn new(slot: u32, sequence: u64, at_ms: i64, load: Option<backend::Load>) -> Report {
+        Report {
+            slot,
+            sequence,
+            at_ms,
+            load: load.map(Load::encode),
+        }
+    }
+
+    /// Returns the load, if it differs.
+    pub fn load(&self) -> Option<backend::Load> {
+        self.load.map(Load::decode)
+    }
+}
+
+impl Load {
+    fn encode(load: backend::Load) -> Load {
+        Load {
             running: load.running,
             waiting: load.waiting,
-            kv_used: f32::from(load.kv_used) / KV_STEPS,
-            step_ms: load.step as f32 / STEP_UNITS,
-            age_ms: load.age.saturating_mul(AGE_UNIT_MS as u32),
-        })
+            kv_used: (load.kv_used * KV_STEPS).round() as u8,
+            step: (load.step_ms * STEP_UNITS).round() as u32,
+            age: load.age_ms.div_ceil(AGE_UNIT_MS as u32),
+        }
+    }
+
+    fn decode(self) -> backend::Load {
+        backend::Load {
+            running: self.running,
+            waiting: self.waiting,
+            kv_used: f32::from(self.kv_used) / KV_STEPS,
+            step_ms: self.step as f32 / STEP_UNITS,
+            age_ms: self.age.saturating_mul(AGE_UNIT_MS as u32),
+        }
     }
 }
 
 impl Packed {
     /// Encodes renewals in ascending order of slots.
     pub fn new(mut renewals: Vec<Renewal>) -> Packed {
-        renewals.sort_by_key(|renewal| renewal.slot);
-        let mut last = 0;
-        for renewal in &mut renewals {
-            let slot = renewal.slot;
-            renewal.slot -= last;
-            last = slot;
-        }
+        shorten(&mut renewals);
         Packed(encode(&renewals))
     }
 
@@ -102,26 +141,40 @@
     /// Fails when the text is malformed.
     pub fn unpack(&self) -> Result<Vec<Renewal>, Malformed> {
         let mut renewals: Vec<Renewal> = decode(&self.0)?;
-        let mut last: u32 = 0;
-        for renewal in &mut renewals {
-            last = last.checked_add(renewal.slot).ok_or(Malformed)?;
-            renewal.slot = last;
-        }
+        lengthen(&mut renewals)?;
         Ok(renewals)
     }
 }
 
+impl Reports {
+    /// Encodes reports in ascending order of slots.
+    pub fn new(mut reports: Vec<Report>) -> Reports {
+        shorten(&mut reports);
+        Reports(encode(&reports))
+    }
+
+    /// Returns whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Decodes the reports.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the text is malformed.
+    pub fn unpack(&self) -> Result<Vec<Report>, Malformed> {
+        let mut reports: Vec<Report> = decode(&self.0)?;
+        lengthen(&mut reports)?;
+        Ok(reports)
+    }
+}
+
 impl Counts {
     /// Encodes counts by slot, without zeros.
     pub fn new(mut counts: Vec<(u32, u32)>) -> Counts {
         counts.retain(|(_, count)| *count > 0);
-        counts.sort_unstable();
-        let mut last = 0;
-        for (slot, _) in &mut counts {
-            let next = *slot;
-            *slot -= last;
-            last = next;
-        }
+        shorten(&mut counts);
         Counts(encode(&counts))
     }
 
@@ -132,15 +185,68 @@
     /// Fails when the text is malformed.
     pub fn unpack(&self) -> Result<Vec<(u32, u32)>, Malformed> {
         let mut counts: Vec<(u32, u32)> = decode(&self.0)?;
-        let mut last: u32 = 0;
-        for (slot, _) in &mut counts {
-            last = last.checked_add(*slot).ok_or(Malformed)?;
-            *slot = last;
-        }
+        lengthen(&mut counts)?;
         Ok(counts)
     }
 }
 
+/// A value with a slot.
+trait Slotted {
+    fn slot(&self) -> u32;
+    fn set_slot(&mut self, slot: u32);
+}
+
+impl Slotted for Renewal {
+    fn slot(&self) -> u32 {
+        self.slot
+    }
+
+    fn set_slot(&mut self, slot: u32) {
+        self.slot = slot;
+    }
+}
+
+impl Slotted for Report {
+    fn slot(&self) -> u32 {
+        self.slot
+    }
+
+    fn set_slot(&mut self, slot: u32) {
+        self.slot = slot;
+    }
+}
+
+impl Slotted for (u32, u32) {
+    fn slot(&self) -> u32 {
+        self.0
+    }
+
+    fn set_slot(&mut self, slot: u32) {
+        self.0 = slot;
+    }
+}
+
+/// Sorts values by slot and replaces each slot by its distance to the one before.
+fn shorten<T: Slotted>(values: &mut [T]) {
+    values.sort_by_key(Slotted::slot);
+    let mut last = 0;
+    for value in values {
+        let slot = value.slot();
+        value.set_slot(slot - last);
+        last = slot;
+    }
+}
+
+/// Undoes [`shorten`].
+fn lengthen<T: Slotted>(values: &mut [T]) -> Result<(), Malformed> {
+    let mut last: u32 = 0;
+    for value in values {
+        last = last.checked_add(value.slot()).ok_or(Malformed)?;
+        value.set_slot(last);
+    }
+    Ok(())
+}
+
 fn encode<T: Serialize>(values: &[T]) -> String {
     if values.is_empty() {
         return String::new();
--- a/crates/wire/src/sync.rs
+++ b/crates/wire/src/sync.rs
@@ -9,8 +9,18 @@
 /// How long an entry VM may admit new work after it sent a `sync` that was
 /// answered, in milliseconds.
 pub const CONFIG_LEASE_MS: u64 = 4_000;
-/// Interval of the exchange, in milliseconds.
+/// Interval of the exchange with up to [`SMALL_FLEET`] entry VMs, in milliseconds.
 pub const INTERVAL_MS: u64 = 500;
+/// Interval of the exchange with more entry VMs, in milliseconds. After an
+/// exchange that is lost for its whole time limit of 2 s, a quarter of the
+/// configuration lease is left for the next one.
+pub const LONG_INTERVAL_MS: u64 = 1_000;
+/// Number of entry VMs up to which the shorter interval applies, so that 370
+/// entry VMs stay below 10 KB/s each.
+pub const SMALL_FLEET: usize = 64;
+/// Age that the leader gives at least to an announcement whose time is not
+/// known, so that it is no proof of not leaving.
+pub const UNDATED_AGE_MS: u64 = backend::PROOF_MAX_AGE_MS;
 
 /// What an entry VM reports.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -30,15 +40,36 @@
     /// The version of the table in the last answer that was applied; 0 asks for
     /// the whole table.
     pub table: u64,
-    /// Announcements heard directly since the last report, with their age.
-    /// After a leader change, all that are known.
-    pub heard: Vec<Heard>,
-    /// Online requests in flight by backend server, without zeros.
-    pub online: collections::BTreeMap<name::Name, u32>,
+    /// The leader's clock in the response that the times in this request count
+    /// from the arrival of; absent before the first response of `leader_term`.
+    pub clock_ms: Option<u64>,
+    /// Announcements heard directly since the last report whose backend servers
+    /// are not in the named table, or differ from it in more than load. After a
+    /// leader change, all that are known.
+    pub heard: Vec<Dated>,
+    /// Announcements of other backend servers, heard directly since the last
+    /// report, by slot.
+    pub renewals: renewal::Reports,
+    /// Online requests in flight by slot, without zeros.
+    pub online: renewal::Counts,
+    /// Online requests in flight on backend servers that are not in the named
+    /// table, without zeros.
+    pub online_unlisted: collections::BTreeMap<name::Name, u32>,
     /// Whether it is shutting down and takes no batch ownership.
     pub draining: bool,
 }
 
+/// An announcement and when it was heard.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Dated {
+    /// The announcement.
+    pub announcement: backend::Announcement,
+    /// When it was heard, in milliseconds after the arrival of the response that
+    /// carried [`Request::clock_ms`]; without one, after the sending of this
+    /// request. Negative when it was heard before.
+    pub at_ms: i64,
+}
+
 /// An announcement and how long ago it was heard.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Heard {
@@ -64,6 +95,15 @@
 pub struct Response {
     /// The leader's term.
     pub leader_term: u64,
+    /// The leader's monotonic clock when this was written. The next request
+    /// returns it.
+    pub clock_ms: u64,
+    /// How long after the sending of this request the next one is due unless
+    /// something changes, in milliseconds.
+    pub interval_ms: u64,
+    /// Whether the next request is to report everything that is known: the
+    /// leader could not use what this one named by slot.
+    pub report_all: bool,
     /// The configuration lease, in milliseconds from when the request was sent.
     pub lease_ms: u64,
     /// The revision in force at the leader.
--- a/programs/control/examples/registry_bench.rs
+++ b/programs/control/examples/registry_bench.rs
@@ -7,7 +7,7 @@
 use std::{collections, time};
 
 use bw_control::registry;
-use bw_wire::{backend, intent, sync};
+use bw_wire::{backend, intent, renewal, sync};
 
 const ROUNDS: u64 = 8;
 const CALLS_PER_S: f64 = 2.0;
@@ -73,21 +73,24 @@
         revision: 1,
         leader_term: 1,
         table,
+        clock_ms: Some(1_000),
         heard: heard.map(|backend| announce(backend, round)).collect(),
-        online: (0..backends)
+        renewals: renewal::Reports::default(),
+        online: renewal::Counts::default(),
+        online_unlisted: (0..backends)
             .map(|backend| (format!("batting-desk-{backend}").into(), 3))
             .collect::<collections::BTreeMap<_, _>>(),
         draining: false,
     }
 }
 
-fn announce(backend: u64, round: u64) -> sync::Heard {
+fn announce(backend: u64, round: u64) -> sync::Dated {
     let loaded = backend::Loaded {
         model: "batting-desk".into(),
         version: "2026-12".into(),
         adapters: vec!["guild-a".into(), "guild-b".into()],
     };
-    sync::Heard {
+    sync::Dated {
         announcement: backend::Announcement {
             id: format!("batting-desk-{backend}").into(),
             incarnation: 1_764_800_000_000,
@@ -102,6 +105,6 @@
             fence: 12,
             load: backend::Load::default(),
         },
-        age_ms: 10,
+        at_ms: -10,
     }
 }
--- a/programs/control/src/core/chores.rs
+++ b/programs/control/src/core/chores.rs
@@ -160,7 +160,7 @@
             gauge.set(i64::from(*missing));
         }
         let targets = orders.into_iter().filter_map(|order| {
-            let announced = &self.registry.backends().get(&order.backend)?.announcement;
+            let announced = &self.registry.backend(&order.backend)?.announcement;
             let deployment = config.intent().deployments.get(&announced.service);
             Some(Ordered {
                 order,
--- a/programs/control/src/core/mod.rs
+++ b/programs/control/src/core/mod.rs
@@ -333,7 +333,7 @@
         let now_ms = self.clock.now_ms();
         let groups = 0..=self.parts.settings.work_groups;
         let leads = self.leads.is_some();
-        let backends = self.registry.backends().values();
+        let backends = self.registry.backends();
         rpc::Status {
             replica: self.parts.settings.name.clone(),
             groups: groups
--- a/programs/control/src/registry/mod.rs
+++ b/programs/control/src/registry/mod.rs
@@ -1,12 +1,15 @@
 //! Soft state of the leader of group 0: entry VMs, backend servers, online
 //! counts and batch ownership. Times are of the monotonic clock.
 
+mod date;
 mod owners;
 
-use std::{collections, ops};
+use std::{cmp, collections, ops};
 
 use bw_wire::{backend, intent, name, renewal, rpc, sync};
 
+pub use date::Date;
+
 /// Added to a configuration lease at the leader, for clocks that run apart.
 const LEASE_MARGIN_MS: u64 = 100;
 /// How long a backend server that no longer renews stays listed.
@@ -18,10 +21,6 @@
 /// Removed slots that are remembered; an entry VM that is further behind gets
 /// the whole table.
 const REMOVED_KEPT: usize = 1_024;
-/// Smallest part of a load figure whose change is sent to entry VMs.
-const LOAD_PART: f32 = 0.125;
-/// Smallest change of the share of KV memory in use that is sent to entry VMs.
-const KV_STEP: f32 = 0.03;
 /// The term of the first leader ever.
 const FIRST_TERM: u64 = 1;
 
@@ -34,10 +33,12 @@
     /// From when on no lease of a previous leader can be running.
     settled_ms: u64,
     entries: collections::BTreeMap<Key, Entry>,
-    backends: collections::BTreeMap<name::Name, Backend>,
+    /// Backend servers by slot.
+    backends: collections::BTreeMap<u32, Backend>,
+    slots: collections::BTreeMap<name::Name, u32>,
     owners: owners::Owners,
-    /// Online requests in flight by backend server over all entry VMs listed.
-    online: collections::BTreeMap<name::Name, u32>,
+    /// Online requests in flight by slot over all entry VMs listed.
+    online: Online,
     /// When entry VMs were expired and ownership was assigned last.
     tidied_ms: u64,
     /// The version of the table in the last answer. Changes carry the next one.
@@ -53,6 +54,9 @@
     granted: collections::BTreeMap<name::Name, name::Name>,
 }
 
+/// Online requests in flight by slot, without zeros.
+type Online = collections::BTreeMap<u32, u32>;
+
 /// An entry VM's process. An older process of the same name may still hold a
 /// lease, so both are kept.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -67,7 +71,7 @@
     failure_domain: name::Name,
     address: name::Name,
     revision: u64,
-    online: collections::BTreeMap<name::Name, u32>,
+    online: Online,
     draining: bool,
 }
 
@@ -77,7 +81,7 @@
     /// The newest announcement.
     pub announcement: backend::Announcement,
     /// When it last renewed.
-    pub renewed_ms: u64,
+    pub renewed: Date,
     /// What entry VMs were told of it.
     pub row: Row,
 }
@@ -128,8 +132,13 @@
     }
 
     /// Returns the backend servers.
-    pub fn backends(&self) -> &collections::BTreeMap<name::Name, Backend> {
-        &self.backends
+    pub fn backends(&self) -> impl ExactSizeIterator<Item = &Backend> {
+        self.backends.values()
+    }
+
+    /// Returns a backend server.
+    pub fn backend(&self, id: &name::Name) -> Option<&Backend> {
+        self.backends.get(self.slots.get(id)?)
     }
 
     /// Returns the announcements of the backend servers with their ages.
@@ -156,15 +165,28 @@
         if self.newer(&key) {
             return Err(Replaced);
         }
-        for heard in request.heard {
-            self.hear(now_ms, heard);
+        let since = self.since(request.leader_term, request.table);
+        // Another leader's clock says nothing here.
+        let same_leader = request.leader_term == self.term;
+        let clock_ms = request.clock_ms.filter(|_| same_leader);
+        for dated in request.heard {
+            let date = Date::new(now_ms, clock_ms, dated.at_ms);
+            self.hear(date, dated.announcement);
+        }
+        if let Some(since) = since {
+            self.hear_renewals(now_ms, clock_ms, since, &request.renewals);
         }
+        let counts = match same_leader {
+            true => request.online,
+            false => renewal::Counts::default(),
+        };
+        let online = self.counts(&counts, &request.online_unlisted);
         let entry = Entry {
             synced_ms: now_ms,
             failure_domain: request.failure_domain,
             address: request.peer_address,
             revision: request.revision,
-            online: request.online,
+            online,
             draining: request.draining,
         };
         self.put(key.clone(), entry);
@@ -173,7 +195,6 @@
             self.expire(now_ms);
             self.assign(now_ms);
         }
-        let since = self.since(request.leader_term, request.table);
         Ok(self.response(now_ms, &key, request.revision, since, current))
     }
 
@@ -221,10 +242,12 @@
             keep
         });
         let removed = &mut self.removed;
-        self.backends.retain(|_, backend| {
-            let keep = now_ms < backend.renewed_ms + BACKEND_KEPT_MS;
+        let slots = &mut self.slots;
+        self.backends.retain(|slot, backend| {
+            let keep = backend.renewed.since_ms(now_ms) < BACKEND_KEPT_MS;
             if !keep {
-                removed.push_back((next, backend.row.slot));
+                removed.push_back((next, *slot));
+                slots.remove(&backend.announcement.id);
             }
             keep
         });
@@ -243,8 +266,8 @@
 
     /// Stores the report of an entry VM in place of its last one.
     fn put(&mut self, key: Key, entry: Entry) {
-        for (backend, count) in &entry.online {
-            let sum = self.online.entry(backend.clone()).or_default();
+        for (slot, count) in &entry.online {
+            let sum = self.online.entry(*slot).or_default();
             *sum = sum.saturating_add(*count);
         }
         let synced_ms = entry.synced_ms;
@@ -264,39 +287,90 @@
         }
     }
 
-    fn hear(&mut self, now_ms: u64, heard: sync::Heard) {
-        let renewed_ms = now_ms.saturating_sub(heard.age_ms);
+    fn hear(&mut self, date: Date, announcement: backend::Announcement) {
+        let next = self.version + 1;
+        let slot = self.slots.get(&announcement.id);
+        let Some(known) = slot.and_then(|slot| self.backends.get_mut(slot)) else {
+            let slot = self.next_slot;
+            self.next_slot += 1;
+            self.slots.insert(announcement.id.clone(), slot);
+            let row = Row {
+                slot,
+                base: announcement.sequence,
+                told: announcement.load,
+                profile_version: next,
+                renewal_version: next,
+                load_version: next,
+            };
+            let backend = Backend {
+                renewed: date,
+                row,
+                announcement,
+            };
+            self.backends.insert(slot, backend);
+            return;
+        };
+        let order = version(&announcement).cmp(&version(&known.announcement));
+        if order.is_gt() {
+            known.renew(announcement, date, next);
+        } else if order.is_eq() {
+            known.repeat(date, next);
+        }
+    }
+
+    /// Takes renewals of backend servers that an entry VM knows from the table
+    /// of version `since`.
+    fn hear_renewals(
+        &mut self,
+        now_ms: u64,
+        clock_ms: Option<u64>,
+        since: u64,
+        reports: &renewal::Reports,
+    ) {
         let next = self.version + 1;
-        let place = self.backends.entry(heard.announcement.id.clone());
-        match place {
-            collections::btree_map::Entry::Vacant(place) => {
-                place.insert(Backend {
-                    renewed_ms,
-                    row: Row {
-                        slot: self.next_slot,
-                        base: heard.announcement.sequence,
-                        told: heard.announcement.load,
-                        profile_version: next,
-                        renewal_version: next,
-                        load_version: next,
-                    },
-                    announcement: heard.announcement,
-                });
-                self.next_slot += 1;
+        let Ok(reports) = reports.unpack() else {
+            log::warn!("malformed renewals of an entry VM ignored");
+            return;
+        };
+        for report in reports {
+            let Some(known) = self.backends.get_mut(&report.slot) else {
+                continue;
+            };
+            // The profile that the entry VM means is not known here any more.
+            // It sees the new one in the answer and reports the next renewal in
+            // full if that differs.
+            if known.row.profile_version > since {
+                continue;
+            }
+            let date = Date::new(now_ms, clock_ms, report.at_ms);
+            match report.sequence.cmp(&known.announcement.sequence) {
+                cmp::Ordering::Greater => known.renew_known(&report, date, next),
+                cmp::Ordering::Equal => known.repeat(date, next),
+                cmp::Ordering::Less => {}
+            }
+        }
+    }
+
+    /// Returns reported counts by slot.
+    fn counts(
+        &self,
+        listed: &renewal::Counts,
+        unlisted: &collections::BTreeMap<name::Name, u32>,
+    ) -> Online {
+        let mut online: Online = match listed.unpack() {
+            Ok(counts) => counts.into_iter().collect(),
+            Err(renewal::Malformed) => {
+                log::warn!("malformed counts of an entry VM ignored");
+                Online::new()
             }
-            collections::btree_map::Entry::Occupied(mut place) => {
-                let known = place.get_mut();
-                let order = version(&heard.announcement).cmp(&version(&known.announcement));
-                if order.is_gt() {
-                    known.renew(heard.announcement, renewed_ms, next);
-                } else if order.is_eq() && renewed_ms < known.renewed_ms {
-                    // The age of one announcement is known to differ only by
-                    // delays, so the oldest time is the safest.
-                    known.renewed_ms = renewed_ms;
-                    known.row.renewal_version = next;
-                }
+        };
+        for (id, count) in unlisted {
+            if let Some(slot) = self.slots.get(id) {
+                online.insert(*slot, *count);
             }
         }
+        online.retain(|_, count| *count > 0);
+        online
     }
 
     /// Assigns batch ownership among live entry VMs.
@@ -310,7 +384,7 @@
             .filter(|(_, entry)| entry.has_lease(now_ms) && !entry.draining)
             .map(|(key, _)| key.entry.clone())
             .collect();
-        self.owners.assign(now_ms, self.backends.keys(), able);
+        self.owners.assign(now_ms, self.slots.keys(), able);
         let granted = self.owners.granted();
         if granted != self.granted {
             self.granted = granted;
@@ -333,6 +407,9 @@
         self.owners.renew(&key.entry, now_ms + lease_ms());
         sync::Response {
             leader_term: self.term,
+            clock_ms: now_ms,
+            interval_ms: self.interval_ms(),
+            report_all: since.is_none(),
             lease_ms: sync::CONFIG_LEASE_MS,
             revision: current.revision,
             intent: newer.then(|| Box::new(current.intent.clone())),
@@ -348,6 +425,13 @@
         }
     }
 
+    fn interval_ms(&self) -> u64 {
+        match self.entries.len() <= sync::SMALL_FLEET {
+            true => sync::INTERVAL_MS,
+            false => sync::LONG_INTERVAL_MS,
+        }
+    }
+
     /// Returns the version that an answer builds on; none if it must be whole.
     fn since(&self, term: u64, table: u64) -> Option<u64> {
         let known = term == self.term && table > 0 && table <= self.version;
@@ -403,85 +487,82 @@
 
     /// Returns the online counts without those of one entry VM.
     fn online(&self, own: &Key) -> renewal::Counts {
-        let mut others = self.online.clone();
-        if let Some(entry) = self.entries.get(own) {
-            subtract(&mut others, &entry.online);
-        }
-        let slots = others.iter().filter_map(|(id, count)| {
-            let backend = self.backends.get(id)?;
-            Some((backend.row.slot, *count))
-        });
-        renewal::Counts::new(slots.collect())
+        let own = self.entries.get(own).map(|entry| &entry.online);
+        let own = |slot: &u32| own.and_then(|online| online.get(slot)).unwrap_or(&0);
+        let listed = self.online.iter();
+        let listed = listed.filter(|(slot, _)| self.backends.contains_key(slot));
+        let others = listed.map(|(slot, count)| (*slot, count.saturating_sub(*own(slot))));
+        renewal::Counts::new(others.collect())
     }
 }
 
 /// Takes counts out of a total and drops what becomes zero.
-fn subtract(
-    total: &mut collections::BTreeMap<name::Name, u32>,
-    counts: &collections::BTreeMap<name::Name, u32>,
-) {
-    for (backend, count) in counts {
-        if let Some(sum) = total.get_mut(backend) {
+fn subtract(total: &mut Online, counts: &Online) {
+    for (slot, count) in counts {
+        if let Some(sum) = total.get_mut(slot) {
             *sum = sum.saturating_sub(*count);
             if *sum == 0 {
-                total.remove(backend);
+                total.remove(slot);
             }
         }
     }
 }
 
 impl Backend {
-    fn renew(&mut self, announcement: backend::Announcement, renewed_ms: u64, version: u64) {
-        self.renewed_ms = renewed_ms;
+    fn renew(&mut self, announcement: backend::Announcement, renewed: Date, version: u64) {
+        self.renewed = renewed;
         self.row.renewal_version = version;
-        if !same_profile(&announcement, &self.announcement) {
+        if !announcement.same_profile(&self.announcement) {
             self.row.base = announcement.sequence;
             self.row.profile_version = version;
         }
-        if differs(&announcement.load, &self.row.told) {
-            self.row.told = announcement.load;
+        self.tell(&announcement.load, version);
+        self.announcement = announcement;
+    }
+
+    /// Takes a newer announcement with the same profile.
+    fn renew_known(&mut self, report: &renewal::Report, renewed: Date, version: u64) {
+        self.renewed = renewed;
+        self.row.renewal_version = version;
+        self.announcement.sequence = report.sequence;
+        if let Some(load) = report.load() {
+            self.tell(&load, version);
+            self.announcement.load = load;
+        }
+    }
+
+    /// Takes the announcement that is known once more.
+    fn repeat(&mut self, date: Date, version: u64) {
+        let combined = self.renewed.combine(date);
+        if combined != self.renewed {
+            self.renewed = combined;
+            self.row.renewal_version = version;
+        }
+    }
+
+    /// Notes load figures that entry VMs are to be told, if they changed enough.
+    fn tell(&mut self, load: &backend::Load, version: u64) {
+        if load.differs(&self.row.told) {
+            self.row.told = *load;
             self.row.load_version = version;
         }
-        self.announcement = announcement;
     }
 
     fn heard(&self, now_ms: u64) -> sync::Heard {
         sync::Heard {
             announcement: self.announcement.clone(),
-            age_ms: now_ms.saturating_sub(self.renewed_ms),
+            age_ms: self.renewed.age_ms(now_ms),
         }
     }
 
     fn renewal(&self, now_ms: u64, since: u64) -> renewal::Renewal {
-        let age_ms = now_ms.saturating_sub(self.renewed_ms);
+        let age_ms = self.renewed.age_ms(now_ms);
         let sequence = self.announcement.sequence - self.row.base;
         let load = (self.row.load_version > since).then_some(self.row.told);
         renewal::Renewal::new(self.row.slot, sequence, age_ms, load)
     }
 }
 
-/// Returns whether announcements differ in sequence number and load only.
-fn same_profile(one: &backend::Announcement, other: &backend::Announcement) -> bool {
-    one.incarnation == other.incarnation
-        && one.address == other.address
-        && one.kind == other.kind
-        && one.service == other.service
-        && one.failure_domain == other.failure_domain
-        && one.state == other.state
-        && one.loaded == other.loaded
-        && one.capacity == other.capacity
-        && one.fence == other.fence
-}
-
-/// Returns whether load figures differ enough to matter for routing.
-fn differs(load: &backend::Load, told: &backend::Load) -> bool {
-    let part = |now: f32, told: f32| (now - told).abs() > told.max(now) * LOAD_PART;
-    part(load.running as f32, told.running as f32)
-        || part(load.waiting as f32, told.waiting as f32)
-        || part(load.step_ms, told.step_ms)
-        || (load.kv_used - told.kv_used).abs() > KV_STEP
-}
-
 impl Entry {
     fn has_lease(&self, now_ms: u64) -> bool {
         now_ms < self.synced_ms + lease_ms()
--- a/programs/entry/src/api/announce.rs
+++ b/programs/entry/src/api/announce.rs
@@ -19,10 +19,12 @@
 ) -> Result<Response, refusal::Refusal> {
     let announcement: backend::Announcement = read(context, head, body).await?;
     check(&announcement)?;
+    let heard_ms = context.shared.clock.now_ms();
     context.shared.table.announce(&announcement, 0);
-    let taken = context
-        .events
-        .send(controller::Event::Announced(announcement));
+    let taken = context.events.send(controller::Event::Announced {
+        announcement,
+        heard_ms,
+    });
     if !taken {
         let message = "too many announcements wait";
         return Err(refusal::Refusal::not_run(
--- a/programs/entry/src/controller/exchange.rs
+++ b/programs/entry/src/controller/exchange.rs
@@ -6,7 +6,7 @@
 use bw_wire::{name, sync as wire_sync};
 
 use super::{
-    listing,
+    listing, registry,
     run::{Controller, Done},
 };
 use crate::{metrics, snapshot};
@@ -23,6 +23,8 @@
     full_report: bool,
     leader_term: u64,
     table: u64,
+    interval_ms: u64,
+    mark: Option<listing::Mark>,
 }
 
 impl Default for Schedule {
@@ -34,6 +36,8 @@
             full_report: true,
             leader_term: 0,
             table: 0,
+            interval_ms: wire_sync::INTERVAL_MS,
+            mark: None,
         }
     }
 }
@@ -48,7 +52,7 @@
     pub(super) fn due_ms(&self) -> Option<u64> {
         let interval_ms = match self.urgent {
             true => MIN_INTERVAL_MS,
-            false => wire_sync::INTERVAL_MS,
+            false => self.interval_ms,
         };
         (!self.running).then_some(self.last_sent_ms + interval_ms)
     }
@@ -58,7 +62,7 @@
 #[derive(Debug)]
 pub(super) struct Synced {
     sent_ms: u64,
-    heard: Vec<wire_sync::Heard>,
+    reported: Vec<registry::Reported>,
     result: Result<wire_sync::Response, control::Error>,
 }
 
@@ -69,23 +73,29 @@
         self.schedule.running = true;
         self.schedule.urgent = false;
         self.schedule.last_sent_ms = now_ms;
-        let request = self.sync_request(now_ms);
+        let (request, reported) = self.sync_request(now_ms);
         let client = self.sync_client.clone();
         self.tasks.spawn(async move {
             let result = client.sync(&request).await;
             Done::Synced(Box::new(Synced {
                 sent_ms: now_ms,
-                heard: request.heard,
+                reported,
                 result,
             }))
         });
     }
 
-    fn sync_request(&self, now_ms: u64) -> wire_sync::Request {
+    fn sync_request(&self, now_ms: u64) -> (wire_sync::Request, Vec<registry::Reported>) {
         let settings = &self.shared.settings;
-        let mut online = self.shared.table.online();
-        online.retain(|_, count| *count > 0);
-        wire_sync::Request {
+        let mark = self.schedule.mark;
+        let mark = mark.unwrap_or(listing::Mark::sending(now_ms));
+        let heard = self.registry.report(mark, self.schedule.full_report);
+        let reported = heard.iter();
+        let reported = reported
+            .map(|dated| registry::Reported::new(&dated.announcement))
+            .collect();
+        let named = self.listing.name(heard, self.shared.table.online());
+        let request = wire_sync::Request {
             entry: settings.name.clone(),
             incarnation: self.shared.incarnation,
             failure_domain: settings.failure_domain.clone(),
@@ -93,10 +103,14 @@
             revision: self.state.revision,
             leader_term: self.schedule.leader_term,
             table: self.schedule.table,
-            heard: self.registry.report(now_ms, self.schedule.full_report),
-            online,
+            clock_ms: mark.clock_ms(),
+            heard: named.heard,
+            renewals: named.renewals,
+            online: named.online,
+            online_unlisted: named.online_unlisted,
             draining: self.shared.drain.is_draining(),
-        }
+        };
+        (request, reported)
     }
 
     /// Takes the result of an exchange.
@@ -105,7 +119,7 @@
         match synced.result {
             Ok(response) => {
                 metrics::SYNCS.with_label_values(&["answered"]).inc();
-                self.registry.reported(&synced.heard);
+                self.registry.reported(&synced.reported);
                 self.apply(synced.sent_ms, response);
             }
             Err(error) => {
@@ -117,10 +131,15 @@
 
     fn apply(&mut self, sent_ms: u64, response: wire_sync::Response) {
         let term_changed = response.leader_term != self.schedule.leader_term;
-        self.schedule.full_report = term_changed;
+        self.schedule.full_report = term_changed || response.report_all;
         self.schedule.leader_term = response.leader_term;
-        if term_changed {
-            // A new leader knows no backend servers yet.
+        self.schedule.interval_ms = response
+            .interval_ms
+            .clamp(MIN_INTERVAL_MS, wire_sync::LONG_INTERVAL_MS);
+        let now_ms = self.shared.clock.now_ms();
+        self.schedule.mark = Some(listing::Mark::arrival(&response, now_ms));
+        if self.schedule.full_report {
+            // A new leader knows no backend servers yet, or no times.
             self.schedule.hurry();
         }
         let (heard, online) = match self.listing.apply(&response) {
--- a/programs/entry/src/controller/listing.rs
+++ b/programs/entry/src/controller/listing.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use bw_wire::{name, sync as wire_sync};
+use bw_wire::{backend, name, renewal, sync as wire_sync};
 
 /// Online counts by backend server.
 type Counts = collections::BTreeMap<name::Name, u32>;
@@ -11,6 +11,60 @@
 #[derive(Debug, Default)]
 pub struct Listing {
     slots: collections::BTreeMap<u32, wire_sync::Listed>,
+    ids: collections::HashMap<name::Name, u32>,
+}
+
+/// The moment from which a request gives its times.
+#[derive(Clone, Copy, Debug)]
+pub struct Mark {
+    clock_ms: Option<u64>,
+    at_ms: u64,
+}
+
+impl Mark {
+    /// Marks the arrival of a response that is taken in at `now_ms`.
+    pub fn arrival(response: &wire_sync::Response, now_ms: u64) -> Mark {
+        Mark {
+            clock_ms: Some(response.clock_ms),
+            // Rounded up, as the leader adds what passed since then.
+            at_ms: now_ms + 1,
+        }
+    }
+
+    /// Marks the sending of a request before the first response.
+    pub fn sending(now_ms: u64) -> Mark {
+        Mark {
+            clock_ms: None,
+            at_ms: now_ms,
+        }
+    }
+
+    /// Returns the leader's clock in the response.
+    pub fn clock_ms(self) -> Option<u64> {
+        self.clock_ms
+    }
+
+    /// Returns how long after the mark something was, in milliseconds.
+    pub fn offset_ms(self, at_ms: u64) -> i64 {
+        let distance = i64::try_from(at_ms.abs_diff(self.at_ms)).unwrap_or(i64::MAX);
+        match at_ms >= self.at_ms {
+            true => distance,
+            false => -distance,
+        }
+    }
+}
+
+/// Reports and counts as a request carries them.
+#[derive(Clone, Debug, Default)]
+pub struct Named {
+    /// Announcements that the table cannot express.
+    pub heard: Vec<wire_sync::Dated>,
+    /// Announcements by slot.
+    pub renewals: renewal::Reports,
+    /// Counts by slot.
+    pub online: renewal::Counts,
+    /// Counts of backend servers that the table does not list.
+    pub online_unlisted: Counts,
 }
 
 /// An answer is malformed or names slots that are not known.
@@ -30,12 +84,17 @@
     ) -> Result<(Vec<wire_sync::Heard>, Counts), Unknown> {
         if response.whole {
             self.slots.clear();
+            self.ids.clear();
         }
         for slot in &response.removed {
-            self.slots.remove(slot);
+            if let Some(listed) = self.slots.remove(slot) {
+                self.ids.remove(&listed.heard.announcement.id);
+            }
         }
         let mut heard = Vec::new();
         for listed in &response.backends {
+            let id = listed.heard.announcement.id.clone();
+            self.ids.insert(id, listed.slot);
             self.slots.insert(listed.slot, listed.clone());
             heard.push(listed.heard.clone());
         }
@@ -57,4 +116,39 @@
         let online = named.collect::<Result<Counts, Unknown>>()?;
         Ok((heard, online))
     }
+
+    /// Names what a request reports by slot where the table allows it.
+    pub fn name(&self, heard: Vec<wire_sync::Dated>, online: Counts) -> Named {
+        let mut named = Named::default();
+        let mut renewals = Vec::new();
+        for dated in heard {
+            match self.renewal(&dated) {
+                Some(renewal) => renewals.push(renewal),
+                None => named.heard.push(dated),
+            }
+        }
+        let mut counts = Vec::new();
+        for (id, count) in online.into_iter().filter(|(_, count)| *count > 0) {
+            match self.ids.get(&id) {
+                Some(slot) => counts.push((*slot, count)),
+                None => {
+                    named.online_unlisted.insert(id, count);
+                }
+            }
+        }
+        named.renewals = renewal::Reports::new(renewals);
+        named.online = renewal::Counts::new(counts);
+        named
+    }
+
+    fn renewal(&self, dated: &wire_sync::Dated) -> Option<renewal::Report> {
+        let announcement = &dated.announcement;
+        let slot = self.ids.get(&announcement.id)?;
+        let listed: &backend::Announcement = &self.slots.get(slot)?.heard.announcement;
+        let load = announcement.load;
+        let load = load.differs(&listed.load).then_some(load);
+        announcement
+            .same_profile(listed)
+            .then(|| renewal::Report::new(*slot, announcement.sequence, dated.at_ms, load))
+    }
 }
--- a/programs/entry/src/controller/mod.rs
+++ b/programs/entry/src/controller/mod.rs
@@ -30,7 +30,12 @@
 #[strum(serialize_all = "snake_case")]
 pub enum Event {
     /// A backend server announced itself here.
-    Announced(backend::Announcement),
+    Announced {
+        /// The announcement.
+        announcement: backend::Announcement,
+        /// When it arrived; the event may wait.
+        heard_ms: u64,
+    },
     /// An engine published cache events here.
     Cached(backend::CacheEvents),
     /// Another entry VM sent a message.
--- a/programs/entry/src/controller/registry.rs
+++ b/programs/entry/src/controller/registry.rs
@@ -4,6 +4,8 @@
 
 use bw_wire::{backend, name, sync as wire_sync};
 
+use super::listing;
+
 /// Age after which a backend server that is silent is forgotten.
 const FORGET_MS: u64 = 60_000;
 
@@ -20,6 +22,24 @@
     reported: bool,
 }
 
+/// An announcement that a request carries.
+#[derive(Debug)]
+pub(super) struct Reported {
+    id: name::Name,
+    incarnation: u64,
+    sequence: u64,
+}
+
+impl Reported {
+    pub(super) fn new(announcement: &backend::Announcement) -> Reported {
+        Reported {
+            id: announcement.id.clone(),
+            incarnation: announcement.incarnation,
+            sequence: announcement.sequence,
+        }
+    }
+}
+
 impl Registry {
     /// Takes an announcement that was made at `heard_ms`, and returns whether
     /// it is news: a new backend server, incarnation or state.
@@ -54,7 +74,11 @@
             || known.announcement.state != announcement.state
             || known.announcement.loaded != announcement.loaded;
         if order(announcement) == order(&known.announcement) {
-            known.heard_ms = known.heard_ms.max(heard_ms);
+            // What control says of a copy can become more exact, while a copy
+            // that arrives here later is no new proof.
+            if !direct {
+                known.heard_ms = known.heard_ms.max(heard_ms);
+            }
             return false;
         }
         known.announcement.clone_from(announcement);
@@ -64,22 +88,21 @@
     }
 
     /// Returns what the next exchange reports: what was heard here since the
-    /// last one, or everything.
-    pub(super) fn report(&self, now_ms: u64, everything: bool) -> Vec<wire_sync::Heard> {
+    /// last one, or everything. Times count from a mark.
+    pub(super) fn report(&self, mark: listing::Mark, everything: bool) -> Vec<wire_sync::Dated> {
         self.known
             .values()
             .filter(|known| everything || !known.reported)
-            .map(|known| wire_sync::Heard {
+            .map(|known| wire_sync::Dated {
                 announcement: known.announcement.clone(),
-                age_ms: now_ms.saturating_sub(known.heard_ms),
+                at_ms: mark.offset_ms(known.heard_ms),
             })
             .collect()
     }
 
     /// Marks announcements as reported.
-    pub(super) fn reported(&mut self, heard: &[wire_sync::Heard]) {
-        for heard in heard {
-            let reported = &heard.announcement;
+    pub(super) fn reported(&mut self, reported: &[Reported]) {
+        for reported in reported {
             if let Some(known) = self.known.get_mut(&reported.id)
                 && known.announcement.incarnation == reported.incarnation
                 && known.announcement.sequence == reported.sequence
--- a/programs/entry/src/controller/run.rs
+++ b/programs/entry/src/controller/run.rs
@@ -187,7 +187,10 @@
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Announced(announcement) => self.announced(announcement),
+            Event::Announced {
+                announcement,
+                heard_ms,
+            } => self.announced(announcement, heard_ms),
             Event::Cached(events) => self
                 .shared
                 .table
@@ -205,10 +208,9 @@
         }
     }
 
-    fn announced(&mut self, announcement: backend::Announcement) {
-        let now_ms = self.shared.clock.now_ms();
+    fn announced(&mut self, announcement: backend::Announcement, heard_ms: u64) {
         self.probes.heard(&announcement.id);
-        if !self.registry.hear(&announcement, now_ms, true) {
+        if !self.registry.hear(&announcement, heard_ms, true) {
             return;
         }
         self.schedule.hurry();
--- a/programs/entry/tests/batch.rs
+++ b/programs/entry/tests/batch.rs
@@ -259,6 +259,9 @@
             }
             Ok::<_, ErrorObjectOwned>(wire_sync::Response {
                 leader_term: 1,
+                clock_ms: 0,
+                interval_ms: wire_sync::INTERVAL_MS,
+                report_all: false,
                 lease_ms: wire_sync::CONFIG_LEASE_MS,
                 revision: 1,
                 intent: (request.revision == 0).then(|| Box::new(declared())),
--- a/programs/entry/tests/control.rs
+++ b/programs/entry/tests/control.rs
@@ -55,6 +55,31 @@
     );
 }
 
+/// Guards against an entry VM of a large fleet that refuses new work because one
+/// exchange is lost: both of its calls stay without an answer.
+#[rstest]
+fn one_lost_exchange_at_the_long_interval_does_not_end_the_lease() {
+    let control = support::control::Control::start();
+    control.lock().interval_ms = wire_sync::LONG_INTERVAL_MS;
+    let entry = start(&control, "entry-1", |_| {});
+    let shared = entry.shared();
+    wait_for("the lease", || {
+        shared.lease.remaining_ms(shared.clock.now_ms()) > 0
+    });
+    thread::sleep(time::Duration::from_millis(1_500));
+    control.lock().lost = 2;
+    let least = (0..900)
+        .map(|_| {
+            thread::sleep(time::Duration::from_millis(5));
+            shared.lease.remaining_ms(shared.clock.now_ms())
+        })
+        .min();
+    assert_eq!(control.lock().lost, 0, "the exchange was lost");
+    let least = least.expect("a lease");
+    println!("least rest of the lease: {least} ms");
+    assert!(least > 0);
+}
+
 /// Guards against a lease for a configuration that the leader does not have,
 /// and against a configuration that reverts.
 #[rstest]
@@ -96,6 +121,35 @@
     assert_eq!(caller::get(&fleet.address(), "/v1/models/new").status, 200);
 }
 
+/// Guards against a report that the leader cannot date although it has answered:
+/// the next request returns its clock and counts from the arrival.
+#[rstest]
+fn reports_count_from_the_arrival_of_the_last_response() {
+    let fleet = fleet_with(vec![Backend::engine("e1", &[Answer::Whole])], |_| {});
+    fleet.control.lock().clock_ms = 77;
+    let backend = &fleet.backends[0];
+    wait_for("a dated report", || {
+        backend.announce(&fleet.address());
+        let control = fleet.control.lock();
+        let mut syncs = control.syncs.iter();
+        syncs.any(|sync| sync.clock_ms == Some(77) && !sync.heard.is_empty())
+    });
+    let control = fleet.control.lock();
+    let syncs = control.syncs.iter();
+    let dated = syncs.filter(|sync| sync.clock_ms == Some(77));
+    let times: Vec<i64> = dated
+        .flat_map(|sync| &sync.heard)
+        .map(|dated| dated.at_ms)
+        .collect();
+    let limit = wire_sync::CONFIG_LEASE_MS as i64;
+    assert!(
+        times.iter().all(|at_ms| (-limit..limit).contains(at_ms)),
+        "{times:?}"
+    );
+    let first = control.syncs.first().expect("a request");
+    assert_eq!(first.clock_ms, None, "nothing to count from");
+}
+
 /// Sends requests one after another and returns how many reached the backend
 /// server in that time.
 fn reached(fleet: &Fleet, requests: usize) -> usize {
