Give chunks of frozen backend servers back

Cause: an entry VM kept the lease of a chunk as long as a backend server for its model was announced, also while that backend server was ejected as frozen. Its streams were cancelled 0.6 s after the freeze, but their items waited in the queue of the entry VM, which renewed the lease, until the backend server was forgotten after 60 s. Which entry VM leases the one chunk of the test decides whether this happens, so that the duration of the frozen case of `batch_failures` had two values. In a slow run, the owner of the frozen engine had 197 queued and no running items for 62 s, and the owner of the healthy engine had none.

Change: chunks count as servable only by owned backend servers that may get new work. A chunk of which an item waits for its isolated run is no longer given back meanwhile.

Trial in a scratch copy with the old dispatcher: chunks_of_a_frozen_backend_server_are_given_back fails, the chunk is not given back within 30 s.

--- a/programs/entry/src/batch/dispatch.rs
+++ b/programs/entry/src/batch/dispatch.rs
@@ -34,7 +34,8 @@
 const SUSPECT_MS: u64 = 500;
 /// Failed attempts after which an item is given up even if each made progress.
 const MAX_FAILURES: u32 = 20;
-/// How long chunks without a backend server for them are held.
+/// How long chunks without a usable backend server for them are held. Shorter
+/// pauses, such as a late renewal, should not cost the text of their items.
 const UNSERVABLE_MS: u64 = 2_000;
 /// Pause after chunks were given back for want of a backend server.
 const UNSERVABLE_PAUSE_MS: u64 = 5_000;
@@ -74,6 +75,8 @@
     queue: queue::Queue,
     running: collections::BTreeMap<u64, Running>,
     owned: collections::BTreeMap<name::Name, backend::Announcement>,
+    /// The owned backend servers that may get new work.
+    usable: collections::BTreeSet<name::Name>,
     online: collections::BTreeMap<name::Name, u32>,
     fleet_ms: u64,
     groups: collections::BTreeMap<u32, Group>,
@@ -101,6 +104,7 @@
             queue: queue::Queue::default(),
             running: collections::BTreeMap::new(),
             owned: collections::BTreeMap::new(),
+            usable: collections::BTreeSet::new(),
             online: collections::BTreeMap::new(),
             fleet_ms: 0,
             groups: groups.map(|group| (group, Group::default())).collect(),
@@ -241,6 +245,8 @@
             }
             owned
         });
+        let usable = facts.iter().filter(|facts| facts.usable);
+        self.usable = usable.map(|facts| facts.id.clone()).collect();
         for facts in &facts {
             self.pacer.update(facts, now_ms);
         }
@@ -286,10 +292,13 @@
         self.release(idle);
     }
 
-    /// Returns whether nothing of a chunk runs or waits to be recorded.
+    /// Returns whether nothing of a chunk runs, waits for an isolated run or
+    /// waits to be recorded.
     fn is_idle(&self, chunk: &work::ChunkRef) -> bool {
         let runs = self.running.values().any(|run| run.chunk == *chunk);
-        !runs && !self.book.has_outcomes_of(chunk)
+        let isolated = self.isolation.as_ref();
+        let waits = isolated.is_some_and(|isolation| isolation.waits_for(chunk));
+        !runs && !waits && !self.book.has_outcomes_of(chunk)
     }
 
     /// Renews and takes leases, and drops those that have run out.
@@ -337,9 +346,11 @@
         wanted.saturating_sub(self.queue.len())
     }
 
-    /// Gives chunks back for whose model this entry VM owns no backend server.
+    /// Gives chunks back for whose model this entry VM owns no usable backend
+    /// server. A frozen one stays announced for a minute, during which another
+    /// entry VM can run the items.
     fn give_back_unservable(&mut self, now_ms: u64) {
-        let servers: Vec<backend::Announcement> = self.owned.values().cloned().collect();
+        let servers = self.usable_servers();
         let mut chunks = self.queue.unservable(&servers);
         chunks.retain(|chunk| self.is_idle(chunk));
         if chunks.is_empty() {
@@ -357,6 +368,11 @@
         self.release(chunks);
     }
 
+    fn usable_servers(&self) -> Vec<backend::Announcement> {
+        let servers = self.usable.iter().filter_map(|id| self.owned.get(id));
+        servers.cloned().collect()
+    }
+
     /// Starts items where the pacer has room.
     fn fill(&mut self, now_ms: u64) {
         self.pacer.backlog(self.queue.ready(), now_ms);
--- a/programs/entry/src/batch/isolate.rs
+++ b/programs/entry/src/batch/isolate.rs
@@ -2,7 +2,7 @@
 
 use std::sync;
 
-use bw_wire::{fingerprint, name};
+use bw_wire::{command::work, fingerprint, name};
 
 use super::{item, queue::Item};
 use crate::{context, controller};
@@ -70,6 +70,12 @@
         self.item.take()
     }
 
+    /// Returns whether the item that waits is one of a chunk.
+    pub(super) fn waits_for(&self, chunk: &work::ChunkRef) -> bool {
+        let item = self.item.as_ref();
+        item.is_some_and(|item| item.work.chunk == *chunk)
+    }
+
     pub(super) fn backend(&self) -> &name::Name {
         &self.place.backend
     }
--- a/programs/entry/tests/batch.rs
+++ b/programs/entry/tests/batch.rs
@@ -106,9 +106,19 @@
 impl Fleet {
     /// Starts a fleet in which the entry VM owns all backend servers.
     fn start(backends: Vec<Backend>) -> Fleet {
-        let owners = backends
-            .iter()
-            .map(|backend| (backend.id.as_str().into(), "entry-1".into()));
+        let owned: Vec<String> = backends.iter().map(|backend| backend.id.clone()).collect();
+        let owned: Vec<&str> = owned.iter().map(String::as_str).collect();
+        Fleet::start_owning(backends, &owned)
+    }
+
+    /// Starts a fleet in which another entry VM owns the backend servers that
+    /// are not listed.
+    fn start_owning(backends: Vec<Backend>, owned: &[&str]) -> Fleet {
+        let owners = backends.iter().map(|backend| {
+            let is_owned = owned.contains(&backend.id.as_str());
+            let owner = if is_owned { "entry-1" } else { "entry-2" };
+            (backend.id.as_str().into(), owner.into())
+        });
         let state = Arc::new(sync::Mutex::new(State {
             machine: work::Machine::new(),
             index: 0,
@@ -575,6 +585,25 @@
     );
 }
 
+/// Guards against items that wait for a frozen backend server for as long as it
+/// stays announced, while another entry VM owns a healthy one.
+#[test]
+fn chunks_of_a_frozen_backend_server_are_given_back() {
+    let frozen = [Answer::FreezeAfter(2), Answer::Freeze];
+    let backends = vec![
+        Backend::engine("e1", &frozen),
+        Backend::engine("e2", &[Answer::Whole]),
+    ];
+    let fleet = Fleet::start_owning(backends, &["e1"]);
+    fleet.submit((1..=20).map(line).collect());
+    wait_for("items to run", || fleet.requests() >= 2);
+    assert_eq!(fleet.backlog().chunks, 0, "the chunk is leased");
+    wait_for("the chunk to be given back", || fleet.backlog().chunks == 1);
+    fleet.lock().owners.insert("e2".into(), "entry-1".into());
+    fleet.wait_done();
+    assert_eq!(fleet.results().len(), 20);
+}
+
 /// Guards against work on backend servers whose batch work belongs to another
 /// entry VM.
 #[test]
