Lease chunks by the models that an entry VM can run

Cause: `Take` leased any chunk, so that an entry VM without a backend server for a model leased that model's chunks, gave them back after 2 s and leased them again after a pause of 5 s.

Change: lines carry the model that their body names, read at the upload. A chunk of a job lists its open items by model, and the index of chunks that can be taken has one part per model: a lease looks only at the parts of the named models.

The dispatcher names those that an owned, usable backend server runs, and undeclared ones, whose items fail once leased and would otherwise keep their job open. The pause of 5 s is gone. The check that answers an empty `Take` without the log takes the models into account.

Conclusion: chunks stay in the backlog until an entry VM that can run one of their items asks.

--- a/crates/state/src/work/files.rs
+++ b/crates/state/src/work/files.rs
@@ -285,7 +285,7 @@
 
 fn size(line: &work::Line) -> u64 {
     let content = match &line.content {
-        work::Content::Request { url, body } => url.len() + body.len(),
+        work::Content::Request { url, model, body } => url.len() + model.len() + body.len(),
         work::Content::Bad { code, message } => code.len() + message.len(),
     };
     (content + line.custom_id.as_ref().map_or(0, String::len)) as u64
--- a/crates/state/src/work/jobs.rs
+++ b/crates/state/src/work/jobs.rs
@@ -53,6 +53,16 @@
     chunks: Vec<Chunk>,
 }
 
+/// A request to lease chunks.
+pub(super) struct Take {
+    pub(super) holder: name::Name,
+    /// The most chunks to lease.
+    pub(super) want: u32,
+    pub(super) until_ms: u64,
+    /// Models of which a chunk has an open item; empty for any.
+    pub(super) models: Vec<name::Name>,
+}
+
 /// What a job was created with.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub(super) struct Order {
@@ -71,6 +81,8 @@
     held: Option<Held>,
     /// Items without an outcome.
     open: u32,
+    /// The numbers of these items in ascending order, by the model they name.
+    open_by_model: collections::BTreeMap<name::Name, Vec<u32>>,
     /// Outcomes in line order.
     outcomes: Vec<work::Outcome>,
 }
@@ -149,23 +161,21 @@
     pub(super) fn take(
         &mut self,
         now_ms: u64,
-        holder: &name::Name,
-        want: u32,
-        until_ms: u64,
+        take: &Take,
         files: &files::Files,
         tuning: &work::Tuning,
     ) -> work::Reply {
         let mut leases = Vec::new();
-        while (leases.len() as u32) < want.min(TAKE_MAX) {
-            let Some(key) = self.choose(now_ms, tuning) else {
+        while (leases.len() as u32) < take.want.min(TAKE_MAX) {
+            let Some(key) = self.choose(now_ms, &take.models, tuning) else {
                 break;
             };
-            let Some(number) = self.index.ready.first_chunk(&key.job) else {
+            let Some(number) = self.index.ready.first_chunk(&key.job, &take.models) else {
                 break;
             };
             let held = Held {
-                holder: holder.clone(),
-                until_ms,
+                holder: take.holder.clone(),
+                until_ms: take.until_ms,
                 expired: false,
             };
             if let Some(lease) = self.lease(&key.job, number, held, files, tuning) {
@@ -236,9 +246,9 @@
         let job_done = chunk_done && job.open() == 0;
         self.index.open_items -= u64::from(tally.stored);
         self.bytes += tally.bytes;
+        self.withdraw_models(&chunk.job, chunk.chunk, &tally.models);
         if chunk_done {
             self.drop_lease(&chunk.job, chunk.chunk);
-            self.withdraw(&chunk.job, chunk.chunk);
         }
         if job_done {
             self.end(now_ms, &chunk.job, query::JobState::Completed, files);
@@ -333,15 +343,16 @@
     pub(super) fn backlog(&self) -> query::Backlog {
         query::Backlog {
             chunks: self.index.ready.count(),
+            models: self.index.ready.models(query::BACKLOG_MODELS),
             items: self.index.open_items,
             earliest_due_ms: self.index.open.first().map(|key| key.due_ms),
         }
     }
 
-    pub(super) fn can_lease(&self, now_ms: u64) -> bool {
+    pub(super) fn can_lease(&self, now_ms: u64, models: &[name::Name]) -> bool {
         let first = self.index.leases.first();
         let expired = first.is_some_and(|(until_ms, _, _)| *until_ms <= now_ms);
-        expired || self.index.ready.count() > 0
+        expired || self.index.ready.has_any(models)
     }
 
     /// Derives the index after the jobs were replaced.
@@ -422,13 +433,19 @@
         }
     }
 
-    fn choose(&mut self, now_ms: u64, tuning: &work::Tuning) -> Option<ready::Key> {
+    fn choose(
+        &mut self,
+        now_ms: u64,
+        models: &[name::Name],
+        tuning: &work::Tuning,
+    ) -> Option<ready::Key> {
+        let ready = &self.index.ready;
         let fair_turn = self.given % FAIR_EVERY == FAIR_EVERY - 1;
-        if !fair_turn && let Some(key) = self.index.ready.urgent(now_ms, tuning.urgent_ms) {
+        if !fair_turn && let Some(key) = ready.urgent(now_ms, tuning.urgent_ms, models) {
             return Some(key.clone());
         }
-        let team = self.share.next()?;
-        self.index.ready.first_of(&team).cloned()
+        let team = self.share.next(models)?;
+        ready.first_of(&team, models).cloned()
     }
 
     fn lease(
@@ -511,20 +528,37 @@
         let Some(job) = self.jobs.get(id) else {
             return;
         };
+        let Some(chunk) = job.chunks.get(number as usize) else {
+            return;
+        };
         let key = job.key(id);
-        if self.index.ready.add(&job.place(&key), number) {
-            self.share.join(&job.order.team);
+        for model in chunk.open_by_model.keys() {
+            if self.index.ready.add(&job.place(&key), model, number) {
+                self.share.join(&job.order.team, model);
+            }
         }
     }
 
     /// Makes a chunk unavailable.
     fn withdraw(&mut self, id: &name::Name, number: u32) {
+        let job = self.jobs.get(id);
+        let chunk = job.and_then(|job| job.chunks.get(number as usize));
+        if let Some(chunk) = chunk {
+            let models: Vec<name::Name> = chunk.open_by_model.keys().cloned().collect();
+            self.withdraw_models(id, number, &models);
+        }
+    }
+
+    /// Makes a chunk unavailable to those who ask for these models only.
+    fn withdraw_models(&mut self, id: &name::Name, number: u32, models: &[name::Name]) {
         let Some(job) = self.jobs.get(id) else {
             return;
         };
         let key = job.key(id);
-        if self.index.ready.remove(&job.place(&key), number) {
-            self.share.leave(&job.order.team);
+        for model in models {
+            if self.index.ready.remove(&job.place(&key), model, number) {
+                self.share.leave(&job.order.team, model);
+            }
         }
     }
 }
@@ -535,6 +569,8 @@
     stored: u32,
     duplicate: u32,
     bytes: u64,
+    /// Models of which the chunk has no open item any more.
+    models: Vec<name::Name>,
 }
 
 impl Job {
@@ -571,6 +607,9 @@
         };
         self.counts.total += lines.len() as u64;
         let mut tally = Tally::default();
+        for line in lines {
+            chunk.list(line);
+        }
         for line in lines {
             if let Some(outcome) = refused(line, &self.order.endpoint) {
                 chunk.store(lines, outcome, &mut self.counts, &mut tally);
@@ -625,11 +664,34 @@
             work::Result::Answer { .. } => counts.completed += 1,
         }
         self.open -= 1;
+        self.close(outcome.number, &mut tally.models);
         tally.stored += 1;
         tally.bytes += size(&outcome);
         self.outcomes.insert(position, outcome);
     }
 
+    /// Lists a line under the model that it names.
+    fn list(&mut self, line: &work::Line) {
+        if let work::Content::Request { model, .. } = &line.content {
+            let numbers = self.open_by_model.entry(model.clone()).or_default();
+            numbers.push(line.number);
+        }
+    }
+
+    /// Removes an item from the open ones, and adds its model to a list if the
+    /// item was the last one that names it.
+    fn close(&mut self, number: u32, models: &mut Vec<name::Name>) {
+        let listed = self.open_by_model.iter_mut().find_map(|(model, numbers)| {
+            let position = numbers.binary_search(&number).ok()?;
+            numbers.remove(position);
+            numbers.is_empty().then(|| model.clone())
+        });
+        if let Some(model) = listed {
+            self.open_by_model.remove(&model);
+            models.push(model);
+        }
+    }
+
     fn open_lines(&self, lines: &[work::Line]) -> Vec<work::Line> {
         let open = lines.iter().filter(|line| {
             self.outcomes
--- a/crates/state/src/work/mod.rs
+++ b/crates/state/src/work/mod.rs
@@ -72,9 +72,9 @@
         self.state.bytes()
     }
 
-    /// Returns whether a `Take` at this time may lease a chunk.
-    pub fn can_lease(&self, now_ms: u64) -> bool {
-        self.state.jobs.can_lease(now_ms)
+    /// Returns whether a `Take` for these models at this time may lease a chunk.
+    pub fn can_lease(&self, now_ms: u64, models: &[name::Name]) -> bool {
+        self.state.jobs.can_lease(now_ms, models)
     }
 
     /// Applies a command.
@@ -196,10 +196,15 @@
                 holder,
                 want,
                 lease_ms,
+                models,
             } => {
-                let until_ms = lease_end(now_ms, lease_ms);
-                self.jobs
-                    .take(now_ms, &holder, want, until_ms, &self.files, &self.tuning)
+                let take = jobs::Take {
+                    holder,
+                    want,
+                    until_ms: lease_end(now_ms, lease_ms),
+                    models,
+                };
+                self.jobs.take(now_ms, &take, &self.files, &self.tuning)
             }
             work::Command::Renew {
                 holder,
--- a/crates/state/tests/linearizable.rs
+++ b/crates/state/tests/linearizable.rs
@@ -198,6 +198,7 @@
             custom_id: None,
             content: wire_work::Content::Request {
                 url: "/u".to_owned(),
+                model: "m".into(),
                 body: String::new(),
             },
         };
@@ -254,6 +255,7 @@
                 holder: "h".into(),
                 want: 1,
                 lease_ms: 0,
+                models: Vec::new(),
             }),
             WorkCall::Complete { fence } => self.command(wire_work::Command::Record {
                 chunk: wire_work::ChunkRef {
--- a/crates/state/tests/work_model.rs
+++ b/crates/state/tests/work_model.rs
@@ -318,6 +318,7 @@
                 custom_id: None,
                 content: work::Content::Request {
                     url: "/u".to_owned(),
+                    model: "m".into(),
                     body: String::new(),
                 },
             });
@@ -344,6 +345,7 @@
             holder: format!("h{holder}").into(),
             want: 1,
             lease_ms: LEASE_MS,
+            models: Vec::new(),
         };
         match self.run(now_ms, command) {
             work::Reply::Taken { leases } => {
--- a/crates/state/tests/work_rules.rs
+++ b/crates/state/tests/work_rules.rs
@@ -64,10 +64,15 @@
     }
 
     fn take(&mut self, holder: &str, want: u32) -> Vec<work::Lease> {
+        self.take_for(holder, want, &[])
+    }
+
+    fn take_for(&mut self, holder: &str, want: u32, models: &[&str]) -> Vec<work::Lease> {
         let command = work::Command::Take {
             holder: holder.into(),
             want,
             lease_ms: LEASE_MS,
+            models: names(models),
         };
         match self.run(command) {
             work::Reply::Taken { leases } => leases,
@@ -99,12 +104,21 @@
 const LEASE_MS: u64 = 10_000;
 const HOUR_MS: u64 = 3_600_000;
 
+fn names(models: &[&str]) -> Vec<Name> {
+    models.iter().map(|&model| model.into()).collect()
+}
+
 fn line(number: u32) -> work::Line {
+    line_for(number, "m")
+}
+
+fn line_for(number: u32, model: &str) -> work::Line {
     work::Line {
         number,
         custom_id: Some(format!("item-{number}")),
         content: work::Content::Request {
             url: URL.to_owned(),
+            model: model.into(),
             body: "{}".to_owned(),
         },
     }
@@ -323,6 +337,165 @@
     assert_eq!(short.count(), 20);
 }
 
+/// Uploads a file with one chunk for each string, which holds an item for the
+/// model of each of its letters, and creates a job.
+fn create_for(bench: &mut Bench, job: &str, team: &str, chunks: &[&str]) {
+    let file = format!("f-{job}");
+    let mut number = 0;
+    for (chunk, models) in (0..).zip(chunks) {
+        let line = |model: char| {
+            number += 1;
+            line_for(number, &model.to_string())
+        };
+        let command = work::Command::FileChunk {
+            file: file.as_str().into(),
+            chunk,
+            lines: models.chars().map(line).collect(),
+        };
+        assert_eq!(bench.run(command), work::Reply::Ok);
+    }
+    bench.run(seal(&file, team, chunks.len() as u32));
+    let created = bench.create(job, team, &file, HOUR_MS);
+    assert!(matches!(created, work::Reply::Job(_)), "{created:?}");
+}
+
+fn numbers(leases: &[work::Lease]) -> Vec<u32> {
+    leases.iter().map(|lease| lease.chunk.chunk).collect()
+}
+
+/// Guards against chunks that are leased to an entry VM that can run none of
+/// their items, and against chunks of several models that only one entry VM gets.
+#[test]
+fn a_lease_holds_an_open_item_of_a_named_model() {
+    let mut bench = Bench::new();
+    create_for(&mut bench, "j", "t", &["aa", "bb", "aba", "c"]);
+    assert!(bench.take_for("x", 9, &["d"]).is_empty());
+    assert!(!bench.machine.can_lease(bench.now_ms, &names(&["d"])));
+    let leases = bench.take_for("x", 9, &["b"]);
+    assert_eq!(numbers(&leases), [1, 2]);
+    assert!(!bench.machine.can_lease(bench.now_ms, &names(&["b"])));
+
+    // The item of `b` is done, so that the rest is nothing for its holder.
+    bench.run(work::Command::Record {
+        chunk: leases[1].chunk.clone(),
+        outcomes: vec![answer(leases[1].lines[1].number)],
+    });
+    bench.run(work::Command::Release {
+        holder: "x".into(),
+        chunks: vec![leases[1].chunk.clone()],
+    });
+    bench.restart();
+    assert!(!bench.machine.can_lease(bench.now_ms, &names(&["b", "d"])));
+    assert!(bench.take_for("x", 9, &["b"]).is_empty());
+    assert_eq!(numbers(&bench.take_for("y", 9, &["a", "d"])), [0, 2]);
+    assert!(bench.machine.can_lease(bench.now_ms, &[]));
+    assert_eq!(numbers(&bench.take("y", 9)), [3]);
+    assert!(!bench.machine.can_lease(bench.now_ms, &[]));
+}
+
+/// Guards against a chunk that stays listed for a model whose items the holder
+/// of an expired lease has recorded.
+#[test]
+fn outcomes_after_the_lease_take_a_chunk_out_of_the_index() {
+    let mut bench = Bench::new();
+    create_for(&mut bench, "j", "t", &["ab"]);
+    let lease = bench.take_for("x", 1, &["a"]).remove(0);
+    bench.now_ms += LEASE_MS;
+    bench.run(work::Command::Record {
+        chunk: lease.chunk.clone(),
+        outcomes: vec![answer(1)],
+    });
+    assert!(!bench.machine.can_lease(bench.now_ms, &names(&["a"])));
+    assert_eq!(backlog(&bench).models, names(&["b"]));
+    bench.run(work::Command::Record {
+        chunk: lease.chunk,
+        outcomes: vec![answer(2)],
+    });
+    assert_eq!(backlog(&bench), query::Backlog::default());
+    assert!(!bench.machine.can_lease(bench.now_ms, &[]));
+}
+
+/// Guards against a waiting list of models that grows with what callers write
+/// into their files, and against chunks that are counted once for each model.
+#[test]
+fn the_backlog_names_the_models_that_wait() {
+    let mut bench = Bench::new();
+    create_for(&mut bench, "j", "t", &["ab", "b"]);
+    let seen = backlog(&bench);
+    assert_eq!((seen.chunks, seen.models), (2, names(&["a", "b"])));
+    for chunk in 0..2 {
+        let lines =
+            (0..200).map(|item| line_for(chunk * 200 + item + 1, &format!("{chunk}-{item}")));
+        bench.run(work::Command::FileChunk {
+            file: "many".into(),
+            chunk,
+            lines: lines.collect(),
+        });
+    }
+    bench.run(seal("many", "t", 2));
+    bench.create("j-many", "t", "many", HOUR_MS);
+    let seen = backlog(&bench);
+    assert_eq!((seen.chunks, seen.models.len()), (4, query::BACKLOG_MODELS));
+}
+
+/// Guards against teams that share the items of one model unevenly because some
+/// also wait for another, and against a restart that changes the order.
+#[test]
+fn teams_share_each_model() {
+    let mut bench = Bench::new();
+    create_for(&mut bench, "j-a", "both", &["a"; 60]);
+    create_for(&mut bench, "j-b", "both", &["b"; 60]);
+    create_for(&mut bench, "j-c", "one", &["b"; 60]);
+    let mut restarted = Bench::new();
+    restarted
+        .machine
+        .restore(&bench.machine.snapshot())
+        .expect("own snapshot");
+    (restarted.index, restarted.now_ms) = (bench.index, bench.now_ms);
+    let mut taken = Vec::new();
+    for round in 0..40 {
+        let models: &[&str] = if round % 10 == 9 { &["a"] } else { &["b"] };
+        let leases = bench.take_for("x", 2, models);
+        restarted.restart();
+        assert_eq!(leases, restarted.take_for("x", 2, models));
+        taken.extend(leases);
+    }
+    assert_eq!(taken.len(), 80);
+    let one = taken.iter().filter(|lease| lease.team == Name::from("one"));
+    // Half of all items, the eight of `a` included.
+    assert!(one.count().abs_diff(40) <= 1);
+    bench.run(work::Command::Expire);
+    assert_eq!(bench.take_for("x", 60, &["a"]).len(), 52);
+}
+
+/// Guards against an urgent job that stops the leases of another model.
+#[test]
+fn urgent_jobs_of_other_models_are_passed_over() {
+    let mut bench = Bench::new();
+    create_for(&mut bench, "soon", "t", &["a"; 20]);
+    bench.now_ms += HOUR_MS - 60_000;
+    create_for(&mut bench, "late", "u", &["b"; 20]);
+    let taken = bench.take_for("x", 8, &["b"]);
+    assert!(
+        taken
+            .iter()
+            .all(|lease| lease.chunk.job == Name::from("late"))
+    );
+    assert_eq!(taken.len(), 8);
+    let taken = bench.take_for("x", 8, &["a", "b"]);
+    let soon = taken
+        .iter()
+        .filter(|lease| lease.chunk.job == Name::from("soon"));
+    assert!(soon.count() >= 6);
+}
+
+fn backlog(bench: &Bench) -> query::Backlog {
+    match bench.machine.query(&query::Query::Backlog) {
+        Some(query::Answer::Backlog(backlog)) => backlog,
+        other => panic!("unexpected answer {other:?}"),
+    }
+}
+
 /// Guards against bad lines that run, or that keep a job from ending.
 #[test]
 fn lines_that_cannot_run_fail_at_once() {
@@ -338,6 +511,7 @@
     let mut elsewhere = line(2);
     elsewhere.content = work::Content::Request {
         url: "/v1/embeddings".to_owned(),
+        model: "m".into(),
         body: "{}".to_owned(),
     };
     bench.run(work::Command::FileChunk {
--- a/crates/wire/src/command/work.rs
+++ b/crates/wire/src/command/work.rs
@@ -30,6 +30,8 @@
     Request {
         /// The path.
         url: String,
+        /// The model or adapter that the body names, as the caller wrote it.
+        model: name::Name,
         /// The body.
         body: String,
     },
@@ -192,6 +194,9 @@
         want: u32,
         /// The lease time, in milliseconds.
         lease_ms: u64,
+        /// Only chunks with an open item that names one of these are leased.
+        /// An empty list means any chunk.
+        models: Vec<name::Name>,
     },
     /// Extends leases.
     Renew {
--- a/crates/wire/src/query.rs
+++ b/crates/wire/src/query.rs
@@ -172,11 +172,18 @@
     pub outcome: command::work::Outcome,
 }
 
+/// Most names in [`Backlog::models`]. Callers choose the names in their files,
+/// so that their number has no other bound.
+pub const BACKLOG_MODELS: usize = 256;
+
 /// Waiting work of a group.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Backlog {
     /// Chunks that can be taken now.
     pub chunks: u32,
+    /// The models and adapters that open items of these chunks name, the first
+    /// [`BACKLOG_MODELS`] of them.
+    pub models: Vec<crate::name::Name>,
     /// Items without an outcome.
     pub items: u64,
     /// The earliest due time of an open job, Unix time in milliseconds.
--- a/programs/control/examples/batch_bench.rs
+++ b/programs/control/examples/batch_bench.rs
@@ -162,6 +162,7 @@
             custom_id: Some(format!("item-{number}")),
             content: work::Content::Request {
                 url: URL.to_owned(),
+                model: "m".into(),
                 body: "x".repeat(self.arguments.bytes),
             },
         }
@@ -178,6 +179,7 @@
                 holder: holder.clone(),
                 want: CHUNKS,
                 lease_ms: LEASE_MS,
+                models: Vec::new(),
             };
             let work::Reply::Taken { leases } = self.command(group, take).await else {
                 panic!("unexpected reply");
--- a/programs/control/src/core/mod.rs
+++ b/programs/control/src/core/mod.rs
@@ -224,15 +224,15 @@
     /// sync on every replica. An empty answer promises nothing, so it needs no
     /// log, and it may even be a little old.
     fn has_nothing_for(&self, group: u32, command: &command::Command) -> bool {
-        let take = matches!(
-            command,
-            command::Command::Work(command::work::Command::Take { .. })
-        );
+        let command::Command::Work(command::work::Command::Take { models, .. }) = command else {
+            return false;
+        };
         let machine = self.parts.host.machine(GroupId(group));
-        let (true, Some(machine::Machine::Work(work))) = (take, machine) else {
+        let Some(machine::Machine::Work(work)) = machine else {
             return false;
         };
-        self.leads_group(group) && !work.can_lease(self.clock.time(group, work.now_ms()))
+        let now_ms = self.clock.time(group, work.now_ms());
+        self.leads_group(group) && !work.can_lease(now_ms, models)
     }
 
     /// Stamps a command and files who waits for it.
--- a/programs/control/tests/processes/faults.rs
+++ b/programs/control/tests/processes/faults.rs
@@ -8,7 +8,7 @@
 use bw_wire::{command::work, fingerprint, member, query};
 
 use crate::{
-    cluster::Cluster,
+    cluster::{Cluster, group_of},
     operators::{confirm, intent, plan, planned},
 };
 
@@ -140,3 +140,77 @@
     }
     assert_eq!(cluster.config().await, 2);
 }
+
+/// Guards against idle entry VMs that fill the log with requests for leases, and
+/// against a request for one model that goes into the log because of another.
+#[tokio::test]
+async fn takes_of_nothing_stay_out_of_the_log() {
+    const TAKES: u64 = 200;
+    let mut cluster = Cluster::start(None);
+    let client = cluster.client();
+    let line = work::Line {
+        number: 1,
+        custom_id: None,
+        content: work::Content::Request {
+            url: "/u".to_owned(),
+            model: "m".into(),
+            body: "{}".to_owned(),
+        },
+    };
+    let commands = [
+        work::Command::FileChunk {
+            file: "file-g1-a".into(),
+            chunk: 0,
+            lines: vec![line],
+        },
+        work::Command::FileSeal {
+            file: "file-g1-a".into(),
+            team: "t".into(),
+            filename: "in.jsonl".to_owned(),
+            purpose: "batch".to_owned(),
+            bytes: 2,
+            chunks: 1,
+        },
+        work::Command::JobCreate {
+            job: "batch_g1_a".into(),
+            team: "t".into(),
+            file: "file-g1-a".into(),
+            endpoint: "/u".to_owned(),
+            window_ms: 3_600_000,
+            metadata: Default::default(),
+        },
+    ];
+    for command in commands {
+        client.work(1, command).await.expect("an answer");
+    }
+    let before = commit(&mut cluster).await;
+    for _ in 0..TAKES {
+        assert_eq!(take(&client, "n").await, 0);
+    }
+    // Elections and the leader's own commands may add a few entries.
+    let added = commit(&mut cluster).await - before;
+    assert!(added < TAKES / 4, "{added} entries");
+    assert_eq!(take(&client, "m").await, 1);
+}
+
+/// Returns the number of chunks that a request for one model leases.
+async fn take(client: &control::Client, model: &str) -> usize {
+    let command = work::Command::Take {
+        holder: "entry-1/1".into(),
+        want: 1,
+        lease_ms: 60_000,
+        models: vec![model.into()],
+    };
+    match client.work(1, command).await {
+        Ok(work::Reply::Taken { leases }) => leases.len(),
+        other => panic!("unexpected reply {other:?}"),
+    }
+}
+
+/// Returns the commit index of group 1 at its leader.
+async fn commit(cluster: &mut Cluster) -> u64 {
+    let leader = cluster.leader(1).await;
+    let address = cluster.replica(leader).address.clone();
+    let status = cluster.client().status(&address).await.expect("a status");
+    group_of(&status, 1).expect("group 1").commit
+}
--- a/programs/dev/examples/slopes.rs
+++ b/programs/dev/examples/slopes.rs
@@ -113,6 +113,7 @@
             custom_id: Some(format!("item-{number:08}")),
             content: command::work::Content::Request {
                 url: "/v1/chat/completions".to_owned(),
+                model: "m".into(),
                 body: "x".repeat(BODY_BYTES),
             },
         })
@@ -151,6 +152,7 @@
         holder: "entry-1/1".into(),
         want,
         lease_ms: 3_600_000,
+        models: Vec::new(),
     }
 }
 
--- a/programs/entry/src/batch/dispatch.rs
+++ b/programs/entry/src/batch/dispatch.rs
@@ -7,7 +7,7 @@
 };
 
 use bw_policy::{pacer, router};
-use bw_wire::{backend, command::work, name, peer, refusal};
+use bw_wire::{backend, command::work, name, peer, query, refusal};
 use tokio::{sync as async_sync, task, time as async_time};
 use tokio_util::sync::CancellationToken;
 
@@ -16,7 +16,12 @@
     queue::{self, Item},
     remote::{Answered, Remote},
 };
-use crate::{clock, context, filter, online, snapshot, upstream::Cause};
+use crate::{
+    clock, context,
+    filter::{self, parse},
+    online, snapshot,
+    upstream::Cause,
+};
 
 /// Interval at which online counts are looked at and items are started.
 const TICK: time::Duration = time::Duration::from_millis(5);
@@ -37,8 +42,6 @@
 /// How long chunks without a usable backend server for them are held. Shorter
 /// pauses, such as a late renewal, should not cost the text of their items.
 const UNSERVABLE_MS: u64 = 2_000;
-/// Pause after chunks were given back for want of a backend server.
-const UNSERVABLE_PAUSE_MS: u64 = 5_000;
 
 /// A finished task of the dispatcher.
 enum Done {
@@ -362,9 +365,6 @@
             return;
         }
         self.unservable_since_ms = None;
-        for group in self.groups.values_mut() {
-            group.next_poll_ms = now_ms + UNSERVABLE_PAUSE_MS;
-        }
         self.release(chunks);
     }
 
@@ -511,7 +511,9 @@
 
     fn answered(&mut self, answered: Answered, now_ms: u64) {
         match answered {
-            Answered::Backlog { group, chunks } => self.polled(group, chunks, now_ms),
+            Answered::Backlog { group, backlog } => {
+                self.polled(group, backlog.unwrap_or_default(), now_ms);
+            }
             Answered::Taken {
                 group,
                 sent_ms,
@@ -543,12 +545,14 @@
         }
     }
 
-    fn polled(&mut self, group: u32, chunks: Option<u32>, now_ms: u64) {
+    fn polled(&mut self, group: u32, backlog: query::Backlog, now_ms: u64) {
         let missing = self.missing_items(now_ms);
+        let models = self.models_to_lease(&backlog);
         let Some(state) = self.groups.get_mut(&group) else {
             return;
         };
-        let waiting = chunks.unwrap_or(0);
+        // An empty list would lease chunks of any model.
+        let waiting = if models.is_empty() { 0 } else { backlog.chunks };
         if waiting == 0 || missing == 0 || self.is_taking {
             state.polling = false;
             let is_later = waiting > 0 && self.is_taking;
@@ -559,10 +563,36 @@
         self.is_taking = true;
         let chunks = u32::try_from(missing.div_ceil(work::CHUNK_ITEMS)).unwrap_or(TAKE_CHUNKS);
         let want = waiting.min(chunks).min(TAKE_CHUNKS);
-        let call = self.remote.clone().take(group, want, now_ms);
+        let call = self.remote.clone().take(group, want, models, now_ms);
         self.tasks.spawn(async { Done::Answered(call.await) });
     }
 
+    /// Returns the names in a backlog that an owned backend server can run now,
+    /// and those that are not declared: their items fail as soon as they are
+    /// leased, and would otherwise keep their job open.
+    fn models_to_lease(&self, backlog: &query::Backlog) -> Vec<name::Name> {
+        let snapshot = self.context.shared.snapshot.load();
+        let servers = self.usable_servers();
+        let mut names = collections::BTreeSet::new();
+        for named in &backlog.models {
+            let is_leased = match parse::target(&snapshot.intent, named) {
+                Ok(target) => servers.iter().any(|server| queue::serves(server, &target)),
+                Err(_) => true,
+            };
+            if is_leased {
+                names.insert(named.clone());
+            }
+        }
+        if backlog.models.len() >= query::BACKLOG_MODELS {
+            // The list is cut off; what the servers run may be missing in it.
+            for loaded in servers.iter().flat_map(|server| &server.loaded) {
+                names.insert(loaded.model.clone());
+                names.extend(loaded.adapters.iter().cloned());
+            }
+        }
+        names.into_iter().collect()
+    }
+
     fn taken(&mut self, group: u32, sent_ms: u64, leases: Vec<work::Lease>, now_ms: u64) {
         self.is_taking = false;
         if let Some(state) = self.groups.get_mut(&group) {
--- a/programs/entry/src/batch/queue.rs
+++ b/programs/entry/src/batch/queue.rs
@@ -39,7 +39,7 @@
     intent: &intent::Intent,
 ) -> Result<Item, work::Result> {
     let (url, body) = match &line.content {
-        work::Content::Request { url, body } => (url, body),
+        work::Content::Request { url, body, .. } => (url, body),
         work::Content::Bad { code, message } => {
             return Err(work::Result::Failed {
                 code: code.clone(),
--- a/programs/entry/src/batch/remote.rs
+++ b/programs/entry/src/batch/remote.rs
@@ -5,8 +5,11 @@
 
 /// The result of a call to a work group.
 pub(super) enum Answered {
-    /// The number of chunks that can be taken.
-    Backlog { group: u32, chunks: Option<u32> },
+    /// The work that can be taken, if known.
+    Backlog {
+        group: u32,
+        backlog: Option<query::Backlog>,
+    },
     /// Leased chunks.
     Taken {
         group: u32,
@@ -42,22 +45,29 @@
     /// Asks how much work waits. A query costs no log entry, unlike a lease of
     /// nothing.
     pub(super) async fn backlog(self, group: u32) -> Answered {
-        let chunks = match self.client.query(group, query::Query::Backlog).await {
-            Ok(query::Answer::Backlog(backlog)) => Some(backlog.chunks),
+        let backlog = match self.client.query(group, query::Query::Backlog).await {
+            Ok(query::Answer::Backlog(backlog)) => Some(backlog),
             Ok(_) => None,
             Err(error) => {
                 log::debug!(group; "backlog not known: {error}");
                 None
             }
         };
-        Answered::Backlog { group, chunks }
+        Answered::Backlog { group, backlog }
     }
 
-    pub(super) async fn take(self, group: u32, want: u32, sent_ms: u64) -> Answered {
+    pub(super) async fn take(
+        self,
+        group: u32,
+        want: u32,
+        models: Vec<name::Name>,
+        sent_ms: u64,
+    ) -> Answered {
         let command = work::Command::Take {
             holder: self.holder,
             want,
             lease_ms: self.lease_ms,
+            models,
         };
         let leases = match self.client.work(group, command).await {
             Ok(work::Reply::Taken { leases }) => leases,
--- a/programs/entry/src/files/content.rs
+++ b/programs/entry/src/files/content.rs
@@ -152,7 +152,7 @@
 /// Renders a line of an input file.
 fn input_line(line: &work::Line) -> String {
     let value = match &line.content {
-        work::Content::Request { url, body } => serde_json::json!({
+        work::Content::Request { url, body, .. } => serde_json::json!({
             "custom_id": line.custom_id,
             "method": "POST",
             "url": url,
--- a/programs/entry/src/files/line.rs
+++ b/programs/entry/src/files/line.rs
@@ -1,6 +1,6 @@
 //! Reading the lines of a batch input file.
 
-use bw_wire::{command::work, openai, refusal};
+use bw_wire::{command::work, name, openai, refusal};
 
 /// Paths that a batch item may call.
 pub(super) const ENDPOINTS: [&str; 2] = ["/v1/chat/completions", "/v1/completions"];
@@ -13,6 +13,7 @@
             custom_id: Some(input.custom_id),
             content: work::Content::Request {
                 url: input.url,
+                model: model(&input.body),
                 body: input.body.to_string(),
             },
         },
@@ -20,6 +21,12 @@
     }
 }
 
+/// Returns the name in a checked body.
+fn model(body: &serde_json::Value) -> name::Name {
+    let model = body.get("model").and_then(serde_json::Value::as_str);
+    model.unwrap_or_default().into()
+}
+
 /// Makes a failed item out of a line.
 pub(super) fn bad(
     number: u32,
--- a/programs/entry/tests/batch.rs
+++ b/programs/entry/tests/batch.rs
@@ -42,6 +42,8 @@
     heard: collections::BTreeMap<name::Name, bw_wire::backend::Announcement>,
     /// Renewals that were answered.
     renewals: usize,
+    /// Requests for leases that were answered.
+    takes: usize,
     /// Records that were answered.
     records: usize,
     /// Whether records are turned away for now.
@@ -82,6 +84,7 @@
     fn apply(&mut self, command: Command) -> Reply {
         match &command {
             Command::Renew { .. } => self.renewals += 1,
+            Command::Take { .. } => self.takes += 1,
             Command::Record { outcomes, .. } => {
                 self.records += 1;
                 self.largest_record = self.largest_record.max(outcomes.len());
@@ -126,6 +129,7 @@
             online: collections::BTreeMap::new(),
             heard: collections::BTreeMap::new(),
             renewals: 0,
+            takes: 0,
             records: 0,
             holds_records: false,
             largest_record: 0,
@@ -330,11 +334,14 @@
 }
 
 fn content(number: u32, url: &str, body: &str) -> Line {
+    let value: serde_json::Value = serde_json::from_str(body).unwrap_or_default();
+    let model = value["model"].as_str().unwrap_or_default();
     Line {
         number,
         custom_id: Some(format!("item-{number}")),
         content: Content::Request {
             url: url.to_owned(),
+            model: model.into(),
             body: body.to_owned(),
         },
     }
@@ -583,6 +590,34 @@
         (1, 0),
         "what can run has run"
     );
+    // Longer than the pause between two looks at the backlog.
+    std::thread::sleep(time::Duration::from_millis(1_500));
+    assert_eq!(fleet.lock().takes, 1, "the rest was leased again");
+}
+
+/// Guards against chunks that are leased and given back again and again by an
+/// entry VM that owns no backend server for their model.
+#[test]
+fn chunks_of_other_models_are_not_leased() {
+    let fleet = Fleet::start(vec![Backend::engine("e1", &[Answer::Whole])]);
+    let body = r#"{"model":"n","messages":[{"role":"user","content":"c"}]}"#;
+    let lines = (1..=3).map(|number| content(number, "/v1/chat/completions", body));
+    fleet.submit(lines.collect());
+    std::thread::sleep(time::Duration::from_millis(2_000));
+    assert_eq!(fleet.lock().takes, 0);
+    assert_eq!(fleet.backlog().chunks, 1);
+}
+
+/// Guards against items of a model that nobody declares and that therefore no
+/// entry VM would lease: their job would stay open until it expires.
+#[test]
+fn items_of_undeclared_models_fail_by_themselves() {
+    let fleet = Fleet::start(vec![Backend::engine("e1", &[Answer::Whole])]);
+    let body = r#"{"model":"x","messages":[{"role":"user","content":"c"}]}"#;
+    fleet.submit(vec![content(1, "/v1/chat/completions", body)]);
+    fleet.wait_done();
+    assert_eq!(fleet.job().counts.failed, 1);
+    assert_eq!(fleet.requests(), 0);
 }
 
 /// Guards against items that wait for a frozen backend server for as long as it
