--- a/programs/entry/src/batch/dispatch.rs
+++ b/programs/entry/src/batch/dispatch.rs
@@ -7,7 +7,7 @@
 };
 
 use bw_policy::{pacer, router};
-use bw_wire::{backend, command::work, name, peer, refusal};
+use bw_wire::{backend, command::work, name, peer, query, refusal};
 use tokio::{sync as async_sync, task, time as async_time};
 use tokio_util::sync::CancellationToken;
 
@@ -16,7 +16,12 @@
     queue::{self, Item},
     remote::{Answered, Remote},
 };
-use crate::{clock, context, filter, online, snapshot, upstream::Cause};
+use crate::{
+    clock, context,
+    filter::{self, parse},
+    online, snapshot,
+    upstream::Cause,
+};
 
 /// Interval at which online counts are looked at and items are started.
 const TICK: time::Duration = time::Duration::from_millis(5);
@@ -34,10 +39,9 @@
 const SUSPECT_MS: u64 = 500;
 /// Failed attempts after which an item is given up even if each made progress.
 const MAX_FAILURES: u32 = 20;
-/// How long chunks without a backend server for them are held.
+/// How long chunks without a usable backend server for them are held. Shorter
+/// pauses, such as a late renewal, should not cost the text of their items.
 const UNSERVABLE_MS: u64 = 2_000;
-/// Pause after chunks were given back for want of a backend server.
-const UNSERVABLE_PAUSE_MS: u64 = 5_000;
 
 /// A finished task of the dispatcher.
 enum Done {
@@ -74,6 +78,8 @@
     queue: queue::Queue,
     running: collections::BTreeMap<u64, Running>,
     owned: collections::BTreeMap<name::Name, backend::Announcement>,
+    /// The owned backend servers that may get new work.
+    usable: collections::BTreeSet<name::Name>,
     online: collections::BTreeMap<name::Name, u32>,
     fleet_ms: u64,
     groups: collections::BTreeMap<u32, Group>,
@@ -101,6 +107,7 @@
             queue: queue::Queue::default(),
             running: collections::BTreeMap::new(),
             owned: collections::BTreeMap::new(),
+            usable: collections::BTreeSet::new(),
             online: collections::BTreeMap::new(),
             fleet_ms: 0,
             groups: groups.map(|group| (group, Group::default())).collect(),
@@ -241,6 +248,8 @@
             }
             owned
         });
+        let usable = facts.iter().filter(|facts| facts.usable);
+        self.usable = usable.map(|facts| facts.id.clone()).collect();
         for facts in &facts {
             self.pacer.update(facts, now_ms);
         }
@@ -286,10 +295,13 @@
         self.release(idle);
     }
 
-    /// Returns whether nothing of a chunk runs or waits to be recorded.
+    /// Returns whether nothing of a chunk runs, waits for an isolated run or
+    /// waits to be recorded.
     fn is_idle(&self, chunk: &work::ChunkRef) -> bool {
         let runs = self.running.values().any(|run| run.chunk == *chunk);
-        !runs && !self.book.has_outcomes_of(chunk)
+        let isolated = self.isolation.as_ref();
+        let waits = isolated.is_some_and(|isolation| isolation.waits_for(chunk));
+        !runs && !waits && !self.book.has_outcomes_of(chunk)
     }
 
     /// Renews and takes leases, and drops those that have run out.
@@ -337,9 +349,11 @@
         wanted.saturating_sub(self.queue.len())
     }
 
-    /// Gives chunks back for whose model this entry VM owns no backend server.
+    /// Gives chunks back for whose model this entry VM owns no usable backend
+    /// server. A frozen one stays announced for a minute, during which another
+    /// entry VM can run the items.
     fn give_back_unservable(&mut self, now_ms: u64) {
-        let servers: Vec<backend::Announcement> = self.owned.values().cloned().collect();
+        let servers = self.usable_servers();
         let mut chunks = self.queue.unservable(&servers);
         chunks.retain(|chunk| self.is_idle(chunk));
         if chunks.is_empty() {
@@ -351,12 +365,14 @@
             return;
         }
         self.unservable_since_ms = None;
-        for group in self.groups.values_mut() {
-            group.next_poll_ms = now_ms + UNSERVABLE_PAUSE_MS;
-        }
         self.release(chunks);
     }
 
+    fn usable_servers(&self) -> Vec<backend::Announcement> {
+        let servers = self.usable.iter().filter_map(|id| self.owned.get(id));
+        servers.cloned().collect()
+    }
+
     /// Starts items where the pacer has room.
     fn fill(&mut self, now_ms: u64) {
         self.pacer.backlog(self.queue.ready(), now_ms);
@@ -495,7 +511,9 @@
 
     fn answered(&mut self, answered: Answered, now_ms: u64) {
         match answered {
-            Answered::Backlog { group, chunks } => self.polled(group, chunks, now_ms),
+            Answered::Backlog { group, backlog } => {
+                self.polled(group, backlog.unwrap_or_default(), now_ms);
+            }
             Answered::Taken {
                 group,
                 sent_ms,
@@ -527,12 +545,14 @@
         }
     }
 
-    fn polled(&mut self, group: u32, chunks: Option<u32>, now_ms: u64) {
+    fn polled(&mut self, group: u32, backlog: query::Backlog, now_ms: u64) {
         let missing = self.missing_items(now_ms);
+        let models = self.models_to_lease(&backlog);
         let Some(state) = self.groups.get_mut(&group) else {
             return;
         };
-        let waiting = chunks.unwrap_or(0);
+        // An empty list would lease chunks of any model.
+        let waiting = if models.is_empty() { 0 } else { backlog.chunks };
         if waiting == 0 || missing == 0 || self.is_taking {
             state.polling = false;
             let is_later = waiting > 0 && self.is_taking;
@@ -543,10 +563,36 @@
         self.is_taking = true;
         let chunks = u32::try_from(missing.div_ceil(work::CHUNK_ITEMS)).unwrap_or(TAKE_CHUNKS);
         let want = waiting.min(chunks).min(TAKE_CHUNKS);
-        let call = self.remote.clone().take(group, want, now_ms);
+        let call = self.remote.clone().take(group, want, models, now_ms);
         self.tasks.spawn(async { Done::Answered(call.await) });
     }
 
+    /// Returns the names in a backlog that an owned backend server can run now,
+    /// and those that are not declared: their items fail as soon as they are
+    /// leased, and would otherwise keep their job open.
+    fn models_to_lease(&self, backlog: &query::Backlog) -> Vec<name::Name> {
+        let snapshot = self.context.shared.snapshot.load();
+        let servers = self.usable_servers();
+        let mut names = collections::BTreeSet::new();
+        for named in &backlog.models {
+            let is_leased = match parse::target(&snapshot.intent, named) {
+                Ok(target) => servers.iter().any(|server| queue::serves(server, &target)),
+                Err(_) => true,
+            };
+            if is_leased {
+                names.insert(named.clone());
+            }
+        }
+        if backlog.models.len() >= query::BACKLOG_MODELS {
+            // The list is cut off; what the servers run may be missing in it.
+            for loaded in servers.iter().flat_map(|server| &server.loaded) {
+                names.insert(loaded.model.clone());
+                names.extend(loaded.adapters.iter().cloned());
+            }
+        }
+        names.into_iter().collect()
+    }
+
     fn taken(&mut self, group: u32, sent_ms: u64, leases: Vec<work::Lease>, now_ms: u64) {
         self.is_taking = false;
         if let Some(state) = self.groups.get_mut(&group) {
