Bound the quiet time only where online arrivals stay frequent

Cause: bounded the quiet time to 0.4 of the average time between online arrivals. The average follows a burst within a second, so that batch streams start in the burst itself. Change: the bound holds only after 1 s without a full quiet time, until a pause of two quiet times is seen. The queueing experiment runs its seeds in parallel, takes their number, and has a table of frequent short requests. The new test fails without the change.

--- a/crates/policy/examples/queueing.rs
+++ b/crates/policy/examples/queueing.rs
@@ -3,10 +3,10 @@
 //! A plain loop over arrivals and replicas in half-millisecond steps of virtual
 //! time. A replica works in steps whose duration grows with its batch and with
 //! the prompt tokens that it computes, and admits requests as they arrive. Run
-//! `cargo run --release -p bw-policy --example queueing [TABLE]`; without a
-//! table, all are printed. Seeds are fixed.
+//! `cargo run --release -p bw-policy --example queueing [TABLE [SEEDS]]`; without
+//! a table, all are printed. The seeds are 1 to 5, or 1 to `SEEDS`.
 
-use std::{cmp, collections, env, mem, time};
+use std::{cmp, collections, env, mem, thread, time};
 
 use bw_policy::{health, pacer, retry, router};
 use bw_wire::{backend, name, verdict};
@@ -48,6 +48,8 @@
     label: String,
     online_per_s: f64,
     burst: f64,
+    /// Average number of tokens of an online answer.
+    online_output: f64,
     seconds: u64,
     /// Added to a step for each sequence and for each prompt token.
     costs_us: (u64, u64),
@@ -67,6 +69,7 @@
             label: label.to_owned(),
             online_per_s,
             burst: 1.0,
+            online_output: 60.0,
             seconds: 60,
             costs_us: (STEP_PER_SEQUENCE_US, STEP_PER_PROMPT_TOKEN_US),
             pick: Pick::Policy,
@@ -347,7 +350,8 @@
             entry
         };
         let prompt = self.random.random_range(50..400);
-        let output = 1 + (-self.random.random::<f64>().max(1e-12).ln() * 60.0) as u32;
+        let output =
+            1 + (-self.random.random::<f64>().max(1e-12).ln() * self.scenario.online_output) as u32;
         let request = self.fresh();
         let now_ms = self.now_ms();
         let hedge_us = if self.scenario.hedge {
@@ -723,9 +727,17 @@
 }
 
 fn measure(scenario: &Scenario) -> Row {
-    let mut rows: Vec<Row> = (1..=SEEDS)
-        .map(|seed| {
-            let mut result = World::new(scenario.clone(), seed).run();
+    let results = thread::scope(|scope| {
+        let runs: Vec<_> = (1..=seeds())
+            .map(|seed| scope.spawn(move || World::new(scenario.clone(), seed).run()))
+            .collect();
+        runs.into_iter()
+            .map(|run| run.join().expect("a run without panic"))
+            .collect::<Vec<Result>>()
+    });
+    let mut rows: Vec<Row> = results
+        .into_iter()
+        .map(|mut result| {
             result.first_ms.sort_by(f64::total_cmp);
             let seconds = scenario.seconds as f64;
             Row {
@@ -748,6 +760,12 @@
     row
 }
 
+/// Returns the number of seeds of each scenario.
+fn seeds() -> u64 {
+    let given = env::args().nth(2).and_then(|seeds| seeds.parse().ok());
+    given.unwrap_or(SEEDS).max(1)
+}
+
 fn quantile(sorted: &[f64], quantile: f64) -> f64 {
     let last = sorted.len().saturating_sub(1);
     let index = (sorted.len() as f64 * quantile) as usize;
@@ -899,6 +917,16 @@
     ]
 }
 
+/// Short online requests that arrive so often that quiet times are rare.
+fn frequent() -> Vec<Scenario> {
+    let mut scenarios = pacing(240.0, 1.0);
+    scenarios.truncate(2);
+    for scenario in &mut scenarios {
+        scenario.online_output = 10.0;
+    }
+    scenarios
+}
+
 /// Times the choice among many replicas; the only figure that the machine sets.
 fn cost() {
     println!("\nTime of one choice, this machine, one thread\n");
@@ -955,6 +983,9 @@
             &pacing(50.0, 3.0),
         );
     }
+    if wanted("frequent") {
+        table("Pacing, 240 requests/s with short answers", &frequent());
+    }
     if wanted("costs") {
         for pair in costs().chunks(2) {
             table("Costs of a sequence and of a prompt token", pair);
--- a/crates/policy/src/pacer/server.rs
+++ b/crates/policy/src/pacer/server.rs
@@ -8,7 +8,12 @@
 
 /// Window in which a `sync` answer may still describe an earlier count.
 const SYNC_LAG_MS: u64 = 1_500;
-/// Share of the average time between online arrivals that is quiet at most.
+/// Time without a full quiet time after which online arrivals are frequent. It
+/// is a quarter of a burst of 4 s, in which batch work is to give way.
+const FREQUENT_AFTER_MS: u64 = 1_000;
+/// Quiet times without an arrival after which arrivals are no longer frequent.
+const RARE_AFTER_QUIETS: u64 = 2;
+/// Share of the average time between frequent arrivals that is quiet.
 const QUIET_SHARE: f32 = 0.4;
 /// Longest time between online arrivals that counts in the average.
 const MAX_GAP_MS: u64 = 1_000;
@@ -71,6 +76,8 @@
     has_arrival: bool,
     /// Average time between two online arrivals.
     gap_ms: f32,
+    /// When the last full quiet time was seen.
+    quiet_at_ms: u64,
     streams: Vec<Running>,
     floor: bool,
     ramp: f32,
@@ -94,6 +101,7 @@
             arrived_ms: None,
             has_arrival: false,
             gap_ms: MAX_GAP_MS as f32,
+            quiet_at_ms: now_ms,
             streams: Vec::new(),
             floor: false,
             ramp: 0.0,
@@ -200,13 +208,7 @@
     pub(super) fn room(&mut self, settings: &Builder, now_ms: u64) -> u32 {
         let target = self.target(settings, now_ms);
         self.refill(settings, now_ms);
-        // Where online requests arrive often, the quiet time is a share of their
-        // interval; otherwise no stream would start at all.
-        let quiet_ms = settings.quiet_ms.min((self.gap_ms * QUIET_SHARE) as u64);
-        let is_quiet = self
-            .arrived_ms
-            .is_some_and(|arrived_ms| now_ms.saturating_sub(arrived_ms) < quiet_ms);
-        if is_quiet || self.kv_used(settings, now_ms) >= settings.kv_stop {
+        if self.is_quiet(settings, now_ms) || self.kv_used(settings, now_ms) >= settings.kv_stop {
             return 0;
         }
         let missing = target.saturating_sub(self.running());
@@ -281,6 +283,32 @@
         ceiling
     }
 
+    /// Returns whether an online request arrived so recently that no stream may
+    /// start.
+    ///
+    /// Where online requests are frequent for longer than the start of a burst,
+    /// the quiet time is a share of their interval; otherwise hardly any stream
+    /// would start.
+    fn is_quiet(&mut self, settings: &Builder, now_ms: u64) -> bool {
+        let Some(arrived_ms) = self.arrived_ms else {
+            self.quiet_at_ms = now_ms;
+            return false;
+        };
+        let since_ms = now_ms.saturating_sub(arrived_ms);
+        let is_frequent = now_ms.saturating_sub(self.quiet_at_ms) >= FREQUENT_AFTER_MS;
+        let quiets = if is_frequent { RARE_AFTER_QUIETS } else { 1 };
+        if since_ms >= settings.quiet_ms * quiets {
+            self.quiet_at_ms = now_ms;
+            return false;
+        }
+        let frequent_ms = (self.gap_ms * QUIET_SHARE) as u64;
+        let quiet_ms = match is_frequent {
+            true => settings.quiet_ms.min(frequent_ms),
+            false => settings.quiet_ms,
+        };
+        since_ms < quiet_ms
+    }
+
     /// Returns the places kept free for arrivals; at least one.
     fn headroom(&self, settings: &Builder) -> u32 {
         (self.capacity as f32 * settings.headroom).ceil().max(1.0) as u32
--- a/crates/policy/tests/pacer.rs
+++ b/crates/policy/tests/pacer.rs
@@ -320,6 +320,42 @@
     assert!(average >= 20, "{average} of {CAPACITY} places");
 }
 
+/// Guards against streams that start within the first second of a burst, when
+/// batch work is to give way, and against arrivals in between that end the
+/// state of frequent arrivals too early.
+#[rstest]
+#[case::start_of_a_burst(4_100, 4_950, 60, 0)]
+#[case::lasting(6_000, 7_000, 60, 8)]
+#[case::lasting_with_pauses(6_000, 7_000, 110, 8)]
+fn only_lasting_frequent_arrivals_shorten_the_quiet_time(
+    #[case] start_ms: u64,
+    #[case] end_ms: u64,
+    #[case] long_gap_ms: u64,
+    #[case] least: u32,
+) {
+    let mut pacer = pacer();
+    let mut started = 0;
+    // Arrivals each 240 ms, and from 4 s on each 60 ms but for one in twenty.
+    let mut arrivals = 0;
+    let mut next_ms = 0;
+    for now_ms in 0..end_ms {
+        pacer.own_online(ID, 0, now_ms);
+        if now_ms == next_ms {
+            arrivals += 1;
+            next_ms += match arrivals % 20 {
+                _ if now_ms < 4_000 => 240,
+                0 => long_gap_ms,
+                _ => 60,
+            };
+            pacer.own_online(ID, 1, now_ms);
+        }
+        let streams: u32 = pacer.room(now_ms).iter().map(|room| room.streams).sum();
+        started += if now_ms >= start_ms { streams } else { 0 };
+    }
+    assert!(started >= least, "{started} streams");
+    assert!(least > 0 || started == 0, "{started} streams");
+}
+
 /// Guards against batch work that never runs again under lasting online load,
 /// and against a floor that makes online requests wait.
 #[rstest]
