Let owned servers take turns in starting batch streams

Cause: an online arrival at a server on which a batch stream just started waits for that stream's prompt. Streams started evenly on all owned servers, and the router did not know of them, so that few arrivals found a server without a fresh prompt. Change: owned servers take turns of 40 ms, and no turn begins while arrivals and starting streams have prompts on more than a third of them; what a server earns in 130 ms may start at once. The router counts a stream that its entry VM sends as half an online request sent just now; the dispatcher tells it. A server whose turn is not used comes after the others. The headroom, which moves along the line between online tail and batch throughput, is the setting policy.batch_headroom of bw-entry (0.03 as before).

--- a/crates/policy/examples/queueing.rs
+++ b/crates/policy/examples/queueing.rs
@@ -494,6 +494,9 @@
             urgent: false,
         };
         self.pacers[owner].started(&id(replica), known, now_ms);
+        if matches!(self.scenario.batch, Batch::Paced(_)) {
+            self.routers[owner].batch_sent(&id(replica), now_ms);
+        }
         let sequence = Sequence {
             id: stream,
             batch: true,
@@ -898,12 +901,14 @@
     };
     let paced = |label: &str, builder: pacer::Builder| variant(label, Batch::Paced(builder));
     let default = pacer::Builder::new;
+    let unaware = || router::Builder::new().slow_start_ms(0).recent_batch(0.0);
     vec![
         variant("online alone", Batch::None),
         paced("paced (default)", default()),
         paced("paced, headroom 10 %", default().headroom(0.1)),
         paced("paced, headroom 25 %", default().headroom(0.25)),
         paced("paced, headroom 50 %", default().headroom(0.5)),
+        paced("paced, headroom 60 %", default().headroom(0.6)),
         paced("paced, headroom 75 %", default().headroom(0.75)),
         paced("paced, no quiet time", default().quiet_ms(0)),
         paced("paced, quiet time 50 ms", default().quiet_ms(50)),
@@ -913,6 +918,16 @@
         paced("paced, no hold", default().hold_ms(0)),
         paced("paced, hold 1 s", default().hold_ms(1_000)),
         paced("paced, filled in 100 ms", default().ramp_ms(100)),
+        paced("paced, servers take no turns", default().slot_ms(0)),
+        paced("paced, turns of 80 ms", default().slot_ms(80)),
+        Scenario {
+            router: unaware(),
+            ..paced("paced, router ignores streams", default())
+        },
+        Scenario {
+            router: unaware(),
+            ..paced("paced, neither", default().slot_ms(0))
+        },
         variant("first come, first served", Batch::Greedy),
     ]
 }
--- a/crates/policy/src/pacer/mod.rs
+++ b/crates/policy/src/pacer/mod.rs
@@ -17,6 +17,11 @@
 pub use server::Stream;
 pub use share::{Item, Share};
 
+/// Share of the owned servers on which prompts may be computed while streams
+/// start, those of online arrivals and of streams together. Online requests find
+/// the others without a prompt ahead of theirs.
+const MAX_PREFILLING: f32 = 1.0 / 3.0;
+
 /// Settings of a [`Pacer`].
 #[derive(Clone, Debug)]
 pub struct Builder {
@@ -25,6 +30,7 @@
     pub(crate) ramp_ms: u64,
     pub(crate) quiet_ms: u64,
     pub(crate) young_ms: u64,
+    pub(crate) slot_ms: u64,
     pub(crate) starve_ms: u64,
     pub(crate) kv_stop: f32,
     pub(crate) kv_preempt: f32,
@@ -39,6 +45,7 @@
             ramp_ms: 1_500,
             quiet_ms: 100,
             young_ms: 30,
+            slot_ms: 40,
             starve_ms: 30_000,
             kv_stop: 0.92,
             kv_preempt: 0.97,
@@ -54,7 +61,8 @@
     }
 
     /// Sets the share of the capacity that is kept free for online arrivals;
-    /// at least one place is.
+    /// at least one place is. This is the setting that trades batch throughput
+    /// for the online tail: `docs/policy.md` has its figures.
     pub fn headroom(mut self, share: f32) -> Builder {
         self.headroom = share.clamp(0.0, 1.0);
         self
@@ -88,6 +96,13 @@
         self
     }
 
+    /// Sets how long streams start on one owned server before they start on
+    /// another. 0 lets streams start on all of them at once.
+    pub fn slot_ms(mut self, duration_ms: u64) -> Builder {
+        self.slot_ms = duration_ms;
+        self
+    }
+
     /// Sets how long a backlog waits without any running stream before one is
     /// admitted beside full online load.
     pub fn starve_ms(mut self, duration_ms: u64) -> Builder {
@@ -272,26 +287,59 @@
     }
 
     /// Returns where streams are to be started now, the idlest server first.
+    ///
+    /// Owned servers take turns: while the prompts of new streams are computed on
+    /// one, online requests find others on which none are. A server whose last
+    /// turn was not used, as nothing waits for its model, comes after the others.
     pub fn room(&mut self, now_ms: u64) -> Vec<Room> {
-        let mut rooms: Vec<(f32, Room)> = Vec::new();
-        for (id, server) in &mut self.servers {
+        let mut turns = self.turns(now_ms);
+        let mut order: Vec<(&name::Name, &mut Server)> = self.servers.iter_mut().collect();
+        order.sort_by(|(_, one), (_, other)| {
+            let unused = one.unused_ms().cmp(&other.unused_ms());
+            unused.then(one.use_share().total_cmp(&other.use_share()))
+        });
+        let mut rooms = Vec::new();
+        for (id, server) in order {
+            if turns == 0 {
+                break;
+            }
+            if server.started_within(self.settings.slot_ms, now_ms) {
+                continue;
+            }
             let streams = server.room(&self.settings, now_ms);
             if streams > 0 {
-                let room = Room {
-                    id: id.clone(),
-                    streams,
-                };
-                rooms.push((server.use_share(), room));
+                turns -= 1;
+                let id = id.clone();
+                rooms.push(Room { id, streams });
             }
         }
-        rooms.sort_by(|(one, _), (other, _)| one.total_cmp(other));
-        let rooms: Vec<Room> = rooms.into_iter().map(|(_, room)| room).collect();
         if rooms.is_empty() {
             return self.floor(now_ms).into_iter().collect();
         }
         rooms
     }
 
+    /// Returns on how many more servers streams may start now.
+    fn turns(&mut self, now_ms: u64) -> usize {
+        let settings = &self.settings;
+        if settings.slot_ms == 0 {
+            return usize::MAX;
+        }
+        let mut starting = 0;
+        let mut quiet = 0;
+        for server in self.servers.values_mut() {
+            let is_starting = server.started_within(settings.slot_ms, now_ms);
+            let is_quiet = server.is_quiet(settings, now_ms);
+            starting += usize::from(is_starting);
+            quiet += usize::from(is_quiet && !is_starting);
+        }
+        let most = (self.servers.len() as f32 * MAX_PREFILLING) as usize;
+        if starting + quiet > most {
+            return 0;
+        }
+        most.max(1) - starting
+    }
+
     /// Returns the number of streams that a backend server is to run.
     pub fn target(&mut self, id: &str, now_ms: u64) -> u32 {
         let settings = &self.settings;
--- a/crates/policy/src/pacer/server.rs
+++ b/crates/policy/src/pacer/server.rs
@@ -19,9 +19,10 @@
 const MAX_GAP_MS: u64 = 1_000;
 /// Weight of a new time between online arrivals in the average.
 const GAP_SMOOTHING: f32 = 0.1;
-/// Longest time between two calls that start streams: what it earns may start
-/// at once.
-const START_WINDOW_MS: f32 = 50.0;
+/// Time between two turns of a server: what it earns meanwhile may start at once.
+/// Prompts that are computed together delay fewer online arrivals than the same
+/// prompts one by one.
+const START_WINDOW_MS: f32 = 130.0;
 /// Largest capacity that is believed; a larger one is a wrong announcement.
 const MAX_CAPACITY: u32 = 4_096;
 /// Share of the capacity in use below which reported waiting requests are not
@@ -79,6 +80,10 @@
     /// When the last full quiet time was seen.
     quiet_at_ms: u64,
     streams: Vec<Running>,
+    /// When the last stream started.
+    started_ms: Option<u64>,
+    /// When room was last granted, if no stream started since.
+    unused_ms: Option<u64>,
     floor: bool,
     ramp: f32,
     ramp_at_ms: u64,
@@ -103,6 +108,8 @@
             gap_ms: MAX_GAP_MS as f32,
             quiet_at_ms: now_ms,
             streams: Vec::new(),
+            started_ms: None,
+            unused_ms: None,
             floor: false,
             ramp: 0.0,
             ramp_at_ms: now_ms,
@@ -158,6 +165,8 @@
     pub(super) fn start(&mut self, stream: Stream, now_ms: u64) {
         let is_floor = self.floor;
         self.floor = false;
+        self.started_ms = Some(now_ms);
+        self.unused_ms = None;
         self.streams.push(Running {
             stream,
             started_ms: now_ms,
@@ -214,6 +223,9 @@
         let missing = target.saturating_sub(self.running());
         let allowed = missing.min(self.ramp as u32);
         self.ramp -= allowed as f32;
+        if allowed > 0 {
+            self.unused_ms = Some(now_ms);
+        }
         allowed
     }
 
@@ -254,6 +266,17 @@
         names
     }
 
+    /// Returns when room was last granted, if no stream started since.
+    pub(super) fn unused_ms(&self) -> Option<u64> {
+        self.unused_ms
+    }
+
+    /// Returns whether a stream started within the last `window_ms`.
+    pub(super) fn started_within(&self, window_ms: u64, now_ms: u64) -> bool {
+        self.started_ms
+            .is_some_and(|started_ms| now_ms.saturating_sub(started_ms) < window_ms)
+    }
+
     pub(super) fn takes_floor(&self, settings: &Builder, now_ms: u64) -> bool {
         self.usable
             && self.running() == 0
@@ -289,7 +312,7 @@
     /// Where online requests are frequent for longer than the start of a burst,
     /// the quiet time is a share of their interval; otherwise hardly any stream
     /// would start.
-    fn is_quiet(&mut self, settings: &Builder, now_ms: u64) -> bool {
+    pub(super) fn is_quiet(&mut self, settings: &Builder, now_ms: u64) -> bool {
         let Some(arrived_ms) = self.arrived_ms else {
             self.quiet_at_ms = now_ms;
             return false;
--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -35,6 +35,7 @@
     pub(crate) home: f32,
     pub(crate) recent: f32,
     pub(crate) recent_half_life_ms: u64,
+    pub(crate) recent_batch: f32,
     pub(crate) proof_max_age_ms: u64,
     pub(crate) forget_ms: u64,
 }
@@ -55,6 +56,7 @@
             home: 2.0,
             recent: 1.0,
             recent_half_life_ms: 50,
+            recent_batch: 0.5,
             proof_max_age_ms: backend::PROOF_MAX_AGE_MS,
             forget_ms: 60_000,
         }
@@ -144,6 +146,13 @@
         self
     }
 
+    /// Sets how much of an online request a batch stream that is sent counts in
+    /// what was sent just now; see [`Router::batch_sent`].
+    pub fn recent_batch(mut self, share: f32) -> Builder {
+        self.recent_batch = share.max(0.0);
+        self
+    }
+
     /// Sets the age of the last proof of not leaving beyond which a replica is
     /// not used.
     pub fn proof_max_age_ms(mut self, age_ms: u64) -> Builder {
@@ -373,7 +382,7 @@
             return;
         }
         replica.change_online(1, now_ms);
-        replica.note_sent(&self.settings, now_ms);
+        replica.note_sent(&self.settings, 1.0, now_ms);
         if request.fit != Fit::Any {
             replica.suspects += 1;
         }
@@ -383,6 +392,17 @@
         }
     }
 
+    /// Notes a batch stream that this entry VM sends to a replica now. Its prompt
+    /// is computed in the replica's next step, before that of an online request
+    /// that is sent there after it.
+    pub fn batch_sent(&mut self, id: &str, now_ms: u64) {
+        let Some(&slot) = self.slots.get(id) else {
+            return;
+        };
+        let share = self.settings.recent_batch;
+        self.replicas[slot].note_sent(&self.settings, share, now_ms);
+    }
+
     /// Counts a request that [`Router::begin`] counted as no longer in flight.
     pub fn end(&mut self, choice: &Choice, fit: Fit, now_ms: u64) {
         let Some(replica) = self.get_mut(&choice.id) else {
--- a/crates/policy/src/router/replica.rs
+++ b/crates/policy/src/router/replica.rs
@@ -156,9 +156,9 @@
         (self.requests(settings, now_ms) + 1.0) / ramped * self.penalty
     }
 
-    /// Counts a request that is sent now.
-    pub(super) fn note_sent(&mut self, settings: &Builder, now_ms: u64) {
-        self.recent = self.sent_recently(settings, now_ms) + 1.0;
+    /// Counts a request that is sent now; 1 is an online request.
+    pub(super) fn note_sent(&mut self, settings: &Builder, weight: f32, now_ms: u64) {
+        self.recent = self.sent_recently(settings, now_ms) + weight;
         self.recent_ms = now_ms;
     }
 
--- a/crates/policy/tests/pacer.rs
+++ b/crates/policy/tests/pacer.rs
@@ -356,6 +356,79 @@
     assert!(least > 0 || started == 0, "{started} streams");
 }
 
+/// Returns a pacer of three servers.
+fn three_servers() -> Pacer {
+    let mut pacer = pacer::Builder::new().build();
+    for id in ["e00", "e01", "e02"] {
+        pacer.update(&facts(id, load(0, 0)), 0);
+    }
+    pacer.backlog(1_000_000, 0);
+    pacer.room(0);
+    pacer
+}
+
+/// Guards against streams that start on all owned servers at once, so that no
+/// online arrival finds one without a prompt ahead of its own.
+#[test]
+fn owned_servers_take_turns() {
+    let mut pacer = three_servers();
+    let mut turns = Vec::new();
+    let mut next = 0;
+    for now_ms in 200..800 {
+        let rooms = pacer.room(now_ms);
+        assert!(rooms.len() <= 1, "{rooms:?}");
+        for room in rooms {
+            for _ in 0..room.streams {
+                next += 1;
+                pacer.started(&room.id, stream(next), now_ms);
+            }
+            turns.push((now_ms, room.id));
+        }
+    }
+    let is_apart = turns.windows(2).all(|pair| pair[1].0 - pair[0].0 >= 40);
+    assert!(is_apart, "{turns:?}");
+    let used: collections::BTreeSet<&str> = turns.iter().map(|(_, id)| id.as_str()).collect();
+    assert_eq!(used.len(), 3, "{turns:?}");
+}
+
+/// Guards against a stream that starts on the last server without a prompt.
+#[rstest]
+#[case::one_arrival(&["e00"], 1)]
+#[case::two_arrivals(&["e00", "e01"], 0)]
+fn streams_leave_servers_to_arrivals(#[case] arrivals: &[&str], #[case] rooms: usize) {
+    let mut pacer = three_servers();
+    for id in arrivals {
+        pacer.own_online(id, 1, 1_000);
+    }
+    assert_eq!(pacer.room(1_010).len(), rooms);
+}
+
+/// Guards against a server without work for its model that takes the turns of
+/// the others.
+#[test]
+fn unused_turns_pass_on() {
+    let mut pacer = three_servers();
+    let mut next = 0;
+    for now_ms in (100..4_000).step_by(10) {
+        for room in pacer.room(now_ms) {
+            let streams = if room.id.as_str() == "e02" {
+                room.streams
+            } else {
+                0
+            };
+            for _ in 0..streams {
+                next += 1;
+                pacer.started(&room.id, stream(next), now_ms);
+            }
+        }
+    }
+    assert!(
+        pacer.running("e02") >= CAPACITY - 2,
+        "{}",
+        pacer.running("e02")
+    );
+}
+
 /// Guards against batch work that never runs again under lasting online load,
 /// and against a floor that makes online requests wait.
 #[rstest]
--- a/crates/policy/tests/router.rs
+++ b/crates/policy/tests/router.rs
@@ -62,6 +62,23 @@
     (0..count).map(|block| Fingerprint(1, block)).collect()
 }
 
+/// Guards against an online request that waits for the prompt of a batch stream
+/// that this entry VM just sent, while another replica computes none.
+#[test]
+fn a_batch_stream_sent_just_now_is_avoided() {
+    let mut router = fleet(settled(), 2);
+    let mut random = random();
+    router.batch_sent("e00", 1_000);
+    for _ in 0..50 {
+        let request = Request::new(MODEL);
+        let choice = router.choose(&request, 1_010, &mut random);
+        assert_eq!(choice.expect("a replica").id.as_str(), "e01");
+    }
+    // The prompt is computed by then.
+    let shares = send(&mut router, &Request::new(MODEL), 20, 2_000, &mut random);
+    assert_eq!(shares.len(), 2, "{shares:?}");
+}
+
 /// Guards against a replica that is drowned because its report claims too
 /// little, or never used again because it claims too much.
 #[rstest]
--- a/programs/entry/src/batch/dispatch.rs
+++ b/programs/entry/src/batch/dispatch.rs
@@ -438,6 +438,9 @@
                 urgent: item.due_ms < urgent_before_ms,
             };
             self.pacer.started(&place.backend, paced, now_ms);
+            self.context.shared.table.with(|state, now_ms| {
+                state.router.batch_sent(&place.backend, now_ms);
+            });
         }
         let attempt = item::Attempt {
             context: sync::Arc::clone(&self.context),
--- a/programs/entry/src/program.rs
+++ b/programs/entry/src/program.rs
@@ -4,6 +4,7 @@
 
 use anyhow::Context as _;
 use bw_base::server;
+use bw_policy::pacer;
 use tokio::{runtime, sync as async_sync};
 
 use crate::{api, batch, context, controller, settings};
@@ -226,7 +227,10 @@
         }
     };
     let (callers, admin) = servers;
-    batch::Builder::new().spawn(&context);
+    let headroom = context.shared.settings.policy.batch_headroom;
+    batch::Builder::new()
+        .pacer(pacer::Builder::new().headroom(headroom))
+        .spawn(&context);
     let addresses = Bound {
         address: callers.address(),
         admin_address: admin.address(),
--- a/programs/entry/src/settings.rs
+++ b/programs/entry/src/settings.rs
@@ -163,6 +163,9 @@
     /// Requests at all backend servers of a model, as a multiple of their
     /// capacity, beyond which further requests wait here.
     pub oversubscription: f32,
+    /// Share of a backend server's capacity that batch work leaves free for
+    /// online arrivals. More shortens the online tail and costs batch throughput.
+    pub batch_headroom: f32,
 }
 
 impl Default for Policy {
@@ -175,6 +178,7 @@
             hedge_min_ms: 20,
             queue: 512,
             oversubscription: 2.0,
+            batch_headroom: 0.03,
         }
     }
 }
@@ -312,6 +316,14 @@
             factor,
             "must be from 1 to 100",
         );
+        let headroom = self.batch_headroom;
+        let valid = (0.0..=1.0).contains(&headroom);
+        report.require(
+            valid,
+            "policy.batch_headroom",
+            headroom,
+            "must be from 0 to 1",
+        );
     }
 }
 
--- a/programs/entry/tests/settings.rs
+++ b/programs/entry/tests/settings.rs
@@ -36,6 +36,7 @@
 #[case::limits("limits: { body_bytes: 1, open_streams: 0 }", &["limits.body_bytes", "limits.open_streams"])]
 #[case::timeouts("timeouts: { first_token_ms: 0 }", &["timeouts.first_token_ms"])]
 #[case::policy("policy: { retry_share: 2.0, max_attempts: 0 }", &["policy.max_attempts", "policy.retry_share"])]
+#[case::headroom("policy: { batch_headroom: -0.1 }", &["policy.batch_headroom"])]
 #[case::logs("logs: { level: loud }", &["logs.level"])]
 #[case::name("name: 'a b'", &["name"])]
 fn each_problem_is_reported(#[case] more: &str, #[case] fields: &[&str]) {
