--- a/crates/policy/src/pacer/server.rs
+++ b/crates/policy/src/pacer/server.rs
@@ -8,15 +8,21 @@
 
 /// Window in which a `sync` answer may still describe an earlier count.
 const SYNC_LAG_MS: u64 = 1_500;
-/// Share of the average time between online arrivals that is quiet at most.
+/// Time without a full quiet time after which online arrivals are frequent. It
+/// is a quarter of a burst of 4 s, in which batch work is to give way.
+const FREQUENT_AFTER_MS: u64 = 1_000;
+/// Quiet times without an arrival after which arrivals are no longer frequent.
+const RARE_AFTER_QUIETS: u64 = 2;
+/// Share of the average time between frequent arrivals that is quiet.
 const QUIET_SHARE: f32 = 0.4;
 /// Longest time between online arrivals that counts in the average.
 const MAX_GAP_MS: u64 = 1_000;
 /// Weight of a new time between online arrivals in the average.
 const GAP_SMOOTHING: f32 = 0.1;
-/// Longest time between two calls that start streams: what it earns may start
-/// at once.
-const START_WINDOW_MS: f32 = 50.0;
+/// Time between two turns of a server: what it earns meanwhile may start at once.
+/// Prompts that are computed together delay fewer online arrivals than the same
+/// prompts one by one.
+const START_WINDOW_MS: f32 = 130.0;
 /// Largest capacity that is believed; a larger one is a wrong announcement.
 const MAX_CAPACITY: u32 = 4_096;
 /// Share of the capacity in use below which reported waiting requests are not
@@ -71,7 +77,13 @@
     has_arrival: bool,
     /// Average time between two online arrivals.
     gap_ms: f32,
+    /// When the last full quiet time was seen.
+    quiet_at_ms: u64,
     streams: Vec<Running>,
+    /// When the last stream started.
+    started_ms: Option<u64>,
+    /// When room was last granted, if no stream started since.
+    unused_ms: Option<u64>,
     floor: bool,
     ramp: f32,
     ramp_at_ms: u64,
@@ -94,7 +106,10 @@
             arrived_ms: None,
             has_arrival: false,
             gap_ms: MAX_GAP_MS as f32,
+            quiet_at_ms: now_ms,
             streams: Vec::new(),
+            started_ms: None,
+            unused_ms: None,
             floor: false,
             ramp: 0.0,
             ramp_at_ms: now_ms,
@@ -150,6 +165,8 @@
     pub(super) fn start(&mut self, stream: Stream, now_ms: u64) {
         let is_floor = self.floor;
         self.floor = false;
+        self.started_ms = Some(now_ms);
+        self.unused_ms = None;
         self.streams.push(Running {
             stream,
             started_ms: now_ms,
@@ -200,18 +217,15 @@
     pub(super) fn room(&mut self, settings: &Builder, now_ms: u64) -> u32 {
         let target = self.target(settings, now_ms);
         self.refill(settings, now_ms);
-        // Where online requests arrive often, the quiet time is a share of their
-        // interval; otherwise no stream would start at all.
-        let quiet_ms = settings.quiet_ms.min((self.gap_ms * QUIET_SHARE) as u64);
-        let is_quiet = self
-            .arrived_ms
-            .is_some_and(|arrived_ms| now_ms.saturating_sub(arrived_ms) < quiet_ms);
-        if is_quiet || self.kv_used(settings, now_ms) >= settings.kv_stop {
+        if self.is_quiet(settings, now_ms) || self.kv_used(settings, now_ms) >= settings.kv_stop {
             return 0;
         }
         let missing = target.saturating_sub(self.running());
         let allowed = missing.min(self.ramp as u32);
         self.ramp -= allowed as f32;
+        if allowed > 0 {
+            self.unused_ms = Some(now_ms);
+        }
         allowed
     }
 
@@ -252,6 +266,17 @@
         names
     }
 
+    /// Returns when room was last granted, if no stream started since.
+    pub(super) fn unused_ms(&self) -> Option<u64> {
+        self.unused_ms
+    }
+
+    /// Returns whether a stream started within the last `window_ms`.
+    pub(super) fn started_within(&self, window_ms: u64, now_ms: u64) -> bool {
+        self.started_ms
+            .is_some_and(|started_ms| now_ms.saturating_sub(started_ms) < window_ms)
+    }
+
     pub(super) fn takes_floor(&self, settings: &Builder, now_ms: u64) -> bool {
         self.usable
             && self.running() == 0
@@ -281,6 +306,32 @@
         ceiling
     }
 
+    /// Returns whether an online request arrived so recently that no stream may
+    /// start.
+    ///
+    /// Where online requests are frequent for longer than the start of a burst,
+    /// the quiet time is a share of their interval; otherwise hardly any stream
+    /// would start.
+    pub(super) fn is_quiet(&mut self, settings: &Builder, now_ms: u64) -> bool {
+        let Some(arrived_ms) = self.arrived_ms else {
+            self.quiet_at_ms = now_ms;
+            return false;
+        };
+        let since_ms = now_ms.saturating_sub(arrived_ms);
+        let is_frequent = now_ms.saturating_sub(self.quiet_at_ms) >= FREQUENT_AFTER_MS;
+        let quiets = if is_frequent { RARE_AFTER_QUIETS } else { 1 };
+        if since_ms >= settings.quiet_ms * quiets {
+            self.quiet_at_ms = now_ms;
+            return false;
+        }
+        let frequent_ms = (self.gap_ms * QUIET_SHARE) as u64;
+        let quiet_ms = match is_frequent {
+            true => settings.quiet_ms.min(frequent_ms),
+            false => settings.quiet_ms,
+        };
+        since_ms < quiet_ms
+    }
+
     /// Returns the places kept free for arrivals; at least one.
     fn headroom(&self, settings: &Builder) -> u32 {
         (self.capacity as f32 * settings.headroom).ceil().max(1.0) as u32
