Use one guard for the backend server of an isolated run

Cause: `online::run::Reservation` and `batch::isolate::Isolation` each announced a reservation, ended it on drop and named its duration. Only the online one looked again, under the lock, whether another isolated run of the same request had begun since the request was checked.

Change: `reservation::Reservation` does both, and the dispatcher uses it. An item whose request was refused meanwhile is put back or given up like one that is refused at the check. The timing of runs is unchanged.

The tests of bw-entry pass before and after; no test reaches the moment between check and reservation.

--- a/programs/entry/src/batch/dispatch.rs
+++ b/programs/entry/src/batch/dispatch.rs
@@ -19,7 +19,9 @@
 use crate::{
     clock, context,
     filter::{self, parse},
-    online, snapshot,
+    online,
+    reservation::Reservation,
+    snapshot,
     upstream::Cause,
 };
 
@@ -413,17 +415,35 @@
                 }
             }
             Ok(router::Fit::Isolated) if self.isolation.is_none() => {
-                let place = place_of(announcement);
-                let isolation = isolate::Isolation::new(&self.context, place, item, now_ms);
-                self.isolation = Some(isolation);
+                self.isolate(item, place_of(announcement), now_ms);
             }
             Ok(router::Fit::Isolated) => {
                 self.put_back(item, "isolated_run_in_progress", now_ms + SUSPECT_MS);
             }
-            Err(refusal) if refusal.reason == refusal::Reason::PoisonousRequest => {
-                self.conclude(&item, queue::failed(&refusal), "poisonous", now_ms);
+            Err(refusal) => self.refused(item, &refusal, now_ms),
+        }
+    }
+
+    /// Reserves a backend server for an item, which starts once it is empty.
+    fn isolate(&mut self, item: Item, place: item::Place, now_ms: u64) {
+        let backend = place.backend.clone();
+        match Reservation::new(&self.context, backend, item.work.fingerprint) {
+            Ok(reservation) => {
+                let isolation =
+                    isolate::Isolation::new(&self.context, reservation, place, item, now_ms);
+                self.isolation = Some(isolation);
             }
-            Err(_) => self.put_back(item, "isolated_run_in_progress", now_ms + SUSPECT_MS),
+            Err(refusal) => self.refused(item, &refusal, now_ms),
+        }
+    }
+
+    /// Gives a poisonous item up. Others wait for the isolated run of the same
+    /// request, or for a free place for their own.
+    fn refused(&mut self, item: Item, refusal: &refusal::Refusal, now_ms: u64) {
+        if refusal.reason == refusal::Reason::PoisonousRequest {
+            self.conclude(&item, queue::failed(refusal), "poisonous", now_ms);
+        } else {
+            self.put_back(item, "isolated_run_in_progress", now_ms + SUSPECT_MS);
         }
     }
 
--- a/programs/entry/src/batch/isolate.rs
+++ b/programs/entry/src/batch/isolate.rs
@@ -2,13 +2,11 @@
 
 use std::sync;
 
-use bw_wire::{command::work, fingerprint, name};
+use bw_wire::{command::work, name};
 
 use super::{item, queue::Item};
-use crate::{context, controller};
+use crate::{context, reservation::Reservation};
 
-/// How long a backend server is reserved, unless the run ends sooner.
-const RESERVE_MS: u64 = 30_000;
 /// Time after which the other entry VMs' counts show that they have stopped to
 /// send work to the reserved backend server.
 const SETTLE_MS: u64 = 1_000;
@@ -18,34 +16,30 @@
 /// An item that waits for, or runs on, a backend server without other work.
 pub(super) struct Isolation {
     context: sync::Arc<context::Context>,
+    /// Held until the run has ended.
+    _reservation: Reservation,
     pub(super) place: item::Place,
     /// Absent while the item runs.
     item: Option<Item>,
-    fingerprint: fingerprint::Fingerprint,
     since_ms: u64,
 }
 
 impl Isolation {
-    /// Reserves a backend server.
+    /// Begins to wait for a reserved backend server.
     pub(super) fn new(
         context: &sync::Arc<context::Context>,
+        reservation: Reservation,
         place: item::Place,
         item: Item,
         now_ms: u64,
     ) -> Isolation {
-        let fingerprint = item.work.fingerprint;
-        context
-            .shared
-            .with_suspects(|suspects, _| suspects.isolate(fingerprint));
-        let isolation = Isolation {
+        Isolation {
             context: sync::Arc::clone(context),
+            _reservation: reservation,
             place,
             item: Some(item),
-            fingerprint,
             since_ms: now_ms,
-        };
-        isolation.announce(RESERVE_MS);
-        isolation
+        }
     }
 
     /// Returns the item when its backend server is empty.
@@ -79,22 +73,4 @@
     pub(super) fn backend(&self) -> &name::Name {
         &self.place.backend
     }
-
-    fn announce(&self, duration_ms: u64) {
-        self.context.events.send(controller::Event::Reserved {
-            backend: self.place.backend.clone(),
-            duration_ms,
-        });
-    }
-}
-
-impl Drop for Isolation {
-    fn drop(&mut self) {
-        // Also after a run that neither finished nor crashed.
-        let fingerprint = self.fingerprint;
-        self.context
-            .shared
-            .with_suspects(|suspects, _| suspects.abandoned(fingerprint));
-        self.announce(0);
-    }
 }
--- a/programs/entry/src/lib.rs
+++ b/programs/entry/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod metrics;
 pub mod online;
 pub mod program;
+mod reservation;
 pub mod routing;
 pub mod settings;
 pub mod snapshot;
--- a/programs/entry/src/online/run.rs
+++ b/programs/entry/src/online/run.rs
@@ -8,7 +8,9 @@
 use tokio::time as async_time;
 
 use crate::{
-    context, controller, filter, metrics, routing, settings,
+    context, controller, filter, metrics,
+    reservation::Reservation,
+    routing, settings,
     upstream::{self, Cause, End, Event},
 };
 
@@ -24,10 +26,6 @@
 const MAX_SKIPS: u32 = 16;
 /// How long a later attempt waits for any backend server.
 const RETRY_WAIT: time::Duration = time::Duration::from_secs(2);
-/// How long a backend server stays reserved for an isolated run, unless the run
-/// ends sooner. Renewed reservations would outlive an entry VM that dies.
-const RESERVE_MS: u64 = 30_000;
-
 /// The backend server of an attempt.
 struct Held {
     slot: routing::Slot,
@@ -327,8 +325,7 @@
         }
     }
 
-    /// Reserves the backend server of an isolated run. Another such run of the
-    /// same request may have begun since it was checked.
+    /// Reserves the backend server of an isolated run.
     fn hold(&self, slot: routing::Slot) -> Result<Held, refusal::Refusal> {
         if slot.fit() != router::Fit::Isolated {
             return Ok(Held {
@@ -336,18 +333,9 @@
                 reservation: None,
             });
         }
-        let fingerprint = self.request.fingerprint;
-        let treatment = self.context.shared.with_suspects(|suspects, _| {
-            let treatment = suspects.treatment(fingerprint);
-            if treatment == suspect::Treatment::Isolated {
-                suspects.isolate(fingerprint);
-            }
-            treatment
-        });
-        if let suspect::Treatment::Refused(refusal) = treatment {
-            return Err(self.with_verdict(refusal));
-        }
-        let reservation = Reservation::new(&self.context, &slot, fingerprint);
+        let backend = slot.choice().id.clone();
+        let reservation = Reservation::new(&self.context, backend, self.request.fingerprint)
+            .map_err(|refusal| self.with_verdict(refusal))?;
         Ok(Held {
             slot,
             reservation: Some(reservation),
@@ -643,46 +631,6 @@
     }
 }
 
-/// A backend server that is kept free for an isolated run, until it is dropped.
-struct Reservation {
-    context: sync::Arc<context::Context>,
-    backend: name::Name,
-    fingerprint: fingerprint::Fingerprint,
-}
-
-impl Reservation {
-    fn new(
-        context: &sync::Arc<context::Context>,
-        slot: &routing::Slot,
-        fingerprint: fingerprint::Fingerprint,
-    ) -> Reservation {
-        let reservation = Reservation {
-            context: sync::Arc::clone(context),
-            backend: slot.choice().id.clone(),
-            fingerprint,
-        };
-        reservation.announce(RESERVE_MS);
-        reservation
-    }
-
-    fn announce(&self, duration_ms: u64) {
-        self.context.events.send(controller::Event::Reserved {
-            backend: self.backend.clone(),
-            duration_ms,
-        });
-    }
-}
-
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        let fingerprint = self.fingerprint;
-        self.context
-            .shared
-            .with_suspects(|suspects, _| suspects.abandoned(fingerprint));
-        self.announce(0);
-    }
-}
-
 /// Returns the pause before a further attempt on a backend server that has
 /// failed the request.
 pub(crate) fn backoff(attempts: u32) -> time::Duration {
