Split the dispatcher and the online run into small modules

Change: `batch::dispatch` keeps the loop; what the pacer is told (`observe`), leases (`lease`), starting items (`place`) and outcomes (`outcome`) are modules of their own. `online::run` keeps the request; attempts and hedges (`attempt`), the choice of a backend server (`pick`), failures (`failure`) and accounting (`account`) are modules of their own.

Conclusion: no change of behaviour.

--- /dev/null
+++ b/programs/entry/src/online/run/mod.rs
@@ -0,0 +1,179 @@
+//! One engine request over all its attempts.
+
+mod account;
+mod attempt;
+mod failure;
+mod pick;
+
+use std::{future, pin, sync, time};
+
+use bw_policy::retry;
+use bw_wire::{fingerprint, name, refusal, verdict};
+use tokio::time as async_time;
+
+use crate::{
+    context, filter, metrics,
+    reservation::Reservation,
+    routing, settings,
+    upstream::{self, End, Event},
+};
+
+pub(crate) use failure::failure;
+pub(crate) use pick::backoff;
+
+/// The backend server of an attempt.
+struct Held {
+    slot: routing::Slot,
+    reservation: Option<Reservation>,
+}
+
+/// An attempt that has sent its first event.
+struct Attempt {
+    held: Held,
+    stream: upstream::Stream,
+    hedge: bool,
+}
+
+type Started = Result<(Attempt, Event), (Held, upstream::Error)>;
+type Starting = pin::Pin<Box<dyn future::Future<Output = Started> + Send>>;
+
+/// A request to an engine, which is answered once however many attempts it takes.
+///
+/// The text is kept until the end, because a resume sends what is already
+/// there to another backend server.
+pub struct Run {
+    context: sync::Arc<context::Context>,
+    request: filter::Admitted,
+    prefix: Vec<fingerprint::Fingerprint>,
+    call: retry::Call,
+    deadline: async_time::Instant,
+    attempts: u32,
+    skips: u32,
+    running: bool,
+    avoid: Vec<name::Name>,
+    text: String,
+    tokens: u64,
+    current: Option<Attempt>,
+    last_token: Option<time::Instant>,
+    finished: bool,
+}
+
+impl Run {
+    /// Starts a request; nothing is sent before the first event is asked for.
+    pub fn new(
+        context: sync::Arc<context::Context>,
+        request: filter::Admitted,
+        repeatable: bool,
+    ) -> Run {
+        let now_ms = context.shared.clock.now_ms();
+        let left = settings::ms(request.deadline_ms.saturating_sub(now_ms));
+        Run {
+            prefix: request.body.prefix(),
+            call: retry::Call::new(repeatable, Some(request.deadline_ms)),
+            deadline: async_time::Instant::now() + left,
+            attempts: 0,
+            skips: 0,
+            running: false,
+            avoid: Vec::new(),
+            text: String::new(),
+            tokens: 0,
+            current: None,
+            last_token: None,
+            finished: false,
+            context,
+            request,
+        }
+    }
+
+    /// Returns the request.
+    pub fn request(&self) -> &filter::Admitted {
+        &self.request
+    }
+
+    /// Returns the text so far.
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+
+    /// Returns the next event of the one answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal with which the request ends.
+    pub async fn next(&mut self) -> Result<Event, refusal::Refusal> {
+        let deadline = self.deadline;
+        match async_time::timeout_at(deadline, self.step()).await {
+            Ok(Ok(event)) => {
+                self.account(&event);
+                Ok(event)
+            }
+            Ok(Err(refusal)) => {
+                self.finished = true;
+                Err(refusal)
+            }
+            Err(_) => {
+                self.finished = true;
+                let message = "the deadline passed before the answer was complete";
+                let reason = refusal::Reason::DeadlineUnreachable;
+                Err(refusal::Refusal::not_run(reason, message).verdict(self.verdict()))
+            }
+        }
+    }
+
+    /// Returns whether any attempt may have run, the running ones included.
+    fn verdict(&self) -> verdict::Verdict {
+        match self.running {
+            true => verdict::Verdict::MayHaveRun,
+            false => self.call.verdict(),
+        }
+    }
+
+    /// Returns a refusal with the verdict over all attempts.
+    fn with_verdict(&self, refusal: refusal::Refusal) -> refusal::Refusal {
+        let verdict = refusal.verdict.and(self.call.verdict());
+        refusal.verdict(verdict)
+    }
+
+    async fn step(&mut self) -> Result<Event, refusal::Refusal> {
+        loop {
+            let Some(attempt) = &mut self.current else {
+                return self.open().await;
+            };
+            match attempt.stream.next().await {
+                Ok(event) => return Ok(event),
+                Err(error) => {
+                    let Some(attempt) = self.current.take() else {
+                        continue;
+                    };
+                    // No other attempt runs beside one that has begun to answer.
+                    self.failed(attempt.held, &error, true).await?;
+                }
+            }
+        }
+    }
+
+    /// Returns the token counts of the whole answer.
+    pub fn usage(&self, end: &End) -> upstream::Usage {
+        end.usage.unwrap_or(upstream::Usage {
+            prompt_tokens: 0,
+            completion_tokens: self.tokens,
+            total_tokens: self.tokens,
+        })
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        if self.finished {
+            return;
+        }
+        let path = self.request.api.path();
+        metrics::ABANDONED.with_label_values(&[path]).inc();
+        log::info!(
+            request_id = self.request.id.as_str(),
+            team = self.request.team.as_str(),
+            verdict = <&str>::from(self.verdict());
+            "the caller left before the answer was complete"
+        );
+    }
+}
