Start batch streams with short prompts faster

Cause: a server started at most one batch stream each 47 ms, as long prompts delay online first tokens. Items that last less than 1.5 s did not fill it. Change: a stream with fewer than 200 tokens to prefill costs less of what a server earns, down to a tenth, by the average of recent streams. The router counts a batch stream that is sent by its tokens, too.

--- a/crates/policy/examples/queueing.rs
+++ b/crates/policy/examples/queueing.rs
@@ -25,8 +25,6 @@
 const NETWORK_US: u64 = 1_000;
 const WARM_UP_US: u64 = 10_000_000;
 const SEEDS: u64 = 5;
-const BATCH_PROMPT: u32 = 200;
-const BATCH_OUTPUT: u32 = 100;
 
 #[derive(Clone, Copy, PartialEq)]
 enum Pick {
@@ -56,6 +54,8 @@
     pick: Pick,
     router: router::Builder,
     batch: Batch,
+    /// Prompt and output tokens of a batch item.
+    item: (u32, u32),
     frozen: bool,
     liar: bool,
     skew: bool,
@@ -75,6 +75,7 @@
             pick: Pick::Policy,
             router: router::Builder::new().slow_start_ms(0),
             batch: Batch::None,
+            item: (200, 100),
             frozen: false,
             liar: false,
             skew: false,
@@ -489,19 +490,19 @@
         self.streams.insert(stream, (produced, preempted));
         let known = pacer::Stream {
             id: stream,
-            tokens: BATCH_PROMPT + produced,
+            tokens: self.scenario.item.0 + produced,
             preempted,
             urgent: false,
         };
         self.pacers[owner].started(&id(replica), known, now_ms);
         if matches!(self.scenario.batch, Batch::Paced(_)) {
-            self.routers[owner].batch_sent(&id(replica), now_ms);
+            self.routers[owner].batch_sent(&id(replica), self.scenario.item.0 + produced, now_ms);
         }
         let sequence = Sequence {
             id: stream,
             batch: true,
-            prompt_left: BATCH_PROMPT + produced,
-            output_left: BATCH_OUTPUT.saturating_sub(produced).max(1),
+            prompt_left: self.scenario.item.0 + produced,
+            output_left: self.scenario.item.1.saturating_sub(produced).max(1),
             produced: 0,
             in_step: 0,
             first: false,
@@ -942,6 +943,37 @@
     scenarios
 }
 
+/// Batch items of several lengths.
+fn items(burst: f64) -> Vec<Scenario> {
+    let mut scenarios = vec![Scenario {
+        burst,
+        ..Scenario::new("online alone", 50.0)
+    }];
+    for item in [
+        (200, 100),
+        (20, 100),
+        (20, 30),
+        (200, 30),
+        (20, 10),
+        (60, 10),
+        (200, 10),
+    ] {
+        for (kind, batch) in [
+            ("paced", Batch::Paced(pacer::Builder::new())),
+            ("first come, first served", Batch::Greedy),
+        ] {
+            let label = format!("{kind}, {} prompt and {} output tokens", item.0, item.1);
+            scenarios.push(Scenario {
+                burst,
+                batch,
+                item,
+                ..Scenario::new(&label, 50.0)
+            });
+        }
+    }
+    scenarios
+}
+
 /// Times the choice among many replicas; the only figure that the machine sets.
 fn cost() {
     println!("\nTime of one choice, this machine, one thread\n");
@@ -1001,6 +1033,10 @@
     if wanted("frequent") {
         table("Pacing, 240 requests/s with short answers", &frequent());
     }
+    if wanted("items") {
+        table("Batch items, 50 requests/s", &items(1.0));
+        table("Batch items, 50 requests/s with bursts of 150", &items(3.0));
+    }
     if wanted("costs") {
         for pair in costs().chunks(2) {
             table("Costs of a sequence and of a prompt token", pair);
--- a/crates/policy/src/pacer/mod.rs
+++ b/crates/policy/src/pacer/mod.rs
@@ -22,6 +22,9 @@
 /// the others without a prompt ahead of theirs.
 const MAX_PREFILLING: f32 = 1.0 / 3.0;
 
+/// Tokens to prefill from which on a stream counts fully among those that start.
+const LONG_PROMPT_TOKENS: f32 = 200.0;
+
 /// Settings of a [`Pacer`].
 #[derive(Clone, Debug)]
 pub struct Builder {
@@ -75,7 +78,8 @@
     }
 
     /// Sets the time in which an idle server is filled. Streams start evenly over
-    /// it, because the prefills of many at once delay online first tokens.
+    /// it, because the prefills of many at once delay online first tokens. Streams
+    /// with short prompts start up to ten times as fast.
     pub fn ramp_ms(mut self, duration_ms: u64) -> Builder {
         self.ramp_ms = duration_ms.max(1);
         self
@@ -170,6 +174,12 @@
     pub streams: u32,
 }
 
+/// Returns how much a stream with this many tokens to prefill delays online
+/// prompts, relative to one with a long prompt.
+pub(crate) fn prompt_share(tokens: u32) -> f32 {
+    (tokens as f32 / LONG_PROMPT_TOKENS).min(1.0)
+}
+
 /// Decides how many batch streams run on each owned backend server.
 #[derive(Debug)]
 pub struct Pacer {
--- a/crates/policy/src/pacer/server.rs
+++ b/crates/policy/src/pacer/server.rs
@@ -4,7 +4,7 @@
 
 use bw_wire::{backend, name};
 
-use super::{Builder, Facts, Online, peak};
+use super::{Builder, Facts, Online, peak, prompt_share};
 
 /// Window in which a `sync` answer may still describe an earlier count.
 const SYNC_LAG_MS: u64 = 1_500;
@@ -23,6 +23,11 @@
 /// Prompts that are computed together delay fewer online arrivals than the same
 /// prompts one by one.
 const START_WINDOW_MS: f32 = 130.0;
+/// Least that a stream costs of what a server earns, so that what is known of
+/// recent prompts cannot start a whole server's streams at once.
+const MIN_COST: f32 = 0.1;
+/// Weight of a new stream in the average cost of a stream.
+const COST_SMOOTHING: f32 = 0.1;
 /// Largest capacity that is believed; a larger one is a wrong announcement.
 const MAX_CAPACITY: u32 = 4_096;
 /// Share of the capacity in use below which reported waiting requests are not
@@ -84,6 +89,8 @@
     started_ms: Option<u64>,
     /// When room was last granted, if no stream started since.
     unused_ms: Option<u64>,
+    /// Average cost of the streams that started, in long prompts.
+    cost: f32,
     floor: bool,
     ramp: f32,
     ramp_at_ms: u64,
@@ -110,6 +117,7 @@
             streams: Vec::new(),
             started_ms: None,
             unused_ms: None,
+            cost: 1.0,
             floor: false,
             ramp: 0.0,
             ramp_at_ms: now_ms,
@@ -167,6 +175,8 @@
         self.floor = false;
         self.started_ms = Some(now_ms);
         self.unused_ms = None;
+        let cost = prompt_share(stream.tokens);
+        self.cost += COST_SMOOTHING * (cost - self.cost);
         self.streams.push(Running {
             stream,
             started_ms: now_ms,
@@ -221,8 +231,9 @@
             return 0;
         }
         let missing = target.saturating_sub(self.running());
-        let allowed = missing.min(self.ramp as u32);
-        self.ramp -= allowed as f32;
+        let cost = self.cost.max(MIN_COST);
+        let allowed = missing.min((self.ramp / cost) as u32);
+        self.ramp -= allowed as f32 * cost;
         if allowed > 0 {
             self.unused_ms = Some(now_ms);
         }
--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -17,6 +17,8 @@
 
 pub use choice::{Choice, Fit, Request, Target, Unavailable};
 
+use crate::pacer;
+
 use replica::Replica;
 
 /// Settings of a [`Router`].
@@ -146,8 +148,8 @@
         self
     }
 
-    /// Sets how much of an online request a batch stream that is sent counts in
-    /// what was sent just now; see [`Router::batch_sent`].
+    /// Sets how much of an online request a batch stream with a long prompt counts
+    /// in what was sent just now; see [`Router::batch_sent`].
     pub fn recent_batch(mut self, share: f32) -> Builder {
         self.recent_batch = share.max(0.0);
         self
@@ -392,14 +394,14 @@
         }
     }
 
-    /// Notes a batch stream that this entry VM sends to a replica now. Its prompt
-    /// is computed in the replica's next step, before that of an online request
-    /// that is sent there after it.
-    pub fn batch_sent(&mut self, id: &str, now_ms: u64) {
+    /// Notes a batch stream that this entry VM sends to a replica now, with the
+    /// tokens to prefill. They are computed in the replica's next step, before the
+    /// prompt of an online request that is sent there after it.
+    pub fn batch_sent(&mut self, id: &str, tokens: u32, now_ms: u64) {
         let Some(&slot) = self.slots.get(id) else {
             return;
         };
-        let share = self.settings.recent_batch;
+        let share = self.settings.recent_batch * pacer::prompt_share(tokens);
         self.replicas[slot].note_sent(&self.settings, share, now_ms);
     }
 
--- a/crates/policy/tests/pacer.rs
+++ b/crates/policy/tests/pacer.rs
@@ -429,6 +429,47 @@
     );
 }
 
+/// Guards against short items that leave a server idle because each start waits
+/// as long as that of a long prompt, and against long prompts that start faster.
+#[rstest]
+#[case::short_prompts(20, 24, 31)]
+#[case::long_prompts(200, 4, 7)]
+#[case::resumed(2_000, 4, 7)]
+fn short_items_fill_a_server(#[case] tokens: u32, #[case] least: u32, #[case] most: u32) {
+    let mut pacer = pacer();
+    let mut next = 0;
+    let mut used = 0;
+    let mut ends = collections::VecDeque::new();
+    for now_ms in (0..6_000).step_by(10) {
+        // An item lasts 300 ms.
+        while ends.front().is_some_and(|&(end_ms, _)| end_ms <= now_ms) {
+            let (_, stream) = ends.pop_front().expect("a stream");
+            pacer.stopped(ID, stream, now_ms);
+        }
+        for room in pacer.room(now_ms) {
+            for _ in 0..room.streams {
+                next += 1;
+                let short = Stream {
+                    tokens,
+                    ..stream(next)
+                };
+                pacer.started(ID, short, now_ms);
+                ends.push_back((now_ms + 300, next));
+            }
+        }
+        used += if now_ms >= 3_000 {
+            pacer.running(ID)
+        } else {
+            0
+        };
+    }
+    let average = used / 300;
+    assert!(
+        (least..=most).contains(&average),
+        "{average} of {CAPACITY} places"
+    );
+}
+
 /// Guards against batch work that never runs again under lasting online load,
 /// and against a floor that makes online requests wait.
 #[rstest]
--- a/crates/policy/tests/router.rs
+++ b/crates/policy/tests/router.rs
@@ -68,7 +68,7 @@
 fn a_batch_stream_sent_just_now_is_avoided() {
     let mut router = fleet(settled(), 2);
     let mut random = random();
-    router.batch_sent("e00", 1_000);
+    router.batch_sent("e00", 200, 1_000);
     for _ in 0..50 {
         let request = Request::new(MODEL);
         let choice = router.choose(&request, 1_010, &mut random);
@@ -79,6 +79,23 @@
     assert_eq!(shares.len(), 2, "{shares:?}");
 }
 
+/// Guards against many short batch prompts that count like long ones, so that
+/// online requests collide on the other replicas.
+#[test]
+fn short_batch_prompts_count_by_their_tokens() {
+    let mut router = fleet(settled(), 2);
+    let mut random = random();
+    for _ in 0..8 {
+        router.batch_sent("e00", 10, 1_000);
+    }
+    router.batch_sent("e01", 200, 1_000);
+    router.batch_sent("e01", 200, 1_000);
+    for _ in 0..50 {
+        let choice = router.choose(&Request::new(MODEL), 1_010, &mut random);
+        assert_eq!(choice.expect("a replica").id.as_str(), "e00");
+    }
+}
+
 /// Guards against a replica that is drowned because its report claims too
 /// little, or never used again because it claims too much.
 #[rstest]
--- a/programs/entry/src/batch/dispatch.rs
+++ b/programs/entry/src/batch/dispatch.rs
@@ -437,9 +437,10 @@
                 preempted: item.preempted,
                 urgent: item.due_ms < urgent_before_ms,
             };
+            let tokens = paced.tokens;
             self.pacer.started(&place.backend, paced, now_ms);
             self.context.shared.table.with(|state, now_ms| {
-                state.router.batch_sent(&place.backend, now_ms);
+                state.router.batch_sent(&place.backend, tokens, now_ms);
             });
         }
         let attempt = item::Attempt {
