Measure the preference for the own failure domain

Cause: the weight of staying in the own failure domain was never measured. Change: the queueing experiment has failure domains 1.5 ms apart, with 6 entry VMs and 12 replicas spread over 3 of them (table "domains").

--- a/crates/policy/examples/queueing.rs
+++ b/crates/policy/examples/queueing.rs
@@ -14,6 +14,8 @@
 
 const TICK_US: u64 = 500;
 const ENTRIES: usize = 4;
+const MAX_ENTRIES: usize = 6;
+const DOMAINS: usize = 3;
 const REPLICAS: usize = 12;
 const CAPACITY: usize = 32;
 const STEP_US: u64 = 20_000;
@@ -45,6 +47,10 @@
 struct Scenario {
     label: String,
     online_per_s: f64,
+    entries: usize,
+    /// Added one way between failure domains, and the weight of staying in one.
+    distance_us: u64,
+    domain_weight: f32,
     burst: f64,
     /// Average number of tokens of an online answer.
     online_output: f64,
@@ -68,6 +74,9 @@
         Scenario {
             label: label.to_owned(),
             online_per_s,
+            entries: ENTRIES,
+            distance_us: 0,
+            domain_weight: 0.0,
             burst: 1.0,
             online_output: 60.0,
             seconds: 60,
@@ -83,6 +92,19 @@
             hedge: false,
         }
     }
+
+    fn router_of(&self, entry: usize) -> router::Builder {
+        let domain = domain(entry % DOMAINS);
+        self.router
+            .clone()
+            .failure_domain(domain, self.domain_weight)
+    }
+
+    /// Returns what the way between an entry VM and a replica adds.
+    fn distance_us(&self, entry: usize, replica: usize) -> u64 {
+        let is_remote = entry % DOMAINS != domain_of(replica);
+        if is_remote { self.distance_us } else { 0 }
+    }
 }
 
 /// A sequence at a replica.
@@ -102,7 +124,7 @@
     running: Vec<Sequence>,
     step_end_us: Option<u64>,
     frozen: bool,
-    online: [u32; ENTRIES],
+    online: [u32; MAX_ENTRIES],
 }
 
 struct Online {
@@ -155,7 +177,7 @@
     streams: collections::BTreeMap<u64, (u32, u32)>,
     messages: collections::BTreeMap<(u64, u64), Message>,
     next: u64,
-    turns: [usize; ENTRIES],
+    turns: [usize; MAX_ENTRIES],
     result: Result,
 }
 
@@ -163,6 +185,15 @@
     format!("e{replica:02}").into()
 }
 
+fn domain(domain: usize) -> name::Name {
+    format!("domain-{domain}").into()
+}
+
+/// Returns the failure domain of a replica. An entry VM owns replicas of several.
+fn domain_of(replica: usize) -> usize {
+    replica * DOMAINS / REPLICAS
+}
+
 fn index(id: &str) -> usize {
     id[1..].parse().expect("a replica's id")
 }
@@ -173,27 +204,28 @@
             Batch::Paced(builder) => builder.clone(),
             _ => pacer::Builder::new(),
         };
+        let entries = scenario.entries;
         World {
             random: rand_pcg::Pcg64Mcg::seed_from_u64(seed),
             now_us: 0,
             replicas: (0..REPLICAS).map(|_| Replica::default()).collect(),
-            routers: (0..ENTRIES)
-                .map(|_| scenario.router.clone().build())
+            routers: (0..entries)
+                .map(|entry| scenario.router_of(entry).build())
                 .collect(),
-            pacers: (0..ENTRIES).map(|_| pacer.clone().build()).collect(),
-            health: (0..ENTRIES)
+            pacers: (0..entries).map(|_| pacer.clone().build()).collect(),
+            health: (0..entries)
                 .map(|_| health::Builder::new().build())
                 .collect(),
-            retry: (0..ENTRIES)
+            retry: (0..entries)
                 .map(|_| retry::Builder::new().build())
                 .collect(),
             online: collections::BTreeMap::new(),
             attempts: collections::BTreeMap::new(),
-            resumes: vec![collections::VecDeque::new(); ENTRIES],
+            resumes: vec![collections::VecDeque::new(); entries],
             streams: collections::BTreeMap::new(),
             messages: collections::BTreeMap::new(),
             next: 0,
-            turns: [0, 3, 6, 9],
+            turns: [0, 3, 6, 9, 1, 4],
             result: Result::default(),
             scenario,
         }
@@ -285,7 +317,7 @@
                 address: id(replica),
                 kind: backend::Kind::Engine,
                 service: "default".into(),
-                failure_domain: "ljub-a".into(),
+                failure_domain: domain(domain_of(replica)),
                 state: backend::State::Ready,
                 loaded: vec![backend::Loaded {
                     model: "m".into(),
@@ -302,7 +334,7 @@
                     age_ms: 0,
                 },
             };
-            for entry in 0..ENTRIES {
+            for entry in 0..self.scenario.entries {
                 self.routers[entry].announce(&announcement, 0, now_ms);
                 let facts = health::Facts {
                     id: id(replica),
@@ -321,12 +353,12 @@
                 load: announcement.load,
                 load_age_ms: 0,
             };
-            self.pacers[replica % ENTRIES].update(&facts, now_ms);
+            self.pacers[replica % self.scenario.entries].update(&facts, now_ms);
         }
-        for entry in 0..ENTRIES {
+        for entry in 0..self.scenario.entries {
             let others = |replica: usize| {
                 let online = self.replicas[replica].online;
-                (0..ENTRIES)
+                (0..self.scenario.entries)
                     .filter(|&other| other != entry)
                     .map(|other| online[other])
                     .sum()
@@ -335,7 +367,7 @@
                 .map(|replica| (id(replica), others(replica)))
                 .collect();
             self.routers[entry].fleet(&counts, now_ms);
-            let homes = (0..REPLICAS).filter(|replica| replica % ENTRIES == entry);
+            let homes = (0..REPLICAS).filter(|replica| replica % self.scenario.entries == entry);
             self.routers[entry].home(&homes.map(id).collect());
             let surplus = self.pacers[entry].fleet_online(&counts, now_ms);
             self.preempt(entry, &surplus);
@@ -344,7 +376,8 @@
 
     fn arrive(&mut self, arrived_us: u64) {
         let extra = if self.scenario.skew { 2 } else { 0 };
-        let entry = self.random.random_range(0..ENTRIES + extra) % ENTRIES;
+        let entry =
+            self.random.random_range(0..self.scenario.entries + extra) % self.scenario.entries;
         let entry = if extra > 0 && entry == 1 && self.random.random_bool(0.5) {
             0
         } else {
@@ -432,7 +465,8 @@
         });
         self.attempts.insert(attempt, request);
         self.count(entry, replica, 1);
-        self.send(NETWORK_US, Message::Start(replica, sequence));
+        let distance_us = self.scenario.distance_us(entry, replica);
+        self.send(NETWORK_US + distance_us, Message::Start(replica, sequence));
     }
 
     /// Changes an entry VM's online count of a replica and tells the owner.
@@ -440,7 +474,7 @@
         let count = &mut self.replicas[replica].online[entry];
         *count = count.saturating_add_signed(change);
         let count = *count;
-        let owner = replica % ENTRIES;
+        let owner = replica % self.scenario.entries;
         if owner == entry {
             let now_ms = self.now_ms();
             let surplus = self.pacers[owner].own_online(&id(replica), count, now_ms);
@@ -512,7 +546,7 @@
 
     fn tick(&mut self) {
         let now_ms = self.now_ms();
-        for owner in 0..ENTRIES {
+        for owner in 0..self.scenario.entries {
             self.pacers[owner].backlog(1_000_000, now_ms);
             let surplus = self.pacers[owner].surplus(now_ms);
             self.preempt(owner, &surplus);
@@ -542,7 +576,8 @@
 
     /// Keeps every place and one waiting batch request, whatever online does.
     fn fill_greedily(&mut self, owner: usize) {
-        for replica in (0..REPLICAS).filter(|replica| replica % ENTRIES == owner) {
+        let entries = self.scenario.entries;
+        for replica in (0..REPLICAS).filter(|replica| replica % entries == owner) {
             let state = &self.replicas[replica];
             let held = state.running.len() + state.waiting.len();
             if held < CAPACITY {
@@ -553,7 +588,7 @@
 
     fn judge(&mut self) {
         let now_ms = self.now_ms();
-        for entry in 0..ENTRIES {
+        for entry in 0..self.scenario.entries {
             for change in self.health[entry].tick(now_ms) {
                 match change {
                     health::Change::Ejected { id, .. } => self.routers[entry].judge(&id, true, 1.0),
@@ -616,7 +651,7 @@
         if is_last {
             let now_ms = self.now_ms();
             self.streams.remove(&stream);
-            self.pacers[replica % ENTRIES].stopped(&id(replica), stream, now_ms);
+            self.pacers[replica % self.scenario.entries].stopped(&id(replica), stream, now_ms);
         }
     }
 
@@ -635,7 +670,9 @@
             }
         }
         if is_first {
-            let first_us = self.now_us - online.arrived_us;
+            let replica = online.attempts.iter().find(|one| one.id == attempt);
+            let way_us = replica.map_or(0, |one| self.scenario.distance_us(entry, one.replica));
+            let first_us = self.now_us + way_us - online.arrived_us;
             online.hedge_us = None;
             online.call.progress();
             if online.arrived_us > WARM_UP_US {
@@ -943,6 +980,30 @@
     scenarios
 }
 
+/// Failure domains 1.5 ms apart, 6 entry VMs and 12 replicas spread over them.
+fn domains(online_per_s: f64) -> Vec<Scenario> {
+    let variant = |weight: f32, batch: Batch| {
+        let kind = if matches!(batch, Batch::None) {
+            "alone"
+        } else {
+            "paced"
+        };
+        let label = format!("{kind}, weight {weight}");
+        Scenario {
+            entries: 6,
+            distance_us: 1_500,
+            domain_weight: weight,
+            batch,
+            ..Scenario::new(&label, online_per_s)
+        }
+    };
+    let paced = || Batch::Paced(pacer::Builder::new());
+    [0.0, 0.05, 0.2, 1.0]
+        .into_iter()
+        .flat_map(|weight| [variant(weight, Batch::None), variant(weight, paced())])
+        .collect()
+}
+
 /// Batch items of several lengths.
 fn items(burst: f64) -> Vec<Scenario> {
     let mut scenarios = vec![Scenario {
@@ -1033,6 +1094,12 @@
     if wanted("frequent") {
         table("Pacing, 240 requests/s with short answers", &frequent());
     }
+    if wanted("domains") {
+        for rate in [70.0, 110.0, 130.0] {
+            let title = format!("Failure domains 1.5 ms apart, {rate} requests/s");
+            table(&title, &domains(rate));
+        }
+    }
     if wanted("items") {
         table("Batch items, 50 requests/s", &items(1.0));
         table("Batch items, 50 requests/s with bursts of 150", &items(3.0));
