--- a/crates/coord/src/node/follow.rs
+++ b/crates/coord/src/node/follow.rs
@@ -6,7 +6,7 @@
         Append, AppendOutcome, AppendReply, Beat, Body, Chunk, ChunkProgress, ChunkReply, Entry,
         SnapshotMeta,
     },
-    node::{Install, Node, Role},
+    node::{Contents, Install, Node, Role},
     wal::Record,
 };
 
@@ -14,7 +14,20 @@
 #[derive(Debug)]
 pub(super) struct Incoming {
     meta: SnapshotMeta,
+    /// The state and the list of payloads, as far as they have arrived.
     data: Vec<u8>,
+    /// Bytes of the stream that have arrived; the payloads go to the host.
+    received: u64,
+    /// Whether the data is complete and valid.
+    checked: bool,
+    /// Who sent the last piece, until it is answered.
+    unanswered: Option<(ReplicaId, Beat)>,
+}
+
+impl Incoming {
+    fn is_valid(&self) -> bool {
+        self.data.len() as u64 == self.meta.size && crc32fast::hash(&self.data) == self.meta.crc
+    }
 }
 
 impl Node {
@@ -137,7 +150,9 @@
         }
         let commit = self.log.commit();
         if index <= commit {
-            self.incoming = None;
+            if self.incoming.take().is_some() {
+                self.out.contents.push(Contents::Abort);
+            }
             self.reply_chunk(
                 from,
                 beat,
@@ -146,43 +161,93 @@
             );
             return;
         }
-        let size = meta.size;
-        let offset = self.collect(chunk);
-        if offset < size {
-            self.reply_chunk(from, beat, index, ChunkProgress::Next { offset });
+        if !self.collect(chunk) {
+            ::log::error!(
+                "group {}: snapshot {index} of replica {from} is damaged",
+                self.group
+            );
+            return self.reject_snapshot();
+        }
+        let Some(incoming) = &mut self.incoming else {
+            return;
+        };
+        if incoming.checked {
+            // The host stores the payloads first, and may have some already.
+            incoming.unanswered = Some((from, beat));
+            return;
+        }
+        let offset = incoming.received;
+        self.reply_chunk(from, beat, index, ChunkProgress::Next { offset });
+    }
+
+    /// Goes on with the snapshot that is arriving: the host has its payloads up
+    /// to a position of their contents.
+    pub fn contents_stored(&mut self, position: u64) {
+        let incoming = self.incoming.as_mut();
+        let Some(incoming) = incoming.filter(|incoming| incoming.checked) else {
+            return;
+        };
+        let offset = incoming.meta.size + position;
+        incoming.received = offset;
+        let Some((from, beat)) = incoming.unanswered.take() else {
             return;
+        };
+        let index = incoming.meta.index;
+        if offset < incoming.meta.stream_size() {
+            self.reply_chunk(from, beat, index, ChunkProgress::Next { offset });
+        } else {
+            self.complete_snapshot(from, beat);
         }
-        self.complete_snapshot(from, beat);
     }
 
-    /// Adds a piece if it is the next one and returns the next missing byte.
-    fn collect(&mut self, chunk: Chunk) -> u64 {
+    /// Adds a piece if it is the next one. Returns false if the state or the list
+    /// is damaged.
+    fn collect(&mut self, chunk: Chunk) -> bool {
         let incoming = match &mut self.incoming {
             Some(incoming) if incoming.meta == chunk.meta => incoming,
             other => other.insert(Incoming {
                 meta: chunk.meta,
                 data: Vec::new(),
+                received: 0,
+                checked: false,
+                unanswered: None,
             }),
         };
-        if chunk.offset == incoming.data.len() as u64 {
-            incoming.data.extend_from_slice(&chunk.data);
+        if chunk.offset != incoming.received {
+            return true;
         }
-        incoming.data.len() as u64
+        incoming.received += chunk.data.len() as u64;
+        let missing = incoming.meta.size - incoming.data.len() as u64;
+        let missing = usize::try_from(missing).unwrap_or(usize::MAX);
+        let (data, contents) = chunk.data.split_at(missing.min(chunk.data.len()));
+        incoming.data.extend_from_slice(data);
+        if !incoming.checked && incoming.data.len() as u64 == incoming.meta.size {
+            let list = incoming.data.get(incoming.meta.state_size as usize..);
+            let Some(list) = list.filter(|_| incoming.is_valid()) else {
+                return false;
+            };
+            incoming.checked = true;
+            self.out.contents.push(Contents::Start {
+                list: list.to_vec(),
+            });
+        }
+        if !contents.is_empty() {
+            self.out.contents.push(Contents::Piece(contents.to_vec()));
+        }
+        true
+    }
+
+    /// Drops the snapshot that is arriving. The next piece starts it anew.
+    pub fn reject_snapshot(&mut self) {
+        self.incoming = None;
+        self.out.install = None;
+        self.out.contents.push(Contents::Abort);
     }
 
     fn complete_snapshot(&mut self, from: ReplicaId, beat: Beat) {
-        let Some(Incoming { meta, data }) = self.incoming.take() else {
+        let Some(Incoming { meta, data, .. }) = self.incoming.take() else {
             return;
         };
-        let valid = data.len() as u64 == meta.size && crc32fast::hash(&data) == meta.crc;
-        if !valid {
-            ::log::error!(
-                "group {}: snapshot {} of replica {from} is damaged",
-                self.group,
-                meta.index
-            );
-            return;
-        }
         self.out.install = Some(Install {
             meta,
             data,
--- a/crates/coord/tests/common/mod.rs
+++ b/crates/coord/tests/common/mod.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use bw_coord::{
-    GroupId, ReplicaId, host, member, message, node,
+    GroupId, ReplicaId, host, member, message, node, payload,
     storage::{self, Memory},
 };
 use rand::{Rng, SeedableRng};
@@ -15,32 +15,120 @@
 pub const FIRST: GroupId = GroupId(0);
 pub const SECOND: GroupId = GroupId(1);
 pub const GROUPS: [GroupId; 2] = [FIRST, SECOND];
+const PAYLOAD_SEGMENT_BYTES: u32 = 1 << 10;
 const DOMAINS: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 
-/// Keeps the ids of all commands in the order in which they were applied.
+/// The payloads of a journal.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Payloads {
+    /// Commands whose payloads are live; older ones are removed.
+    pub live: usize,
+    /// Makes contents this many times longer.
+    pub factor: usize,
+}
+
+impl Default for Payloads {
+    fn default() -> Payloads {
+        Payloads {
+            live: 24,
+            factor: 1,
+        }
+    }
+}
+
+/// Keeps the ids of all commands in the order in which they were applied, and a
+/// payload for each of the last ones.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Journal {
     pub commands: Vec<u64>,
     padding: usize,
+    payloads: Payloads,
+    effects: Vec<payload::Effect>,
 }
 
 impl Journal {
     /// Pads snapshots, so that they are sent in several pieces.
-    pub fn padded(padding: usize) -> Journal {
+    pub fn padded(padding: usize, payloads: Payloads) -> Journal {
         Journal {
             commands: Vec::new(),
             padding,
+            payloads,
+            effects: Vec::new(),
+        }
+    }
+
+    /// Returns the keys and commands of the live payloads.
+    pub fn payloads(&self) -> impl ExactSizeIterator<Item = (payload::Key, u64)> {
+        let first = self.commands.len().saturating_sub(self.payloads.live);
+        let commands = self.commands.iter().enumerate().skip(first);
+        commands.map(|(position, id)| (payload::Key(position as u64), *id))
+    }
+
+    /// Checks live payloads: the newest and the oldest, or all of them.
+    pub fn check_payloads(
+        &self,
+        all: bool,
+        source: &mut dyn payload::Source,
+    ) -> Result<(), storage::Error> {
+        let payloads = self.payloads();
+        let last = payloads.len().saturating_sub(1);
+        for (position, (key, id)) in payloads.enumerate() {
+            if all || position == 0 || position == last {
+                let content = content(id, self.payloads.factor);
+                assert_eq!(source.get(key)?, content, "payload {key:?}");
+            }
         }
+        Ok(())
     }
 }
 
+/// Inverts the first occurrence of a pattern and returns whether there is one.
+fn invert(bytes: &mut [u8], pattern: &[u8]) -> bool {
+    let mut windows = bytes.windows(pattern.len());
+    let Some(start) = windows.position(|window| window == pattern) else {
+        return false;
+    };
+    let found = &mut bytes[start..start + pattern.len()];
+    found.iter_mut().for_each(|byte| *byte = !*byte);
+    true
+}
+
+/// Returns the payload of a command; some are empty.
+pub fn content(id: u64, factor: usize) -> Vec<u8> {
+    let repeated = std::iter::repeat_n(id.to_le_bytes(), (id % 20) as usize * factor);
+    repeated.flatten().collect()
+}
+
 impl host::Machine for Journal {
     fn apply(&mut self, _index: u64, command: &[u8]) -> Vec<u8> {
         let id = command[..8].try_into().expect("commands hold an id");
-        self.commands.push(u64::from_le_bytes(id));
+        let id = u64::from_le_bytes(id);
+        let key = self.commands.len() as u64;
+        self.commands.push(id);
+        self.effects.push(payload::Effect::Put {
+            key: payload::Key(key),
+            content: content(id, self.payloads.factor),
+        });
+        if let Some(old) = key.checked_sub(self.payloads.live as u64) {
+            let key = payload::Key(old);
+            self.effects.push(payload::Effect::Remove { key });
+        }
         (self.commands.len() as u64).to_le_bytes().to_vec()
     }
 
+    fn effects(&mut self) -> Vec<payload::Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    fn complete(
+        &self,
+        result: Vec<u8>,
+        payloads: &mut dyn payload::Source,
+    ) -> Result<Vec<u8>, storage::Error> {
+        self.check_payloads(false, payloads)?;
+        Ok(result)
+    }
+
     fn snapshot(&self) -> Vec<u8> {
         let ids = self.commands.iter().flat_map(|id| id.to_le_bytes());
         ids.chain(std::iter::repeat_n(0xff, self.padding)).collect()
@@ -78,6 +166,7 @@
     pub retained_bytes: u64,
     pub segment_bytes: u64,
     pub padding: usize,
+    pub payloads: Payloads,
     /// Failure domain of each first member, as an index.
     pub domains: Vec<usize>,
 }
@@ -94,6 +183,7 @@
             retained_bytes: 512,
             segment_bytes: 4 << 10,
             padding: 0,
+            payloads: Payloads::default(),
             domains: (0..replicas as usize).collect(),
         }
     }
@@ -153,6 +243,10 @@
     pub now: u64,
     pub network: Network,
     pub options: Options,
+    /// Patterns of which the first one found in a message is inverted, once.
+    pub damaged: Vec<Vec<u8>>,
+    /// Replicas whose payloads a test has damaged.
+    pub unchecked: BTreeSet<u64>,
     /// Blocked directions.
     pub blocked: BTreeSet<(u64, u64)>,
     rng: rand_pcg::Pcg32,
@@ -185,6 +279,8 @@
                 max_delay_ms: 5,
                 ..Network::default()
             },
+            damaged: Vec::new(),
+            unchecked: BTreeSet::new(),
             blocked: BTreeSet::new(),
             rng: rand_pcg::Pcg32::seed_from_u64(options.seed),
             packets: Vec::new(),
@@ -243,12 +339,16 @@
             .snapshot_log_bytes(self.options.snapshot_log_bytes)
             .retained_bytes(self.options.retained_bytes)
             .segment_bytes(self.options.segment_bytes)
+            .payload_segment_bytes(PAYLOAD_SEGMENT_BYTES)
             .chunk_bytes(256)
             .append_bytes(512)
             .inflight_bytes(2_048)
             .seed(self.rng.random());
         for group in GROUPS {
-            builder = builder.group(group, Journal::padded(self.options.padding));
+            builder = builder.group(
+                group,
+                Journal::padded(self.options.padding, self.options.payloads),
+            );
         }
         slot.inbox.clear();
         slot.error = None;
@@ -453,7 +553,11 @@
 
     fn deliver(&mut self) {
         let now = self.now;
-        for packet in self.packets.extract_if(.., |packet| packet.due <= now) {
+        for mut packet in self.packets.extract_if(.., |packet| packet.due <= now) {
+            let mut patterns = self.damaged.iter();
+            if patterns.any(|pattern| invert(&mut packet.bytes, pattern)) {
+                self.damaged.clear();
+            }
             let message = message::decode(&packet.bytes).expect("intact message");
             let input = host::Input::Message {
                 from: ReplicaId(packet.from),
@@ -585,6 +689,9 @@
                 continue;
             };
             self.check_sequence(id, group);
+            if !self.unchecked.contains(&id) {
+                self.check_payloads(id, group, false);
+            }
             self.check_voters(id, group, &status);
             self.check_lease(id, group, &status);
             if failed {
@@ -620,6 +727,22 @@
         }
     }
 
+    /// Checks that a replica can read the payloads of its state.
+    pub fn check_payloads(&mut self, id: u64, group: GroupId, all: bool) {
+        let slot = self.slots.get_mut(&id).expect("known replica");
+        let host = slot.host.as_mut().expect("running");
+        let checked = host.read(group, |machine, source| machine.check_payloads(all, source));
+        if all {
+            let live = host.machine(group).expect("known group").payloads().count();
+            let stored = host.payloads(group).expect("known group").count();
+            assert_eq!(stored, live, "replica {id} keeps removed payloads");
+        }
+        match checked {
+            Ok(_) | Err(storage::Error::Stopped) => {}
+            Err(error) => panic!("replica {id} of {group}: {error}"),
+        }
+    }
+
     fn check_voters(&mut self, id: u64, group: GroupId, status: &host::Status) {
         if status.role != node::Role::Leader {
             return;
@@ -689,6 +812,7 @@
             let id = member.replica.0;
             if self.slots.get(&id).is_some_and(|slot| slot.host.is_some()) {
                 assert_eq!(self.commands(id, group), sequence, "replica {id}");
+                self.check_payloads(id, group, true);
             }
         }
     }
