Adapt the process tests to the merged messages

Change: the probe of partitions.rs and the file of histories.rs name the new fields. What they check stays as it was.

--- a/programs/dev/tests/histories.rs
+++ b/programs/dev/tests/histories.rs
@@ -276,6 +276,7 @@
         };
         let content = work::Content::Request {
             url: "/u".to_owned(),
+            model: "m".into(),
             body: String::new(),
         };
         let line = work::Line {
--- a/programs/dev/tests/partitions.rs
+++ b/programs/dev/tests/partitions.rs
@@ -5,7 +5,7 @@
 use std::time;
 
 use bw_client::control;
-use bw_wire::{backend, intent, query, sync};
+use bw_wire::{backend, intent, query, renewal, sync};
 use nix::sys::signal;
 use rstest::rstest;
 use serde_json::Value;
@@ -118,8 +118,11 @@
         revision: 0,
         leader_term: 0,
         table: 0,
+        clock_ms: None,
         heard: Vec::new(),
-        online: std::collections::BTreeMap::new(),
+        renewals: renewal::Reports::default(),
+        online: renewal::Counts::default(),
+        online_unlisted: std::collections::BTreeMap::new(),
         draining: true,
     };
     client.sync(&request).await
