Weigh cached prefixes above home replicas

Cause: the weight of a cached prefix was never measured. At 1.5 it was below the bonus of a home replica (2), which drew chats away from the replicas that had their prefixes. Change: the weight is 3, and a match after lost events counts a quarter instead of a half, as a doubtful prefix must not win at half load. The queueing experiment has chat turns with shared prefixes, bounded prefix caches and cache events that are late or lost (table "prefixes"). Conclusion: kept at 3.

--- a/crates/policy/examples/queueing.rs
+++ b/crates/policy/examples/queueing.rs
@@ -9,7 +9,7 @@
 use std::{cmp, collections, env, mem, thread, time};
 
 use bw_policy::{health, pacer, retry, router};
-use bw_wire::{backend, name, verdict};
+use bw_wire::{backend, fingerprint::Fingerprint, name, verdict};
 use rand::{Rng, SeedableRng};
 
 const TICK_US: u64 = 500;
@@ -28,6 +28,66 @@
 const WARM_UP_US: u64 = 10_000_000;
 const SEEDS: u64 = 5;
 
+/// Prompt tokens of a prefix block.
+const BLOCK_TOKENS: u32 = 32;
+/// Blocks that the prefix cache of a replica holds.
+const CACHED_BLOCKS: usize = 1_500;
+/// Chats that go on at once, and blocks that a turn adds to one.
+const CHATS: usize = 300;
+const TURN_BLOCKS: u64 = 6;
+/// Blocks of a system prompt, and number of system prompts.
+const SYSTEM_BLOCKS: u64 = 8;
+const SYSTEMS: u64 = 8;
+/// Turns after which a chat is replaced by a new one.
+const TURNS: u64 = 8;
+
+/// How cache events of replicas reach the entry VMs.
+#[derive(Clone, Copy)]
+struct Events {
+    lag_us: u64,
+    loss: f64,
+}
+
+/// The prefix cache of a replica: blocks by their last use.
+#[derive(Default)]
+struct Prefixes {
+    used: collections::HashMap<Fingerprint, u64>,
+    order: collections::BTreeMap<u64, Fingerprint>,
+    clock: u64,
+    stored: Vec<Fingerprint>,
+    removed: Vec<Fingerprint>,
+    sequence: u64,
+}
+
+impl Prefixes {
+    /// Takes a prompt's blocks and returns how many leading ones were cached.
+    fn take(&mut self, blocks: &[Fingerprint]) -> usize {
+        let cached = blocks
+            .iter()
+            .take_while(|block| self.used.contains_key(block))
+            .count();
+        // The last blocks of a prefix are used least recently, so that the ends
+        // of prefixes are removed first.
+        for block in blocks.iter().rev() {
+            self.clock += 1;
+            match self.used.insert(*block, self.clock) {
+                Some(before) => {
+                    self.order.remove(&before);
+                }
+                None => self.stored.push(*block),
+            }
+            self.order.insert(self.clock, *block);
+        }
+        while self.order.len() > CACHED_BLOCKS
+            && let Some((_, block)) = self.order.pop_first()
+        {
+            self.used.remove(&block);
+            self.removed.push(block);
+        }
+        cached
+    }
+}
+
 #[derive(Clone, Copy, PartialEq)]
 enum Pick {
     RoundRobin,
@@ -65,6 +125,8 @@
     frozen: bool,
     liar: bool,
     skew: bool,
+    /// Online requests are turns of chats, and replicas cache their prefixes.
+    chats: Option<Events>,
     health: bool,
     hedge: bool,
 }
@@ -88,6 +150,7 @@
             frozen: false,
             liar: false,
             skew: false,
+            chats: None,
             health: false,
             hedge: false,
         }
@@ -124,6 +187,7 @@
     running: Vec<Sequence>,
     step_end_us: Option<u64>,
     frozen: bool,
+    prefixes: Prefixes,
     online: [u32; MAX_ENTRIES],
 }
 
@@ -131,6 +195,7 @@
     entry: usize,
     arrived_us: u64,
     prompt: u32,
+    prefix: Vec<Fingerprint>,
     output: u32,
     attempts: Vec<Attempt>,
     call: retry::Call,
@@ -145,9 +210,10 @@
 }
 
 enum Message {
-    Start(usize, Sequence),
+    Start(usize, Sequence, Vec<Fingerprint>),
     Cancel(usize, u64),
     PeerOnline(usize, pacer::Online),
+    Events(backend::CacheEvents),
 }
 
 #[derive(Default)]
@@ -160,6 +226,9 @@
     preempted: u64,
     hedges: u64,
     unanswered: u64,
+    /// Prefix blocks of the requests, and those that the replicas had cached.
+    blocks: u64,
+    cached_blocks: u64,
 }
 
 struct World {
@@ -178,6 +247,8 @@
     messages: collections::BTreeMap<(u64, u64), Message>,
     next: u64,
     turns: [usize; MAX_ENTRIES],
+    /// System prompt, number and turns so far of each chat.
+    chats: Vec<(u64, u64, u64)>,
     result: Result,
 }
 
@@ -226,6 +297,7 @@
             messages: collections::BTreeMap::new(),
             next: 0,
             turns: [0, 3, 6, 9, 1, 4],
+            chats: vec![(0, 0, TURNS); CHATS],
             result: Result::default(),
             scenario,
         }
@@ -237,6 +309,9 @@
         while self.now_us < end_us {
             if self.now_us.is_multiple_of(500_000) {
                 self.exchange();
+                if let Some(events) = self.scenario.chats {
+                    self.announce_caches(events);
+                }
             }
             self.deliver();
             while arrival_us <= self.now_us as f64 {
@@ -287,8 +362,20 @@
             && entry.key().0 <= self.now_us
         {
             match entry.remove() {
-                Message::Start(replica, sequence) => {
-                    self.replicas[replica].waiting.push_back(sequence);
+                Message::Start(replica, mut sequence, prefix) => {
+                    let state = &mut self.replicas[replica];
+                    let cached = state.prefixes.take(&prefix);
+                    self.result.blocks += prefix.len() as u64;
+                    self.result.cached_blocks += cached as u64;
+                    let computed = cached as u32 * BLOCK_TOKENS;
+                    sequence.prompt_left = sequence.prompt_left.saturating_sub(computed).max(1);
+                    state.waiting.push_back(sequence);
+                }
+                Message::Events(events) => {
+                    let now_ms = self.now_ms();
+                    for router in &mut self.routers {
+                        router.cache_events(&events, now_ms);
+                    }
                 }
                 Message::Cancel(replica, id) => {
                     let replica = &mut self.replicas[replica];
@@ -383,7 +470,16 @@
         } else {
             entry
         };
-        let prompt = self.random.random_range(50..400);
+        let prefix = match self.scenario.chats {
+            Some(_) => self.turn(),
+            None => Vec::new(),
+        };
+        let prompt = match self.scenario.chats {
+            Some(_) => {
+                prefix.len() as u32 * BLOCK_TOKENS + self.random.random_range(1..BLOCK_TOKENS)
+            }
+            None => self.random.random_range(50..400),
+        };
         let output =
             1 + (-self.random.random::<f64>().max(1e-12).ln() * self.scenario.online_output) as u32;
         let request = self.fresh();
@@ -400,6 +496,7 @@
                 entry,
                 arrived_us,
                 prompt,
+                prefix,
                 output,
                 attempts: Vec::new(),
                 call: retry::Call::new(true, None),
@@ -409,11 +506,50 @@
         self.attempt(request);
     }
 
+    /// Returns the prefix of a turn of a chat: a system prompt, the turns so far
+    /// and the new one.
+    fn turn(&mut self) -> Vec<Fingerprint> {
+        let chat = self.random.random_range(0..CHATS);
+        let (mut system, mut number, mut turns) = self.chats[chat];
+        if turns >= TURNS {
+            system = self.random.random_range(0..SYSTEMS);
+            number = self.fresh();
+            turns = self.random.random_range(0..TURNS / 2);
+        }
+        self.chats[chat] = (system, number, turns + 1);
+        let shared = (0..SYSTEM_BLOCKS).map(|block| Fingerprint(system, block));
+        let own = (0..(turns + 1) * TURN_BLOCKS).map(|block| Fingerprint(SYSTEMS + number, block));
+        shared.chain(own).collect()
+    }
+
+    /// Sends what changed in the prefix caches, late and with losses.
+    fn announce_caches(&mut self, events: Events) {
+        for replica in 0..REPLICAS {
+            let prefixes = &mut self.replicas[replica].prefixes;
+            let message = backend::CacheEvents {
+                id: id(replica),
+                incarnation: 1,
+                sequence: prefixes.sequence,
+                stored: mem::take(&mut prefixes.stored),
+                removed: mem::take(&mut prefixes.removed),
+            };
+            let count = (message.stored.len() + message.removed.len()) as u64;
+            if count == 0 {
+                continue;
+            }
+            prefixes.sequence += count;
+            if !self.random.random_bool(events.loss) {
+                self.send(events.lag_us, Message::Events(message));
+            }
+        }
+    }
+
     fn attempt(&mut self, request: u64) {
         let now_ms = self.now_ms();
         let attempt = self.fresh();
         let online = &self.online[&request];
         let entry = online.entry;
+        let prefix = online.prefix.clone();
         let avoid: Vec<name::Name> = online.attempts.iter().map(|one| id(one.replica)).collect();
         let target = router::Target::Model {
             model: "m",
@@ -421,6 +557,7 @@
         };
         let wanted = router::Request {
             avoid: &avoid,
+            prefix: &prefix,
             ..router::Request::new(target)
         };
         let choice = match self.scenario.pick {
@@ -466,7 +603,10 @@
         self.attempts.insert(attempt, request);
         self.count(entry, replica, 1);
         let distance_us = self.scenario.distance_us(entry, replica);
-        self.send(NETWORK_US + distance_us, Message::Start(replica, sequence));
+        self.send(
+            NETWORK_US + distance_us,
+            Message::Start(replica, sequence, prefix),
+        );
     }
 
     /// Changes an entry VM's online count of a replica and tells the owner.
@@ -541,7 +681,7 @@
             in_step: 0,
             first: false,
         };
-        self.send(NETWORK_US, Message::Start(replica, sequence));
+        self.send(NETWORK_US, Message::Start(replica, sequence, Vec::new()));
     }
 
     fn tick(&mut self) {
@@ -765,6 +905,7 @@
     preempted_per_s: f64,
     hedges_per_s: f64,
     unanswered: u64,
+    cached: f64,
 }
 
 fn measure(scenario: &Scenario) -> Row {
@@ -791,6 +932,7 @@
                 preempted_per_s: result.preempted as f64 / seconds,
                 hedges_per_s: result.hedges as f64 / seconds,
                 unanswered: result.unanswered,
+                cached: result.cached_blocks as f64 / result.blocks.max(1) as f64,
             }
         })
         .collect();
@@ -820,15 +962,15 @@
 fn table(title: &str, scenarios: &[Scenario]) {
     println!("\n{title}\n");
     println!(
-        "| variant | p50 ms | p99 ms | range of p99 | p99 ratio | batch tokens/s | share of idle places | preempted/s | hedges/s | no answer |"
+        "| variant | p50 ms | p99 ms | range of p99 | p99 ratio | batch tokens/s | share of idle places | preempted/s | hedges/s | no answer | cached |"
     );
-    println!("|---|---|---|---|---|---|---|---|---|---|");
+    println!("|---|---|---|---|---|---|---|---|---|---|---|");
     let mut base = None;
     for scenario in scenarios {
         let row = measure(scenario);
         let base = *base.get_or_insert(row.p99);
         println!(
-            "| {} | {:.1} | {:.1} | {:.1} to {:.1} | {:.3} | {:.0} | {:.3} | {:.1} | {:.1} | {} |",
+            "| {} | {:.1} | {:.1} | {:.1} to {:.1} | {:.3} | {:.0} | {:.3} | {:.1} | {:.1} | {} | {:.3} |",
             row.label,
             row.p50,
             row.p99,
@@ -839,7 +981,8 @@
             row.place_share,
             row.preempted_per_s,
             row.hedges_per_s,
-            row.unanswered
+            row.unanswered,
+            row.cached
         );
     }
 }
@@ -980,6 +1123,23 @@
     scenarios
 }
 
+/// Chat turns with shared prefixes and bounded prefix caches.
+fn prefixes(events: Option<Events>, batch: &Batch) -> Vec<Scenario> {
+    let without = Events {
+        lag_us: 0,
+        loss: 1.0,
+    };
+    [3.0, 0.0, 0.75, 1.5, 6.0]
+        .into_iter()
+        .map(|affinity| Scenario {
+            chats: Some(events.unwrap_or(without)),
+            router: router::Builder::new().slow_start_ms(0).affinity(affinity),
+            batch: batch.clone(),
+            ..Scenario::new(&format!("affinity {affinity}"), 70.0)
+        })
+        .collect()
+}
+
 /// Failure domains 1.5 ms apart, 6 entry VMs and 12 replicas spread over them.
 fn domains(online_per_s: f64) -> Vec<Scenario> {
     let variant = |weight: f32, batch: Batch| {
@@ -1100,6 +1260,20 @@
             table(&title, &domains(rate));
         }
     }
+    if wanted("prefixes") {
+        let paced = Batch::Paced(pacer::Builder::new());
+        let event = |lag_us, loss| Some(Events { lag_us, loss });
+        for (kind, events) in [
+            ("events at once", event(0, 0.0)),
+            ("events 2 s late", event(2_000_000, 0.0)),
+            ("events 2 s late, one in five lost", event(2_000_000, 0.2)),
+            ("no events", None),
+        ] {
+            let title = format!("Chat turns, 70 requests/s, {kind}");
+            table(&title, &prefixes(events, &Batch::None));
+            table(&format!("{title}, beside batch"), &prefixes(events, &paced));
+        }
+    }
     if wanted("items") {
         table("Batch items, 50 requests/s", &items(1.0));
         table("Batch items, 50 requests/s with bursts of 150", &items(3.0));
--- a/crates/policy/src/router/cache.rs
+++ b/crates/policy/src/router/cache.rs
@@ -7,6 +7,10 @@
 /// Replicas remembered for one block. More would not be compared anyway.
 const HOLDERS: usize = 4;
 
+/// How far a match is believed if events were lost since. At half the load of a
+/// replica, a doubtful prefix is then worth less than an idle replica.
+const DOUBTFUL: f32 = 0.25;
+
 /// A replica at one incarnation, with the number of gaps seen in its events.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) struct Holder {
@@ -107,12 +111,12 @@
         prefix.partition_point(|block| self.entry(block, holder).is_some())
     }
 
-    /// Returns how far the match is to be believed: 1, or 0.5 if events were
+    /// Returns how far the match is to be believed: 1, or less if events were
     /// lost since the last matching block was seen.
     pub(super) fn confidence(&self, block: &fingerprint::Fingerprint, holder: Holder) -> f32 {
         match self.entry(block, holder) {
             Some(entry) if entry.holder.gap == holder.gap => 1.0,
-            Some(_) => 0.5,
+            Some(_) => DOUBTFUL,
             None => 0.0,
         }
     }
--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -47,7 +47,7 @@
         Builder {
             sample: 2,
             near: 0.02,
-            affinity: 1.5,
+            affinity: 3.0,
             cached_blocks: 65_536,
             domain: None,
             domain_weight: 0.0,
--- a/crates/policy/tests/router.rs
+++ b/crates/policy/tests/router.rs
@@ -255,6 +255,26 @@
     assert_eq!(choice, Err(reason));
 }
 
+/// Guards against home replicas that draw chats away from the replica that has
+/// their prefix cached.
+#[test]
+fn a_whole_cached_prefix_outweighs_home() {
+    let mut router = fleet(settled(), 12);
+    router.home(&["e01".into(), "e02".into()].into());
+    let prefix = blocks(8);
+    let request = Request {
+        prefix: &prefix,
+        ..Request::new(MODEL)
+    };
+    router.begin(&choice("e00"), &request, 1);
+    router.end(&choice("e00"), Fit::Any, 2);
+    let mut random = random();
+    for _ in 0..50 {
+        let choice = router.choose(&request, 2_000, &mut random);
+        assert_eq!(choice.expect("a replica").id.as_str(), "e00");
+    }
+}
+
 /// Guards against a cached prefix that outweighs any load, and against trust
 /// in what events with gaps or a restart have made doubtful.
 #[rstest]
