--- a/crates/state/tests/work_rules.rs
+++ b/crates/state/tests/work_rules.rs
@@ -463,6 +463,7 @@
         .restore(&bench.machine.snapshot())
         .expect("own snapshot");
     (restarted.index, restarted.now_ms) = (bench.index, bench.now_ms);
+    restarted.payloads = bench.payloads.clone();
     let mut taken = Vec::new();
     for round in 0..40 {
         let models: &[&str] = if round % 10 == 9 { &["a"] } else { &["b"] };
