--- a/crates/client/src/control.rs
+++ b/crates/client/src/control.rs
@@ -200,6 +200,26 @@
         self.call(0, rpc::MEMBERS, change).await
     }
 
+    /// Reads a piece of the backup of a group; no index begins a new one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no leader answered within the total time limit, or when a
+    /// later snapshot has replaced the one with this index.
+    pub async fn backup(
+        &self,
+        group: u32,
+        index: Option<u64>,
+        offset: u64,
+    ) -> Result<rpc::Piece, Error> {
+        let request = rpc::Backup {
+            group,
+            index,
+            offset,
+        };
+        self.call(group, rpc::BACKUP, &request).await
+    }
+
     /// Returns the state of one replica.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/coord/src/host/backup.rs
@@ -0,0 +1,174 @@
+//! Backups: the state of a group as one stream of bytes that another cluster
+//! can start from.
+//!
+//! A backup is a snapshot file followed by the contents of the payloads that
+//! the snapshot lists.
+
+use std::{fmt, io};
+
+use crate::{
+    GroupId,
+    host::{Edge, Host, group},
+    member,
+    message::SnapshotMeta,
+    payload,
+    snapshot::{self, Stored, Writer},
+    storage::{Disk, Error},
+};
+
+/// Bytes that are read of a backup at a time.
+const READ_BYTES: usize = 256 << 10;
+/// Largest description of a snapshot; it holds the members and a few numbers.
+const DESCRIPTION_BYTES_MAX: usize = 1 << 20;
+
+/// A piece of the backup of a group.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Piece {
+    /// The last index that the backup covers. Pieces belong together only if
+    /// they have the same index.
+    pub index: u64,
+    /// The size of the whole backup in bytes.
+    pub size: u64,
+    /// The bytes from the offset that was asked for; empty at the end.
+    pub data: Vec<u8>,
+}
+
+/// A source of the backup of a group.
+pub(crate) struct Source(pub(crate) Box<dyn io::Read + Send>);
+
+impl fmt::Debug for Source {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("Source")
+    }
+}
+
+impl<E: Edge> Host<E> {
+    /// Asks for a durable snapshot of what a group has applied by now.
+    ///
+    /// The following steps write it. It is there once the snapshot index in
+    /// [`Host::status`] has reached the index that this returns; `None` if the
+    /// host does not run the group.
+    pub fn request_snapshot(&mut self, group: GroupId) -> Option<u64> {
+        self.groups
+            .get_mut(&group)
+            .map(group::Group::request_snapshot)
+    }
+
+    /// Reads a piece of the backup of a group: its last durable snapshot with
+    /// all payloads. A later snapshot has another index and makes the pieces
+    /// read so far useless.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the disk fails or stored data is damaged; the next step then
+    /// stops the host.
+    pub fn read_backup(
+        &mut self,
+        group: GroupId,
+        offset: u64,
+        length: usize,
+    ) -> Result<Option<Piece>, Error> {
+        if self.stopped || self.failure.is_some() {
+            return Err(Error::Stopped);
+        }
+        let Some(group) = self.groups.get_mut(&group) else {
+            return Ok(None);
+        };
+        let piece = group.read_backup(&mut self.disk, offset, length);
+        if let Err(error) = &piece {
+            self.failure = Some(error.clone());
+        }
+        piece.map(Some)
+    }
+}
+
+/// Stores a backup on an empty disk as the first snapshot of a group, whose
+/// members are the given ones.
+pub(super) fn restore<D: Disk>(
+    disk: &mut D,
+    group: GroupId,
+    members: &member::List,
+    segment_bytes: u32,
+    source: &mut Source,
+) -> Result<Stored, Error> {
+    let mut reader = Reader {
+        name: format!("backup of group {group}"),
+        source,
+        offset: 0,
+    };
+    let meta = reader.description()?;
+    let mut data = reader.bytes(meta.size)?;
+    if crc32fast::hash(&data) != meta.crc {
+        return Err(reader.corrupt("wrong checksum"));
+    }
+    let list = usize::try_from(meta.state_size).ok();
+    let list = list.and_then(|state_size| data.get(state_size..));
+    let receiver = list.and_then(payload::Receiver::new);
+    let mut receiver = receiver.ok_or_else(|| reader.corrupt("malformed list"))?;
+    let mut payloads = payload::Store::new(group, segment_bytes);
+    while let Some(bytes) = reader.next()? {
+        let written = receiver.write(&mut payloads, disk, &bytes)?;
+        written.map_err(|_| reader.corrupt("wrong payload"))?;
+    }
+    if !receiver.finish(&mut payloads, disk)? {
+        return Err(reader.corrupt("the end is missing"));
+    }
+    data.truncate(meta.state_size as usize);
+    data.extend(payloads.list());
+    let meta = SnapshotMeta {
+        members: members.clone(),
+        size: data.len() as u64,
+        crc: crc32fast::hash(&data),
+        ..meta
+    };
+    Writer::new(group, meta, &data).complete(disk)
+}
+
+/// Reads a backup and knows the position of what is wrong in it.
+struct Reader<'a> {
+    name: String,
+    source: &'a mut Source,
+    offset: u64,
+}
+
+impl Reader<'_> {
+    fn description(&mut self) -> Result<SnapshotMeta, Error> {
+        let preamble = self.bytes(snapshot::PREAMBLE_BYTES as u64)?;
+        let numbers = snapshot::preamble(&preamble);
+        let (length, crc) = numbers.ok_or_else(|| self.corrupt("short description"))?;
+        if length as usize > DESCRIPTION_BYTES_MAX {
+            return Err(self.corrupt("this is no backup"));
+        }
+        let description = self.bytes(u64::from(length))?;
+        if crc32fast::hash(&description) != crc {
+            return Err(self.corrupt("wrong checksum of the description"));
+        }
+        postcard::from_bytes(&description).map_err(|_| self.corrupt("malformed description"))
+    }
+
+    fn bytes(&mut self, length: u64) -> Result<Vec<u8>, Error> {
+        let mut bytes = Vec::new();
+        let source = &mut self.source.0;
+        let read = io::Read::read_to_end(&mut io::Read::take(source, length), &mut bytes);
+        read.map_err(|error| Error::io("read", &self.name, error))?;
+        self.offset += bytes.len() as u64;
+        match bytes.len() as u64 == length {
+            true => Ok(bytes),
+            false => Err(self.corrupt("the end is missing")),
+        }
+    }
+
+    /// Reads the next bytes; `None` at the end.
+    fn next(&mut self) -> Result<Option<Vec<u8>>, Error> {
+        let mut bytes = vec![0; READ_BYTES];
+        let read = self.source.0.read(&mut bytes);
+        let length = read.map_err(|error| Error::io("read", &self.name, error))?;
+        bytes.truncate(length);
+        self.offset += length as u64;
+        Ok((length > 0).then_some(bytes))
+    }
+
+    fn corrupt(&self, reason: &'static str) -> Error {
+        Error::corrupt(&self.name, self.offset, reason)
+    }
+}
--- a/crates/coord/src/host/builder.rs
+++ b/crates/coord/src/host/builder.rs
@@ -1,8 +1,12 @@
 //! Construction of a host.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, io};
 
-use crate::{GroupId, ReplicaId, host, host::recovery, member, storage};
+use crate::{
+    GroupId, ReplicaId, host,
+    host::{backup, recovery},
+    member, storage,
+};
 
 /// Default smallest election timeout.
 const ELECTION_TIMEOUT_MS: u64 = 1_000;
@@ -61,6 +65,7 @@
     replica: ReplicaId,
     members: Vec<member::Member>,
     machines: BTreeMap<GroupId, E::Machine>,
+    backups: BTreeMap<GroupId, backup::Source>,
     options: Options,
 }
 
@@ -78,6 +83,7 @@
             replica,
             members,
             machines: BTreeMap::new(),
+            backups: BTreeMap::new(),
             options: Options {
                 election_timeout_ms: ELECTION_TIMEOUT_MS,
                 heartbeat_interval_ms: HEARTBEAT_INTERVAL_MS,
@@ -103,6 +109,18 @@
         self
     }
 
+    /// Starts a group on an empty disk with the state of a backup, as
+    /// [`host::Host::read_backup`] gave it, in place of the initial state.
+    ///
+    /// The members are the ones given to [`Builder::new`], and all of them are
+    /// restored from the same backup. What was acknowledged after the backup is
+    /// lost, so this is only for a cluster that has lost its majority for good.
+    pub fn restore(mut self, group: GroupId, backup: impl io::Read + Send + 'static) -> Builder<E> {
+        let source = backup::Source(Box::new(backup));
+        self.backups.insert(group, source);
+        self
+    }
+
     /// Requires that every commit spans at least two failure domains. A group
     /// whose voters are all in one failure domain then commits nothing.
     pub fn span_failure_domains(mut self, required: bool) -> Builder<E> {
@@ -200,12 +218,14 @@
     ///
     /// # Errors
     ///
-    /// Fails if the disk fails, holds damaged data or belongs to another replica.
+    /// Fails if the disk fails, holds damaged data or belongs to another replica,
+    /// or if a backup is damaged or the disk is not empty.
     pub fn open(self, disk: E::Disk) -> Result<host::Host<E>, storage::Error> {
         recovery::open(
             self.replica,
             self.members,
             self.machines,
+            self.backups,
             self.options,
             disk,
         )
--- a/crates/coord/src/host/group.rs
+++ b/crates/coord/src/host/group.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     GroupId, ReplicaId,
-    host::{Machine, Options, Output, Refusal, Status},
+    host::{Machine, Options, Output, Piece, Refusal, Status},
     member,
     message::{Entry, Payload, SnapshotMeta},
     node, payload,
@@ -41,6 +41,10 @@
     writing: Option<Writer>,
     /// The payloads of the last snapshot while it is being sent.
     sending: Option<payload::Sender>,
+    /// The payloads of the last snapshot while a backup of it is read.
+    backup: Option<payload::Sender>,
+    /// Whether a snapshot was asked for.
+    requested: bool,
     /// The payloads of a snapshot that is arriving.
     receiving: Option<payload::Receiver>,
     waiting: BTreeMap<u64, Waiting>,
@@ -64,6 +68,8 @@
             snapshot,
             writing: None,
             sending: None,
+            backup: None,
+            requested: false,
             receiving: None,
             waiting: BTreeMap::new(),
             reported: None,
@@ -200,20 +206,45 @@
         if meta.payload_bytes == 0 {
             return Ok(Vec::new());
         }
-        let sender = match &mut self.sending {
+        let sender = match self.sending.take() {
             Some(sender) => sender,
-            none => {
-                let list_size = (meta.size - meta.state_size) as usize;
-                let list = self.snapshot.read(disk, meta.state_size, list_size)?;
-                let sender = payload::Sender::new(&list).ok_or_else(|| {
-                    Error::corrupt(&self.snapshot.name, meta.state_size, "malformed list")
-                })?;
-                none.insert(sender)
-            }
+            None => sender(&self.snapshot, disk)?,
         };
+        let sender = self.sending.insert(sender);
         sender.read(&self.payloads, disk, offset, length)
     }
 
+    /// Asks for a snapshot and returns the index that it will have at least.
+    pub fn request_snapshot(&mut self) -> u64 {
+        self.requested = true;
+        self.applied
+    }
+
+    /// Reads a piece of the backup: the snapshot file, then the payloads.
+    pub fn read_backup<D: Disk>(
+        &mut self,
+        disk: &mut D,
+        offset: u64,
+        length: usize,
+    ) -> Result<Piece, Error> {
+        let file_size = self.snapshot.file_size();
+        let meta = &self.snapshot.meta;
+        let (index, size) = (meta.index, file_size + meta.payload_bytes);
+        let data = match offset.checked_sub(file_size) {
+            None => disk.read(&self.snapshot.name, offset, length)?,
+            Some(_) if offset >= size => Vec::new(),
+            Some(offset) => {
+                let sender = match self.backup.take() {
+                    Some(sender) => sender,
+                    None => sender(&self.snapshot, disk)?,
+                };
+                let sender = self.backup.insert(sender);
+                sender.read(&self.payloads, disk, offset, length)?
+            }
+        };
+        Ok(Piece { index, size, data })
+    }
+
     /// Stores payloads that have arrived from the leader.
     pub fn store_contents<D: Disk>(&mut self, disk: &mut D) -> Result<(), Error> {
         for contents in std::mem::take(&mut self.node.out.contents) {
@@ -364,6 +395,9 @@
     /// Returns whether the log has grown enough to justify writing the state.
     pub fn snapshot_due(&self, options: &Options) -> bool {
         let log = self.node.log();
+        if self.requested {
+            return self.applied > log.snapshot().index;
+        }
         let limit = self.log_limit(options);
         let factor = if self.node.sends_snapshot() {
             SENDING_FACTOR
@@ -396,6 +430,7 @@
     }
 
     fn start_snapshot(&mut self) -> Writer {
+        self.requested = false;
         let mut data = self.machine.snapshot();
         let meta = SnapshotMeta {
             index: self.applied,
@@ -427,6 +462,16 @@
     fn replace_snapshot<D: Disk>(&mut self, disk: &mut D, stored: Stored) -> Result<(), Error> {
         let earlier = std::mem::replace(&mut self.snapshot, stored);
         self.sending = None;
+        self.backup = None;
         disk.remove(&earlier.name)
     }
 }
+
+/// Returns the payloads of a snapshot as a stream.
+fn sender<D: Disk>(snapshot: &Stored, disk: &mut D) -> Result<payload::Sender, Error> {
+    let meta = &snapshot.meta;
+    let list_size = (meta.size - meta.state_size) as usize;
+    let list = snapshot.read(disk, meta.state_size, list_size)?;
+    payload::Sender::new(&list)
+        .ok_or_else(|| Error::corrupt(&snapshot.name, meta.state_size, "malformed list"))
+}
--- a/crates/coord/src/host/mod.rs
+++ b/crates/coord/src/host/mod.rs
@@ -1,5 +1,6 @@
 //! The host of all groups of a process.
 
+mod backup;
 mod builder;
 mod event;
 mod group;
@@ -9,6 +10,7 @@
 
 use crate::{GroupId, ReplicaId, member, node, payload, storage, wal};
 
+pub use backup::Piece;
 pub use builder::Builder;
 pub(crate) use builder::Options;
 pub use event::{Input, Output, Refusal};
--- a/crates/coord/src/host/recovery.rs
+++ b/crates/coord/src/host/recovery.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     GroupId, ReplicaId,
-    host::{Edge, Host, Machine, Options, Stats, group},
+    host::{Edge, Host, Machine, Options, Stats, backup, group},
     member::{self, Member},
     message::SnapshotMeta,
     node, payload,
@@ -18,16 +18,32 @@
     replica: ReplicaId,
     members: Vec<Member>,
     machines: BTreeMap<GroupId, E::Machine>,
+    mut backups: BTreeMap<GroupId, backup::Source>,
     options: Options,
     mut disk: E::Disk,
 ) -> Result<Host<E>, Error> {
+    // A restore that was interrupted leaves files behind, too.
+    if !backups.is_empty() && !disk.list()?.is_empty() {
+        return Err(Error::NotEmpty);
+    }
     let mut snapshots = latest_snapshots(&mut disk)?;
     let (mut wal, mut replays) = wal::Wal::open(&mut disk, replica, options.segment_bytes)?;
     check_known(&machines, snapshots.keys().chain(replays.keys()))?;
+    check_known(&machines, backups.keys())?;
     let list = member::List::new(members);
     let mut groups = BTreeMap::new();
     for (id, machine) in machines {
         let replay = replays.remove(&id);
+        if let Some(mut source) = backups.remove(&id) {
+            let segment_bytes = options.payload_segment_bytes;
+            let stored = backup::restore(&mut disk, id, &list, segment_bytes, &mut source)?;
+            let (term, vote) = (stored.meta.term, None);
+            wal.push(id, &wal::Record::Vote { term, vote });
+            let replay = wal::Replay::new(term);
+            let group = recover(&mut disk, replica, id, options, machine, stored, replay)?;
+            groups.insert(id, group);
+            continue;
+        }
         let stored = match snapshots.remove(&id) {
             Some(stored) => stored,
             None if replay.is_none() => first_snapshot(&mut disk, id, &list)?,
--- a/crates/coord/src/snapshot/mod.rs
+++ b/crates/coord/src/snapshot/mod.rs
@@ -10,7 +10,8 @@
 };
 
 const PREFIX: &str = "snapshot-";
-const PREAMBLE_BYTES: usize = 8;
+/// Size of the length and the checksum of the description.
+pub(crate) const PREAMBLE_BYTES: usize = 8;
 
 /// Bytes of a snapshot that one step writes, so that a large snapshot does not
 /// hold up the other groups for long.
@@ -35,6 +36,11 @@
         disk.read(&self.name, self.data_offset + offset, length)
     }
 
+    /// Returns the size of the file in bytes.
+    pub fn file_size(&self) -> u64 {
+        self.data_offset + self.meta.size
+    }
+
     /// Reads all data and checks it.
     pub fn read_all<D: Disk>(&self, disk: &mut D) -> Result<Vec<u8>, Error> {
         let data = self.read(disk, 0, usize::MAX)?;
@@ -133,13 +139,7 @@
         .and_then(|(group, _)| u32::from_str_radix(group, 16).ok())
         .ok_or_else(|| wrong("snapshot name"))?;
     let preamble = disk.read(&file.name, 0, PREAMBLE_BYTES)?;
-    let Some((length, crc)) = preamble.split_at_checked(PREAMBLE_BYTES / 2) else {
-        return Err(wrong("short snapshot"));
-    };
-    let number = |bytes: &[u8]| bytes.try_into().map(u32::from_le_bytes);
-    let (Ok(length), Ok(crc)) = (number(length), number(crc)) else {
-        return Err(wrong("short snapshot"));
-    };
+    let (length, crc) = self::preamble(&preamble).ok_or_else(|| wrong("short snapshot"))?;
     let description = disk.read(&file.name, PREAMBLE_BYTES as u64, length as usize)?;
     if crc32fast::hash(&description) != crc {
         return Err(wrong("wrong checksum of the description"));
@@ -152,3 +152,10 @@
     };
     Ok((GroupId(group), stored))
 }
+
+/// Returns the length and the checksum of the description.
+pub(crate) fn preamble(bytes: &[u8]) -> Option<(u32, u32)> {
+    let (length, rest) = bytes.split_first_chunk()?;
+    let (crc, _) = rest.split_first_chunk()?;
+    Some((u32::from_le_bytes(*length), u32::from_le_bytes(*crc)))
+}
--- a/crates/coord/src/storage/error.rs
+++ b/crates/coord/src/storage/error.rs
@@ -43,6 +43,8 @@
         /// The group.
         group: GroupId,
     },
+    /// A backup was to be restored on a disk that holds data.
+    NotEmpty,
     /// Another process uses the directory.
     Locked {
         /// The lock file.
@@ -104,6 +106,9 @@
             Error::UnknownGroup { group } => {
                 write!(formatter, "the files hold unknown group {group}")
             }
+            Error::NotEmpty => {
+                formatter.write_str("a backup can only be restored on an empty disk")
+            }
             Error::Locked { file } => write!(formatter, "another process holds {file}"),
             Error::Restore { group, source } => {
                 write!(formatter, "cannot restore group {group}: {source}")
--- a/crates/coord/src/wal/replay.rs
+++ b/crates/coord/src/wal/replay.rs
@@ -23,6 +23,14 @@
 }
 
 impl Replay {
+    /// Builds what the log of a restored group holds.
+    pub fn new(term: u64) -> Replay {
+        Replay {
+            term,
+            ..Replay::default()
+        }
+    }
+
     fn add(&mut self, record: Record) {
         match record {
             Record::Vote { term, vote } => {
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -1,5 +1,6 @@
 //! Methods of the JSON-RPC interfaces between the system's processes.
 
+use base64::{Engine, engine::general_purpose::STANDARD};
 use serde::{Deserialize, Serialize};
 
 use crate::{command, member, name, query};
@@ -18,6 +19,8 @@
 pub const MEMBERS: &str = "members";
 /// How far a revision is in force.
 pub const IN_FORCE: &str = "in_force";
+/// Reads a piece of a group's backup.
+pub const BACKUP: &str = "backup";
 /// A message between entry VMs.
 pub const PEER: &str = "peer";
 
@@ -66,6 +69,45 @@
     pub waiting_for: Vec<name::Name>,
 }
 
+/// Parameters of [`BACKUP`].
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Backup {
+    /// The group.
+    pub group: u32,
+    /// The index of the pieces read so far; none begins a backup of the present
+    /// state.
+    pub index: Option<u64>,
+    /// Bytes read so far.
+    pub offset: u64,
+}
+
+/// The answer of [`BACKUP`].
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Piece {
+    /// The last log index that the backup covers.
+    pub index: u64,
+    /// The size of the whole backup in bytes.
+    pub size: u64,
+    /// The bytes from the offset, as base64 text.
+    data: String,
+}
+
+impl Piece {
+    /// Builds a piece with bytes.
+    pub fn new(index: u64, size: u64, data: &[u8]) -> Piece {
+        Piece {
+            index,
+            size,
+            data: STANDARD.encode(data),
+        }
+    }
+
+    /// Returns the bytes, or `None` if the text is malformed.
+    pub fn decode(&self) -> Option<Vec<u8>> {
+        STANDARD.decode(&self.data).ok()
+    }
+}
+
 /// The answer of [`STATUS`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Status {
--- a/programs/bilberry/src/args.rs
+++ b/programs/bilberry/src/args.rs
@@ -41,6 +41,7 @@
     Status(Status),
     Replicas(Replicas),
     Control(Control),
+    Snapshot(Snapshot),
     Jobs(Jobs),
 }
 
@@ -161,6 +162,15 @@
     pub(crate) failure_domain: String,
 }
 
+/// Save the whole durable state into a new folder, as a backup.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "snapshot")]
+pub(crate) struct Snapshot {
+    /// the folder
+    #[argh(positional)]
+    pub(crate) folder: String,
+}
+
 /// Submit and follow batch jobs.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "jobs")]
--- a/programs/bilberry/src/main.rs
+++ b/programs/bilberry/src/main.rs
@@ -10,6 +10,7 @@
 mod jobs;
 mod output;
 mod settings;
+mod snapshot;
 
 use std::process;
 
@@ -58,6 +59,7 @@
         args::Command::Status(_) => control::status(session).await,
         args::Command::Replicas(_) => control::replicas(session).await,
         args::Command::Control(command) => control::run(session, command).await,
+        args::Command::Snapshot(command) => snapshot::run(session, &command).await,
         args::Command::Jobs(command) => jobs::run(session, command).await,
     }
 }
--- a/programs/control/src/core/answer.rs
+++ b/programs/control/src/core/answer.rs
@@ -57,6 +57,10 @@
                 let answer = refused.map_or_else(|| self.in_force(revision), Err);
                 let _ = reply.send(answer);
             }
+            Some(Waiting::Backup { group, reply }) => match refused {
+                None => self.begin_backup(group, reply),
+                Some(failure) => drop(reply.send(Err(failure))),
+            },
             _ => {}
         }
     }
--- a/programs/control/src/core/mod.rs
+++ b/programs/control/src/core/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread: owns the replicated logs and all soft state.
 
 mod answer;
+mod backup;
 mod chores;
 mod clock;
 mod members;
@@ -65,6 +66,8 @@
     membership: members::Membership,
     /// Changes of the members that some group has not followed yet.
     changes: Vec<members::Pending>,
+    /// Backups whose snapshot is not durable yet.
+    backups: Vec<backup::Pending>,
     stopping: Option<Stopping>,
 }
 
@@ -90,6 +93,7 @@
             leads: None,
             membership: members::Membership::default(),
             changes: Vec::new(),
+            backups: Vec::new(),
             stopping: None,
         }
     }
@@ -108,6 +112,7 @@
                 return Err(error);
             }
             self.answer_changes();
+            self.answer_backups();
             self.run_chores();
             if self.stopped() {
                 // Calls that arrived meanwhile are sent on to the new leaders.
@@ -194,6 +199,16 @@
             Call::InForce { revision, reply } => {
                 inputs.push(self.read(0, Waiting::InForce { revision, reply }));
             }
+            Call::Backup { request, reply } => match request.index {
+                None => {
+                    let group = request.group;
+                    inputs.push(self.read(group, Waiting::Backup { group, reply }));
+                }
+                Some(index) => {
+                    // The caller may have gone.
+                    let _ = reply.send(self.continue_backup(&request, index));
+                }
+            },
             Call::Members { change, reply } => {
                 let to_coord = members::to_coord(&change);
                 let ticket = self.tickets.add(Waiting::Members { change, reply });
--- a/programs/control/src/core/waiting.rs
+++ b/programs/control/src/core/waiting.rs
@@ -22,6 +22,10 @@
         revision: u64,
         reply: call::Reply<bw_wire::rpc::InForce>,
     },
+    Backup {
+        group: u32,
+        reply: call::Reply<bw_wire::rpc::Piece>,
+    },
     Members {
         change: member::Change,
         reply: call::Reply<Vec<member::Member>>,
--- a/programs/control/src/handle.rs
+++ b/programs/control/src/handle.rs
@@ -1,6 +1,6 @@
 //! Starts and stops the threads of a control replica.
 
-use std::{io, net, sync, sync::mpsc, thread, time};
+use std::{fs, io, net, sync, sync::mpsc, thread, time};
 
 use anyhow::Context;
 use jsonrpsee::server;
@@ -184,7 +184,7 @@
     }
 }
 
-fn open(settings: &settings::Settings) -> Result<host::Host<core::Edge>, storage::Error> {
+fn open(settings: &settings::Settings) -> anyhow::Result<host::Host<core::Edge>> {
     let members = settings.first_members();
     let members = members.iter().map(core::member).collect();
     let mut builder = host::Builder::<core::Edge>::new(ReplicaId(settings.replica), members)
@@ -193,7 +193,21 @@
     for group in 0..=settings.work_groups {
         builder = builder.group(GroupId(group), machine::Machine::for_group(group));
     }
-    builder.open(storage::Directory::open(&settings.data)?)
+    let mut directory = storage::Directory::open(&settings.data)?;
+    let is_empty = storage::Disk::list(&mut directory)?.is_empty();
+    if let Some(folder) = settings.restore_from.as_ref().filter(|_| is_empty) {
+        log::warn!(
+            "the data folder is empty and is filled from {}",
+            folder.display()
+        );
+        for group in 0..=settings.work_groups {
+            let file = folder.join(format!("group-{group}.backup"));
+            let backup = fs::File::open(&file);
+            let backup = backup.with_context(|| format!("backup {}", file.display()))?;
+            builder = builder.restore(GroupId(group), io::BufReader::new(backup));
+        }
+    }
+    Ok(builder.open(directory)?)
 }
 
 struct Network {
--- a/programs/control/src/network/call.rs
+++ b/programs/control/src/network/call.rs
@@ -44,6 +44,10 @@
     Status {
         reply: Reply<rpc::Status>,
     },
+    Backup {
+        request: rpc::Backup,
+        reply: Reply<rpc::Piece>,
+    },
     /// The outcome of an order to a backend server.
     Ordered {
         backend: name::Name,
--- a/programs/control/src/network/methods.rs
+++ b/programs/control/src/network/methods.rs
@@ -73,6 +73,12 @@
     module.register_async_method(rpc::MEMBERS, |params, context, extensions| async move {
         members(params, context, extensions).await
     })?;
+    module.register_async_method(rpc::BACKUP, |params, context, extensions| async move {
+        context.require_operator(&extensions)?;
+        let request = one(&params, rpc::BACKUP)?;
+        let call = |reply| Call::Backup { request, reply };
+        answer(context.caller.ask(call).await)
+    })?;
     module.register_async_method(rpc::STATUS, |_, context, _| async move {
         metrics::CALLS.with_label_values(&[rpc::STATUS]).inc();
         answer(context.caller.ask(|reply| Call::Status { reply }).await)
@@ -164,14 +170,15 @@
         }
     }
 
-    /// Lets everybody with a token pass but entry VMs, which never change members.
+    /// Lets everybody with a token pass but entry VMs, which never change members
+    /// and need no backups.
     fn require_operator(&self, extensions: &Extensions) -> Answer<()> {
         let caller = extensions.get::<auth::Identity>();
         let entry = caller.is_some_and(|identity| identity.0 == name::Name::from("entry"));
         match entry {
             true => Err(types::ErrorObject::owned(
                 rpc::UNAUTHORIZED,
-                "entry VMs may not change members",
+                "entry VMs may not call this",
                 None::<()>,
             )),
             false => Ok(()),
--- a/programs/control/src/settings.rs
+++ b/programs/control/src/settings.rs
@@ -29,6 +29,9 @@
     pub admin: name::Name,
     /// The data folder.
     pub data: path::PathBuf,
+    /// Folder of a backup that an empty data folder is filled from. Once there
+    /// is data, it is ignored.
+    pub restore_from: Option<path::PathBuf>,
     /// The failure domain.
     pub failure_domain: name::Name,
     /// The first members, the same list on each of them. A replica that is not
@@ -83,6 +86,7 @@
             listen: "127.0.0.1:8090".into(),
             admin: "127.0.0.1:8091".into(),
             data: "data/control-1".into(),
+            restore_from: None,
             failure_domain: "local".into(),
             members: Vec::new(),
             work_groups: 4,
