--- a/crates/coord/src/host/backup.rs
+++ b/crates/coord/src/host/backup.rs
@@ -103,9 +103,9 @@
     }
     let list = usize::try_from(meta.state_size).ok();
     let list = list.and_then(|state_size| data.get(state_size..));
-    let receiver = list.and_then(payload::Receiver::new);
-    let mut receiver = receiver.ok_or_else(|| reader.corrupt("malformed list"))?;
     let mut payloads = payload::Store::new(group, segment_bytes);
+    let receiver = list.and_then(|list| payload::Receiver::new(list, &payloads, None));
+    let mut receiver = receiver.ok_or_else(|| reader.corrupt("malformed list"))?;
     while let Some(bytes) = reader.next()? {
         let written = receiver.write(&mut payloads, disk, &bytes)?;
         written.map_err(|_| reader.corrupt("wrong payload"))?;
