Find doubled and missing tokens at the chunk

Cause: the number of tokens is compared with `usage` only at the end of a stream. The caller of a streamed answer had a doubled token by then and got the error event after it.

Change: the stand-in engine numbers the tokens of a stream in the optional field `bw_token_index`. The entry VM drops a chunk whose index it has passed on already and ends the attempt at an index that is too high, which a stream turns into the error event. Answers of engines without the field are checked at their end as before. The switch `duplicate_token` sends one token twice.

The cost of the field for first-token times was not measured.

Conclusion: with engines that send the field, no doubled token reaches a caller.

--- a/programs/dev/tests/online_failures.rs
+++ b/programs/dev/tests/online_failures.rs
@@ -58,6 +58,7 @@
 #[case::crossed(json!({ "crossed_answer": true, "requests": 2 }))]
 #[case::cut(json!({ "cut_after_tokens": 3, "requests": 2 }))]
 #[case::duplicate(json!({ "duplicate_answer": true, "requests": 2 }))]
+#[case::duplicate_token(json!({ "duplicate_token": 3, "requests": 2 }))]
 #[case::no_end(json!({ "omit_end": true, "requests": 2 }))]
 #[tokio::test(flavor = "multi_thread")]
 async fn caller_gets_its_own_whole_answer(#[case] faults: Value) {
--- a/programs/engine/src/answer.rs
+++ b/programs/engine/src/answer.rs
@@ -153,13 +153,23 @@
         let Some(run) = &mut self.run else {
             return self.tail.pop_front();
         };
+        // A repeated token.
+        if let Some(event) = self.tail.pop_front() {
+            return Some(event);
+        }
         let Some(index) = run.next().await else {
             self.end();
             return self.tail.pop_front();
         };
         let token = self.content.answer.token(index);
-        let event = self.content.writer.token(&token, index == self.first);
+        let event = self
+            .content
+            .writer
+            .token(&token, index, index == self.first);
         let event = Bytes::from(event);
+        if self.content.faults.duplicate_token == Some(index) {
+            self.tail.push_back(Ok(event.clone()));
+        }
         if self.content.faults.duplicate {
             self.sent.push(event.clone());
         }
--- a/programs/engine/src/fault.rs
+++ b/programs/engine/src/fault.rs
@@ -24,6 +24,8 @@
     pub late_answer_ms: u64,
     /// The whole answer is sent twice.
     pub duplicate_answer: bool,
+    /// A stream sends the token with this index twice.
+    pub duplicate_token: Option<u32>,
     /// A stream ends without its finish reason and end mark.
     pub omit_end: bool,
     /// Orders with an old fencing number are obeyed.
@@ -46,6 +48,7 @@
             crossed_answer: false,
             late_answer_ms: 0,
             duplicate_answer: false,
+            duplicate_token: None,
             omit_end: false,
             ignore_fencing: false,
             refuse: false,
@@ -90,6 +93,8 @@
     pub late_ms: u64,
     /// See [`Faults::duplicate_answer`].
     pub duplicate: bool,
+    /// See [`Faults::duplicate_token`].
+    pub duplicate_token: Option<u32>,
     /// See [`Faults::omit_end`].
     pub omit_end: bool,
 }
@@ -102,6 +107,7 @@
             crossed: self.crossed_answer,
             late_ms: self.late_answer_ms,
             duplicate: self.duplicate_answer,
+            duplicate_token: self.duplicate_token,
             omit_end: self.omit_end,
         };
         match &mut self.requests {
--- a/programs/engine/src/reply.rs
+++ b/programs/engine/src/reply.rs
@@ -53,6 +53,9 @@
     choices: Vec<Choice<'a>>,
     #[serde(skip_serializing_if = "Option::is_none")]
     usage: Option<Usage>,
+    /// The index of the chunk's token in the whole output.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    bw_token_index: Option<u32>,
 }
 
 #[derive(Serialize)]
@@ -91,14 +94,21 @@
         }
     }
 
-    /// Returns the stream event of one token. The first one names the role.
-    pub fn token(&self, content: &str, first: bool) -> String {
-        self.event(Some(content), first, None, None)
+    /// Returns the stream event of the token with an index in the whole output.
+    /// The first one of an answer names the role.
+    pub fn token(&self, content: &str, index: u32, first: bool) -> String {
+        let choice = self.choice(Some(content), first, None);
+        let object = Object {
+            bw_token_index: Some(index),
+            ..self.object(vec![choice], None, true)
+        };
+        event(&object)
     }
 
     /// Returns the stream event with the finish reason.
     pub fn finish(&self, finish: text::Finish) -> String {
-        self.event(None, false, Some(finish.into()), None)
+        let choice = self.choice(None, false, Some(finish.into()));
+        event(&self.object(vec![choice], None, true))
     }
 
     /// Returns the stream event with the usage, which has no choices.
@@ -123,26 +133,24 @@
         json(&self.object(vec![choice], Some(usage), false))
     }
 
-    fn event(
+    fn choice<'a>(
         &self,
-        content: Option<&str>,
+        content: Option<&'a str>,
         first: bool,
         finish_reason: Option<&'static str>,
-        usage: Option<Usage>,
-    ) -> String {
+    ) -> Choice<'a> {
         let delta = Message {
             role: first.then_some("assistant"),
             content,
         };
-        let choice = Choice {
+        Choice {
             index: 0,
             delta: self.is_chat().then_some(delta),
             message: None,
             text: (!self.is_chat()).then(|| content.unwrap_or("")),
             finish_reason,
             logprobs: None,
-        };
-        event(&self.object(vec![choice], usage, true))
+        }
     }
 
     fn object<'a>(
@@ -162,6 +170,7 @@
             model: &self.model,
             choices,
             usage,
+            bw_token_index: None,
         }
     }
 
--- a/programs/engine/tests/faults.rs
+++ b/programs/engine/tests/faults.rs
@@ -102,6 +102,7 @@
 /// Guards against duplicates that are cut short and end marks that stay.
 #[rstest]
 #[case::duplicate(json!({"duplicate_answer": true}), 24, 2, 2)]
+#[case::duplicate_token(json!({"duplicate_token": 3}), 13, 1, 1)]
 #[case::omitted_end(json!({"omit_end": true}), 12, 0, 0)]
 #[tokio::test]
 async fn spoiled_streams(
--- a/programs/entry/src/upstream/error.rs
+++ b/programs/entry/src/upstream/error.rs
@@ -29,8 +29,8 @@
     Mismatched,
     /// The answer is not of the agreed form.
     Malformed,
-    /// The text differs in length from what the engine says it generated, so
-    /// that tokens are missing or doubled somewhere in it.
+    /// Tokens are missing or doubled: the text differs in length from what the
+    /// engine says it generated, or the index of a token is too high.
     Corrupt,
 }
 
--- a/programs/entry/src/upstream/event.rs
+++ b/programs/entry/src/upstream/event.rs
@@ -79,6 +79,10 @@
     pub(crate) usage: Option<Usage>,
     #[serde(default)]
     pub(crate) error: Option<serde_json::Value>,
+    /// The index of the chunk's token in the whole output, from 0. Only some
+    /// engines send it.
+    #[serde(default)]
+    pub(crate) bw_token_index: Option<u64>,
 }
 
 /// A choice of a chunk.
--- a/programs/entry/src/upstream/stream.rs
+++ b/programs/entry/src/upstream/stream.rs
@@ -32,6 +32,9 @@
     between_tokens: time::Duration,
     resumed_tokens: u64,
     tokens: u64,
+    /// The index of the next token in the whole output, from an engine that
+    /// numbers its tokens.
+    next_index: u64,
     finish: Option<String>,
     usage: Option<Usage>,
 }
@@ -52,6 +55,7 @@
             between_tokens,
             resumed_tokens,
             tokens: 0,
+            next_index: resumed_tokens,
             finish: None,
             usage: None,
         }
@@ -113,6 +117,11 @@
             return Err(Error::may_have_run(Cause::Failed, error.to_string()));
         }
         self.check_id(chunk.id.as_deref())?;
+        if let Some(index) = chunk.bw_token_index
+            && !self.is_next(index)?
+        {
+            return Ok(None);
+        }
         if chunk.usage.is_some() {
             self.usage = chunk.usage;
         }
@@ -143,6 +152,18 @@
         Ok(Some(Delta { text, tokens: 1 }))
     }
 
+    /// Returns whether a chunk carries the next token, and not one that has
+    /// already been passed on.
+    fn is_next(&mut self, index: u64) -> Result<bool, Error> {
+        if index > self.next_index {
+            let message = format!("token {index} follows where {} is next", self.next_index);
+            return Err(Error::may_have_run(Cause::Corrupt, message));
+        }
+        let is_next = index == self.next_index;
+        self.next_index += u64::from(is_next);
+        Ok(is_next)
+    }
+
     /// Checks that a chunk belongs to this request: the id of an answer ends
     /// with the request id.
     fn check_id(&self, id: Option<&str>) -> Result<(), Error> {
--- a/programs/entry/tests/fault.rs
+++ b/programs/entry/tests/fault.rs
@@ -158,6 +158,39 @@
     assert_eq!(fleet.backends[0].count(), 3, "the stream is not resumed");
 }
 
+/// Guards against a doubled token that the caller of a stream sees before the
+/// token counts are compared at its end.
+#[rstest]
+fn a_doubled_token_with_a_number_is_dropped() {
+    let fleet = fleet(vec![Backend::engine("e1", &[Answer::NumberedDoubled])]);
+    let streamed = fleet.chat(&chat_body(true));
+    assert_eq!(text_of(&streamed.events()), whole_text());
+    assert!(streamed.events().contains(&"[DONE]".to_owned()));
+    assert_eq!(fleet.backends[0].count(), 1);
+}
+
+/// Guards against text that the caller of a stream sees after a missing token.
+#[rstest]
+fn a_missing_token_with_a_number_ends_the_stream() {
+    let fleet = fleet(vec![Backend::engine("e1", &[Answer::NumberedGap])]);
+    let events = fleet.chat(&chat_body(true)).events();
+    assert_eq!(text_of(&events), " t0 t1");
+    assert!(events.iter().any(|event| event.contains("\"error\"")));
+    assert!(!events.contains(&"[DONE]".to_owned()));
+}
+
+/// Returns the text of the chunks of a stream.
+fn text_of(events: &[String]) -> String {
+    let chunks = events
+        .iter()
+        .filter_map(|event| serde_json::from_str(event).ok());
+    let texts = chunks.map(|chunk: serde_json::Value| {
+        let text = chunk["choices"][0]["delta"]["content"].as_str();
+        text.unwrap_or_default().to_owned()
+    });
+    texts.collect()
+}
+
 /// Guards against work that goes on for a caller that left.
 #[rstest]
 fn a_caller_that_leaves_cancels_the_request() {
--- a/programs/entry/tests/support/backend.rs
+++ b/programs/entry/tests/support/backend.rs
@@ -47,6 +47,10 @@
     CrossedChunk,
     /// A token is sent twice.
     Doubled,
+    /// Tokens are numbered, and one is sent twice.
+    NumberedDoubled,
+    /// Tokens are numbered, and one is left out.
+    NumberedGap,
     /// A chunk is not JSON.
     Garbage,
 }
@@ -310,13 +314,17 @@
                 Answer::Garbage if token == 1 => open &= send(stream, &event("{nonsense")),
                 _ => {}
             }
-            let repeats = if answer == Answer::Doubled && token == 2 {
-                2
-            } else {
-                1
+            let repeats = match answer {
+                Answer::Doubled | Answer::NumberedDoubled if token == 2 => 2,
+                Answer::NumberedGap if token == 2 => 0,
+                _ => 1,
             };
+            let mut chunk = chunk(&chunk_id, Some(token), None);
+            if matches!(answer, Answer::NumberedDoubled | Answer::NumberedGap) {
+                chunk.insert_str(1, &format!("\"bw_token_index\":{token},"));
+            }
             for _ in 0..repeats {
-                open &= send(stream, &event(&chunk(&chunk_id, Some(token), None)));
+                open &= send(stream, &event(&chunk));
             }
             if !open {
                 self.cancelled.fetch_add(1, Ordering::SeqCst);
