Use one reconnecting link for all connections between processes

Cause: opening a WebSocket connection with credentials, time limits and message limits, and dropping it when it turns out broken, stood in bw-control's links, in bw-entry's peer exchange and in bw-client.

Change: `bw_client::link::Link` is public and serves all three. What differs stays where it was: bw-control sends many calls at once and drops what gathered without a connection, bw-entry repeats what must arrive. A replica's link now also ends a connection on the other errors after which it is of no use, not only on a time limit. The peer exchange keeps its connection when a message is answered with an error, as the other two do.

Tests of bw-client, bw-control and bw-entry, and control_failures, config_failures, online_failures and placement of bw-dev pass.

Conclusion: one piece of code where the logic is the same.

--- a/crates/client/src/link.rs
+++ b/crates/client/src/link.rs
@@ -1,4 +1,5 @@
-//! One WebSocket connection to one control replica, opened on demand.
+//! One WebSocket connection to another of our processes, opened on demand and
+//! again after it breaks.
 
 use std::{fmt, sync, time};
 
@@ -11,12 +12,14 @@
 
 use bw_wire::name;
 
-/// Largest message that the client takes, in bytes.
+/// Largest message that a link takes, in bytes.
 const MAX_MESSAGE_BYTES: u32 = 64 * 1024 * 1024;
+/// Calls that may be under way on one link.
+const MAX_CALLS: usize = 256;
 
 /// Why a call failed.
 #[derive(Debug)]
-pub(crate) enum Fault {
+pub enum Fault {
     /// No connection could be opened, so nothing was sent.
     Connect(rpc_client::Error),
     /// The call was sent, or may have been.
@@ -32,7 +35,7 @@
 }
 
 /// A connection that reopens itself after it breaks.
-pub(crate) struct Link {
+pub struct Link {
     address: name::Name,
     token: Option<name::Name>,
     timeout: time::Duration,
@@ -40,11 +43,9 @@
 }
 
 impl Link {
-    pub(crate) fn new(
-        address: name::Name,
-        token: Option<name::Name>,
-        timeout: time::Duration,
-    ) -> Link {
+    /// Creates a link to `address` that opens a connection when it is needed.
+    /// The time limit is that of connecting and of each call.
+    pub fn new(address: name::Name, token: Option<name::Name>, timeout: time::Duration) -> Link {
         Link {
             address,
             token,
@@ -53,11 +54,21 @@
         }
     }
 
+    /// Returns the address.
+    pub fn address(&self) -> &str {
+        self.address.as_str()
+    }
+
     /// Calls a method and drops the connection when it turns out broken.
     ///
     /// A timeout counts as broken: after a long partition TCP itself may take
     /// minutes to resume, while a new connection works at once.
-    pub(crate) async fn call<R, P>(&self, method: &str, params: P) -> Result<R, Fault>
+    ///
+    /// # Errors
+    ///
+    /// Fails when no connection can be opened, when the call is not answered in
+    /// time, or when it is answered with an error.
+    pub async fn call<R, P>(&self, method: &str, params: P) -> Result<R, Fault>
     where
         R: de::DeserializeOwned,
         P: traits::ToRpcParams + Send,
@@ -66,19 +77,18 @@
 
         let client = self.connect().await.map_err(Fault::Connect)?;
         let answer = client.request(method, params).await;
-        if matches!(
-            answer,
-            Err(rpc_client::Error::RestartNeeded(_)
-                | rpc_client::Error::Transport(_)
-                | rpc_client::Error::ServiceDisconnect
-                | rpc_client::Error::RequestTimeout)
-        ) {
+        if answer.as_ref().is_err_and(is_broken) {
             self.forget(&client).await;
         }
         answer.map_err(Fault::Call)
     }
 
-    async fn connect(&self) -> Result<sync::Arc<ws_client::WsClient>, rpc_client::Error> {
+    /// Returns the open connection, or opens one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no connection can be opened.
+    pub async fn connect(&self) -> Result<sync::Arc<ws_client::WsClient>, rpc_client::Error> {
         let mut slot = self.client.lock().await;
         if let Some(client) = slot.as_ref()
             && client.is_connected()
@@ -97,6 +107,7 @@
             .request_timeout(self.timeout)
             .max_request_size(MAX_MESSAGE_BYTES)
             .max_response_size(MAX_MESSAGE_BYTES)
+            .max_concurrent_requests(MAX_CALLS)
             .build(format!("ws://{}", self.address))
             .await?;
         let client = sync::Arc::new(client);
@@ -104,7 +115,8 @@
         Ok(client)
     }
 
-    async fn forget(&self, broken: &sync::Arc<ws_client::WsClient>) {
+    /// Drops a connection that turned out broken, unless it is replaced already.
+    pub async fn forget(&self, broken: &sync::Arc<ws_client::WsClient>) {
         let mut slot = self.client.lock().await;
         if slot
             .as_ref()
@@ -115,10 +127,23 @@
     }
 }
 
+/// Returns whether an error means that the connection is of no more use.
+pub fn is_broken(error: &rpc_client::Error) -> bool {
+    matches!(
+        error,
+        rpc_client::Error::RestartNeeded(_)
+            | rpc_client::Error::Transport(_)
+            | rpc_client::Error::ServiceDisconnect
+            | rpc_client::Error::RequestTimeout
+    )
+}
+
 /// Encodes one parameter by position.
-pub(crate) fn one<P: serde::Serialize>(
-    param: &P,
-) -> Result<params::ArrayParams, rpc_client::Error> {
+///
+/// # Errors
+///
+/// Fails when the parameter cannot be encoded as JSON.
+pub fn one<P: serde::Serialize>(param: &P) -> Result<params::ArrayParams, rpc_client::Error> {
     let mut params = params::ArrayParams::new();
     params
         .insert(param)
--- a/programs/control/src/network/links.rs
+++ b/programs/control/src/network/links.rs
@@ -6,13 +6,11 @@
 
 use std::{collections, sync, time};
 
-use jsonrpsee::{
-    core::{ClientError, client::ClientT, params},
-    ws_client,
-};
+use jsonrpsee::{core::client::ClientT, ws_client};
 use tokio::{runtime, sync as async_sync, task};
 use tokio_util::sync::CancellationToken;
 
+use bw_client::link;
 use bw_coord::{ReplicaId, message};
 use bw_wire::{name, rpc};
 
@@ -31,9 +29,6 @@
 const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(2_000);
 /// Pause after a failed connection attempt.
 const RECONNECT_PAUSE: time::Duration = time::Duration::from_millis(100);
-/// Largest message between replicas, in bytes.
-const MESSAGE_BYTES_MAX: u32 = 64 * 1024 * 1024;
-
 /// The links of a replica.
 pub(crate) struct Links {
     own: ReplicaId,
@@ -88,10 +83,10 @@
 
     fn open(&self, address: name::Name) -> Link {
         let (queue, messages) = async_sync::mpsc::channel(QUEUE_MESSAGES);
+        let token = self.token.as_deref().map(name::Name::from);
         let task = Task {
             own: self.own,
-            address: address.clone(),
-            token: self.token.clone(),
+            link: link::Link::new(address.clone(), token, CALL_TIMEOUT),
             messages,
         };
         let stop = self.stop.clone();
@@ -104,8 +99,7 @@
 
 struct Task {
     own: ReplicaId,
-    address: name::Name,
-    token: Option<String>,
+    link: link::Link,
     messages: async_sync::mpsc::Receiver<message::Envelope>,
 }
 
@@ -113,10 +107,13 @@
     /// Sends until the link is closed.
     async fn run(mut self) {
         while let Some(first) = self.messages.recv().await {
-            match self.connect().await {
-                Ok(client) => self.serve(sync::Arc::new(client), first).await,
+            match self.link.connect().await {
+                Ok(client) => {
+                    self.serve(&client, first).await;
+                    self.link.forget(&client).await;
+                }
                 Err(error) => {
-                    log::debug!(address = self.address.as_str(); "no connection: {error}");
+                    log::debug!(address = self.link.address(); "no connection: {error}");
                     metrics::RETRIES
                         .with_label_values(&["replica_connect"])
                         .inc();
@@ -133,7 +130,7 @@
     /// A call without an answer ends the connection as well: after a partition
     /// a new connection works at once, while TCP repeats the data of an old one
     /// only after minutes.
-    async fn serve(&mut self, client: sync::Arc<ws_client::WsClient>, first: message::Envelope) {
+    async fn serve(&mut self, client: &sync::Arc<ws_client::WsClient>, first: message::Envelope) {
         let mut next = Some(first);
         let mut calls = task::JoinSet::new();
         let silent = CancellationToken::new();
@@ -147,20 +144,19 @@
                 continue;
             };
             let text = methods::encode(&self.gather(message));
-            let (client, silent) = (sync::Arc::clone(&client), silent.clone());
+            let (client, silent) = (sync::Arc::clone(client), silent.clone());
             // Tasks of this runtime start in the order they are spawned, and
             // the client sends in the order of its calls.
             calls.spawn(async move {
-                let mut params = params::ArrayParams::new();
-                if params.insert(text).is_err() {
+                let Ok(params) = link::one(&text) else {
                     return;
-                }
+                };
                 if let Err(error) = client.request::<(), _>(rpc::RAFT, params).await {
                     log::debug!("consensus messages not delivered: {error}");
                     metrics::RAFT_DROPPED
                         .with_label_values(&["call_failed"])
                         .inc();
-                    if matches!(error, ClientError::RequestTimeout) {
+                    if link::is_broken(&error) {
                         silent.cancel();
                     }
                 }
@@ -183,22 +179,4 @@
             messages,
         }
     }
-
-    async fn connect(&self) -> Result<ws_client::WsClient, ClientError> {
-        let mut headers = ws_client::HeaderMap::new();
-        if let Some(token) = &self.token
-            && let Ok(value) = ws_client::HeaderValue::from_str(&format!("Bearer {token}"))
-        {
-            headers.insert("authorization", value);
-        }
-        ws_client::WsClientBuilder::default()
-            .set_headers(headers)
-            .connection_timeout(CALL_TIMEOUT)
-            .request_timeout(CALL_TIMEOUT)
-            .max_request_size(MESSAGE_BYTES_MAX)
-            .max_response_size(MESSAGE_BYTES_MAX)
-            .max_concurrent_requests(CALLS_MAX * 2)
-            .build(format!("ws://{}", self.address))
-            .await
-    }
 }
--- a/programs/entry/src/controller/peers.rs
+++ b/programs/entry/src/controller/peers.rs
@@ -3,14 +3,12 @@
 use std::{collections, io, sync, time};
 
 use bw_base::access;
+use bw_client::link;
 use bw_wire::{name, peer, rpc, sync as wire_sync};
 use jsonrpsee::{
-    RpcModule,
-    core::client::ClientT,
-    rpc_params,
+    RpcModule, rpc_params,
     server::{ServerBuilder, ServerConfig, ServerHandle},
     types::ErrorObjectOwned,
-    ws_client,
 };
 use tokio::{sync as async_sync, task};
 
@@ -93,12 +91,8 @@
                 queue,
             };
             self.links.insert(peer.entry.clone(), link);
-            let outgoing = Outgoing {
-                address: peer.address.clone(),
-                token: self.token.clone(),
-                client: None,
-            };
-            self.tasks.spawn(outgoing.run(messages));
+            let link = link::Link::new(peer.address.clone(), self.token.clone(), TIMEOUT);
+            self.tasks.spawn(run(link, messages));
         }
         while self.tasks.try_join_next().is_some() {}
     }
@@ -126,60 +120,25 @@
     }
 }
 
-/// The sending side of a link.
-struct Outgoing {
-    address: name::Name,
-    token: Option<name::Name>,
-    client: Option<ws_client::WsClient>,
-}
-
-impl Outgoing {
-    async fn run(mut self, mut messages: async_sync::mpsc::Receiver<sync::Arc<peer::Message>>) {
-        while let Some(message) = messages.recv().await {
-            // A newer count follows soon; everything else is sent again.
-            let tries = match *message {
-                peer::Message::Online { .. } => 1,
-                _ => TRIES,
-            };
-            for _ in 0..tries {
-                match self.send(&message).await {
-                    Ok(()) => break,
-                    Err(error) => {
-                        log::debug!(address = self.address.as_str(); "entry VM not reached: {error}");
-                        self.client = None;
-                        tokio::time::sleep(RECONNECT_PAUSE).await;
-                    }
+/// Sends the messages of a link until it is dropped and its queue is empty.
+async fn run(link: link::Link, mut messages: async_sync::mpsc::Receiver<sync::Arc<peer::Message>>) {
+    while let Some(message) = messages.recv().await {
+        // A newer count follows soon; everything else is sent again.
+        let tries = match *message {
+            peer::Message::Online { .. } => 1,
+            _ => TRIES,
+        };
+        for _ in 0..tries {
+            match link
+                .call::<bool, _>(rpc::PEER, rpc_params![&*message])
+                .await
+            {
+                Ok(_) => break,
+                Err(error) => {
+                    log::debug!(address = link.address(); "entry VM not reached: {error}");
+                    tokio::time::sleep(RECONNECT_PAUSE).await;
                 }
             }
         }
     }
-
-    async fn send(
-        &mut self,
-        message: &peer::Message,
-    ) -> Result<(), jsonrpsee::core::client::Error> {
-        let client = match &self.client {
-            Some(client) if client.is_connected() => client,
-            _ => self.client.insert(self.connect().await?),
-        };
-        client
-            .request::<bool, _>(rpc::PEER, rpc_params![message])
-            .await
-            .map(drop)
-    }
-
-    async fn connect(&self) -> Result<ws_client::WsClient, jsonrpsee::core::client::Error> {
-        let mut headers = ws_client::HeaderMap::new();
-        if let Some(token) = &self.token
-            && let Ok(value) = ws_client::HeaderValue::from_str(&format!("Bearer {token}"))
-        {
-            headers.insert("authorization", value);
-        }
-        ws_client::WsClientBuilder::default()
-            .set_headers(headers)
-            .connection_timeout(TIMEOUT)
-            .request_timeout(TIMEOUT)
-            .build(format!("ws://{}", self.address))
-            .await
-    }
 }
