--- a/crates/coord/src/host/builder.rs
+++ b/crates/coord/src/host/builder.rs
@@ -17,6 +17,9 @@
 const SNAPSHOT_LOG_BYTES: u64 = 16 << 20;
 /// Default size of the entries kept after a snapshot for replicas that lag.
 const RETAINED_BYTES: u64 = 4 << 20;
+/// Default size of a payload segment. One sync covers at most one segment, so
+/// that a step is not held up for long.
+const PAYLOAD_SEGMENT_BYTES: u32 = 16 << 20;
 /// Default size of a piece of a snapshot.
 const CHUNK_BYTES: usize = 256 << 10;
 /// Default size of the entries in one message.
@@ -35,6 +38,7 @@
     pub segment_bytes: u64,
     pub snapshot_log_bytes: u64,
     pub retained_bytes: u64,
+    pub payload_segment_bytes: u32,
     pub chunk_bytes: usize,
     pub append_bytes: u64,
     pub inflight_bytes: u64,
@@ -81,6 +85,7 @@
                 segment_bytes: SEGMENT_BYTES,
                 snapshot_log_bytes: SNAPSHOT_LOG_BYTES,
                 retained_bytes: RETAINED_BYTES,
+                payload_segment_bytes: PAYLOAD_SEGMENT_BYTES,
                 chunk_bytes: CHUNK_BYTES,
                 append_bytes: APPEND_BYTES,
                 inflight_bytes: INFLIGHT_BYTES,
@@ -147,6 +152,12 @@
         self
     }
 
+    /// Sets the size at which a new segment of a group's payloads is started.
+    pub fn payload_segment_bytes(mut self, bytes: u32) -> Builder<E> {
+        self.options.payload_segment_bytes = bytes;
+        self
+    }
+
     /// Sets the size of the pieces in which a snapshot is sent.
     pub fn chunk_bytes(mut self, bytes: usize) -> Builder<E> {
         self.options.chunk_bytes = bytes.max(1);
--- a/crates/coord/src/host/group.rs
+++ b/crates/coord/src/host/group.rs
@@ -7,7 +7,7 @@
     host::{Machine, Options, Output, Refusal, Status},
     member,
     message::{Entry, Payload, SnapshotMeta},
-    node,
+    node, payload,
     snapshot::{Stored, Writer},
     storage::{Disk, Error},
 };
@@ -35,22 +35,36 @@
     id: GroupId,
     pub node: node::Node,
     pub machine: M,
+    pub payloads: payload::Store,
     applied: u64,
     snapshot: Stored,
     writing: Option<Writer>,
+    /// The payloads of the last snapshot while it is being sent.
+    sending: Option<payload::Sender>,
+    /// The payloads of a snapshot that is arriving.
+    receiving: Option<payload::Receiver>,
     waiting: BTreeMap<u64, Waiting>,
     reported: Option<Report>,
 }
 
 impl<M: Machine> Group<M> {
-    pub fn new(id: GroupId, node: node::Node, machine: M, snapshot: Stored) -> Group<M> {
+    pub fn new(
+        id: GroupId,
+        node: node::Node,
+        machine: M,
+        payloads: payload::Store,
+        snapshot: Stored,
+    ) -> Group<M> {
         Group {
             id,
             node,
             machine,
+            payloads,
             applied: snapshot.meta.index,
             snapshot,
             writing: None,
+            sending: None,
+            receiving: None,
             waiting: BTreeMap::new(),
             reported: None,
         }
@@ -101,19 +115,23 @@
     }
 
     /// Applies the committed entries and answers their proposals.
-    pub fn apply(&mut self, emit: &mut dyn FnMut(Output)) {
+    pub fn apply<D: Disk>(
+        &mut self,
+        disk: &mut D,
+        emit: &mut dyn FnMut(Output),
+    ) -> Result<(), Error> {
         while self.applied < self.node.log().commit() {
             let index = self.applied + 1;
             let Some(entry) = self.node.log().get(index).cloned() else {
-                return;
+                return Ok(());
             };
             self.applied = index;
-            let result = self.apply_entry(&entry);
+            let result = self.apply_entry(disk, &entry)?;
             let Some(waiting) = self.waiting.remove(&index) else {
                 continue;
             };
             let result = if waiting.term == entry.term {
-                Ok(result)
+                Ok(self.complete(disk, &entry, result)?)
             } else {
                 Err(Refusal::Lost)
             };
@@ -122,25 +140,120 @@
                 result,
             });
         }
+        Ok(())
     }
 
-    fn apply_entry(&mut self, entry: &Entry) -> Vec<u8> {
+    fn apply_entry<D: Disk>(&mut self, disk: &mut D, entry: &Entry) -> Result<Vec<u8>, Error> {
+        let Payload::Command(command) = &entry.payload else {
+            return Ok(Vec::new());
+        };
+        let result = self.machine.apply(entry.index, command);
+        for effect in self.machine.effects() {
+            match effect {
+                payload::Effect::Put { key, content } => self.payloads.put(disk, key, &content)?,
+                payload::Effect::Remove { key } => self.payloads.remove(key),
+            }
+        }
+        Ok(result)
+    }
+
+    /// Completes the result of the entry that was just applied.
+    fn complete<D: Disk>(
+        &self,
+        disk: &mut D,
+        entry: &Entry,
+        result: Vec<u8>,
+    ) -> Result<Vec<u8>, Error> {
+        let store = &self.payloads;
         match &entry.payload {
-            Payload::Command(command) => self.machine.apply(entry.index, command),
-            Payload::Empty | Payload::Members(_) => Vec::new(),
+            Payload::Command(_) => self
+                .machine
+                .complete(result, &mut payload::Reader { store, disk }),
+            Payload::Empty | Payload::Members(_) => Ok(result),
         }
     }
 
     /// Reads the pieces of the snapshot that are to be sent.
     pub fn send_pieces<D: Disk>(&mut self, disk: &mut D, length: usize) -> Result<(), Error> {
         for piece in std::mem::take(&mut self.node.out.pieces) {
-            let data = self.snapshot.read(disk, piece.offset, length)?;
+            let data = self.read_stream(disk, piece.offset, length)?;
             self.node
                 .send_piece(piece, self.snapshot.meta.clone(), data);
         }
+        if self.sending.is_some() && !self.node.sends_snapshot() {
+            self.sending = None;
+        }
+        Ok(())
+    }
+
+    /// Reads a piece of what is sent of the last snapshot.
+    fn read_stream<D: Disk>(
+        &mut self,
+        disk: &mut D,
+        offset: u64,
+        length: usize,
+    ) -> Result<Vec<u8>, Error> {
+        let meta = &self.snapshot.meta;
+        let Some(offset) = offset.checked_sub(meta.size) else {
+            return self.snapshot.read(disk, offset, length);
+        };
+        if meta.payload_bytes == 0 {
+            return Ok(Vec::new());
+        }
+        let sender = match &mut self.sending {
+            Some(sender) => sender,
+            none => {
+                let list_size = (meta.size - meta.state_size) as usize;
+                let list = self.snapshot.read(disk, meta.state_size, list_size)?;
+                let sender = payload::Sender::new(&list).ok_or_else(|| {
+                    Error::corrupt(&self.snapshot.name, meta.state_size, "malformed list")
+                })?;
+                none.insert(sender)
+            }
+        };
+        sender.read(&self.payloads, disk, offset, length)
+    }
+
+    /// Stores payloads that have arrived from the leader.
+    pub fn store_contents<D: Disk>(&mut self, disk: &mut D) -> Result<(), Error> {
+        for contents in std::mem::take(&mut self.node.out.contents) {
+            match contents {
+                node::Contents::Abort => self.abort_receiving(disk)?,
+                node::Contents::Start { list } => {
+                    self.abort_receiving(disk)?;
+                    self.receiving = payload::Receiver::new(&list);
+                }
+                node::Contents::Piece(bytes) => {
+                    let Some(receiver) = &mut self.receiving else {
+                        continue;
+                    };
+                    let written = receiver.write(&mut self.payloads, disk, &bytes)?;
+                    if written.is_err() {
+                        self.reject_snapshot(disk)?;
+                    }
+                }
+            }
+        }
         Ok(())
     }
 
+    fn abort_receiving<D: Disk>(&mut self, disk: &mut D) -> Result<(), Error> {
+        match self.receiving.take() {
+            Some(receiver) => receiver.discard(&self.payloads, disk),
+            None => Ok(()),
+        }
+    }
+
+    fn reject_snapshot<D: Disk>(&mut self, disk: &mut D) -> Result<(), Error> {
+        log::error!(
+            "group {}: payloads of the leader's snapshot are damaged",
+            self.id
+        );
+        self.node.reject_snapshot();
+        self.node.out.contents.clear();
+        self.abort_receiving(disk)
+    }
+
     pub fn emit_early(&mut self, emit: &mut dyn FnMut(Output)) {
         for (to, message) in self.node.out.early.drain(..) {
             emit(Output::Send { to, message });
@@ -207,17 +320,30 @@
     /// Stores and restores a snapshot that has arrived from the leader. Returns
     /// the number of snapshots written.
     pub fn install<D: Disk>(&mut self, disk: &mut D) -> Result<u64, Error> {
-        let Some(install) = self.node.out.install.take() else {
+        let Some(mut install) = self.node.out.install.take() else {
             return Ok(0);
         };
+        let complete = match self.receiving.take() {
+            Some(receiver) => receiver.finish(&mut self.payloads, disk)?,
+            None => false,
+        };
+        if !complete {
+            self.reject_snapshot(disk)?;
+            return Ok(0);
+        }
+        let mut data = std::mem::take(&mut install.data);
+        data.truncate(install.meta.state_size as usize);
         self.machine
-            .restore(&install.data)
+            .restore(&data)
             .map_err(|source| Error::Restore {
                 group: self.id,
                 source,
             })?;
-        let writer = Writer::new(self.id, install.meta.clone(), &install.data);
+        // The list of the leader has other places.
+        install.meta = self.append_list(&mut data, install.meta);
+        let writer = Writer::new(self.id, install.meta.clone(), &data);
         let stored = writer.complete(disk)?;
+        self.payloads.finish_snapshot();
         self.writing = None;
         self.applied = install.meta.index;
         self.node.installed(&install);
@@ -253,30 +379,54 @@
             Some(writer) => writer,
             None => self.start_snapshot(),
         };
+        // The snapshot must not become valid before what it refers to.
+        if !self.payloads.sync(disk)? {
+            self.writing = Some(writer);
+            return Ok(None);
+        }
         let Some(stored) = writer.advance(disk)? else {
             self.writing = Some(writer);
             return Ok(None);
         };
+        self.payloads.finish_snapshot();
         let size = stored.meta.size;
         self.node.compact(stored.meta.clone());
         self.replace_snapshot(disk, stored)?;
         Ok(Some(size))
     }
 
-    fn start_snapshot(&self) -> Writer {
-        let data = self.machine.snapshot();
+    fn start_snapshot(&mut self) -> Writer {
+        let mut data = self.machine.snapshot();
         let meta = SnapshotMeta {
             index: self.applied,
             term: self.node.log().term_at(self.applied).unwrap_or(0),
             members: self.node.members_at(self.applied).clone(),
-            size: data.len() as u64,
-            crc: crc32fast::hash(&data),
+            size: 0,
+            crc: 0,
+            state_size: 0,
+            payload_bytes: 0,
         };
+        let meta = self.append_list(&mut data, meta);
         Writer::new(self.id, meta, &data)
     }
 
+    /// Appends the list of the live payloads to a state and returns the
+    /// description of both.
+    fn append_list(&mut self, data: &mut Vec<u8>, meta: SnapshotMeta) -> SnapshotMeta {
+        let state_size = data.len() as u64;
+        data.extend(self.payloads.list());
+        SnapshotMeta {
+            size: data.len() as u64,
+            crc: crc32fast::hash(data),
+            state_size,
+            payload_bytes: self.payloads.live_bytes(),
+            ..meta
+        }
+    }
+
     fn replace_snapshot<D: Disk>(&mut self, disk: &mut D, stored: Stored) -> Result<(), Error> {
         let earlier = std::mem::replace(&mut self.snapshot, stored);
+        self.sending = None;
         disk.remove(&earlier.name)
     }
 }
--- a/crates/coord/src/host/mod.rs
+++ b/crates/coord/src/host/mod.rs
@@ -7,7 +7,7 @@
 
 use std::{collections::BTreeMap, fmt};
 
-use crate::{GroupId, ReplicaId, member, node, storage, wal};
+use crate::{GroupId, ReplicaId, member, node, payload, storage, wal};
 
 pub use builder::Builder;
 pub(crate) use builder::Options;
@@ -17,10 +17,40 @@
 ///
 /// The result of each call depends only on the state and the arguments, so that
 /// all replicas reach the same state.
+///
+/// Large values that decisions do not need are payloads: the machine keeps their
+/// keys, and the host keeps their contents on the disk. The machine returns what
+/// it does to payloads as effects instead of getting a handle of the store, so
+/// that it does no I/O, a disk error stops the replica without passing through
+/// the machine, and a machine without payloads implements three methods.
 pub trait Machine {
     /// Applies a committed command and returns its result.
     fn apply(&mut self, index: u64, command: &[u8]) -> Vec<u8>;
 
+    /// Takes what the last command does to the payloads of the group. The host
+    /// calls it after each [`Machine::apply`] and carries the effects out in
+    /// order.
+    fn effects(&mut self) -> Vec<payload::Effect> {
+        Vec::new()
+    }
+
+    /// Completes the result of the last command with payloads.
+    ///
+    /// Only the replica that answers the proposer calls it, right after the
+    /// effects of the command, so that the others read nothing and no later
+    /// command has removed a payload.
+    ///
+    /// # Errors
+    ///
+    /// Passes on the errors of the source. The replica then stops.
+    fn complete(
+        &self,
+        result: Vec<u8>,
+        _payloads: &mut dyn payload::Source,
+    ) -> Result<Vec<u8>, storage::Error> {
+        Ok(result)
+    }
+
     /// Returns the state as bytes. The host handles nothing else meanwhile, so
     /// this must take much less than an election timeout.
     fn snapshot(&self) -> Vec<u8>;
@@ -112,9 +142,19 @@
     groups: BTreeMap<GroupId, group::Group<E::Machine>>,
     now_ms: u64,
     stopped: bool,
+    /// An error of a read outside of a step, which the next step reports.
+    failure: Option<storage::Error>,
+    /// When payload stores may do background work again.
+    maintain_ms: u64,
+    /// The group whose store did background work last.
+    maintained: Option<GroupId>,
     stats: Stats,
 }
 
+/// Smallest interval between two pieces of background work on payloads, so that
+/// compaction writes at most about 100 MB/s.
+const MAINTAIN_INTERVAL_MS: u64 = 10;
+
 impl<E: Edge> Host<E> {
     /// Handles inputs at a time and emits the outputs.
     ///
@@ -141,7 +181,10 @@
         }
         self.now_ms = self.now_ms.max(now_ms);
         let mut inputs = inputs.into_iter();
-        let result = self.run(&mut inputs, emit);
+        let result = match self.failure.take() {
+            Some(error) => Err(error),
+            None => self.run(&mut inputs, emit),
+        };
         if let Err(error) = &result {
             log::error!("replica {} stops: {error}", self.replica);
             self.stop(emit);
@@ -155,6 +198,40 @@
         self.groups.get(&group).map(|group| &group.machine)
     }
 
+    /// Reads the state machine of a group together with its payloads, or returns
+    /// `None` if the host does not run the group.
+    ///
+    /// # Errors
+    ///
+    /// Passes on the error of the function, which must be one of the source. The
+    /// next step then stops the host.
+    pub fn read<T>(
+        &mut self,
+        group: GroupId,
+        function: impl FnOnce(&E::Machine, &mut dyn payload::Source) -> Result<T, storage::Error>,
+    ) -> Result<Option<T>, storage::Error> {
+        if self.stopped || self.failure.is_some() {
+            return Err(storage::Error::Stopped);
+        }
+        let Some(group) = self.groups.get(&group) else {
+            return Ok(None);
+        };
+        let mut payloads = payload::Reader {
+            store: &group.payloads,
+            disk: &mut self.disk,
+        };
+        let result = function(&group.machine, &mut payloads);
+        if let Err(error) = &result {
+            self.failure = Some(error.clone());
+        }
+        result.map(Some)
+    }
+
+    /// Returns the payload store of a group.
+    pub fn payloads(&self, group: GroupId) -> Option<&payload::Store> {
+        self.groups.get(&group).map(|group| &group.payloads)
+    }
+
     /// Returns the state of this replica in a group.
     pub fn status(&self, group: GroupId) -> Option<Status> {
         self.groups.get(&group).map(group::Group::status)
@@ -186,17 +263,18 @@
             group.node.replicate();
             group.send_pieces(&mut self.disk, self.options.chunk_bytes)?;
             group.emit_early(emit);
-            group.apply(emit);
+            group.apply(&mut self.disk, emit)?;
         }
         self.persist()?;
         for group in self.groups.values_mut() {
             group.emit_late(emit);
             group.node.persisted();
-            group.apply(emit);
+            group.apply(&mut self.disk, emit)?;
             group.node.finish_transfer();
             group.finish(emit);
         }
         self.write_snapshots()?;
+        self.maintain_payloads()?;
         let groups = &self.groups;
         self.wal
             .remove_covered(&mut self.disk, |group| snapshot_index(groups, group))
@@ -219,6 +297,7 @@
             Input::Tick => {}
             Input::Message { from, message } => {
                 group.node.receive(from, message);
+                group.store_contents(&mut self.disk)?;
                 self.stats.snapshots += group.install(&mut self.disk)?;
             }
             Input::Propose {
@@ -306,6 +385,23 @@
         Ok(())
     }
 
+    /// Lets the payload store of one group after the other do a piece of its
+    /// background work.
+    fn maintain_payloads(&mut self) -> Result<(), storage::Error> {
+        if self.now_ms < self.maintain_ms {
+            return Ok(());
+        }
+        self.maintain_ms = self.now_ms + MAINTAIN_INTERVAL_MS;
+        let last = self.maintained.unwrap_or(GroupId(u32::MAX));
+        let next = self.groups.keys().find(|group| **group > last);
+        self.maintained = next.or_else(|| self.groups.keys().next()).copied();
+        let group = self.maintained.and_then(|id| self.groups.get_mut(&id));
+        match group {
+            Some(group) => group.payloads.maintain(&mut self.disk),
+            None => Ok(()),
+        }
+    }
+
     fn stop(&mut self, emit: &mut dyn FnMut(Output)) {
         self.stopped = true;
         for group in self.groups.values_mut() {
--- a/crates/coord/src/host/recovery.rs
+++ b/crates/coord/src/host/recovery.rs
@@ -7,7 +7,7 @@
     host::{Edge, Host, Machine, Options, Stats, group},
     member::{self, Member},
     message::SnapshotMeta,
-    node,
+    node, payload,
     snapshot::{self, Stored, Writer},
     storage::{Disk, Error},
     wal,
@@ -60,6 +60,9 @@
         groups,
         now_ms: 0,
         stopped: false,
+        failure: None,
+        maintain_ms: 0,
+        maintained: None,
         stats: Stats::default(),
     })
 }
@@ -102,6 +105,8 @@
         members: list.clone(),
         size: 0,
         crc: crc32fast::hash(&[]),
+        state_size: 0,
+        payload_bytes: 0,
     };
     Writer::new(group, meta, &[]).complete(disk)
 }
@@ -116,9 +121,13 @@
     replay: wal::Replay,
 ) -> Result<group::Group<M>, Error> {
     let data = stored.read_all(disk)?;
+    let (state, list) = data
+        .split_at_checked(stored.meta.state_size as usize)
+        .ok_or_else(|| Error::corrupt(&stored.name, 0, "short snapshot"))?;
+    let payloads = payload::Store::open(id, options.payload_segment_bytes, list, disk)?;
     if stored.meta.index > 0 {
         machine
-            .restore(&data)
+            .restore(state)
             .map_err(|source| Error::Restore { group: id, source })?;
     }
     let (term, vote) = (replay.term, replay.vote);
@@ -132,5 +141,5 @@
         entries,
     };
     let node = node::Node::new(replica, id, options, durable);
-    Ok(group::Group::new(id, node, machine, stored))
+    Ok(group::Group::new(id, node, machine, payloads, stored))
 }
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod member;
 pub mod message;
 pub mod node;
+pub mod payload;
 mod snapshot;
 pub mod storage;
 mod wal;
--- a/crates/coord/src/message/mod.rs
+++ b/crates/coord/src/message/mod.rs
@@ -192,10 +192,22 @@
     pub index: u64,
     pub term: u64,
     pub members: member::List,
-    /// The size of the state machine's data in bytes.
+    /// The size of the state machine's data and the list of payloads in bytes.
     pub size: u64,
-    /// The checksum of the state machine's data.
+    /// The checksum of the state machine's data and the list of payloads.
     pub crc: u32,
+    /// The size of the state machine's data, which the list follows.
+    pub state_size: u64,
+    /// The size of the listed payloads in bytes.
+    pub payload_bytes: u64,
+}
+
+impl SnapshotMeta {
+    /// Returns the bytes that are sent to another replica: state, list and the
+    /// contents of the payloads in the order of the list.
+    pub fn stream_size(&self) -> u64 {
+        self.size + self.payload_bytes
+    }
 }
 
 /// A piece of a snapshot.
--- a/crates/coord/src/node/follow.rs
+++ b/crates/coord/src/node/follow.rs
@@ -6,7 +6,7 @@
         Append, AppendOutcome, AppendReply, Beat, Body, Chunk, ChunkProgress, ChunkReply, Entry,
         SnapshotMeta,
     },
-    node::{Install, Node, Role},
+    node::{Contents, Install, Node, Role},
     wal::Record,
 };
 
@@ -14,7 +14,18 @@
 #[derive(Debug)]
 pub(super) struct Incoming {
     meta: SnapshotMeta,
+    /// The state and the list of payloads, as far as they have arrived.
     data: Vec<u8>,
+    /// Bytes of the stream that have arrived; the payloads go to the host.
+    received: u64,
+    /// Whether the data is complete and valid.
+    checked: bool,
+}
+
+impl Incoming {
+    fn is_valid(&self) -> bool {
+        self.data.len() as u64 == self.meta.size && crc32fast::hash(&self.data) == self.meta.crc
+    }
 }
 
 impl Node {
@@ -137,7 +148,9 @@
         }
         let commit = self.log.commit();
         if index <= commit {
-            self.incoming = None;
+            if self.incoming.take().is_some() {
+                self.out.contents.push(Contents::Abort);
+            }
             self.reply_chunk(
                 from,
                 beat,
@@ -146,8 +159,14 @@
             );
             return;
         }
-        let size = meta.size;
-        let offset = self.collect(chunk);
+        let size = meta.stream_size();
+        let Some(offset) = self.collect(chunk) else {
+            ::log::error!(
+                "group {}: snapshot {index} of replica {from} is damaged",
+                self.group
+            );
+            return self.reject_snapshot();
+        };
         if offset < size {
             self.reply_chunk(from, beat, index, ChunkProgress::Next { offset });
             return;
@@ -155,34 +174,53 @@
         self.complete_snapshot(from, beat);
     }
 
-    /// Adds a piece if it is the next one and returns the next missing byte.
-    fn collect(&mut self, chunk: Chunk) -> u64 {
+    /// Adds a piece if it is the next one and returns the next missing byte, or
+    /// `None` if the state or the list is damaged.
+    fn collect(&mut self, chunk: Chunk) -> Option<u64> {
         let incoming = match &mut self.incoming {
             Some(incoming) if incoming.meta == chunk.meta => incoming,
             other => other.insert(Incoming {
                 meta: chunk.meta,
                 data: Vec::new(),
+                received: 0,
+                checked: false,
             }),
         };
-        if chunk.offset == incoming.data.len() as u64 {
-            incoming.data.extend_from_slice(&chunk.data);
+        if chunk.offset != incoming.received {
+            return Some(incoming.received);
+        }
+        incoming.received += chunk.data.len() as u64;
+        let missing = incoming.meta.size - incoming.data.len() as u64;
+        let missing = usize::try_from(missing).unwrap_or(usize::MAX);
+        let (data, contents) = chunk.data.split_at(missing.min(chunk.data.len()));
+        incoming.data.extend_from_slice(data);
+        if !incoming.checked && incoming.data.len() as u64 == incoming.meta.size {
+            if !incoming.is_valid() {
+                return None;
+            }
+            incoming.checked = true;
+            let list = incoming.data.get(incoming.meta.state_size as usize..)?;
+            self.out.contents.push(Contents::Start {
+                list: list.to_vec(),
+            });
+        }
+        if !contents.is_empty() {
+            self.out.contents.push(Contents::Piece(contents.to_vec()));
         }
-        incoming.data.len() as u64
+        Some(incoming.received)
+    }
+
+    /// Drops the snapshot that is arriving. The next piece starts it anew.
+    pub fn reject_snapshot(&mut self) {
+        self.incoming = None;
+        self.out.install = None;
+        self.out.contents.push(Contents::Abort);
     }
 
     fn complete_snapshot(&mut self, from: ReplicaId, beat: Beat) {
-        let Some(Incoming { meta, data }) = self.incoming.take() else {
+        let Some(Incoming { meta, data, .. }) = self.incoming.take() else {
             return;
         };
-        let valid = data.len() as u64 == meta.size && crc32fast::hash(&data) == meta.crc;
-        if !valid {
-            ::log::error!(
-                "group {}: snapshot {} of replica {from} is damaged",
-                self.group,
-                meta.index
-            );
-            return;
-        }
         self.out.install = Some(Install {
             meta,
             data,
--- a/crates/coord/src/node/mod.rs
+++ b/crates/coord/src/node/mod.rs
@@ -63,10 +63,26 @@
     pub reads: Vec<read::Outcome>,
     /// Whether leadership ended, so that pending proposals have no known outcome.
     pub leadership_lost: bool,
+    /// Payloads that arrive with a snapshot of the leader.
+    pub contents: Vec<Contents>,
     /// A complete snapshot of the leader that is to be installed.
     pub install: Option<Install>,
 }
 
+/// A step of the arrival of payloads.
+#[derive(Debug)]
+pub(crate) enum Contents {
+    /// The list is complete; what arrived before belongs to another snapshot.
+    Start {
+        /// The encoded list.
+        list: Vec<u8>,
+    },
+    /// The next bytes of the contents.
+    Piece(Vec<u8>),
+    /// The snapshot is not needed any more.
+    Abort,
+}
+
 /// A piece of a snapshot that is to be sent.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Piece {
--- /dev/null
+++ b/crates/coord/src/payload/mod.rs
@@ -0,0 +1,68 @@
+//! Large values beside the log of a group.
+//!
+//! A state machine keeps the keys of its payloads; their contents are in
+//! segment files `payload-GROUP-NUMBER` and are read only when they are needed.
+
+mod list;
+mod receiver;
+mod sender;
+mod store;
+
+use crate::storage;
+
+pub use store::Store;
+
+pub(crate) use receiver::Receiver;
+pub(crate) use sender::Sender;
+
+/// Names a payload within its group. The state machine assigns the numbers and
+/// never uses one twice, so that a key always maps to the same content.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Key(pub u64);
+
+/// What a command does to the payloads of its group.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Effect {
+    /// Stores a payload.
+    Put {
+        /// Its key.
+        key: Key,
+        /// Its content.
+        content: Vec<u8>,
+    },
+    /// Removes a payload.
+    Remove {
+        /// Its key.
+        key: Key,
+    },
+}
+
+/// Reads payloads.
+pub trait Source {
+    /// Returns the content of a payload.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the payload is missing, damaged or cannot be read. The replica
+    /// then stops.
+    fn get(&mut self, key: Key) -> Result<Vec<u8>, storage::Error>;
+}
+
+/// The store of a group together with its disk.
+pub(crate) struct Reader<'a, D> {
+    pub store: &'a Store,
+    pub disk: &'a mut D,
+}
+
+impl<D: storage::Disk> Source for Reader<'_, D> {
+    fn get(&mut self, key: Key) -> Result<Vec<u8>, storage::Error> {
+        match self.store.get(self.disk, key)? {
+            Some(content) => Ok(content),
+            None => Err(storage::Error::corrupt(
+                &format!("payload {} of group {}", key.0, self.store.group()),
+                0,
+                "the payload is missing",
+            )),
+        }
+    }
+}
--- /dev/null
+++ b/crates/coord/src/payload/sender.rs
@@ -0,0 +1,60 @@
+//! Payloads of a snapshot that is sent to another replica.
+
+use crate::{
+    payload::{Store, list},
+    storage::{Disk, Error},
+};
+
+/// The contents of the listed payloads as one stream of bytes.
+///
+/// The durable snapshot keeps the segments that it refers to, so that payloads
+/// which were removed since can still be read.
+#[derive(Debug)]
+pub(crate) struct Sender {
+    places: Vec<list::Place>,
+    /// Where each payload ends in the stream.
+    ends: Vec<u64>,
+}
+
+impl Sender {
+    /// Builds a stream from an encoded list, or returns `None` if it is
+    /// malformed.
+    pub fn new(list: &[u8]) -> Option<Sender> {
+        let items = list::decode(list)?;
+        let places: Vec<list::Place> = items.into_iter().map(|item| item.place).collect();
+        let ends = places.iter().scan(0, |end, place| {
+            *end += u64::from(place.length);
+            Some(*end)
+        });
+        Some(Sender {
+            ends: ends.collect(),
+            places,
+        })
+    }
+
+    /// Reads at most `length` bytes from an offset. Whole payloads are read and
+    /// checked, so that a damaged one stops this replica and not the receiver.
+    pub fn read<D: Disk>(
+        &self,
+        store: &Store,
+        disk: &mut D,
+        offset: u64,
+        length: usize,
+    ) -> Result<Vec<u8>, Error> {
+        let mut bytes = Vec::new();
+        let first = self.ends.partition_point(|end| *end <= offset);
+        let rest = self.places.iter().zip(&self.ends).skip(first);
+        for (place, end) in rest {
+            if bytes.len() >= length {
+                break;
+            }
+            let content = store.read(disk, place)?;
+            let start = end - u64::from(place.length);
+            let skipped = offset.saturating_sub(start) as usize;
+            let part = content.get(skipped..).unwrap_or_default();
+            let wanted = part.len().min(length - bytes.len());
+            bytes.extend_from_slice(&part[..wanted]);
+        }
+        Ok(bytes)
+    }
+}
--- /dev/null
+++ b/crates/coord/src/payload/store.rs
@@ -0,0 +1,420 @@
+//! The payloads of one group in segment files.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    ops,
+};
+
+use crate::{
+    GroupId,
+    payload::{
+        Key,
+        list::{self, Item, Place},
+    },
+    storage::{Disk, Error},
+};
+
+const PREFIX: &str = "payload-";
+
+/// Largest size of a segment, so that offsets have 32 bits.
+const SEGMENT_BYTES_MAX: u32 = 1 << 30;
+/// Payload bytes that one step of the compaction copies.
+const COMPACT_BYTES: u64 = 1 << 20;
+/// Index entries that one step of the compaction visits.
+const COMPACT_KEYS: usize = 4_096;
+/// Dead segments that one step removes: each removal syncs the directory.
+const REMOVE_SEGMENTS: usize = 4;
+
+/// The payloads of one group: segment files and an index in memory.
+///
+/// Writes are not synced until a snapshot needs them: after a crash, what no
+/// snapshot lists is written again by the replay of the log. After an error of
+/// any method the store must not be used any more, like the disk.
+#[derive(Debug)]
+pub struct Store {
+    group: GroupId,
+    index: BTreeMap<Key, Place>,
+    segments: BTreeMap<u32, Segment>,
+    /// The segment that new payloads are appended to.
+    active: Option<u32>,
+    next_segment: u32,
+    segment_bytes: u32,
+    /// Segments that the durable snapshot refers to.
+    durable: BTreeSet<u32>,
+    /// Segments that the snapshot that is being written refers to.
+    pending: BTreeSet<u32>,
+    sweep: Option<Sweep>,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Segment {
+    size: u32,
+    live_bytes: u64,
+    live: u64,
+    synced: bool,
+}
+
+/// A pass of the compaction over the index.
+#[derive(Debug)]
+struct Sweep {
+    /// The segments that are being emptied.
+    sources: BTreeSet<u32>,
+    /// The last key that was visited.
+    after: Option<Key>,
+}
+
+impl Store {
+    /// Builds the empty store of a group, which starts a new segment at a size.
+    /// Files of an earlier store stay.
+    pub fn new(group: GroupId, segment_bytes: u32) -> Store {
+        Store {
+            group,
+            index: BTreeMap::new(),
+            segments: BTreeMap::new(),
+            active: None,
+            next_segment: 0,
+            segment_bytes: segment_bytes.min(SEGMENT_BYTES_MAX),
+            durable: BTreeSet::new(),
+            pending: BTreeSet::new(),
+            sweep: None,
+        }
+    }
+
+    /// Opens the store with the payloads of a list that [`Store::list`] encoded
+    /// and removes the segments that the list does not refer to.
+    ///
+    /// Contents are checked when they are read, since reading all of them would
+    /// delay the start.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the list is malformed, a segment is missing or too short, or
+    /// the disk fails.
+    pub fn open<D: Disk>(
+        group: GroupId,
+        segment_bytes: u32,
+        list: &[u8],
+        disk: &mut D,
+    ) -> Result<Store, Error> {
+        let mut store = Store::new(group, segment_bytes);
+        let name = format!("payload list of group {group}");
+        let items = list::decode(list).ok_or_else(|| Error::corrupt(&name, 0, "malformed list"))?;
+        for item in items {
+            store.adopt(item);
+        }
+        let mut sizes = store.files(disk)?;
+        if let Some(last) = sizes.keys().next_back() {
+            store.next_segment = store.next_segment.max(last + 1);
+        }
+        for (number, segment) in &store.segments {
+            let present = sizes.remove(number).unwrap_or(0);
+            if present < u64::from(segment.size) {
+                let name = store.name(*number);
+                return Err(Error::corrupt(&name, present, "the segment is too short"));
+            }
+        }
+        for number in sizes.into_keys() {
+            disk.remove(&store.name(number))?;
+        }
+        store.durable = store.segments.keys().copied().collect();
+        Ok(store)
+    }
+
+    /// Returns the group.
+    pub fn group(&self) -> GroupId {
+        self.group
+    }
+
+    /// Returns the number of live payloads.
+    pub fn count(&self) -> usize {
+        self.index.len()
+    }
+
+    /// Returns the size of the live payloads in bytes.
+    pub fn live_bytes(&self) -> u64 {
+        let segments = self.segments.values();
+        segments.map(|segment| segment.live_bytes).sum()
+    }
+
+    /// Returns the size of all segments in bytes.
+    pub fn disk_bytes(&self) -> u64 {
+        let segments = self.segments.values();
+        segments.map(|segment| u64::from(segment.size)).sum()
+    }
+
+    /// Stores a payload without a sync. Storing the same content again has no
+    /// effect.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the disk fails or the key has another content.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the content has 4 GiB or more.
+    pub fn put<D: Disk>(&mut self, disk: &mut D, key: Key, content: &[u8]) -> Result<(), Error> {
+        let crc = crc32fast::hash(content);
+        let length = u32::try_from(content.len()).expect("payloads are smaller than 4 GiB");
+        match self.index.get(&key) {
+            Some(place) if place.length == length && place.crc == crc => return Ok(()),
+            Some(place) => {
+                let name = self.name(place.segment);
+                let offset = u64::from(place.offset);
+                return Err(Error::corrupt(&name, offset, "the key has another content"));
+            }
+            None => {}
+        }
+        let place = self.append(disk, content, crc)?;
+        self.index.insert(key, place);
+        Ok(())
+    }
+
+    /// Returns the content of a payload, or `None` if there is none of the key.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the content cannot be read or has a wrong checksum.
+    pub fn get<D: Disk>(&self, disk: &mut D, key: Key) -> Result<Option<Vec<u8>>, Error> {
+        let place = self.index.get(&key);
+        place.map(|place| self.read(disk, place)).transpose()
+    }
+
+    /// Removes a payload. Removing an absent one has no effect.
+    pub fn remove(&mut self, key: Key) {
+        if let Some(place) = self.index.remove(&key) {
+            self.release(&place);
+        }
+    }
+
+    /// Starts a snapshot: returns the encoded list of live payloads and keeps
+    /// their segments until [`Store::finish_snapshot`].
+    pub fn list(&mut self) -> Vec<u8> {
+        // Later payloads go into another segment, so that the segments of the
+        // list are complete and need one sync each.
+        self.active = None;
+        let live = self.segments.iter().filter(|(_, segment)| segment.live > 0);
+        self.pending = live.map(|(number, _)| *number).collect();
+        let items = self.index.iter().map(|(key, place)| Item {
+            key: *key,
+            place: *place,
+        });
+        list::encode(items)
+    }
+
+    /// Syncs one segment of the snapshot that is being written. Returns whether
+    /// all of them are synced.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the disk fails.
+    pub fn sync<D: Disk>(&mut self, disk: &mut D) -> Result<bool, Error> {
+        let unsynced = |number: &&u32| {
+            let segment = self.segments.get(number);
+            segment.is_some_and(|segment| !segment.synced)
+        };
+        let Some(number) = self.pending.iter().find(unsynced).copied() else {
+            return Ok(true);
+        };
+        self.sync_segment(disk, number)?;
+        Ok(false)
+    }
+
+    /// Notes that the snapshot that [`Store::list`] started is durable.
+    pub fn finish_snapshot(&mut self) {
+        self.durable = std::mem::take(&mut self.pending);
+    }
+
+    /// Does a bounded piece of the background work: removes dead segments and
+    /// compacts segments that are less than half live.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the disk fails or a payload that is to be copied is damaged.
+    pub fn maintain<D: Disk>(&mut self, disk: &mut D) -> Result<(), Error> {
+        self.remove_dead(disk)?;
+        let Some(mut sweep) = self.sweep.take().or_else(|| self.start_sweep()) else {
+            return Ok(());
+        };
+        if !self.advance_sweep(disk, &mut sweep)? {
+            self.sweep = Some(sweep);
+        }
+        Ok(())
+    }
+
+    /// Returns a payload at a place, which may have been removed since as long
+    /// as a snapshot refers to its segment.
+    pub(crate) fn read<D: Disk>(&self, disk: &mut D, place: &Place) -> Result<Vec<u8>, Error> {
+        if place.length == 0 {
+            return Ok(Vec::new());
+        }
+        let name = self.name(place.segment);
+        let offset = u64::from(place.offset);
+        let content = disk.read(&name, offset, place.length as usize)?;
+        let valid =
+            content.len() == place.length as usize && crc32fast::hash(&content) == place.crc;
+        if valid {
+            Ok(content)
+        } else {
+            Err(Error::corrupt(&name, offset, "wrong checksum of a payload"))
+        }
+    }
+
+    /// Reserves a segment for payloads of another replica.
+    pub(super) fn reserve(&mut self) -> u32 {
+        let number = self.next_segment;
+        self.next_segment += 1;
+        number
+    }
+
+    pub(super) fn segment_limit(&self) -> u32 {
+        self.segment_bytes
+    }
+
+    /// Replaces all payloads by those of synced segments. The segments before
+    /// stay until [`Store::finish_snapshot`], in case the snapshot that refers
+    /// to the new ones is never completed.
+    pub(super) fn replace(&mut self, items: impl Iterator<Item = Item>) {
+        for segment in self.segments.values_mut() {
+            segment.live = 0;
+            segment.live_bytes = 0;
+        }
+        self.index.clear();
+        self.active = None;
+        self.sweep = None;
+        for item in items {
+            self.adopt(item);
+        }
+    }
+
+    pub(super) fn name(&self, number: u32) -> String {
+        format!("{PREFIX}{:08x}-{number:08x}", self.group.0)
+    }
+
+    /// Adds a payload that is on the disk already.
+    fn adopt(&mut self, item: Item) {
+        let place = item.place;
+        let segment = self.segments.entry(place.segment).or_default();
+        segment.size = segment.size.max(place.offset.saturating_add(place.length));
+        segment.live_bytes += u64::from(place.length);
+        segment.live += 1;
+        segment.synced = true;
+        self.next_segment = self.next_segment.max(place.segment.saturating_add(1));
+        self.index.insert(item.key, place);
+    }
+
+    /// Returns the sizes of the group's segment files by number.
+    fn files<D: Disk>(&self, disk: &mut D) -> Result<BTreeMap<u32, u64>, Error> {
+        let prefix = format!("{PREFIX}{:08x}-", self.group.0);
+        let mut sizes = BTreeMap::new();
+        for file in disk.list()? {
+            let number = file.name.strip_prefix(&prefix);
+            let number = number.and_then(|number| u32::from_str_radix(number, 16).ok());
+            if let Some(number) = number {
+                sizes.insert(number, file.size);
+            }
+        }
+        Ok(sizes)
+    }
+
+    fn append<D: Disk>(&mut self, disk: &mut D, content: &[u8], crc: u32) -> Result<Place, Error> {
+        let number = match self.active {
+            Some(number) => number,
+            None => self.reserve(),
+        };
+        disk.append(&self.name(number), content)?;
+        let length = content.len() as u32;
+        let segment = self.segments.entry(number).or_default();
+        let place = Place {
+            segment: number,
+            offset: segment.size,
+            length,
+            crc,
+        };
+        segment.size += length;
+        segment.live_bytes += u64::from(length);
+        segment.live += 1;
+        segment.synced = false;
+        let full = segment.size >= self.segment_bytes;
+        self.active = (!full).then_some(number);
+        Ok(place)
+    }
+
+    fn release(&mut self, place: &Place) {
+        if let Some(segment) = self.segments.get_mut(&place.segment) {
+            segment.live -= 1;
+            segment.live_bytes -= u64::from(place.length);
+        }
+    }
+
+    fn sync_segment<D: Disk>(&mut self, disk: &mut D, number: u32) -> Result<(), Error> {
+        let name = self.name(number);
+        disk.sync(&name)?;
+        if self.active != Some(number) {
+            disk.close(&name);
+        }
+        if let Some(segment) = self.segments.get_mut(&number) {
+            segment.synced = true;
+        }
+        Ok(())
+    }
+
+    fn remove_dead<D: Disk>(&mut self, disk: &mut D) -> Result<(), Error> {
+        let dead = self.segments.iter().filter(|(number, segment)| {
+            segment.live == 0
+                && self.active != Some(**number)
+                && !self.durable.contains(number)
+                && !self.pending.contains(number)
+        });
+        let dead: Vec<u32> = dead
+            .map(|(number, _)| *number)
+            .take(REMOVE_SEGMENTS)
+            .collect();
+        for number in dead {
+            disk.remove(&self.name(number))?;
+            self.segments.remove(&number);
+        }
+        Ok(())
+    }
+
+    /// Starts a pass over the index if a segment is less than half live.
+    fn start_sweep(&self) -> Option<Sweep> {
+        let sparse = self.segments.iter().filter(|(number, segment)| {
+            self.active != Some(**number)
+                && segment.live > 0
+                && segment.live_bytes * 2 < u64::from(segment.size)
+        });
+        let sources: BTreeSet<u32> = sparse.map(|(number, _)| *number).collect();
+        (!sources.is_empty()).then_some(Sweep {
+            sources,
+            after: None,
+        })
+    }
+
+    /// Copies some payloads out of the sources of a pass. Returns whether the
+    /// pass is complete.
+    fn advance_sweep<D: Disk>(&mut self, disk: &mut D, sweep: &mut Sweep) -> Result<bool, Error> {
+        let start = match sweep.after {
+            Some(key) => ops::Bound::Excluded(key),
+            None => ops::Bound::Unbounded,
+        };
+        let visited = self.index.range((start, ops::Bound::Unbounded));
+        let visited = visited.take(COMPACT_KEYS);
+        let visited: Vec<(Key, Place)> = visited.map(|(key, place)| (*key, *place)).collect();
+        let mut copied = 0;
+        for (key, place) in &visited {
+            sweep.after = Some(*key);
+            if !sweep.sources.contains(&place.segment) {
+                continue;
+            }
+            let content = self.read(disk, place)?;
+            let moved = self.append(disk, &content, place.crc)?;
+            self.index.insert(*key, moved);
+            self.release(place);
+            copied += u64::from(place.length);
+            if copied >= COMPACT_BYTES {
+                return Ok(false);
+            }
+        }
+        Ok(visited.len() < COMPACT_KEYS)
+    }
+}
--- a/crates/coord/src/storage/directory.rs
+++ b/crates/coord/src/storage/directory.rs
@@ -142,6 +142,10 @@
             .map_err(|error| Error::io("sync", name, error))
     }
 
+    fn close(&mut self, name: &str) {
+        self.writers.remove(name);
+    }
+
     fn read(&mut self, name: &str, offset: u64, length: usize) -> Result<Vec<u8>, Error> {
         self.read_file(name, offset, length)
             .map_err(|error| Error::io("read", name, error))
--- a/crates/coord/src/storage/mod.rs
+++ b/crates/coord/src/storage/mod.rs
@@ -40,6 +40,10 @@
     /// Fails if durability cannot be guaranteed.
     fn sync(&mut self, name: &str) -> Result<(), Error>;
 
+    /// Tells that nothing will be appended to a synced file for long, so that
+    /// the disk can free what it holds for writing.
+    fn close(&mut self, _name: &str) {}
+
     /// Reads at most `length` bytes from an offset. The result is shorter only
     /// at the end of the file.
     ///
--- a/crates/coord/tests/common/mod.rs
+++ b/crates/coord/tests/common/mod.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use bw_coord::{
-    GroupId, ReplicaId, host, member, message, node,
+    GroupId, ReplicaId, host, member, message, node, payload,
     storage::{self, Memory},
 };
 use rand::{Rng, SeedableRng};
@@ -15,13 +15,19 @@
 pub const FIRST: GroupId = GroupId(0);
 pub const SECOND: GroupId = GroupId(1);
 pub const GROUPS: [GroupId; 2] = [FIRST, SECOND];
+const PAYLOAD_SEGMENT_BYTES: u32 = 1 << 10;
 const DOMAINS: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 
-/// Keeps the ids of all commands in the order in which they were applied.
+/// Commands whose payloads are live; older ones are removed.
+const LIVE_PAYLOADS: usize = 24;
+
+/// Keeps the ids of all commands in the order in which they were applied, and a
+/// payload for each of the last ones.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Journal {
     pub commands: Vec<u64>,
     padding: usize,
+    effects: Vec<payload::Effect>,
 }
 
 impl Journal {
@@ -30,17 +36,81 @@
         Journal {
             commands: Vec::new(),
             padding,
+            effects: Vec::new(),
+        }
+    }
+
+    /// Returns the content of each live payload by key.
+    pub fn payloads(&self) -> impl Iterator<Item = (payload::Key, Vec<u8>)> {
+        let first = self.commands.len().saturating_sub(LIVE_PAYLOADS);
+        let commands = self.commands.iter().enumerate().skip(first);
+        commands.map(|(position, id)| (payload::Key(position as u64), content(*id)))
+    }
+
+    /// Checks live payloads: the newest and the oldest, or all of them.
+    pub fn check_payloads(
+        &self,
+        all: bool,
+        source: &mut dyn payload::Source,
+    ) -> Result<(), storage::Error> {
+        let payloads: Vec<_> = self.payloads().collect();
+        let last = payloads.len().saturating_sub(1);
+        for (position, (key, content)) in payloads.into_iter().enumerate() {
+            if all || position == 0 || position == last {
+                assert_eq!(source.get(key)?, content, "payload {key:?}");
+            }
         }
+        Ok(())
     }
 }
 
+/// Inverts the first occurrence of a pattern and returns whether there is one.
+fn invert(bytes: &mut [u8], pattern: &[u8]) -> bool {
+    let mut windows = bytes.windows(pattern.len());
+    let Some(start) = windows.position(|window| window == pattern) else {
+        return false;
+    };
+    let found = &mut bytes[start..start + pattern.len()];
+    found.iter_mut().for_each(|byte| *byte = !*byte);
+    true
+}
+
+/// Returns the payload of a command; some are empty.
+pub fn content(id: u64) -> Vec<u8> {
+    let repeated = std::iter::repeat_n(id.to_le_bytes(), (id % 20) as usize);
+    repeated.flatten().collect()
+}
+
 impl host::Machine for Journal {
     fn apply(&mut self, _index: u64, command: &[u8]) -> Vec<u8> {
         let id = command[..8].try_into().expect("commands hold an id");
-        self.commands.push(u64::from_le_bytes(id));
+        let id = u64::from_le_bytes(id);
+        let key = self.commands.len() as u64;
+        self.commands.push(id);
+        self.effects.push(payload::Effect::Put {
+            key: payload::Key(key),
+            content: content(id),
+        });
+        if let Some(old) = key.checked_sub(LIVE_PAYLOADS as u64) {
+            let key = payload::Key(old);
+            self.effects.push(payload::Effect::Remove { key });
+        }
         (self.commands.len() as u64).to_le_bytes().to_vec()
     }
 
+    fn effects(&mut self) -> Vec<payload::Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    fn complete(
+        &self,
+        result: Vec<u8>,
+        payloads: &mut dyn payload::Source,
+    ) -> Result<Vec<u8>, storage::Error> {
+        self.check_payloads(false, payloads)?;
+        Ok(result)
+    }
+
     fn snapshot(&self) -> Vec<u8> {
         let ids = self.commands.iter().flat_map(|id| id.to_le_bytes());
         ids.chain(std::iter::repeat_n(0xff, self.padding)).collect()
@@ -153,6 +223,10 @@
     pub now: u64,
     pub network: Network,
     pub options: Options,
+    /// Patterns of which the first one found in a message is inverted, once.
+    pub damaged: Vec<Vec<u8>>,
+    /// Replicas whose payloads a test has damaged.
+    pub unchecked: BTreeSet<u64>,
     /// Blocked directions.
     pub blocked: BTreeSet<(u64, u64)>,
     rng: rand_pcg::Pcg32,
@@ -185,6 +259,8 @@
                 max_delay_ms: 5,
                 ..Network::default()
             },
+            damaged: Vec::new(),
+            unchecked: BTreeSet::new(),
             blocked: BTreeSet::new(),
             rng: rand_pcg::Pcg32::seed_from_u64(options.seed),
             packets: Vec::new(),
@@ -243,6 +319,7 @@
             .snapshot_log_bytes(self.options.snapshot_log_bytes)
             .retained_bytes(self.options.retained_bytes)
             .segment_bytes(self.options.segment_bytes)
+            .payload_segment_bytes(PAYLOAD_SEGMENT_BYTES)
             .chunk_bytes(256)
             .append_bytes(512)
             .inflight_bytes(2_048)
@@ -453,7 +530,11 @@
 
     fn deliver(&mut self) {
         let now = self.now;
-        for packet in self.packets.extract_if(.., |packet| packet.due <= now) {
+        for mut packet in self.packets.extract_if(.., |packet| packet.due <= now) {
+            let mut patterns = self.damaged.iter();
+            if patterns.any(|pattern| invert(&mut packet.bytes, pattern)) {
+                self.damaged.clear();
+            }
             let message = message::decode(&packet.bytes).expect("intact message");
             let input = host::Input::Message {
                 from: ReplicaId(packet.from),
@@ -585,6 +666,9 @@
                 continue;
             };
             self.check_sequence(id, group);
+            if !self.unchecked.contains(&id) {
+                self.check_payloads(id, group, false);
+            }
             self.check_voters(id, group, &status);
             self.check_lease(id, group, &status);
             if failed {
@@ -620,6 +704,17 @@
         }
     }
 
+    /// Checks that a replica can read the payloads of its state.
+    pub fn check_payloads(&mut self, id: u64, group: GroupId, all: bool) {
+        let slot = self.slots.get_mut(&id).expect("known replica");
+        let host = slot.host.as_mut().expect("running");
+        let checked = host.read(group, |machine, source| machine.check_payloads(all, source));
+        match checked {
+            Ok(_) | Err(storage::Error::Stopped) => {}
+            Err(error) => panic!("replica {id} of {group}: {error}"),
+        }
+    }
+
     fn check_voters(&mut self, id: u64, group: GroupId, status: &host::Status) {
         if status.role != node::Role::Leader {
             return;
@@ -689,6 +784,7 @@
             let id = member.replica.0;
             if self.slots.get(&id).is_some_and(|slot| slot.host.is_some()) {
                 assert_eq!(self.commands(id, group), sequence, "replica {id}");
+                self.check_payloads(id, group, true);
             }
         }
     }
--- /dev/null
+++ b/crates/coord/tests/payload_replicas.rs
@@ -0,0 +1,143 @@
+//! Payloads in replicated groups.
+
+mod common;
+
+use bw_coord::{
+    ReplicaId, host, member,
+    storage::{self, Disk, Loss},
+};
+use common::{Cluster, ELECTION_TIMEOUT_MS, FIRST, Options};
+use rstest::rstest;
+
+/// Returns the segments of the first group's payloads.
+fn segments(disk: &storage::Memory) -> Vec<storage::File> {
+    let files = disk.clone().list().expect("readable").into_iter();
+    files
+        .filter(|file| file.name.starts_with("payload-00000000-"))
+        .collect()
+}
+
+/// Isolates a follower until it needs a snapshot, and returns it.
+fn lag(cluster: &mut Cluster) -> u64 {
+    let leader = cluster.await_leader(FIRST);
+    let follower = leader % 3 + 1;
+    cluster.isolate(follower, true);
+    for _ in 0..80 {
+        cluster.write_acked(FIRST, 200);
+    }
+    follower
+}
+
+/// Guards against a replica that counts as caught up without the payloads, or
+/// before they are durable.
+#[rstest]
+fn an_installed_snapshot_brings_the_payloads(#[values(1, 2, 3, 4)] seed: u64) {
+    let mut cluster = Cluster::new(Options::new(3, seed));
+    let follower = lag(&mut cluster);
+    let stale = cluster.status(follower, FIRST).expect("running");
+    cluster.isolate(follower, false);
+    while cluster.status(follower, FIRST).expect("running").applied == stale.applied {
+        cluster.run(1);
+    }
+    let fresh = cluster.status(follower, FIRST).expect("running");
+    assert!(
+        fresh.snapshot_index > stale.last_index,
+        "no snapshot was sent"
+    );
+    cluster.check_payloads(follower, FIRST, true);
+    cluster.crash(follower, Loss::All);
+    cluster.start(follower).expect("the snapshot is whole");
+    cluster.check_payloads(follower, FIRST, true);
+    cluster.settle();
+}
+
+/// Guards against storing a payload that was damaged on the way.
+#[rstest]
+fn a_payload_damaged_on_the_way_is_sent_again(#[values(1, 2, 3)] seed: u64) {
+    let mut cluster = Cluster::new(Options::new(3, seed));
+    let follower = lag(&mut cluster);
+    let leader = cluster.await_leader(FIRST);
+    // A log entry holds the id of its command once, a payload several times.
+    let contents = cluster.commands(leader, FIRST).iter();
+    let contents = contents.map(|id| common::content(*id));
+    cluster.damaged = contents.filter(|content| content.len() > 80).collect();
+    cluster.isolate(follower, false);
+    cluster.settle();
+    assert!(cluster.damaged.is_empty(), "no snapshot was sent");
+}
+
+/// Guards against a damaged payload that is passed on: the replica that holds
+/// it stops, and the others go on.
+#[rstest]
+fn a_sender_with_a_damaged_payload_stops(#[values(1, 2, 3)] seed: u64) {
+    let mut cluster = Cluster::new(Options::new(3, seed));
+    let follower = lag(&mut cluster);
+    let leader = cluster.await_leader(FIRST);
+    let disk = cluster.slots[&leader].disk.clone();
+    cluster.unchecked.insert(leader);
+    for file in segments(&disk) {
+        for offset in 0..file.size {
+            disk.corrupt(&file.name, offset as usize);
+        }
+    }
+    cluster.isolate(follower, false);
+    cluster.run(4 * ELECTION_TIMEOUT_MS);
+    let error = cluster.slots[&leader].error.as_ref();
+    let error = error.expect("the replica stopped").to_string();
+    assert!(error.contains("wrong checksum of a payload"), "{error}");
+    assert!(cluster.slots[&follower].host.is_some());
+    cluster.lose_disk(leader);
+    cluster.settle();
+}
+
+/// Guards against a start without payloads that the snapshot refers to.
+#[rstest]
+fn a_missing_payload_segment_stops_the_replica() {
+    let mut cluster = Cluster::new(Options::new(3, 5));
+    for _ in 0..80 {
+        cluster.write_acked(FIRST, 200);
+    }
+    cluster.crash(1, Loss::Nothing);
+    let mut disk = cluster.slots[&1].disk.clone();
+    for file in segments(&disk) {
+        disk.remove(&file.name).expect("removable");
+    }
+    let error = cluster.start(1).expect_err("the loss is found");
+    assert!(matches!(error, storage::Error::Corrupt { .. }), "{error}");
+}
+
+/// Guards against a replica that goes on after a read found damage.
+#[rstest]
+fn a_failed_read_stops_the_host() {
+    let members = vec![member::Member::voter(ReplicaId(1), "", "zone-a")];
+    let disk = storage::Memory::new();
+    let mut host = host::Builder::<common::Edge>::new(ReplicaId(1), members)
+        .group(FIRST, common::Journal::default())
+        .open(disk.clone())
+        .expect("an empty disk opens");
+    let mut now = 0;
+    while host.status(FIRST).expect("known").lease_remaining_ms == 0 {
+        now += 100;
+        host.step(vec![host::Input::Tick], now, &mut |_| {})
+            .expect("healthy disk");
+    }
+    let propose = host::Input::Propose {
+        group: FIRST,
+        ticket: 1,
+        command: 7_u64.to_le_bytes().to_vec(),
+    };
+    host.step(vec![propose], now + 1, &mut |_| {})
+        .expect("healthy disk");
+    let read = host.read(FIRST, |machine, source| {
+        machine.check_payloads(true, source)
+    });
+    assert!(read.is_ok());
+    let segment = segments(&disk).pop().expect("a payload is stored");
+    disk.corrupt(&segment.name, 0);
+    let read = host.read(FIRST, |machine, source| {
+        machine.check_payloads(true, source)
+    });
+    assert!(matches!(read, Err(storage::Error::Corrupt { .. })));
+    let step = host.step(vec![host::Input::Tick], now + 2, &mut |_| {});
+    assert!(matches!(step, Err(storage::Error::Corrupt { .. })));
+}
