--- a/crates/coord/src/payload/mod.rs
+++ b/crates/coord/src/payload/mod.rs
@@ -4,12 +4,14 @@
 //! segment files `payload-GROUP-NUMBER` and are read only when they are needed.
 
 mod list;
+mod memory;
 mod receiver;
 mod sender;
 mod store;
 
 use crate::storage;
 
+pub use memory::Memory;
 pub use store::Store;
 
 pub(crate) use receiver::Receiver;
--- a/crates/coord/tests/common/mod.rs
+++ b/crates/coord/tests/common/mod.rs
@@ -709,6 +709,11 @@
         let slot = self.slots.get_mut(&id).expect("known replica");
         let host = slot.host.as_mut().expect("running");
         let checked = host.read(group, |machine, source| machine.check_payloads(all, source));
+        if all {
+            let live = host.machine(group).expect("known group").payloads().count();
+            let stored = host.payloads(group).expect("known group").count();
+            assert_eq!(stored, live, "replica {id} keeps removed payloads");
+        }
         match checked {
             Ok(_) | Err(storage::Error::Stopped) => {}
             Err(error) => panic!("replica {id} of {group}: {error}"),
--- a/crates/coord/tests/payload.rs
+++ b/crates/coord/tests/payload.rs
@@ -190,6 +190,27 @@
     assert_eq!(store.disk_bytes(), 0);
 }
 
+/// Guards against segments that are deleted while a snapshot that refers to them
+/// is being written.
+#[test]
+fn an_unfinished_snapshot_keeps_its_segments() {
+    let mut disk = Memory::new();
+    let mut store = store();
+    for key in 0..20 {
+        put(&mut store, &mut disk, key, 100);
+    }
+    let list = store.list();
+    for key in 0..20 {
+        store.remove(Key(key));
+    }
+    settle(&mut store, &mut disk);
+    while !store.sync(&mut disk).expect("the disk syncs") {}
+    store.finish_snapshot();
+    settle(&mut store, &mut disk);
+    let reopened = reopen(&list, &mut disk).expect("the list is whole");
+    assert_eq!(reopened.count(), 20);
+}
+
 /// Guards against a disk that fills with gaps, and against one step that copies
 /// everything.
 #[test]
--- a/crates/coord/tests/payload_replicas.rs
+++ b/crates/coord/tests/payload_replicas.rs
@@ -28,6 +28,17 @@
     follower
 }
 
+/// Runs until a replica has applied an entry.
+fn await_applied(cluster: &mut Cluster, id: u64, index: u64) {
+    for _ in 0..10_000 {
+        if cluster.status(id, FIRST).expect("running").applied >= index {
+            return;
+        }
+        cluster.run(1);
+    }
+    panic!("replica {id} did not apply entry {index}");
+}
+
 /// Guards against a replica that counts as caught up without the payloads, or
 /// before they are durable.
 #[rstest]
@@ -36,9 +47,7 @@
     let follower = lag(&mut cluster);
     let stale = cluster.status(follower, FIRST).expect("running");
     cluster.isolate(follower, false);
-    while cluster.status(follower, FIRST).expect("running").applied == stale.applied {
-        cluster.run(1);
-    }
+    await_applied(&mut cluster, follower, stale.applied + 1);
     let fresh = cluster.status(follower, FIRST).expect("running");
     assert!(
         fresh.snapshot_index > stale.last_index,
@@ -61,9 +70,12 @@
     let contents = cluster.commands(leader, FIRST).iter();
     let contents = contents.map(|id| common::content(*id));
     cluster.damaged = contents.filter(|content| content.len() > 80).collect();
+    let stale = cluster.status(follower, FIRST).expect("running");
     cluster.isolate(follower, false);
-    cluster.settle();
+    await_applied(&mut cluster, follower, stale.applied + 1);
     assert!(cluster.damaged.is_empty(), "no snapshot was sent");
+    cluster.check_payloads(follower, FIRST, true);
+    cluster.settle();
 }
 
 /// Guards against a damaged payload that is passed on: the replica that holds
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use bw_coord::host;
+use bw_coord::{host, payload, storage};
 use bw_wire::{command, query};
 
 use crate::{config, snapshot, work};
@@ -88,11 +88,42 @@
         postcard::to_allocvec(&result).unwrap_or_default()
     }
 
+    /// Completes the encoded result of the last command with payloads.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a payload cannot be read.
+    fn complete_bytes(
+        &self,
+        result: Vec<u8>,
+        source: &mut dyn payload::Source,
+    ) -> Result<Vec<u8>, storage::Error> {
+        let Machine::Work(machine) = self else {
+            return Ok(result);
+        };
+        match decode_reply(&result) {
+            Ok(command::Reply::Work(reply @ command::work::Reply::Taken { .. })) => {
+                let reply = command::Reply::Work(machine.complete(reply, source)?);
+                let completed: Result<command::Reply, Error> = Ok(reply);
+                Ok(postcard::to_allocvec(&completed).unwrap_or_default())
+            }
+            _ => Ok(result),
+        }
+    }
+
     /// Answers a query, or returns `None` if it belongs to another kind of group.
-    pub fn query(&self, query: &query::Query) -> Option<query::Answer> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if a payload cannot be read.
+    pub fn query(
+        &self,
+        query: &query::Query,
+        source: &mut dyn payload::Source,
+    ) -> Result<Option<query::Answer>, storage::Error> {
         match self {
-            Machine::Config(machine) => machine.query(query),
-            Machine::Work(machine) => machine.query(query),
+            Machine::Config(machine) => Ok(machine.query(query)),
+            Machine::Work(machine) => machine.query(query, source),
         }
     }
 
@@ -122,6 +153,21 @@
         self.apply_bytes(index, command)
     }
 
+    fn effects(&mut self) -> Vec<payload::Effect> {
+        match self {
+            Machine::Config(_) => Vec::new(),
+            Machine::Work(machine) => machine.effects(),
+        }
+    }
+
+    fn complete(
+        &self,
+        result: Vec<u8>,
+        payloads: &mut dyn payload::Source,
+    ) -> Result<Vec<u8>, storage::Error> {
+        self.complete_bytes(result, payloads)
+    }
+
     fn snapshot(&self) -> Vec<u8> {
         Machine::snapshot(self)
     }
--- a/crates/state/src/snapshot.rs
+++ b/crates/state/src/snapshot.rs
@@ -5,7 +5,7 @@
 use serde::{Serialize, de};
 
 /// The version that this build writes and reads.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 
 /// A snapshot that cannot be read.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/state/src/work/files.rs
+++ b/crates/state/src/work/files.rs
@@ -4,9 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use bw_wire::{command::work, name, query};
+use bw_coord::{payload, storage};
+use bw_wire::{command::work, fingerprint, name, query};
 
-use super::invalid;
+use super::{invalid, payloads, rows};
 
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(super) struct Files {
@@ -22,7 +23,7 @@
     created_ms: u64,
     /// The time of the last chunk, seal, use by a job, or deletion.
     touched_ms: u64,
-    chunks: collections::BTreeMap<u32, Vec<work::Line>>,
+    chunks: collections::BTreeMap<u32, Chunk>,
     seal: Option<Seal>,
     /// Jobs that refer to it; their results need its custom ids.
     jobs: u32,
@@ -32,6 +33,32 @@
     deleted: bool,
 }
 
+/// A chunk whose lines are a payload.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct Chunk {
+    /// The payload.
+    key: u64,
+    /// The size of the texts in bytes.
+    size: u64,
+    /// Tells a repeated upload from one with another content.
+    fingerprint: fingerprint::Fingerprint,
+    rows: rows::Rows,
+}
+
+impl Chunk {
+    pub(super) fn rows(&self) -> &rows::Rows {
+        &self.rows
+    }
+
+    /// Reads the lines.
+    pub(super) fn lines(
+        &self,
+        source: &mut dyn payload::Source,
+    ) -> Result<Vec<work::Line>, storage::Error> {
+        payloads::get(source, self.key)
+    }
+}
+
 /// What completes a file.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub(super) struct Seal {
@@ -54,14 +81,17 @@
         chunk: u32,
         lines: Vec<work::Line>,
         room: u64,
+        payloads: &mut payloads::Payloads,
     ) -> work::Reply {
         let size = match check(&lines) {
             Ok(size) => size,
             Err(message) => return invalid(message),
         };
+        let content = payloads::encode(&lines);
+        let fingerprint = fingerprint::Fingerprint::of_bytes(&content);
         if let Some(file) = self.files.get(&id) {
             match file.chunks.get(&chunk) {
-                Some(stored) if *stored == lines => return work::Reply::Ok,
+                Some(stored) if stored.fingerprint == fingerprint => return work::Reply::Ok,
                 Some(_) => return invalid("the chunk is stored with another content"),
                 None if file.seal.is_some() || file.deleted => {
                     return invalid("the file is complete");
@@ -74,7 +104,13 @@
         }
         let file = self.files.entry(id).or_insert_with(|| empty(now_ms));
         file.touched_ms = now_ms;
-        file.chunks.insert(chunk, lines);
+        let stored = Chunk {
+            key: payloads.put_encoded(content),
+            size,
+            fingerprint,
+            rows: rows::Rows::of(&lines),
+        };
+        file.chunks.insert(chunk, stored);
         self.bytes += size;
         work::Reply::Ok
     }
@@ -96,8 +132,8 @@
         if !file.chunks.keys().copied().eq(0..seal.chunks) {
             return invalid("chunks are missing");
         }
-        let numbers = file.chunks.values().flatten().map(|line| line.number);
-        if !numbers.is_sorted_by(|before, after| before < after) {
+        let bounds = file.chunks.values().filter_map(|chunk| chunk.rows.bounds());
+        if !bounds.is_sorted_by(|(_, before), (after, _)| before < after) {
             return invalid("line numbers do not ascend");
         }
         file.touched_ms = now_ms;
@@ -111,6 +147,7 @@
         now_ms: u64,
         id: &name::Name,
         team: &name::Name,
+        payloads: &mut payloads::Payloads,
     ) -> work::Reply {
         let owned = |file: &&mut File| file.seal.as_ref().is_some_and(|seal| seal.team == *team);
         let Some(file) = self.files.get_mut(id).filter(owned) else {
@@ -122,7 +159,7 @@
         if !file.deleted {
             file.deleted = true;
             file.touched_ms = now_ms;
-            self.bytes -= file.clear_unused();
+            self.bytes -= file.clear_unused(payloads);
         }
         // The entry stays for a while, so that a resend gets the same answer.
         work::Reply::Ok
@@ -153,23 +190,15 @@
     }
 
     /// Returns a chunk of a file that its owner can see.
-    pub(super) fn lines(
-        &self,
-        id: &name::Name,
-        team: &name::Name,
-        chunk: u32,
-    ) -> Option<&[work::Line]> {
+    pub(super) fn visible(&self, id: &name::Name, team: &name::Name, chunk: u32) -> Option<&Chunk> {
         let file = self.files.get(id).filter(|file| !file.deleted)?;
         file.seal.as_ref().filter(|seal| seal.team == *team)?;
-        file.chunks.get(&chunk).map(Vec::as_slice)
+        file.chunks.get(&chunk)
     }
 
     /// Returns a chunk of a file that a job refers to.
-    pub(super) fn chunk(&self, id: &name::Name, chunk: u32) -> &[work::Line] {
-        let chunks = self.files.get(id).map(|file| &file.chunks);
-        chunks
-            .and_then(|chunks| chunks.get(&chunk))
-            .map_or(&[], Vec::as_slice)
+    pub(super) fn chunk(&self, id: &name::Name, chunk: u32) -> Option<&Chunk> {
+        self.files.get(id)?.chunks.get(&chunk)
     }
 
     /// Returns the number of chunks of a file that a team can use.
@@ -196,14 +225,19 @@
     }
 
     /// Counts an ended job that was dropped.
-    pub(super) fn job_dropped(&mut self, id: &name::Name) {
+    pub(super) fn job_dropped(&mut self, id: &name::Name, payloads: &mut payloads::Payloads) {
         if let Some(file) = self.files.get_mut(id) {
             file.jobs -= 1;
-            self.bytes -= file.clear_unused();
+            self.bytes -= file.clear_unused(payloads);
         }
     }
 
-    pub(super) fn expire(&mut self, now_ms: u64, retention: &work::Retention) {
+    pub(super) fn expire(
+        &mut self,
+        now_ms: u64,
+        retention: &work::Retention,
+        payloads: &mut payloads::Payloads,
+    ) {
         let mut freed = 0;
         let teams = &mut self.teams;
         self.files.retain(|id, file| {
@@ -213,7 +247,7 @@
             };
             let keep = file.jobs > 0 || now_ms < file.touched_ms.saturating_add(keep_ms);
             if !keep {
-                freed += file.size();
+                freed += file.clear(payloads);
                 if let Some(seal) = &file.seal {
                     teams.remove(&(seal.team.clone(), id.clone()));
                 }
@@ -225,17 +259,21 @@
 }
 
 impl File {
-    fn size(&self) -> u64 {
-        self.chunks.values().flatten().map(size).sum()
-    }
-
     /// Drops the content of a deleted file without jobs and returns its size.
-    fn clear_unused(&mut self) -> u64 {
+    fn clear_unused(&mut self, payloads: &mut payloads::Payloads) -> u64 {
         if !self.deleted || self.jobs > 0 {
             return 0;
         }
-        let size = self.size();
-        self.chunks.clear();
+        self.clear(payloads)
+    }
+
+    /// Drops the content and returns its size.
+    fn clear(&mut self, payloads: &mut payloads::Payloads) -> u64 {
+        let mut size = 0;
+        for chunk in std::mem::take(&mut self.chunks).into_values() {
+            payloads.remove(chunk.key);
+            size += chunk.size;
+        }
         size
     }
 }
@@ -262,10 +300,15 @@
         bytes: seal.bytes,
         created_ms: file.created_ms,
         chunks: seal.chunks,
-        items: file.chunks.values().map(|lines| lines.len() as u64).sum(),
+        items: items(file),
     })
 }
 
+fn items(file: &File) -> u64 {
+    let chunks = file.chunks.values();
+    chunks.map(|chunk| u64::from(chunk.rows.len())).sum()
+}
+
 /// Checks a chunk and returns its size.
 fn check(lines: &[work::Line]) -> Result<u64, &'static str> {
     if lines.is_empty() || lines.len() > work::CHUNK_ITEMS {
--- a/crates/state/src/work/jobs.rs
+++ b/crates/state/src/work/jobs.rs
@@ -4,9 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
+use bw_coord::{payload, storage};
 use bw_wire::{command::work, name, openai, query, refusal};
 
-use super::{files, invalid, ready, share};
+use super::{files, invalid, payloads, ready, rows, share};
 
 /// Most chunks that one command leases, which bounds the size of a reply.
 const TAKE_MAX: u32 = 64;
@@ -71,10 +72,18 @@
     held: Option<Held>,
     /// Items without an outcome.
     open: u32,
-    /// Outcomes in line order.
-    outcomes: Vec<work::Outcome>,
+    /// A bit for each line, set once the item has an outcome.
+    done: [u64; DONE_WORDS],
+    /// The payloads with the outcomes that were recorded. Outcomes of lines that
+    /// cannot run are derived from the lines.
+    records: Vec<u64>,
+    /// The size of the recorded outcomes in bytes.
+    bytes: u64,
 }
 
+/// Words of the bits of a chunk.
+const DONE_WORDS: usize = work::CHUNK_ITEMS / u64::BITS as usize;
+
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct Held {
     holder: name::Name,
@@ -114,8 +123,9 @@
             order,
         };
         for number in 0..count {
-            let lines = files.chunk(&job.order.file, number);
-            self.bytes += job.add_chunk(lines);
+            if let Some(chunk) = files.chunk(&job.order.file, number) {
+                job.add_chunk(chunk.rows());
+            }
         }
         files.job_created(&job.order.file);
         let open = job.open();
@@ -152,7 +162,6 @@
         holder: &name::Name,
         want: u32,
         until_ms: u64,
-        files: &files::Files,
         tuning: &work::Tuning,
     ) -> work::Reply {
         let mut leases = Vec::new();
@@ -168,7 +177,7 @@
                 until_ms,
                 expired: false,
             };
-            if let Some(lease) = self.lease(&key.job, number, held, files, tuning) {
+            if let Some(lease) = self.lease(&key.job, number, held, tuning) {
                 leases.push(lease);
             }
         }
@@ -208,6 +217,7 @@
         chunk: &work::ChunkRef,
         outcomes: Vec<work::Outcome>,
         files: &mut files::Files,
+        payloads: &mut payloads::Payloads,
     ) -> work::Reply {
         let Some(job) = self.jobs.get_mut(&chunk.job) else {
             return work::Reply::RecordRefused(work::RecordRefusal::Unknown);
@@ -227,10 +237,17 @@
         if state.fence != chunk.fence || chunk.fence == 0 {
             return work::Reply::RecordRefused(work::RecordRefusal::Fenced);
         }
-        let lines = files.chunk(&job.order.file, chunk.chunk);
+        let Some(stored) = files.chunk(&job.order.file, chunk.chunk) else {
+            return work::Reply::RecordRefused(work::RecordRefusal::Unknown);
+        };
         let mut tally = Tally::default();
-        for outcome in outcomes {
-            state.store(lines, outcome, &mut job.counts, &mut tally);
+        let accepted: Vec<work::Outcome> = outcomes
+            .into_iter()
+            .filter(|outcome| state.accept(stored.rows(), outcome, &mut job.counts, &mut tally))
+            .collect();
+        if !accepted.is_empty() {
+            state.records.push(payloads.put(&accepted));
+            state.bytes += tally.bytes;
         }
         let chunk_done = state.open == 0;
         let job_done = chunk_done && job.open() == 0;
@@ -276,6 +293,7 @@
         now_ms: u64,
         retention: &work::Retention,
         files: &mut files::Files,
+        payloads: &mut payloads::Payloads,
     ) {
         while let Some((ended_ms, _)) = self.index.ended.first()
             && ended_ms.saturating_add(retention.job_ms) <= now_ms
@@ -284,8 +302,11 @@
                 break;
             };
             if let Some(job) = self.jobs.remove(&id) {
-                self.bytes -= job.bytes();
-                files.job_dropped(&job.order.file);
+                for chunk in &job.chunks {
+                    self.bytes -= chunk.bytes;
+                    chunk.records.iter().for_each(|key| payloads.remove(*key));
+                }
+                files.job_dropped(&job.order.file, payloads);
                 self.index.teams.remove(&(job.order.team, id));
             }
         }
@@ -316,18 +337,49 @@
         team: &name::Name,
         chunk: u32,
         files: &files::Files,
-    ) -> Option<Vec<query::ItemResult>> {
-        let job = self.jobs.get(id).filter(|job| job.order.team == *team)?;
-        let state = job.chunks.get(chunk as usize)?;
-        let lines = files.chunk(&job.order.file, chunk);
-        let results = state.outcomes.iter().map(|outcome| {
-            let line = find(lines, outcome.number);
-            query::ItemResult {
-                custom_id: line.and_then(|line| line.custom_id.clone()),
-                outcome: outcome.clone(),
-            }
+        source: &mut dyn payload::Source,
+    ) -> Result<Option<Vec<query::ItemResult>>, storage::Error> {
+        let job = self.jobs.get(id).filter(|job| job.order.team == *team);
+        let Some(job) = job else {
+            return Ok(None);
+        };
+        let state = job.chunks.get(chunk as usize);
+        let stored = files.chunk(&job.order.file, chunk);
+        let (Some(state), Some(stored)) = (state, stored) else {
+            return Ok(None);
+        };
+        let lines = stored.lines(source)?;
+        let refused = lines.iter();
+        let refused = refused.filter_map(|line| refused_outcome(line, &job.order.endpoint));
+        let mut outcomes: Vec<work::Outcome> = refused.collect();
+        for key in &state.records {
+            let recorded: Vec<work::Outcome> = payloads::get(source, *key)?;
+            outcomes.extend(recorded);
+        }
+        outcomes.sort_unstable_by_key(|outcome| outcome.number);
+        let results = outcomes.into_iter().map(|outcome| query::ItemResult {
+            custom_id: find(&lines, outcome.number).and_then(|line| line.custom_id.clone()),
+            outcome,
         });
-        Some(results.collect())
+        Ok(Some(results.collect()))
+    }
+
+    /// Adds the open lines to a lease that was just given.
+    pub(super) fn fill(
+        &self,
+        lease: &mut work::Lease,
+        files: &files::Files,
+        source: &mut dyn payload::Source,
+    ) -> Result<(), storage::Error> {
+        let number = lease.chunk.chunk;
+        let Some(job) = self.jobs.get(&lease.chunk.job) else {
+            return Ok(());
+        };
+        let state = job.chunks.get(number as usize);
+        if let (Some(state), Some(stored)) = (state, files.chunk(&job.order.file, number)) {
+            lease.lines = state.open_lines(stored.lines(source)?);
+        }
+        Ok(())
     }
 
     pub(super) fn backlog(&self) -> query::Backlog {
@@ -436,7 +488,6 @@
         id: &name::Name,
         number: u32,
         held: Held,
-        files: &files::Files,
         tuning: &work::Tuning,
     ) -> Option<work::Lease> {
         let job = self.jobs.get_mut(id)?;
@@ -447,7 +498,7 @@
         let entry = (held.until_ms, id.clone(), number);
         self.index.leases.insert(entry);
         chunk.held = Some(held);
-        let lines = files.chunk(&job.order.file, number);
+        let open = u64::from(chunk.open);
         let lease = work::Lease {
             chunk: work::ChunkRef {
                 job: id.clone(),
@@ -456,10 +507,10 @@
             },
             team: job.order.team.clone(),
             due_ms: job.due_ms,
-            lines: chunk.open_lines(lines),
+            // Read from the payloads by the replica that replies.
+            lines: Vec::new(),
         };
-        self.share
-            .charge(&lease.team, lease.lines.len() as u64, tuning);
+        self.share.charge(&lease.team, open, tuning);
         self.withdraw(id, number);
         Some(lease)
     }
@@ -557,27 +608,18 @@
         self.counts.total - self.counts.completed - self.counts.failed
     }
 
-    fn bytes(&self) -> u64 {
-        let outcomes = self.chunks.iter().flat_map(|chunk| &chunk.outcomes);
-        outcomes.map(size).sum()
-    }
-
-    /// Adds a chunk, with the outcomes of the lines that cannot run, and
-    /// returns the size of these.
-    fn add_chunk(&mut self, lines: &[work::Line]) -> u64 {
+    /// Adds a chunk, of which the lines that cannot run are done.
+    fn add_chunk(&mut self, rows: &rows::Rows) {
         let mut chunk = Chunk {
-            open: lines.len() as u32,
+            open: rows.len(),
             ..Chunk::default()
         };
-        self.counts.total += lines.len() as u64;
-        let mut tally = Tally::default();
-        for line in lines {
-            if let Some(outcome) = refused(line, &self.order.endpoint) {
-                chunk.store(lines, outcome, &mut self.counts, &mut tally);
-            }
+        self.counts.total += u64::from(rows.len());
+        for position in rows.refused(&self.order.endpoint) {
+            chunk.finish(position);
+            self.counts.failed += 1;
         }
         self.chunks.push(chunk);
-        tally.bytes
     }
 
     fn describe(&self, id: &name::Name) -> query::Job {
@@ -598,23 +640,21 @@
 }
 
 impl Chunk {
-    /// Stores an outcome unless the item has one.
-    fn store(
+    /// Counts an outcome unless the item has one, and returns whether it is to
+    /// be stored.
+    fn accept(
         &mut self,
-        lines: &[work::Line],
-        outcome: work::Outcome,
+        rows: &rows::Rows,
+        outcome: &work::Outcome,
         counts: &mut openai::Counts,
         tally: &mut Tally,
-    ) {
-        let place = self
-            .outcomes
-            .binary_search_by_key(&outcome.number, |stored| stored.number);
-        let Err(position) = place else {
-            tally.duplicate += 1;
-            return;
+    ) -> bool {
+        let Some(position) = rows.position(outcome.number) else {
+            return false;
         };
-        if find(lines, outcome.number).is_none() {
-            return;
+        if self.is_done(position) {
+            tally.duplicate += 1;
+            return false;
         }
         match &outcome.result {
             work::Result::Answer {
@@ -624,24 +664,41 @@
             | work::Result::Failed { .. } => counts.failed += 1,
             work::Result::Answer { .. } => counts.completed += 1,
         }
-        self.open -= 1;
+        self.finish(position);
         tally.stored += 1;
-        tally.bytes += size(&outcome);
-        self.outcomes.insert(position, outcome);
+        tally.bytes += size(outcome);
+        true
     }
 
-    fn open_lines(&self, lines: &[work::Line]) -> Vec<work::Line> {
-        let open = lines.iter().filter(|line| {
-            self.outcomes
-                .binary_search_by_key(&line.number, |stored| stored.number)
-                .is_err()
-        });
-        open.cloned().collect()
+    /// Notes that an open item has an outcome.
+    fn finish(&mut self, position: u32) {
+        let (word, bit) = place(position);
+        if let Some(word) = self.done.get_mut(word) {
+            *word |= bit;
+            self.open -= 1;
+        }
+    }
+
+    fn is_done(&self, position: u32) -> bool {
+        let (word, bit) = place(position);
+        self.done.get(word).is_none_or(|word| word & bit != 0)
     }
+
+    fn open_lines(&self, lines: Vec<work::Line>) -> Vec<work::Line> {
+        let open = (0..).zip(lines);
+        let open = open.filter(|(position, _)| !self.is_done(*position));
+        open.map(|(_, line)| line).collect()
+    }
+}
+
+/// Returns the word of a position and its bit there.
+fn place(position: u32) -> (usize, u64) {
+    let word = position / u64::BITS;
+    (word as usize, 1 << (position % u64::BITS))
 }
 
 /// Returns the outcome of a line that cannot run.
-fn refused(line: &work::Line, endpoint: &str) -> Option<work::Outcome> {
+fn refused_outcome(line: &work::Line, endpoint: &str) -> Option<work::Outcome> {
     let (code, message) = match &line.content {
         work::Content::Bad { code, message } => (code.clone(), message.clone()),
         work::Content::Request { url, .. } if url == endpoint => return None,
--- a/crates/state/src/work/mod.rs
+++ b/crates/state/src/work/mod.rs
@@ -4,12 +4,15 @@
 mod claims;
 mod files;
 mod jobs;
+mod payloads;
 mod ready;
+mod rows;
 mod share;
 mod suspects;
 
 use serde::{Deserialize, Serialize};
 
+use bw_coord::{payload, storage};
 use bw_wire::{command, command::work, name, query};
 
 use crate::snapshot;
@@ -30,6 +33,7 @@
     claims: claims::Claims,
     attempts: attempts::Attempts,
     suspects: suspects::Suspects,
+    payloads: payloads::Payloads,
 }
 
 /// A team's idempotency key.
@@ -77,7 +81,13 @@
         self.state.jobs.can_lease(now_ms)
     }
 
-    /// Applies a command.
+    /// Returns the suspects.
+    pub fn suspects(&self) -> Vec<work::Suspect> {
+        self.state.suspects.list()
+    }
+
+    /// Applies a command. The leases of a reply have no lines before
+    /// [`Machine::complete`].
     pub fn apply(&mut self, index: u64, stamped: command::Stamped<work::Command>) -> work::Reply {
         let state = &mut self.state;
         state.applied = index;
@@ -86,19 +96,52 @@
         state.run(stamped.command)
     }
 
+    /// Takes what the last command does to payloads.
+    pub fn effects(&mut self) -> Vec<payload::Effect> {
+        self.state.payloads.take_effects()
+    }
+
+    /// Adds the lines to the leases of the last command's reply.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a payload cannot be read.
+    pub fn complete(
+        &self,
+        mut reply: work::Reply,
+        source: &mut dyn payload::Source,
+    ) -> Result<work::Reply, storage::Error> {
+        if let work::Reply::Taken { leases } = &mut reply {
+            for lease in leases {
+                self.state.jobs.fill(lease, &self.state.files, source)?;
+            }
+        }
+        Ok(reply)
+    }
+
     /// Answers a query about a work group, or `None` for one about group 0.
-    pub fn query(&self, query: &query::Query) -> Option<query::Answer> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if a payload cannot be read.
+    pub fn query(
+        &self,
+        query: &query::Query,
+        source: &mut dyn payload::Source,
+    ) -> Result<Option<query::Answer>, storage::Error> {
         let state = &self.state;
         let answer = match query {
-            query::Query::Config | query::Query::History { .. } => return None,
+            query::Query::Config | query::Query::History { .. } => return Ok(None),
             query::Query::File { file, team } => {
                 state.files.describe(file, team).map(query::Answer::File)
             }
             query::Query::Files { team } => Some(query::Answer::Files(state.files.list(team))),
             query::Query::FileChunk { file, team, chunk } => state
                 .files
-                .lines(file, team, *chunk)
-                .map(|lines| query::Answer::Lines(lines.to_vec())),
+                .visible(file, team, *chunk)
+                .map(|chunk| chunk.lines(source))
+                .transpose()?
+                .map(query::Answer::Lines),
             query::Query::Job { job, team } => state
                 .jobs
                 .describe(job, team)
@@ -108,12 +151,12 @@
             }
             query::Query::Results { job, team, chunk } => state
                 .jobs
-                .results(job, team, *chunk, &state.files)
+                .results(job, team, *chunk, &state.files, source)?
                 .map(query::Answer::Results),
             query::Query::Backlog => Some(query::Answer::Backlog(state.jobs.backlog())),
             query::Query::Suspects => Some(query::Answer::Suspects(state.suspects.list())),
         };
-        Some(answer.unwrap_or(query::Answer::NotFound))
+        Ok(Some(answer.unwrap_or(query::Answer::NotFound)))
     }
 
     /// Encodes the whole state.
@@ -142,7 +185,8 @@
         match command {
             work::Command::FileChunk { file, chunk, lines } => {
                 let room = self.room();
-                self.files.put(now_ms, file, chunk, lines, room)
+                self.files
+                    .put(now_ms, file, chunk, lines, room, &mut self.payloads)
             }
             work::Command::FileSeal {
                 file,
@@ -161,14 +205,16 @@
                 };
                 self.files.seal(now_ms, &file, seal)
             }
-            work::Command::FileDelete { file, team } => self.files.delete(now_ms, &file, &team),
+            work::Command::FileDelete { file, team } => {
+                self.files.delete(now_ms, &file, &team, &mut self.payloads)
+            }
             work::Command::Claim {
                 team,
                 key,
                 body,
                 value,
             } => {
-                let room = self.room();
+                let room = self.state_room();
                 self.claims
                     .bind(now_ms, Owned { team, key }, body, value, room)
             }
@@ -199,7 +245,7 @@
             } => {
                 let until_ms = lease_end(now_ms, lease_ms);
                 self.jobs
-                    .take(now_ms, &holder, want, until_ms, &self.files, &self.tuning)
+                    .take(now_ms, &holder, want, until_ms, &self.tuning)
             }
             work::Command::Renew {
                 holder,
@@ -211,7 +257,9 @@
             }
             work::Command::Release { holder, chunks } => self.jobs.release(&holder, &chunks),
             work::Command::Record { chunk, outcomes } => {
-                self.jobs.record(now_ms, &chunk, outcomes, &mut self.files)
+                let payloads = &mut self.payloads;
+                self.jobs
+                    .record(now_ms, &chunk, outcomes, &mut self.files, payloads)
             }
             work::Command::AttemptBegin {
                 team,
@@ -227,7 +275,7 @@
                     until_ms: now_ms.saturating_add(timeout_ms),
                     holder_gone,
                 };
-                let room = self.room();
+                let room = self.state_room();
                 self.attempts.begin(now_ms, Owned { team, key }, call, room)
             }
             work::Command::AttemptEnd {
@@ -275,10 +323,20 @@
         most.saturating_sub(self.bytes())
     }
 
+    /// Returns the bytes that new claims and attempts may take, which stay in the
+    /// state.
+    fn state_room(&self) -> u64 {
+        let most = self.tuning.retention.max_state_bytes;
+        let used = self.claims.bytes() + self.attempts.bytes();
+        self.room().min(most.saturating_sub(used))
+    }
+
     fn expire(&mut self) {
         let retention = &self.tuning.retention;
-        self.jobs.expire(self.now_ms, retention, &mut self.files);
-        self.files.expire(self.now_ms, retention);
+        let payloads = &mut self.payloads;
+        self.jobs
+            .expire(self.now_ms, retention, &mut self.files, payloads);
+        self.files.expire(self.now_ms, retention, payloads);
         self.claims.expire(self.now_ms, retention);
         self.attempts.expire(self.now_ms, retention);
         self.suspects.expire(self.now_ms);
--- a/crates/state/tests/linearizable.rs
+++ b/crates/state/tests/linearizable.rs
@@ -13,6 +13,7 @@
 };
 use todc_utils::{Action, History, Specification, WGLChecker};
 
+use bw_coord::payload;
 use bw_state::{config, work};
 use bw_wire::{command, command::work as wire_work, intent, name::Name, query};
 
@@ -159,6 +160,7 @@
 
 struct WorkService {
     machine: work::Machine,
+    payloads: payload::Memory,
     index: u64,
     /// The last fencing number that each caller was given.
     fences: [u64; CALLERS],
@@ -171,7 +173,10 @@
             now_ms: 1_000 + self.index,
             command,
         };
-        self.machine.apply(self.index, stamped)
+        let reply = self.machine.apply(self.index, stamped);
+        self.payloads.carry_out(self.machine.effects());
+        let completed = self.machine.complete(reply, &mut &self.payloads);
+        completed.expect("the payloads are stored")
     }
 
     fn state(&self) -> Option<query::JobState> {
@@ -179,7 +184,8 @@
             job: "j".into(),
             team: "t".into(),
         };
-        match self.machine.query(&job) {
+        let answer = self.machine.query(&job, &mut &self.payloads);
+        match answer.expect("the payloads are stored") {
             Some(query::Answer::Job(job)) => Some(job.state),
             _ => None,
         }
@@ -190,6 +196,7 @@
     fn default() -> Self {
         let mut service = WorkService {
             machine: work::Machine::new(),
+            payloads: payload::Memory::new(),
             index: 0,
             fences: [0; CALLERS],
         };
--- a/crates/state/tests/work_model.rs
+++ b/crates/state/tests/work_model.rs
@@ -10,6 +10,7 @@
 };
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 
+use bw_coord::payload;
 use bw_state::work::Machine;
 use bw_wire::{command, command::work, fingerprint, query};
 
@@ -293,9 +294,10 @@
     }
 }
 
-/// The machine with what its callers know.
+/// The machine and its payloads with what its callers know.
 struct System {
     machine: Machine,
+    payloads: payload::Memory,
     index: u64,
     leases: Vec<work::ChunkRef>,
     attempts: [Vec<u64>; 2],
@@ -307,10 +309,18 @@
         let before = self.machine.now_ms();
         let stamped = command::Stamped { now_ms, command };
         let reply = self.machine.apply(self.index, stamped);
+        self.payloads.carry_out(self.machine.effects());
+        let reply = self.machine.complete(reply, &mut &self.payloads);
+        let reply = reply.expect("the payloads are stored");
         assert!(self.machine.now_ms() >= before);
         reply
     }
 
+    fn query(&self, query: &query::Query) -> Option<query::Answer> {
+        let answer = self.machine.query(query, &mut &self.payloads);
+        answer.expect("the payloads are stored")
+    }
+
     fn prepare(&mut self, now_ms: u64) {
         for chunk in 0..CHUNKS {
             let lines = (0..ITEMS).map(|item| work::Line {
@@ -380,6 +390,7 @@
     fn init_test(model: &Model) -> System {
         let mut system = System {
             machine: Machine::new(),
+            payloads: payload::Memory::new(),
             index: 0,
             leases: Vec::new(),
             attempts: [Vec::new(), Vec::new()],
@@ -511,7 +522,7 @@
         job: id.clone(),
         team: "t".into(),
     };
-    let answer = system.machine.query(&query);
+    let answer = system.query(&query);
     let Some(query::Answer::Job(found)) = answer else {
         assert!(!job.created);
         return;
@@ -528,7 +539,7 @@
             team: "t".into(),
             chunk,
         };
-        let Some(query::Answer::Results(items)) = system.machine.query(&query) else {
+        let Some(query::Answer::Results(items)) = system.query(&query) else {
             panic!("no results");
         };
         for item in items {
--- a/crates/state/tests/work_rules.rs
+++ b/crates/state/tests/work_rules.rs
@@ -2,12 +2,14 @@
 
 use std::collections;
 
+use bw_coord::payload;
 use bw_state::work::Machine;
 use bw_wire::{command, command::work, fingerprint, name::Name, query};
 
-/// A machine with a clock and an index.
+/// A machine with its payloads, a clock and an index.
 struct Bench {
     machine: Machine,
+    payloads: payload::Memory,
     index: u64,
     now_ms: u64,
 }
@@ -16,6 +18,7 @@
     fn new() -> Bench {
         Bench {
             machine: Machine::new(),
+            payloads: payload::Memory::new(),
             index: 0,
             now_ms: 1_000_000,
         }
@@ -27,7 +30,15 @@
             now_ms: self.now_ms,
             command,
         };
-        self.machine.apply(self.index, stamped)
+        let reply = self.machine.apply(self.index, stamped);
+        self.payloads.carry_out(self.machine.effects());
+        let completed = self.machine.complete(reply, &mut &self.payloads);
+        completed.expect("the payloads are stored")
+    }
+
+    fn query(&self, query: &query::Query) -> Option<query::Answer> {
+        let answer = self.machine.query(query, &mut &self.payloads);
+        answer.expect("the payloads are stored")
     }
 
     fn restart(&mut self) {
@@ -88,7 +99,7 @@
             job: job.into(),
             team: team.into(),
         };
-        match self.machine.query(&query) {
+        match self.query(&query) {
             Some(query::Answer::Job(job)) => job.state,
             other => panic!("unexpected answer {other:?}"),
         }
@@ -357,6 +368,152 @@
     assert_eq!(bench.state("j", "t"), query::JobState::Completed);
 }
 
+/// Guards against items that are mixed up when the numbers of a chunk have gaps
+/// or its lines call several paths.
+#[test]
+fn lines_with_gaps_keep_their_outcomes() {
+    let mut bench = Bench::new();
+    let elsewhere = |number| work::Line {
+        content: work::Content::Request {
+            url: "/v1/embeddings".to_owned(),
+            body: "{}".to_owned(),
+        },
+        ..line(number)
+    };
+    let bad = |number| work::Line {
+        custom_id: None,
+        content: work::Content::Bad {
+            code: "invalid_json".to_owned(),
+            message: format!("line {number}"),
+        },
+        ..line(number)
+    };
+    let lines = vec![
+        line(2),
+        line(3),
+        bad(5),
+        line(7),
+        elsewhere(8),
+        elsewhere(9),
+        line(10),
+        line(70),
+        bad(200),
+        line(u32::MAX),
+    ];
+    bench.run(work::Command::FileChunk {
+        file: "f".into(),
+        chunk: 0,
+        lines,
+    });
+    bench.run(seal("f", "t", 1));
+    bench.create("j", "t", "f", HOUR_MS);
+    bench.restart();
+    let lease = bench.take("a", 1).remove(0);
+    let numbers: Vec<u32> = lease.lines.iter().map(|line| line.number).collect();
+    assert_eq!(numbers, [2, 3, 7, 10, 70, u32::MAX]);
+    let numbers = [70, 7, 4, 8, 201, 7, u32::MAX];
+    let reply = bench.run(work::Command::Record {
+        chunk: lease.chunk.clone(),
+        outcomes: numbers.into_iter().map(answer).collect(),
+    });
+    let recorded = work::Reply::Recorded {
+        stored: 3,
+        duplicate: 2,
+        job_done: false,
+    };
+    assert_eq!(reply, recorded);
+    bench.run(work::Command::Release {
+        holder: "a".into(),
+        chunks: vec![lease.chunk],
+    });
+    let lease = bench.take("a", 1).remove(0);
+    let numbers: Vec<u32> = lease.lines.iter().map(|line| line.number).collect();
+    assert_eq!(numbers, [2, 3, 10]);
+    bench.record(&lease);
+    assert_eq!(bench.state("j", "t"), query::JobState::Completed);
+    let results = query::Query::Results {
+        job: "j".into(),
+        team: "t".into(),
+        chunk: 0,
+    };
+    let Some(query::Answer::Results(items)) = bench.query(&results) else {
+        panic!("no results");
+    };
+    let failed = |item: &query::ItemResult| match &item.outcome.result {
+        work::Result::Answer { body, .. } => {
+            assert_eq!(*body, format!("\"{}\"", item.outcome.number));
+            None
+        }
+        work::Result::Failed { code, .. } => Some(code.clone()),
+    };
+    let found: Vec<(u32, Option<String>)> = items
+        .iter()
+        .map(|item| (item.outcome.number, failed(item)))
+        .collect();
+    let json = || Some("invalid_json".to_owned());
+    let field = || Some("invalid_field".to_owned());
+    let expected = [
+        (2, None),
+        (3, None),
+        (5, json()),
+        (7, None),
+        (8, field()),
+        (9, field()),
+        (10, None),
+        (70, None),
+        (200, json()),
+        (u32::MAX, None),
+    ];
+    assert_eq!(found, expected);
+    assert_eq!(items[7].custom_id.as_deref(), Some("item-70"));
+}
+
+/// Guards against a repeated upload that stores a chunk twice, or replaces it.
+#[test]
+fn a_repeated_chunk_changes_nothing() {
+    let mut bench = Bench::new();
+    let chunk = |body: &str| work::Command::FileChunk {
+        file: "f".into(),
+        chunk: 0,
+        lines: vec![work::Line {
+            content: work::Content::Request {
+                url: URL.to_owned(),
+                body: body.to_owned(),
+            },
+            ..line(1)
+        }],
+    };
+    assert_eq!(bench.run(chunk("1")), work::Reply::Ok);
+    let bytes = bench.machine.bytes();
+    assert_eq!(bench.run(chunk("1")), work::Reply::Ok);
+    assert!(matches!(bench.run(chunk("2")), work::Reply::Invalid { .. }));
+    assert_eq!(bench.machine.bytes(), bytes);
+    assert_eq!(bench.payloads.count(), 1);
+}
+
+/// Guards against claims and attempts that fill the memory, which the limit of
+/// the disk does not protect.
+#[test]
+fn claims_and_attempts_have_their_own_limit() {
+    let mut bench = Bench::new();
+    let mut tuning = work::Tuning::default();
+    tuning.retention.max_state_bytes = 1_000;
+    bench.run(work::Command::Tune {
+        tuning: Box::new(tuning),
+    });
+    bench.upload("f", "t", 1, 20);
+    let claim = |key: &str| work::Command::Claim {
+        team: "t".into(),
+        key: key.into(),
+        body: fingerprint::Fingerprint(1, 2),
+        value: "j".into(),
+    };
+    let claimed = bench.run(claim("k"));
+    assert!(!matches!(claimed, work::Reply::Full));
+    assert_eq!(bench.run(claim(&"k".repeat(1_000))), work::Reply::Full);
+    bench.upload("g", "t", 1, 20);
+}
+
 /// Guards against a second run of a request that is not repeatable.
 #[test]
 fn an_unknown_attempt_stays_unknown() {
@@ -480,7 +637,7 @@
         team: "t".into(),
         chunk: 0,
     };
-    match bench.machine.query(&results) {
+    match bench.query(&results) {
         Some(query::Answer::Results(items)) => {
             assert_eq!(items[1].custom_id.as_deref(), Some("item-2"));
         }
@@ -488,10 +645,11 @@
     }
     bench.now_ms += retention.job_ms + retention.attempt_ms;
     bench.run(work::Command::Expire);
-    assert_eq!(bench.machine.query(&results), Some(query::Answer::NotFound));
+    assert_eq!(bench.query(&results), Some(query::Answer::NotFound));
     bench.now_ms += HOUR_MS;
     bench.run(work::Command::Expire);
     assert_eq!(bench.machine.bytes(), 0);
+    assert_eq!(bench.payloads.count(), 0);
     // Only the tuning is left, next to counters.
     assert!(bench.machine.snapshot().len() < 128);
 }
@@ -550,7 +708,7 @@
         },
     ];
     for query in queries {
-        assert_eq!(bench.machine.query(&query), Some(query::Answer::NotFound));
+        assert_eq!(bench.query(&query), Some(query::Answer::NotFound));
     }
     let cancel = work::Command::JobCancel {
         job: "j".into(),
--- a/crates/wire/src/command/work.rs
+++ b/crates/wire/src/command/work.rs
@@ -309,8 +309,12 @@
     /// A suspect, from its last strike.
     pub suspect_ms: u64,
     /// Most bytes of input lines, results, claims and attempts; new files, claims
-    /// and attempts are refused above it.
+    /// and attempts are refused above it. Nearly all of it are payloads on the
+    /// disk, where gaps of removed payloads can take as much again.
     pub max_bytes: u64,
+    /// Most bytes of claims and attempts, which are held in memory and in
+    /// snapshots; new ones are refused above it.
+    pub max_state_bytes: u64,
 }
 
 impl Default for Retention {
@@ -323,9 +327,12 @@
             claim_ms: 31 * DAY_MS,
             attempt_ms: 7 * DAY_MS,
             suspect_ms: 6 * HOUR_MS,
-            // A snapshot holds up the control thread: near 600 MB of state the
-            // slowest percent of commands took 0.9 s in batch_bench.
-            max_bytes: 512 * 1024 * 1024,
+            // About 25 million items of 663 bytes in each group; four groups and
+            // their gaps stay below 128 GiB of disk.
+            max_bytes: 16 * 1024 * 1024 * 1024,
+            // Encoding a snapshot holds up the control thread: near 600 MB of
+            // state the slowest percent of commands took 0.9 s in batch_bench.
+            max_state_bytes: 512 * 1024 * 1024,
         }
     }
 }
--- a/programs/control/src/core/answer.rs
+++ b/programs/control/src/core/answer.rs
@@ -61,9 +61,14 @@
         }
     }
 
-    fn query(&self, group: u32, query: &query::Query) -> Result<query::Answer, Failure> {
-        let machine = self.parts.host.machine(GroupId(group));
-        let answer = machine.and_then(|machine| machine.query(query));
+    fn query(&mut self, group: u32, query: &query::Query) -> Result<query::Answer, Failure> {
+        let host = &mut self.parts.host;
+        let answer = host.read(GroupId(group), |machine, payloads| {
+            machine.query(query, payloads)
+        });
+        // A damaged payload stops this replica in its next step; another one
+        // answers the repeated query.
+        let answer = answer.map_err(|_| Failure::NotLeader(None))?.flatten();
         answer.ok_or_else(|| Failure::Invalid("the query does not belong to this group".to_owned()))
     }
 
@@ -93,13 +98,12 @@
     /// Returns the suspects of all work groups, as far as this replica knows.
     fn suspects(&self) -> Vec<command::work::Suspect> {
         let groups = 1..=self.parts.settings.work_groups;
-        let answers = groups.filter_map(|group| {
+        let lists = groups.filter_map(|group| {
             let machine = self.parts.host.machine(GroupId(group))?;
-            machine.query(&query::Query::Suspects)
-        });
-        let lists = answers.filter_map(|answer| match answer {
-            query::Answer::Suspects(suspects) => Some(suspects),
-            _ => None,
+            match machine {
+                machine::Machine::Work(work) => Some(work.suspects()),
+                machine::Machine::Config(_) => None,
+            }
         });
         lists.flatten().collect()
     }
--- a/programs/control/src/core/chores.rs
+++ b/programs/control/src/core/chores.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use bw_coord::{GroupId, host, node};
+use bw_coord::{GroupId, host, node, payload};
 use bw_state::machine;
 use bw_wire::{
     backend, command,
@@ -183,6 +183,9 @@
                 let gauge = metrics::STORED.with_label_values(&[&group.to_string()]);
                 gauge.set(machine.bytes() as i64);
             }
+            if let Some(payloads) = self.parts.host.payloads(GroupId(group)) {
+                observe_payloads(group, payloads);
+            }
         }
         if let Some(machine::Machine::Config(config)) = self.parts.host.machine(GroupId(0)) {
             let labels: [&str; 0] = [];
@@ -224,6 +227,18 @@
     }
 }
 
+fn observe_payloads(group: u32, payloads: &payload::Store) {
+    let group = group.to_string();
+    let parts = [
+        ("live", payloads.live_bytes()),
+        ("disk", payloads.disk_bytes()),
+    ];
+    for (part, bytes) in parts {
+        let gauge = metrics::PAYLOADS.with_label_values(&[&group, part]);
+        gauge.set(bytes as i64);
+    }
+}
+
 fn observe_group(group: u32, status: &host::Status) {
     let name = group.to_string();
     let positions = [
--- a/programs/control/src/metrics.rs
+++ b/programs/control/src/metrics.rs
@@ -29,4 +29,5 @@
 metric!(BACKENDS: IntGaugeVec = gauge("bw_control_backends", "Known backend servers.", []));
 metric!(DISK: IntGaugeVec = gauge("bw_control_disk", "Totals of the write-ahead log since the start.", ["total"]));
 metric!(STORED: IntGaugeVec = gauge("bw_control_stored_bytes", "Bytes of input lines and results by group.", ["group"]));
+metric!(PAYLOADS: IntGaugeVec = gauge("bw_control_payload_bytes", "Bytes of payload segments by group and part.", ["group", "part"]));
 metric!(PLACEMENT: IntGaugeVec = gauge("bw_control_placement_missing", "Replicas that a model still lacks.", ["model"]));
--- a/programs/control/src/settings.rs
+++ b/programs/control/src/settings.rs
@@ -183,6 +183,7 @@
             ("attempt_ms", kept.attempt_ms),
             ("suspect_ms", kept.suspect_ms),
             ("max_bytes", kept.max_bytes),
+            ("max_state_bytes", kept.max_state_bytes),
         ];
         for (name, value) in values {
             let field = format!("retention.{name}");
--- a/programs/dev/examples/slopes.rs
+++ b/programs/dev/examples/slopes.rs
@@ -6,9 +6,10 @@
 //! CPU time is that of this thread; memory is the growth of the resident set,
 //! and everything that was built is kept until the end of its measurement.
 
-use std::{collections, fs, hint, mem};
+use std::{collections, env, fs, hint, mem, process, time::Instant};
 
 use bw_control::registry;
+use bw_coord::{GroupId, payload, storage};
 use bw_policy::admission;
 use bw_state::work;
 use bw_wire::{backend, command, intent, name, sync};
@@ -21,6 +22,8 @@
 const TEAM_SIZES: [u32; 3] = [1_000, 8_000, 32_000];
 const REVISION_SIZES: [u32; 3] = [100, 400, 1_600];
 const ITEMS_PER_CHUNK: u32 = 256;
+/// Size of a payload segment, as in the control program.
+const SEGMENT_BYTES: u32 = 16 << 20;
 /// Text of one item's body, which makes a line of about 300 bytes.
 const BODY_BYTES: usize = 220;
 /// Repeats of an exchange, so that the clock's resolution does not matter.
@@ -49,7 +52,15 @@
 fn items(count: u32) -> serde_json::Value {
     let before = Usage::now();
     let mut machine = work::Machine::new();
-    let mut log = Log::default();
+    let path = env::temp_dir().join(format!("slopes-{}-{count}", process::id()));
+    let mut log = Log {
+        index: 0,
+        bytes: 0,
+        payloads: Payloads {
+            store: payload::Store::new(GroupId(1), SEGMENT_BYTES),
+            disk: storage::Directory::open(&path).expect("a directory"),
+        },
+    };
     let chunks = count / ITEMS_PER_CHUNK;
     for chunk in 0..chunks {
         log.apply(&mut machine, file_chunk(chunk));
@@ -68,23 +79,64 @@
         }
     }
     let used = before.until_now();
-    let snapshot = machine.snapshot();
+    let payloads = &mut log.payloads;
+    let started = Instant::now();
+    let mut snapshot = machine.snapshot();
+    snapshot.extend(payloads.store.list());
+    let encode_ms = started.elapsed().as_secs_f64() * 1e3;
+    let mut syncs = 0;
+    while !payloads.store.sync(&mut payloads.disk).expect("a sync") {
+        syncs += 1;
+    }
+    let sync_ms = started.elapsed().as_secs_f64() * 1e3 - encode_ms;
+    let disk_bytes = payloads.store.disk_bytes();
+    let log_bytes = log.bytes;
+    fs::remove_dir_all(&path).expect("the directory is removed");
     // Kept, so that later measurements do not find its memory free.
-    mem::forget(machine);
+    mem::forget((machine, log));
     json!({
         "measure": "item",
         "size": count,
         "cpu_us_each": used.cpu_us / f64::from(count),
         "memory_bytes_each": used.memory_bytes / f64::from(count),
-        "log_bytes_each": log.bytes as f64 / f64::from(count),
+        "log_bytes_each": log_bytes as f64 / f64::from(count),
+        "disk_bytes_each": disk_bytes as f64 / f64::from(count),
         "snapshot_bytes_each": snapshot.len() as f64 / f64::from(count),
+        "snapshot_encode_ms": encode_ms,
+        "snapshot_segments": syncs,
+        "snapshot_sync_ms": sync_ms,
     })
 }
 
-#[derive(Default)]
 struct Log {
     index: u64,
     bytes: usize,
+    payloads: Payloads,
+}
+
+/// Payloads in a directory, as a control program keeps them.
+struct Payloads {
+    store: payload::Store,
+    disk: storage::Directory,
+}
+
+impl payload::Source for Payloads {
+    fn get(&mut self, key: payload::Key) -> Result<Vec<u8>, storage::Error> {
+        let content = self.store.get(&mut self.disk, key)?;
+        Ok(content.expect("the payload is stored"))
+    }
+}
+
+impl Payloads {
+    fn carry_out(&mut self, effect: payload::Effect) {
+        match effect {
+            payload::Effect::Put { key, content } => {
+                let stored = self.store.put(&mut self.disk, key, &content);
+                stored.expect("the disk has room");
+            }
+            payload::Effect::Remove { key } => self.store.remove(key),
+        }
+    }
 }
 
 impl Log {
@@ -101,7 +153,12 @@
         let encoded = postcard::to_stdvec(&stamped).expect("command is encoded");
         self.bytes += encoded.len();
         let stamped = postcard::from_bytes(&encoded).expect("command is decoded");
-        machine.apply(self.index, stamped)
+        let reply = machine.apply(self.index, stamped);
+        for effect in machine.effects() {
+            self.payloads.carry_out(effect);
+        }
+        let completed = machine.complete(reply, &mut self.payloads);
+        completed.expect("the payloads are stored")
     }
 }
 
--- a/programs/entry/tests/batch.rs
+++ b/programs/entry/tests/batch.rs
@@ -9,6 +9,7 @@
     time,
 };
 
+use bw_coord::payload;
 use bw_entry::{Handle, settings};
 use bw_state::work;
 use bw_wire::{
@@ -34,6 +35,7 @@
 /// What the control replica holds: one work group.
 struct State {
     machine: work::Machine,
+    payloads: payload::Memory,
     index: u64,
     owners: collections::BTreeMap<name::Name, name::Name>,
     /// Online requests of other entry VMs.
@@ -73,10 +75,12 @@
     }
 
     fn suspects(&self) -> Vec<Suspect> {
-        match self.machine.query(&query::Query::Suspects) {
-            Some(query::Answer::Suspects(suspects)) => suspects,
-            other => panic!("{other:?}"),
-        }
+        self.machine.suspects()
+    }
+
+    fn query(&self, query: &query::Query) -> Option<query::Answer> {
+        let answer = self.machine.query(query, &mut &self.payloads);
+        answer.expect("the payloads are stored")
     }
 
     fn apply(&mut self, command: Command) -> Reply {
@@ -90,8 +94,11 @@
         }
         self.index += 1;
         let now_ms = unix_ms();
-        self.machine
-            .apply(self.index, command::Stamped { now_ms, command })
+        let stamped = command::Stamped { now_ms, command };
+        let reply = self.machine.apply(self.index, stamped);
+        self.payloads.carry_out(self.machine.effects());
+        let completed = self.machine.complete(reply, &mut &self.payloads);
+        completed.expect("the payloads are stored")
     }
 }
 
@@ -111,6 +118,7 @@
             .map(|backend| (backend.id.as_str().into(), "entry-1".into()));
         let state = Arc::new(sync::Mutex::new(State {
             machine: work::Machine::new(),
+            payloads: payload::Memory::new(),
             index: 0,
             owners: owners.collect(),
             online: collections::BTreeMap::new(),
@@ -196,14 +204,14 @@
             job: JOB.into(),
             team: "guild".into(),
         };
-        match self.lock().machine.query(&query) {
+        match self.lock().query(&query) {
             Some(query::Answer::Job(job)) => *job,
             other => panic!("{other:?}"),
         }
     }
 
     fn backlog(&self) -> query::Backlog {
-        match self.lock().machine.query(&query::Query::Backlog) {
+        match self.lock().query(&query::Query::Backlog) {
             Some(query::Answer::Backlog(backlog)) => backlog,
             other => panic!("{other:?}"),
         }
@@ -221,7 +229,7 @@
             team: "guild".into(),
             chunk: 0,
         };
-        match self.lock().machine.query(&query) {
+        match self.lock().query(&query) {
             Some(query::Answer::Results(results)) => {
                 results.into_iter().map(|result| result.outcome).collect()
             }
@@ -292,7 +300,7 @@
         .register_method(rpc::QUERY, |params, state, _| {
             let ask: rpc::Ask = params.one()?;
             let state = state.lock().expect("not poisoned");
-            let answer = state.machine.query(&ask.query);
+            let answer = state.query(&ask.query);
             Ok::<_, ErrorObjectOwned>(answer.unwrap_or(query::Answer::NotFound))
         })
         .expect("registered");
