--- a/crates/coord/src/host/group.rs
+++ b/crates/coord/src/host/group.rs
@@ -220,8 +220,11 @@
             match contents {
                 node::Contents::Abort => self.abort_receiving(disk)?,
                 node::Contents::Start { list } => {
-                    self.abort_receiving(disk)?;
-                    self.receiving = payload::Receiver::new(&list);
+                    let earlier = self.receiving.take();
+                    self.receiving = payload::Receiver::new(&list, &self.payloads, earlier);
+                    if self.receiving.is_none() {
+                        return self.reject_snapshot(disk);
+                    }
                 }
                 node::Contents::Piece(bytes) => {
                     let Some(receiver) = &mut self.receiving else {
@@ -229,11 +232,14 @@
                     };
                     let written = receiver.write(&mut self.payloads, disk, &bytes)?;
                     if written.is_err() {
-                        self.reject_snapshot(disk)?;
+                        return self.reject_snapshot(disk);
                     }
                 }
             }
         }
+        if let Some(receiver) = &self.receiving {
+            self.node.contents_stored(receiver.offset());
+        }
         Ok(())
     }
 
@@ -341,6 +347,7 @@
             })?;
         // The list of the leader has other places.
         install.meta = self.append_list(&mut data, install.meta);
+        while !self.payloads.sync(disk)? {}
         let writer = Writer::new(self.id, install.meta.clone(), &data);
         let stored = writer.complete(disk)?;
         self.payloads.finish_snapshot();
--- a/crates/coord/src/node/follow.rs
+++ b/crates/coord/src/node/follow.rs
@@ -20,6 +20,8 @@
     received: u64,
     /// Whether the data is complete and valid.
     checked: bool,
+    /// Who sent the last piece, until it is answered.
+    unanswered: Option<(ReplicaId, Beat)>,
 }
 
 impl Incoming {
@@ -159,24 +161,48 @@
             );
             return;
         }
-        let size = meta.stream_size();
-        let Some(offset) = self.collect(chunk) else {
+        if !self.collect(chunk) {
             ::log::error!(
                 "group {}: snapshot {index} of replica {from} is damaged",
                 self.group
             );
             return self.reject_snapshot();
+        }
+        let Some(incoming) = &mut self.incoming else {
+            return;
         };
-        if offset < size {
-            self.reply_chunk(from, beat, index, ChunkProgress::Next { offset });
+        if incoming.checked {
+            // The host stores the payloads first, and may have some already.
+            incoming.unanswered = Some((from, beat));
+            return;
+        }
+        let offset = incoming.received;
+        self.reply_chunk(from, beat, index, ChunkProgress::Next { offset });
+    }
+
+    /// Goes on with the snapshot that is arriving: the host has its payloads up
+    /// to a position of their contents.
+    pub fn contents_stored(&mut self, position: u64) {
+        let incoming = self.incoming.as_mut();
+        let Some(incoming) = incoming.filter(|incoming| incoming.checked) else {
             return;
+        };
+        let offset = incoming.meta.size + position;
+        incoming.received = offset;
+        let Some((from, beat)) = incoming.unanswered.take() else {
+            return;
+        };
+        let index = incoming.meta.index;
+        if offset < incoming.meta.stream_size() {
+            self.reply_chunk(from, beat, index, ChunkProgress::Next { offset });
+        } else {
+            self.complete_snapshot(from, beat);
         }
-        self.complete_snapshot(from, beat);
     }
 
-    /// Adds a piece if it is the next one and returns the next missing byte, or
-    /// `None` if the state or the list is damaged.
-    fn collect(&mut self, chunk: Chunk) -> Option<u64> {
+    /// Adds a piece if it is the next one. Returns false if the state or the list
+    /// is damaged.
+    fn collect(&mut self, chunk: Chunk) -> bool {
         let incoming = match &mut self.incoming {
             Some(incoming) if incoming.meta == chunk.meta => incoming,
             other => other.insert(Incoming {
@@ -184,10 +210,11 @@
                 data: Vec::new(),
                 received: 0,
                 checked: false,
+                unanswered: None,
             }),
         };
         if chunk.offset != incoming.received {
-            return Some(incoming.received);
+            return true;
         }
         incoming.received += chunk.data.len() as u64;
         let missing = incoming.meta.size - incoming.data.len() as u64;
@@ -195,11 +222,11 @@
         let (data, contents) = chunk.data.split_at(missing.min(chunk.data.len()));
         incoming.data.extend_from_slice(data);
         if !incoming.checked && incoming.data.len() as u64 == incoming.meta.size {
-            if !incoming.is_valid() {
-                return None;
-            }
+            let list = incoming.data.get(incoming.meta.state_size as usize..);
+            let Some(list) = list.filter(|_| incoming.is_valid()) else {
+                return false;
+            };
             incoming.checked = true;
-            let list = incoming.data.get(incoming.meta.state_size as usize..)?;
             self.out.contents.push(Contents::Start {
                 list: list.to_vec(),
             });
@@ -207,7 +234,7 @@
         if !contents.is_empty() {
             self.out.contents.push(Contents::Piece(contents.to_vec()));
         }
-        Some(incoming.received)
+        true
     }
 
     /// Drops the snapshot that is arriving. The next piece starts it anew.
--- a/crates/coord/src/payload/receiver.rs
+++ b/crates/coord/src/payload/receiver.rs
@@ -1,8 +1,10 @@
 //! Payloads that arrive with the snapshot of another replica.
 
+use std::collections::BTreeMap;
+
 use crate::{
     payload::{
-        Store,
+        Key, Store,
         list::{self, Item, Place},
     },
     storage::{Disk, Error},
@@ -12,14 +14,21 @@
 ///
 /// They go into segments of the usual size, each of which is synced once it is
 /// full, so that neither the memory nor the last sync grows with the stream.
+/// Payloads that this replica has already, from its own log or from a snapshot
+/// that was replaced while it was being sent, are skipped: otherwise a transfer
+/// that takes longer than the sender's next snapshot would never end.
 #[derive(Debug)]
 pub(crate) struct Receiver {
-    /// The payloads in the order of the stream, with their places here as far
-    /// as they have arrived.
+    /// The payloads in the order of the stream, with the sender's places until
+    /// they are here.
     items: Vec<Item>,
-    /// The number of payloads that arrived completely.
-    complete: usize,
-    /// Bytes of the next payload that have arrived.
+    /// Where each payload that is here can be found.
+    states: Vec<State>,
+    /// The payload whose bytes come next.
+    next: usize,
+    /// Where that payload starts in the stream.
+    start: u64,
+    /// Bytes of it that have arrived.
     partial: u32,
     hasher: crc32fast::Hasher,
     segment: Option<u32>,
@@ -27,26 +36,66 @@
     segments: Vec<u32>,
 }
 
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum State {
+    /// It has to arrive.
+    Missing,
+    /// The store has it. The store may move it, so that its place is looked up
+    /// at the end.
+    Stored,
+    /// It is in a segment of the receiver.
+    Received,
+}
+
 /// Contents that do not match the list.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct Mismatch;
 
 impl Receiver {
     /// Starts with the encoded list of the sender, or returns `None` if it is
-    /// malformed.
-    pub fn new(list: &[u8]) -> Option<Receiver> {
-        Some(Receiver {
-            items: list::decode(list)?,
-            complete: 0,
+    /// malformed. What an earlier receiver stored is taken over.
+    pub fn new(list: &[u8], store: &Store, earlier: Option<Receiver>) -> Option<Receiver> {
+        let mut items = list::decode(list)?;
+        let mut receiver = Receiver {
+            items: Vec::new(),
+            states: Vec::with_capacity(items.len()),
+            next: 0,
+            start: 0,
             partial: 0,
             hasher: crc32fast::Hasher::new(),
             segment: None,
             size: 0,
             segments: Vec::new(),
-        })
+        };
+        let mut received = BTreeMap::new();
+        if let Some(earlier) = earlier {
+            received = earlier.received().collect();
+            receiver.segment = earlier.segment;
+            receiver.size = earlier.size;
+            receiver.segments = earlier.segments;
+        }
+        for item in &mut items {
+            let state = match received.get(&item.key) {
+                Some(place) if same_content(place, &item.place) => {
+                    item.place = *place;
+                    State::Received
+                }
+                _ if find(store, item).is_some() => State::Stored,
+                _ => State::Missing,
+            };
+            receiver.states.push(state);
+        }
+        receiver.items = items;
+        receiver.skip();
+        Some(receiver)
+    }
+
+    /// Returns the position in the stream of the next byte that is missing.
+    pub fn offset(&self) -> u64 {
+        self.start + u64::from(self.partial)
     }
 
-    /// Stores the next bytes of the contents.
+    /// Stores the bytes that follow [`Receiver::offset`].
     ///
     /// # Errors
     ///
@@ -58,67 +107,40 @@
         disk: &mut D,
         mut bytes: &[u8],
     ) -> Result<Result<(), Mismatch>, Error> {
-        self.skip_empty();
         while !bytes.is_empty() {
-            let Some(item) = self.items.get_mut(self.complete) else {
+            let Some(length) = self.items.get(self.next).map(|item| item.place.length) else {
                 return Ok(Err(Mismatch));
             };
-            let number = match self.segment {
-                Some(number) => number,
-                None => {
-                    let number = store.reserve();
-                    self.segments.push(number);
-                    self.size = 0;
-                    *self.segment.insert(number)
-                }
-            };
-            if self.partial == 0 {
-                item.place = Place {
-                    segment: number,
-                    offset: self.size,
-                    ..item.place
-                };
-            }
-            let missing = (item.place.length - self.partial) as usize;
+            let missing = (length - self.partial) as usize;
             let (part, rest) = bytes.split_at(missing.min(bytes.len()));
             bytes = rest;
-            disk.append(&store.name(number), part)?;
-            self.hasher.update(part);
-            self.partial += part.len() as u32;
-            self.size += part.len() as u32;
-            if self.partial < item.place.length {
-                continue;
-            }
-            if std::mem::take(&mut self.hasher).finalize() != item.place.crc {
+            self.append(store, disk, part)?;
+            if self.partial == length && !self.complete(store, disk)? {
                 return Ok(Err(Mismatch));
             }
-            self.complete += 1;
-            self.partial = 0;
-            if self.size >= store.segment_limit() {
-                self.sync(store, disk)?;
-            }
-            self.skip_empty();
+            let before = self.offset();
+            self.skip();
+            let skipped = (self.offset() - before) as usize;
+            bytes = bytes.get(skipped..).unwrap_or_default();
         }
         Ok(Ok(()))
     }
 
-    /// Completes the payloads without content, of which no bytes arrive.
-    fn skip_empty(&mut self) {
-        while let Some(item) = self.items.get_mut(self.complete)
-            && item.place.length == 0
-        {
-            // Any place does, as nothing is read there.
-            item.place.segment = self.segment.unwrap_or(0);
-            item.place.offset = 0;
-            self.complete += 1;
-        }
-    }
-
     /// Makes the payloads durable and puts them in place of those of the store.
-    /// Returns false, without effect on the store, if some have not arrived.
+    /// Returns false, without effect on the store, if some are missing.
     pub fn finish<D: Disk>(mut self, store: &mut Store, disk: &mut D) -> Result<bool, Error> {
-        self.skip_empty();
-        if self.complete < self.items.len() {
+        let mut complete = true;
+        for (item, state) in self.items.iter_mut().zip(&self.states) {
+            match state {
+                State::Missing => complete = false,
+                State::Received => {}
+                State::Stored => match find(store, item) {
+                    Some(place) => item.place = place,
+                    None => complete = false,
+                },
+            }
+        }
+        if !complete {
             self.discard(store, disk)?;
             return Ok(false);
         }
@@ -135,6 +157,78 @@
         Ok(())
     }
 
+    fn received(&self) -> impl Iterator<Item = (Key, Place)> {
+        let items = self.items.iter().zip(&self.states);
+        let received = items.filter(|(_, state)| **state == State::Received);
+        received.map(|(item, _)| (item.key, item.place))
+    }
+
+    /// Appends bytes of the next payload.
+    fn append<D: Disk>(
+        &mut self,
+        store: &mut Store,
+        disk: &mut D,
+        part: &[u8],
+    ) -> Result<(), Error> {
+        let number = match self.segment {
+            Some(number) => number,
+            None => {
+                let number = store.reserve();
+                self.segments.push(number);
+                self.size = 0;
+                *self.segment.insert(number)
+            }
+        };
+        if self.partial == 0
+            && let Some(item) = self.items.get_mut(self.next)
+        {
+            item.place.segment = number;
+            item.place.offset = self.size;
+        }
+        disk.append(&store.name(number), part)?;
+        self.hasher.update(part);
+        self.partial += part.len() as u32;
+        self.size += part.len() as u32;
+        Ok(())
+    }
+
+    /// Checks the next payload, of which all bytes have arrived.
+    fn complete<D: Disk>(&mut self, store: &Store, disk: &mut D) -> Result<bool, Error> {
+        let crc = std::mem::take(&mut self.hasher).finalize();
+        let item = self.items.get(self.next);
+        if item.is_none_or(|item| item.place.crc != crc) {
+            return Ok(false);
+        }
+        if let Some(state) = self.states.get_mut(self.next) {
+            *state = State::Received;
+        }
+        if self.size >= store.segment_limit() {
+            self.sync(store, disk)?;
+        }
+        Ok(true)
+    }
+
+    /// Moves to the next payload that is missing and has content.
+    fn skip(&mut self) {
+        while let (Some(item), Some(state)) = (
+            self.items.get_mut(self.next),
+            self.states.get_mut(self.next),
+        ) {
+            if item.place.length == 0 {
+                // Any place does, as nothing is read there.
+                item.place.segment = self.segment.unwrap_or(0);
+                item.place.offset = 0;
+                *state = State::Received;
+            }
+            if *state == State::Missing {
+                return;
+            }
+            self.start += u64::from(item.place.length);
+            self.partial = 0;
+            self.next += 1;
+        }
+    }
+
     fn sync<D: Disk>(&mut self, store: &Store, disk: &mut D) -> Result<(), Error> {
         if let Some(number) = self.segment.take() {
             let name = store.name(number);
@@ -144,3 +238,12 @@
         Ok(())
     }
 }
+
+fn find(store: &Store, item: &Item) -> Option<Place> {
+    let place = store.place(item.key)?;
+    same_content(&place, &item.place).then_some(place)
+}
+
+fn same_content(left: &Place, right: &Place) -> bool {
+    left.length == right.length && left.crc == right.crc
+}
--- a/crates/coord/src/payload/store.rs
+++ b/crates/coord/src/payload/store.rs
@@ -16,7 +16,8 @@
 
 const PREFIX: &str = "payload-";
 
-/// Largest size of a segment, so that offsets have 32 bits.
+/// Largest size at which a new segment is started, and largest size of a
+/// payload, so that offsets have 32 bits.
 const SEGMENT_BYTES_MAX: u32 = 1 << 30;
 /// Payload bytes that one step of the compaction copies.
 const COMPACT_BYTES: u64 = 1 << 20;
@@ -151,10 +152,14 @@
     ///
     /// # Panics
     ///
-    /// Panics if the content has 4 GiB or more.
+    /// Panics if the content is larger than 1 GiB.
     pub fn put<D: Disk>(&mut self, disk: &mut D, key: Key, content: &[u8]) -> Result<(), Error> {
         let crc = crc32fast::hash(content);
-        let length = u32::try_from(content.len()).expect("payloads are smaller than 4 GiB");
+        assert!(
+            content.len() <= SEGMENT_BYTES_MAX as usize,
+            "payloads have at most 1 GiB"
+        );
+        let length = content.len() as u32;
         match self.index.get(&key) {
             Some(place) if place.length == length && place.crc == crc => return Ok(()),
             Some(place) => {
@@ -266,12 +271,16 @@
         number
     }
 
+    pub(super) fn place(&self, key: Key) -> Option<Place> {
+        self.index.get(&key).copied()
+    }
+
     pub(super) fn segment_limit(&self) -> u32 {
         self.segment_bytes
     }
 
-    /// Replaces all payloads by those of synced segments. The segments before
-    /// stay until [`Store::finish_snapshot`], in case the snapshot that refers
+    /// Replaces all payloads by others in its own segments or in new, synced
+    /// ones. The segments before stay until [`Store::finish_snapshot`], in case the snapshot that refers
     /// to the new ones is never completed.
     pub(super) fn replace(&mut self, items: impl Iterator<Item = Item>) {
         for segment in self.segments.values_mut() {
@@ -293,11 +302,13 @@
     /// Adds a payload that is on the disk already.
     fn adopt(&mut self, item: Item) {
         let place = item.place;
-        let segment = self.segments.entry(place.segment).or_default();
+        let segment = self.segments.entry(place.segment).or_insert(Segment {
+            synced: true,
+            ..Segment::default()
+        });
         segment.size = segment.size.max(place.offset.saturating_add(place.length));
         segment.live_bytes += u64::from(place.length);
         segment.live += 1;
-        segment.synced = true;
         self.next_segment = self.next_segment.max(place.segment.saturating_add(1));
         self.index.insert(item.key, place);
     }
--- a/crates/coord/tests/common/mod.rs
+++ b/crates/coord/tests/common/mod.rs
@@ -18,8 +18,23 @@
 const PAYLOAD_SEGMENT_BYTES: u32 = 1 << 10;
 const DOMAINS: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 
-/// Commands whose payloads are live; older ones are removed.
-const LIVE_PAYLOADS: usize = 24;
+/// The payloads of a journal.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Payloads {
+    /// Commands whose payloads are live; older ones are removed.
+    pub live: usize,
+    /// Makes contents this many times longer.
+    pub factor: usize,
+}
+
+impl Default for Payloads {
+    fn default() -> Payloads {
+        Payloads {
+            live: 24,
+            factor: 1,
+        }
+    }
+}
 
 /// Keeps the ids of all commands in the order in which they were applied, and a
 /// payload for each of the last ones.
@@ -27,24 +42,26 @@
 pub struct Journal {
     pub commands: Vec<u64>,
     padding: usize,
+    payloads: Payloads,
     effects: Vec<payload::Effect>,
 }
 
 impl Journal {
     /// Pads snapshots, so that they are sent in several pieces.
-    pub fn padded(padding: usize) -> Journal {
+    pub fn padded(padding: usize, payloads: Payloads) -> Journal {
         Journal {
             commands: Vec::new(),
             padding,
+            payloads,
             effects: Vec::new(),
         }
     }
 
-    /// Returns the content of each live payload by key.
-    pub fn payloads(&self) -> impl Iterator<Item = (payload::Key, Vec<u8>)> {
-        let first = self.commands.len().saturating_sub(LIVE_PAYLOADS);
+    /// Returns the keys and commands of the live payloads.
+    pub fn payloads(&self) -> impl ExactSizeIterator<Item = (payload::Key, u64)> {
+        let first = self.commands.len().saturating_sub(self.payloads.live);
         let commands = self.commands.iter().enumerate().skip(first);
-        commands.map(|(position, id)| (payload::Key(position as u64), content(*id)))
+        commands.map(|(position, id)| (payload::Key(position as u64), *id))
     }
 
     /// Checks live payloads: the newest and the oldest, or all of them.
@@ -53,10 +70,11 @@
         all: bool,
         source: &mut dyn payload::Source,
     ) -> Result<(), storage::Error> {
-        let payloads: Vec<_> = self.payloads().collect();
+        let payloads = self.payloads();
         let last = payloads.len().saturating_sub(1);
-        for (position, (key, content)) in payloads.into_iter().enumerate() {
+        for (position, (key, id)) in payloads.enumerate() {
             if all || position == 0 || position == last {
+                let content = content(id, self.payloads.factor);
                 assert_eq!(source.get(key)?, content, "payload {key:?}");
             }
         }
@@ -76,8 +94,8 @@
 }
 
 /// Returns the payload of a command; some are empty.
-pub fn content(id: u64) -> Vec<u8> {
-    let repeated = std::iter::repeat_n(id.to_le_bytes(), (id % 20) as usize);
+pub fn content(id: u64, factor: usize) -> Vec<u8> {
+    let repeated = std::iter::repeat_n(id.to_le_bytes(), (id % 20) as usize * factor);
     repeated.flatten().collect()
 }
 
@@ -89,9 +107,9 @@
         self.commands.push(id);
         self.effects.push(payload::Effect::Put {
             key: payload::Key(key),
-            content: content(id),
+            content: content(id, self.payloads.factor),
         });
-        if let Some(old) = key.checked_sub(LIVE_PAYLOADS as u64) {
+        if let Some(old) = key.checked_sub(self.payloads.live as u64) {
             let key = payload::Key(old);
             self.effects.push(payload::Effect::Remove { key });
         }
@@ -148,6 +166,7 @@
     pub retained_bytes: u64,
     pub segment_bytes: u64,
     pub padding: usize,
+    pub payloads: Payloads,
     /// Failure domain of each first member, as an index.
     pub domains: Vec<usize>,
 }
@@ -164,6 +183,7 @@
             retained_bytes: 512,
             segment_bytes: 4 << 10,
             padding: 0,
+            payloads: Payloads::default(),
             domains: (0..replicas as usize).collect(),
         }
     }
@@ -325,7 +345,10 @@
             .inflight_bytes(2_048)
             .seed(self.rng.random());
         for group in GROUPS {
-            builder = builder.group(group, Journal::padded(self.options.padding));
+            builder = builder.group(
+                group,
+                Journal::padded(self.options.padding, self.options.payloads),
+            );
         }
         slot.inbox.clear();
         slot.error = None;
--- a/crates/coord/tests/payload_replicas.rs
+++ b/crates/coord/tests/payload_replicas.rs
@@ -68,7 +68,7 @@
     let leader = cluster.await_leader(FIRST);
     // A log entry holds the id of its command once, a payload several times.
     let contents = cluster.commands(leader, FIRST).iter();
-    let contents = contents.map(|id| common::content(*id));
+    let contents = contents.map(|id| common::content(*id, 1));
     cluster.damaged = contents.filter(|content| content.len() > 80).collect();
     let stale = cluster.status(follower, FIRST).expect("running");
     cluster.isolate(follower, false);
@@ -78,6 +78,74 @@
     cluster.settle();
 }
 
+/// Guards against a transfer that starts anew with each snapshot of the sender
+/// and so never ends under load.
+#[rstest]
+fn a_transfer_ends_although_the_sender_takes_snapshots(#[values(1, 2, 3)] seed: u64) {
+    let mut options = Options::new(3, seed);
+    options.payloads = common::Payloads {
+        live: usize::MAX,
+        factor: 10,
+    };
+    let mut cluster = Cluster::new(options);
+    let leader = cluster.await_leader(FIRST);
+    let follower = leader % 3 + 1;
+    cluster.isolate(follower, true);
+    for _ in 0..200 {
+        cluster.write(leader, FIRST, 100);
+        cluster.run(5);
+    }
+    let stale = cluster.status(follower, FIRST).expect("running");
+    let first = cluster.status(leader, FIRST).expect("running");
+    cluster.isolate(follower, false);
+    // Large commands make the sender take a snapshot about once a second; the
+    // transfer takes several.
+    for _ in 0..250 {
+        let leader = cluster.leader(FIRST).expect("the others go on");
+        cluster.write(leader, FIRST, 2_000);
+        cluster.run(80);
+        if cluster.status(follower, FIRST).expect("running").applied > stale.applied {
+            break;
+        }
+    }
+    let caught_up = cluster.status(follower, FIRST).expect("running");
+    assert!(caught_up.applied > stale.applied, "the transfer never ends");
+    assert!(caught_up.snapshot_index > first.snapshot_index);
+    cluster.check_payloads(follower, FIRST, true);
+    cluster.crash(follower, Loss::All);
+    cluster.start(follower).expect("the snapshot is whole");
+    cluster.check_payloads(follower, FIRST, true);
+    cluster.settle();
+}
+
+/// Guards against sending what the lagging replica has from its own log.
+#[rstest]
+fn stored_payloads_are_not_sent_again(#[values(1, 2, 3)] seed: u64) {
+    let mut options = Options::new(3, seed);
+    options.payloads.live = usize::MAX;
+    let mut cluster = Cluster::new(options);
+    for _ in 0..40 {
+        cluster.write_acked(FIRST, 100);
+    }
+    let follower = lag(&mut cluster);
+    let stale = cluster.status(follower, FIRST).expect("running");
+    let contents = cluster.commands(follower, FIRST).iter();
+    let contents = contents.map(|id| common::content(*id, 1));
+    let contents: Vec<Vec<u8>> = contents.filter(|content| content.len() > 80).collect();
+    assert!(contents.len() > 10);
+    cluster.damaged = contents.clone();
+    cluster.isolate(follower, false);
+    await_applied(&mut cluster, follower, stale.applied + 1);
+    let fresh = cluster.status(follower, FIRST).expect("running");
+    assert!(
+        fresh.snapshot_index > stale.last_index,
+        "no snapshot was sent"
+    );
+    assert_eq!(cluster.damaged, contents, "a stored payload was sent");
+    cluster.check_payloads(follower, FIRST, true);
+    cluster.settle();
+}
+
 /// Guards against a damaged payload that is passed on: the replica that holds
 /// it stops, and the others go on.
 #[rstest]
