Give each control replica of the process tests an address of its own

Cause: a_lost_disk_is_replaced_under_a_new_id failed once on a loaded machine: a claim after the second loss got another reply than the recorded one. Five instances of the test binary at once showed `Address already in use` in another test. The harness took free ports of 127.0.0.1, which any connection or another cluster can take while a replica is down, so that a client could ask a foreign replica. That this was the cause of the one failure is likely, not shown: its reply was not kept.

Change: each replica has a loopback IP address of its own, as the process tests of bw-dev and the fleets of bw-load have.

--- a/programs/control/tests/processes/cluster.rs
+++ b/programs/control/tests/processes/cluster.rs
@@ -1,6 +1,6 @@
 //! Control replicas as real processes on loopback.
 
-use std::{fs, net, process, thread, time};
+use std::{fs, process, sync::atomic, thread, time};
 
 use nix::{sys::signal, unistd};
 
@@ -37,7 +37,7 @@
             replicas: Vec::new(),
             token,
         };
-        let addresses: Vec<Name> = (0..3).map(|_| free_address()).collect();
+        let addresses: Vec<Name> = (0..3).map(|_| own_address()).collect();
         for (id, address) in (1..).zip(&addresses) {
             cluster.describe(id, address.clone(), &addresses);
         }
@@ -53,7 +53,7 @@
             .iter()
             .map(|replica| replica.address.clone())
             .collect();
-        self.describe(id, free_address(), &first);
+        self.describe(id, own_address(), &first);
         self.replica(id).launch();
     }
 
@@ -278,8 +278,16 @@
     status.groups.iter().find(|known| known.group == group)
 }
 
-fn free_address() -> Name {
-    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = listener.local_addr().expect("address");
-    address.to_string().into()
+/// Returns an address that nothing else uses.
+///
+/// Each replica has a loopback IP address of its own. On the shared 127.0.0.1 a
+/// port that is free now, or is free while a replica is down, can be taken by any
+/// connection or by a replica of another cluster. The process tests of `bw-dev`
+/// and the fleets of `bw-load` use second numbers from 64.
+fn own_address() -> Name {
+    static REPLICAS: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+    let number = 1 + REPLICAS.fetch_add(1, atomic::Ordering::Relaxed) % 254;
+    let pid = process::id();
+    let (high, low) = (1 + (pid >> 8) % 63, pid % 256);
+    format!("127.{high}.{low}.{number}:7001").as_str().into()
 }
