Take no copy of an announcement as a new proof

Cause: an announcement that was delayed or doubled on its way to an entry VM refreshed the proof that the backend server is not leaving, although nothing new was said. The report to the leader was guarded, the router was not.

Change: the router ignores a copy of the latest announcement that arrives from the backend server itself. What control says of a copy can still become more exact.

Before: the new test's copy at 2,000 ms keeps a server usable at 4,000 ms (it fails when `hear` passes every announcement on). After: a renewal with a higher sequence number does.

--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -238,6 +238,18 @@
 }
 
 impl Router {
+    /// Takes an announcement that arrives from the backend server itself.
+    ///
+    /// A copy of a known one may have been under way for any time, so that it is
+    /// no new proof of not leaving.
+    pub fn hear(&mut self, announcement: &backend::Announcement, now_ms: u64) {
+        let known = self.get(&announcement.id);
+        let is_copy = known.is_some_and(|replica| replica.is_current(announcement));
+        if !is_copy {
+            self.announce(announcement, 0, now_ms);
+        }
+    }
+
     /// Takes an announcement that is `age_ms` old, heard directly or through
     /// control. Repeated and reordered announcements have no effect beyond the
     /// proof that they carry.
--- a/crates/policy/src/router/replica.rs
+++ b/crates/policy/src/router/replica.rs
@@ -82,6 +82,12 @@
         (announcement.incarnation, announcement.sequence) < known
     }
 
+    /// Returns whether an announcement is the latest one that is known.
+    pub(super) fn is_current(&self, announcement: &backend::Announcement) -> bool {
+        let known = (self.announcement.incarnation, self.announcement.sequence);
+        (announcement.incarnation, announcement.sequence) == known
+    }
+
     /// Takes an announcement of a later incarnation: nothing known still holds.
     pub(super) fn restart(
         &mut self,
--- a/crates/policy/tests/router.rs
+++ b/crates/policy/tests/router.rs
@@ -214,6 +214,22 @@
     }
 }
 
+/// Guards against a renewal that was delayed or doubled on the way and passes for
+/// a new proof of not leaving.
+#[rstest]
+#[case::copy(5, false)]
+#[case::older(4, false)]
+#[case::next(6, true)]
+fn copies_are_no_new_proof(#[case] sequence: u64, #[case] usable: bool) {
+    let mut router = fleet(settled(), 1);
+    let mut renewal = engine("e00");
+    renewal.sequence = 5;
+    router.hear(&renewal, 0);
+    renewal.sequence = sequence;
+    router.hear(&renewal, 2_000);
+    assert_eq!(router.is_usable("e00", 4_000), usable);
+}
+
 /// Guards against a late or repeated renewal that brings a leaving backend
 /// server back; only a restart does.
 #[test]
--- a/programs/entry/src/routing.rs
+++ b/programs/entry/src/routing.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Takes an announcement that arrives from the backend server itself.
+    pub fn hear(&self, announcement: &backend::Announcement) {
+        self.with(|state, now_ms| state.router.hear(announcement, now_ms));
+    }
+
     /// Takes an announcement that is `age_ms` old.
     pub fn announce(&self, announcement: &backend::Announcement, age_ms: u64) {
         self.with(|state, now_ms| state.router.announce(announcement, age_ms, now_ms));
