Shorten slots with a plain accessor instead of a trait

Cause: the encoding of slots brought a private trait with three implementations; the house style keeps traits to the edges of a process.

Change: `shorten` and `lengthen` take the function that gives a value's slot. The encoded bytes are the same; the tests of renewals pass unchanged.

--- a/crates/wire/src/renewal.rs
+++ b/crates/wire/src/renewal.rs
@@ -130,7 +130,8 @@
 impl Packed {
     /// Encodes renewals in ascending order of slots.
     pub fn new(mut renewals: Vec<Renewal>) -> Packed {
-        shorten(&mut renewals);
+        renewals.sort_by_key(|renewal| renewal.slot);
+        shorten(&mut renewals, |renewal| &mut renewal.slot);
         Packed(encode(&renewals))
     }
 
@@ -141,7 +142,7 @@
     /// Fails when the text is malformed.
     pub fn unpack(&self) -> Result<Vec<Renewal>, Malformed> {
         let mut renewals: Vec<Renewal> = decode(&self.0)?;
-        lengthen(&mut renewals)?;
+        lengthen(&mut renewals, |renewal| &mut renewal.slot)?;
         Ok(renewals)
     }
 }
@@ -149,7 +150,8 @@
 impl Reports {
     /// Encodes reports in ascending order of slots.
     pub fn new(mut reports: Vec<Report>) -> Reports {
-        shorten(&mut reports);
+        reports.sort_by_key(|report| report.slot);
+        shorten(&mut reports, |report| &mut report.slot);
         Reports(encode(&reports))
     }
 
@@ -165,7 +167,7 @@
     /// Fails when the text is malformed.
     pub fn unpack(&self) -> Result<Vec<Report>, Malformed> {
         let mut reports: Vec<Report> = decode(&self.0)?;
-        lengthen(&mut reports)?;
+        lengthen(&mut reports, |report| &mut report.slot)?;
         Ok(reports)
     }
 }
@@ -174,7 +176,8 @@
     /// Encodes counts by slot, without zeros.
     pub fn new(mut counts: Vec<(u32, u32)>) -> Counts {
         counts.retain(|(_, count)| *count > 0);
-        shorten(&mut counts);
+        counts.sort_unstable();
+        shorten(&mut counts, |(slot, _)| slot);
         Counts(encode(&counts))
     }
 
@@ -185,64 +188,28 @@
     /// Fails when the text is malformed.
     pub fn unpack(&self) -> Result<Vec<(u32, u32)>, Malformed> {
         let mut counts: Vec<(u32, u32)> = decode(&self.0)?;
-        lengthen(&mut counts)?;
+        lengthen(&mut counts, |(slot, _)| slot)?;
         Ok(counts)
     }
 }
 
-/// A value with a slot.
-trait Slotted {
-    fn slot(&self) -> u32;
-    fn set_slot(&mut self, slot: u32);
-}
-
-impl Slotted for Renewal {
-    fn slot(&self) -> u32 {
-        self.slot
-    }
-
-    fn set_slot(&mut self, slot: u32) {
-        self.slot = slot;
-    }
-}
-
-impl Slotted for Report {
-    fn slot(&self) -> u32 {
-        self.slot
-    }
-
-    fn set_slot(&mut self, slot: u32) {
-        self.slot = slot;
-    }
-}
-
-impl Slotted for (u32, u32) {
-    fn slot(&self) -> u32 {
-        self.0
-    }
-
-    fn set_slot(&mut self, slot: u32) {
-        self.0 = slot;
-    }
-}
-
-/// Sorts values by slot and replaces each slot by its distance to the one before.
-fn shorten<T: Slotted>(values: &mut [T]) {
-    values.sort_by_key(Slotted::slot);
+/// Replaces the slot of each value by its distance to the one before.
+fn shorten<T>(values: &mut [T], slot: fn(&mut T) -> &mut u32) {
     let mut last = 0;
     for value in values {
-        let slot = value.slot();
-        value.set_slot(slot - last);
-        last = slot;
+        let slot = slot(value);
+        let distance = *slot - last;
+        last = std::mem::replace(slot, distance);
     }
 }
 
 /// Undoes [`shorten`].
-fn lengthen<T: Slotted>(values: &mut [T]) -> Result<(), Malformed> {
+fn lengthen<T>(values: &mut [T], slot: fn(&mut T) -> &mut u32) -> Result<(), Malformed> {
     let mut last: u32 = 0;
     for value in values {
-        last = last.checked_add(value.slot()).ok_or(Malformed)?;
-        value.set_slot(last);
+        let slot = slot(value);
+        last = last.checked_add(*slot).ok_or(Malformed)?;
+        *slot = last;
     }
     Ok(())
 }
