--- a/programs/load/src/main.rs
+++ b/programs/load/src/main.rs
@@ -45,6 +45,9 @@
     /// seeds in place of the scenario's, separated by commas
     #[argh(option)]
     seeds: Option<String>,
+    /// share of a capacity that batch work leaves free, in place of the scenario's
+    #[argh(option)]
+    batch_headroom: Option<f32>,
     /// write an SVG plot to this folder
     #[argh(option)]
     plot: Option<path::PathBuf>,
@@ -198,6 +201,11 @@
     if let Some(seeds) = &command.seeds {
         scenario.seeds = list(seeds, "seed")?;
     }
+    if let Some(share) = command.batch_headroom {
+        let valid = (0.0..=1.0).contains(&share);
+        anyhow::ensure!(valid, "--batch-headroom must be from 0 to 1");
+        scenario.entry_policy.batch_headroom = share;
+    }
     let mut runs = Vec::new();
     for seed in &scenario.seeds {
         for policy in &scenario.policies {
--- a/programs/load/src/scenario.rs
+++ b/programs/load/src/scenario.rs
@@ -95,6 +95,8 @@
     /// Settings of the embedded engines; identity, addresses and model are set
     /// by the tool.
     pub engine: bw_engine::Settings,
+    /// Policy settings of the embedded entry VMs.
+    pub entry_policy: bw_entry::settings::Policy,
     /// Running processes to use in place of embedded ones.
     pub processes: Processes,
     /// One-way delay between a client and the fleet, in microseconds. It is added
@@ -135,6 +137,7 @@
             control: 0,
             isolation: Isolation::Threads,
             engine: bw_engine::Settings::default(),
+            entry_policy: bw_entry::settings::Policy::default(),
             processes: Processes::default(),
             client_delay_us: 3_000,
             tokens: collections::BTreeMap::new(),
--- a/programs/load/src/system.rs
+++ b/programs/load/src/system.rs
@@ -149,6 +149,7 @@
             peer_address: ports[1].clone(),
             admin_address: ports[2].clone(),
             control: self.control_addresses.clone(),
+            policy: scenario.entry_policy.clone(),
             logs: quiet(),
             ..bw_entry::settings::Settings::default()
         };
