--- /dev/null
+++ b/crates/state/src/work/jobs/chunk.rs
@@ -0,0 +1,142 @@
+//! A chunk of a job: its lease and which of its items are done.
+
+use std::collections;
+
+use serde::{Deserialize, Serialize};
+
+use bw_wire::{command::work, name, openai, refusal};
+
+use super::{super::rows, lease};
+
+/// Lowest HTTP status that counts as a failed item.
+const FAILURE_STATUS: u16 = 400;
+/// Words of the bits of a chunk.
+const DONE_WORDS: usize = work::CHUNK_ITEMS / u64::BITS as usize;
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(super) struct Chunk {
+    /// The fencing number of the last lease; 0 before the first.
+    pub(super) fence: u64,
+    /// The last lease, until it is released or the chunk is done.
+    pub(super) held: Option<lease::Held>,
+    /// Items without an outcome.
+    pub(super) open: u32,
+    /// The number of these items by the model that they name.
+    pub(super) open_by_model: collections::BTreeMap<name::Name, u32>,
+    /// A bit for each line, set once the item has an outcome.
+    pub(super) done: [u64; DONE_WORDS],
+    /// The payloads with the outcomes that were recorded. Outcomes of lines that
+    /// cannot run are derived from the lines.
+    pub(super) records: Vec<u64>,
+    /// The size of the recorded outcomes in bytes.
+    pub(super) bytes: u64,
+}
+
+/// What a record changed.
+#[derive(Default)]
+pub(super) struct Tally {
+    pub(super) stored: u32,
+    pub(super) duplicate: u32,
+    pub(super) bytes: u64,
+    /// Models of which the chunk has no open item any more.
+    pub(super) models: Vec<name::Name>,
+}
+
+impl Chunk {
+    /// Counts an outcome unless the item has one, and returns whether it is to
+    /// be stored.
+    pub(super) fn accept(
+        &mut self,
+        rows: &rows::Rows,
+        outcome: &work::Outcome,
+        counts: &mut openai::Counts,
+        tally: &mut Tally,
+    ) -> bool {
+        let Some(position) = rows.position(outcome.number) else {
+            return false;
+        };
+        if self.is_done(position) {
+            tally.duplicate += 1;
+            return false;
+        }
+        match &outcome.result {
+            work::Result::Answer {
+                status: FAILURE_STATUS..,
+                ..
+            }
+            | work::Result::Failed { .. } => counts.failed += 1,
+            work::Result::Answer { .. } => counts.completed += 1,
+        }
+        self.finish(rows, position, tally);
+        tally.stored += 1;
+        tally.bytes += size(outcome);
+        true
+    }
+
+    /// Notes that an open item has an outcome, and adds its model to the tally if
+    /// the item was the last open one that names it.
+    pub(super) fn finish(&mut self, rows: &rows::Rows, position: u32, tally: &mut Tally) {
+        let (word, bit) = place(position);
+        let Some(word) = self.done.get_mut(word) else {
+            return;
+        };
+        *word |= bit;
+        self.open -= 1;
+        let Some(model) = rows.model(position) else {
+            return;
+        };
+        if let Some(open) = self.open_by_model.get_mut(model) {
+            *open -= 1;
+            if *open == 0 {
+                self.open_by_model.remove(model);
+                tally.models.push(model.clone());
+            }
+        }
+    }
+
+    pub(super) fn is_done(&self, position: u32) -> bool {
+        let (word, bit) = place(position);
+        self.done.get(word).is_none_or(|word| word & bit != 0)
+    }
+
+    pub(super) fn open_lines(&self, lines: Vec<work::Line>) -> Vec<work::Line> {
+        let open = (0..).zip(lines);
+        let open = open.filter(|(position, _)| !self.is_done(*position));
+        open.map(|(_, line)| line).collect()
+    }
+}
+
+/// Returns the word of a position and its bit there.
+fn place(position: u32) -> (usize, u64) {
+    let word = position / u64::BITS;
+    (word as usize, 1 << (position % u64::BITS))
+}
+
+/// Returns the outcome of a line that cannot run.
+pub(super) fn refused_outcome(line: &work::Line, endpoint: &str) -> Option<work::Outcome> {
+    let (code, message) = match &line.content {
+        work::Content::Bad { code, message } => (code.clone(), message.clone()),
+        work::Content::Request { url, .. } if url == endpoint => return None,
+        work::Content::Request { url, .. } => (
+            refusal::Reason::InvalidField.to_string(),
+            format!("url: `{url}` is not the batch's endpoint `{endpoint}`"),
+        ),
+    };
+    Some(work::Outcome {
+        number: line.number,
+        result: work::Result::Failed { code, message },
+    })
+}
+
+pub(super) fn find(lines: &[work::Line], number: u32) -> Option<&work::Line> {
+    let position = lines.binary_search_by_key(&number, |line| line.number);
+    position.ok().and_then(|position| lines.get(position))
+}
+
+fn size(outcome: &work::Outcome) -> u64 {
+    let bytes = match &outcome.result {
+        work::Result::Answer { body, .. } => body.len(),
+        work::Result::Failed { code, message } => code.len() + message.len(),
+    };
+    bytes as u64
+}
