Log to standard output through a bounded queue and hand programs their settings file

Programs of the platform write structured logs to standard output. A slow reader must not hold up traffic, so lines go through a bounded queue to a thread of their own; dropped lines are counted in the next line that fits. Settings of the platform can change while a program runs, so it needs the file's name.

--- a/crates/base/src/logs.rs
+++ b/crates/base/src/logs.rs
@@ -3,7 +3,7 @@
 //! Each line holds `ts`, `level`, `target`, `message` and the key-value pairs
 //! of the log call.
 
-use std::{collections, io, time};
+use std::{collections, io, io::Write, sync::mpsc, thread, time};
 
 use serde::{Deserialize, Serialize};
 
@@ -42,6 +42,75 @@
 
 /// Starts logging to standard error. Later calls in one process have no effect.
 pub fn init(settings: &Settings) {
+    start(settings, fern::Output::from(io::stderr()));
+}
+
+/// Lines that may wait to be written before more are dropped.
+const QUEUE_LINES: usize = 2_048;
+
+/// Starts logging to standard output through a bounded queue, so that a slow
+/// reader of the output never holds up the program. Lines that find the queue
+/// full are counted and dropped; the next line that fits says how many.
+///
+/// Later calls in one process have no effect.
+pub fn init_stdout(settings: &Settings) {
+    let (sender, lines) = mpsc::sync_channel::<Vec<u8>>(QUEUE_LINES);
+    let writer = thread::Builder::new().name("logs".to_owned());
+    let spawned = writer.spawn(move || write_lines(&lines));
+    if let Err(error) = spawned {
+        eprintln!("logs go to standard error, as their thread cannot be started: {error}");
+        return init(settings);
+    }
+    let queue = Queue {
+        sender,
+        line: Vec::new(),
+        dropped: 0,
+    };
+    start(
+        settings,
+        fern::Output::from(Box::new(queue) as Box<dyn io::Write + Send>),
+    );
+}
+
+/// Writes what has gathered in one go, which saves system calls.
+fn write_lines(lines: &mpsc::Receiver<Vec<u8>>) {
+    let mut output = io::stdout();
+    while let Ok(mut bytes) = lines.recv() {
+        while let Ok(more) = lines.try_recv() {
+            bytes.extend_from_slice(&more);
+        }
+        // There is no other place to report that logs cannot be written.
+        let _ = output.write_all(&bytes).and_then(|()| output.flush());
+    }
+}
+
+/// The sending end of the queue of lines. The logger flushes after each line.
+struct Queue {
+    sender: mpsc::SyncSender<Vec<u8>>,
+    line: Vec<u8>,
+    dropped: u64,
+}
+
+impl io::Write for Queue {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.line.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        if self.dropped > 0 {
+            let note = serde_json::json!({"level": "warn", "message": "log lines dropped", "lines": self.dropped});
+            self.line.extend_from_slice(format!("{note}\n").as_bytes());
+        }
+        match self.sender.try_send(std::mem::take(&mut self.line)) {
+            Ok(()) => self.dropped = 0,
+            Err(_) => self.dropped += 1,
+        }
+        Ok(())
+    }
+}
+
+fn start(settings: &Settings, output: fern::Output) {
     let mut dispatch = fern::Dispatch::new()
         .level(settings.level.parse().unwrap_or(log::LevelFilter::Info))
         // These report each connection and frame at debug.
@@ -57,7 +126,7 @@
     }
     let applied = dispatch
         .format(|out, _, record| out.finish(format_args!("{}", line(record))))
-        .chain(io::stderr())
+        .chain(output)
         .apply();
     // Embedded roles share the logger that the first of them started.
     drop(applied);
--- a/crates/base/src/program.rs
+++ b/crates/base/src/program.rs
@@ -35,7 +35,22 @@
 where
     T: serde::de::DeserializeOwned + settings::Check,
 {
-    start(name, version, None, run)
+    start(name, version, None, |_, settings| run(settings))
+}
+
+/// Runs a daemon like [`main`] and also hands it the name of its settings file,
+/// for settings that may change while it runs.
+pub fn main_with_file<T>(
+    name: &str,
+    version: &str,
+    run: impl FnOnce(path::PathBuf, T) -> anyhow::Result<()>,
+) -> process::ExitCode
+where
+    T: serde::de::DeserializeOwned + settings::Check,
+{
+    start(name, version, None, |file, settings| {
+        run(file.unwrap_or_default(), settings)
+    })
 }
 
 /// Runs a daemon like [`main`], with default settings if no file is named.
@@ -47,14 +62,16 @@
 where
     T: serde::de::DeserializeOwned + settings::Check + Default,
 {
-    start(name, version, Some(T::default()), run)
+    start(name, version, Some(T::default()), |_, settings| {
+        run(settings)
+    })
 }
 
 fn start<T>(
     name: &str,
     version: &str,
     defaults: Option<T>,
-    run: impl FnOnce(T) -> anyhow::Result<()>,
+    run: impl FnOnce(Option<path::PathBuf>, T) -> anyhow::Result<()>,
 ) -> process::ExitCode
 where
     T: serde::de::DeserializeOwned + settings::Check,
@@ -64,8 +81,8 @@
         print_version(name, version);
         return process::ExitCode::SUCCESS;
     }
-    let settings = match (arguments.config, defaults) {
-        (Some(file), _) => match load(&file) {
+    let settings = match (&arguments.config, defaults) {
+        (Some(file), _) => match load(file) {
             Ok(settings) => settings,
             Err(status) => return status,
         },
@@ -78,7 +95,7 @@
     if arguments.check {
         return process::ExitCode::SUCCESS;
     }
-    match run(settings) {
+    match run(arguments.config, settings) {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(error) => {
             log::error!("{error:#}");
