--- /dev/null
+++ b/crates/relay/src/balance.rs
@@ -0,0 +1,331 @@
+//! Placement and admission of online requests at one entry VM.
+//!
+//! A model engine admits requests in order of arrival and runs `slots` of them
+//! at once, so a request that is sent to a full one waits behind everything
+//! there. An entry VM knows its own requests at once and those of the other
+//! entry VMs with the delay of the exchange through the leader.
+
+use std::collections::BTreeMap;
+
+use bw_wire::name::Name;
+
+use crate::{message, registry};
+
+/// Limits of the placement.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Online requests beyond the slots that may wait in one backend server.
+    /// A slot becomes free every tenth of a second at full load, so that a
+    /// queue of two keeps the first event within a latency objective of 300 ms.
+    pub queue: u32,
+    /// Difference in load within which backend servers count as equal. One
+    /// request more is less than the delay of the exchange hides.
+    pub near: u32,
+    /// First pause after a failure in milliseconds; doubles with each one.
+    pub pause_ms: u64,
+    /// Longest pause after failures in milliseconds.
+    pub pause_max_ms: u64,
+    /// Time over which rejected callers are spread when they return, in
+    /// milliseconds: bursts last seconds, and a client keeps to at most a third
+    /// of its remaining time.
+    pub spread_ms: u64,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options {
+            queue: 2,
+            near: 1,
+            pause_ms: 500,
+            pause_max_ms: 8_000,
+            spread_ms: 1_000,
+        }
+    }
+}
+
+/// Shortest time after which a rejected caller returns, in milliseconds: a slot
+/// takes about this long to become free at a full backend server.
+const RETURN_MS: u64 = 200;
+
+/// What one entry VM knows of a backend server.
+#[derive(Clone, Debug)]
+struct Server {
+    announcement: registry::Announcement,
+    own: u32,
+    reported: u32,
+    online: u32,
+    batch: u32,
+    failures: u32,
+    paused_until_ms: u64,
+    succeeded_ms: u64,
+}
+
+impl Server {
+    /// Online requests in flight from all entry VMs, as far as known.
+    fn online(&self) -> u32 {
+        self.own + self.online.saturating_sub(self.reported)
+    }
+}
+
+/// What a placement looks for.
+#[derive(Clone, Debug)]
+pub struct Wish<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// Hash of the shared parts of the prompt: equal ones prefer the same
+    /// backend server, whose cache holds them.
+    pub affinity: u64,
+    /// Backend servers that were tried.
+    pub tried: &'a [Name],
+    /// The failure domain of the entry VM.
+    pub failure_domain: &'a str,
+    /// Whether the request already ran in part. It is then placed even where
+    /// the queue is full: rejecting it would waste what was done.
+    pub resumed: bool,
+}
+
+/// Where to send a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Place {
+    /// The id of the backend server.
+    pub id: Name,
+    /// Its address.
+    pub address: Name,
+}
+
+/// Why a request is not placed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Reason {
+    /// No backend server of the service is known to work.
+    NoBackend,
+    /// Every backend server is full.
+    Overload,
+}
+
+/// A request that is turned away before anything was sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Rejection {
+    /// The reason.
+    pub reason: Reason,
+    /// When the caller should come back, in milliseconds.
+    pub retry_after_ms: u64,
+}
+
+/// The placement of one entry VM.
+#[derive(Clone, Debug)]
+pub struct Balance {
+    options: Options,
+    servers: BTreeMap<Name, Server>,
+}
+
+impl Balance {
+    /// Starts without backend servers.
+    pub fn new(options: Options) -> Balance {
+        Balance {
+            options,
+            servers: BTreeMap::new(),
+        }
+    }
+
+    /// Takes the state of a backend server. A new start under the same id
+    /// forgets earlier failures.
+    pub fn announce(&mut self, announcement: &registry::Announcement) {
+        let fresh = Server {
+            announcement: announcement.clone(),
+            own: 0,
+            reported: 0,
+            online: 0,
+            batch: 0,
+            failures: 0,
+            paused_until_ms: 0,
+            succeeded_ms: 0,
+        };
+        let server = self.servers.entry(announcement.id.clone()).or_insert(fresh);
+        if server.announcement.born_ms != announcement.born_ms {
+            server.failures = 0;
+            server.paused_until_ms = 0;
+        }
+        server.announcement = announcement.clone();
+    }
+
+    /// Takes the loads of all entry VMs.
+    pub fn set_loads(&mut self, loads: &[message::Load]) {
+        for server in self.servers.values_mut() {
+            server.online = 0;
+            server.batch = 0;
+        }
+        for load in loads {
+            if let Some(server) = self.servers.get_mut(&load.id) {
+                server.online = load.online;
+                server.batch = load.batch;
+            }
+        }
+    }
+
+    /// Returns the requests in flight from this entry VM, for the leader.
+    pub fn report(&mut self) -> Vec<(Name, u32)> {
+        let mut report = Vec::new();
+        for (id, server) in &mut self.servers {
+            server.reported = server.own;
+            if server.own > 0 {
+                report.push((id.clone(), server.own));
+            }
+        }
+        report
+    }
+
+    /// Chooses a backend server and counts the request there until
+    /// [`Balance::finished`].
+    ///
+    /// # Errors
+    ///
+    /// Returns when the caller should come back if the request must wait too
+    /// long everywhere.
+    pub fn place(&mut self, wish: &Wish<'_>, now_ms: u64, draw: u64) -> Result<Place, Rejection> {
+        let usable = |server: &&Server| is_usable(server, wish, now_ms);
+        let Some(least) = self.servers.values().filter(usable).map(load).min() else {
+            return Err(self.reject(Reason::NoBackend, draw));
+        };
+        let near = self.options.near;
+        let candidates = self.servers.values().filter(usable);
+        let chosen = candidates
+            .filter(|server| load(server) <= least + near && self.has_room(server, wish))
+            .max_by_key(|server| preference(server, wish, least));
+        let Some(chosen) = chosen else {
+            return self.place_anywhere(wish, now_ms, draw);
+        };
+        let place = place_of(chosen);
+        self.started(&place.id);
+        Ok(place)
+    }
+
+    /// Places a request although the least loaded backend servers are full of
+    /// online requests: others may be full of batch work only.
+    fn place_anywhere(
+        &mut self,
+        wish: &Wish<'_>,
+        now_ms: u64,
+        draw: u64,
+    ) -> Result<Place, Rejection> {
+        let usable = |server: &&Server| is_usable(server, wish, now_ms);
+        let with_room = self.servers.values().filter(usable);
+        let chosen = with_room
+            .filter(|server| self.has_room(server, wish))
+            .min_by_key(|server| server.online());
+        let Some(chosen) = chosen else {
+            return Err(self.reject(Reason::Overload, draw));
+        };
+        let place = place_of(chosen);
+        self.started(&place.id);
+        Ok(place)
+    }
+
+    /// Notes that a request has ended at a backend server.
+    pub fn finished(&mut self, id: &str) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.own = server.own.saturating_sub(1);
+        }
+    }
+
+    /// Notes that a backend server answers.
+    pub fn succeeded(&mut self, id: &str, now_ms: u64) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.failures = 0;
+            server.paused_until_ms = 0;
+            server.succeeded_ms = now_ms;
+        }
+    }
+
+    /// Notes a failure; the backend server gets no new requests for a while.
+    /// Failures during a pause count once: they are requests of the same time.
+    pub fn failed(&mut self, id: &str, now_ms: u64) {
+        let options = self.options;
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        if now_ms < server.paused_until_ms {
+            return;
+        }
+        let doubled = options.pause_ms << server.failures.min(6);
+        server.failures += 1;
+        server.paused_until_ms = now_ms + doubled.min(options.pause_max_ms);
+    }
+
+    /// Notes that a backend server refused a request as full. It gets nothing
+    /// for a short while; this is no failure.
+    pub fn refused(&mut self, id: &str, now_ms: u64) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.paused_until_ms = server.paused_until_ms.max(now_ms + RETURN_MS);
+        }
+    }
+
+    /// Returns what is known of a backend server, for logs: online requests
+    /// here, online requests in all, batch items.
+    pub fn view(&self, id: &str) -> (u32, u32, u32) {
+        let server = self.servers.get(id);
+        server.map_or((0, 0, 0), |server| {
+            (server.own, server.online(), server.batch)
+        })
+    }
+
+    fn started(&mut self, id: &str) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.own += 1;
+        }
+    }
+
+    fn has_room(&self, server: &Server, wish: &Wish<'_>) -> bool {
+        let limit = server.announcement.slots + self.options.queue;
+        wish.resumed || server.online() < limit
+    }
+
+    fn reject(&self, reason: Reason, draw: u64) -> Rejection {
+        let spread = draw % self.options.spread_ms.max(1);
+        Rejection {
+            reason,
+            retry_after_ms: RETURN_MS + spread,
+        }
+    }
+}
+
+fn is_usable(server: &Server, wish: &Wish<'_>, now_ms: u64) -> bool {
+    let known = &server.announcement;
+    // A silent backend server may be cut off from control only; it is used as
+    // long as its answers to this entry VM are recent.
+    let alive = match known.state {
+        registry::State::Ready => true,
+        registry::State::Leaving => false,
+        registry::State::Silent => now_ms < server.succeeded_ms + SILENT_USE_MS,
+    };
+    alive
+        && *known.service == *wish.service
+        && now_ms >= server.paused_until_ms
+        && !wish.tried.contains(&known.id)
+}
+
+/// How long after its last answer a backend server that announces nothing is
+/// still used, in milliseconds. Longer than a request takes, so that one that
+/// serves is not given up between two answers.
+const SILENT_USE_MS: u64 = 3_000;
+
+fn load(server: &Server) -> u32 {
+    server.online() + server.batch
+}
+
+fn place_of(server: &Server) -> Place {
+    Place {
+        id: server.announcement.id.clone(),
+        address: server.announcement.address.clone(),
+    }
+}
+
+/// Ranks backend servers of nearly the same load: the own failure domain, then
+/// a stable choice by the prompt.
+fn preference(server: &Server, wish: &Wish<'_>, least: u32) -> (bool, bool, u64) {
+    let known = &server.announcement;
+    let free = load(server) < known.slots || load(server) == least;
+    let near = *known.failure_domain == *wish.failure_domain;
+    let hash = xxhash_rust::xxh3::xxh3_64_with_seed(known.id.as_bytes(), wish.affinity);
+    (free, near, hash)
+}
--- /dev/null
+++ b/crates/relay/src/dispatch.rs
@@ -0,0 +1,486 @@
+//! Which batch items run where, decided by the leader.
+//!
+//! Online requests come first: items run only in slots that online requests
+//! leave free, and give them back when online load rises. What an item has
+//! produced is kept, so that it goes on elsewhere.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bw_wire::name::Name;
+
+use crate::{ledger, route};
+
+/// Limits of the dispatch.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Slots of each backend server that items leave free. A burst of online
+    /// requests then finds a slot before items have been taken back.
+    pub reserve: u32,
+    /// Items that may be started in one step, so that a leader with a long
+    /// queue does not start all at the load that it saw a moment ago.
+    pub starts: usize,
+    /// Pause before an item whose run failed runs again, in milliseconds.
+    pub pause_ms: u64,
+    /// Longest such pause in milliseconds.
+    pub pause_max_ms: u64,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options {
+            reserve: 1,
+            starts: 16,
+            pause_ms: 200,
+            pause_max_ms: 2_000,
+        }
+    }
+}
+
+/// Names an item.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Key {
+    /// The job.
+    pub job: Name,
+    /// The item's index.
+    pub item: u32,
+}
+
+/// What an item has produced so far.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Progress {
+    /// The id of the last event, 0 before the first.
+    pub last: u64,
+    /// The data of the events in order.
+    pub data: Vec<String>,
+}
+
+/// A backend server as the leader sees it.
+#[derive(Clone, Debug)]
+pub struct Server {
+    /// The id.
+    pub id: Name,
+    /// The address.
+    pub address: Name,
+    /// The service.
+    pub service: Name,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Online requests in flight there.
+    pub online: u32,
+}
+
+/// An item to run now.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// The item.
+    pub key: Key,
+    /// The id of the item, its request id.
+    pub id: Name,
+    /// The host of its route.
+    pub host: Name,
+    /// Its path with the query.
+    pub path: Name,
+    /// Its headers.
+    pub headers: Vec<(Name, Name)>,
+    /// The backend server.
+    pub server: Name,
+    /// Its address.
+    pub address: Name,
+    /// What earlier runs produced.
+    pub progress: Progress,
+}
+
+/// What to do.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Run an item.
+    Start(Start),
+    /// Stop a run to make room for online requests; its progress is kept.
+    Preempt(Key),
+    /// List an item as given up.
+    GiveUp(Key, Reason),
+}
+
+/// Why an item is given up.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Reason {
+    /// A backend server said that it can never be done.
+    Impossible,
+    /// Too many runs failed.
+    Attempts,
+    /// It waited too long.
+    Expired,
+    /// Its route is gone.
+    RouteGone,
+}
+
+/// How a run ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// The whole output is there.
+    Completed(Progress),
+    /// The run broke off or was stopped. What it produced counts.
+    Broken(Progress),
+    /// The backend server says that the run failed.
+    Failed(Progress),
+    /// The backend server says that the item can never be done.
+    Impossible,
+    /// The backend server refused it or could not be reached.
+    NotRun(Progress),
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    failures: u32,
+    /// Ends without an answer in a row, which lengthen the pause.
+    breaks: u32,
+    not_before_ms: u64,
+    avoid: Option<Name>,
+    progress: Progress,
+}
+
+#[derive(Clone, Debug)]
+enum State {
+    Waiting,
+    Running {
+        server: Name,
+        started: u64,
+        stopping: bool,
+    },
+    Recording,
+}
+
+#[derive(Clone, Debug)]
+struct Item {
+    id: Name,
+    path: Name,
+    headers: Vec<(Name, Name)>,
+    state: State,
+    waiting: Waiting,
+}
+
+#[derive(Clone, Debug)]
+struct Job {
+    host: Name,
+    due_ms: u64,
+    expires_ms: u64,
+    attempts: u32,
+    items: BTreeMap<u32, Item>,
+}
+
+/// The items of all open jobs.
+#[derive(Clone, Debug)]
+pub struct Dispatch {
+    options: Options,
+    jobs: BTreeMap<Name, Job>,
+    /// Open jobs by due time.
+    order: BTreeSet<(u64, Name)>,
+    starts: u64,
+    /// Backend servers that failed and when they may be used again.
+    paused: BTreeMap<Name, u64>,
+}
+
+impl Dispatch {
+    /// Starts without jobs.
+    pub fn new(options: Options) -> Dispatch {
+        Dispatch {
+            options,
+            jobs: BTreeMap::new(),
+            order: BTreeSet::new(),
+            starts: 0,
+            paused: BTreeMap::new(),
+        }
+    }
+
+    /// Adds the unlisted items of an open job; a known job stays as it is.
+    pub fn add(&mut self, id: &Name, job: &ledger::Job) {
+        if self.jobs.contains_key(id) || !job.is_open() {
+            return;
+        }
+        let unlisted = job
+            .items
+            .iter()
+            .enumerate()
+            .filter(|(_, item)| !item.listed);
+        let items = unlisted.map(|(index, item)| (index as u32, new_item(item)));
+        let due_ms = job.submitted_ms.saturating_add(job.complete_ms);
+        let known = Job {
+            host: job.host.clone(),
+            due_ms,
+            expires_ms: job.submitted_ms.saturating_add(job.give_up_ms),
+            attempts: job.attempts.max(1),
+            items: items.collect(),
+        };
+        self.order.insert((due_ms, id.clone()));
+        self.jobs.insert(id.clone(), known);
+    }
+
+    /// Removes a job that was ended; returns its running items.
+    pub fn remove(&mut self, id: &Name) -> Vec<Key> {
+        let Some(job) = self.jobs.remove(id) else {
+            return Vec::new();
+        };
+        self.order.remove(&(job.due_ms, id.clone()));
+        let items = job.items.into_iter();
+        let running = items.filter(|(_, item)| matches!(item.state, State::Running { .. }));
+        let keys = running.map(|(item, _)| Key {
+            job: id.clone(),
+            item,
+        });
+        keys.collect()
+    }
+
+    /// Returns the number of running items of each backend server.
+    pub fn running(&self) -> BTreeMap<Name, u32> {
+        let mut running = BTreeMap::new();
+        for item in self.jobs.values().flat_map(|job| job.items.values()) {
+            if let State::Running { server, .. } = &item.state {
+                *running.entry(server.clone()).or_insert(0) += 1;
+            }
+        }
+        running
+    }
+
+    /// Returns the number of items that are not listed.
+    pub fn open_items(&self) -> usize {
+        self.jobs.values().map(|job| job.items.len()).sum()
+    }
+
+    /// Decides what to do now. `now_ms` is Unix time, as due times are.
+    pub fn plan(&mut self, servers: &[Server], routes: &route::Table, now_ms: u64) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.expire(routes, now_ms, &mut actions);
+        self.preempt(servers, &mut actions);
+        self.start(servers, routes, now_ms, &mut actions);
+        actions
+    }
+
+    /// Takes the end of a run. Returns the output to record if the item is done.
+    pub fn ended(
+        &mut self,
+        key: &Key,
+        outcome: Outcome,
+        now_ms: u64,
+    ) -> Option<(ledger::End, Vec<u8>)> {
+        let options = self.options;
+        let attempts = self.jobs.get(&key.job)?.attempts;
+        let item = self.jobs.get_mut(&key.job)?.items.get_mut(&key.item)?;
+        let State::Running {
+            server, stopping, ..
+        } = &item.state
+        else {
+            return None;
+        };
+        let (server, stopping) = (server.clone(), *stopping);
+        item.state = State::Waiting;
+        let waiting = &mut item.waiting;
+        waiting.avoid = None;
+        match outcome {
+            Outcome::Completed(progress) => {
+                item.state = State::Recording;
+                return Some((
+                    ledger::End::Completed,
+                    progress.data.join("\n").into_bytes(),
+                ));
+            }
+            Outcome::Impossible => {
+                item.state = State::Recording;
+                return Some((ledger::End::GivenUp, Vec::new()));
+            }
+            Outcome::Failed(progress) => {
+                waiting.failures += 1;
+                waiting.progress = progress;
+                waiting.avoid = Some(server);
+                if waiting.failures >= attempts {
+                    item.state = State::Recording;
+                    return Some((ledger::End::GivenUp, Vec::new()));
+                }
+            }
+            Outcome::Broken(progress) | Outcome::NotRun(progress) => {
+                let advanced = progress.last > waiting.progress.last;
+                waiting.progress = progress;
+                if stopping {
+                    return None;
+                }
+                waiting.breaks = if advanced { 0 } else { waiting.breaks + 1 };
+                waiting.avoid = Some(server.clone());
+                let until = now_ms + options.pause_ms;
+                self.paused.insert(server, until);
+            }
+        }
+        let item = self.jobs.get_mut(&key.job)?.items.get_mut(&key.item)?;
+        let pause = options.pause_ms << item.waiting.breaks.min(5);
+        item.waiting.not_before_ms = now_ms + pause.min(options.pause_max_ms);
+        None
+    }
+
+    /// Notes that the end of an item is durable.
+    pub fn recorded(&mut self, key: &Key) {
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        job.items.remove(&key.item);
+        if job.items.is_empty() {
+            self.remove(&key.job);
+        }
+    }
+
+    fn expire(&mut self, routes: &route::Table, now_ms: u64, actions: &mut Vec<Action>) {
+        for (id, job) in &mut self.jobs {
+            let expired = now_ms >= job.expires_ms;
+            for (index, item) in &mut job.items {
+                if !matches!(item.state, State::Waiting) {
+                    continue;
+                }
+                let reason = match routes.find(&job.host, &item.path) {
+                    None => Reason::RouteGone,
+                    Some(_) if expired => Reason::Expired,
+                    Some(_) => continue,
+                };
+                item.state = State::Recording;
+                let key = Key {
+                    job: id.clone(),
+                    item: *index,
+                };
+                actions.push(Action::GiveUp(key, reason));
+            }
+        }
+    }
+
+    /// Takes items back where online requests and items exceed the slots, the
+    /// ones that started last first: they have the least to read again.
+    fn preempt(&mut self, servers: &[Server], actions: &mut Vec<Action>) {
+        let running = self.running();
+        for server in servers {
+            let batch = running.get(&server.id).copied().unwrap_or(0);
+            let mut excess = (server.online + batch)
+                .saturating_sub(server.slots)
+                .min(batch);
+            while excess > 0 {
+                let Some(key) = self.newest_run(&server.id) else {
+                    break;
+                };
+                self.mark_stopping(&key);
+                actions.push(Action::Preempt(key));
+                excess -= 1;
+            }
+        }
+    }
+
+    fn newest_run(&self, id: &Name) -> Option<Key> {
+        let mut newest: Option<(u64, Key)> = None;
+        for (job, known) in &self.jobs {
+            for (index, item) in &known.items {
+                let State::Running {
+                    server,
+                    started,
+                    stopping: false,
+                } = &item.state
+                else {
+                    continue;
+                };
+                if server == id && newest.as_ref().is_none_or(|(best, _)| started > best) {
+                    let key = Key {
+                        job: job.clone(),
+                        item: *index,
+                    };
+                    newest = Some((*started, key));
+                }
+            }
+        }
+        newest.map(|(_, key)| key)
+    }
+
+    fn mark_stopping(&mut self, key: &Key) {
+        let job = self.jobs.get_mut(&key.job);
+        let item = job.and_then(|job| job.items.get_mut(&key.item));
+        if let Some(State::Running { stopping, .. }) = item.map(|item| &mut item.state) {
+            *stopping = true;
+        }
+    }
+
+    fn start(
+        &mut self,
+        servers: &[Server],
+        routes: &route::Table,
+        now_ms: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let running = self.running();
+        self.paused.retain(|_, until| *until > now_ms);
+        let mut rooms: Vec<(u32, &Server)> = Vec::new();
+        for server in servers {
+            let used = server.online
+                + self.options.reserve
+                + running.get(&server.id).copied().unwrap_or(0);
+            let room = server.slots.saturating_sub(used);
+            if room > 0 && !self.paused.contains_key(&server.id) {
+                rooms.push((room, server));
+            }
+        }
+        let mut left = self.options.starts;
+        for (_, id) in self.order.clone() {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            for (index, item) in &mut job.items {
+                if left == 0 || rooms.is_empty() {
+                    return;
+                }
+                let ready =
+                    matches!(item.state, State::Waiting) && now_ms >= item.waiting.not_before_ms;
+                let Some(route) = routes.find(&job.host, &item.path).filter(|_| ready) else {
+                    continue;
+                };
+                let avoid = item.waiting.avoid.clone();
+                let best = rooms
+                    .iter_mut()
+                    .filter(|(room, server)| *room > 0 && route.allows(&server.service))
+                    .max_by_key(|(room, server)| (Some(&server.id) != avoid.as_ref(), *room));
+                let Some((room, server)) = best else {
+                    continue;
+                };
+                *room -= 1;
+                left -= 1;
+                self.starts += 1;
+                item.state = State::Running {
+                    server: server.id.clone(),
+                    started: self.starts,
+                    stopping: false,
+                };
+                let key = Key {
+                    job: id.clone(),
+                    item: *index,
+                };
+                actions.push(Action::Start(Start {
+                    key,
+                    id: item.id.clone(),
+                    host: job.host.clone(),
+                    path: item.path.clone(),
+                    headers: item.headers.clone(),
+                    server: server.id.clone(),
+                    address: server.address.clone(),
+                    progress: item.waiting.progress.clone(),
+                }));
+            }
+            rooms.retain(|(room, _)| *room > 0);
+        }
+    }
+}
+
+fn new_item(item: &ledger::Item) -> Item {
+    Item {
+        id: item.id.clone(),
+        path: item.path.clone(),
+        headers: item.headers.clone(),
+        state: State::Waiting,
+        waiting: Waiting {
+            failures: 0,
+            breaks: 0,
+            not_before_ms: 0,
+            avoid: None,
+            progress: Progress::default(),
+        },
+    }
+}
--- /dev/null
+++ b/crates/relay/src/event.rs
@@ -0,0 +1,85 @@
+//! Server-sent events of a backend server, cut into complete events.
+
+/// Largest event that is kept until it is complete, in bytes. Events of model
+/// engines are far smaller; a backend server that never ends one is broken.
+const EVENT_BYTES_MAX: usize = 1 << 20;
+
+/// One complete event.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Event {
+    /// The number of the event, if it has one.
+    pub id: Option<u64>,
+    /// The bytes as they were received, with the blank line that ends the event.
+    pub bytes: Vec<u8>,
+}
+
+impl Event {
+    /// Returns the data lines of the event, joined by line feeds.
+    pub fn data(&self) -> String {
+        let text = String::from_utf8_lossy(&self.bytes);
+        let lines = text.lines().filter_map(|line| field(line, "data"));
+        lines.collect::<Vec<_>>().join("\n")
+    }
+}
+
+/// Cuts a byte stream into events.
+#[derive(Debug, Default)]
+pub struct Parser {
+    buffer: Vec<u8>,
+    /// Where the search for the end of the first event goes on.
+    searched: usize,
+}
+
+impl Parser {
+    /// Adds received bytes.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Returns the next complete event.
+    pub fn next_event(&mut self) -> Option<Event> {
+        let end = self.find_end()?;
+        let rest = self.buffer.split_off(end);
+        let bytes = std::mem::replace(&mut self.buffer, rest);
+        self.searched = 0;
+        let id = event_id(&bytes);
+        Some(Event { id, bytes })
+    }
+
+    /// Returns whether no part of an event is waiting for its end.
+    pub fn is_empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
+    /// Returns whether the event that is being received is too large.
+    pub fn is_too_large(&self) -> bool {
+        self.buffer.len() > EVENT_BYTES_MAX
+    }
+
+    fn find_end(&mut self) -> Option<usize> {
+        let start = self.searched.saturating_sub(3);
+        for index in start..self.buffer.len() {
+            let rest = &self.buffer[index..];
+            if rest.starts_with(b"\n\n") {
+                return Some(index + 2);
+            }
+            if rest.starts_with(b"\r\n\r\n") {
+                return Some(index + 4);
+            }
+        }
+        self.searched = self.buffer.len();
+        None
+    }
+}
+
+fn event_id(bytes: &[u8]) -> Option<u64> {
+    let lines = bytes.split(|byte| *byte == b'\n');
+    let mut ids = lines.filter_map(|line| std::str::from_utf8(line).ok());
+    ids.find_map(|line| field(line.trim_end_matches('\r'), "id"))
+        .and_then(|value| value.trim().parse().ok())
+}
+
+fn field<'a>(line: &'a str, name: &str) -> Option<&'a str> {
+    let value = line.strip_prefix(name)?.strip_prefix(':')?;
+    Some(value.strip_prefix(' ').unwrap_or(value))
+}
--- /dev/null
+++ b/crates/relay/src/ledger.rs
@@ -0,0 +1,426 @@
+//! The replicated state: the published configuration and the batch jobs.
+//!
+//! Bodies and outputs of items are payloads beside the log; the state holds
+//! their keys and what decisions need.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bw_coord::{host, payload};
+use bw_wire::name::Name;
+use serde::{Deserialize, Serialize};
+
+use crate::route;
+
+/// A configuration with the bytes that an operator sent, which are read back.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Published {
+    /// The configuration.
+    pub config: route::Config,
+    /// The document as it was sent.
+    pub document: Vec<u8>,
+}
+
+/// An item as a caller submits it.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct NewItem {
+    /// The id, which becomes the request id at the backend server.
+    pub id: Name,
+    /// The path with its query.
+    pub path: Name,
+    /// The headers that the item is sent with.
+    pub headers: Vec<(Name, Name)>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// A job as a caller submits it.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct NewJob {
+    /// The id; a repeated submission has the same one.
+    pub id: Name,
+    /// The host of its route.
+    pub host: Name,
+    /// The path prefix of its route.
+    pub prefix: Name,
+    /// When it was received, in Unix milliseconds.
+    pub submitted_ms: u64,
+    /// When its results are due, in milliseconds after its submission.
+    pub complete_ms: u64,
+    /// When its items may be given up, in milliseconds after its submission.
+    pub give_up_ms: u64,
+    /// Failed runs after which an item is given up.
+    pub attempts: u32,
+    /// The items.
+    pub items: Vec<NewItem>,
+}
+
+/// How an item ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum End {
+    /// It has its whole output.
+    Completed,
+    /// It was given up.
+    GivenUp,
+}
+
+/// An item of an accepted job.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Item {
+    /// The id.
+    pub id: Name,
+    /// The path with its query.
+    pub path: Name,
+    /// The headers.
+    pub headers: Vec<(Name, Name)>,
+    /// The key of its body.
+    body: u64,
+    /// Whether it is listed among the results.
+    pub listed: bool,
+}
+
+/// A listed result.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+struct Listed {
+    item: u32,
+    end: End,
+    /// The key of the output, if it has one.
+    output: Option<u64>,
+    size: u32,
+}
+
+/// An accepted job.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Job {
+    /// The host of its route.
+    pub host: Name,
+    /// The path prefix of its route.
+    pub prefix: Name,
+    /// When it was received, in Unix milliseconds.
+    pub submitted_ms: u64,
+    /// When its results are due, in milliseconds after its submission.
+    pub complete_ms: u64,
+    /// When its items may be given up, in milliseconds after its submission.
+    pub give_up_ms: u64,
+    /// Failed runs after which an item is given up.
+    pub attempts: u32,
+    /// The items.
+    pub items: Vec<Item>,
+    /// Whether a caller has ended it.
+    pub ended: bool,
+    results: Vec<Listed>,
+}
+
+impl Job {
+    /// Returns whether items are still to run.
+    pub fn is_open(&self) -> bool {
+        !self.ended && self.results.len() < self.items.len()
+    }
+
+    /// Returns the number of listed results.
+    pub fn listed(&self) -> usize {
+        self.results.len()
+    }
+}
+
+/// A command of the log.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Command {
+    /// Publishes a configuration unless a newer one is in force.
+    Publish(Box<Published>),
+    /// Accepts a job unless it is known.
+    Submit(Box<NewJob>),
+    /// Lists an item, unless it is listed.
+    Record {
+        /// The job.
+        job: Name,
+        /// The item's index.
+        item: u32,
+        /// How it ended.
+        end: End,
+        /// The output of a completed item.
+        output: Vec<u8>,
+    },
+    /// Ends a job.
+    End {
+        /// The job.
+        job: Name,
+    },
+    /// Notes that a worker VM is to be emptied.
+    Evacuate {
+        /// The VM.
+        node: Name,
+    },
+    /// Forgets closed jobs that were submitted before a time.
+    Sweep {
+        /// Unix milliseconds.
+        before_ms: u64,
+    },
+}
+
+/// The result of a command.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Applied {
+    /// The command had its effect or had it before.
+    Done,
+    /// A newer configuration is in force, or the job is unknown.
+    Superseded,
+}
+
+/// A result as callers read it.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Result {
+    /// The id of the item.
+    pub id: Name,
+    /// How it ended.
+    pub end: End,
+    /// The output.
+    pub output: Vec<u8>,
+}
+
+/// A page of results.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Page {
+    /// The number of items of the job.
+    pub total: u32,
+    /// The results from the position on.
+    pub results: Vec<Result>,
+}
+
+/// The state machine.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Ledger {
+    published: Option<Published>,
+    jobs: BTreeMap<Name, Job>,
+    evacuated: BTreeSet<Name>,
+    next_key: u64,
+    #[serde(skip)]
+    effects: Vec<payload::Effect>,
+}
+
+impl Ledger {
+    /// Returns the configuration in force.
+    pub fn published(&self) -> Option<&Published> {
+        self.published.as_ref()
+    }
+
+    /// Returns all jobs by id.
+    pub fn jobs(&self) -> &BTreeMap<Name, Job> {
+        &self.jobs
+    }
+
+    /// Returns whether a worker VM was to be emptied.
+    pub fn is_evacuated(&self, node: &str) -> bool {
+        self.evacuated.contains(node)
+    }
+
+    /// Returns the key of an item's body, unless the item is listed or its job
+    /// has ended.
+    pub fn body(&self, job: &str, item: &str) -> Option<payload::Key> {
+        let job = self.jobs.get(job).filter(|job| !job.ended)?;
+        let mut items = job.items.iter();
+        let item = items.find(|known| &*known.id == item && !known.listed)?;
+        Some(payload::Key(item.body))
+    }
+
+    /// Reads results from a position on, about `bytes` bytes of output at most
+    /// and at least one if there is one. Returns `None` for an unknown job.
+    ///
+    /// # Errors
+    ///
+    /// Passes on the errors of the source.
+    pub fn page(
+        &self,
+        job: &str,
+        after: usize,
+        bytes: usize,
+        payloads: &mut dyn payload::Source,
+    ) -> std::result::Result<Option<Page>, bw_coord::storage::Error> {
+        let Some(job) = self.jobs.get(job) else {
+            return Ok(None);
+        };
+        let mut results = Vec::new();
+        let mut size = 0;
+        for listed in job.results.iter().skip(after) {
+            size += listed.size as usize;
+            if size > bytes && !results.is_empty() {
+                break;
+            }
+            let output = match listed.output {
+                Some(key) => payloads.get(payload::Key(key))?,
+                None => Vec::new(),
+            };
+            let id = job.items[listed.item as usize].id.clone();
+            let end = listed.end;
+            results.push(Result { id, end, output });
+        }
+        let total = job.items.len() as u32;
+        Ok(Some(Page { total, results }))
+    }
+
+    /// Applies one command.
+    pub fn execute(&mut self, command: Command) -> Applied {
+        match command {
+            Command::Publish(published) => self.publish(*published),
+            Command::Submit(job) => self.submit(*job),
+            Command::Record {
+                job,
+                item,
+                end,
+                output,
+            } => self.record(&job, item, end, output),
+            Command::End { job } => self.end(&job),
+            Command::Evacuate { node } => {
+                self.evacuated.insert(node);
+                Applied::Done
+            }
+            Command::Sweep { before_ms } => self.sweep(before_ms),
+        }
+    }
+
+    fn publish(&mut self, published: Published) -> Applied {
+        let current = self.published.as_ref();
+        if current.is_some_and(|current| published.config.version <= current.config.version) {
+            return Applied::Superseded;
+        }
+        self.published = Some(published);
+        Applied::Done
+    }
+
+    fn submit(&mut self, job: NewJob) -> Applied {
+        if self.jobs.contains_key(&job.id) {
+            return Applied::Done;
+        }
+        let mut items = Vec::with_capacity(job.items.len());
+        for item in job.items {
+            let body = self.put(item.body);
+            items.push(Item {
+                id: item.id,
+                path: item.path,
+                headers: item.headers,
+                body,
+                listed: false,
+            });
+        }
+        let accepted = Job {
+            host: job.host,
+            prefix: job.prefix,
+            submitted_ms: job.submitted_ms,
+            complete_ms: job.complete_ms,
+            give_up_ms: job.give_up_ms,
+            attempts: job.attempts,
+            items,
+            ended: false,
+            results: Vec::new(),
+        };
+        self.jobs.insert(job.id, accepted);
+        Applied::Done
+    }
+
+    fn record(&mut self, job: &str, item: u32, end: End, output: Vec<u8>) -> Applied {
+        let Some(known) = self.jobs.get(job).filter(|job| !job.ended) else {
+            return Applied::Superseded;
+        };
+        let Some(present) = known.items.get(item as usize) else {
+            return Applied::Superseded;
+        };
+        if present.listed {
+            return Applied::Superseded;
+        }
+        let key = payload::Key(present.body);
+        self.effects.push(payload::Effect::Remove { key });
+        let size = output.len() as u32;
+        let output = match end {
+            End::Completed => Some(self.put(output)),
+            End::GivenUp => None,
+        };
+        if let Some(known) = self.jobs.get_mut(job) {
+            known.items[item as usize].listed = true;
+            known.results.push(Listed {
+                item,
+                end,
+                output,
+                size,
+            });
+        }
+        Applied::Done
+    }
+
+    fn end(&mut self, job: &str) -> Applied {
+        let Some(known) = self.jobs.get_mut(job) else {
+            return Applied::Superseded;
+        };
+        if !known.ended {
+            known.ended = true;
+            let unlisted = known.items.iter().filter(|item| !item.listed);
+            let keys = unlisted.map(|item| payload::Key(item.body));
+            let removed = keys.map(|key| payload::Effect::Remove { key });
+            self.effects.extend(removed);
+        }
+        Applied::Done
+    }
+
+    fn sweep(&mut self, before_ms: u64) -> Applied {
+        let jobs = std::mem::take(&mut self.jobs);
+        for (id, job) in jobs {
+            if job.is_open() || job.submitted_ms >= before_ms {
+                self.jobs.insert(id, job);
+                continue;
+            }
+            let outputs = job.results.iter().filter_map(|listed| listed.output);
+            let removed = outputs.map(|key| payload::Effect::Remove {
+                key: payload::Key(key),
+            });
+            self.effects.extend(removed);
+        }
+        Applied::Done
+    }
+
+    fn put(&mut self, content: Vec<u8>) -> u64 {
+        let key = self.next_key;
+        self.next_key += 1;
+        self.effects.push(payload::Effect::Put {
+            key: payload::Key(key),
+            content,
+        });
+        key
+    }
+}
+
+/// Encodes a command for the log.
+///
+/// # Panics
+///
+/// Never: commands hold only data that the codec can represent.
+pub fn encode(command: &Command) -> Vec<u8> {
+    postcard::to_stdvec(command).expect("commands are plain data")
+}
+
+/// Decodes the result of a command.
+pub fn decode_applied(bytes: &[u8]) -> Option<Applied> {
+    postcard::from_bytes(bytes).ok()
+}
+
+impl host::Machine for Ledger {
+    fn apply(&mut self, _index: u64, command: &[u8]) -> Vec<u8> {
+        let applied = match postcard::from_bytes(command) {
+            Ok(command) => self.execute(command),
+            // All replicas decode alike, so all skip the same commands.
+            Err(_) => Applied::Superseded,
+        };
+        postcard::to_stdvec(&applied).unwrap_or_default()
+    }
+
+    fn effects(&mut self) -> Vec<payload::Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    fn restore(&mut self, data: &[u8]) -> std::result::Result<(), host::RestoreError> {
+        *self = postcard::from_bytes(data)
+            .map_err(|error| host::RestoreError::new(error.to_string()))?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,13 @@
+//! Decisions and state for relaying opaque requests to backend servers by
+//! published routes, and for batch jobs made of such requests.
+//!
+//! Nothing here does I/O or reads a clock: callers pass in the time in
+//! milliseconds, so that tests replay load patterns exactly.
+
+pub mod balance;
+pub mod dispatch;
+pub mod event;
+pub mod ledger;
+pub mod message;
+pub mod registry;
+pub mod route;
--- /dev/null
+++ b/crates/relay/src/message.rs
@@ -0,0 +1,197 @@
+//! Messages between the processes of a relay.
+
+use std::sync::Arc;
+
+use bw_wire::name::Name;
+use serde::{Deserialize, Serialize};
+
+use crate::{ledger, registry};
+
+/// Largest frame in bytes; a job of the largest size fits several times.
+pub const FRAME_BYTES_MAX: usize = 64 << 20;
+
+/// Load of one backend server, summed over all entry VMs.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    /// The id of the backend server.
+    pub id: Name,
+    /// Online requests in flight.
+    pub online: u32,
+    /// Batch items running.
+    pub batch: u32,
+}
+
+/// News that the leader sends to entry VMs and to the other control replicas.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Update {
+    /// The configuration, if it changed.
+    pub published: Option<Arc<ledger::Published>>,
+    /// Announcements that changed.
+    pub backends: Vec<registry::Announcement>,
+    /// The load of all backend servers, if it changed.
+    pub loads: Option<Vec<Load>>,
+}
+
+/// A call to the leader.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Request {
+    /// A backend server announces itself.
+    Announce(registry::Announcement),
+    /// A backend server goes.
+    Leave {
+        /// Its id.
+        id: Name,
+        /// When it started; 0 if unknown.
+        born_ms: u64,
+    },
+    /// An operator publishes a configuration.
+    Publish(Box<ledger::Published>),
+    /// An operator reads the configuration in force.
+    ReadConfig,
+    /// A caller submits a job.
+    Submit(Box<ledger::NewJob>),
+    /// A caller reads results.
+    Results {
+        /// The job.
+        job: Name,
+        /// The first position.
+        after: u32,
+        /// How long the answer may wait for a result, in milliseconds.
+        wait_ms: u64,
+    },
+    /// A caller reads the body of an item.
+    Body {
+        /// The job.
+        job: Name,
+        /// The item.
+        item: Name,
+    },
+    /// A caller ends a job.
+    End {
+        /// The job.
+        job: Name,
+    },
+    /// An operator wants a worker VM to be emptied.
+    Evacuate {
+        /// The VM.
+        node: Name,
+    },
+    /// An operator asks whether a worker VM is empty.
+    Evacuated {
+        /// The VM.
+        node: Name,
+    },
+    /// A control replica wants to be a member.
+    Join {
+        /// Its replica id.
+        replica: u64,
+        /// Its internal address.
+        address: Name,
+        /// Its failure domain.
+        failure_domain: Name,
+    },
+}
+
+/// The answer to a call.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    /// It is done, durably where that matters.
+    Done,
+    /// The announcement was older than what is known.
+    Stale,
+    /// The document in force.
+    Document(Option<Vec<u8>>),
+    /// A page of results; `None` for an unknown job.
+    Page(Option<ledger::Page>),
+    /// The body of an item, if there is one.
+    Body(Option<Vec<u8>>),
+    /// The job or the VM is unknown.
+    Unknown,
+    /// The VM is empty.
+    Empty,
+    /// The replica was removed from the members and must start anew under
+    /// another id.
+    Removed,
+    /// The replica is a member.
+    Member,
+    /// There is no place for the replica yet.
+    Standby,
+    /// Nothing was done: there is no leader here.
+    NotLeader,
+    /// Nothing was done: too much is waiting.
+    Busy,
+    /// The outcome is unknown.
+    Lost,
+}
+
+/// What a process does.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Role {
+    /// It forwards callers' requests.
+    Entry,
+    /// It keeps a replica of the ledger.
+    Control,
+    /// It works for the leader.
+    Worker,
+}
+
+/// A frame on a connection between two processes.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Frame {
+    /// The first frame of another process.
+    Hello {
+        /// The name of its VM.
+        node: Name,
+        /// What it does.
+        role: Role,
+    },
+    /// The answer to `Hello`, and a later change of it.
+    Welcome {
+        /// Whether the receiver of `Hello` leads.
+        leads: bool,
+        /// Internal addresses of control replicas, the leader's first if known.
+        replicas: Vec<Name>,
+    },
+    /// News of the leader. An empty update shows that the leader is alive.
+    Update(Update),
+    /// Online requests in flight at one entry VM, all that are not 0.
+    Loads(Vec<(Name, u32)>),
+    /// A call.
+    Call {
+        /// Names the call in the answer.
+        ticket: u64,
+        /// The call.
+        request: Request,
+    },
+    /// An answer.
+    Reply {
+        /// Names the call.
+        ticket: u64,
+        /// The answer.
+        reply: Reply,
+    },
+    /// A message of the replicated log.
+    Log {
+        /// The sender's replica id.
+        from: u64,
+        /// The encoded message.
+        message: Vec<u8>,
+    },
+}
+
+/// Encodes a frame with its length in front.
+pub fn encode(frame: &Frame) -> Vec<u8> {
+    let mut bytes = postcard::to_extend(frame, vec![0; 4]).unwrap_or_default();
+    let length = bytes.len().saturating_sub(4) as u32;
+    bytes[..4].copy_from_slice(&length.to_be_bytes());
+    bytes
+}
+
+/// Decodes a frame without its length.
+///
+/// # Errors
+///
+/// Fails if the bytes are no frame.
+pub fn decode(bytes: &[u8]) -> Result<Frame, postcard::Error> {
+    postcard::from_bytes(bytes)
+}
--- /dev/null
+++ b/programs/gateway/src/control/api.rs
@@ -0,0 +1,109 @@
+//! The HTTP interface for operators and backend servers.
+
+use std::{convert, rc::Rc, time};
+
+use bw_relay::message;
+use bw_wire::name::Name;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Method, Request, Response, StatusCode, body, header, server::conn::http1, service};
+use hyper_util::rt;
+use tokio::{net, task};
+
+use crate::{control::hub::Hub, dialect::ControlCall, socket};
+
+/// Time limit of a request's headers, and of an idle connection.
+const HEADER: time::Duration = time::Duration::from_secs(15);
+/// Time limit of a request's body.
+const BODY: time::Duration = time::Duration::from_secs(10);
+/// Largest body: a configuration of tens of thousands of routes.
+const BODY_BYTES: usize = 16 << 20;
+
+type Answer = Response<Full<Bytes>>;
+
+/// Serves operators and backend servers.
+pub(crate) async fn serve(hub: Rc<Hub>, listener: net::TcpListener) {
+    let mut connections = task::JoinSet::new();
+    loop {
+        while connections.try_join_next().is_some() {}
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("accept failed: {error}");
+                continue;
+            }
+        };
+        if socket::tune(&stream).is_err() {
+            continue;
+        }
+        let hub = Rc::clone(&hub);
+        let service = service::service_fn(move |request| {
+            let hub = Rc::clone(&hub);
+            async move { Ok::<_, convert::Infallible>(handle(&hub, request).await) }
+        });
+        connections.spawn_local(async move {
+            let serving = http1::Builder::new()
+                .timer(rt::TokioTimer::new())
+                .header_read_timeout(HEADER)
+                .serve_connection(rt::TokioIo::new(stream), service);
+            if let Err(error) = serving.await {
+                log::debug!("control connection ended: {error}");
+            }
+        });
+    }
+}
+
+async fn handle(hub: &Rc<Hub>, request: Request<body::Incoming>) -> Answer {
+    let (parts, body) = request.into_parts();
+    let path = parts.uri.path();
+    if parts.method == Method::GET && path == "/metrics" {
+        return answer(StatusCode::OK, bw_base::metrics::render().into_bytes());
+    }
+    let reading = tokio::time::timeout(BODY, Limited::new(body, BODY_BYTES).collect());
+    let body = match reading.await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(_)) => return answer(StatusCode::PAYLOAD_TOO_LARGE, Vec::new()),
+        Err(_) => return answer(StatusCode::REQUEST_TIMEOUT, Vec::new()),
+    };
+    let call = match hub.dialect().control_call(&parts.method, path, &body) {
+        Ok(call) => call,
+        Err(refused) => {
+            log::info!(
+                method = parts.method.as_str(), path = path, status = refused.status.as_u16(),
+                reason = refused.reason.as_str();
+                "call refused"
+            );
+            return answer(refused.status, refused.reason.into_bytes());
+        }
+    };
+    let request = match call {
+        ControlCall::Announce(announcement) => message::Request::Announce(announcement),
+        ControlCall::Leave { id, born_ms } => message::Request::Leave { id, born_ms },
+        ControlCall::Publish(published) => message::Request::Publish(published),
+        ControlCall::ReadConfig => message::Request::ReadConfig,
+        ControlCall::Evacuate(node) => message::Request::Evacuate { node },
+        ControlCall::Evacuated(node) => message::Request::Evacuated { node },
+    };
+    let reply = hub.call(request).await;
+    let (status, bytes) = hub.dialect().control_answer(reply, leader(hub));
+    answer(status, bytes)
+}
+
+/// Returns the address at which the leader serves operators: all control
+/// programs use the same port.
+fn leader(hub: &Hub) -> Option<Name> {
+    let own = hub.settings().operators?;
+    let ip = match hub.leads() {
+        true => own.ip(),
+        false => hub.link().leader()?.ip(),
+    };
+    Some(std::net::SocketAddr::new(ip, own.port()).to_string().into())
+}
+
+fn answer(status: StatusCode, bytes: Vec<u8>) -> Answer {
+    let mut response = Response::new(Full::new(Bytes::from(bytes)));
+    *response.status_mut() = status;
+    let kind = header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
--- /dev/null
+++ b/programs/gateway/src/control/hub.rs
@@ -0,0 +1,640 @@
+//! The network thread's state: the registry of backend servers, the sessions
+//! of entry VMs, and the batch dispatch while this replica leads.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    sync::{Arc, mpsc},
+    time,
+};
+
+use bw_coord::{ReplicaId, host, member};
+use bw_relay::{dispatch, ledger, message, registry, route};
+use bw_wire::name::Name;
+use tokio::sync::{Notify, mpsc as async_mpsc, oneshot};
+
+use crate::{
+    clock,
+    control::{identity, members, peers, replica, runner, sessions},
+    dialect, link, metrics, settings, upstream,
+};
+
+/// How often loads are sent on and batch work is planned.
+const TICK: time::Duration = time::Duration::from_millis(50);
+/// Ticks without a change after which an empty update is sent, which shows
+/// that the leader is alive.
+const QUIET_TICKS: u32 = 8;
+/// Announcements that a backend server may miss before it counts as silent.
+/// One may arrive seconds late.
+const SILENT_ANNOUNCEMENTS: u64 = 5;
+/// Interval between sweeps of closed jobs, in milliseconds.
+const SWEEP_MS: u64 = 10_000;
+/// Time in which workers find a new leader, in milliseconds.
+const SETTLE_MS: u64 = 4_000;
+/// Time limit of a call that is passed on to the leader. Operators and backend
+/// servers wait one second.
+const CALL: time::Duration = time::Duration::from_millis(900);
+
+/// What the hub works with.
+pub(crate) struct Parts {
+    pub(crate) settings: settings::Settings,
+    pub(crate) dialect: Arc<dyn dialect::Dialect>,
+    pub(crate) calls: mpsc::Sender<replica::Call>,
+}
+
+/// The state of the network thread.
+pub(crate) struct Hub {
+    parts: Parts,
+    link: link::Link,
+    pub(crate) pool: upstream::Pool,
+    pub(crate) sessions: RefCell<sessions::Sessions>,
+    peers: RefCell<peers::Peers>,
+    registry: RefCell<registry::Registry>,
+    leads: Cell<Option<u64>>,
+    leader: Cell<Option<ReplicaId>>,
+    own: Cell<Option<ReplicaId>>,
+    members: RefCell<Vec<member::Member>>,
+    heard: RefCell<HashMap<ReplicaId, u64>>,
+    published: RefCell<Option<Arc<ledger::Published>>>,
+    pub(crate) routes: RefCell<Rc<route::Table>>,
+    pub(crate) dispatch: RefCell<dispatch::Dispatch>,
+    pub(crate) runs: RefCell<runner::Runs>,
+    changed: RefCell<HashMap<Name, Rc<Notify>>>,
+    swept_ms: Cell<u64>,
+    /// When this replica began to lead.
+    led_ms: Cell<u64>,
+}
+
+impl Hub {
+    pub(crate) fn new(parts: Parts, link: link::Link) -> Hub {
+        Hub {
+            parts,
+            link,
+            pool: upstream::Pool::default(),
+            sessions: RefCell::default(),
+            peers: RefCell::default(),
+            registry: RefCell::default(),
+            leads: Cell::new(None),
+            leader: Cell::new(None),
+            own: Cell::new(None),
+            members: RefCell::default(),
+            heard: RefCell::default(),
+            published: RefCell::new(None),
+            routes: RefCell::default(),
+            dispatch: RefCell::new(dispatch::Dispatch::new(dispatch::Options::default())),
+            runs: RefCell::default(),
+            changed: RefCell::default(),
+            swept_ms: Cell::new(0),
+            led_ms: Cell::new(0),
+        }
+    }
+
+    pub(crate) fn settings(&self) -> &settings::Settings {
+        &self.parts.settings
+    }
+
+    pub(crate) fn dialect(&self) -> &Arc<dyn dialect::Dialect> {
+        &self.parts.dialect
+    }
+
+    pub(crate) fn link(&self) -> &link::Link {
+        &self.link
+    }
+
+    pub(crate) fn leads(&self) -> bool {
+        self.leads.get().is_some()
+    }
+
+    /// Returns the term in which this replica leads.
+    pub(crate) fn term(&self) -> Option<u64> {
+        self.leads.get()
+    }
+
+    pub(crate) fn follows(&self) -> bool {
+        self.leader.get().is_some()
+    }
+
+    pub(crate) fn own_replica(&self) -> Option<ReplicaId> {
+        self.own.get()
+    }
+
+    pub(crate) fn forget_replica(&self) {
+        self.own.set(None);
+    }
+
+    pub(crate) fn members(&self) -> Vec<member::Member> {
+        self.members.borrow().clone()
+    }
+
+    pub(crate) fn is_member(&self) -> bool {
+        let members = self.members.borrow();
+        members
+            .iter()
+            .any(|member| Some(member.replica) == self.own.get())
+    }
+
+    /// Returns when a replica was heard from last. One that was never heard
+    /// from counts from the time that this replica began to lead.
+    pub(crate) fn heard_ms(&self, replica: ReplicaId) -> u64 {
+        if Some(replica) == self.own.get() {
+            return u64::MAX - members_margin();
+        }
+        self.heard.borrow().get(&replica).copied().unwrap_or(0)
+    }
+
+    pub(crate) fn heard(&self, replica: ReplicaId, now_ms: u64) {
+        self.heard.borrow_mut().insert(replica, now_ms);
+    }
+
+    /// Hands a call to the control thread.
+    pub(crate) fn tell(&self, call: replica::Call) {
+        if self.parts.calls.send(call).is_err() {
+            log::error!("the control thread has ended");
+        }
+    }
+
+    /// Returns internal addresses of replicas, the leader's first if known.
+    pub(crate) fn addresses(&self) -> Vec<Name> {
+        let members = self.members.borrow();
+        let leader = self.leader.get();
+        let first = members
+            .iter()
+            .filter(|member| Some(member.replica) == leader);
+        let others = members
+            .iter()
+            .filter(|member| Some(member.replica) != leader);
+        let mut addresses: Vec<Name> = first.chain(others).map(identity::address).collect();
+        if leader.is_none()
+            && let Some(address) = self.link.leader()
+        {
+            addresses.insert(0, address.to_string().into());
+        }
+        addresses
+    }
+
+    /// Returns everything that a new session needs.
+    pub(crate) fn full_update(&self) -> message::Update {
+        let registry = self.registry.borrow();
+        let backends = registry
+            .backends()
+            .map(|backend| backend.announcement.clone());
+        message::Update {
+            published: self.published.borrow().clone(),
+            backends: backends.collect(),
+            loads: Some(self.loads()),
+        }
+    }
+
+    pub(crate) fn set_loads(&self, session: u64, loads: Vec<(Name, u32)>) {
+        self.sessions.borrow_mut().set_loads(session, loads);
+    }
+
+    pub(crate) fn close_session(&self, session: u64) {
+        self.sessions.borrow_mut().remove(session);
+    }
+
+    /// Calls the leader, wherever it is.
+    pub(crate) async fn call(self: &Rc<Hub>, request: message::Request) -> message::Reply {
+        match self.leads() {
+            true => {
+                let handling = tokio::time::timeout(CALL, self.handle(request));
+                handling.await.unwrap_or(message::Reply::Lost)
+            }
+            false => self.link.call(request, CALL).await,
+        }
+    }
+
+    /// Handles a call as the leader.
+    pub(crate) async fn handle(self: &Rc<Hub>, request: message::Request) -> message::Reply {
+        if !self.leads() {
+            return message::Reply::NotLeader;
+        }
+        match request {
+            message::Request::Announce(announcement) => self.announce(announcement).await,
+            message::Request::Leave { id, born_ms } => self.leave(&id, born_ms).await,
+            message::Request::Publish(published) => self.publish(*published).await,
+            message::Request::ReadConfig => match self.read(replica::Read::Document).await {
+                Ok(replica::Answer::Document(document)) => message::Reply::Document(document),
+                other => refusal(other.err()),
+            },
+            message::Request::Submit(job) => self.submit(*job).await,
+            message::Request::Results {
+                job,
+                after,
+                wait_ms,
+            } => self.results(job, after, wait_ms).await,
+            message::Request::Body { job, item } => self.body(job, item).await,
+            message::Request::End { job } => self.end(job).await,
+            message::Request::Evacuate { node } => self.evacuate(node).await,
+            message::Request::Evacuated { node } => self.evacuated(node).await,
+            message::Request::Join {
+                replica,
+                address,
+                failure_domain,
+            } => members::decide(self, ReplicaId(replica), address, failure_domain).await,
+        }
+    }
+
+    async fn announce(&self, announcement: registry::Announcement) -> message::Reply {
+        let leaving = announcement.state == registry::State::Leaving;
+        let id = announcement.id.clone();
+        let outcome = self
+            .registry
+            .borrow_mut()
+            .announce(announcement, clock::steady_ms());
+        match outcome {
+            registry::Outcome::Changed => self.tell_backend(&id),
+            registry::Outcome::Renewed => {}
+            registry::Outcome::Stale => return message::Reply::Stale,
+        }
+        match leaving {
+            true => self.confirm().await,
+            false => message::Reply::Done,
+        }
+    }
+
+    async fn leave(&self, id: &str, born_ms: u64) -> message::Reply {
+        let left = self.registry.borrow_mut().leave(id, born_ms);
+        if let Some(announcement) = left {
+            self.tell_backend(&announcement.id);
+        }
+        self.confirm().await
+    }
+
+    /// Answers only while this replica surely leads: a backend server that is
+    /// told that its leaving is known gets no new work from any entry VM.
+    async fn confirm(&self) -> message::Reply {
+        match self.read(replica::Read::Lead).await {
+            Ok(_) => message::Reply::Done,
+            Err(error) => refusal(Some(error)),
+        }
+    }
+
+    fn tell_backend(&self, id: &str) {
+        let registry = self.registry.borrow();
+        // An announcement can also take the address of another entry over.
+        let address = registry
+            .get(id)
+            .map(|backend| backend.announcement.address.clone());
+        let at_address =
+            |backend: &&registry::Backend| Some(&backend.announcement.address) == address.as_ref();
+        let changed = registry.backends().filter(at_address);
+        let backends: Vec<_> = changed
+            .map(|backend| backend.announcement.clone())
+            .collect();
+        for known in &backends {
+            log::info!(
+                backend = &*known.id, address = &*known.address, state = known.state.to_string().as_str(),
+                sequence = known.sequence;
+                "backend server changed"
+            );
+        }
+        let update = message::Update {
+            backends,
+            ..message::Update::default()
+        };
+        self.sessions
+            .borrow_mut()
+            .broadcast(&message::Frame::Update(update));
+    }
+
+    async fn publish(&self, published: ledger::Published) -> message::Reply {
+        let version = published.config.version;
+        let published = Arc::new(published);
+        let command = ledger::Command::Publish(Box::new((*published).clone()));
+        let result = self.propose(command).await;
+        log::info!(version = version, outcome = format!("{result:?}").as_str(); "configuration published");
+        match result {
+            Ok(ledger::Applied::Done) => {
+                self.set_published(&published);
+                let update = message::Update {
+                    published: Some(published),
+                    ..message::Update::default()
+                };
+                self.sessions
+                    .borrow_mut()
+                    .broadcast(&message::Frame::Update(update));
+                message::Reply::Done
+            }
+            Ok(ledger::Applied::Superseded) => message::Reply::Done,
+            Err(error) => refusal(Some(error)),
+        }
+    }
+
+    fn set_published(&self, published: &Arc<ledger::Published>) {
+        let mut current = self.published.borrow_mut();
+        let version = current.as_ref().map(|current| current.config.version);
+        if version.is_some_and(|version| version >= published.config.version) {
+            return;
+        }
+        *self.routes.borrow_mut() = Rc::new(route::Table::new(&published.config));
+        *current = Some(Arc::clone(published));
+    }
+
+    async fn submit(&self, job: ledger::NewJob) -> message::Reply {
+        let command = ledger::Command::Submit(Box::new(job));
+        match self.propose(command).await {
+            Ok(_) => message::Reply::Done,
+            Err(error) => refusal(Some(error)),
+        }
+    }
+
+    async fn results(self: &Rc<Hub>, job: Name, after: u32, wait_ms: u64) -> message::Reply {
+        let until = tokio::time::Instant::now() + time::Duration::from_millis(wait_ms);
+        loop {
+            let changed = Rc::clone(self.changed.borrow_mut().entry(job.clone()).or_default());
+            let news = changed.notified();
+            let read = replica::Read::Page {
+                job: job.clone(),
+                after,
+            };
+            let page = match self.read(read).await {
+                Ok(replica::Answer::Page(page)) => page,
+                other => return refusal(other.err()),
+            };
+            let waits = page
+                .as_ref()
+                .is_some_and(|page| page.results.is_empty() && after < page.total);
+            if !waits || tokio::time::timeout_at(until, news).await.is_err() {
+                return message::Reply::Page(page);
+            }
+        }
+    }
+
+    /// Wakes the callers that wait for results of a job.
+    pub(crate) fn job_changed(&self, job: &str) {
+        if let Some(changed) = self.changed.borrow_mut().remove(job) {
+            changed.notify_waiters();
+        }
+    }
+
+    async fn body(&self, job: Name, item: Name) -> message::Reply {
+        match self.read(replica::Read::Body { job, item }).await {
+            Ok(replica::Answer::Body(body)) => message::Reply::Body(body),
+            other => refusal(other.err()),
+        }
+    }
+
+    async fn end(&self, job: Name) -> message::Reply {
+        let result = self
+            .propose(ledger::Command::End { job: job.clone() })
+            .await;
+        match result {
+            Ok(ledger::Applied::Done) => {
+                let running = self.dispatch.borrow_mut().remove(&job);
+                log::info!(job = &*job, running = running.len(); "job ended by its caller");
+                for key in running {
+                    self.runs.borrow().stop(&key);
+                }
+                self.job_changed(&job);
+                message::Reply::Done
+            }
+            Ok(ledger::Applied::Superseded) => message::Reply::Unknown,
+            Err(error) => refusal(Some(error)),
+        }
+    }
+
+    /// Empties a worker VM. Workers keep no data, so there is nothing to move.
+    async fn evacuate(&self, node: Name) -> message::Reply {
+        if !self.sessions.borrow().has_worker(&node) {
+            // Workers need a moment to find a new leader.
+            let new = clock::steady_ms() < self.led_ms.get() + SETTLE_MS;
+            return match new {
+                true => message::Reply::NotLeader,
+                false => message::Reply::Unknown,
+            };
+        }
+        log::info!(node = &*node; "worker VM is to be emptied");
+        match self.propose(ledger::Command::Evacuate { node }).await {
+            Ok(_) => message::Reply::Done,
+            Err(error) => refusal(Some(error)),
+        }
+    }
+
+    async fn evacuated(&self, node: Name) -> message::Reply {
+        match self.read(replica::Read::Evacuated(node)).await {
+            Ok(replica::Answer::Evacuated(true)) => message::Reply::Empty,
+            Ok(_) => message::Reply::Unknown,
+            Err(error) => refusal(Some(error)),
+        }
+    }
+
+    pub(crate) async fn propose(
+        &self,
+        command: ledger::Command,
+    ) -> Result<ledger::Applied, host::Refusal> {
+        let (reply, answer) = oneshot::channel();
+        self.tell(replica::Call::Propose { command, reply });
+        // The control thread drops calls only when its host has ended, after
+        // which the outcome is unknown.
+        answer.await.unwrap_or(Err(host::Refusal::Lost))
+    }
+
+    pub(crate) async fn read(&self, read: replica::Read) -> Result<replica::Answer, host::Refusal> {
+        let (reply, answer) = oneshot::channel();
+        self.tell(replica::Call::Read { read, reply });
+        answer.await.unwrap_or(Err(host::Refusal::Stopped))
+    }
+
+    /// Returns the load of all backend servers that have any.
+    fn loads(&self) -> Vec<message::Load> {
+        let online = self.sessions.borrow().online();
+        let mut batch = self.dispatch.borrow().running();
+        let registry = self.registry.borrow();
+        let ids = registry
+            .backends()
+            .map(|backend| backend.announcement.id.clone());
+        let loads = ids.map(|id| message::Load {
+            online: online.get(&id).copied().unwrap_or(0),
+            batch: batch.remove(&id).unwrap_or(0),
+            id,
+        });
+        loads.filter(|load| load.online + load.batch > 0).collect()
+    }
+
+    /// Returns the backend servers that may run items.
+    pub(crate) fn servers(&self) -> Vec<dispatch::Server> {
+        let online = self.sessions.borrow().online();
+        let registry = self.registry.borrow();
+        let ready = registry
+            .backends()
+            .filter(|backend| backend.announcement.state == registry::State::Ready);
+        ready
+            .map(|backend| {
+                let known = &backend.announcement;
+                dispatch::Server {
+                    id: known.id.clone(),
+                    address: known.address.clone(),
+                    service: known.service.clone(),
+                    slots: known.slots,
+                    online: online.get(&known.id).copied().unwrap_or(0),
+                }
+            })
+            .collect()
+    }
+
+    fn follow(&self, leader: Option<ReplicaId>) {
+        self.leader.set(leader);
+        if self.leads.take().is_some() {
+            log::warn!("no longer the leader");
+            self.sessions.borrow_mut().close();
+            self.runs.borrow_mut().stop_all();
+            *self.dispatch.borrow_mut() = dispatch::Dispatch::new(dispatch::Options::default());
+        }
+    }
+
+    fn lead(&self, leading: replica::Leading) {
+        let now_ms = clock::steady_ms();
+        log::info!(term = leading.term, open_jobs = leading.jobs.len(); "leading");
+        self.registry.borrow_mut().refresh(now_ms);
+        for member in self.members.borrow().iter() {
+            self.heard.borrow_mut().insert(member.replica, now_ms);
+        }
+        if let Some(published) = &leading.published {
+            self.set_published(published);
+        }
+        let mut dispatch = self.dispatch.borrow_mut();
+        for (id, job) in &leading.jobs {
+            dispatch.add(id, job);
+        }
+        self.led_ms.set(now_ms);
+        self.leads.set(Some(leading.term));
+    }
+
+    /// Gives leadership away before a stop.
+    pub(crate) async fn give_up_lead(&self, limit: time::Duration) {
+        if !self.leads() {
+            return;
+        }
+        self.tell(replica::Call::Transfer);
+        let waiting = async {
+            while self.leads() {
+                tokio::time::sleep(TICK).await;
+            }
+        };
+        if tokio::time::timeout(limit, waiting).await.is_err() {
+            log::warn!("stopping as the leader: no replica took over in time");
+        }
+    }
+}
+
+/// Keeps the silence of this replica itself from ever being long.
+fn members_margin() -> u64 {
+    1 << 32
+}
+
+/// Translates a refusal of the log.
+fn refusal(refusal: Option<host::Refusal>) -> message::Reply {
+    match refusal {
+        Some(host::Refusal::Lost) | None => message::Reply::Lost,
+        Some(host::Refusal::Busy) => message::Reply::Busy,
+        Some(_) => message::Reply::NotLeader,
+    }
+}
+
+/// Takes notices of the control thread until it ends.
+pub(crate) async fn take_notices(
+    hub: Rc<Hub>,
+    mut notices: async_mpsc::UnboundedReceiver<replica::Notice>,
+) {
+    while let Some(notice) = notices.recv().await {
+        match notice {
+            replica::Notice::Send { to, message } => hub.peers.borrow().send(to, message),
+            replica::Notice::Members { own, members } => {
+                hub.own.set(Some(own));
+                hub.peers.borrow_mut().set(own, &members);
+                log::info!(own = own.0, members = members.len(); "members changed");
+                let now_ms = clock::steady_ms();
+                for member in &members {
+                    hub.heard
+                        .borrow_mut()
+                        .entry(member.replica)
+                        .or_insert(now_ms);
+                }
+                *hub.members.borrow_mut() = members;
+            }
+            replica::Notice::Following { leader } => hub.follow(leader),
+            replica::Notice::Leading(leading) => hub.lead(*leading),
+            replica::Notice::Accepted(id, job) => {
+                if hub.leads() {
+                    hub.dispatch.borrow_mut().add(&id, &job);
+                }
+            }
+        }
+    }
+}
+
+/// Keeps the copy of the leader's registry that a new leader begins with.
+pub(crate) async fn take_news(hub: Rc<Hub>, mut news: async_mpsc::UnboundedReceiver<link::News>) {
+    while let Some(news) = news.recv().await {
+        let link::News::Update(update) = news else {
+            continue;
+        };
+        if hub.leads() {
+            continue;
+        }
+        let now_ms = clock::steady_ms();
+        let mut registry = hub.registry.borrow_mut();
+        for announcement in update.backends {
+            registry.announce(announcement, now_ms);
+        }
+    }
+}
+
+/// Does the leader's work that is due from time to time.
+pub(crate) async fn tick(hub: Rc<Hub>) {
+    let mut last = Vec::new();
+    let mut quiet = 0;
+    loop {
+        tokio::time::sleep(TICK).await;
+        if !hub.leads() {
+            continue;
+        }
+        hub.expire();
+        hub.sweep();
+        runner::plan(&hub);
+        let loads = hub.loads();
+        let changed = loads != last;
+        quiet = if changed { 0 } else { quiet + 1 };
+        if !changed && quiet < QUIET_TICKS {
+            continue;
+        }
+        quiet = 0;
+        let update = message::Update {
+            loads: changed.then(|| loads.clone()),
+            ..message::Update::default()
+        };
+        last = loads;
+        hub.sessions
+            .borrow_mut()
+            .broadcast(&message::Frame::Update(update));
+        let labels: [&str; 0] = [];
+        let open = hub.dispatch.borrow().open_items() as i64;
+        metrics::OPEN_ITEMS.with_label_values(&labels).set(open);
+    }
+}
+
+impl Hub {
+    fn expire(&self) {
+        let silent_ms = self.settings().announce_ms * SILENT_ANNOUNCEMENTS;
+        let now_ms = clock::steady_ms();
+        let silent = self.registry.borrow_mut().expire(now_ms, silent_ms);
+        for announcement in silent {
+            self.tell_backend(&announcement.id);
+        }
+    }
+
+    fn sweep(self: &Rc<Hub>) {
+        let now_ms = clock::steady_ms();
+        if now_ms < self.swept_ms.get() + SWEEP_MS {
+            return;
+        }
+        self.swept_ms.set(now_ms);
+        self.pool.sweep();
+        let before_ms = clock::unix_ms().saturating_sub(self.settings().retention_ms);
+        let (reply, _) = oneshot::channel();
+        let command = ledger::Command::Sweep { before_ms };
+        self.tell(replica::Call::Propose { command, reply });
+    }
+}
--- /dev/null
+++ b/programs/gateway/src/control/identity.rs
@@ -0,0 +1,143 @@
+//! The identity of a replica on its disk.
+//!
+//! A replica whose disk was lost must not come back under its old id, because
+//! it has forgotten its votes and what it acknowledged. The id is therefore
+//! kept on the disk itself.
+
+use std::{fs, io, io::Write, net, path};
+
+use bw_coord::{ReplicaId, member};
+use bw_wire::name::Name;
+
+use crate::settings;
+
+const FILE: &str = "identity";
+const TEMPORARY: &str = "identity.tmp";
+/// The folder of the log inside the data folder.
+const LOG_FOLDER: &str = "log";
+
+/// Who a replica is.
+#[derive(Clone, Debug)]
+pub(crate) struct Identity {
+    pub(crate) replica: ReplicaId,
+    /// The first members of the group, empty for a replica that joins later.
+    pub(crate) members: Vec<member::Member>,
+}
+
+/// Returns the folder of the log.
+pub(crate) fn log_folder(data: &path::Path) -> path::PathBuf {
+    data.join(LOG_FOLDER)
+}
+
+/// Reads the identity, or makes and stores one on an empty disk.
+///
+/// # Errors
+///
+/// Fails if the disk cannot be read or written.
+pub(crate) fn load(settings: &settings::Settings, data: &path::Path) -> io::Result<Identity> {
+    if let Some(identity) = read(data)? {
+        return Ok(identity);
+    }
+    // A log without an identity belongs to an unknown replica.
+    clear(data)?;
+    let identity = make(settings);
+    write(data, &identity)?;
+    Ok(identity)
+}
+
+/// Removes everything, so that the next start has a new identity.
+///
+/// # Errors
+///
+/// Fails if the disk refuses.
+pub(crate) fn clear(data: &path::Path) -> io::Result<()> {
+    fs::create_dir_all(data)?;
+    match fs::remove_file(data.join(FILE)) {
+        Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error),
+        _ => {}
+    }
+    fs::File::open(data)?.sync_all()?;
+    match fs::remove_dir_all(log_folder(data)) {
+        Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
+        _ => Ok(()),
+    }
+}
+
+/// Makes an identity: the seeds of the first start found the group, all other
+/// replicas join it under a random id.
+fn make(settings: &settings::Settings) -> Identity {
+    let mut seeds = settings.internal_seeds();
+    seeds.sort_unstable();
+    seeds.dedup();
+    let own = settings.internal_address();
+    let position = seeds.iter().position(|seed| *seed == own);
+    match position.filter(|_| settings.first_start) {
+        Some(position) => Identity {
+            replica: ReplicaId(position as u64 + 1),
+            members: founders(&seeds),
+        },
+        None => Identity {
+            replica: ReplicaId(random_id(seeds.len() as u64)),
+            members: Vec::new(),
+        },
+    }
+}
+
+fn founders(seeds: &[net::SocketAddr]) -> Vec<member::Member> {
+    let numbered = seeds.iter().zip(1..);
+    numbered
+        .map(|(seed, id)| member::Member::voter(ReplicaId(id), seed.to_string(), ""))
+        .collect()
+}
+
+/// Returns a random id that no founder has.
+fn random_id(founders: u64) -> u64 {
+    rand::random::<u64>().max(founders + 1)
+}
+
+fn read(data: &path::Path) -> io::Result<Option<Identity>> {
+    let text = match fs::read_to_string(data.join(FILE)) {
+        Ok(text) => text,
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
+        Err(error) => return Err(error),
+    };
+    Ok(parse(&text))
+}
+
+fn parse(text: &str) -> Option<Identity> {
+    let mut lines = text.lines();
+    let replica = lines.next()?.parse().ok()?;
+    let mut members = Vec::new();
+    for line in lines {
+        if line == "end" {
+            let replica = ReplicaId(replica);
+            return Some(Identity { replica, members });
+        }
+        let (id, address) = line.split_once(' ')?;
+        members.push(member::Member::voter(
+            ReplicaId(id.parse().ok()?),
+            address,
+            "",
+        ));
+    }
+    None
+}
+
+fn write(data: &path::Path, identity: &Identity) -> io::Result<()> {
+    let mut text = format!("{}\n", identity.replica);
+    for member in &identity.members {
+        text.push_str(&format!("{} {}\n", member.replica, member.address));
+    }
+    text.push_str("end\n");
+    let temporary = data.join(TEMPORARY);
+    let mut file = fs::File::create(&temporary)?;
+    file.write_all(text.as_bytes())?;
+    file.sync_all()?;
+    fs::rename(&temporary, data.join(FILE))?;
+    fs::File::open(data)?.sync_all()
+}
+
+/// The address of a member for logs and hints.
+pub(crate) fn address(member: &member::Member) -> Name {
+    member.address.as_str().into()
+}
--- /dev/null
+++ b/programs/gateway/src/control/mod.rs
@@ -0,0 +1,99 @@
+//! The control program: one replica of the ledger, the hub that entry VMs,
+//! operators and backend servers talk to, and the batch runner of the leader.
+//!
+//! The control thread owns the replicated log and its disk; everything else
+//! runs on the network thread.
+
+mod api;
+mod hub;
+mod identity;
+mod members;
+mod peers;
+mod replica;
+mod runner;
+mod sessions;
+
+use std::{rc::Rc, sync::Arc, thread, time};
+
+use bw_relay::message;
+use tokio::{sync::mpsc, task};
+
+use crate::{dialect, link, settings, socket};
+
+/// How long a stop waits for another replica to take the lead.
+const TRANSFER: time::Duration = time::Duration::from_millis(1_500);
+
+/// Runs the control program until a stop signal.
+///
+/// # Errors
+///
+/// Fails if an address cannot be bound or a signal handler cannot be installed.
+pub fn run(
+    settings: settings::Settings,
+    dialect: Arc<dyn dialect::Dialect>,
+    seeds: link::Seeds,
+) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let (notices, notice_queue) = mpsc::unbounded_channel();
+    let (calls, call_queue) = std::sync::mpsc::channel();
+    let replica = replica::Replica::new(&settings, notices)?;
+    let control = thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || replica.run(&call_queue))?;
+    let local = task::LocalSet::new();
+    let parts = hub::Parts {
+        settings,
+        dialect,
+        calls: calls.clone(),
+    };
+    let result = local.block_on(&runtime, serve(parts, seeds, notice_queue));
+    // The thread may have ended by itself after a failure of the disk.
+    let _ = calls.send(replica::Call::Stop);
+    if control.join().is_err() {
+        log::error!("the control thread panicked");
+    }
+    result
+}
+
+async fn serve(
+    parts: hub::Parts,
+    seeds: link::Seeds,
+    notices: mpsc::UnboundedReceiver<replica::Notice>,
+) -> anyhow::Result<()> {
+    let settings = parts.settings.clone();
+    let operators = settings
+        .operators
+        .ok_or_else(|| anyhow::anyhow!("operators is not set"))?;
+    let (sender, news) = mpsc::unbounded_channel();
+    let (link, drive) = link::Link::new(
+        settings.node.as_str().into(),
+        message::Role::Control,
+        seeds,
+        sender,
+    );
+    let hub = Rc::new(hub::Hub::new(parts, link));
+    let mut tasks = task::JoinSet::new();
+    tasks.spawn_local(drive);
+    tasks.spawn_local(hub::take_news(Rc::clone(&hub), news));
+    tasks.spawn_local(hub::take_notices(Rc::clone(&hub), notices));
+    tasks.spawn_local(hub::tick(Rc::clone(&hub)));
+    tasks.spawn_local(members::join(Rc::clone(&hub)));
+    tasks.spawn_local(sessions::listen(
+        Rc::clone(&hub),
+        socket::listen(settings.internal_address())?,
+    ));
+    tasks.spawn_local(api::serve(Rc::clone(&hub), socket::listen(operators)?));
+    if let Some(port) = settings.metrics_port {
+        let address = std::net::SocketAddr::new(settings.ip, port);
+        tasks.spawn_local(api::serve(Rc::clone(&hub), socket::listen(address)?));
+    }
+    log::info!(node = settings.node.as_str(), operators = operators.to_string().as_str(); "control program started");
+    settings::stop_signal().await?;
+    log::info!("stop signal");
+    hub.give_up_lead(TRANSFER).await;
+    tasks.shutdown().await;
+    log::info!(node = settings.node.as_str(); "control program stopped");
+    Ok(())
+}
--- /dev/null
+++ b/programs/gateway/src/control/runner.rs
@@ -0,0 +1,285 @@
+//! Runs batch items at backend servers, as the dispatch decides.
+
+use std::{collections::BTreeMap, net, rc::Rc, time};
+
+use bw_coord::host;
+use bw_relay::{dispatch, event, ledger};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{HeaderMap, Method, Request, StatusCode, header};
+use tokio::task;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    clock,
+    control::{hub::Hub, replica},
+    metrics, upstream,
+};
+
+/// Time limit of the head of an answer. Items are started where a slot is free.
+const HEAD: time::Duration = time::Duration::from_millis(3_000);
+/// Longest pause between events before the run counts as broken.
+const SILENCE: time::Duration = time::Duration::from_millis(2_500);
+/// Pause before the end of an item is recorded again after a refusal.
+const RECORD_PAUSE: time::Duration = time::Duration::from_millis(100);
+
+/// The runs under way.
+#[derive(Default)]
+pub(crate) struct Runs {
+    stops: BTreeMap<dispatch::Key, CancellationToken>,
+    tasks: task::JoinSet<()>,
+}
+
+impl Runs {
+    /// Stops one run; it ends with what it has.
+    pub(crate) fn stop(&self, key: &dispatch::Key) {
+        if let Some(stop) = self.stops.get(key) {
+            stop.cancel();
+        }
+    }
+
+    /// Stops all runs.
+    pub(crate) fn stop_all(&mut self) {
+        for stop in self.stops.values() {
+            stop.cancel();
+        }
+        self.stops.clear();
+    }
+}
+
+/// Plans and carries the plan out.
+pub(crate) fn plan(hub: &Rc<Hub>) {
+    let servers = hub.servers();
+    let routes = Rc::clone(&hub.routes.borrow());
+    let actions = hub
+        .dispatch
+        .borrow_mut()
+        .plan(&servers, &routes, clock::unix_ms());
+    let mut runs = hub.runs.borrow_mut();
+    while runs.tasks.try_join_next().is_some() {}
+    for action in actions {
+        match action {
+            dispatch::Action::Start(start) => {
+                let stop = CancellationToken::new();
+                runs.stops.insert(start.key.clone(), stop.clone());
+                runs.tasks.spawn_local(run(Rc::clone(hub), start, stop));
+            }
+            dispatch::Action::Preempt(key) => {
+                log::info!(job = &*key.job, item = key.item; "item gives way to online requests");
+                metrics::RUNS.with_label_values(&["preempted"]).inc();
+                runs.stop(&key);
+            }
+            dispatch::Action::GiveUp(key, reason) => {
+                let reason: &'static str = reason.into();
+                log::warn!(job = &*key.job, item = key.item, reason = reason; "item given up");
+                runs.tasks.spawn_local(record(
+                    Rc::clone(hub),
+                    key,
+                    ledger::End::GivenUp,
+                    Vec::new(),
+                ));
+            }
+        }
+    }
+}
+
+async fn run(hub: Rc<Hub>, start: dispatch::Start, stop: CancellationToken) {
+    let term = hub.term();
+    let began_ms = clock::steady_ms();
+    let mut progress = start.progress.clone();
+    let first = progress.last;
+    let ended = {
+        let running = exchange(&hub, &start, &mut progress);
+        tokio::select! {
+            ended = running => ended,
+            () = stop.cancelled() => Ended::Stopped,
+        }
+    };
+    let name: &'static str = (&ended).into();
+    log::info!(
+        job = &*start.key.job, item = start.key.item, request = &*start.id, backend = &*start.server,
+        outcome = name, first = first, last = progress.last, took_ms = clock::steady_ms() - began_ms;
+        "run ended"
+    );
+    metrics::RUNS.with_label_values(&[name]).inc();
+    // After a change of leaders the dispatch may hold another run of the item.
+    if hub.term() != term || term.is_none() {
+        return;
+    }
+    hub.runs.borrow_mut().stops.remove(&start.key);
+    let outcome = match ended {
+        Ended::Completed => dispatch::Outcome::Completed(progress),
+        Ended::Stopped | Ended::Broken => dispatch::Outcome::Broken(progress),
+        Ended::Failed => dispatch::Outcome::Failed(progress),
+        Ended::Impossible => dispatch::Outcome::Impossible,
+        Ended::NotRun => dispatch::Outcome::NotRun(progress),
+    };
+    let end = hub
+        .dispatch
+        .borrow_mut()
+        .ended(&start.key, outcome, clock::unix_ms());
+    if let Some((end, output)) = end {
+        record(hub, start.key, end, output).await;
+    }
+}
+
+/// Makes the end of an item durable.
+async fn record(hub: Rc<Hub>, key: dispatch::Key, end: ledger::End, output: Vec<u8>) {
+    loop {
+        let command = ledger::Command::Record {
+            job: key.job.clone(),
+            item: key.item,
+            end,
+            output: output.clone(),
+        };
+        match hub.propose(command).await {
+            Ok(_) => break,
+            Err(host::Refusal::Busy) => tokio::time::sleep(RECORD_PAUSE).await,
+            Err(refusal) => {
+                log::warn!(job = &*key.job, item = key.item; "end of an item not recorded: {refusal}");
+                return;
+            }
+        }
+    }
+    hub.dispatch.borrow_mut().recorded(&key);
+    hub.job_changed(&key.job);
+    log::info!(job = &*key.job, item = key.item, end = format!("{end:?}").as_str(); "item listed");
+}
+
+#[derive(Clone, Copy, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+enum Ended {
+    Completed,
+    Stopped,
+    Broken,
+    Failed,
+    Impossible,
+    NotRun,
+}
+
+async fn exchange(
+    hub: &Rc<Hub>,
+    start: &dispatch::Start,
+    progress: &mut dispatch::Progress,
+) -> Ended {
+    let read = replica::Read::Body {
+        job: start.key.job.clone(),
+        item: start.id.clone(),
+    };
+    let Ok(replica::Answer::Body(Some(body))) = hub.read(read).await else {
+        return Ended::NotRun;
+    };
+    let (Ok(address), Some(request)) = (
+        start.address.parse::<net::SocketAddr>(),
+        request(hub, start, body),
+    ) else {
+        return Ended::NotRun;
+    };
+    let answer = match hub.pool.send(address, request, true, HEAD).await {
+        Ok(answer) => answer,
+        Err(upstream::Failure::Connect) => return Ended::NotRun,
+        Err(_) => return Ended::Broken,
+    };
+    let headers = answer.response.headers();
+    if let Some(ended) = judge(hub, start, answer.response.status(), headers) {
+        return ended;
+    }
+    let mut body = answer.response.into_body();
+    let mut parser = event::Parser::default();
+    loop {
+        match tokio::time::timeout(SILENCE, body.frame()).await {
+            Ok(None) if parser.is_empty() && progress.last > 0 => {
+                answer.lease.release();
+                return Ended::Completed;
+            }
+            Ok(Some(Ok(frame))) => {
+                let Ok(bytes) = frame.into_data() else {
+                    continue;
+                };
+                parser.push(&bytes);
+                if !take_events(&mut parser, progress) {
+                    return Ended::Broken;
+                }
+            }
+            _ => return Ended::Broken,
+        }
+    }
+}
+
+/// Takes complete events. Returns false if one does not follow the last one.
+fn take_events(parser: &mut event::Parser, progress: &mut dispatch::Progress) -> bool {
+    while let Some(event) = parser.next_event() {
+        let Some(id) = event.id else {
+            continue;
+        };
+        if id <= progress.last {
+            continue;
+        }
+        if id != progress.last + 1 {
+            return false;
+        }
+        progress.last = id;
+        progress.data.push(event.data());
+    }
+    !parser.is_too_large()
+}
+
+/// Judges the head of an answer; `None` if events follow.
+fn judge(
+    hub: &Hub,
+    start: &dispatch::Start,
+    status: StatusCode,
+    headers: &HeaderMap,
+) -> Option<Ended> {
+    let names = hub.dialect().headers();
+    let id = headers.get(&names.request_id);
+    if id.is_some_and(|id| id.as_bytes() != start.id.as_bytes()) {
+        return Some(Ended::Broken);
+    }
+    if status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(&names.not_run) {
+        return Some(Ended::NotRun);
+    }
+    if !headers.contains_key(&names.stamp)
+        || headers.contains_key(header::CONTENT_ENCODING)
+        || id.is_none()
+    {
+        return Some(Ended::Broken);
+    }
+    match status {
+        StatusCode::OK => None,
+        StatusCode::UNPROCESSABLE_ENTITY => Some(Ended::Impossible),
+        StatusCode::INTERNAL_SERVER_ERROR => Some(Ended::Failed),
+        _ => Some(Ended::Broken),
+    }
+}
+
+fn request(hub: &Hub, start: &dispatch::Start, body: Vec<u8>) -> Option<Request<Full<Bytes>>> {
+    let names = hub.dialect().headers();
+    let mut request = Request::new(Full::new(Bytes::from(body)));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = start.path.parse().ok()?;
+    let headers = request.headers_mut();
+    for (name, value) in &start.headers {
+        let name = header::HeaderName::try_from(&**name).ok()?;
+        headers.insert(name, header::HeaderValue::try_from(&**value).ok()?);
+    }
+    headers.insert(
+        header::HOST,
+        header::HeaderValue::try_from(&*start.host).ok()?,
+    );
+    headers.insert(
+        names.request_id.clone(),
+        header::HeaderValue::try_from(&*start.id).ok()?,
+    );
+    headers.insert(
+        names.expect_backend.clone(),
+        header::HeaderValue::try_from(&*start.server).ok()?,
+    );
+    if start.progress.last > 0 {
+        headers.insert(
+            names.last_event.clone(),
+            header::HeaderValue::from(start.progress.last),
+        );
+    }
+    Some(request)
+}
--- /dev/null
+++ b/programs/gateway/src/control/sessions.rs
@@ -0,0 +1,212 @@
+//! Connections of entry VMs and other control replicas.
+
+use std::{collections::HashMap, rc::Rc, sync::Arc};
+
+use bw_coord::ReplicaId;
+use bw_relay::message;
+use bw_wire::name::Name;
+use tokio::{net, sync::mpsc, task};
+
+use crate::{
+    clock,
+    control::{hub::Hub, replica},
+    metrics, socket,
+};
+
+/// Frames that may wait for one receiver; one that reads too slowly is cut off
+/// and connects anew.
+const QUEUE: usize = 512;
+/// Calls of one connection that may be under way.
+const CALLS_MAX: usize = 1_024;
+
+/// A frame that several receivers share.
+pub(crate) type Shared = Arc<Vec<u8>>;
+
+struct Session {
+    node: Name,
+    role: message::Role,
+    queue: mpsc::Sender<Shared>,
+    loads: Vec<(Name, u32)>,
+}
+
+/// All sessions of the leader.
+#[derive(Default)]
+pub(crate) struct Sessions {
+    next: u64,
+    sessions: HashMap<u64, Session>,
+}
+
+impl Sessions {
+    fn open(&mut self, node: Name, role: message::Role, queue: mpsc::Sender<Shared>) -> u64 {
+        self.next += 1;
+        // A node that connects anew has left its old connection.
+        self.sessions.retain(|_, session| session.node != node);
+        let loads = Vec::new();
+        let session = Session {
+            node,
+            role,
+            queue,
+            loads,
+        };
+        self.sessions.insert(self.next, session);
+        self.next
+    }
+
+    /// Sends a frame to all sessions.
+    pub(crate) fn broadcast(&mut self, frame: &message::Frame) {
+        let bytes: Shared = Arc::new(message::encode(frame));
+        self.sessions.retain(|_, session| {
+            let sent = session.queue.try_send(Arc::clone(&bytes)).is_ok();
+            if !sent {
+                log::warn!(node = &*session.node; "a session does not read, closing it");
+                metrics::FRAMES_DROPPED
+                    .with_label_values(&["session_queue"])
+                    .inc();
+            }
+            sent
+        });
+    }
+
+    /// Returns whether a worker VM is connected.
+    pub(crate) fn has_worker(&self, node: &str) -> bool {
+        let mut sessions = self.sessions.values();
+        sessions.any(|session| session.role == message::Role::Worker && *session.node == *node)
+    }
+
+    /// Closes all sessions, after which their nodes look for the new leader.
+    pub(crate) fn close(&mut self) {
+        self.sessions.clear();
+    }
+
+    /// Returns the online requests in flight by backend server.
+    pub(crate) fn online(&self) -> HashMap<Name, u32> {
+        let mut online = HashMap::new();
+        for (id, count) in self.sessions.values().flat_map(|session| &session.loads) {
+            *online.entry(id.clone()).or_insert(0) += count;
+        }
+        online
+    }
+}
+
+/// Serves the internal port.
+pub(crate) async fn listen(hub: Rc<Hub>, listener: net::TcpListener) {
+    let mut connections = task::JoinSet::new();
+    loop {
+        while connections.try_join_next().is_some() {}
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let hub = Rc::clone(&hub);
+                connections.spawn_local(connection(hub, stream));
+            }
+            Err(error) => log::warn!("accept failed: {error}"),
+        }
+    }
+}
+
+async fn connection(hub: Rc<Hub>, stream: net::TcpStream) {
+    if socket::tune(&stream).is_err() {
+        return;
+    }
+    let (read, write) = stream.into_split();
+    let mut reader = socket::Reader::new(read);
+    match reader.next().await {
+        Ok(message::Frame::Hello { node, role }) => {
+            serve(&hub, (node, role), reader, socket::Writer::new(write)).await;
+        }
+        Ok(message::Frame::Log { from, message }) => carry(&hub, from, message, reader).await,
+        Ok(_) => log::warn!("a connection began with an unexpected frame"),
+        Err(error) => log::debug!("internal connection ended: {error}"),
+    }
+}
+
+/// Hands messages of another replica on.
+async fn carry(hub: &Hub, from: u64, first: Vec<u8>, mut reader: socket::Reader) {
+    let mut next = first;
+    loop {
+        hub.heard(ReplicaId(from), clock::steady_ms());
+        let from = ReplicaId(from);
+        hub.tell(replica::Call::Log {
+            from,
+            message: next,
+        });
+        match reader.next().await {
+            Ok(message::Frame::Log { message, .. }) => next = message,
+            _ => return,
+        }
+    }
+}
+
+async fn serve(
+    hub: &Rc<Hub>,
+    (node, role): (Name, message::Role),
+    mut reader: socket::Reader,
+    mut writer: socket::Writer,
+) {
+    let leads = hub.leads();
+    let replicas = hub.addresses();
+    let welcome = message::Frame::Welcome { leads, replicas };
+    if writer.write(&message::encode(&welcome)).await.is_err() || !leads {
+        return;
+    }
+    let (queue, mut frames) = mpsc::channel::<Shared>(QUEUE);
+    let first = message::encode(&message::Frame::Update(hub.full_update()));
+    if queue.try_send(Arc::new(first)).is_err() {
+        return;
+    }
+    let id = hub
+        .sessions
+        .borrow_mut()
+        .open(node.clone(), role, queue.clone());
+    log::info!(node = &*node; "session opened");
+    // The sessions hold the queue: once they drop it, the writer ends.
+    let replies = queue.downgrade();
+    drop(queue);
+    let write = async {
+        while let Some(bytes) = frames.recv().await {
+            if writer.write(&bytes).await.is_err() {
+                break;
+            }
+        }
+    };
+    let mut calls = task::JoinSet::new();
+    let read = async {
+        while let Ok(frame) = reader.next().await {
+            while calls.try_join_next().is_some() {}
+            match frame {
+                message::Frame::Loads(loads) => hub.set_loads(id, loads),
+                message::Frame::Call { ticket, request } if calls.len() < CALLS_MAX => {
+                    let (hub, replies) = (Rc::clone(hub), replies.clone());
+                    calls.spawn_local(async move {
+                        let reply = hub.handle(request).await;
+                        let frame = message::encode(&message::Frame::Reply { ticket, reply });
+                        if let Some(queue) = replies.upgrade() {
+                            // The caller may have gone.
+                            let _ = queue.send(Arc::new(frame)).await;
+                        }
+                    });
+                }
+                _ => break,
+            }
+        }
+    };
+    tokio::select! {
+        () = write => {}
+        () = read => {}
+    }
+    hub.close_session(id);
+    log::info!(node = &*node; "session closed");
+}
+
+impl Sessions {
+    /// Notes the online requests of one session.
+    pub(crate) fn set_loads(&mut self, id: u64, loads: Vec<(Name, u32)>) {
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.loads = loads;
+        }
+    }
+
+    /// Forgets one session.
+    pub(crate) fn remove(&mut self, id: u64) {
+        self.sessions.remove(&id);
+    }
+}
--- /dev/null
+++ b/programs/gateway/src/dialect.rs
@@ -0,0 +1,132 @@
+//! What differs between surroundings: names of headers and the form of calls.
+
+use bw_relay::{ledger, message, registry, route};
+use bw_wire::name::Name;
+use hyper::{StatusCode, header::HeaderName};
+
+/// Names of the headers that the relay reads or sets.
+#[derive(Clone, Debug)]
+pub struct Headers {
+    /// The id of a request; a backend server repeats it in its answer.
+    pub request_id: HeaderName,
+    /// How long the caller waits, in milliseconds.
+    pub deadline_ms: HeaderName,
+    /// The only backend server that may run the request.
+    pub expect_backend: HeaderName,
+    /// The last event that a resumed stream already has.
+    pub last_event: HeaderName,
+    /// Proves that an answer comes from a backend server.
+    pub stamp: HeaderName,
+    /// Says that the backend server has not run the request.
+    pub not_run: HeaderName,
+    /// The shared parts of the prompt.
+    pub prefix: HeaderName,
+    /// How long a call may wait for news, in milliseconds.
+    pub wait_ms: HeaderName,
+}
+
+/// A caller's call on a batch job.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum JobCall {
+    /// Reads results.
+    Results {
+        /// The job.
+        job: Name,
+        /// The first position.
+        after: u32,
+    },
+    /// Reads the body of an item.
+    Body {
+        /// The job.
+        job: Name,
+        /// The item.
+        item: Name,
+    },
+    /// Ends the job.
+    End {
+        /// The job.
+        job: Name,
+    },
+}
+
+/// An operator's or a backend server's call.
+#[derive(Clone, Debug)]
+pub enum ControlCall {
+    /// A backend server announces itself.
+    Announce(registry::Announcement),
+    /// A backend server goes.
+    Leave {
+        /// Its id.
+        id: Name,
+        /// When it started; 0 if unknown.
+        born_ms: u64,
+    },
+    /// An operator publishes a configuration.
+    Publish(Box<ledger::Published>),
+    /// An operator reads the configuration in force.
+    ReadConfig,
+    /// An operator wants a worker VM to be emptied.
+    Evacuate(Name),
+    /// An operator asks whether a worker VM is empty.
+    Evacuated(Name),
+}
+
+/// Why a call is refused before anything is done.
+#[derive(Clone, Debug)]
+pub struct Refused {
+    /// The status.
+    pub status: StatusCode,
+    /// What is wrong.
+    pub reason: String,
+}
+
+impl Refused {
+    /// Builds a refusal.
+    pub fn new(status: StatusCode, reason: impl Into<String>) -> Refused {
+        Refused {
+            status,
+            reason: reason.into(),
+        }
+    }
+}
+
+/// Translates between the surroundings and the relay.
+pub trait Dialect: Send + Sync + 'static {
+    /// Returns the names of the headers.
+    fn headers(&self) -> &Headers;
+
+    /// Recognizes a call on a batch job by its method, path and query.
+    fn job_call(&self, method: &hyper::Method, path: &str, query: &str) -> Option<JobCall>;
+
+    /// Decodes a submitted job.
+    ///
+    /// # Errors
+    ///
+    /// Says what is wrong with the body.
+    fn job(
+        &self,
+        id: &str,
+        route: &route::Route,
+        body: &[u8],
+        now_ms: u64,
+    ) -> Result<ledger::NewJob, Refused>;
+
+    /// Encodes a page of results that begins at a position.
+    fn page(&self, page: &ledger::Page, after: u32) -> Vec<u8>;
+
+    /// Decodes a call to the control program.
+    ///
+    /// # Errors
+    ///
+    /// Says what is wrong with the call.
+    fn control_call(
+        &self,
+        method: &hyper::Method,
+        path: &str,
+        body: &[u8],
+    ) -> Result<ControlCall, Refused>;
+
+    /// Encodes the answer to a call to the control program; `leader` is the
+    /// address at which the leader serves such calls, if known.
+    fn control_answer(&self, reply: message::Reply, leader: Option<Name>) -> (StatusCode, Vec<u8>);
+}
--- /dev/null
+++ b/programs/gateway/src/edge/jobs.rs
@@ -0,0 +1,150 @@
+//! Calls on batch jobs, carried to the leader.
+
+use std::{rc::Rc, sync::Arc, time};
+
+use bw_relay::{message, route};
+use hyper::{HeaderMap, Request, StatusCode, body};
+
+use crate::{
+    clock,
+    dialect::JobCall,
+    edge::{
+        answer, forward,
+        state::{Routing, State},
+    },
+};
+
+/// Longest wait for results, in milliseconds.
+const WAIT_MAX_MS: u64 = 1_000;
+/// Time for a call beside what the caller lets it wait. An election takes one to
+/// two seconds; callers wait a second and a half longer than they say.
+const CALL: time::Duration = time::Duration::from_millis(1_400);
+/// Time for a submission if the caller does not say how long it waits.
+const SUBMIT_MS: u64 = 4_000;
+/// Part of the caller's time that is left for the answer, in milliseconds.
+const SUBMIT_MARGIN_MS: u64 = 150;
+/// Pause before a submission is sent to the next leader.
+const RETRY_PAUSE: time::Duration = time::Duration::from_millis(100);
+/// When a caller should come back after a call that no leader took, in
+/// milliseconds: elections take one to two seconds.
+const RETRY_MS: u64 = 700;
+
+/// Accepts a job: the leader answers once the job is durable.
+pub(crate) async fn submit(
+    state: &Rc<State>,
+    routing: &Routing,
+    route: &Arc<route::Route>,
+    id: String,
+    request: Request<body::Incoming>,
+    now_ms: u64,
+) -> answer::Answer {
+    let names = state.dialect.headers();
+    let wait_ms = forward::text(request.headers(), &names.deadline_ms)
+        .parse()
+        .unwrap_or(SUBMIT_MS);
+    let until_ms = now_ms
+        .saturating_add(wait_ms)
+        .saturating_sub(SUBMIT_MARGIN_MS);
+    let body =
+        match forward::collect(request.into_body(), routing.limits.body_bytes, until_ms).await {
+            Ok(body) => body,
+            Err(answer) => return *answer,
+        };
+    let job = match state.dialect.job(&id, route, &body, clock::unix_ms()) {
+        Ok(job) => job,
+        Err(refused) => {
+            log::warn!(job = id.as_str(), reason = refused.reason.as_str(); "job refused");
+            return answer::own(refused.status, &refused.reason);
+        }
+    };
+    let items = job.items.len();
+    let reply = submit_until(state, job, until_ms).await;
+    let took_ms = clock::steady_ms().saturating_sub(now_ms);
+    log::info!(job = id.as_str(), items = items, took_ms = took_ms, reply = name(&reply); "job submitted");
+    match reply {
+        message::Reply::Done => answer::own(StatusCode::ACCEPTED, "accepted"),
+        message::Reply::NotLeader | message::Reply::Busy => {
+            forward::refuse(&id, "no_leader", RETRY_MS);
+            answer::not_run("no leader", RETRY_MS)
+        }
+        _ => answer::own(StatusCode::GATEWAY_TIMEOUT, "outcome unknown"),
+    }
+}
+
+/// Sends a submission to one leader after the other until its outcome is known.
+async fn submit_until(
+    state: &State,
+    job: bw_relay::ledger::NewJob,
+    until_ms: u64,
+) -> message::Reply {
+    let mut sent = false;
+    loop {
+        let request = message::Request::Submit(Box::new(job.clone()));
+        let reply = state.link.call(request, super::left(until_ms)).await;
+        let again = match reply {
+            message::Reply::Lost => {
+                sent = true;
+                true
+            }
+            message::Reply::NotLeader | message::Reply::Busy => true,
+            _ => false,
+        };
+        if !again || clock::steady_ms() + RETRY_MS >= until_ms {
+            // What one leader may have accepted cannot be refused any more.
+            return match reply {
+                message::Reply::NotLeader | message::Reply::Busy if sent => message::Reply::Lost,
+                reply => reply,
+            };
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Handles any other call on a job.
+pub(crate) async fn call(state: &Rc<State>, call: JobCall, headers: &HeaderMap) -> answer::Answer {
+    let names = state.dialect.headers();
+    let asked: u64 = forward::text(headers, &names.wait_ms).parse().unwrap_or(0);
+    let wait_ms = asked.min(WAIT_MAX_MS);
+    let (request, after) = match call {
+        JobCall::Results { job, after } => (
+            message::Request::Results {
+                job,
+                after,
+                wait_ms,
+            },
+            after,
+        ),
+        JobCall::Body { job, item } => (message::Request::Body { job, item }, 0),
+        JobCall::End { job } => (message::Request::End { job }, 0),
+    };
+    let limit = CALL + time::Duration::from_millis(wait_ms);
+    let reply = state.link.call(request, limit).await;
+    match reply {
+        message::Reply::Page(Some(page)) => {
+            answer::json(StatusCode::OK, state.dialect.page(&page, after))
+        }
+        message::Reply::Body(Some(bytes)) => {
+            let mut response = answer::own(StatusCode::OK, "");
+            *response.body_mut() = answer::whole(bytes).into();
+            response
+        }
+        message::Reply::Page(None) | message::Reply::Body(None) | message::Reply::Unknown => {
+            answer::own(StatusCode::NOT_FOUND, "not found")
+        }
+        message::Reply::Done => answer::own(StatusCode::OK, "ended"),
+        reply => {
+            log::info!(reply = name(&reply); "call on a job not answered");
+            answer::not_run("the state of the job is not known here now", RETRY_MS)
+        }
+    }
+}
+
+fn name(reply: &message::Reply) -> &'static str {
+    match reply {
+        message::Reply::Done => "done",
+        message::Reply::NotLeader => "no_leader",
+        message::Reply::Busy => "busy",
+        message::Reply::Lost => "unknown",
+        _ => "other",
+    }
+}
--- /dev/null
+++ b/programs/gateway/src/edge/state.rs
@@ -0,0 +1,147 @@
+//! What the entry program knows.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+};
+
+use bw_relay::{balance, ledger, message, registry, route};
+use rand::{RngCore, SeedableRng};
+
+use crate::{clock, dialect, edge, link, settings};
+
+/// Interval between sweeps of idle connections, in milliseconds.
+const SWEEP_MS: u64 = 1_000;
+/// Time without a connection to the leader after which this VM asks for no new
+/// callers, in milliseconds. Elections take one to two seconds; a VM that is
+/// cut off for longer may act on an old configuration.
+const STALE_MS: u64 = 8_000;
+
+/// The state of the entry program, on one thread.
+pub(crate) struct State {
+    pub(crate) settings: settings::Settings,
+    pub(crate) dialect: Arc<dyn dialect::Dialect>,
+    pub(crate) link: link::Link,
+    pub(crate) pool: edge::Pool,
+    pub(crate) balance: RefCell<balance::Balance>,
+    pub(crate) routing: RefCell<Option<Rc<Routing>>>,
+    pub(crate) connected: Cell<bool>,
+    pub(crate) draining: Cell<bool>,
+    pub(crate) active: Cell<u64>,
+    pub(crate) connections: Cell<u64>,
+    registry: RefCell<registry::Registry>,
+    random: RefCell<rand_pcg::Pcg64Mcg>,
+    swept_ms: Cell<u64>,
+    heard_ms: Cell<u64>,
+}
+
+/// The configuration in force at this VM.
+pub(crate) struct Routing {
+    pub(crate) version: u64,
+    pub(crate) table: route::Table,
+    pub(crate) limits: route::Limits,
+}
+
+impl State {
+    pub(crate) fn new(
+        settings: settings::Settings,
+        dialect: Arc<dyn dialect::Dialect>,
+        link: link::Link,
+    ) -> State {
+        let seed = clock::unix_ms() ^ xxhash_rust::xxh3::xxh3_64(settings.node.as_bytes());
+        State {
+            settings,
+            dialect,
+            link,
+            pool: edge::Pool::default(),
+            balance: RefCell::new(balance::Balance::new(balance::Options::default())),
+            routing: RefCell::new(None),
+            connected: Cell::new(false),
+            draining: Cell::new(false),
+            active: Cell::new(0),
+            connections: Cell::new(0),
+            registry: RefCell::default(),
+            random: RefCell::new(rand_pcg::Pcg64Mcg::seed_from_u64(seed)),
+            swept_ms: Cell::new(0),
+            heard_ms: Cell::new(0),
+        }
+    }
+
+    /// Returns the configuration in force, if one is known.
+    pub(crate) fn routing(&self) -> Option<Rc<Routing>> {
+        self.routing.borrow().clone()
+    }
+
+    /// Returns whether the load balancer should send callers.
+    pub(crate) fn is_ready(&self) -> bool {
+        let fresh = clock::steady_ms() < self.heard_ms.get() + STALE_MS;
+        !self.draining.get() && fresh && self.routing.borrow().is_some()
+    }
+
+    pub(crate) fn draw(&self) -> u64 {
+        self.random.borrow_mut().next_u64()
+    }
+
+    /// Takes news of the leader.
+    pub(crate) fn update(&self, update: message::Update) {
+        let now_ms = clock::steady_ms();
+        self.heard_ms.set(now_ms);
+        if let Some(published) = update.published {
+            self.apply(&published);
+        }
+        for announcement in update.backends {
+            self.announce(announcement, now_ms);
+        }
+        if let Some(loads) = update.loads {
+            self.balance.borrow_mut().set_loads(&loads);
+        }
+    }
+
+    /// Does what is due from time to time.
+    pub(crate) fn tick(&self) {
+        let now_ms = clock::steady_ms();
+        if now_ms >= self.swept_ms.get() + SWEEP_MS {
+            self.swept_ms.set(now_ms);
+            self.pool.sweep();
+        }
+    }
+
+    fn apply(&self, published: &ledger::Published) {
+        let config = &published.config;
+        let current = self.routing().map_or(0, |routing| routing.version);
+        if current > 0 && config.version <= current {
+            return;
+        }
+        log::info!(version = config.version, routes = config.routes.len(); "configuration in force");
+        let routing = Routing {
+            version: config.version,
+            table: route::Table::new(config),
+            limits: config.limits,
+        };
+        *self.routing.borrow_mut() = Some(Rc::new(routing));
+    }
+
+    fn announce(&self, announcement: registry::Announcement, now_ms: u64) {
+        let id = announcement.id.clone();
+        let mut registry = self.registry.borrow_mut();
+        if registry.announce(announcement, now_ms) != registry::Outcome::Changed {
+            return;
+        }
+        // An announcement can also take the address of another entry over.
+        let mut balance = self.balance.borrow_mut();
+        for backend in registry.backends() {
+            balance.announce(&backend.announcement);
+        }
+        if let Some(backend) = registry.get(&id) {
+            let known = &backend.announcement;
+            log::info!(
+                backend = known.id.as_str(),
+                address = known.address.as_str(),
+                state = known.state.to_string().as_str(),
+                sequence = known.sequence;
+                "backend server changed"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/programs/gateway/src/edge/stream.rs
@@ -0,0 +1,228 @@
+//! Forwarding of streams, event by event.
+//!
+//! Only complete events are passed on, so that a stream that breaks off can go
+//! on at another backend server after the last one that the caller has.
+
+use std::{collections::VecDeque, io, rc::Rc, time};
+
+use bw_relay::event;
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::BodyExt;
+use hyper::{Response, StatusCode, body};
+
+use crate::{
+    clock,
+    edge::{
+        answer, attempt,
+        attempt::{Attempts, Held},
+        forward,
+        forward::Forward,
+        front::Active,
+        state::State,
+    },
+    metrics, upstream,
+};
+
+/// Longest pauses on time that a resumable stream may be silent before it goes
+/// on elsewhere.
+const SILENCE_GAPS: u64 = 3;
+/// Least such silence in milliseconds.
+const SILENCE_MS: u64 = 1_200;
+
+/// Forwards a request whose answer is a series of events.
+pub(crate) async fn forward(state: &Rc<State>, forward: Forward, active: Active) -> answer::Answer {
+    let mut attempts = Attempts::new();
+    let accepted = match attempts.run(state, &forward).await {
+        Ok(accepted) => accepted,
+        Err(failed) => return attempt::failure(&forward, failed),
+    };
+    let names = state.dialect.headers();
+    attempts.last_event = forward::text(&forward.headers, &names.last_event)
+        .parse()
+        .ok();
+    let (mut parts, body) = accepted.response.into_parts();
+    forward::remove_hop_headers(&mut parts.headers);
+    let events = parts.status == StatusCode::OK;
+    let source = Source {
+        state: Rc::clone(state),
+        last: attempts.last_event,
+        resumed: false,
+        forward,
+        attempts,
+        events,
+        run: Some(Run {
+            body,
+            lease: accepted.lease,
+            held: accepted.held,
+        }),
+        parser: event::Parser::default(),
+        ready: VecDeque::new(),
+        _active: active,
+    };
+    let pieces = stream::unfold(Some(source), |source| async move {
+        let mut source = source?;
+        match source.next().await {
+            Ok(Some(bytes)) => Some((Ok(body::Frame::data(bytes)), Some(source))),
+            Ok(None) => None,
+            Err(error) => Some((Err(error), None)),
+        }
+    });
+    Response::from_parts(parts, answer::pieces(pieces))
+}
+
+/// One run at one backend server.
+struct Run {
+    body: body::Incoming,
+    lease: upstream::Lease,
+    held: Held,
+}
+
+/// The events of a stream over all its runs.
+struct Source {
+    state: Rc<State>,
+    forward: Forward,
+    attempts: Attempts,
+    /// Whether the answer is a series of events and not a failure.
+    events: bool,
+    run: Option<Run>,
+    parser: event::Parser,
+    ready: VecDeque<Bytes>,
+    /// The last event that was passed on.
+    last: Option<u64>,
+    /// Whether the present run follows an earlier one.
+    resumed: bool,
+    _active: Active,
+}
+
+impl Source {
+    /// Returns the next bytes for the caller, `None` after the last ones.
+    async fn next(&mut self) -> io::Result<Option<Bytes>> {
+        loop {
+            if let Some(bytes) = self.ready.pop_front() {
+                return Ok(Some(bytes));
+            }
+            match self.read().await {
+                Ok(true) => {}
+                Ok(false) => return Ok(None),
+                Err(reason) => self.resume(reason).await?,
+            }
+        }
+    }
+
+    /// Reads from the present run. Returns false after its complete end.
+    async fn read(&mut self) -> Result<bool, &'static str> {
+        let limit = self.silence();
+        let Some(run) = &mut self.run else {
+            return Err("no_run");
+        };
+        let frame = match tokio::time::timeout(limit, run.body.frame()).await {
+            Err(_) => return Err("silent"),
+            Ok(Some(Err(_))) => return Err("broken"),
+            Ok(Some(Ok(frame))) => frame,
+            Ok(None) => return self.ended(),
+        };
+        let Ok(bytes) = frame.into_data() else {
+            return Ok(true);
+        };
+        if !self.events {
+            self.ready.push_back(bytes);
+            return Ok(true);
+        }
+        self.parser.push(&bytes);
+        self.take_events()?;
+        Ok(true)
+    }
+
+    fn take_events(&mut self) -> Result<(), &'static str> {
+        let mut joined: Vec<u8> = Vec::new();
+        while let Some(event) = self.parser.next_event() {
+            if let Some(id) = event.id {
+                let expected = self.last.map(|last| last + 1);
+                if expected.is_some_and(|expected| id < expected) {
+                    continue;
+                }
+                if expected.is_some_and(|expected| id > expected) {
+                    self.push(joined);
+                    return Err("gap");
+                }
+                self.last = Some(id);
+            }
+            joined.extend_from_slice(&event.bytes);
+        }
+        self.push(joined);
+        match self.parser.is_too_large() {
+            true => Err("too_large"),
+            false => Ok(()),
+        }
+    }
+
+    fn push(&mut self, bytes: Vec<u8>) {
+        if !bytes.is_empty() {
+            self.ready.push_back(Bytes::from(bytes));
+        }
+    }
+
+    fn ended(&mut self) -> Result<bool, &'static str> {
+        if !self.parser.is_empty() {
+            return Err("broken");
+        }
+        if let Some(run) = self.run.take() {
+            run.lease.release();
+            drop(run.held);
+        }
+        log::info!(
+            request = self.forward.id.as_str(), last = self.last.unwrap_or(0), resumed = self.resumed;
+            "stream complete"
+        );
+        Ok(false)
+    }
+
+    /// Goes on at another backend server.
+    async fn resume(&mut self, reason: &'static str) -> io::Result<()> {
+        let run = self.run.take();
+        let id = run.as_ref().map(|run| run.held.id.clone());
+        drop(run);
+        if let Some(id) = &id {
+            self.attempts.broke(&self.state, id);
+        }
+        let backend = id.as_deref().unwrap_or("");
+        log::warn!(
+            request = self.forward.id.as_str(), backend = backend, reason = reason,
+            last = self.last.unwrap_or(0), left_ms = self.forward.until_ms.saturating_sub(clock::steady_ms());
+            "stream broke off"
+        );
+        metrics::RETRIES.with_label_values(&[reason]).inc();
+        let repeatable = self.forward.route.kind.repeatable() && self.events;
+        if !repeatable {
+            return Err(io::Error::other(reason));
+        }
+        self.parser = event::Parser::default();
+        self.resumed = true;
+        self.attempts.last_event = self.last;
+        match self.attempts.run(&self.state, &self.forward).await {
+            Ok(accepted) if accepted.response.status() == StatusCode::OK => {
+                self.run = Some(Run {
+                    body: accepted.response.into_body(),
+                    lease: accepted.lease,
+                    held: accepted.held,
+                });
+                Ok(())
+            }
+            _ => {
+                log::warn!(request = self.forward.id.as_str(), reason = reason, verdict = "may_have_run"; "stream ended early");
+                Err(io::Error::other(reason))
+            }
+        }
+    }
+
+    /// Returns how long the present run may be silent.
+    fn silence(&self) -> time::Duration {
+        let left = super::left(self.forward.until_ms);
+        if !self.forward.route.kind.repeatable() {
+            return left;
+        }
+        let gap_ms = self.forward.route.gap_ms * SILENCE_GAPS;
+        left.min(time::Duration::from_millis(gap_ms.max(SILENCE_MS)))
+    }
+}
--- /dev/null
+++ b/programs/gateway/src/metrics.rs
@@ -0,0 +1,83 @@
+//! Metrics of the relay's processes.
+
+use std::sync::LazyLock;
+
+use bw_base::metrics;
+
+/// Upper bounds of the latency histograms in seconds.
+const LATENCY_BUCKETS: &[f64] = &[
+    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0,
+];
+
+/// Requests by final status.
+pub static REQUESTS: LazyLock<prometheus::IntCounterVec> = LazyLock::new(|| {
+    metrics::counter(
+        "bw_gateway_requests_total",
+        "Requests by final status.",
+        &["status"],
+    )
+});
+
+/// Refusals by reason.
+pub static REFUSALS: LazyLock<prometheus::IntCounterVec> = LazyLock::new(|| {
+    metrics::counter(
+        "bw_gateway_refusals_total",
+        "Refusals by reason.",
+        &["reason"],
+    )
+});
+
+/// Retries by the reason of the failed attempt.
+pub static RETRIES: LazyLock<prometheus::IntCounterVec> = LazyLock::new(|| {
+    metrics::counter(
+        "bw_gateway_retries_total",
+        "Retries by reason.",
+        &["reason"],
+    )
+});
+
+/// Time to the head of the answer.
+pub static FIRST: LazyLock<prometheus::HistogramVec> = LazyLock::new(|| {
+    metrics::histogram(
+        "bw_gateway_first_byte_seconds",
+        "Time from a request to the head of its answer.",
+        &[],
+        LATENCY_BUCKETS,
+    )
+});
+
+/// Connections opened to backend servers.
+pub static CONNECTIONS: LazyLock<prometheus::IntCounterVec> = LazyLock::new(|| {
+    metrics::counter(
+        "bw_gateway_backend_connections_total",
+        "Connections opened to backend servers by outcome.",
+        &["outcome"],
+    )
+});
+
+/// Batch runs by outcome.
+pub static RUNS: LazyLock<prometheus::IntCounterVec> = LazyLock::new(|| {
+    metrics::counter(
+        "bw_gateway_batch_runs_total",
+        "Batch runs by outcome.",
+        &["outcome"],
+    )
+});
+
+/// Batch items that are accepted and not listed.
+pub static OPEN_ITEMS: LazyLock<prometheus::IntGaugeVec> = LazyLock::new(|| {
+    metrics::gauge(
+        "bw_gateway_open_items",
+        "Items that are not listed yet.",
+        &[],
+    )
+});
+
+/// Log lines that were dropped because the writer was behind.
+pub static FRAMES_DROPPED: LazyLock<prometheus::IntCounterVec> = LazyLock::new(|| {
+    metrics::counter(
+        "bw_gateway_frames_dropped_total",
+        "Frames dropped by reason.",
+        &["reason"],
+    )
+});
--- /dev/null
+++ b/programs/gateway/src/socket.rs
@@ -0,0 +1,147 @@
+//! TCP connections between the relay's processes.
+
+use std::{io, net, time};
+
+use bw_relay::message;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+/// How long sent data may stay unacknowledged. Round trips take a few
+/// milliseconds, so a connection that is silent for this long is cut off, and
+/// a new one finds out sooner whether the other side is reachable.
+const UNACKNOWLEDGED: time::Duration = time::Duration::from_millis(1_500);
+/// Idle time before the first keep-alive probe.
+const KEEPALIVE: time::Duration = time::Duration::from_secs(1);
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1_024;
+
+/// Sets the options of a connection.
+///
+/// # Errors
+///
+/// Fails if the connection is closed.
+pub fn tune(stream: &tokio::net::TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = socket2::SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
+    let keepalive = socket2::TcpKeepalive::new()
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE);
+    socket.set_tcp_keepalive(&keepalive)
+}
+
+/// Connects within a time limit.
+///
+/// # Errors
+///
+/// Fails if the other side refuses, cannot be reached or does not answer in time.
+pub async fn connect(
+    address: net::SocketAddr,
+    limit: time::Duration,
+) -> io::Result<tokio::net::TcpStream> {
+    let connecting = tokio::net::TcpStream::connect(address);
+    match tokio::time::timeout(limit, connecting).await {
+        Ok(stream) => {
+            let stream = stream?;
+            tune(&stream)?;
+            Ok(stream)
+        }
+        Err(_) => Err(io::ErrorKind::TimedOut.into()),
+    }
+}
+
+/// Listens on an address, also right after an earlier process ended.
+///
+/// # Errors
+///
+/// Fails if the address is in use.
+pub fn listen(address: net::SocketAddr) -> io::Result<tokio::net::TcpListener> {
+    let socket = socket2::Socket::new(
+        socket2::Domain::for_address(address),
+        socket2::Type::STREAM,
+        None,
+    )?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    tokio::net::TcpListener::from_std(socket.into())
+}
+
+/// Reads frames.
+pub struct Reader {
+    half: tokio::net::tcp::OwnedReadHalf,
+    buffer: Vec<u8>,
+    start: usize,
+}
+
+impl Reader {
+    /// Reads from one half of a connection.
+    pub fn new(half: tokio::net::tcp::OwnedReadHalf) -> Reader {
+        Reader {
+            half,
+            buffer: Vec::new(),
+            start: 0,
+        }
+    }
+
+    /// Returns the next frame. Dropping the future loses nothing.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection ends or carries something else than frames.
+    pub async fn next(&mut self) -> io::Result<message::Frame> {
+        loop {
+            if let Some(frame) = self.take()? {
+                return Ok(frame);
+            }
+            if self.half.read_buf(&mut self.buffer).await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+    }
+
+    fn take(&mut self) -> io::Result<Option<message::Frame>> {
+        let available = &self.buffer[self.start..];
+        let Some((length, rest)) = available.split_first_chunk::<4>() else {
+            self.compact();
+            return Ok(None);
+        };
+        let length = u32::from_be_bytes(*length) as usize;
+        if length > message::FRAME_BYTES_MAX {
+            return Err(io::Error::other("the frame is too large"));
+        }
+        if rest.len() < length {
+            self.compact();
+            return Ok(None);
+        }
+        let frame = message::decode(&rest[..length]).map_err(io::Error::other)?;
+        self.start += 4 + length;
+        Ok(Some(frame))
+    }
+
+    fn compact(&mut self) {
+        self.buffer.drain(..self.start);
+        self.start = 0;
+    }
+}
+
+/// Writes encoded frames.
+pub struct Writer {
+    half: tokio::net::tcp::OwnedWriteHalf,
+}
+
+impl Writer {
+    /// Writes to one half of a connection.
+    pub fn new(half: tokio::net::tcp::OwnedWriteHalf) -> Writer {
+        Writer { half }
+    }
+
+    /// Writes an encoded frame.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection is broken.
+    pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.half.write_all(bytes).await
+    }
+}
