Stop a run once when online requests take its slot back

Cause: the plan counted runs that were being stopped as running, so each plan until their end took back as many again. Found by the test a_peak_takes_slots_back_and_loses_nothing, which failed with a second preemption 50 ms after the first.

--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -233,9 +233,21 @@
 
     /// Returns the number of running items of each backend server.
     pub fn running(&self) -> BTreeMap<Name, u32> {
+        self.count_runs(|_| true)
+    }
+
+    /// Counts runs by backend server; `counts` is asked whether a run is being
+    /// stopped.
+    fn count_runs(&self, counts: impl Fn(bool) -> bool) -> BTreeMap<Name, u32> {
         let mut running = BTreeMap::new();
         for item in self.jobs.values().flat_map(|job| job.items.values()) {
-            if let State::Running { server, .. } = &item.state {
+            let State::Running {
+                server, stopping, ..
+            } = &item.state
+            else {
+                continue;
+            };
+            if counts(*stopping) {
                 *running.entry(server.clone()).or_insert(0) += 1;
             }
         }
@@ -351,9 +363,10 @@
     /// Takes items back where online requests and items exceed the slots, the
     /// ones that started last first: they have the least to read again.
     fn preempt(&mut self, servers: &[Server], actions: &mut Vec<Action>) {
-        let running = self.running();
+        let staying = self.count_runs(|stopping| !stopping);
         for server in servers {
-            let batch = running.get(&server.id).copied().unwrap_or(0);
+            // Runs that are being stopped have given their slots back already.
+            let batch = staying.get(&server.id).copied().unwrap_or(0);
             let mut excess = (server.online + batch)
                 .saturating_sub(server.slots)
                 .min(batch);
--- /dev/null
+++ b/crates/relay/tests/dispatch.rs
@@ -0,0 +1,225 @@
+//! Batch items beside online requests.
+
+use bw_relay::{
+    dispatch::{Action, Dispatch, Key, Options, Outcome, Progress, Reason, Server, Start},
+    ledger::{Command, End, Job, Ledger, NewItem, NewJob},
+    route,
+};
+use rstest::rstest;
+
+const SLOTS: u32 = 4;
+
+fn job(ledger: &mut Ledger, id: &str, items: usize, complete_ms: u64) -> Job {
+    let items = (0..items).map(|index| NewItem {
+        id: format!("{id}-{index}").as_str().into(),
+        path: "/p/x".into(),
+        headers: Vec::new(),
+        body: Vec::new(),
+    });
+    ledger.execute(Command::Submit(Box::new(NewJob {
+        id: id.into(),
+        host: "a.example".into(),
+        prefix: "/p/".into(),
+        submitted_ms: 0,
+        complete_ms,
+        give_up_ms: 60_000,
+        attempts: 3,
+        items: items.collect(),
+    })));
+    ledger.jobs()[id].clone()
+}
+
+fn dispatch(items: usize) -> Dispatch {
+    let mut dispatch = Dispatch::new(Options::default());
+    let job = job(&mut Ledger::default(), "job", items, 18_000);
+    dispatch.add(&"job".into(), &job);
+    dispatch
+}
+
+fn routes() -> route::Table {
+    let service = "desk".into();
+    route::Table::new(&route::Config {
+        version: 1,
+        routes: vec![route::Route {
+            name: "r".into(),
+            host: "a.example".into(),
+            prefix: "/p/".into(),
+            kind: route::Kind::Batch,
+            timeout_ms: 1_000,
+            target_ms: 500,
+            gap_ms: 0,
+            shares: vec![route::Share { service, weight: 1 }],
+            attempts: 3,
+            priority: 2,
+            complete_ms: 18_000,
+            give_up_ms: 60_000,
+        }],
+        services: Vec::new(),
+        limits: route::Limits {
+            header_bytes: 1,
+            body_bytes: 1,
+            header_ms: 1,
+            idle_ms: 1,
+        },
+    })
+}
+
+fn servers(online: &[u32]) -> Vec<Server> {
+    let numbered = online.iter().enumerate();
+    numbered
+        .map(|(index, online)| Server {
+            id: format!("s{index}").as_str().into(),
+            address: "10.0.0.1:80".into(),
+            service: "desk".into(),
+            slots: SLOTS,
+            online: *online,
+        })
+        .collect()
+}
+
+fn starts(actions: &[Action]) -> Vec<Start> {
+    let starts = actions.iter().filter_map(|action| match action {
+        Action::Start(start) => Some(start.clone()),
+        _ => None,
+    });
+    starts.collect()
+}
+
+fn preempted(actions: &[Action]) -> Vec<Key> {
+    let keys = actions.iter().filter_map(|action| match action {
+        Action::Preempt(key) => Some(key.clone()),
+        _ => None,
+    });
+    keys.collect()
+}
+
+fn progress(last: u64) -> Progress {
+    let data = (1..=last).map(|id| format!("e{id}"));
+    Progress {
+        last,
+        data: data.collect(),
+    }
+}
+
+#[test]
+fn items_take_only_slots_that_online_requests_leave_free() {
+    let mut dispatch = dispatch(20);
+    let actions = dispatch.plan(&servers(&[0, 2, 4]), &routes(), 0);
+    // One slot of each backend server is kept for the next online request.
+    let on = |id: &str| {
+        starts(&actions)
+            .iter()
+            .filter(|start| &*start.server == id)
+            .count()
+    };
+    assert_eq!((on("s0"), on("s1"), on("s2")), (3, 1, 0));
+}
+
+/// Replays an online peak: the items that started last give way, keep what they
+/// produced and go on where there is room again.
+#[test]
+fn a_peak_takes_slots_back_and_loses_nothing() {
+    let mut dispatch = dispatch(3);
+    let routes = routes();
+    let started = starts(&dispatch.plan(&servers(&[0]), &routes, 0));
+    assert_eq!(started.len(), 3);
+    let keys = preempted(&dispatch.plan(&servers(&[3]), &routes, 50));
+    assert_eq!(keys, [started[2].key.clone(), started[1].key.clone()]);
+    let none = dispatch.plan(&servers(&[3]), &routes, 100);
+    assert!(none.is_empty(), "a run is stopped once: {none:?}");
+    for key in &keys {
+        assert_eq!(dispatch.ended(key, Outcome::Broken(progress(7)), 120), None);
+    }
+    let resumed = starts(&dispatch.plan(&servers(&[0]), &routes, 150));
+    let lasts: Vec<u64> = resumed.iter().map(|start| start.progress.last).collect();
+    assert_eq!(lasts, [7, 7]);
+}
+
+#[test]
+fn the_job_that_is_due_first_runs_first() {
+    let mut ledger = Ledger::default();
+    let mut dispatch = Dispatch::new(Options::default());
+    for (id, due) in [("late", 30_000), ("early", 10_000)] {
+        let job = job(&mut ledger, id, 3, due);
+        dispatch.add(&id.into(), &job);
+    }
+    let started = starts(&dispatch.plan(&servers(&[0]), &routes(), 0));
+    assert!(started.iter().all(|start| &*start.key.job == "early"));
+}
+
+#[test]
+fn a_complete_run_ends_an_item_once() {
+    let mut dispatch = dispatch(1);
+    let start = starts(&dispatch.plan(&servers(&[0]), &routes(), 0)).remove(0);
+    let ended = dispatch.ended(&start.key, Outcome::Completed(progress(2)), 10);
+    assert_eq!(ended, Some((End::Completed, b"e1\ne2".to_vec())));
+    let again = dispatch.ended(&start.key, Outcome::Completed(progress(3)), 11);
+    assert_eq!(again, None);
+    assert!(dispatch.plan(&servers(&[0]), &routes(), 10_000).is_empty());
+    dispatch.recorded(&start.key);
+    assert_eq!(dispatch.open_items(), 0);
+}
+
+#[rstest]
+#[case::impossible(vec![Outcome::Impossible], Some(1))]
+#[case::failed(vec![Outcome::Failed(progress(0)); 3], Some(3))]
+#[case::broken(vec![Outcome::Broken(progress(0)); 9], None)]
+#[case::not_run(vec![Outcome::NotRun(progress(0)); 9], None)]
+fn only_what_the_backend_server_says_ends_an_item(
+    #[case] outcomes: Vec<Outcome>,
+    #[case] expected_runs: Option<usize>,
+) {
+    let mut dispatch = dispatch(1);
+    let mut now_ms = 0;
+    let mut given_up = None;
+    for (index, outcome) in outcomes.into_iter().enumerate() {
+        now_ms += 3_000;
+        let start = starts(&dispatch.plan(&servers(&[0, 0]), &routes(), now_ms)).remove(0);
+        if let Some((end, _)) = dispatch.ended(&start.key, outcome, now_ms) {
+            assert_eq!(end, End::GivenUp);
+            given_up.get_or_insert(index + 1);
+        }
+    }
+    assert_eq!(given_up, expected_runs);
+}
+
+#[test]
+fn a_failed_run_goes_on_at_another_backend_server() {
+    let mut dispatch = dispatch(1);
+    let first = starts(&dispatch.plan(&servers(&[0, 0]), &routes(), 0)).remove(0);
+    dispatch.ended(&first.key, Outcome::Broken(progress(5)), 100);
+    assert!(
+        dispatch.plan(&servers(&[0, 0]), &routes(), 101).is_empty(),
+        "after a pause"
+    );
+    let second = starts(&dispatch.plan(&servers(&[0, 0]), &routes(), 5_000)).remove(0);
+    assert_ne!(second.server, first.server);
+    assert_eq!(second.progress, progress(5));
+}
+
+#[rstest]
+#[case::expired(60_000, routes(), Reason::Expired)]
+#[case::route_gone(100, route::Table::default(), Reason::RouteGone)]
+fn waiting_items_are_given_up(
+    #[case] now_ms: u64,
+    #[case] routes: route::Table,
+    #[case] expected: Reason,
+) {
+    let mut dispatch = dispatch(2);
+    let actions = dispatch.plan(&servers(&[]), &routes, now_ms);
+    let reasons = actions.iter().map(|action| match action {
+        Action::GiveUp(_, reason) => *reason,
+        other => panic!("unexpected {other:?}"),
+    });
+    assert_eq!(reasons.collect::<Vec<_>>(), [expected; 2]);
+    assert!(dispatch.plan(&servers(&[]), &routes, now_ms + 1).is_empty());
+}
+
+#[test]
+fn an_ended_job_names_its_runs() {
+    let mut dispatch = dispatch(9);
+    let started = starts(&dispatch.plan(&servers(&[0]), &routes(), 0));
+    let running = dispatch.remove(&"job".into());
+    assert_eq!(running.len(), started.len());
+    assert!(dispatch.plan(&servers(&[0]), &routes(), 1).is_empty());
+}
