Pause a backend server after two broken answers, and never all of them

Cause: one answer that broke off paused a backend server for 0.5 s. Replicas that spoil 2 in 100 answers were taken out again and again, and when each of two had failed once every request was refused (test a_resumable_stream_goes_on_at_ another_backend_server failed with a 503). Two broken answers in a row pause; if all are paused the one whose pause ends first is tried.

--- a/crates/relay/src/balance.rs
+++ b/crates/relay/src/balance.rs
@@ -93,6 +93,16 @@
     pub address: Name,
 }
 
+/// What a failure says of a backend server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Failure {
+    /// It could not be reached or did not answer in time.
+    Unreachable,
+    /// An answer broke off or was not its own. One such answer may be chance:
+    /// a backend server that spoils a few in a hundred still serves the rest.
+    Broken,
+}
+
 /// Why a request is not placed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -185,7 +195,7 @@
     pub fn place(&mut self, wish: &Wish<'_>, now_ms: u64, draw: u64) -> Result<Place, Rejection> {
         let usable = |server: &&Server| is_usable(server, wish, now_ms);
         let Some(least) = self.servers.values().filter(usable).map(load).min() else {
-            return Err(self.reject(Reason::NoBackend, draw));
+            return self.place_paused(wish, now_ms, draw);
         };
         let near = self.options.near;
         let candidates = self.servers.values().filter(usable);
@@ -221,6 +231,26 @@
         Ok(place)
     }
 
+    /// Places a request although every backend server is paused: the one whose
+    /// pause ends first may have recovered, and a rejection helps nobody.
+    fn place_paused(
+        &mut self,
+        wish: &Wish<'_>,
+        now_ms: u64,
+        draw: u64,
+    ) -> Result<Place, Rejection> {
+        let servers = self.servers.values();
+        let chosen = servers
+            .filter(|server| is_candidate(server, wish, now_ms) && self.has_room(server, wish))
+            .min_by_key(|server| (server.paused_until_ms, load(server)));
+        let Some(chosen) = chosen else {
+            return Err(self.reject(Reason::NoBackend, draw));
+        };
+        let place = place_of(chosen);
+        self.started(&place.id);
+        Ok(place)
+    }
+
     /// Notes that a request has ended at a backend server.
     pub fn finished(&mut self, id: &str) {
         if let Some(server) = self.servers.get_mut(id) {
@@ -237,9 +267,10 @@
         }
     }
 
-    /// Notes a failure; the backend server gets no new requests for a while.
-    /// Failures during a pause count once: they are requests of the same time.
-    pub fn failed(&mut self, id: &str, now_ms: u64) {
+    /// Notes a failure. A backend server that cannot be reached, or breaks two
+    /// answers in a row, gets no new requests for a while. Failures during a
+    /// pause count once: they are requests of the same time.
+    pub fn failed(&mut self, id: &str, failure: Failure, now_ms: u64) {
         let options = self.options;
         let Some(server) = self.servers.get_mut(id) else {
             return;
@@ -247,8 +278,11 @@
         if now_ms < server.paused_until_ms {
             return;
         }
-        let doubled = options.pause_ms << server.failures.min(6);
         server.failures += 1;
+        if failure == Failure::Broken && server.failures < BROKEN_MIN {
+            return;
+        }
+        let doubled = options.pause_ms << (server.failures - 1).min(6);
         server.paused_until_ms = now_ms + doubled.min(options.pause_max_ms);
     }
 
@@ -290,6 +324,11 @@
 }
 
 fn is_usable(server: &Server, wish: &Wish<'_>, now_ms: u64) -> bool {
+    now_ms >= server.paused_until_ms && is_candidate(server, wish, now_ms)
+}
+
+/// Returns whether a backend server may be used, paused or not.
+fn is_candidate(server: &Server, wish: &Wish<'_>, now_ms: u64) -> bool {
     let known = &server.announcement;
     // A silent backend server may be cut off from control only; it is used as
     // long as its answers to this entry VM are recent.
@@ -298,12 +337,12 @@
         registry::State::Leaving => false,
         registry::State::Silent => now_ms < server.succeeded_ms + SILENT_USE_MS,
     };
-    alive
-        && *known.service == *wish.service
-        && now_ms >= server.paused_until_ms
-        && !wish.tried.contains(&known.id)
+    alive && *known.service == *wish.service && !wish.tried.contains(&known.id)
 }
 
+/// Broken answers in a row after which a backend server is left alone.
+const BROKEN_MIN: u32 = 2;
+
 /// How long after its last answer a backend server that announces nothing is
 /// still used, in milliseconds. Longer than a request takes, so that one that
 /// serves is not given up between two answers.
--- /dev/null
+++ b/crates/relay/tests/balance.rs
@@ -0,0 +1,220 @@
+//! Placement and rejection at an entry VM under recorded load patterns.
+
+use std::collections::BTreeMap;
+
+use bw_relay::{
+    balance::{Balance, Failure, Options, Reason, Wish},
+    message::Load,
+    registry::{Announcement, State},
+};
+use bw_wire::name::Name;
+
+fn announcement(id: &str, failure_domain: &str) -> Announcement {
+    Announcement {
+        id: id.into(),
+        service: "desk".into(),
+        address: format!("10.0.0.{id}:80").as_str().into(),
+        failure_domain: failure_domain.into(),
+        slots: 4,
+        state: State::Ready,
+        born_ms: 1,
+        sequence: 1,
+    }
+}
+
+fn balance(servers: &[(&str, &str)]) -> Balance {
+    let mut balance = Balance::new(Options::default());
+    for (id, domain) in servers {
+        balance.announce(&announcement(id, domain));
+    }
+    balance
+}
+
+fn wish(tried: &[Name], affinity: u64) -> Wish<'_> {
+    Wish {
+        service: "desk",
+        affinity,
+        tried,
+        failure_domain: "a",
+        resumed: false,
+    }
+}
+
+fn fill(balance: &mut Balance) -> Vec<String> {
+    let mut placed = Vec::new();
+    while let Ok(place) = balance.place(&wish(&[], placed.len() as u64), 0, 0) {
+        placed.push(place.id.to_string());
+        assert!(placed.len() < 1_000, "placement ends with a rejection");
+    }
+    placed
+}
+
+#[test]
+fn a_fleet_fills_evenly_and_then_rejects_at_once() {
+    let mut balance = balance(&[("1", "a"), ("2", "b"), ("3", "c")]);
+    let placed = fill(&mut balance);
+    // 4 slots and a queue of 2 at each of 3 backend servers.
+    assert_eq!(placed.len(), 18);
+    let mut counts = BTreeMap::new();
+    for (index, id) in placed.iter().enumerate() {
+        *counts.entry(id.clone()).or_insert(0_i32) += 1;
+        let spread = counts.values().max().unwrap_or(&0) - counts.values().min().unwrap_or(&0);
+        assert!(index < 4 || spread <= 2, "uneven after {index}: {counts:?}");
+    }
+    let rejection = balance.place(&wish(&[], 0), 0, 123).expect_err("full");
+    assert_eq!(rejection.reason, Reason::Overload);
+    assert!(rejection.retry_after_ms > 0);
+}
+
+#[test]
+fn rejected_callers_return_spread_over_time() {
+    let mut balance = balance(&[("1", "a")]);
+    fill(&mut balance);
+    let times = (0..1_000_u64).map(|draw| {
+        let draw = draw.wrapping_mul(2_654_435_761);
+        balance
+            .place(&wish(&[], 0), 0, draw)
+            .expect_err("full")
+            .retry_after_ms
+    });
+    let mut halves = [0; 2];
+    for time in times {
+        halves[usize::from(time > 700)] += 1;
+    }
+    assert!(halves.iter().all(|count| *count > 300), "{halves:?}");
+}
+
+/// Guards against herding: the load of others counts although it lags.
+#[test]
+fn the_requests_of_other_entry_vms_count() {
+    let mut balance = balance(&[("1", "a"), ("2", "a")]);
+    let busy = Load {
+        id: "1".into(),
+        online: 3,
+        batch: 0,
+    };
+    balance.set_loads(&[busy]);
+    let placed: Vec<String> = (0..2)
+        .map(|affinity| {
+            balance
+                .place(&wish(&[], affinity), 0, 0)
+                .expect("room")
+                .id
+                .to_string()
+        })
+        .collect();
+    assert_eq!(placed, ["2", "2"]);
+}
+
+#[test]
+fn own_requests_are_not_counted_twice() {
+    let mut balance = balance(&[("1", "a")]);
+    for _ in 0..3 {
+        balance.place(&wish(&[], 0), 0, 0).expect("room");
+    }
+    assert_eq!(balance.report(), vec![("1".into(), 3)]);
+    balance.set_loads(&[Load {
+        id: "1".into(),
+        online: 5,
+        batch: 1,
+    }]);
+    assert_eq!(balance.view("1"), (3, 5, 1));
+}
+
+#[test]
+fn equal_prompts_meet_while_the_load_is_even() {
+    let servers = [("1", "a"), ("2", "a"), ("3", "a"), ("4", "a")];
+    for affinity in 0..50 {
+        let first = balance(&servers)
+            .place(&wish(&[], affinity), 0, 0)
+            .expect("room");
+        let mut other = balance(&servers);
+        other.place(&wish(&[], affinity), 0, 0).expect("room");
+        let second = other.place(&wish(&[], affinity), 0, 0).expect("room");
+        assert_eq!(first, second, "one request more does not move the prompt");
+    }
+}
+
+/// Returns whether backend server 1, which is in the caller's own failure
+/// domain, gets a request.
+fn is_used(balance: &mut Balance, now_ms: u64) -> bool {
+    let place = balance.place(&wish(&[], 0), now_ms, 0).expect("room");
+    balance.finished(&place.id);
+    &*place.id == "1"
+}
+
+#[test]
+fn an_unreachable_backend_server_is_left_alone_for_longer_and_longer() {
+    let mut balance = balance(&[("1", "a"), ("2", "b")]);
+    balance.failed("1", Failure::Unreachable, 0);
+    // Requests that were under way at the same time fail with it.
+    balance.failed("1", Failure::Unreachable, 10);
+    assert!(!is_used(&mut balance, 499));
+    assert!(is_used(&mut balance, 500));
+    balance.failed("1", Failure::Unreachable, 600);
+    assert!(!is_used(&mut balance, 1_599));
+    assert!(is_used(&mut balance, 1_600));
+    balance.succeeded("1", 1_700);
+    balance.failed("1", Failure::Unreachable, 1_800);
+    assert!(is_used(&mut balance, 2_300), "a success ends the doubling");
+}
+
+/// Guards against losing the capacity of a backend server that spoils two
+/// answers in a hundred.
+#[test]
+fn one_broken_answer_does_not_pause_a_backend_server() {
+    let mut balance = balance(&[("1", "a"), ("2", "b")]);
+    for now_ms in 0..50 {
+        balance.failed("1", Failure::Broken, now_ms);
+        assert!(is_used(&mut balance, now_ms));
+        balance.succeeded("1", now_ms);
+    }
+    balance.failed("1", Failure::Broken, 100);
+    balance.failed("1", Failure::Broken, 101);
+    assert!(!is_used(&mut balance, 102));
+}
+
+/// Guards against rejecting everything when each backend server has failed once.
+#[test]
+fn a_fleet_that_is_paused_as_a_whole_is_still_tried() {
+    let mut balance = balance(&[("1", "a"), ("2", "b")]);
+    balance.failed("1", Failure::Unreachable, 0);
+    balance.failed("2", Failure::Unreachable, 100);
+    assert!(is_used(&mut balance, 200));
+}
+
+#[test]
+fn a_new_start_is_used_at_once() {
+    let mut balance = balance(&[("1", "a"), ("2", "b")]);
+    balance.failed("1", Failure::Unreachable, 0);
+    assert!(!is_used(&mut balance, 1));
+    let mut started = announcement("1", "a");
+    started.born_ms = 2;
+    balance.announce(&started);
+    assert!(is_used(&mut balance, 1));
+}
+
+#[test]
+fn a_leaving_or_tried_backend_server_gets_nothing() {
+    let mut balance = balance(&[("1", "a"), ("2", "a")]);
+    let mut leaving = announcement("1", "a");
+    leaving.state = State::Leaving;
+    balance.announce(&leaving);
+    assert_eq!(&*balance.place(&wish(&[], 0), 0, 0).expect("room").id, "2");
+    let tried = [Name::from("2")];
+    let rejection = balance
+        .place(&wish(&tried, 0), 0, 0)
+        .expect_err("none left");
+    assert_eq!(rejection.reason, Reason::NoBackend);
+}
+
+#[test]
+fn a_stream_that_goes_on_is_placed_also_when_the_fleet_is_full() {
+    let mut balance = balance(&[("1", "a")]);
+    fill(&mut balance);
+    let resumed = Wish {
+        resumed: true,
+        ..wish(&[], 0)
+    };
+    assert!(balance.place(&resumed, 0, 0).is_ok());
+}
--- /dev/null
+++ b/crates/relay/tests/event.rs
@@ -0,0 +1,57 @@
+//! Events are cut at blank lines, however the bytes arrive.
+
+use bw_relay::event;
+use proptest::prelude::*;
+use rstest::rstest;
+
+const STREAM: &[u8] =
+    b"id: 1\ndata: a\n\nversion:3\nid: 2\r\ndata: b\ndata: c\n\nid: 3\ndata:d\r\n\r\n";
+
+fn parse(pieces: &[&[u8]]) -> (Vec<(Option<u64>, String)>, bool) {
+    let mut parser = event::Parser::default();
+    let mut events = Vec::new();
+    for piece in pieces {
+        parser.push(piece);
+        while let Some(event) = parser.next_event() {
+            events.push((event.id, event.data()));
+        }
+    }
+    (events, parser.is_empty())
+}
+
+fn expected() -> Vec<(Option<u64>, String)> {
+    let data = ["a", "b\nc", "d"];
+    let numbered = data.iter().zip(1..);
+    numbered
+        .map(|(data, id)| (Some(id), (*data).to_owned()))
+        .collect()
+}
+
+#[test]
+fn a_whole_stream_gives_its_events() {
+    assert_eq!(parse(&[STREAM]), (expected(), true));
+}
+
+proptest! {
+    #[test]
+    fn cuts_change_nothing(mut cuts in proptest::collection::vec(0..STREAM.len(), 0..6)) {
+        cuts.sort_unstable();
+        cuts.push(STREAM.len());
+        let mut pieces = Vec::new();
+        let mut start = 0;
+        for cut in cuts {
+            pieces.push(&STREAM[start..cut]);
+            start = cut;
+        }
+        prop_assert_eq!(parse(&pieces), (expected(), true));
+    }
+}
+
+#[rstest]
+#[case::in_a_line(&STREAM[..20], 1)]
+#[case::before_the_blank_line(&STREAM[..14], 0)]
+fn an_event_that_breaks_off_is_not_given(#[case] bytes: &[u8], #[case] complete: usize) {
+    let (events, empty) = parse(&[bytes]);
+    assert_eq!(events.len(), complete);
+    assert!(!empty);
+}
--- /dev/null
+++ b/crates/relay/tests/ledger.rs
@@ -0,0 +1,196 @@
+//! The replicated state: acceptance once, results at fixed positions, ends.
+
+use std::collections::BTreeMap;
+
+use bw_coord::{host::Machine, payload, storage};
+use bw_relay::{
+    ledger::{Applied, Command, End, Ledger, NewItem, NewJob, Published},
+    route,
+};
+
+/// Id, end and output of a result.
+type Listed = (String, End, Vec<u8>);
+
+/// A ledger with its payloads in memory.
+#[derive(Default)]
+struct Store {
+    ledger: Ledger,
+    payloads: BTreeMap<payload::Key, Vec<u8>>,
+}
+
+impl payload::Source for BTreeMapSource<'_> {
+    fn get(&mut self, key: payload::Key) -> Result<Vec<u8>, storage::Error> {
+        Ok(self.0.get(&key).expect("stored payload").clone())
+    }
+}
+
+struct BTreeMapSource<'a>(&'a BTreeMap<payload::Key, Vec<u8>>);
+
+impl Store {
+    fn execute(&mut self, command: Command) -> Applied {
+        let applied = self.ledger.execute(command);
+        for effect in self.ledger.effects() {
+            match effect {
+                payload::Effect::Put { key, content } => {
+                    assert!(
+                        self.payloads.insert(key, content).is_none(),
+                        "a key is used once"
+                    );
+                }
+                payload::Effect::Remove { key } => {
+                    assert!(
+                        self.payloads.remove(&key).is_some(),
+                        "only stored keys are removed"
+                    );
+                }
+            }
+        }
+        applied
+    }
+
+    fn page(&self, job: &str, after: usize, bytes: usize) -> Option<(u32, Vec<Listed>)> {
+        let mut source = BTreeMapSource(&self.payloads);
+        let page = self
+            .ledger
+            .page(job, after, bytes, &mut source)
+            .expect("readable")?;
+        let results = page.results.into_iter();
+        let results = results.map(|result| (result.id.to_string(), result.end, result.output));
+        Some((page.total, results.collect()))
+    }
+
+    fn record(&mut self, item: u32, end: End, output: &str) -> Applied {
+        self.execute(Command::Record {
+            job: "job".into(),
+            item,
+            end,
+            output: output.as_bytes().to_vec(),
+        })
+    }
+}
+
+fn job(items: &[&str]) -> Command {
+    let items = items.iter().map(|id| NewItem {
+        id: (*id).into(),
+        path: "/p/x".into(),
+        headers: vec![("model".into(), "m".into())],
+        body: id.as_bytes().to_vec(),
+    });
+    Command::Submit(Box::new(NewJob {
+        id: "job".into(),
+        host: "a.example".into(),
+        prefix: "/p/".into(),
+        submitted_ms: 1_000,
+        complete_ms: 18_000,
+        give_up_ms: 60_000,
+        attempts: 3,
+        items: items.collect(),
+    }))
+}
+
+fn config(version: u64) -> Command {
+    Command::Publish(Box::new(Published {
+        config: route::Config {
+            version,
+            routes: Vec::new(),
+            services: Vec::new(),
+            limits: route::Limits {
+                header_bytes: 1,
+                body_bytes: 1,
+                header_ms: 1,
+                idle_ms: 1,
+            },
+        },
+        document: version.to_string().into_bytes(),
+    }))
+}
+
+#[test]
+fn the_highest_version_stays_in_force() {
+    let mut store = Store::default();
+    assert_eq!(store.execute(config(7)), Applied::Done);
+    assert_eq!(store.execute(config(5)), Applied::Superseded);
+    assert_eq!(store.execute(config(7)), Applied::Superseded);
+    let published = store.ledger.published().expect("published");
+    assert_eq!(published.document, b"7");
+}
+
+#[test]
+fn a_repeated_submission_changes_nothing() {
+    let mut store = Store::default();
+    store.execute(job(&["a", "b"]));
+    store.record(0, End::Completed, "out");
+    assert_eq!(store.execute(job(&["a", "b"])), Applied::Done);
+    assert_eq!(store.page("job", 0, 100).map(|page| page.1.len()), Some(1));
+}
+
+#[test]
+fn a_result_keeps_its_position_and_content() {
+    let mut store = Store::default();
+    store.execute(job(&["a", "b", "c"]));
+    store.record(2, End::Completed, "of c");
+    store.record(0, End::GivenUp, "");
+    assert_eq!(store.record(2, End::Completed, "late"), Applied::Superseded);
+    assert_eq!(store.record(2, End::GivenUp, ""), Applied::Superseded);
+    let listed = vec![
+        ("c".to_owned(), End::Completed, b"of c".to_vec()),
+        ("a".to_owned(), End::GivenUp, Vec::new()),
+    ];
+    assert_eq!(store.page("job", 0, 100), Some((3, listed)));
+}
+
+#[test]
+fn a_page_has_a_size_and_at_least_one_result() {
+    let mut store = Store::default();
+    store.execute(job(&["a", "b", "c"]));
+    for item in 0..3 {
+        store.record(item, End::Completed, "0123456789");
+    }
+    let count = |after, bytes| store.page("job", after, bytes).map(|page| page.1.len());
+    assert_eq!(count(0, 1), Some(1));
+    assert_eq!(count(0, 20), Some(2));
+    assert_eq!(count(2, 20), Some(1));
+    assert_eq!(count(3, 20), Some(0));
+    assert_eq!(store.page("other", 0, 1), None);
+}
+
+#[test]
+fn bodies_are_readable_until_an_item_is_listed_or_its_job_has_ended() {
+    let mut store = Store::default();
+    store.execute(job(&["a", "b"]));
+    assert!(store.ledger.body("job", "a").is_some());
+    store.record(0, End::Completed, "out");
+    assert!(store.ledger.body("job", "a").is_none());
+    store.execute(Command::End { job: "job".into() });
+    assert!(store.ledger.body("job", "b").is_none());
+    assert_eq!(store.record(1, End::Completed, "late"), Applied::Superseded);
+    assert_eq!(store.page("job", 0, 100).map(|page| page.1.len()), Some(1));
+}
+
+#[test]
+fn a_sweep_keeps_open_jobs_and_frees_payloads_of_closed_ones() {
+    let mut store = Store::default();
+    store.execute(job(&["a"]));
+    store.execute(Command::Sweep { before_ms: 5_000 });
+    assert!(store.page("job", 0, 1).is_some(), "an open job stays");
+    store.record(0, End::Completed, "out");
+    store.execute(Command::Sweep { before_ms: 1_000 });
+    assert!(store.page("job", 0, 1).is_some(), "a young job stays");
+    store.execute(Command::Sweep { before_ms: 5_000 });
+    assert_eq!(store.page("job", 0, 1), None);
+    assert!(store.payloads.is_empty());
+}
+
+#[test]
+fn a_snapshot_restores_the_same_state() {
+    let mut store = Store::default();
+    store.execute(config(3));
+    store.execute(job(&["a", "b"]));
+    store.record(1, End::Completed, "out");
+    let mut restored = Ledger::default();
+    restored
+        .restore(&store.ledger.snapshot())
+        .expect("a snapshot");
+    assert_eq!(restored.snapshot(), store.ledger.snapshot());
+    assert!(restored.body("job", "a").is_some());
+}
--- /dev/null
+++ b/crates/relay/tests/registry.rs
@@ -0,0 +1,83 @@
+//! The registry against announcements that are late, crossed or of another start.
+
+use bw_relay::registry::{Announcement, Outcome, Registry, State};
+use rstest::rstest;
+
+fn announcement(id: &str, born_ms: u64, sequence: u64, state: State) -> Announcement {
+    Announcement {
+        id: id.into(),
+        service: "desk".into(),
+        address: "10.0.0.9:8080".into(),
+        failure_domain: "a".into(),
+        slots: 8,
+        state,
+        born_ms,
+        sequence,
+    }
+}
+
+fn state(registry: &Registry, id: &str) -> State {
+    registry.get(id).expect("known").announcement.state
+}
+
+#[rstest]
+#[case::older_sequence(10, 3, State::Ready, Outcome::Stale)]
+#[case::ready_after_leaving(10, 9, State::Ready, Outcome::Stale)]
+#[case::earlier_start(9, 99, State::Ready, Outcome::Stale)]
+#[case::same_again(10, 6, State::Leaving, Outcome::Renewed)]
+#[case::new_start(11, 1, State::Ready, Outcome::Changed)]
+fn what_comes_after_a_leaving_backend_server_said_so(
+    #[case] born_ms: u64,
+    #[case] sequence: u64,
+    #[case] next: State,
+    #[case] expected: Outcome,
+) {
+    let mut registry = Registry::default();
+    registry.announce(announcement("x", 10, 4, State::Ready), 0);
+    registry.announce(announcement("x", 10, 5, State::Leaving), 1);
+    let outcome = registry.announce(announcement("x", born_ms, sequence, next), 2);
+    assert_eq!(outcome, expected);
+    let leaves = expected != Outcome::Changed;
+    assert_eq!(state(&registry, "x") == State::Leaving, leaves);
+}
+
+#[test]
+fn a_new_start_at_the_address_ends_the_old_entry() {
+    let mut registry = Registry::default();
+    registry.announce(announcement("old", 10, 1, State::Ready), 0);
+    registry.announce(announcement("new", 20, 1, State::Ready), 1);
+    assert_eq!(state(&registry, "old"), State::Leaving);
+    assert_eq!(state(&registry, "new"), State::Ready);
+}
+
+/// Guards against an announcement that a partition held up and that arrives
+/// after its sender crashed and another start took the address.
+#[test]
+fn a_delayed_announcement_does_not_take_the_address_back() {
+    let mut registry = Registry::default();
+    registry.announce(announcement("new", 20, 1, State::Ready), 0);
+    let outcome = registry.announce(announcement("old", 10, 7, State::Ready), 1);
+    assert_eq!(outcome, Outcome::Stale);
+    assert_eq!(state(&registry, "new"), State::Ready);
+}
+
+#[test]
+fn silence_is_marked_once_and_ends_with_an_announcement() {
+    let mut registry = Registry::default();
+    registry.announce(announcement("x", 10, 1, State::Ready), 1_000);
+    assert!(registry.expire(6_000, 5_000).is_empty());
+    assert_eq!(registry.expire(6_001, 5_000).len(), 1);
+    assert!(registry.expire(7_000, 5_000).is_empty());
+    let outcome = registry.announce(announcement("x", 10, 2, State::Ready), 8_000);
+    assert_eq!(outcome, Outcome::Changed);
+    assert_eq!(state(&registry, "x"), State::Ready);
+}
+
+#[test]
+fn leaving_by_name_counts_for_the_start_that_said_so() {
+    let mut registry = Registry::default();
+    registry.announce(announcement("x", 20, 1, State::Ready), 0);
+    assert!(registry.leave("x", 10).is_none(), "an earlier start left");
+    assert!(registry.leave("x", 20).is_some());
+    assert_eq!(state(&registry, "x"), State::Leaving);
+}
--- a/programs/gateway/src/edge/attempt.rs
+++ b/programs/gateway/src/edge/attempt.rs
@@ -78,7 +78,9 @@
 
     /// Notes that the answer of the last attempt broke off.
     pub(crate) fn broke(&mut self, state: &State, id: &Name) {
-        state.balance.borrow_mut().failed(id, clock::steady_ms());
+        let now_ms = clock::steady_ms();
+        let mut balance = state.balance.borrow_mut();
+        balance.failed(id, balance::Failure::Broken, now_ms);
         self.tried.push(id.clone());
     }
 
@@ -189,7 +191,8 @@
                 // A request that used up its own time says nothing of the
                 // backend server.
                 if now_ms < forward.until_ms {
-                    state.balance.borrow_mut().failed(&place.id, now_ms);
+                    let mut balance = state.balance.borrow_mut();
+                    balance.failed(&place.id, evidence(failure), now_ms);
                 }
                 self.tried.push(place.id.clone());
                 Err(failure.into())
@@ -238,10 +241,10 @@
         let mut balance = state.balance.borrow_mut();
         match reason {
             "full" => balance.refused(&place.id, now_ms),
-            "other_backend" => balance.failed(&place.id, now_ms),
+            "other_backend" => balance.failed(&place.id, balance::Failure::Unreachable, now_ms),
             _ => {
                 self.ran += 1;
-                balance.failed(&place.id, now_ms);
+                balance.failed(&place.id, balance::Failure::Broken, now_ms);
             }
         }
     }
@@ -294,6 +297,14 @@
     }
 }
 
+/// Returns what a failed exchange says of the backend server.
+fn evidence(failure: upstream::Failure) -> balance::Failure {
+    match failure {
+        upstream::Failure::Connect | upstream::Failure::Timeout => balance::Failure::Unreachable,
+        upstream::Failure::Broken => balance::Failure::Broken,
+    }
+}
+
 /// Judges the head of an answer. An error is the reason for another attempt.
 fn judge(
     state: &State,
