Tell the network thread of an empty list of members

Cause: a replica that starts on an empty disk has no members, which equalled the initial value, so its own id was never told and it never asked to join. The test a_lost_disk_is_replaced_under_a_new_id timed out before and passes now.

--- a/programs/gateway/src/control/replica.rs
+++ b/programs/gateway/src/control/replica.rs
@@ -236,7 +236,9 @@
     host: Host,
     waiting: HashMap<u64, Waiting>,
     next_ticket: u64,
-    members: Vec<member::Member>,
+    /// The members as they were told last; `None` before the first time, as a
+    /// replica that has yet to join has an empty list.
+    members: Option<Vec<member::Member>>,
     own: Vec<host::Input>,
 }
 
@@ -247,7 +249,7 @@
             host,
             waiting: HashMap::new(),
             next_ticket: 0,
-            members: Vec::new(),
+            members: None,
             own: Vec::new(),
         }
     }
@@ -458,8 +460,8 @@
         let Some(status) = self.host.status(GROUP) else {
             return;
         };
-        if status.members != self.members {
-            self.members.clone_from(&status.members);
+        if self.members.as_ref() != Some(&status.members) {
+            self.members = Some(status.members.clone());
             let own = self.host.replica();
             let members = status.members;
             self.replica.notice(Notice::Members { own, members });
