--- a/programs/gateway/src/edge/front.rs
+++ b/programs/gateway/src/edge/front.rs
@@ -48,6 +48,7 @@
         time::Duration::from_millis(limits.idle_ms.max(limits.header_ms))
     });
     let bytes = limits.map_or(HEADER_BYTES, |limits| limits.header_bytes.max(HEADER_BYTES));
+    let mut closing = state.closing.subscribe();
     let service = service::service_fn(move |request| {
         let state = Rc::clone(&state);
         async move { Ok::<_, convert::Infallible>(handle(state, request).await) }
@@ -57,7 +58,17 @@
         .header_read_timeout(timeout)
         .max_buf_size(bytes + LINE_BYTES)
         .serve_connection(rt::TokioIo::new(stream), service);
-    if let Err(error) = serving.await {
+    let mut serving = std::pin::pin!(serving);
+    let result = tokio::select! {
+        result = &mut serving => result,
+        // The sender lives as long as the process.
+        _ = closing.wait_for(|closing| *closing) => {
+            // Closes an idle connection, and a busy one after its answer.
+            serving.as_mut().graceful_shutdown();
+            serving.await
+        }
+    };
+    if let Err(error) = result {
         log::debug!("connection of a caller ended: {error}");
     }
 }
--- a/programs/gateway/src/edge/mod.rs
+++ b/programs/gateway/src/edge/mod.rs
@@ -24,9 +24,12 @@
 /// Reports without a change that are left out before one is sent again, which
 /// shows the leader that the entry VM is alive.
 const REPORTS_SKIPPED: u32 = 5;
-/// Time after a stop signal in which new connections are still served, as the
-/// load balancer needs two readiness checks, one second apart, to notice.
-const LINGER: time::Duration = time::Duration::from_millis(3_000);
+/// Time after a stop signal in which new requests are still served, as the
+/// load balancer needs two readiness checks, one second apart, to notice. Later
+/// requests might not end before the process must.
+const LINGER: time::Duration = time::Duration::from_millis(2_500);
+/// How often a drain looks for running requests.
+const POLL: time::Duration = time::Duration::from_millis(50);
 /// Time before the forced end at which the process ends by itself.
 const MARGIN: time::Duration = time::Duration::from_millis(700);
 
@@ -128,11 +131,12 @@
     state.draining.set(true);
     let started = time::Instant::now();
     log::info!(requests = state.active.get(), connections = state.connections.get(); "stop signal, draining");
+    tokio::time::sleep(LINGER.min(grace)).await;
+    state.closing.send_replace(true);
     let limit = grace.saturating_sub(MARGIN);
     while started.elapsed() < limit {
-        tokio::time::sleep(time::Duration::from_millis(50)).await;
-        let idle = state.active.get() == 0;
-        if idle && started.elapsed() >= LINGER {
+        tokio::time::sleep(POLL).await;
+        if state.active.get() == 0 {
             break;
         }
     }
--- a/programs/gateway/src/edge/state.rs
+++ b/programs/gateway/src/edge/state.rs
@@ -8,6 +8,7 @@
 
 use bw_relay::{balance, ledger, message, registry, route};
 use rand::{RngCore, SeedableRng};
+use tokio::sync::watch;
 
 use crate::{clock, dialect, edge, link, settings};
 
@@ -28,6 +29,8 @@
     pub(crate) routing: RefCell<Option<Rc<Routing>>>,
     pub(crate) connected: Cell<bool>,
     pub(crate) draining: Cell<bool>,
+    /// Set once idle connections of callers are to be closed.
+    pub(crate) closing: watch::Sender<bool>,
     pub(crate) active: Cell<u64>,
     pub(crate) connections: Cell<u64>,
     registry: RefCell<registry::Registry>,
@@ -59,6 +62,7 @@
             routing: RefCell::new(None),
             connected: Cell::new(false),
             draining: Cell::new(false),
+            closing: watch::Sender::new(false),
             active: Cell::new(0),
             connections: Cell::new(0),
             registry: RefCell::default(),
