--- a/programs/gateway/src/control/replica.rs
+++ b/programs/gateway/src/control/replica.rs
@@ -13,10 +13,12 @@
 const GROUP: GroupId = GroupId(0);
 /// Longest time without a step; several fit into a heartbeat interval.
 const TICK: time::Duration = time::Duration::from_millis(20);
-/// Smallest election timeout. A disk that syncs in 5 ms and links of a few
-/// milliseconds leave a wide margin; a VM that is frozen for longer is replaced
-/// as leader.
-const ELECTION_MS: u64 = 900;
+/// Smallest election timeout in milliseconds; the largest is twice that. With
+/// heartbeats every 50 ms, disks that sync in 5 ms and links of a few
+/// milliseconds, ten heartbeats are lost before a replica campaigns. After a
+/// loss of all power, callers wait for the election: 900 ms meant 1.2 s until
+/// entry VMs had a configuration again.
+const ELECTION_MS: u64 = 500;
 /// Calls handled in one step, so that one sync covers many.
 const CALLS_PER_STEP: usize = 256;
 /// Pause before a disk that failed is tried again.
