--- a/programs/gateway/src/edge/attempt.rs
+++ b/programs/gateway/src/edge/attempt.rs
@@ -176,6 +176,8 @@
             return Err("bad_request");
         };
         let limit = self.patience(forward, repeatable);
+        let sent_ms = clock::steady_ms();
+        let (own, online, batch) = state.balance.borrow().view(&place.id);
         let sent = state.pool.send(address, request, repeatable, limit).await;
         let now_ms = clock::steady_ms();
         let result = match sent {
@@ -198,7 +200,6 @@
                 Err(failure.into())
             }
         };
-        let (own, online, batch) = state.balance.borrow().view(&place.id);
         let outcome = match &result {
             Ok(answer) => answer.response.status().as_str().to_owned(),
             Err(reason) => (*reason).to_owned(),
@@ -206,7 +207,7 @@
         log::info!(
             request = forward.id.as_str(), backend = place.id.as_str(), send = self.sends,
             own = own, online = online, batch = batch, outcome = outcome.as_str(),
-            left_ms = forward.until_ms.saturating_sub(now_ms);
+            took_ms = now_ms.saturating_sub(sent_ms), left_ms = forward.until_ms.saturating_sub(now_ms);
             "sent"
         );
         let answer = match result {
