Let batch items give way within milliseconds instead of a tenth of a second

An entry VM now reports at once when the place it chose is crowded by batch items, and the leader plans when such a report arrives. With that, no slot needs to be kept free when items start.

--- a/crates/relay/src/balance.rs
+++ b/crates/relay/src/balance.rs
@@ -91,6 +91,8 @@
     pub id: Name,
     /// Its address.
     pub address: Name,
+    /// Whether batch items hold slots there that the request needs.
+    pub crowded: bool,
 }
 
 /// What a failure says of a backend server.
@@ -356,6 +358,7 @@
     Place {
         id: server.announcement.id.clone(),
         address: server.announcement.address.clone(),
+        crowded: server.batch > 0 && load(server) >= server.announcement.slots,
     }
 }
 
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -13,8 +13,9 @@
 /// Limits of the dispatch.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
-    /// Slots of each backend server that items leave free. A burst of online
-    /// requests then finds a slot before items have been taken back.
+    /// Slots of each backend server that items leave free when they start. None
+    /// are needed while entry VMs tell the leader at once of requests that need
+    /// a slot: a run then gives way within a few milliseconds.
     pub reserve: u32,
     /// Items that may be started in one step, so that a leader with a long
     /// queue does not start all at the load that it saw a moment ago.
@@ -28,7 +29,7 @@
 impl Default for Options {
     fn default() -> Options {
         Options {
-            reserve: 1,
+            reserve: 0,
             starts: 16,
             pause_ms: 200,
             pause_max_ms: 2_000,
--- a/crates/relay/tests/balance.rs
+++ b/crates/relay/tests/balance.rs
@@ -218,3 +218,26 @@
     };
     assert!(balance.place(&resumed, 0, 0).is_ok());
 }
+
+/// Guards against online requests that wait a tenth of a second for the next
+/// report before batch items give way.
+#[test]
+fn a_request_that_needs_the_slot_of_an_item_says_so() {
+    let mut balance = balance(&[("1", "a")]);
+    let batch = Load {
+        id: "1".into(),
+        online: 0,
+        batch: 3,
+    };
+    balance.set_loads(&[batch]);
+    let crowded: Vec<bool> = (0..3)
+        .map(|affinity| {
+            balance
+                .place(&wish(&[], affinity), 0, 0)
+                .expect("room")
+                .crowded
+        })
+        .collect();
+    // 3 items and one request fill the 4 slots.
+    assert_eq!(crowded, [false, true, true]);
+}
--- a/crates/relay/tests/dispatch.rs
+++ b/crates/relay/tests/dispatch.rs
@@ -30,7 +30,11 @@
 }
 
 fn dispatch(items: usize) -> Dispatch {
-    let mut dispatch = Dispatch::new(Options::default());
+    let options = Options {
+        reserve: 1,
+        ..Options::default()
+    };
+    let mut dispatch = Dispatch::new(options);
     let job = job(&mut Ledger::default(), "job", items, 18_000);
     dispatch.add(&"job".into(), &job);
     dispatch
@@ -105,7 +109,7 @@
 fn items_take_only_slots_that_online_requests_leave_free() {
     let mut dispatch = dispatch(20);
     let actions = dispatch.plan(&servers(&[0, 2, 4]), &routes(), 0);
-    // One slot of each backend server is kept for the next online request.
+    // One slot of each backend server is kept in reserve.
     let on = |id: &str| {
         starts(&actions)
             .iter()
@@ -144,7 +148,8 @@
         dispatch.add(&id.into(), &job);
     }
     let started = starts(&dispatch.plan(&servers(&[0]), &routes(), 0));
-    assert!(started.iter().all(|start| &*start.key.job == "early"));
+    let jobs: Vec<&str> = started.iter().map(|start| &*start.key.job).collect();
+    assert_eq!(jobs, ["early", "early", "early", "late"]);
 }
 
 #[test]
--- a/programs/gateway/src/control/hub.rs
+++ b/programs/gateway/src/control/hub.rs
@@ -186,8 +186,19 @@
         }
     }
 
-    pub(crate) fn set_loads(&self, session: u64, loads: Vec<(Name, u32)>) {
+    /// Takes the online requests of one entry VM. Items give way at once, not
+    /// only when the next plan is due.
+    pub(crate) fn set_loads(self: &Rc<Hub>, session: u64, loads: Vec<(Name, u32)>) {
         self.sessions.borrow_mut().set_loads(session, loads);
+        let running = self.dispatch.borrow().running();
+        let servers = self.servers();
+        let crowded = servers.iter().any(|server| {
+            let batch = running.get(&server.id).copied().unwrap_or(0);
+            batch > 0 && server.online + batch > server.slots
+        });
+        if crowded {
+            runner::plan(self);
+        }
     }
 
     pub(crate) fn close_session(&self, session: u64) {
--- a/programs/gateway/src/edge/attempt.rs
+++ b/programs/gateway/src/edge/attempt.rs
@@ -152,6 +152,9 @@
             .balance
             .borrow_mut()
             .place(&wish, clock::steady_ms(), draw >> 16)?;
+        if place.crowded {
+            state.crowded.notify_one();
+        }
         let held = Held {
             state: Rc::clone(state),
             id: place.id.clone(),
--- a/programs/gateway/src/edge/mod.rs
+++ b/programs/gateway/src/edge/mod.rs
@@ -21,6 +21,9 @@
 
 /// How often the requests in flight are reported to the leader if they changed.
 const REPORT: time::Duration = time::Duration::from_millis(100);
+/// Least time between two reports about requests that need slots of batch
+/// items, which bounds the messages of a burst.
+const URGENT_GAP: time::Duration = time::Duration::from_millis(10);
 /// Reports without a change that are left out before one is sent again, which
 /// shows the leader that the entry VM is alive.
 const REPORTS_SKIPPED: u32 = 5;
@@ -112,7 +115,8 @@
     let mut last = Vec::new();
     let mut skipped = 0;
     loop {
-        tokio::time::sleep(REPORT).await;
+        // Batch items give way only when the leader knows of the request.
+        let crowded = tokio::time::timeout(REPORT, state.crowded.notified()).await;
         state.tick();
         let report = state.balance.borrow_mut().report();
         if report == last && skipped < REPORTS_SKIPPED {
@@ -120,8 +124,11 @@
             continue;
         }
         skipped = 0;
-        state.link.notify(&message::Frame::Loads(report.clone()));
-        last = report;
+        last.clone_from(&report);
+        state.link.notify(&message::Frame::Loads(report));
+        if crowded.is_ok() {
+            tokio::time::sleep(URGENT_GAP).await;
+        }
     }
 }
 
--- a/programs/gateway/src/edge/state.rs
+++ b/programs/gateway/src/edge/state.rs
@@ -8,7 +8,7 @@
 
 use bw_relay::{balance, ledger, message, registry, route};
 use rand::{RngCore, SeedableRng};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::{clock, dialect, edge, link, settings};
 
@@ -27,6 +27,8 @@
     pub(crate) pool: edge::Pool,
     pub(crate) balance: RefCell<balance::Balance>,
     pub(crate) routing: RefCell<Option<Rc<Routing>>>,
+    /// Told when a request was placed where batch items must give way.
+    pub(crate) crowded: Notify,
     pub(crate) connected: Cell<bool>,
     pub(crate) draining: Cell<bool>,
     /// Set once idle connections of callers are to be closed.
@@ -60,6 +62,7 @@
             pool: edge::Pool::default(),
             balance: RefCell::new(balance::Balance::new(balance::Options::default())),
             routing: RefCell::new(None),
+            crowded: Notify::new(),
             connected: Cell::new(false),
             draining: Cell::new(false),
             closing: watch::Sender::new(false),
