Keep parts of outputs and changes of backend servers in the ledger

Cause: a lost leader lost the output of all running items, and with all control lost nobody knew a backend server until it announced itself again, up to 1.2 s after the election. The output of a run is stored every 64 events; a change of a backend server is an entry of the log, and the acknowledgement of a leaving one waits for it.

--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -49,12 +49,30 @@
 /// What an item has produced so far.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Progress {
-    /// The id of the last event, 0 before the first.
+    /// The number of the last event that is stored in the ledger.
+    pub saved: u64,
+    /// The number of the last event, 0 before the first.
     pub last: u64,
-    /// The data of the events in order.
+    /// The data of the events that are not stored yet, in order.
     pub data: Vec<String>,
 }
 
+impl Progress {
+    /// Returns the output that is not stored yet.
+    pub fn unsaved(&self) -> ledger::Output {
+        ledger::Output {
+            after: self.saved,
+            data: self.data.clone(),
+        }
+    }
+
+    /// Notes that everything so far is stored.
+    pub fn save(&mut self) {
+        self.saved = self.last;
+        self.data.clear();
+    }
+}
+
 /// A backend server as the leader sees it.
 #[derive(Clone, Debug)]
 pub struct Server {
@@ -275,7 +293,7 @@
         key: &Key,
         outcome: Outcome,
         now_ms: u64,
-    ) -> Option<(ledger::End, Vec<u8>)> {
+    ) -> Option<(ledger::End, ledger::Output)> {
         let options = self.options;
         let attempts = self.jobs.get(&key.job)?.attempts;
         let item = self.jobs.get_mut(&key.job)?.items.get_mut(&key.item)?;
@@ -292,14 +310,11 @@
         match outcome {
             Outcome::Completed(progress) => {
                 item.state = State::Recording;
-                return Some((
-                    ledger::End::Completed,
-                    progress.data.join("\n").into_bytes(),
-                ));
+                return Some((ledger::End::Completed, progress.unsaved()));
             }
             Outcome::Impossible => {
                 item.state = State::Recording;
-                return Some((ledger::End::GivenUp, Vec::new()));
+                return Some((ledger::End::GivenUp, ledger::Output::default()));
             }
             Outcome::Failed(progress) => {
                 waiting.failures += 1;
@@ -307,7 +322,7 @@
                 waiting.avoid = Some(server);
                 if waiting.failures >= attempts {
                     item.state = State::Recording;
-                    return Some((ledger::End::GivenUp, Vec::new()));
+                    return Some((ledger::End::GivenUp, ledger::Output::default()));
                 }
             }
             Outcome::Broken(progress) | Outcome::NotRun(progress) => {
@@ -494,7 +509,11 @@
             breaks: 0,
             not_before_ms: 0,
             avoid: None,
-            progress: Progress::default(),
+            progress: Progress {
+                saved: item.saved,
+                last: item.saved,
+                data: Vec::new(),
+            },
         },
     }
 }
--- a/crates/relay/src/ledger.rs
+++ b/crates/relay/src/ledger.rs
@@ -9,7 +9,7 @@
 use bw_wire::name::Name;
 use serde::{Deserialize, Serialize};
 
-use crate::route;
+use crate::{registry, route};
 
 /// A configuration with the bytes that an operator sent, which are read back.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
@@ -76,6 +76,10 @@
     body: u64,
     /// Whether it is listed among the results.
     pub listed: bool,
+    /// The last event of its output that is stored, 0 before the first.
+    pub saved: u64,
+    /// The keys of its stored output, in order.
+    parts: Vec<u64>,
 }
 
 /// A listed result.
@@ -83,9 +87,14 @@
 struct Listed {
     item: u32,
     end: End,
-    /// The key of the output, if it has one.
-    output: Option<u64>,
-    size: u32,
+}
+
+/// A backend server as it was announced last with a change.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+struct Backend {
+    announcement: registry::Announcement,
+    /// When it was noted, in Unix milliseconds.
+    noted_ms: u64,
 }
 
 /// An accepted job.
@@ -122,6 +131,15 @@
     }
 }
 
+/// The data of consecutive events of an item's output.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Output {
+    /// The number of the event before the first one.
+    pub after: u64,
+    /// The data of each event.
+    pub data: Vec<String>,
+}
+
 /// A command of the log.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum Command {
@@ -129,6 +147,15 @@
     Publish(Box<Published>),
     /// Accepts a job unless it is known.
     Submit(Box<NewJob>),
+    /// Stores a part of an item's output, so that a new leader goes on after it.
+    Save {
+        /// The job.
+        job: Name,
+        /// The item's index.
+        item: u32,
+        /// The output.
+        output: Output,
+    },
     /// Lists an item, unless it is listed.
     Record {
         /// The job.
@@ -137,8 +164,15 @@
         item: u32,
         /// How it ended.
         end: End,
-        /// The output of a completed item.
-        output: Vec<u8>,
+        /// The rest of the output of a completed item.
+        output: Output,
+    },
+    /// Notes a change of a backend server, so that a new leader knows it.
+    Note {
+        /// Its announcement.
+        announcement: registry::Announcement,
+        /// When it was announced, in Unix milliseconds.
+        now_ms: u64,
     },
     /// Ends a job.
     End {
@@ -150,7 +184,8 @@
         /// The VM.
         node: Name,
     },
-    /// Forgets closed jobs that were submitted before a time.
+    /// Forgets closed jobs that were submitted, and backend servers that left,
+    /// before a time.
     Sweep {
         /// Unix milliseconds.
         before_ms: u64,
@@ -192,6 +227,7 @@
     published: Option<Published>,
     jobs: BTreeMap<Name, Job>,
     evacuated: BTreeSet<Name>,
+    backends: BTreeMap<Name, Backend>,
     next_key: u64,
     #[serde(skip)]
     effects: Vec<payload::Effect>,
@@ -208,6 +244,11 @@
         &self.jobs
     }
 
+    /// Returns the backend servers as they were noted.
+    pub fn backends(&self) -> impl Iterator<Item = &registry::Announcement> {
+        self.backends.values().map(|backend| &backend.announcement)
+    }
+
     /// Returns whether a worker VM was to be emptied.
     pub fn is_evacuated(&self, node: &str) -> bool {
         self.evacuated.contains(node)
@@ -241,15 +282,16 @@
         let mut results = Vec::new();
         let mut size = 0;
         for listed in job.results.iter().skip(after) {
-            size += listed.size as usize;
-            if size > bytes && !results.is_empty() {
+            if size >= bytes && !results.is_empty() {
                 break;
             }
-            let output = match listed.output {
-                Some(key) => payloads.get(payload::Key(key))?,
-                None => Vec::new(),
+            let item = &job.items[listed.item as usize];
+            let output = match listed.end {
+                End::Completed => join(&item.parts, payloads)?,
+                End::GivenUp => Vec::new(),
             };
-            let id = job.items[listed.item as usize].id.clone();
+            size += output.len();
+            let id = item.id.clone();
             let end = listed.end;
             results.push(Result { id, end, output });
         }
@@ -268,6 +310,22 @@
                 end,
                 output,
             } => self.record(&job, item, end, output),
+            Command::Save { job, item, output } => self.save(&job, item, output),
+            Command::Note {
+                announcement,
+                now_ms,
+            } => {
+                let id = announcement.id.clone();
+                let noted_ms = now_ms;
+                self.backends.insert(
+                    id,
+                    Backend {
+                        announcement,
+                        noted_ms,
+                    },
+                );
+                Applied::Done
+            }
             Command::End { job } => self.end(&job),
             Command::Evacuate { node } => {
                 self.evacuated.insert(node);
@@ -299,6 +357,8 @@
                 headers: item.headers,
                 body,
                 listed: false,
+                saved: 0,
+                parts: Vec::new(),
             });
         }
         let accepted = Job {
@@ -316,45 +376,74 @@
         Applied::Done
     }
 
-    fn record(&mut self, job: &str, item: u32, end: End, output: Vec<u8>) -> Applied {
-        let Some(known) = self.jobs.get(job).filter(|job| !job.ended) else {
-            return Applied::Superseded;
-        };
-        let Some(present) = known.items.get(item as usize) else {
+    fn record(&mut self, job: &str, item: u32, end: End, output: Output) -> Applied {
+        let Some(present) = self.unlisted(job, item) else {
             return Applied::Superseded;
         };
-        if present.listed {
-            return Applied::Superseded;
-        }
+        present.listed = true;
         let key = payload::Key(present.body);
-        self.effects.push(payload::Effect::Remove { key });
-        let size = output.len() as u32;
-        let output = match end {
-            End::Completed => Some(self.put(output)),
-            End::GivenUp => None,
+        let parts = match end {
+            End::Completed => Vec::new(),
+            End::GivenUp => std::mem::take(&mut present.parts),
         };
+        self.effects.push(payload::Effect::Remove { key });
+        self.effects.extend(parts.into_iter().map(remove));
+        if end == End::Completed {
+            self.store(job, item, output);
+        }
         if let Some(known) = self.jobs.get_mut(job) {
-            known.items[item as usize].listed = true;
-            known.results.push(Listed {
-                item,
-                end,
-                output,
-                size,
-            });
+            known.results.push(Listed { item, end });
+        }
+        Applied::Done
+    }
+
+    fn save(&mut self, job: &str, item: u32, output: Output) -> Applied {
+        if self.unlisted(job, item).is_none() {
+            return Applied::Superseded;
         }
+        self.store(job, item, output);
         Applied::Done
     }
 
+    /// Stores the events of an output that are not stored yet. A command whose
+    /// outcome its leader never learnt may have stored the first ones.
+    fn store(&mut self, job: &str, item: u32, output: Output) {
+        let Some(saved) = self.item(job, item).map(|present| present.saved) else {
+            return;
+        };
+        let stored = saved.saturating_sub(output.after) as usize;
+        let last = output.after + output.data.len() as u64;
+        let Some(rest) = output.data.get(stored..).filter(|rest| !rest.is_empty()) else {
+            return;
+        };
+        let key = self.put(rest.join("\n").into_bytes());
+        if let Some(present) = self.item(job, item) {
+            present.saved = last;
+            present.parts.push(key);
+        }
+    }
+
+    fn item(&mut self, job: &str, item: u32) -> Option<&mut Item> {
+        self.jobs.get_mut(job)?.items.get_mut(item as usize)
+    }
+
+    /// Returns an item of a job that was not ended, unless it is listed.
+    fn unlisted(&mut self, job: &str, item: u32) -> Option<&mut Item> {
+        self.jobs.get(job).filter(|job| !job.ended)?;
+        self.item(job, item).filter(|present| !present.listed)
+    }
+
     fn end(&mut self, job: &str) -> Applied {
         let Some(known) = self.jobs.get_mut(job) else {
             return Applied::Superseded;
         };
         if !known.ended {
             known.ended = true;
-            let unlisted = known.items.iter().filter(|item| !item.listed);
-            let keys = unlisted.map(|item| payload::Key(item.body));
-            let removed = keys.map(|key| payload::Effect::Remove { key });
-            self.effects.extend(removed);
+            for item in known.items.iter_mut().filter(|item| !item.listed) {
+                self.effects.push(remove(item.body));
+                let parts = std::mem::take(&mut item.parts);
+                self.effects.extend(parts.into_iter().map(remove));
+            }
         }
         Applied::Done
     }
@@ -366,12 +455,12 @@
                 self.jobs.insert(id, job);
                 continue;
             }
-            let outputs = job.results.iter().filter_map(|listed| listed.output);
-            let removed = outputs.map(|key| payload::Effect::Remove {
-                key: payload::Key(key),
-            });
-            self.effects.extend(removed);
+            let parts = job.items.iter().flat_map(|item| item.parts.iter().copied());
+            self.effects.extend(parts.map(remove));
         }
+        self.backends.retain(|_, backend| {
+            backend.announcement.state != registry::State::Leaving || backend.noted_ms >= before_ms
+        });
         Applied::Done
     }
 
@@ -386,6 +475,26 @@
     }
 }
 
+fn remove(key: u64) -> payload::Effect {
+    let key = payload::Key(key);
+    payload::Effect::Remove { key }
+}
+
+/// Reads the parts of an output, which are joined by line feeds as events are.
+fn join(
+    parts: &[u64],
+    payloads: &mut dyn payload::Source,
+) -> std::result::Result<Vec<u8>, bw_coord::storage::Error> {
+    let mut output = Vec::new();
+    for (index, key) in parts.iter().enumerate() {
+        if index > 0 {
+            output.push(b'\n');
+        }
+        output.extend_from_slice(&payloads.get(payload::Key(*key))?);
+    }
+    Ok(output)
+}
+
 /// Encodes a command for the log.
 ///
 /// # Panics
--- a/crates/relay/tests/dispatch.rs
+++ b/crates/relay/tests/dispatch.rs
@@ -100,6 +100,7 @@
 fn progress(last: u64) -> Progress {
     let data = (1..=last).map(|id| format!("e{id}"));
     Progress {
+        saved: 0,
         last,
         data: data.collect(),
     }
@@ -157,7 +158,7 @@
     let mut dispatch = dispatch(1);
     let start = starts(&dispatch.plan(&servers(&[0]), &routes(), 0)).remove(0);
     let ended = dispatch.ended(&start.key, Outcome::Completed(progress(2)), 10);
-    assert_eq!(ended, Some((End::Completed, b"e1\ne2".to_vec())));
+    assert_eq!(ended, Some((End::Completed, progress(2).unsaved())));
     let again = dispatch.ended(&start.key, Outcome::Completed(progress(3)), 11);
     assert_eq!(again, None);
     assert!(dispatch.plan(&servers(&[0]), &routes(), 10_000).is_empty());
--- a/crates/relay/tests/ledger.rs
+++ b/crates/relay/tests/ledger.rs
@@ -4,7 +4,7 @@
 
 use bw_coord::{host::Machine, payload, storage};
 use bw_relay::{
-    ledger::{Applied, Command, End, Ledger, NewItem, NewJob, Published},
+    ledger::{Applied, Command, End, Ledger, NewItem, NewJob, Output, Published},
     route,
 };
 
@@ -64,9 +64,25 @@
             job: "job".into(),
             item,
             end,
-            output: output.as_bytes().to_vec(),
+            output: events(0, &[output]),
         })
     }
+
+    fn save(&mut self, after: u64, data: &[&str]) -> Applied {
+        self.execute(Command::Save {
+            job: "job".into(),
+            item: 0,
+            output: events(after, data),
+        })
+    }
+}
+
+fn events(after: u64, data: &[&str]) -> Output {
+    let data = data.iter().map(|data| (*data).to_owned());
+    Output {
+        after,
+        data: data.collect(),
+    }
 }
 
 fn job(items: &[&str]) -> Command {
@@ -194,3 +210,34 @@
     assert_eq!(restored.snapshot(), store.ledger.snapshot());
     assert!(restored.body("job", "a").is_some());
 }
+
+/// Guards against an output with events that are missing or stand twice after a
+/// store whose outcome the leader never learnt.
+#[test]
+fn stored_parts_of_an_output_join_whatever_was_stored_twice() {
+    let mut store = Store::default();
+    store.execute(job(&["a"]));
+    store.save(0, &["1", "2"]);
+    store.save(0, &["1", "2", "3"]);
+    store.save(0, &["1"]);
+    assert_eq!(store.ledger.jobs()["job"].items[0].saved, 3);
+    let rest = Command::Record {
+        job: "job".into(),
+        item: 0,
+        end: End::Completed,
+        output: events(2, &["3", "4"]),
+    };
+    assert_eq!(store.execute(rest), Applied::Done);
+    let listed = vec![("a".to_owned(), End::Completed, b"1\n2\n3\n4".to_vec())];
+    assert_eq!(store.page("job", 0, 100), Some((1, listed)));
+    assert_eq!(store.save(4, &["5"]), Applied::Superseded);
+}
+
+#[test]
+fn the_stored_parts_of_an_item_that_is_given_up_are_freed() {
+    let mut store = Store::default();
+    store.execute(job(&["a"]));
+    store.save(0, &["1", "2"]);
+    store.record(0, End::GivenUp, "");
+    assert!(store.payloads.is_empty());
+}
--- a/programs/gateway/src/control/hub.rs
+++ b/programs/gateway/src/control/hub.rs
@@ -254,14 +254,23 @@
             .registry
             .borrow_mut()
             .announce(announcement, clock::steady_ms());
-        match outcome {
-            registry::Outcome::Changed => self.tell_backend(&id),
-            registry::Outcome::Renewed => {}
-            registry::Outcome::Stale => return message::Reply::Stale,
-        }
-        match leaving {
-            true => self.confirm().await,
-            false => message::Reply::Done,
+        if outcome == registry::Outcome::Stale {
+            return message::Reply::Stale;
+        }
+        if outcome == registry::Outcome::Changed {
+            self.tell_backend(&id);
+        }
+        match (leaving, outcome) {
+            (true, _) => self.note(&id).await,
+            (false, registry::Outcome::Changed) => {
+                // It announces itself again, so nobody waits for the log.
+                let (reply, _) = oneshot::channel();
+                if let Some(command) = self.note_command(&id) {
+                    self.tell(replica::Call::Propose { command, reply });
+                }
+                message::Reply::Done
+            }
+            (false, _) => message::Reply::Done,
         }
     }
 
@@ -270,18 +279,32 @@
         if let Some(announcement) = left {
             self.tell_backend(&announcement.id);
         }
-        self.confirm().await
+        self.note(id).await
     }
 
-    /// Answers only while this replica surely leads: a backend server that is
-    /// told that its leaving is known gets no new work from any entry VM.
-    async fn confirm(&self) -> message::Reply {
-        match self.read(replica::Read::Lead).await {
+    /// Makes the state of a backend server durable. One that is told that its
+    /// leaving is known gets no new work, also from the next leader.
+    async fn note(&self, id: &str) -> message::Reply {
+        let Some(command) = self.note_command(id) else {
+            // An unknown one has nothing that could be forgotten.
+            return message::Reply::Done;
+        };
+        match self.propose(command).await {
             Ok(_) => message::Reply::Done,
             Err(error) => refusal(Some(error)),
         }
     }
 
+    fn note_command(&self, id: &str) -> Option<ledger::Command> {
+        let registry = self.registry.borrow();
+        let announcement = registry.get(id)?.announcement.clone();
+        let now_ms = clock::unix_ms();
+        Some(ledger::Command::Note {
+            announcement,
+            now_ms,
+        })
+    }
+
     fn tell_backend(&self, id: &str) {
         let registry = self.registry.borrow();
         // An announcement can also take the address of another entry over.
@@ -498,7 +521,13 @@
     fn lead(&self, leading: replica::Leading) {
         let now_ms = clock::steady_ms();
         log::info!(term = leading.term, open_jobs = leading.jobs.len(); "leading");
-        self.registry.borrow_mut().refresh(now_ms);
+        {
+            let mut registry = self.registry.borrow_mut();
+            for announcement in leading.backends {
+                registry.announce(announcement, now_ms);
+            }
+            registry.refresh(now_ms);
+        }
         for member in self.members.borrow().iter() {
             self.heard.borrow_mut().insert(member.replica, now_ms);
         }
--- a/programs/gateway/src/control/replica.rs
+++ b/programs/gateway/src/control/replica.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, io, path, sync::Arc, sync::mpsc, thread, time};
 
 use bw_coord::{GroupId, ReplicaId, host, member, message, node, storage};
-use bw_relay::ledger;
+use bw_relay::{ledger, registry};
 use bw_wire::name::Name;
 use tokio::sync::{mpsc as async_mpsc, oneshot};
 
@@ -66,8 +66,6 @@
 
 /// What is read.
 pub(crate) enum Read {
-    /// Nothing: only whether this replica leads.
-    Lead,
     /// The document in force.
     Document,
     /// A page of results.
@@ -80,7 +78,6 @@
 
 /// What was read.
 pub(crate) enum Answer {
-    Lead,
     Document(Option<Vec<u8>>),
     Page(Option<ledger::Page>),
     Body(Option<Vec<u8>>),
@@ -109,6 +106,7 @@
     pub(crate) term: u64,
     pub(crate) published: Option<Arc<ledger::Published>>,
     pub(crate) jobs: Vec<(Name, ledger::Job)>,
+    pub(crate) backends: Vec<registry::Announcement>,
 }
 
 struct Edge;
@@ -430,6 +428,7 @@
             term,
             published: machine.published().cloned().map(Arc::new),
             jobs: jobs.collect(),
+            backends: machine.backends().cloned().collect(),
         };
         self.replica.notice(Notice::Leading(Box::new(leading)));
     }
@@ -437,7 +436,6 @@
     fn read(&mut self, read: &Read) -> Result<Answer, host::Refusal> {
         let result = self.host.read(GROUP, |machine, payloads| {
             Ok(match read {
-                Read::Lead => Answer::Lead,
                 Read::Document => {
                     let published = machine.published();
                     Answer::Document(published.map(|published| published.document.clone()))
--- a/programs/gateway/src/control/runner.rs
+++ b/programs/gateway/src/control/runner.rs
@@ -20,6 +20,9 @@
 const HEAD: time::Duration = time::Duration::from_millis(3_000);
 /// Longest pause between events before the run counts as broken.
 const SILENCE: time::Duration = time::Duration::from_millis(2_500);
+/// Events after which the output of a run is stored. A leader that is lost loses
+/// at most so many events of each run; each store is one entry of the log.
+const SAVE_EVENTS: u64 = 64;
 /// Pause before the end of an item is recorded again after a refusal.
 const RECORD_PAUSE: time::Duration = time::Duration::from_millis(100);
 
@@ -76,7 +79,7 @@
                     Rc::clone(hub),
                     key,
                     ledger::End::GivenUp,
-                    Vec::new(),
+                    ledger::Output::default(),
                 ));
             }
         }
@@ -124,7 +127,7 @@
 }
 
 /// Makes the end of an item durable.
-async fn record(hub: Rc<Hub>, key: dispatch::Key, end: ledger::End, output: Vec<u8>) {
+async fn record(hub: Rc<Hub>, key: dispatch::Key, end: ledger::End, output: ledger::Output) {
     loop {
         let command = ledger::Command::Record {
             job: key.job.clone(),
@@ -200,12 +203,36 @@
                 if !take_events(&mut parser, progress) {
                     return Ended::Broken;
                 }
+                if progress.last >= progress.saved + SAVE_EVENTS
+                    && !save(hub, start, progress).await
+                {
+                    return Ended::Stopped;
+                }
             }
             _ => return Ended::Broken,
         }
     }
 }
 
+/// Stores what a run produced. Returns false if this replica does not lead any
+/// more.
+async fn save(hub: &Hub, start: &dispatch::Start, progress: &mut dispatch::Progress) -> bool {
+    let command = ledger::Command::Save {
+        job: start.key.job.clone(),
+        item: start.key.item,
+        output: progress.unsaved(),
+    };
+    match hub.propose(command).await {
+        Ok(_) => {
+            progress.save();
+            true
+        }
+        // What is not stored now is stored with the next events.
+        Err(host::Refusal::Busy) => true,
+        Err(_) => false,
+    }
+}
+
 /// Takes complete events. Returns false if one does not follow the last one.
 fn take_events(parser: &mut event::Parser, progress: &mut dispatch::Progress) -> bool {
     while let Some(event) = parser.next_event() {
