Let a joining replica answer before it has a list of members

Cause: a replica that joins starts with an empty list of members and opened links to members only, so its answers to the leader were dropped and it stayed a learner for ever. Messages of the log now carry the sender's address, to which a replica opens a link.

Ruled out: coord's promotion of learners, which its own tests cover.

--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -174,6 +174,9 @@
     Log {
         /// The sender's replica id.
         from: u64,
+        /// The sender's internal address: a replica that joins has no list of
+        /// members yet and answers there.
+        address: Name,
         /// The encoded message.
         message: Vec<u8>,
     },
--- a/programs/gateway/src/control/hub.rs
+++ b/programs/gateway/src/control/hub.rs
@@ -68,12 +68,14 @@
 
 impl Hub {
     pub(crate) fn new(parts: Parts, link: link::Link) -> Hub {
+        let address = parts.settings.internal_address().to_string();
+        let peers = peers::Peers::new(address.into());
         Hub {
             parts,
             link,
             pool: upstream::Pool::default(),
             sessions: RefCell::default(),
-            peers: RefCell::default(),
+            peers: RefCell::new(peers),
             registry: RefCell::default(),
             leads: Cell::new(None),
             leader: Cell::new(None),
@@ -147,6 +149,11 @@
         self.heard.borrow_mut().insert(replica, now_ms);
     }
 
+    /// Notes the address of a replica that sends messages of the log.
+    pub(crate) fn learn_peer(&self, replica: ReplicaId, address: &str) {
+        self.peers.borrow_mut().learn(replica, address);
+    }
+
     /// Hands a call to the control thread.
     pub(crate) fn tell(&self, call: replica::Call) {
         if self.parts.calls.send(call).is_err() {
--- a/programs/gateway/src/control/peers.rs
+++ b/programs/gateway/src/control/peers.rs
@@ -7,6 +7,7 @@
 
 use bw_coord::{ReplicaId, member};
 use bw_relay::message;
+use bw_wire::name::Name;
 use tokio::{sync::mpsc, task};
 
 use crate::{metrics, socket};
@@ -19,8 +20,10 @@
 const PAUSE: time::Duration = time::Duration::from_millis(100);
 
 /// The links to all other replicas.
-#[derive(Default)]
 pub(crate) struct Peers {
+    /// The internal address of this replica.
+    address: Name,
+    own: Option<ReplicaId>,
     links: BTreeMap<ReplicaId, Link>,
     tasks: task::JoinSet<()>,
 }
@@ -31,28 +34,51 @@
 }
 
 impl Peers {
+    pub(crate) fn new(address: Name) -> Peers {
+        Peers {
+            address,
+            own: None,
+            links: BTreeMap::new(),
+            tasks: task::JoinSet::new(),
+        }
+    }
+
     /// Sets the members; links to others are closed.
     pub(crate) fn set(&mut self, own: ReplicaId, members: &[member::Member]) {
+        self.own = Some(own);
         self.links.retain(|replica, link| {
             let mut members = members.iter();
             members.any(|member| member.replica == *replica && member.address == link.address)
         });
         for member in members {
-            if member.replica == own || self.links.contains_key(&member.replica) {
-                continue;
-            }
-            let Ok(address) = member.address.parse() else {
-                log::error!(address = member.address.as_str(); "address of a member is invalid");
-                continue;
-            };
-            let (queue, messages) = mpsc::channel(QUEUE);
-            // The task ends when its queue is closed.
-            self.tasks.spawn_local(carry(own, address, messages));
-            let address = member.address.clone();
-            self.links.insert(member.replica, Link { address, queue });
+            self.learn(member.replica, &member.address);
         }
     }
 
+    /// Opens a link to a replica unless there is one.
+    pub(crate) fn learn(&mut self, replica: ReplicaId, address: &str) {
+        let Some(own) = self.own.filter(|own| *own != replica) else {
+            return;
+        };
+        if self.links.contains_key(&replica) {
+            return;
+        }
+        let Ok(to) = address.parse() else {
+            log::error!(address = address; "address of a replica is invalid");
+            return;
+        };
+        let (queue, messages) = mpsc::channel(QUEUE);
+        let sender = Sender {
+            own,
+            address: self.address.clone(),
+            to,
+        };
+        // The task ends when its queue is closed.
+        self.tasks.spawn_local(sender.run(messages));
+        let address = address.to_owned();
+        self.links.insert(replica, Link { address, queue });
+    }
+
     /// Queues a message.
     pub(crate) fn send(&self, to: ReplicaId, message: Vec<u8>) {
         let reason = match self.links.get(&to) {
@@ -64,28 +90,36 @@
     }
 }
 
-async fn carry(own: ReplicaId, address: net::SocketAddr, mut messages: mpsc::Receiver<Vec<u8>>) {
-    while let Some(first) = messages.recv().await {
-        let Ok(stream) = socket::connect(address, CONNECT).await else {
-            tokio::time::sleep(PAUSE).await;
-            // What gathered meanwhile is out of date.
-            while messages.try_recv().is_ok() {}
-            continue;
-        };
-        let (_read, write) = stream.into_split();
-        let mut writer = socket::Writer::new(write);
-        let mut next = Some(first);
-        while let Some(message) = next {
-            let frame = message::Frame::Log {
-                from: own.0,
-                message,
+struct Sender {
+    own: ReplicaId,
+    address: Name,
+    to: net::SocketAddr,
+}
+
+impl Sender {
+    async fn run(self, mut messages: mpsc::Receiver<Vec<u8>>) {
+        while let Some(first) = messages.recv().await {
+            let Ok(stream) = socket::connect(self.to, CONNECT).await else {
+                tokio::time::sleep(PAUSE).await;
+                // What gathered meanwhile is out of date.
+                while messages.try_recv().is_ok() {}
+                continue;
             };
-            let written = writer.write(&message::encode(&frame)).await;
-            if let Err(error) = written {
-                log::info!(peer = address.to_string().as_str(); "link to a replica broke: {error}");
-                break;
+            let (_read, write) = stream.into_split();
+            let mut writer = socket::Writer::new(write);
+            let mut next = Some(first);
+            while let Some(message) = next {
+                let frame = message::Frame::Log {
+                    from: self.own.0,
+                    address: self.address.clone(),
+                    message,
+                };
+                if let Err(error) = writer.write(&message::encode(&frame)).await {
+                    log::info!(peer = self.to.to_string().as_str(); "link to a replica broke: {error}");
+                    break;
+                }
+                next = messages.recv().await;
             }
-            next = messages.recv().await;
         }
     }
 }
--- a/programs/gateway/src/control/sessions.rs
+++ b/programs/gateway/src/control/sessions.rs
@@ -113,7 +113,14 @@
         Ok(message::Frame::Hello { node, role }) => {
             serve(&hub, (node, role), reader, socket::Writer::new(write)).await;
         }
-        Ok(message::Frame::Log { from, message }) => carry(&hub, from, message, reader).await,
+        Ok(message::Frame::Log {
+            from,
+            address,
+            message,
+        }) => {
+            hub.learn_peer(ReplicaId(from), &address);
+            carry(&hub, from, message, reader).await;
+        }
         Ok(_) => log::warn!("a connection began with an unexpected frame"),
         Err(error) => log::debug!("internal connection ended: {error}"),
     }
