--- a/programs/gateway/src/edge/forward.rs
+++ b/programs/gateway/src/edge/forward.rs
@@ -20,8 +20,9 @@
 };
 
 /// When a caller should come back to a VM that knows no configuration yet, in
-/// milliseconds.
-const UNCONFIGURED_RETRY_MS: u64 = 500;
+/// milliseconds. After a loss of all power the first election ends about 1 s
+/// after the programs start; callers that came back after 0.5 s found nothing.
+const UNCONFIGURED_RETRY_MS: u64 = 1_400;
 
 /// A request that is forwarded, as often as it takes.
 pub(crate) struct Forward {
