Give the slot back where online requests wait at a crowded backend server

The new leader started the same items again in slots that it believed to be free, and the median first event rose to 160 to 300 ms at all of them. A run now ends if the backend server states waiting requests in its answer, or gives no answer within 0.5 s, and no item starts there for 0.4 s.

--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -24,6 +24,9 @@
     pub pause_ms: u64,
     /// Longest such pause in milliseconds.
     pub pause_max_ms: u64,
+    /// How long no item starts at a backend server that turned out to be full,
+    /// in milliseconds: about half the time of an online request.
+    pub crowded_ms: u64,
 }
 
 impl Default for Options {
@@ -33,6 +36,7 @@
             starts: 16,
             pause_ms: 200,
             pause_max_ms: 2_000,
+            crowded_ms: 400,
         }
     }
 }
@@ -147,6 +151,10 @@
     Impossible,
     /// The backend server refused it or could not be reached.
     NotRun(Progress),
+    /// Online requests wait at the backend server although the leader believed
+    /// that a slot was free there, as long as runs of a leader before still
+    /// hold slots. The run gave its own back.
+    Crowded(Progress),
 }
 
 #[derive(Clone, Debug)]
@@ -325,6 +333,12 @@
                     return Some((ledger::End::GivenUp, ledger::Output::default()));
                 }
             }
+            Outcome::Crowded(progress) => {
+                waiting.progress = progress;
+                let until = now_ms + options.crowded_ms;
+                self.paused.insert(server, until);
+                return None;
+            }
             Outcome::Broken(progress) | Outcome::NotRun(progress) => {
                 let advanced = progress.last > waiting.progress.last;
                 waiting.progress = progress;
--- a/crates/relay/tests/dispatch.rs
+++ b/crates/relay/tests/dispatch.rs
@@ -229,3 +229,28 @@
     assert_eq!(running.len(), started.len());
     assert!(dispatch.plan(&servers(&[0]), &routes(), 1).is_empty());
 }
+
+/// Replays a change of leaders: runs of the one before still hold slots that the
+/// new leader believes to be free.
+#[test]
+fn a_crowded_backend_server_gets_no_items_for_a_while() {
+    let mut dispatch = dispatch(1);
+    let routes = routes();
+    let start = starts(&dispatch.plan(&servers(&[0]), &routes, 0)).remove(0);
+    assert_eq!(
+        dispatch.ended(&start.key, Outcome::Crowded(progress(3)), 100),
+        None
+    );
+    assert!(dispatch.plan(&servers(&[0]), &routes, 499).is_empty());
+    let again = starts(&dispatch.plan(&servers(&[0]), &routes, 500)).remove(0);
+    assert_eq!(again.progress, progress(3));
+    let elsewhere = starts(&dispatch_again(&routes)).len();
+    assert_eq!(elsewhere, 1, "another backend server is used at once");
+}
+
+fn dispatch_again(routes: &route::Table) -> Vec<Action> {
+    let mut dispatch = dispatch(1);
+    let start = starts(&dispatch.plan(&servers(&[0, 0]), routes, 0)).remove(0);
+    dispatch.ended(&start.key, Outcome::Crowded(progress(0)), 10);
+    dispatch.plan(&servers(&[0, 0]), routes, 11)
+}
--- a/programs/gateway/src/control/runner.rs
+++ b/programs/gateway/src/control/runner.rs
@@ -16,8 +16,10 @@
     metrics, upstream,
 };
 
-/// Time limit of the head of an answer. Items are started where a slot is free.
-const HEAD: time::Duration = time::Duration::from_millis(3_000);
+/// Time limit of the head of an answer. Items are started where a slot is free,
+/// and an engine then answers within some tens of milliseconds; later than this
+/// the item waits in a queue that belongs to online requests.
+const HEAD: time::Duration = time::Duration::from_millis(500);
 /// Longest pause between events before the run counts as broken.
 const SILENCE: time::Duration = time::Duration::from_millis(2_500);
 /// Events after which the output of a run is stored. A leader that is lost loses
@@ -116,6 +118,7 @@
         Ended::Failed => dispatch::Outcome::Failed(progress),
         Ended::Impossible => dispatch::Outcome::Impossible,
         Ended::NotRun => dispatch::Outcome::NotRun(progress),
+        Ended::Crowded => dispatch::Outcome::Crowded(progress),
     };
     let end = hub
         .dispatch
@@ -158,6 +161,7 @@
     Failed,
     Impossible,
     NotRun,
+    Crowded,
 }
 
 async fn exchange(
@@ -181,6 +185,7 @@
     let answer = match hub.pool.send(address, request, true, HEAD).await {
         Ok(answer) => answer,
         Err(upstream::Failure::Connect) => return Ended::NotRun,
+        Err(upstream::Failure::Timeout) => return Ended::Crowded,
         Err(_) => return Ended::Broken,
     };
     let headers = answer.response.headers();
@@ -272,7 +277,12 @@
     {
         return Some(Ended::Broken);
     }
+    let load = headers
+        .get(&names.load)
+        .and_then(|value| value.to_str().ok());
+    let load = load.and_then(|value| hub.dialect().load(value));
     match status {
+        StatusCode::OK if load.is_some_and(|load| load.waiting > 0) => Some(Ended::Crowded),
         StatusCode::OK => None,
         StatusCode::UNPROCESSABLE_ENTITY => Some(Ended::Impossible),
         StatusCode::INTERNAL_SERVER_ERROR => Some(Ended::Failed),
--- a/programs/gateway/src/dialect.rs
+++ b/programs/gateway/src/dialect.rs
@@ -23,6 +23,17 @@
     pub prefix: HeaderName,
     /// How long a call may wait for news, in milliseconds.
     pub wait_ms: HeaderName,
+    /// The load of the backend server that answers.
+    pub load: HeaderName,
+}
+
+/// The load of a backend server as it states it in an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait for a slot.
+    pub waiting: u32,
 }
 
 /// A caller's call on a batch job.
@@ -95,6 +106,9 @@
     /// Returns the names of the headers.
     fn headers(&self) -> &Headers;
 
+    /// Decodes the value of the load header; `None` if it cannot be read.
+    fn load(&self, value: &str) -> Option<Load>;
+
     /// Recognizes a call on a batch job by its method, path and query.
     fn job_call(&self, method: &hyper::Method, path: &str, query: &str) -> Option<JobCall>;
 
