Add bilberry explain: the account of one request from many logs

On-call engineers have only logs. The command collects the lines about a request, an item or a job from any number of files, in order of time, and names the one that ended it; the lines of an item that name only its job and number are found through its request id.

--- a/programs/bilberry/src/args.rs
+++ b/programs/bilberry/src/args.rs
@@ -43,6 +43,19 @@
     Control(Control),
     Snapshot(Snapshot),
     Jobs(Jobs),
+    Explain(Explain),
+}
+
+/// Show what logs say of one request, item or job, in order, and what ended it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub(crate) struct Explain {
+    /// the id of a request, an item or a job
+    #[argh(positional)]
+    pub(crate) id: String,
+    /// logs of any processes
+    #[argh(positional)]
+    pub(crate) files: Vec<String>,
 }
 
 /// Print the declared intent in force, as YAML.
--- a/programs/bilberry/src/main.rs
+++ b/programs/bilberry/src/main.rs
@@ -6,6 +6,7 @@
 mod config;
 mod control;
 mod exit;
+mod explain;
 mod http;
 mod jobs;
 mod output;
@@ -61,5 +62,6 @@
         args::Command::Control(command) => control::run(session, command).await,
         args::Command::Snapshot(command) => snapshot::run(session, &command).await,
         args::Command::Jobs(command) => jobs::run(session, command).await,
+        args::Command::Explain(command) => explain::run(&command),
     }
 }
--- a/programs/bilberry/tests/command_line.rs
+++ b/programs/bilberry/tests/command_line.rs
@@ -42,3 +42,41 @@
     assert!(errors.contains(expected), "{errors}");
     assert!(output.stdout.is_empty(), "{output:?}");
 }
+
+/// Guards against an account that leaves out the lines of an item that name only
+/// its job and number, or that is in the order of the files.
+#[test]
+fn explain_collects_an_item_from_the_logs_of_several_processes() {
+    let folder = tempfile::tempdir().expect("folder");
+    let write = |name: &str, text: &str| {
+        let file = folder.path().join(name);
+        std::fs::write(&file, text).expect("log");
+        file.display().to_string()
+    };
+    let control = write(
+        "control.log",
+        "  4.2 core-1 {\"ts\":\"3\",\"message\":\"item listed\",\"job\":\"j\",\"item\":0,\"end\":\"Completed\"}\n\
+         {\"ts\":\"2\",\"message\":\"run ended\",\"job\":\"j\",\"item\":0,\"request\":\"r\",\"outcome\":\"completed\"}\n\
+         {\"ts\":\"2\",\"message\":\"run ended\",\"job\":\"j\",\"item\":1,\"request\":\"other\"}\n\
+         {\"ts\":\"4\",\"mess",
+    );
+    let entry = write(
+        "entry.log",
+        "{\"ts\":\"1\",\"message\":\"job submitted\",\"job\":\"j\",\"items\":2}\n",
+    );
+    let output = bilberry(&["explain", "r", &control, &entry]);
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let messages: Vec<&str> = text
+        .lines()
+        .map(|line| line.split(' ').next().unwrap_or(""))
+        .collect();
+    assert_eq!(messages, ["2", "3", "ended"], "{text}");
+    assert!(
+        text.contains("ended by: 3") && text.contains("item listed"),
+        "{text}"
+    );
+    let job = bilberry(&["explain", "j", &entry, &control]);
+    assert_eq!(String::from_utf8_lossy(&job.stdout).lines().count(), 5);
+    let unknown = bilberry(&["explain", "nobody", &entry]);
+    assert_eq!(unknown.status.code(), Some(1));
+}
