--- a/crates/relay/src/balance.rs
+++ b/crates/relay/src/balance.rs
@@ -122,6 +122,10 @@
     pub reason: Reason,
     /// When the caller should come back, in milliseconds.
     pub retry_after_ms: u64,
+    /// Backend servers of the service that could be used, for logs.
+    pub usable: u32,
+    /// The fewest online requests at one of them, for logs.
+    pub least_online: u32,
 }
 
 /// The placement of one entry VM.
@@ -226,7 +230,7 @@
             .filter(|server| self.has_room(server, wish))
             .min_by_key(|server| server.online());
         let Some(chosen) = chosen else {
-            return Err(self.reject(Reason::Overload, draw));
+            return Err(self.reject(Reason::Overload, wish, now_ms, draw));
         };
         let place = place_of(chosen);
         self.started(&place.id);
@@ -246,7 +250,7 @@
             .filter(|server| is_candidate(server, wish, now_ms) && self.has_room(server, wish))
             .min_by_key(|server| (server.paused_until_ms, load(server)));
         let Some(chosen) = chosen else {
-            return Err(self.reject(Reason::NoBackend, draw));
+            return Err(self.reject(Reason::NoBackend, wish, now_ms, draw));
         };
         let place = place_of(chosen);
         self.started(&place.id);
@@ -316,11 +320,16 @@
         wish.resumed || server.online() < limit
     }
 
-    fn reject(&self, reason: Reason, draw: u64) -> Rejection {
+    fn reject(&self, reason: Reason, wish: &Wish<'_>, now_ms: u64, draw: u64) -> Rejection {
         let spread = draw % self.options.spread_ms.max(1);
+        let servers = self.servers.values();
+        let usable = servers.filter(|server| is_usable(server, wish, now_ms));
+        let online: Vec<u32> = usable.map(Server::online).collect();
         Rejection {
             reason,
             retry_after_ms: RETURN_MS + spread,
+            usable: online.len() as u32,
+            least_online: online.into_iter().min().unwrap_or(0),
         }
     }
 }
--- a/programs/gateway/src/edge/attempt.rs
+++ b/programs/gateway/src/edge/attempt.rs
@@ -105,6 +105,12 @@
             let (place, held) = match self.place(state, forward) {
                 Ok(placed) => placed,
                 Err(rejection) if self.ran == 0 => {
+                    log::info!(
+                        request = forward.id.as_str(), usable = rejection.usable,
+                        least_online = rejection.least_online, loads_age_ms = state.loads_age_ms(),
+                        route = &*forward.route.name, connected = state.connected.get();
+                        "not placed"
+                    );
                     let reason = rejection.reason.into();
                     return Err(Failed::NotRun(reason, rejection.retry_after_ms));
                 }
@@ -139,6 +145,8 @@
             return Err(balance::Rejection {
                 reason: balance::Reason::NoBackend,
                 retry_after_ms: 1_000,
+                usable: 0,
+                least_online: 0,
             });
         };
         let wish = balance::Wish {
--- a/programs/gateway/src/edge/state.rs
+++ b/programs/gateway/src/edge/state.rs
@@ -39,6 +39,8 @@
     random: RefCell<rand_pcg::Pcg64Mcg>,
     swept_ms: Cell<u64>,
     heard_ms: Cell<u64>,
+    /// When the loads of other entry VMs were received last.
+    loads_ms: Cell<u64>,
 }
 
 /// The configuration in force at this VM.
@@ -72,6 +74,7 @@
             random: RefCell::new(rand_pcg::Pcg64Mcg::seed_from_u64(seed)),
             swept_ms: Cell::new(0),
             heard_ms: Cell::new(0),
+            loads_ms: Cell::new(0),
         }
     }
 
@@ -86,6 +89,11 @@
         !self.draining.get() && fresh && self.routing.borrow().is_some()
     }
 
+    /// Returns the age of what is known of the requests of other entry VMs.
+    pub(crate) fn loads_age_ms(&self) -> u64 {
+        clock::steady_ms().saturating_sub(self.loads_ms.get())
+    }
+
     pub(crate) fn draw(&self) -> u64 {
         self.random.borrow_mut().next_u64()
     }
@@ -101,6 +109,7 @@
             self.announce(announcement, now_ms);
         }
         if let Some(loads) = update.loads {
+            self.loads_ms.set(now_ms);
             self.balance.borrow_mut().set_loads(&loads);
         }
     }
