Refuse requests that crash backend servers, fleet-wide

A request whose backend server breaks the connection before its first event gets a strike under its content; entry VMs exchange strikes through the leader, and the third refuses it wherever it comes from. One that ends whole is cleared. Batch items whose runs only break wait 15 s after the fourth.

--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -24,6 +24,12 @@
     pub pause_ms: u64,
     /// Longest such pause in milliseconds.
     pub pause_max_ms: u64,
+    /// Pause before an item runs again whose runs broke off without progress
+    /// `suspect_breaks` times, in milliseconds: it may crash every backend
+    /// server, each of which is back after some seconds.
+    pub suspect_pause_ms: u64,
+    /// Broken runs without progress in a row that make an item a suspect.
+    pub suspect_breaks: u32,
     /// How long no item starts at a backend server that turned out to be full,
     /// in milliseconds: about half the time of an online request.
     pub crowded_ms: u64,
@@ -36,6 +42,8 @@
             starts: 16,
             pause_ms: 200,
             pause_max_ms: 2_000,
+            suspect_pause_ms: 15_000,
+            suspect_breaks: 4,
             crowded_ms: 400,
         }
     }
@@ -339,7 +347,7 @@
                 self.paused.insert(server, until);
                 return None;
             }
-            Outcome::Broken(progress) | Outcome::NotRun(progress) => {
+            Outcome::Broken(progress) => {
                 let advanced = progress.last > waiting.progress.last;
                 waiting.progress = progress;
                 if stopping {
@@ -347,13 +355,25 @@
                 }
                 waiting.breaks = if advanced { 0 } else { waiting.breaks + 1 };
                 waiting.avoid = Some(server.clone());
-                let until = now_ms + options.pause_ms;
-                self.paused.insert(server, until);
+                self.paused.insert(server, now_ms + options.pause_ms);
+            }
+            // What has not run says nothing of the item.
+            Outcome::NotRun(progress) => {
+                waiting.progress = progress;
+                waiting.avoid = Some(server.clone());
+                waiting.not_before_ms = now_ms + options.pause_ms;
+                self.paused.insert(server, now_ms + options.pause_ms);
+                return None;
             }
         }
         let item = self.jobs.get_mut(&key.job)?.items.get_mut(&key.item)?;
-        let pause = options.pause_ms << item.waiting.breaks.min(5);
-        item.waiting.not_before_ms = now_ms + pause.min(options.pause_max_ms);
+        let pause_ms = options.pause_ms << item.waiting.breaks.min(5);
+        let suspect = item.waiting.breaks >= options.suspect_breaks;
+        item.waiting.not_before_ms = now_ms
+            + match suspect {
+                true => options.suspect_pause_ms,
+                false => pause_ms.min(options.pause_max_ms),
+            };
         None
     }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod message;
 pub mod registry;
 pub mod route;
+pub mod suspect;
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -5,7 +5,7 @@
 use bw_wire::name::Name;
 use serde::{Deserialize, Serialize};
 
-use crate::{ledger, registry};
+use crate::{ledger, registry, suspect};
 
 /// Largest frame in bytes; a job of the largest size fits several times.
 pub const FRAME_BYTES_MAX: usize = 64 << 20;
@@ -30,6 +30,8 @@
     pub backends: Vec<registry::Announcement>,
     /// The load of all backend servers, if it changed.
     pub loads: Option<Vec<Load>>,
+    /// Requests that may crash backend servers, as far as they changed.
+    pub suspects: Vec<suspect::Strike>,
 }
 
 /// A call to the leader.
@@ -156,6 +158,8 @@
     Update(Update),
     /// Online requests in flight at one entry VM, all that are not 0.
     Loads(Vec<(Name, u32)>),
+    /// News of an entry VM about a request that may crash backend servers.
+    Strike(suspect::Strike),
     /// A call.
     Call {
         /// Names the call in the answer.
--- a/programs/gateway/src/control/hub.rs
+++ b/programs/gateway/src/control/hub.rs
@@ -10,7 +10,7 @@
 };
 
 use bw_coord::{ReplicaId, host, member};
-use bw_relay::{dispatch, ledger, message, registry, route};
+use bw_relay::{dispatch, ledger, message, registry, route, suspect};
 use bw_wire::name::Name;
 use tokio::sync::{Notify, mpsc as async_mpsc, oneshot};
 
@@ -61,6 +61,7 @@
     pub(crate) dispatch: RefCell<dispatch::Dispatch>,
     pub(crate) runs: RefCell<runner::Runs>,
     changed: RefCell<HashMap<Name, Rc<Notify>>>,
+    suspects: RefCell<suspect::Suspects>,
     swept_ms: Cell<u64>,
     /// When this replica began to lead.
     led_ms: Cell<u64>,
@@ -87,6 +88,7 @@
             dispatch: RefCell::new(dispatch::Dispatch::new(dispatch::Options::default())),
             runs: RefCell::default(),
             changed: RefCell::default(),
+            suspects: RefCell::default(),
             swept_ms: Cell::new(0),
             led_ms: Cell::new(0),
         }
@@ -190,6 +192,7 @@
             published: self.published.borrow().clone(),
             backends: backends.collect(),
             loads: Some(self.loads()),
+            suspects: self.suspects.borrow().all(),
         }
     }
 
@@ -208,6 +211,20 @@
         }
     }
 
+    /// Passes news about a suspect on to all entry VMs.
+    pub(crate) fn strike(&self, strike: suspect::Strike) {
+        if !self.suspects.borrow_mut().merge(strike) {
+            return;
+        }
+        log::warn!(fingerprint = strike.fingerprint.0, strikes = strike.count; "suspect changed");
+        let update = message::Update {
+            suspects: vec![strike],
+            ..message::Update::default()
+        };
+        let frame = message::Frame::Update(update);
+        self.sessions.borrow_mut().broadcast(&frame);
+    }
+
     pub(crate) fn close_session(&self, session: u64) {
         self.sessions.borrow_mut().remove(session);
     }
@@ -622,6 +639,9 @@
             continue;
         }
         let now_ms = clock::steady_ms();
+        for strike in update.suspects {
+            hub.suspects.borrow_mut().merge(strike);
+        }
         let mut registry = hub.registry.borrow_mut();
         for announcement in update.backends {
             registry.announce(announcement, now_ms);
--- a/programs/gateway/src/control/sessions.rs
+++ b/programs/gateway/src/control/sessions.rs
@@ -181,6 +181,7 @@
             while calls.try_join_next().is_some() {}
             match frame {
                 message::Frame::Loads(loads) => hub.set_loads(id, loads),
+                message::Frame::Strike(strike) => hub.strike(strike),
                 message::Frame::Call { ticket, request } if calls.len() < CALLS_MAX => {
                     let (hub, replies) = (Rc::clone(hub), replies.clone());
                     calls.spawn_local(async move {
--- a/programs/gateway/src/edge/attempt.rs
+++ b/programs/gateway/src/edge/attempt.rs
@@ -99,6 +99,9 @@
             if clock::steady_ms() >= forward.until_ms {
                 return Err(self.given_up("timeout"));
             }
+            if state.suspects.borrow().is_refused(forward.fingerprint) {
+                return Err(self.given_up("poisonous_request"));
+            }
             if self.sends >= SENDS_MAX {
                 return Err(self.given_up(reason));
             }
@@ -201,6 +204,9 @@
             .map(|()| answer),
             Err(failure) => {
                 self.ran += u32::from(failure.may_have_run());
+                if failure == upstream::Failure::Broken {
+                    state.crashed(&forward.id, forward.fingerprint);
+                }
                 // A request that used up its own time says nothing of the
                 // backend server.
                 if now_ms < forward.until_ms {
@@ -361,12 +367,16 @@
         match reading.await {
             Ok(Ok(body)) => {
                 accepted.lease.release();
+                state.finished(forward.fingerprint);
                 let whole = answer::whole(body.to_bytes());
                 let mut response = Response::from_parts(parts, whole.into());
                 forward::remove_hop_headers(response.headers_mut());
                 return response;
             }
-            Ok(Err(_)) => attempts.broke(state, &id),
+            Ok(Err(_)) => {
+                state.crashed(&forward.id, forward.fingerprint);
+                attempts.broke(state, &id);
+            }
             Err(_) => return failure(&forward, Failed::TimedOut),
         }
     }
--- a/programs/gateway/src/edge/forward.rs
+++ b/programs/gateway/src/edge/forward.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, sync::Arc};
 
-use bw_relay::route;
+use bw_relay::{route, suspect};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::{HeaderMap, Method, Request, StatusCode, body, header};
@@ -39,6 +39,8 @@
     pub(crate) until_ms: u64,
     /// Hash of the shared parts of the prompt.
     pub(crate) affinity: u64,
+    /// Names the content, whatever its id.
+    pub(crate) fingerprint: suspect::Fingerprint,
 }
 
 /// Handles one request of a caller.
@@ -70,6 +72,15 @@
         Ok(forward) => forward,
         Err(answer) => return *answer,
     };
+    if state.suspects.borrow().is_refused(forward.fingerprint) {
+        // Coming back later would not help.
+        log::warn!(request = forward.id.as_str(), fingerprint = forward.fingerprint.0, reason = "poisonous_request", verdict = "not_run"; "refused");
+        metrics::REFUSALS
+            .with_label_values(&["poisonous_request"])
+            .inc();
+        let reason = "the request crashes backend servers";
+        return answer::own(StatusCode::SERVICE_UNAVAILABLE, reason);
+    }
     match forward.route.kind.streams() {
         true => stream::forward(state, forward, active).await,
         false => attempt::forward(state, forward, active).await,
@@ -92,6 +103,11 @@
     let until_ms = route_until_ms.min(caller_until_ms.unwrap_or(u64::MAX));
     let affinity = affinity(text(&parts.headers, &names.prefix));
     let body = collect(body, routing.limits.body_bytes, until_ms).await?;
+    let target = parts
+        .uri
+        .path_and_query()
+        .map_or("", |target| target.as_str());
+    let fingerprint = suspect::Fingerprint::new(&route.host, target, &body);
     Ok(Forward {
         id,
         method: parts.method,
@@ -102,6 +118,7 @@
         caller_until_ms,
         until_ms,
         affinity,
+        fingerprint,
     })
 }
 
--- a/programs/gateway/src/edge/front.rs
+++ b/programs/gateway/src/edge/front.rs
@@ -21,12 +21,18 @@
 /// Room for the request line beside the headers, in bytes.
 const LINE_BYTES: usize = 4 << 10;
 
-/// Serves callers.
+/// Serves callers, and takes no new connections once the process is about to
+/// end: requests on them might be cut off.
 pub(crate) async fn callers(state: Rc<State>, listener: net::TcpListener) {
+    let mut closing = state.closing.subscribe();
     let mut connections = task::JoinSet::new();
     loop {
         while connections.try_join_next().is_some() {}
-        let stream = accept(&listener).await;
+        let stream = tokio::select! {
+            stream = accept(&listener) => stream,
+            // The sender lives as long as the process.
+            _ = closing.wait_for(|closing| *closing) => break,
+        };
         let state = Rc::clone(&state);
         connections.spawn_local(async move {
             state.connections.set(state.connections.get() + 1);
@@ -34,6 +40,8 @@
             state.connections.set(state.connections.get() - 1);
         });
     }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
 }
 
 async fn connection(state: Rc<State>, stream: net::TcpStream) {
--- a/programs/gateway/src/edge/state.rs
+++ b/programs/gateway/src/edge/state.rs
@@ -6,7 +6,7 @@
     sync::Arc,
 };
 
-use bw_relay::{balance, ledger, message, registry, route};
+use bw_relay::{balance, ledger, message, registry, route, suspect};
 use rand::{RngCore, SeedableRng};
 use tokio::sync::{Notify, watch};
 
@@ -35,6 +35,7 @@
     pub(crate) closing: watch::Sender<bool>,
     pub(crate) active: Cell<u64>,
     pub(crate) connections: Cell<u64>,
+    pub(crate) suspects: RefCell<suspect::Suspects>,
     registry: RefCell<registry::Registry>,
     random: RefCell<rand_pcg::Pcg64Mcg>,
     swept_ms: Cell<u64>,
@@ -70,6 +71,7 @@
             closing: watch::Sender::new(false),
             active: Cell::new(0),
             connections: Cell::new(0),
+            suspects: RefCell::default(),
             registry: RefCell::default(),
             random: RefCell::new(rand_pcg::Pcg64Mcg::seed_from_u64(seed)),
             swept_ms: Cell::new(0),
@@ -108,12 +110,30 @@
         for announcement in update.backends {
             self.announce(announcement, now_ms);
         }
+        for strike in update.suspects {
+            self.suspects.borrow_mut().merge(strike);
+        }
         if let Some(loads) = update.loads {
             self.loads_ms.set(now_ms);
             self.balance.borrow_mut().set_loads(&loads);
         }
     }
 
+    /// Notes that a backend server broke the connection of a request.
+    pub(crate) fn crashed(&self, id: &str, fingerprint: suspect::Fingerprint) {
+        let strike = self.suspects.borrow_mut().crashed(fingerprint);
+        log::warn!(request = id, fingerprint = fingerprint.0, strikes = strike.count; "suspect");
+        self.link.notify(&message::Frame::Strike(strike));
+    }
+
+    /// Notes that a request ended whole.
+    pub(crate) fn finished(&self, fingerprint: suspect::Fingerprint) {
+        let cleared = self.suspects.borrow_mut().finished(fingerprint);
+        if let Some(strike) = cleared {
+            self.link.notify(&message::Frame::Strike(strike));
+        }
+    }
+
     /// Does what is due from time to time.
     pub(crate) fn tick(&self) {
         let now_ms = clock::steady_ms();
--- a/programs/gateway/src/edge/stream.rs
+++ b/programs/gateway/src/edge/stream.rs
@@ -167,6 +167,7 @@
         if !self.parser.is_empty() {
             return Err("broken");
         }
+        self.state.finished(self.forward.fingerprint);
         if let Some(run) = self.run.take() {
             run.lease.release();
             drop(run.held);
@@ -193,6 +194,11 @@
             "stream broke off"
         );
         metrics::RETRIES.with_label_values(&[reason]).inc();
+        // A run that got under way was not broken off by its own request.
+        if reason == "broken" && self.last == self.attempts.last_event {
+            self.state
+                .crashed(&self.forward.id, self.forward.fingerprint);
+        }
         let repeatable = self.forward.route.kind.repeatable() && self.events;
         if !repeatable {
             return Err(io::Error::other(reason));
