Hold backend servers that fail their requests, judged by all entry VMs

Cause: a backend server that answers every request with an error at once looks idle and attracts all requests, and its errors counted as successes. Errors now count as failures; entry VMs report results with their loads, and the leader holds a backend server back for 1 to 3 s when at least two VMs saw at least 3 failures in 2 s, and these are 40 in 100 of the results. An item whose run failed waits, and so does its backend server.

--- a/crates/relay/src/balance.rs
+++ b/crates/relay/src/balance.rs
@@ -58,6 +58,9 @@
     failures: u32,
     paused_until_ms: u64,
     succeeded_ms: u64,
+    held: bool,
+    /// Results since the last report.
+    results: (u32, u32),
 }
 
 impl Server {
@@ -100,8 +103,9 @@
 pub enum Failure {
     /// It could not be reached or did not answer in time.
     Unreachable,
-    /// An answer broke off or was not its own. One such answer may be chance:
-    /// a backend server that spoils a few in a hundred still serves the rest.
+    /// An answer broke off, was not its own or was a server error. One such
+    /// answer may be chance: a backend server that spoils a few in a hundred
+    /// still serves the rest.
     Broken,
 }
 
@@ -156,6 +160,8 @@
             failures: 0,
             paused_until_ms: 0,
             succeeded_ms: 0,
+            held: false,
+            results: (0, 0),
         };
         let server = self.servers.entry(announcement.id.clone()).or_insert(fresh);
         if server.announcement.born_ms != announcement.born_ms {
@@ -170,22 +176,31 @@
         for server in self.servers.values_mut() {
             server.online = 0;
             server.batch = 0;
+            server.held = false;
         }
         for load in loads {
             if let Some(server) = self.servers.get_mut(&load.id) {
                 server.online = load.online;
                 server.batch = load.batch;
+                server.held = load.held;
             }
         }
     }
 
-    /// Returns the requests in flight from this entry VM, for the leader.
-    pub fn report(&mut self) -> Vec<(Name, u32)> {
+    /// Returns the requests in flight from this entry VM and the results since
+    /// the last report, for the leader.
+    pub fn report(&mut self) -> Vec<message::Usage> {
         let mut report = Vec::new();
         for (id, server) in &mut self.servers {
             server.reported = server.own;
-            if server.own > 0 {
-                report.push((id.clone(), server.own));
+            let (succeeded, failed) = std::mem::take(&mut server.results);
+            if server.own + succeeded + failed > 0 {
+                report.push(message::Usage {
+                    id: id.clone(),
+                    online: server.own,
+                    succeeded,
+                    failed,
+                });
             }
         }
         report
@@ -248,7 +263,7 @@
         let servers = self.servers.values();
         let chosen = servers
             .filter(|server| is_candidate(server, wish, now_ms) && self.has_room(server, wish))
-            .min_by_key(|server| (server.paused_until_ms, load(server)));
+            .min_by_key(|server| (server.held, server.paused_until_ms, load(server)));
         let Some(chosen) = chosen else {
             return Err(self.reject(Reason::NoBackend, wish, now_ms, draw));
         };
@@ -270,6 +285,7 @@
             server.failures = 0;
             server.paused_until_ms = 0;
             server.succeeded_ms = now_ms;
+            server.results.0 += 1;
         }
     }
 
@@ -281,6 +297,7 @@
         let Some(server) = self.servers.get_mut(id) else {
             return;
         };
+        server.results.1 += 1;
         if now_ms < server.paused_until_ms {
             return;
         }
@@ -335,7 +352,7 @@
 }
 
 fn is_usable(server: &Server, wish: &Wish<'_>, now_ms: u64) -> bool {
-    now_ms >= server.paused_until_ms && is_candidate(server, wish, now_ms)
+    now_ms >= server.paused_until_ms && !server.held && is_candidate(server, wish, now_ms)
 }
 
 /// Returns whether a backend server may be used, paused or not.
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -30,6 +30,9 @@
     pub suspect_pause_ms: u64,
     /// Broken runs without progress in a row that make an item a suspect.
     pub suspect_breaks: u32,
+    /// How long no item starts at a backend server that failed one, in
+    /// milliseconds; the leader learns within this time whether it fails others.
+    pub failed_ms: u64,
     /// How long no item starts at a backend server that turned out to be full,
     /// in milliseconds: about half the time of an online request.
     pub crowded_ms: u64,
@@ -44,6 +47,7 @@
             pause_max_ms: 2_000,
             suspect_pause_ms: 15_000,
             suspect_breaks: 4,
+            failed_ms: 1_000,
             crowded_ms: 400,
         }
     }
@@ -335,7 +339,9 @@
             Outcome::Failed(progress) => {
                 waiting.failures += 1;
                 waiting.progress = progress;
-                waiting.avoid = Some(server);
+                waiting.avoid = Some(server.clone());
+                // One that fails all that it runs fails the next item as fast.
+                self.paused.insert(server, now_ms + options.failed_ms);
                 if waiting.failures >= attempts {
                     item.state = State::Recording;
                     return Some((ledger::End::GivenUp, ledger::Output::default()));
@@ -367,7 +373,8 @@
             }
         }
         let item = self.jobs.get_mut(&key.job)?.items.get_mut(&key.item)?;
-        let pause_ms = options.pause_ms << item.waiting.breaks.min(5);
+        let waiting = &item.waiting;
+        let pause_ms = options.pause_ms << (waiting.breaks + 2 * waiting.failures).min(5);
         let suspect = item.waiting.breaks >= options.suspect_breaks;
         item.waiting.not_before_ms = now_ms
             + match suspect {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod balance;
 pub mod dispatch;
 pub mod event;
+pub mod health;
 pub mod ledger;
 pub mod message;
 pub mod registry;
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -19,6 +19,21 @@
     pub online: u32,
     /// Batch items running.
     pub batch: u32,
+    /// Whether it fails its requests and gets no new ones for a while.
+    pub held: bool,
+}
+
+/// What one entry VM has to say of a backend server.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Usage {
+    /// The id of the backend server.
+    pub id: Name,
+    /// Online requests in flight.
+    pub online: u32,
+    /// Answers since the last report.
+    pub succeeded: u32,
+    /// Failures since the last report.
+    pub failed: u32,
 }
 
 /// News that the leader sends to entry VMs and to the other control replicas.
@@ -156,8 +171,8 @@
     },
     /// News of the leader. An empty update shows that the leader is alive.
     Update(Update),
-    /// Online requests in flight at one entry VM, all that are not 0.
-    Loads(Vec<(Name, u32)>),
+    /// What one entry VM has to say of the backend servers that it uses.
+    Loads(Vec<Usage>),
     /// News of an entry VM about a request that may crash backend servers.
     Strike(suspect::Strike),
     /// A call.
--- a/crates/relay/tests/balance.rs
+++ b/crates/relay/tests/balance.rs
@@ -92,6 +92,7 @@
         id: "1".into(),
         online: 3,
         batch: 0,
+        held: false,
     };
     balance.set_loads(&[busy]);
     let placed: Vec<String> = (0..2)
@@ -112,11 +113,13 @@
     for _ in 0..3 {
         balance.place(&wish(&[], 0), 0, 0).expect("room");
     }
-    assert_eq!(balance.report(), vec![("1".into(), 3)]);
+    let report = balance.report();
+    assert_eq!((report.len(), report[0].online), (1, 3));
     balance.set_loads(&[Load {
         id: "1".into(),
         online: 5,
         batch: 1,
+        held: false,
     }]);
     assert_eq!(balance.view("1"), (3, 5, 1));
 }
@@ -228,6 +231,7 @@
         id: "1".into(),
         online: 0,
         batch: 3,
+        held: false,
     };
     balance.set_loads(&[batch]);
     let crowded: Vec<bool> = (0..3)
@@ -241,3 +245,35 @@
     // 3 items and one request fill the 4 slots.
     assert_eq!(crowded, [false, true, true]);
 }
+
+/// Guards against a backend server that answers all requests with errors at once:
+/// it looks idle, and each entry VM would send it requests to find out.
+#[test]
+fn a_held_backend_server_gets_nothing_while_others_are_there() {
+    let mut balance = balance(&[("1", "a"), ("2", "b")]);
+    let held = |id: &str| Load {
+        id: id.into(),
+        online: 0,
+        batch: 0,
+        held: true,
+    };
+    balance.set_loads(&[held("1")]);
+    assert!((0..6).all(|_| !is_used(&mut balance, 0)));
+    balance.set_loads(&[held("1"), held("2")]);
+    assert!(
+        balance.place(&wish(&[], 0), 0, 0).is_ok(),
+        "all held: one is tried"
+    );
+}
+
+#[test]
+fn results_are_reported_once() {
+    let mut balance = balance(&[("1", "a")]);
+    balance.succeeded("1", 0);
+    balance.failed("1", Failure::Broken, 1);
+    balance.failed("1", Failure::Broken, 2);
+    balance.failed("1", Failure::Broken, 3);
+    let report = balance.report();
+    assert_eq!((report[0].succeeded, report[0].failed), (1, 3));
+    assert!(balance.report().is_empty());
+}
--- a/crates/relay/tests/dispatch.rs
+++ b/crates/relay/tests/dispatch.rs
@@ -293,3 +293,20 @@
         "a run that makes progress is no suspect"
     );
 }
+
+/// Guards against spending all attempts of an item at one backend server that
+/// fails everything at once.
+#[test]
+fn a_failed_run_pauses_its_backend_server_and_the_item() {
+    let mut dispatch = dispatch(2);
+    let routes = routes();
+    let both = starts(&dispatch.plan(&servers(&[3, 0]), &routes, 0));
+    let failed = &both[0];
+    dispatch.ended(&failed.key, Outcome::Failed(progress(0)), 10);
+    assert!(starts(&dispatch.plan(&servers(&[0, 0]), &routes, 500)).is_empty());
+    let again = starts(&dispatch.plan(&servers(&[0, 0]), &routes, 900)).remove(0);
+    assert_ne!(
+        again.server, failed.server,
+        "the other one, as the first is paused"
+    );
+}
--- a/programs/gateway/src/control/hub.rs
+++ b/programs/gateway/src/control/hub.rs
@@ -10,7 +10,7 @@
 };
 
 use bw_coord::{ReplicaId, host, member};
-use bw_relay::{dispatch, ledger, message, registry, route, suspect};
+use bw_relay::{dispatch, health, ledger, message, registry, route, suspect};
 use bw_wire::name::Name;
 use tokio::sync::{Notify, mpsc as async_mpsc, oneshot};
 
@@ -61,6 +61,7 @@
     pub(crate) dispatch: RefCell<dispatch::Dispatch>,
     pub(crate) runs: RefCell<runner::Runs>,
     changed: RefCell<HashMap<Name, Rc<Notify>>>,
+    health: RefCell<health::Health>,
     suspects: RefCell<suspect::Suspects>,
     swept_ms: Cell<u64>,
     /// When this replica began to lead.
@@ -88,6 +89,7 @@
             dispatch: RefCell::new(dispatch::Dispatch::new(dispatch::Options::default())),
             runs: RefCell::default(),
             changed: RefCell::default(),
+            health: RefCell::new(health::Health::new(health::Options::default())),
             suspects: RefCell::default(),
             swept_ms: Cell::new(0),
             led_ms: Cell::new(0),
@@ -198,7 +200,12 @@
 
     /// Takes the online requests of one entry VM. Items give way at once, not
     /// only when the next plan is due.
-    pub(crate) fn set_loads(self: &Rc<Hub>, session: u64, loads: Vec<(Name, u32)>) {
+    pub(crate) fn set_loads(self: &Rc<Hub>, session: u64, loads: Vec<message::Usage>) {
+        if let Some(node) = self.sessions.borrow().node(session) {
+            for usage in &loads {
+                self.note_results(&usage.id, &node, usage.succeeded, usage.failed);
+            }
+        }
         self.sessions.borrow_mut().set_loads(session, loads);
         let running = self.dispatch.borrow().running();
         let servers = self.servers();
@@ -211,6 +218,18 @@
         }
     }
 
+    /// Takes results of requests at a backend server.
+    pub(crate) fn note_results(&self, id: &Name, entry: &Name, succeeded: u32, failed: u32) {
+        if succeeded + failed == 0 {
+            return;
+        }
+        let now_ms = clock::steady_ms();
+        let mut health = self.health.borrow_mut();
+        if health.note(id, entry, succeeded, failed, now_ms) {
+            log::warn!(backend = &**id; "backend server fails its requests and is held");
+        }
+    }
+
     /// Passes news about a suspect on to all entry VMs.
     pub(crate) fn strike(&self, strike: suspect::Strike) {
         if !self.suspects.borrow_mut().merge(strike) {
@@ -503,21 +522,29 @@
         let ids = registry
             .backends()
             .map(|backend| backend.announcement.id.clone());
+        let health = self.health.borrow();
+        let now_ms = clock::steady_ms();
         let loads = ids.map(|id| message::Load {
+            held: health.is_held(&id, now_ms),
             online: online.get(&id).copied().unwrap_or(0),
             batch: batch.remove(&id).unwrap_or(0),
             id,
         });
-        loads.filter(|load| load.online + load.batch > 0).collect()
+        loads
+            .filter(|load| load.held || load.online + load.batch > 0)
+            .collect()
     }
 
     /// Returns the backend servers that may run items.
     pub(crate) fn servers(&self) -> Vec<dispatch::Server> {
         let online = self.sessions.borrow().online();
         let registry = self.registry.borrow();
-        let ready = registry
-            .backends()
-            .filter(|backend| backend.announcement.state == registry::State::Ready);
+        let health = self.health.borrow();
+        let now_ms = clock::steady_ms();
+        let ready = registry.backends().filter(|backend| {
+            let known = &backend.announcement;
+            known.state == registry::State::Ready && !health.is_held(&known.id, now_ms)
+        });
         ready
             .map(|backend| {
                 let known = &backend.announcement;
--- a/programs/gateway/src/control/runner.rs
+++ b/programs/gateway/src/control/runner.rs
@@ -112,6 +112,13 @@
         return;
     }
     hub.runs.borrow_mut().stops.remove(&start.key);
+    let node = hub.settings().node.as_str().into();
+    let (succeeded, failed) = match ended {
+        Ended::Completed => (1, 0),
+        Ended::Broken | Ended::Failed => (0, 1),
+        _ => (0, 0),
+    };
+    hub.note_results(&start.server, &node, succeeded, failed);
     let outcome = match ended {
         Ended::Completed => dispatch::Outcome::Completed(progress),
         Ended::Stopped | Ended::Broken => dispatch::Outcome::Broken(progress),
--- a/programs/gateway/src/control/sessions.rs
+++ b/programs/gateway/src/control/sessions.rs
@@ -26,7 +26,7 @@
     node: Name,
     role: message::Role,
     queue: mpsc::Sender<Shared>,
-    loads: Vec<(Name, u32)>,
+    loads: Vec<message::Usage>,
 }
 
 /// All sessions of the leader.
@@ -81,8 +81,8 @@
     /// Returns the online requests in flight by backend server.
     pub(crate) fn online(&self) -> HashMap<Name, u32> {
         let mut online = HashMap::new();
-        for (id, count) in self.sessions.values().flat_map(|session| &session.loads) {
-            *online.entry(id.clone()).or_insert(0) += count;
+        for usage in self.sessions.values().flat_map(|session| &session.loads) {
+            *online.entry(usage.id.clone()).or_insert(0) += usage.online;
         }
         online
     }
@@ -207,12 +207,17 @@
 
 impl Sessions {
     /// Notes the online requests of one session.
-    pub(crate) fn set_loads(&mut self, id: u64, loads: Vec<(Name, u32)>) {
+    pub(crate) fn set_loads(&mut self, id: u64, loads: Vec<message::Usage>) {
         if let Some(session) = self.sessions.get_mut(&id) {
             session.loads = loads;
         }
     }
 
+    /// Returns the name of the VM of a session.
+    pub(crate) fn node(&self, id: u64) -> Option<Name> {
+        self.sessions.get(&id).map(|session| session.node.clone())
+    }
+
     /// Forgets one session.
     pub(crate) fn remove(&mut self, id: u64) {
         self.sessions.remove(&id);
--- a/programs/gateway/src/edge/attempt.rs
+++ b/programs/gateway/src/edge/attempt.rs
@@ -235,10 +235,15 @@
             }
         };
         self.ran += 1;
-        state.balance.borrow_mut().succeeded(&place.id, now_ms);
-        let retry = answer.response.status() == StatusCode::INTERNAL_SERVER_ERROR
-            && repeatable
-            && self.ran < forward.route.attempts;
+        let server_error = answer.response.status() == StatusCode::INTERNAL_SERVER_ERROR;
+        {
+            let mut balance = state.balance.borrow_mut();
+            match server_error {
+                true => balance.failed(&place.id, balance::Failure::Broken, now_ms),
+                false => balance.succeeded(&place.id, now_ms),
+            }
+        }
+        let retry = server_error && repeatable && self.ran < forward.route.attempts;
         if retry {
             self.tried.push(place.id.clone());
             return Err("server_error");
--- a/programs/gateway/src/edge/mod.rs
+++ b/programs/gateway/src/edge/mod.rs
@@ -119,12 +119,17 @@
         let crowded = tokio::time::timeout(REPORT, state.crowded.notified()).await;
         state.tick();
         let report = state.balance.borrow_mut().report();
-        if report == last && skipped < REPORTS_SKIPPED {
+        let failed = report.iter().any(|usage| usage.failed > 0);
+        let online: Vec<_> = report
+            .iter()
+            .map(|usage| (usage.id.clone(), usage.online))
+            .collect();
+        if !failed && online == last && skipped < REPORTS_SKIPPED {
             skipped += 1;
             continue;
         }
         skipped = 0;
-        last.clone_from(&report);
+        last = online;
         state.link.notify(&message::Frame::Loads(report));
         if crowded.is_ok() {
             tokio::time::sleep(URGENT_GAP).await;
