--- a/programs/gateway/src/edge/attempt.rs
+++ b/programs/gateway/src/edge/attempt.rs
@@ -10,7 +10,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode, body, header};
 
 use crate::{
-    clock,
+    clock, dialect,
     edge::{answer, forward, forward::Forward, front::Active, state::State},
     metrics, upstream,
 };
@@ -217,13 +217,19 @@
                 Err(failure.into())
             }
         };
+        let stated = match &result {
+            Ok(answer) => stated_load(state, answer.response.headers()),
+            Err(_) => None,
+        };
         let outcome = match &result {
             Ok(answer) => answer.response.status().as_str().to_owned(),
             Err(reason) => (*reason).to_owned(),
         };
         log::info!(
             request = forward.id.as_str(), backend = place.id.as_str(), send = self.sends,
-            own = own, online = online, batch = batch, outcome = outcome.as_str(),
+            own = own, online = online, batch = batch,
+            running = stated.map_or(0, |load| load.running), waiting = stated.map_or(0, |load| load.waiting),
+            outcome = outcome.as_str(),
             took_ms = now_ms.saturating_sub(sent_ms), left_ms = forward.until_ms.saturating_sub(now_ms);
             "sent"
         );
@@ -328,6 +334,12 @@
     }
 }
 
+/// Returns the load that a backend server states in an answer.
+fn stated_load(state: &State, headers: &HeaderMap) -> Option<dialect::Load> {
+    let text = forward::text(headers, &state.dialect.headers().load);
+    state.dialect.load(text)
+}
+
 /// Judges the head of an answer. An error is the reason for another attempt.
 fn judge(
     state: &State,
