--- a/programs/gateway/src/control/api.rs
+++ b/programs/gateway/src/control/api.rs
@@ -2,7 +2,6 @@
 
 use std::{convert, rc::Rc, time};
 
-use bw_relay::message;
 use bw_wire::name::Name;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -10,7 +9,7 @@
 use hyper_util::rt;
 use tokio::{net, task};
 
-use crate::{control::hub::Hub, dialect::ControlCall, socket};
+use crate::{control::hub::Hub, socket};
 
 /// Time limit of a request's headers, and of an idle connection.
 const HEADER: time::Duration = time::Duration::from_secs(15);
@@ -65,8 +64,8 @@
         Ok(Err(_)) => return answer(StatusCode::PAYLOAD_TOO_LARGE, Vec::new()),
         Err(_) => return answer(StatusCode::REQUEST_TIMEOUT, Vec::new()),
     };
-    let call = match hub.dialect().control_call(&parts.method, path, &body) {
-        Ok(call) => call,
+    let request = match hub.dialect().control_call(&parts.method, path, &body) {
+        Ok(request) => request,
         Err(refused) => {
             log::info!(
                 method = parts.method.as_str(), path = path, status = refused.status.as_u16(),
@@ -76,14 +75,6 @@
             return answer(refused.status, refused.reason.into_bytes());
         }
     };
-    let request = match call {
-        ControlCall::Announce(announcement) => message::Request::Announce(announcement),
-        ControlCall::Leave { id, born_ms } => message::Request::Leave { id, born_ms },
-        ControlCall::Publish(published) => message::Request::Publish(published),
-        ControlCall::ReadConfig => message::Request::ReadConfig,
-        ControlCall::Evacuate(node) => message::Request::Evacuate { node },
-        ControlCall::Evacuated(node) => message::Request::Evacuated { node },
-    };
     let reply = hub.call(request).await;
     let (status, bytes) = hub.dialect().control_answer(reply, leader(hub));
     answer(status, bytes)
--- /dev/null
+++ b/programs/gateway/src/control/hub/backends.rs
@@ -0,0 +1,205 @@
+//! Backend servers: announcements, loads and results.
+
+use std::rc::Rc;
+
+use bw_relay::{dispatch, ledger, message, registry, suspect};
+use bw_wire::name::Name;
+use tokio::sync::oneshot;
+
+use super::{Hub, refusal};
+use crate::{
+    clock,
+    control::{replica, runner},
+};
+
+/// Announcements that a backend server may miss before it counts as silent.
+/// One may arrive seconds late.
+const SILENT_ANNOUNCEMENTS: u64 = 5;
+
+impl Hub {
+    /// Takes the online requests of one entry VM. Items give way at once, not
+    /// only when the next plan is due.
+    pub(crate) fn set_loads(self: &Rc<Hub>, session: u64, loads: Vec<message::Usage>) {
+        if let Some(node) = self.sessions.borrow().node(session) {
+            for usage in &loads {
+                self.note_results(&usage.id, &node, usage.succeeded, usage.failed);
+            }
+        }
+        self.sessions.borrow_mut().set_loads(session, loads);
+        let running = self.dispatch.borrow().running();
+        let servers = self.servers();
+        let crowded = servers.iter().any(|server| {
+            let batch = running.get(&server.id).copied().unwrap_or(0);
+            batch > 0 && server.online + batch > server.slots
+        });
+        if crowded {
+            runner::plan(self);
+        }
+    }
+
+    /// Takes results of requests at a backend server.
+    pub(crate) fn note_results(&self, id: &Name, entry: &Name, succeeded: u32, failed: u32) {
+        if succeeded + failed == 0 {
+            return;
+        }
+        let now_ms = clock::steady_ms();
+        let mut health = self.health.borrow_mut();
+        if health.note(id, entry, succeeded, failed, now_ms) {
+            log::warn!(backend = &**id; "backend server fails its requests and is held");
+        }
+    }
+
+    /// Passes news about a suspect on to all entry VMs.
+    pub(crate) fn strike(&self, strike: suspect::Strike) {
+        if !self.suspects.borrow_mut().merge(strike) {
+            return;
+        }
+        log::warn!(fingerprint = strike.fingerprint.0, strikes = strike.count; "suspect changed");
+        let update = message::Update {
+            suspects: vec![strike],
+            ..message::Update::default()
+        };
+        let frame = message::Frame::Update(update);
+        self.sessions.borrow_mut().broadcast(&frame);
+    }
+
+    pub(super) async fn announce(&self, announcement: registry::Announcement) -> message::Reply {
+        let leaving = announcement.state == registry::State::Leaving;
+        let id = announcement.id.clone();
+        let outcome = self
+            .registry
+            .borrow_mut()
+            .announce(announcement, clock::steady_ms());
+        if outcome == registry::Outcome::Stale {
+            return message::Reply::Stale;
+        }
+        if outcome == registry::Outcome::Changed {
+            self.tell_backend(&id);
+        }
+        match (leaving, outcome) {
+            (true, _) => self.note(&id).await,
+            (false, registry::Outcome::Changed) => {
+                // It announces itself again, so nobody waits for the log.
+                let (reply, _) = oneshot::channel();
+                if let Some(command) = self.note_command(&id) {
+                    self.tell(replica::Call::Propose { command, reply });
+                }
+                message::Reply::Done
+            }
+            (false, _) => message::Reply::Done,
+        }
+    }
+
+    pub(super) async fn leave(&self, id: &str, born_ms: u64) -> message::Reply {
+        let left = self.registry.borrow_mut().leave(id, born_ms);
+        if let Some(announcement) = left {
+            self.tell_backend(&announcement.id);
+        }
+        self.note(id).await
+    }
+
+    /// Makes the state of a backend server durable. One that is told that its
+    /// leaving is known gets no new work, also from the next leader.
+    pub(super) async fn note(&self, id: &str) -> message::Reply {
+        let Some(command) = self.note_command(id) else {
+            // An unknown one has nothing that could be forgotten.
+            return message::Reply::Done;
+        };
+        match self.propose(command).await {
+            Ok(_) => message::Reply::Done,
+            Err(error) => refusal(Some(error)),
+        }
+    }
+
+    pub(super) fn note_command(&self, id: &str) -> Option<ledger::Command> {
+        let registry = self.registry.borrow();
+        let announcement = registry.get(id)?.announcement.clone();
+        let now_ms = clock::unix_ms();
+        Some(ledger::Command::Note {
+            announcement,
+            now_ms,
+        })
+    }
+
+    pub(super) fn tell_backend(&self, id: &str) {
+        let registry = self.registry.borrow();
+        // An announcement can also take the address of another entry over.
+        let address = registry
+            .get(id)
+            .map(|backend| backend.announcement.address.clone());
+        let at_address =
+            |backend: &&registry::Backend| Some(&backend.announcement.address) == address.as_ref();
+        let changed = registry.backends().filter(at_address);
+        let backends: Vec<_> = changed
+            .map(|backend| backend.announcement.clone())
+            .collect();
+        for known in &backends {
+            log::info!(
+                backend = &*known.id, address = &*known.address, state = known.state.to_string().as_str(),
+                sequence = known.sequence;
+                "backend server changed"
+            );
+        }
+        let update = message::Update {
+            backends,
+            ..message::Update::default()
+        };
+        self.sessions
+            .borrow_mut()
+            .broadcast(&message::Frame::Update(update));
+    }
+
+    /// Returns the load of all backend servers that have any.
+    pub(super) fn loads(&self) -> Vec<message::Load> {
+        let online = self.sessions.borrow().online();
+        let mut batch = self.dispatch.borrow().running();
+        let registry = self.registry.borrow();
+        let ids = registry
+            .backends()
+            .map(|backend| backend.announcement.id.clone());
+        let health = self.health.borrow();
+        let now_ms = clock::steady_ms();
+        let loads = ids.map(|id| message::Load {
+            held: health.is_held(&id, now_ms),
+            online: online.get(&id).copied().unwrap_or(0),
+            batch: batch.remove(&id).unwrap_or(0),
+            id,
+        });
+        loads
+            .filter(|load| load.held || load.online + load.batch > 0)
+            .collect()
+    }
+
+    /// Returns the backend servers that may run items.
+    pub(crate) fn servers(&self) -> Vec<dispatch::Server> {
+        let online = self.sessions.borrow().online();
+        let registry = self.registry.borrow();
+        let health = self.health.borrow();
+        let now_ms = clock::steady_ms();
+        let ready = registry.backends().filter(|backend| {
+            let known = &backend.announcement;
+            known.state == registry::State::Ready && !health.is_held(&known.id, now_ms)
+        });
+        ready
+            .map(|backend| {
+                let known = &backend.announcement;
+                dispatch::Server {
+                    id: known.id.clone(),
+                    address: known.address.clone(),
+                    service: known.service.clone(),
+                    slots: known.slots,
+                    online: online.get(&known.id).copied().unwrap_or(0),
+                }
+            })
+            .collect()
+    }
+
+    pub(super) fn expire(&self) {
+        let silent_ms = self.settings().announce_ms * SILENT_ANNOUNCEMENTS;
+        let now_ms = clock::steady_ms();
+        let silent = self.registry.borrow_mut().expire(now_ms, silent_ms);
+        for announcement in silent {
+            self.tell_backend(&announcement.id);
+        }
+    }
+}
--- /dev/null
+++ b/programs/gateway/src/control/hub/jobs.rs
@@ -0,0 +1,123 @@
+//! Batch jobs and workers.
+
+use std::{rc::Rc, time};
+
+use bw_relay::{ledger, message};
+use bw_wire::name::Name;
+use tokio::sync::oneshot;
+
+use super::{Hub, refusal};
+use crate::{clock, control::replica};
+
+/// Interval between sweeps of closed jobs, in milliseconds.
+const SWEEP_MS: u64 = 10_000;
+/// Time in which workers find a new leader, in milliseconds.
+const SETTLE_MS: u64 = 4_000;
+
+impl Hub {
+    pub(super) async fn submit(&self, job: ledger::NewJob) -> message::Reply {
+        let command = ledger::Command::Submit(Box::new(job));
+        match self.propose(command).await {
+            Ok(_) => message::Reply::Done,
+            Err(error) => refusal(Some(error)),
+        }
+    }
+
+    pub(super) async fn results(
+        self: &Rc<Hub>,
+        job: Name,
+        after: u32,
+        wait_ms: u64,
+    ) -> message::Reply {
+        let until = tokio::time::Instant::now() + time::Duration::from_millis(wait_ms);
+        loop {
+            let changed = Rc::clone(self.changed.borrow_mut().entry(job.clone()).or_default());
+            let news = changed.notified();
+            let read = replica::Read::Page {
+                job: job.clone(),
+                after,
+            };
+            let page = match self.read(read).await {
+                Ok(replica::Answer::Page(page)) => page,
+                other => return refusal(other.err()),
+            };
+            let waits = page
+                .as_ref()
+                .is_some_and(|page| page.results.is_empty() && after < page.total);
+            if !waits || tokio::time::timeout_at(until, news).await.is_err() {
+                return message::Reply::Page(page);
+            }
+        }
+    }
+
+    /// Wakes the callers that wait for results of a job.
+    pub(crate) fn job_changed(&self, job: &str) {
+        if let Some(changed) = self.changed.borrow_mut().remove(job) {
+            changed.notify_waiters();
+        }
+    }
+
+    pub(super) async fn body(&self, job: Name, item: Name) -> message::Reply {
+        match self.read(replica::Read::Body { job, item }).await {
+            Ok(replica::Answer::Body(body)) => message::Reply::Body(body),
+            other => refusal(other.err()),
+        }
+    }
+
+    pub(super) async fn end(&self, job: Name) -> message::Reply {
+        let result = self
+            .propose(ledger::Command::End { job: job.clone() })
+            .await;
+        match result {
+            Ok(ledger::Applied::Done) => {
+                let running = self.dispatch.borrow_mut().remove(&job);
+                log::info!(job = &*job, running = running.len(); "job ended by its caller");
+                for key in running {
+                    self.runs.borrow().stop(&key);
+                }
+                self.job_changed(&job);
+                message::Reply::Done
+            }
+            Ok(ledger::Applied::Superseded) => message::Reply::Unknown,
+            Err(error) => refusal(Some(error)),
+        }
+    }
+
+    /// Empties a worker VM. Workers keep no data, so there is nothing to move.
+    pub(super) async fn evacuate(&self, node: Name) -> message::Reply {
+        if !self.sessions.borrow().has_worker(&node) {
+            // Workers need a moment to find a new leader.
+            let new = clock::steady_ms() < self.led_ms.get() + SETTLE_MS;
+            return match new {
+                true => message::Reply::NotLeader,
+                false => message::Reply::Unknown,
+            };
+        }
+        log::info!(node = &*node; "worker VM is to be emptied");
+        match self.propose(ledger::Command::Evacuate { node }).await {
+            Ok(_) => message::Reply::Done,
+            Err(error) => refusal(Some(error)),
+        }
+    }
+
+    pub(super) async fn evacuated(&self, node: Name) -> message::Reply {
+        match self.read(replica::Read::Evacuated(node)).await {
+            Ok(replica::Answer::Evacuated(true)) => message::Reply::Empty,
+            Ok(_) => message::Reply::Unknown,
+            Err(error) => refusal(Some(error)),
+        }
+    }
+
+    pub(super) fn sweep(self: &Rc<Hub>) {
+        let now_ms = clock::steady_ms();
+        if now_ms < self.swept_ms.get() + SWEEP_MS {
+            return;
+        }
+        self.swept_ms.set(now_ms);
+        self.pool.sweep();
+        let before_ms = clock::unix_ms().saturating_sub(self.settings().retention_ms);
+        let (reply, _) = oneshot::channel();
+        let command = ledger::Command::Sweep { before_ms };
+        self.tell(replica::Call::Propose { command, reply });
+    }
+}
--- a/programs/gateway/src/control/hub.rs
+++ b/programs/gateway/src/control/hub/mod.rs
@@ -1,6 +1,9 @@
 //! The network thread's state: the registry of backend servers, the sessions
 //! of entry VMs, and the batch dispatch while this replica leads.
 
+mod backends;
+mod jobs;
+
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
@@ -25,13 +28,6 @@
 /// Ticks without a change after which an empty update is sent, which shows
 /// that the leader is alive.
 const QUIET_TICKS: u32 = 8;
-/// Announcements that a backend server may miss before it counts as silent.
-/// One may arrive seconds late.
-const SILENT_ANNOUNCEMENTS: u64 = 5;
-/// Interval between sweeps of closed jobs, in milliseconds.
-const SWEEP_MS: u64 = 10_000;
-/// Time in which workers find a new leader, in milliseconds.
-const SETTLE_MS: u64 = 4_000;
 /// Time limit of a call that is passed on to the leader. Operators and backend
 /// servers wait one second.
 const CALL: time::Duration = time::Duration::from_millis(900);
@@ -143,9 +139,6 @@
     /// Returns when a replica was heard from last. One that was never heard
     /// from counts from the time that this replica began to lead.
     pub(crate) fn heard_ms(&self, replica: ReplicaId) -> u64 {
-        if Some(replica) == self.own.get() {
-            return u64::MAX - members_margin();
-        }
         self.heard.borrow().get(&replica).copied().unwrap_or(0)
     }
 
@@ -198,52 +191,6 @@
         }
     }
 
-    /// Takes the online requests of one entry VM. Items give way at once, not
-    /// only when the next plan is due.
-    pub(crate) fn set_loads(self: &Rc<Hub>, session: u64, loads: Vec<message::Usage>) {
-        if let Some(node) = self.sessions.borrow().node(session) {
-            for usage in &loads {
-                self.note_results(&usage.id, &node, usage.succeeded, usage.failed);
-            }
-        }
-        self.sessions.borrow_mut().set_loads(session, loads);
-        let running = self.dispatch.borrow().running();
-        let servers = self.servers();
-        let crowded = servers.iter().any(|server| {
-            let batch = running.get(&server.id).copied().unwrap_or(0);
-            batch > 0 && server.online + batch > server.slots
-        });
-        if crowded {
-            runner::plan(self);
-        }
-    }
-
-    /// Takes results of requests at a backend server.
-    pub(crate) fn note_results(&self, id: &Name, entry: &Name, succeeded: u32, failed: u32) {
-        if succeeded + failed == 0 {
-            return;
-        }
-        let now_ms = clock::steady_ms();
-        let mut health = self.health.borrow_mut();
-        if health.note(id, entry, succeeded, failed, now_ms) {
-            log::warn!(backend = &**id; "backend server fails its requests and is held");
-        }
-    }
-
-    /// Passes news about a suspect on to all entry VMs.
-    pub(crate) fn strike(&self, strike: suspect::Strike) {
-        if !self.suspects.borrow_mut().merge(strike) {
-            return;
-        }
-        log::warn!(fingerprint = strike.fingerprint.0, strikes = strike.count; "suspect changed");
-        let update = message::Update {
-            suspects: vec![strike],
-            ..message::Update::default()
-        };
-        let frame = message::Frame::Update(update);
-        self.sessions.borrow_mut().broadcast(&frame);
-    }
-
     pub(crate) fn close_session(&self, session: u64) {
         self.sessions.borrow_mut().remove(session);
     }
@@ -290,92 +237,6 @@
         }
     }
 
-    async fn announce(&self, announcement: registry::Announcement) -> message::Reply {
-        let leaving = announcement.state == registry::State::Leaving;
-        let id = announcement.id.clone();
-        let outcome = self
-            .registry
-            .borrow_mut()
-            .announce(announcement, clock::steady_ms());
-        if outcome == registry::Outcome::Stale {
-            return message::Reply::Stale;
-        }
-        if outcome == registry::Outcome::Changed {
-            self.tell_backend(&id);
-        }
-        match (leaving, outcome) {
-            (true, _) => self.note(&id).await,
-            (false, registry::Outcome::Changed) => {
-                // It announces itself again, so nobody waits for the log.
-                let (reply, _) = oneshot::channel();
-                if let Some(command) = self.note_command(&id) {
-                    self.tell(replica::Call::Propose { command, reply });
-                }
-                message::Reply::Done
-            }
-            (false, _) => message::Reply::Done,
-        }
-    }
-
-    async fn leave(&self, id: &str, born_ms: u64) -> message::Reply {
-        let left = self.registry.borrow_mut().leave(id, born_ms);
-        if let Some(announcement) = left {
-            self.tell_backend(&announcement.id);
-        }
-        self.note(id).await
-    }
-
-    /// Makes the state of a backend server durable. One that is told that its
-    /// leaving is known gets no new work, also from the next leader.
-    async fn note(&self, id: &str) -> message::Reply {
-        let Some(command) = self.note_command(id) else {
-            // An unknown one has nothing that could be forgotten.
-            return message::Reply::Done;
-        };
-        match self.propose(command).await {
-            Ok(_) => message::Reply::Done,
-            Err(error) => refusal(Some(error)),
-        }
-    }
-
-    fn note_command(&self, id: &str) -> Option<ledger::Command> {
-        let registry = self.registry.borrow();
-        let announcement = registry.get(id)?.announcement.clone();
-        let now_ms = clock::unix_ms();
-        Some(ledger::Command::Note {
-            announcement,
-            now_ms,
-        })
-    }
-
-    fn tell_backend(&self, id: &str) {
-        let registry = self.registry.borrow();
-        // An announcement can also take the address of another entry over.
-        let address = registry
-            .get(id)
-            .map(|backend| backend.announcement.address.clone());
-        let at_address =
-            |backend: &&registry::Backend| Some(&backend.announcement.address) == address.as_ref();
-        let changed = registry.backends().filter(at_address);
-        let backends: Vec<_> = changed
-            .map(|backend| backend.announcement.clone())
-            .collect();
-        for known in &backends {
-            log::info!(
-                backend = &*known.id, address = &*known.address, state = known.state.to_string().as_str(),
-                sequence = known.sequence;
-                "backend server changed"
-            );
-        }
-        let update = message::Update {
-            backends,
-            ..message::Update::default()
-        };
-        self.sessions
-            .borrow_mut()
-            .broadcast(&message::Frame::Update(update));
-    }
-
     async fn publish(&self, published: ledger::Published) -> message::Reply {
         let version = published.config.version;
         let published = Arc::new(published);
@@ -409,94 +270,6 @@
         *current = Some(Arc::clone(published));
     }
 
-    async fn submit(&self, job: ledger::NewJob) -> message::Reply {
-        let command = ledger::Command::Submit(Box::new(job));
-        match self.propose(command).await {
-            Ok(_) => message::Reply::Done,
-            Err(error) => refusal(Some(error)),
-        }
-    }
-
-    async fn results(self: &Rc<Hub>, job: Name, after: u32, wait_ms: u64) -> message::Reply {
-        let until = tokio::time::Instant::now() + time::Duration::from_millis(wait_ms);
-        loop {
-            let changed = Rc::clone(self.changed.borrow_mut().entry(job.clone()).or_default());
-            let news = changed.notified();
-            let read = replica::Read::Page {
-                job: job.clone(),
-                after,
-            };
-            let page = match self.read(read).await {
-                Ok(replica::Answer::Page(page)) => page,
-                other => return refusal(other.err()),
-            };
-            let waits = page
-                .as_ref()
-                .is_some_and(|page| page.results.is_empty() && after < page.total);
-            if !waits || tokio::time::timeout_at(until, news).await.is_err() {
-                return message::Reply::Page(page);
-            }
-        }
-    }
-
-    /// Wakes the callers that wait for results of a job.
-    pub(crate) fn job_changed(&self, job: &str) {
-        if let Some(changed) = self.changed.borrow_mut().remove(job) {
-            changed.notify_waiters();
-        }
-    }
-
-    async fn body(&self, job: Name, item: Name) -> message::Reply {
-        match self.read(replica::Read::Body { job, item }).await {
-            Ok(replica::Answer::Body(body)) => message::Reply::Body(body),
-            other => refusal(other.err()),
-        }
-    }
-
-    async fn end(&self, job: Name) -> message::Reply {
-        let result = self
-            .propose(ledger::Command::End { job: job.clone() })
-            .await;
-        match result {
-            Ok(ledger::Applied::Done) => {
-                let running = self.dispatch.borrow_mut().remove(&job);
-                log::info!(job = &*job, running = running.len(); "job ended by its caller");
-                for key in running {
-                    self.runs.borrow().stop(&key);
-                }
-                self.job_changed(&job);
-                message::Reply::Done
-            }
-            Ok(ledger::Applied::Superseded) => message::Reply::Unknown,
-            Err(error) => refusal(Some(error)),
-        }
-    }
-
-    /// Empties a worker VM. Workers keep no data, so there is nothing to move.
-    async fn evacuate(&self, node: Name) -> message::Reply {
-        if !self.sessions.borrow().has_worker(&node) {
-            // Workers need a moment to find a new leader.
-            let new = clock::steady_ms() < self.led_ms.get() + SETTLE_MS;
-            return match new {
-                true => message::Reply::NotLeader,
-                false => message::Reply::Unknown,
-            };
-        }
-        log::info!(node = &*node; "worker VM is to be emptied");
-        match self.propose(ledger::Command::Evacuate { node }).await {
-            Ok(_) => message::Reply::Done,
-            Err(error) => refusal(Some(error)),
-        }
-    }
-
-    async fn evacuated(&self, node: Name) -> message::Reply {
-        match self.read(replica::Read::Evacuated(node)).await {
-            Ok(replica::Answer::Evacuated(true)) => message::Reply::Empty,
-            Ok(_) => message::Reply::Unknown,
-            Err(error) => refusal(Some(error)),
-        }
-    }
-
     pub(crate) async fn propose(
         &self,
         command: ledger::Command,
@@ -514,51 +287,6 @@
         answer.await.unwrap_or(Err(host::Refusal::Stopped))
     }
 
-    /// Returns the load of all backend servers that have any.
-    fn loads(&self) -> Vec<message::Load> {
-        let online = self.sessions.borrow().online();
-        let mut batch = self.dispatch.borrow().running();
-        let registry = self.registry.borrow();
-        let ids = registry
-            .backends()
-            .map(|backend| backend.announcement.id.clone());
-        let health = self.health.borrow();
-        let now_ms = clock::steady_ms();
-        let loads = ids.map(|id| message::Load {
-            held: health.is_held(&id, now_ms),
-            online: online.get(&id).copied().unwrap_or(0),
-            batch: batch.remove(&id).unwrap_or(0),
-            id,
-        });
-        loads
-            .filter(|load| load.held || load.online + load.batch > 0)
-            .collect()
-    }
-
-    /// Returns the backend servers that may run items.
-    pub(crate) fn servers(&self) -> Vec<dispatch::Server> {
-        let online = self.sessions.borrow().online();
-        let registry = self.registry.borrow();
-        let health = self.health.borrow();
-        let now_ms = clock::steady_ms();
-        let ready = registry.backends().filter(|backend| {
-            let known = &backend.announcement;
-            known.state == registry::State::Ready && !health.is_held(&known.id, now_ms)
-        });
-        ready
-            .map(|backend| {
-                let known = &backend.announcement;
-                dispatch::Server {
-                    id: known.id.clone(),
-                    address: known.address.clone(),
-                    service: known.service.clone(),
-                    slots: known.slots,
-                    online: online.get(&known.id).copied().unwrap_or(0),
-                }
-            })
-            .collect()
-    }
-
     fn follow(&self, leader: Option<ReplicaId>) {
         self.leader.set(leader);
         if self.leads.take().is_some() {
@@ -610,11 +338,6 @@
     }
 }
 
-/// Keeps the silence of this replica itself from ever being long.
-fn members_margin() -> u64 {
-    1 << 32
-}
-
 /// Translates a refusal of the log.
 fn refusal(refusal: Option<host::Refusal>) -> message::Reply {
     match refusal {
@@ -708,27 +431,3 @@
         metrics::OPEN_ITEMS.with_label_values(&labels).set(open);
     }
 }
-
-impl Hub {
-    fn expire(&self) {
-        let silent_ms = self.settings().announce_ms * SILENT_ANNOUNCEMENTS;
-        let now_ms = clock::steady_ms();
-        let silent = self.registry.borrow_mut().expire(now_ms, silent_ms);
-        for announcement in silent {
-            self.tell_backend(&announcement.id);
-        }
-    }
-
-    fn sweep(self: &Rc<Hub>) {
-        let now_ms = clock::steady_ms();
-        if now_ms < self.swept_ms.get() + SWEEP_MS {
-            return;
-        }
-        self.swept_ms.set(now_ms);
-        self.pool.sweep();
-        let before_ms = clock::unix_ms().saturating_sub(self.settings().retention_ms);
-        let (reply, _) = oneshot::channel();
-        let command = ledger::Command::Sweep { before_ms };
-        self.tell(replica::Call::Propose { command, reply });
-    }
-}
--- a/programs/gateway/src/control/members.rs
+++ b/programs/gateway/src/control/members.rs
@@ -91,9 +91,10 @@
 
 fn silent(hub: &Hub, members: &[member::Member]) -> Option<ReplicaId> {
     let now_ms = clock::steady_ms();
-    let silent = members
+    let others = members
         .iter()
-        .map(|member| (hub.heard_ms(member.replica), member.replica));
+        .filter(|member| Some(member.replica) != hub.own_replica());
+    let silent = others.map(|member| (hub.heard_ms(member.replica), member.replica));
     let silent = silent.filter(|(heard, _)| now_ms > heard + SILENT_MS);
     silent.min().map(|(_, replica)| replica)
 }
--- a/programs/gateway/src/control/mod.rs
+++ b/programs/gateway/src/control/mod.rs
@@ -18,7 +18,7 @@
 use bw_relay::message;
 use tokio::{sync::mpsc, task};
 
-use crate::{dialect, link, settings, socket};
+use crate::{dialect, link, local, settings, socket};
 
 /// How long a stop waits for another replica to take the lead.
 const TRANSFER: time::Duration = time::Duration::from_millis(1_500);
@@ -33,22 +33,18 @@
     dialect: Arc<dyn dialect::Dialect>,
     seeds: link::Seeds,
 ) -> anyhow::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
     let (notices, notice_queue) = mpsc::unbounded_channel();
     let (calls, call_queue) = std::sync::mpsc::channel();
     let replica = replica::Replica::new(&settings, notices)?;
     let control = thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || replica.run(&call_queue))?;
-    let local = task::LocalSet::new();
     let parts = hub::Parts {
         settings,
         dialect,
         calls: calls.clone(),
     };
-    let result = local.block_on(&runtime, serve(parts, seeds, notice_queue));
+    let result = local::run(serve(parts, seeds, notice_queue));
     // The thread may have ended by itself after a failure of the disk.
     let _ = calls.send(replica::Call::Stop);
     if control.join().is_err() {
--- a/programs/gateway/src/dialect.rs
+++ b/programs/gateway/src/dialect.rs
@@ -1,6 +1,6 @@
 //! What differs between surroundings: names of headers and the form of calls.
 
-use bw_relay::{ledger, message, registry, route};
+use bw_relay::{ledger, message, route};
 use bw_wire::name::Name;
 use hyper::{StatusCode, header::HeaderName};
 
@@ -60,28 +60,6 @@
     },
 }
 
-/// An operator's or a backend server's call.
-#[derive(Clone, Debug)]
-pub enum ControlCall {
-    /// A backend server announces itself.
-    Announce(registry::Announcement),
-    /// A backend server goes.
-    Leave {
-        /// Its id.
-        id: Name,
-        /// When it started; 0 if unknown.
-        born_ms: u64,
-    },
-    /// An operator publishes a configuration.
-    Publish(Box<ledger::Published>),
-    /// An operator reads the configuration in force.
-    ReadConfig,
-    /// An operator wants a worker VM to be emptied.
-    Evacuate(Name),
-    /// An operator asks whether a worker VM is empty.
-    Evacuated(Name),
-}
-
 /// Why a call is refused before anything is done.
 #[derive(Clone, Debug)]
 pub struct Refused {
@@ -128,7 +106,7 @@
     /// Encodes a page of results that begins at a position.
     fn page(&self, page: &ledger::Page, after: u32) -> Vec<u8>;
 
-    /// Decodes a call to the control program.
+    /// Decodes a call of an operator or a backend server.
     ///
     /// # Errors
     ///
@@ -138,7 +116,7 @@
         method: &hyper::Method,
         path: &str,
         body: &[u8],
-    ) -> Result<ControlCall, Refused>;
+    ) -> Result<message::Request, Refused>;
 
     /// Encodes the answer to a call to the control program; `leader` is the
     /// address at which the leader serves such calls, if known.
--- a/programs/gateway/src/edge/mod.rs
+++ b/programs/gateway/src/edge/mod.rs
@@ -15,7 +15,7 @@
 use bw_relay::message;
 use tokio::{sync::mpsc, task};
 
-use crate::{clock, dialect, link, settings, socket, upstream};
+use crate::{clock, dialect, link, local, settings, socket, upstream};
 
 use state::State;
 
@@ -46,11 +46,7 @@
     dialect: Arc<dyn dialect::Dialect>,
     seeds: link::Seeds,
 ) -> anyhow::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    let local = task::LocalSet::new();
-    local.block_on(&runtime, serve(settings, dialect, seeds))
+    local::run(serve(settings, dialect, seeds))
 }
 
 async fn serve(
--- a/programs/gateway/src/lib.rs
+++ b/programs/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod dialect;
 pub mod edge;
 pub mod link;
+mod local;
 pub mod metrics;
 pub mod settings;
 pub mod socket;
--- a/programs/gateway/src/worker.rs
+++ b/programs/gateway/src/worker.rs
@@ -7,7 +7,7 @@
 use bw_relay::message;
 use tokio::{sync::mpsc, task};
 
-use crate::{dialect, link, settings};
+use crate::{dialect, link, local, settings};
 
 /// Runs the worker program until a stop signal.
 ///
@@ -19,11 +19,7 @@
     _dialect: Arc<dyn dialect::Dialect>,
     seeds: link::Seeds,
 ) -> anyhow::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    let local = task::LocalSet::new();
-    local.block_on(&runtime, serve(settings, seeds))
+    local::run(serve(settings, seeds))
 }
 
 async fn serve(settings: settings::Settings, seeds: link::Seeds) -> anyhow::Result<()> {
