Correct four comments of the gateway

The dropped-frames metric was described as dropped log lines, elections take 0.5 to 1 s since their timeout was lowered, and the settings serve three programs.

--- a/programs/gateway/src/edge/jobs.rs
+++ b/programs/gateway/src/edge/jobs.rs
@@ -16,8 +16,8 @@
 
 /// Longest wait for results, in milliseconds.
 const WAIT_MAX_MS: u64 = 1_000;
-/// Time for a call beside what the caller lets it wait. An election takes one to
-/// two seconds; callers wait a second and a half longer than they say.
+/// Time for a call beside what the caller lets it wait. An election takes up to
+/// a second; callers wait a second and a half longer than they say.
 const CALL: time::Duration = time::Duration::from_millis(1_400);
 /// Time for a submission if the caller does not say how long it waits.
 const SUBMIT_MS: u64 = 4_000;
@@ -26,7 +26,7 @@
 /// Pause before a submission is sent to the next leader.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(100);
 /// When a caller should come back after a call that no leader took, in
-/// milliseconds: elections take one to two seconds.
+/// milliseconds: elections take up to a second.
 const RETRY_MS: u64 = 700;
 
 /// Accepts a job: the leader answers once the job is durable.
--- a/programs/gateway/src/edge/state.rs
+++ b/programs/gateway/src/edge/state.rs
@@ -15,7 +15,7 @@
 /// Interval between sweeps of idle connections, in milliseconds.
 const SWEEP_MS: u64 = 1_000;
 /// Time without a connection to the leader after which this VM asks for no new
-/// callers, in milliseconds. Elections take one to two seconds; a VM that is
+/// callers, in milliseconds. Elections take up to a second; a VM that is
 /// cut off for longer may act on an old configuration.
 const STALE_MS: u64 = 8_000;
 
--- a/programs/gateway/src/metrics.rs
+++ b/programs/gateway/src/metrics.rs
@@ -73,7 +73,7 @@
     )
 });
 
-/// Log lines that were dropped because the writer was behind.
+/// Frames between our processes that were dropped, by reason.
 pub static FRAMES_DROPPED: LazyLock<prometheus::IntCounterVec> = LazyLock::new(|| {
     metrics::counter(
         "bw_gateway_frames_dropped_total",
--- a/programs/gateway/src/settings.rs
+++ b/programs/gateway/src/settings.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 use tokio::signal::unix;
 
-/// Settings of both programs.
+/// Settings of the entry, control and worker programs.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Settings {
     /// The name of this VM.
