Repeat pre-votes every few heartbeats until voters are free

Cause: after a loss of all power the replicas come back within half a second of each other.

A pre-vote changes nothing at the voters, so it is repeated after 1 to 3 heartbeat intervals. A voter that grants one puts its own campaign off, which keeps candidates apart.

--- a/crates/coord/src/node/election.rs
+++ b/crates/coord/src/node/election.rs
@@ -13,7 +13,10 @@
     pub(super) fn start_campaign(&mut self, kind: Vote) {
         self.role = Role::Candidate;
         self.leader = None;
-        self.reset_election_timer();
+        match kind {
+            Vote::Pre => self.reset_pre_vote_timer(),
+            Vote::Real | Vote::Transfer => self.reset_election_timer(),
+        }
         if kind != Vote::Pre {
             self.term += 1;
             self.vote = Some(self.id);
@@ -96,6 +99,9 @@
         }));
         if granted {
             message.term = term;
+            // The other candidate is ahead; campaigning beside it would split
+            // the votes.
+            self.defer_election();
         }
         self.out.late.push((from, message));
     }
--- a/crates/coord/src/node/mod.rs
+++ b/crates/coord/src/node/mod.rs
@@ -23,6 +23,10 @@
 
 pub(crate) use log::Log;
 
+/// Heartbeat intervals in which a pre-vote is asked for again at the latest. The
+/// spread keeps candidates apart that come back at the same time.
+const PRE_VOTE_INTERVALS: u64 = 3;
+
 /// The part that a replica plays in its group.
 #[derive(
     Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize, strum::Display, strum::IntoStaticStr,
@@ -233,7 +237,9 @@
         // The replica may have answered a leader just before it restarted, and
         // that leader's lease counts on it.
         self.quiet_until_ms = now_ms + self.options.election_timeout_ms;
-        self.reset_election_timer();
+        // The others are about as ready to vote as this replica.
+        self.reset_pre_vote_timer();
+        self.election_due_ms += self.options.election_timeout_ms;
     }
 
     /// Runs the timers.
@@ -361,4 +367,25 @@
         let delay = self.rng.random_range(smallest..=smallest + timeout);
         self.election_due_ms = self.now_ms + delay;
     }
+
+    /// Draws the time at which a pre-vote is asked for again. A pre-vote changes
+    /// nothing at the voters, and they refuse only as long as a leader may hold a
+    /// lease, so it is repeated much sooner than a real campaign.
+    fn reset_pre_vote_timer(&mut self) {
+        let interval = self.options.heartbeat_interval_ms;
+        let delay = self
+            .rng
+            .random_range(interval..=PRE_VOTE_INTERVALS * interval);
+        self.election_due_ms = self.now_ms + delay;
+    }
+
+    /// Puts a due campaign off by some heartbeat intervals, the time in which
+    /// another candidate collects its votes.
+    fn defer_election(&mut self) {
+        let interval = self.options.heartbeat_interval_ms;
+        let delay = self
+            .rng
+            .random_range(PRE_VOTE_INTERVALS * interval..=2 * PRE_VOTE_INTERVALS * interval);
+        self.election_due_ms = self.election_due_ms.max(self.now_ms + delay);
+    }
 }
--- a/crates/coord/tests/failures.rs
+++ b/crates/coord/tests/failures.rs
@@ -749,3 +749,28 @@
 fn malformed_message_is_refused(#[case] bytes: &[u8]) {
     assert!(message::decode(bytes).is_err());
 }
+
+/// Guards against replicas that came back first asking for votes once, while
+/// those that came back later still refuse, and then waiting for a whole election
+/// timeout: after a loss of all power callers wait for the leader.
+#[rstest]
+fn group_has_a_leader_soon_after_a_staggered_restart(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12)] seed: u64,
+) {
+    const STAGGER_MS: u64 = ELECTION_TIMEOUT_MS / 5;
+    let mut cluster = cluster(5, seed);
+    cluster.await_leader(FIRST);
+    for id in 1..=5 {
+        cluster.crash(id, Loss::All);
+    }
+    for id in 1..=5 {
+        cluster.start(id).expect("a torn tail is no damage");
+        cluster.run(STAGGER_MS);
+    }
+    // A restarted replica refuses votes for one election timeout. Three of the
+    // five are free when that has passed for the third.
+    let majority_free = ELECTION_TIMEOUT_MS - 3 * STAGGER_MS;
+    let election = ELECTION_TIMEOUT_MS / 2;
+    cluster.run(majority_free + election);
+    assert!(cluster.leader(FIRST).is_some());
+}
