Watch all control replicas and follow the leader of the latest term

Cause: a process kept one connection, to the leader, and looked for another leader only after 1.5 s of silence.

A process now holds a connection to each control replica. The connection of a watcher becomes the session, so that a new leader need not be connected to first. The dead arm for a second welcome goes.

--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -162,10 +162,10 @@
         /// What it does.
         role: Role,
     },
-    /// The answer to `Hello`, and a later change of it.
+    /// The answer to `Hello`, sent again whenever it changes.
     Welcome {
-        /// Whether the receiver of `Hello` leads.
-        leads: bool,
+        /// The term in which the sender leads, if it does.
+        term: Option<u64>,
         /// Internal addresses of control replicas, the leader's first if known.
         replicas: Vec<Name>,
     },
--- a/programs/gateway/src/control/hub/mod.rs
+++ b/programs/gateway/src/control/hub/mod.rs
@@ -15,7 +15,7 @@
 use bw_coord::{ReplicaId, host, member};
 use bw_relay::{dispatch, health, ledger, message, registry, route, suspect};
 use bw_wire::name::Name;
-use tokio::sync::{Notify, mpsc as async_mpsc, oneshot};
+use tokio::sync::{Notify, mpsc as async_mpsc, oneshot, watch};
 
 use crate::{
     clock,
@@ -48,6 +48,8 @@
     peers: RefCell<peers::Peers>,
     registry: RefCell<registry::Registry>,
     leads: Cell<Option<u64>>,
+    /// Changes whenever the answer to [`Hub::welcome`] may have changed.
+    standing: watch::Sender<()>,
     leader: Cell<Option<ReplicaId>>,
     own: Cell<Option<ReplicaId>>,
     members: RefCell<Vec<member::Member>>,
@@ -76,6 +78,7 @@
             peers: RefCell::new(peers),
             registry: RefCell::default(),
             leads: Cell::new(None),
+            standing: watch::Sender::new(()),
             leader: Cell::new(None),
             own: Cell::new(None),
             members: RefCell::default(),
@@ -113,6 +116,19 @@
         self.leads.get()
     }
 
+    /// Returns what tells of changes of this replica's part in the group.
+    pub(crate) fn standing(&self) -> watch::Receiver<()> {
+        self.standing.subscribe()
+    }
+
+    /// Returns the answer to another process that connects.
+    pub(crate) fn welcome(&self) -> message::Frame {
+        message::Frame::Welcome {
+            term: self.term(),
+            replicas: self.addresses(),
+        }
+    }
+
     pub(crate) fn follows(&self) -> bool {
         self.leader.get().is_some()
     }
@@ -319,6 +335,15 @@
         }
         self.led_ms.set(now_ms);
         self.leads.set(Some(leading.term));
+        self.standing.send_replace(());
+    }
+
+    /// Tells watchers and sessions of a change of the members.
+    fn tell_members(&self) {
+        self.standing.send_replace(());
+        if self.leads() {
+            self.sessions.borrow_mut().broadcast(&self.welcome());
+        }
     }
 
     /// Gives leadership away before a stop.
@@ -367,6 +392,7 @@
                         .or_insert(now_ms);
                 }
                 *hub.members.borrow_mut() = members;
+                hub.tell_members();
             }
             replica::Notice::Following { leader } => hub.follow(leader),
             replica::Notice::Leading(leading) => hub.lead(*leading),
--- a/programs/gateway/src/control/sessions.rs
+++ b/programs/gateway/src/control/sessions.rs
@@ -143,17 +143,36 @@
     }
 }
 
+/// Serves another process. Until this replica leads, the process only watches
+/// whether it does; it then becomes a session on the same connection.
 async fn serve(
     hub: &Rc<Hub>,
     (node, role): (Name, message::Role),
     mut reader: socket::Reader,
     mut writer: socket::Writer,
 ) {
-    let leads = hub.leads();
-    let replicas = hub.addresses();
-    let welcome = message::Frame::Welcome { leads, replicas };
-    if writer.write(&message::encode(&welcome)).await.is_err() || !leads {
-        return;
+    let mut standing = hub.standing();
+    loop {
+        standing.mark_unchanged();
+        if writer
+            .write(&message::encode(&hub.welcome()))
+            .await
+            .is_err()
+        {
+            return;
+        }
+        if hub.leads() {
+            break;
+        }
+        tokio::select! {
+            changed = standing.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+            // A watcher sends nothing, so the connection has ended.
+            _ = reader.next() => return,
+        }
     }
     let (queue, mut frames) = mpsc::channel::<Shared>(QUEUE);
     let first = message::encode(&message::Frame::Update(hub.full_update()));
--- a/programs/gateway/src/link.rs
+++ b/programs/gateway/src/link.rs
@@ -1,14 +1,25 @@
-//! The connection of a process to the leader.
+//! The connections of a process to the control replicas.
 //!
-//! One task finds the leader from the seeds, keeps a connection to it, hands
-//! its news on and carries calls. Calls wait for a connection until their own
-//! time limit.
+//! A process is connected to every control replica that it knows. Each replica
+//! says at once when it begins to lead, so that a new leader is used as soon as
+//! it is elected, also while the old one is frozen and its connection looks
+//! healthy. The leader's connection carries news and calls; calls wait for a
+//! leader until their own time limit.
 
-use std::{cell::RefCell, collections::HashMap, net, rc::Rc, time};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet, HashMap},
+    net,
+    rc::Rc,
+    time,
+};
 
 use bw_relay::message;
 use bw_wire::name::Name;
-use tokio::sync::{mpsc, oneshot};
+use tokio::{
+    sync::{mpsc, oneshot},
+    task,
+};
 
 use crate::socket;
 
@@ -16,15 +27,19 @@
 const CONNECT: time::Duration = time::Duration::from_millis(500);
 /// Longest silence of the leader, which sends something twice a second.
 const SILENCE: time::Duration = time::Duration::from_millis(1_500);
-/// Pause after all known control replicas were tried.
-const ROUND_PAUSE: time::Duration = time::Duration::from_millis(100);
+/// First pause before a replica is connected to again; doubles with each failure.
+const PAUSE: time::Duration = time::Duration::from_millis(100);
+/// Longest such pause. A replica that comes back is found within this time.
+const PAUSE_MAX: time::Duration = time::Duration::from_millis(500);
+/// How often seeds are read again while there is no leader.
+const SEEDS: time::Duration = time::Duration::from_millis(500);
 /// Frames that may wait to be written to the leader.
 const QUEUE: usize = 256;
 
 /// What the link tells its owner.
 #[derive(Debug)]
 pub enum News {
-    /// A leader was found; its first update is complete.
+    /// A leader was found.
     Connected,
     /// The leader was lost.
     Disconnected,
@@ -34,15 +49,59 @@
 
 type Pending = HashMap<u64, oneshot::Sender<message::Reply>>;
 
+/// The replica that leads.
+struct Leader {
+    term: u64,
+    address: net::SocketAddr,
+    writer: mpsc::Sender<Vec<u8>>,
+}
+
 struct Shared {
     next_ticket: u64,
     pending: Pending,
-    writer: Option<mpsc::Sender<Vec<u8>>>,
-    leader: Option<net::SocketAddr>,
+    leader: Option<Leader>,
     connected: Rc<tokio::sync::Notify>,
+    news: mpsc::UnboundedSender<News>,
+}
+
+impl Shared {
+    /// Takes a replica as the leader unless a later term's is known.
+    fn claim(&mut self, leader: Leader) -> bool {
+        let known = self.leader.as_ref().map(|known| known.term);
+        if known.is_some_and(|known| known >= leader.term) {
+            return false;
+        }
+        log::info!(leader = leader.address.to_string().as_str(), term = leader.term; "connected to the leader");
+        // What the former leader was asked may still have its effect.
+        self.pending.clear();
+        self.leader = Some(leader);
+        self.connected.notify_waiters();
+        self.tell(News::Connected);
+        true
+    }
+
+    /// Forgets the leader of a term if it is still the known one.
+    fn lose(&mut self, term: u64) {
+        let Some(leader) = self.leader.take_if(|leader| leader.term == term) else {
+            return;
+        };
+        log::warn!(leader = leader.address.to_string().as_str(), term = term; "lost the leader");
+        self.pending.clear();
+        self.tell(News::Disconnected);
+    }
+
+    fn leads(&self, term: u64) -> bool {
+        let leader = self.leader.as_ref();
+        leader.is_some_and(|leader| leader.term == term)
+    }
+
+    fn tell(&self, news: News) {
+        // The owner ends with the process, so nobody misses the news.
+        let _ = self.news.send(news);
+    }
 }
 
-/// A handle to the link; clones share one connection.
+/// A handle to the link; clones share its connections.
 #[derive(Clone)]
 pub struct Link {
     shared: Rc<RefCell<Shared>>,
@@ -53,7 +112,7 @@
 
 impl Link {
     /// Creates a link and the future that drives it. `seeds` is asked again
-    /// whenever the leader must be found, as settings may have changed.
+    /// while there is no leader, as settings may have changed.
     pub fn new(
         node: Name,
         role: message::Role,
@@ -64,33 +123,36 @@
             shared: Rc::new(RefCell::new(Shared {
                 next_ticket: 0,
                 pending: HashMap::new(),
-                writer: None,
                 leader: None,
                 connected: Rc::default(),
+                news,
             })),
         };
-        let task = Task {
+        let hello = message::Frame::Hello { node, role };
+        let supervisor = Supervisor {
             link: link.clone(),
-            node,
-            role,
+            hello: message::encode(&hello).into(),
             seeds,
-            news,
-            known: Vec::new(),
+            members: BTreeSet::new(),
+            watched: BTreeMap::new(),
+            watches: task::JoinSet::new(),
         };
-        (link, task.run())
+        (link, supervisor.run())
     }
 
     /// Returns the internal address of the leader while connected.
     pub fn leader(&self) -> Option<net::SocketAddr> {
-        self.shared.borrow().leader
+        let shared = self.shared.borrow();
+        shared.leader.as_ref().map(|leader| leader.address)
     }
 
     /// Sends a frame that needs no answer; it is dropped while there is no
-    /// connection or the queue is full, as later ones replace it.
+    /// leader or the queue is full, as later ones replace it.
     pub fn notify(&self, frame: &message::Frame) {
-        let writer = self.shared.borrow().writer.clone();
-        let full = writer.is_some_and(|writer| writer.try_send(message::encode(frame)).is_err());
-        if full {
+        let Some(writer) = self.writer() else {
+            return;
+        };
+        if writer.try_send(message::encode(frame)).is_err() {
             crate::metrics::FRAMES_DROPPED
                 .with_label_values(&["leader_queue"])
                 .inc();
@@ -98,10 +160,10 @@
     }
 
     /// Calls the leader. `Lost` means that the call may have had its effect,
-    /// `NotLeader` that no connection was there in time.
+    /// `NotLeader` that no leader was there in time.
     pub async fn call(&self, request: message::Request, limit: time::Duration) -> message::Reply {
         let deadline = tokio::time::Instant::now() + limit;
-        let Some(writer) = self.writer(deadline).await else {
+        let Some(writer) = self.await_writer(deadline).await else {
             return message::Reply::NotLeader;
         };
         let (sender, receiver) = oneshot::channel();
@@ -124,106 +186,183 @@
         answer.unwrap_or(message::Reply::Lost)
     }
 
-    async fn writer(&self, deadline: tokio::time::Instant) -> Option<mpsc::Sender<Vec<u8>>> {
+    fn writer(&self) -> Option<mpsc::Sender<Vec<u8>>> {
+        let shared = self.shared.borrow();
+        shared.leader.as_ref().map(|leader| leader.writer.clone())
+    }
+
+    async fn await_writer(&self, deadline: tokio::time::Instant) -> Option<mpsc::Sender<Vec<u8>>> {
         loop {
-            let connected = {
-                let shared = self.shared.borrow();
-                if let Some(writer) = &shared.writer {
-                    return Some(writer.clone());
-                }
-                Rc::clone(&shared.connected)
-            };
+            if let Some(writer) = self.writer() {
+                return Some(writer);
+            }
+            let connected = Rc::clone(&self.shared.borrow().connected);
             tokio::time::timeout_at(deadline, connected.notified())
                 .await
                 .ok()?;
         }
     }
+
+    /// Hands the answer to a call to its caller.
+    fn answer(&self, ticket: u64, reply: message::Reply) {
+        let waiting = self.shared.borrow_mut().pending.remove(&ticket);
+        if let Some(waiting) = waiting {
+            // The caller may have given up.
+            let _ = waiting.send(reply);
+        }
+    }
+}
+
+/// The members of the group as a replica knows them.
+struct Members {
+    replicas: Vec<net::SocketAddr>,
+    /// Whether the replica leads; the others may be out of date.
+    sure: bool,
 }
 
-struct Task {
+/// Keeps a watch on every known control replica.
+struct Supervisor {
     link: Link,
-    node: Name,
-    role: message::Role,
+    hello: Rc<[u8]>,
     seeds: Seeds,
-    news: mpsc::UnboundedSender<News>,
-    /// Control replicas that others named, the likely leader first.
-    known: Vec<net::SocketAddr>,
+    /// Members of the group as replicas named them.
+    members: BTreeSet<net::SocketAddr>,
+    watched: BTreeMap<net::SocketAddr, task::AbortHandle>,
+    watches: task::JoinSet<()>,
 }
 
-impl Task {
+impl Supervisor {
     async fn run(mut self) {
+        let (sender, mut learned) = mpsc::unbounded_channel();
+        let mut seeds: BTreeSet<net::SocketAddr> = (self.seeds)().into_iter().collect();
+        let mut read = tokio::time::interval(SEEDS);
         loop {
-            let mut candidates = self.known.clone();
-            candidates.extend((self.seeds)());
-            let mut tried = Vec::new();
-            let mut served = false;
-            while let Some(address) = next(&candidates, &tried) {
-                tried.push(address);
-                match self.serve(address).await {
-                    Served::Leader => {
-                        served = true;
-                        break;
+            self.watch(&seeds, &sender);
+            tokio::select! {
+                Some(Members { replicas, sure }) = learned.recv() => {
+                    if sure {
+                        self.members.clear();
                     }
-                    Served::Hint(replicas) => {
-                        // The likely leader comes first; it is tried next.
-                        candidates.splice(0..0, replicas);
+                    self.members.extend(replicas);
+                }
+                _ = read.tick() => {
+                    if self.link.leader().is_none() {
+                        seeds = (self.seeds)().into_iter().collect();
                     }
-                    Served::Nothing => {}
                 }
             }
-            if !served {
-                tokio::time::sleep(ROUND_PAUSE).await;
+        }
+    }
+
+    /// Begins and ends watches, so that there is one for each known replica.
+    fn watch(
+        &mut self,
+        seeds: &BTreeSet<net::SocketAddr>,
+        learned: &mpsc::UnboundedSender<Members>,
+    ) {
+        while self.watches.try_join_next().is_some() {}
+        let members = &self.members;
+        self.watched.retain(|address, watch| {
+            let keep = members.contains(address) || seeds.contains(address);
+            if !keep {
+                watch.abort();
+            }
+            keep
+        });
+        for address in members.union(seeds) {
+            if self.watched.contains_key(address) {
+                continue;
+            }
+            let watch = Watch {
+                link: self.link.clone(),
+                hello: Rc::clone(&self.hello),
+                address: *address,
+                learned: learned.clone(),
+            };
+            let handle = self.watches.spawn_local(watch.run());
+            self.watched.insert(*address, handle);
+        }
+    }
+}
+
+/// The connection to one control replica.
+struct Watch {
+    link: Link,
+    hello: Rc<[u8]>,
+    address: net::SocketAddr,
+    learned: mpsc::UnboundedSender<Members>,
+}
+
+impl Watch {
+    async fn run(self) {
+        let mut pause = PAUSE;
+        loop {
+            if self.connection().await {
+                pause = PAUSE;
             }
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(PAUSE_MAX);
         }
     }
 
-    /// Connects to a control replica and stays with it while it leads.
-    async fn serve(&mut self, address: net::SocketAddr) -> Served {
-        let Ok(stream) = socket::connect(address, CONNECT).await else {
-            return Served::Nothing;
+    /// Connects and stays connected. Returns whether the replica answered.
+    async fn connection(&self) -> bool {
+        let Ok(stream) = socket::connect(self.address, CONNECT).await else {
+            return false;
         };
         let (read, write) = stream.into_split();
         let mut reader = socket::Reader::new(read);
         let mut writer = socket::Writer::new(write);
-        let (node, role) = (self.node.clone(), self.role);
-        let hello = message::encode(&message::Frame::Hello { node, role });
         let first = async {
-            writer.write(&hello).await?;
+            writer.write(&self.hello).await?;
             reader.next().await
         };
-        let Ok(Ok(message::Frame::Welcome { leads, replicas })) =
+        let Ok(Ok(message::Frame::Welcome { term, replicas })) =
             tokio::time::timeout(CONNECT, first).await
         else {
-            return Served::Nothing;
+            return false;
         };
-        let replicas = parse(&replicas);
-        if !replicas.is_empty() {
-            self.known.clone_from(&replicas);
+        let mut standing = self.learn(term, &replicas);
+        while standing.is_none() {
+            let Ok(message::Frame::Welcome { term, replicas }) = reader.next().await else {
+                return true;
+            };
+            standing = self.learn(term, &replicas);
         }
-        if !leads {
-            return Served::Hint(replicas);
+        if let Some(term) = standing {
+            self.follow(term, reader, writer).await;
         }
-        log::info!(leader = address.to_string().as_str(); "connected to the leader");
-        self.stay(address, reader, writer).await;
-        log::warn!(leader = address.to_string().as_str(); "lost the leader");
-        Served::Leader
+        true
     }
 
-    async fn stay(
-        &mut self,
-        address: net::SocketAddr,
-        mut reader: socket::Reader,
-        mut writer: socket::Writer,
-    ) {
+    /// Takes what a replica says of itself and returns the term in which it leads.
+    fn learn(&self, term: Option<u64>, replicas: &[Name]) -> Option<u64> {
+        let replicas = replicas.iter();
+        let replicas = replicas.filter_map(|address| address.parse().ok());
+        let members = Members {
+            replicas: replicas.collect(),
+            sure: term.is_some(),
+        };
+        // The supervisor ends with the process.
+        let _ = self.learned.send(members);
+        term
+    }
+
+    /// Works with a leader until its connection ends or it falls silent.
+    async fn follow(&self, term: u64, mut reader: socket::Reader, mut writer: socket::Writer) {
         let (sender, mut queue) = mpsc::channel::<Vec<u8>>(QUEUE);
-        {
-            let mut shared = self.link.shared.borrow_mut();
-            shared.writer = Some(sender);
-            shared.leader = Some(address);
-            shared.connected.notify_waiters();
+        let leader = Leader {
+            term,
+            address: self.address,
+            writer: sender,
+        };
+        if !self.link.shared.borrow_mut().claim(leader) {
+            return;
         }
-        // The owner ends with the process, so nobody misses the news.
-        let _ = self.news.send(News::Connected);
+        let _claim = Claim {
+            link: &self.link,
+            term,
+        };
         let write = async {
             while let Some(bytes) = queue.recv().await {
                 if writer.write(&bytes).await.is_err() {
@@ -231,22 +370,22 @@
                 }
             }
         };
-        let link = self.link.clone();
-        let news = self.news.clone();
         let read = async {
             while let Ok(Ok(frame)) = tokio::time::timeout(SILENCE, reader.next()).await {
+                if !self.link.shared.borrow().leads(term) {
+                    break;
+                }
                 match frame {
                     message::Frame::Update(update) => {
-                        let _ = news.send(News::Update(update));
+                        self.link.shared.borrow().tell(News::Update(update));
                     }
-                    message::Frame::Reply { ticket, reply } => {
-                        let waiting = link.shared.borrow_mut().pending.remove(&ticket);
-                        if let Some(waiting) = waiting {
-                            // The caller may have given up.
-                            let _ = waiting.send(reply);
-                        }
+                    message::Frame::Reply { ticket, reply } => self.link.answer(ticket, reply),
+                    message::Frame::Welcome {
+                        term: Some(known),
+                        replicas,
+                    } if known == term => {
+                        self.learn(Some(term), &replicas);
                     }
-                    message::Frame::Welcome { leads: true, .. } => {}
                     _ => break,
                 }
             }
@@ -255,32 +394,17 @@
             () = write => {}
             () = read => {}
         }
-        let mut shared = self.link.shared.borrow_mut();
-        shared.writer = None;
-        shared.leader = None;
-        shared.pending.clear();
-        drop(shared);
-        let _ = self.news.send(News::Disconnected);
     }
 }
 
-enum Served {
-    /// It led until the connection ended.
-    Leader,
-    /// It does not lead; these replicas may.
-    Hint(Vec<net::SocketAddr>),
-    /// It did not answer.
-    Nothing,
+/// A replica's place as the leader, until it is dropped.
+struct Claim<'a> {
+    link: &'a Link,
+    term: u64,
 }
 
-fn next(candidates: &[net::SocketAddr], tried: &[net::SocketAddr]) -> Option<net::SocketAddr> {
-    let mut candidates = candidates.iter();
-    candidates.find(|address| !tried.contains(address)).copied()
-}
-
-fn parse(addresses: &[Name]) -> Vec<net::SocketAddr> {
-    let addresses = addresses.iter();
-    addresses
-        .filter_map(|address| address.parse().ok())
-        .collect()
+impl Drop for Claim<'_> {
+    fn drop(&mut self) {
+        self.link.shared.borrow_mut().lose(self.term);
+    }
 }
