Stop the runs that a former leader left behind and go on with them

Cause: a leader that freezes, is cut off or loses power does not close its connections, and the backend servers go on with its runs for seconds.

A new leader now asks every backend server for its runs before it starts an item, stops those of open items by moving their memory to the backend server with the most free slots, and goes on there. Without room the run is only stopped and the item waits. Entry VMs report to a new leader at once.

--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -123,6 +123,18 @@
     pub address: Name,
     /// What earlier runs produced.
     pub progress: Progress,
+    /// The address of a backend server where the item still runs for a former
+    /// leader. That run is stopped first and its memory moved to `server`.
+    pub orphan: Option<Name>,
+}
+
+/// What a backend server runs, as it stated it to a new leader.
+#[derive(Clone, Debug)]
+pub struct Survey {
+    /// The backend server.
+    pub server: Server,
+    /// The ids of the requests that it runs.
+    pub runs: Vec<Name>,
 }
 
 /// What to do.
@@ -218,6 +230,9 @@
     starts: u64,
     /// Backend servers that failed and when they may be used again.
     paused: BTreeMap<Name, u64>,
+    /// Until then no item starts: a new leader knows neither the online requests
+    /// nor the runs that a former leader left behind.
+    held_until_ms: u64,
 }
 
 impl Dispatch {
@@ -229,7 +244,62 @@
             order: BTreeSet::new(),
             starts: 0,
             paused: BTreeMap::new(),
+            held_until_ms: 0,
+        }
+    }
+
+    /// Lets no item start before a Unix time, unless [`Dispatch::adopt`] is called
+    /// earlier.
+    pub fn hold(&mut self, until_ms: u64) {
+        self.held_until_ms = until_ms;
+    }
+
+    /// Takes over runs that a former leader left behind, and lets items start.
+    ///
+    /// A backend server whose caller froze or lost power works on. Without this
+    /// the item would run twice, and the run that nobody reads would keep its
+    /// slot from online requests for seconds.
+    pub fn adopt(&mut self, surveys: &[Survey]) -> Vec<Action> {
+        self.held_until_ms = 0;
+        let mut places = BTreeMap::new();
+        for (index, survey) in surveys.iter().enumerate() {
+            places.extend(survey.runs.iter().map(|id| (id, index)));
+        }
+        let free = |survey: &Survey| survey.server.slots as i64 - survey.runs.len() as i64;
+        let mut free: Vec<i64> = surveys.iter().map(free).collect();
+        let mut actions = Vec::new();
+        for (id, job) in &mut self.jobs {
+            for (index, item) in &mut job.items {
+                let place = places.get(&item.id);
+                let Some(&from) = place.filter(|_| matches!(item.state, State::Waiting)) else {
+                    continue;
+                };
+                let service = &surveys[from].server.service;
+                let others = surveys
+                    .iter()
+                    .enumerate()
+                    .filter(|(other, survey)| *other != from && survey.server.service == *service);
+                // Memory moves to another backend server only, so a single one
+                // runs the item to its end.
+                let Some((to, target)) = others.max_by_key(|(other, _)| free[*other]) else {
+                    continue;
+                };
+                free[to] -= 1;
+                free[from] += 1;
+                self.starts += 1;
+                let key = Key {
+                    job: id.clone(),
+                    item: *index,
+                };
+                let place = (&target.server.id, &target.server.address);
+                let start = begin(key, &job.host, item, self.starts, place);
+                actions.push(Action::Start(Start {
+                    orphan: Some(surveys[from].server.address.clone()),
+                    ..start
+                }));
+            }
         }
+        actions
     }
 
     /// Adds the unlisted items of an open job; a known job stays as it is.
@@ -477,6 +547,9 @@
         now_ms: u64,
         actions: &mut Vec<Action>,
     ) {
+        if now_ms < self.held_until_ms {
+            return;
+        }
         let running = self.running();
         self.paused.retain(|_, until| *until > now_ms);
         let mut rooms: Vec<(u32, &Server)> = Vec::new();
@@ -514,31 +587,50 @@
                 *room -= 1;
                 left -= 1;
                 self.starts += 1;
-                item.state = State::Running {
-                    server: server.id.clone(),
-                    started: self.starts,
-                    stopping: false,
-                };
                 let key = Key {
                     job: id.clone(),
                     item: *index,
                 };
-                actions.push(Action::Start(Start {
+                let start = begin(
                     key,
-                    id: item.id.clone(),
-                    host: job.host.clone(),
-                    path: item.path.clone(),
-                    headers: item.headers.clone(),
-                    server: server.id.clone(),
-                    address: server.address.clone(),
-                    progress: item.waiting.progress.clone(),
-                }));
+                    &job.host,
+                    item,
+                    self.starts,
+                    (&server.id, &server.address),
+                );
+                actions.push(Action::Start(start));
             }
             rooms.retain(|(room, _)| *room > 0);
         }
     }
 }
 
+/// Marks an item as running and describes its run.
+fn begin(
+    key: Key,
+    host: &Name,
+    item: &mut Item,
+    started: u64,
+    (server, address): (&Name, &Name),
+) -> Start {
+    item.state = State::Running {
+        server: server.clone(),
+        started,
+        stopping: false,
+    };
+    Start {
+        key,
+        id: item.id.clone(),
+        host: host.clone(),
+        path: item.path.clone(),
+        headers: item.headers.clone(),
+        server: server.clone(),
+        address: address.clone(),
+        progress: item.waiting.progress.clone(),
+        orphan: None,
+    }
+}
+
 fn new_item(item: &ledger::Item) -> Item {
     Item {
         id: item.id.clone(),
--- a/crates/relay/tests/dispatch.rs
+++ b/crates/relay/tests/dispatch.rs
@@ -1,7 +1,7 @@
 //! Batch items beside online requests.
 
 use bw_relay::{
-    dispatch::{Action, Dispatch, Key, Options, Outcome, Progress, Reason, Server, Start},
+    dispatch::{Action, Dispatch, Key, Options, Outcome, Progress, Reason, Server, Start, Survey},
     ledger::{Command, End, Job, Ledger, NewItem, NewJob},
     route,
 };
@@ -310,3 +310,44 @@
         "the other one, as the first is paused"
     );
 }
+
+fn surveys(runs: &[&[&str]]) -> Vec<Survey> {
+    let servers = servers(&vec![0; runs.len()]).into_iter();
+    let surveys = servers.zip(runs).map(|(server, runs)| Survey {
+        server,
+        runs: runs.iter().map(|id| (*id).into()).collect(),
+    });
+    surveys.collect()
+}
+
+/// Replays a leader that froze in a peak. Guards against runs that keep slots for
+/// nobody, and against moving one to a backend server that is full.
+#[test]
+fn runs_of_a_former_leader_move_to_the_backend_server_with_most_free_slots() {
+    let mut dispatch = dispatch(3);
+    dispatch.hold(1_000);
+    assert!(starts(&dispatch.plan(&servers(&[0, 0, 0]), &routes(), 999)).is_empty());
+    let actions = dispatch.adopt(&surveys(&[
+        &["job-0", "online-1", "online-2", "online-3"],
+        &["online-4", "online-5", "online-6"],
+        &["online-7"],
+    ]));
+    let adopted = starts(&actions);
+    assert_eq!(adopted.len(), 1);
+    assert_eq!(&*adopted[0].id, "job-0");
+    assert_eq!(&*adopted[0].server, "s2");
+    assert_eq!(adopted[0].orphan.as_deref(), Some("10.0.0.1:80"));
+    // The others start as usual, not only after the hold.
+    let actions = dispatch.plan(&servers(&[0, 0, 0]), &routes(), 1);
+    let others = starts(&actions);
+    assert_eq!(others.len(), 2);
+    assert!(others.iter().all(|start| start.orphan.is_none()));
+}
+
+/// Guards against ordering a backend server to move memory to itself, which it
+/// refuses without stopping the run.
+#[test]
+fn a_run_at_the_only_backend_server_is_not_moved() {
+    let mut dispatch = dispatch(1);
+    assert!(dispatch.adopt(&surveys(&[&["job-0"]])).is_empty());
+}
--- a/programs/gateway/src/control/hub/mod.rs
+++ b/programs/gateway/src/control/hub/mod.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     clock,
-    control::{identity, members, peers, replica, runner, sessions},
+    control::{identity, members, orphan, peers, replica, runner, sessions},
     dialect, link, metrics, settings, upstream,
 };
 
@@ -313,7 +313,7 @@
         }
     }
 
-    fn lead(&self, leading: replica::Leading) {
+    fn lead(self: &Rc<Hub>, leading: replica::Leading) {
         let now_ms = clock::steady_ms();
         log::info!(term = leading.term, open_jobs = leading.jobs.len(); "leading");
         {
@@ -329,13 +329,13 @@
         if let Some(published) = &leading.published {
             self.set_published(published);
         }
-        let mut dispatch = self.dispatch.borrow_mut();
         for (id, job) in &leading.jobs {
-            dispatch.add(id, job);
+            self.dispatch.borrow_mut().add(id, job);
         }
         self.led_ms.set(now_ms);
         self.leads.set(Some(leading.term));
         self.standing.send_replace(());
+        orphan::begin(self);
     }
 
     /// Tells watchers and sessions of a change of the members.
--- a/programs/gateway/src/control/mod.rs
+++ b/programs/gateway/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod hub;
 mod identity;
 mod members;
+mod orphan;
 mod peers;
 mod replica;
 mod runner;
--- a/programs/gateway/src/control/runner.rs
+++ b/programs/gateway/src/control/runner.rs
@@ -12,8 +12,8 @@
 
 use crate::{
     clock,
-    control::{hub::Hub, replica},
-    metrics, upstream,
+    control::{hub::Hub, orphan, replica},
+    dialect, metrics, upstream,
 };
 
 /// Time limit of the head of an answer. Items are started where a slot is free,
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Runs a task of the leader beside the runs.
+    pub(crate) fn spawn(&mut self, task: impl Future<Output = ()> + 'static) {
+        self.tasks.spawn_local(task);
+    }
+
     /// Stops all runs.
     pub(crate) fn stop_all(&mut self) {
         for stop in self.stops.values() {
@@ -60,6 +65,11 @@
         .dispatch
         .borrow_mut()
         .plan(&servers, &routes, clock::unix_ms());
+    carry_out(hub, actions);
+}
+
+/// Carries actions of the dispatch out.
+pub(crate) fn carry_out(hub: &Rc<Hub>, actions: Vec<dispatch::Action>) {
     let mut runs = hub.runs.borrow_mut();
     while runs.tasks.try_join_next().is_some() {}
     for action in actions {
@@ -183,12 +193,26 @@
     let Ok(replica::Answer::Body(Some(body))) = hub.read(read).await else {
         return Ended::NotRun;
     };
-    let (Ok(address), Some(request)) = (
+    let (Ok(address), Some(mut request)) = (
         start.address.parse::<net::SocketAddr>(),
         request(hub, start, body),
     ) else {
         return Ended::NotRun;
     };
+    if let Some(former) = &start.orphan {
+        match orphan::detach(hub, start, former).await {
+            dialect::Detached::Moved(memory) => {
+                let Ok(memory) = header::HeaderValue::try_from(memory) else {
+                    return Ended::NotRun;
+                };
+                let name = hub.dialect().headers().memory.clone();
+                request.headers_mut().insert(name, memory);
+            }
+            // Online requests have the slots; the item waits for one.
+            dialect::Detached::Stopped => return Ended::NotRun,
+            dialect::Detached::Refused => {}
+        }
+    }
     let answer = match hub.pool.send(address, request, true, HEAD).await {
         Ok(answer) => answer,
         Err(upstream::Failure::Connect) => return Ended::NotRun,
--- a/programs/gateway/src/dialect.rs
+++ b/programs/gateway/src/dialect.rs
@@ -25,6 +25,31 @@
     pub wait_ms: HeaderName,
     /// The load of the backend server that answers.
     pub load: HeaderName,
+    /// The memory of a detached run with which a request goes on.
+    pub memory: HeaderName,
+}
+
+/// What became of a run that was to be moved to another backend server.
+#[derive(Clone, Debug, Eq, PartialEq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Detached {
+    /// It has stopped; the value of the memory header names what was moved.
+    Moved(String),
+    /// It has stopped, and there was no room for its memory.
+    Stopped,
+    /// There is no such run, or it goes on.
+    Refused,
+}
+
+/// A call to a backend server that is no request of a caller.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Call {
+    /// The method.
+    pub method: hyper::Method,
+    /// The path.
+    pub path: &'static str,
+    /// The body, in JSON unless it is empty.
+    pub body: Vec<u8>,
 }
 
 /// The load of a backend server as it states it in an answer.
@@ -87,6 +112,21 @@
     /// Decodes the value of the load header; `None` if it cannot be read.
     fn load(&self, value: &str) -> Option<Load>;
 
+    /// Returns the call that asks a backend server for its runs.
+    fn inspection(&self) -> Call;
+
+    /// Decodes the answer to [`Dialect::inspection`]: the ids of the requests that
+    /// run; `None` if it cannot be read.
+    fn runs(&self, body: &[u8]) -> Option<Vec<Name>>;
+
+    /// Returns the call that stops a run whose sender is gone and moves its memory
+    /// to the backend server at an address.
+    fn detachment(&self, id: &str, to: &str) -> Call;
+
+    /// Decodes the answer of the backend server at `address` to
+    /// [`Dialect::detachment`].
+    fn detached(&self, status: StatusCode, body: &[u8], address: &str) -> Detached;
+
     /// Recognizes a call on a batch job by its method, path and query.
     fn job_call(&self, method: &hyper::Method, path: &str, query: &str) -> Option<JobCall>;
 
--- a/programs/gateway/src/edge/mod.rs
+++ b/programs/gateway/src/edge/mod.rs
@@ -99,7 +99,12 @@
 async fn take_news(state: Rc<State>, mut news: mpsc::UnboundedReceiver<link::News>) {
     while let Some(news) = news.recv().await {
         match news {
-            link::News::Connected => state.connected.set(true),
+            link::News::Connected => {
+                state.connected.set(true);
+                // A new leader plans with what entry VMs tell it.
+                let report = state.balance.borrow_mut().report();
+                state.link.notify(&message::Frame::Loads(report));
+            }
             link::News::Disconnected => state.connected.set(false),
             link::News::Update(update) => state.update(update),
         }
--- a/programs/gateway/src/metrics.rs
+++ b/programs/gateway/src/metrics.rs
@@ -64,6 +64,15 @@
     )
 });
 
+/// Runs of a former leader by what became of them.
+pub static ORPHANS: LazyLock<prometheus::IntCounterVec> = LazyLock::new(|| {
+    metrics::counter(
+        "bw_gateway_orphaned_runs_total",
+        "Runs that a former leader left behind, by outcome.",
+        &["outcome"],
+    )
+});
+
 /// Batch items that are accepted and not listed.
 pub static OPEN_ITEMS: LazyLock<prometheus::IntGaugeVec> = LazyLock::new(|| {
     metrics::gauge(
