Run items that will be late after those that can be in time

Cause: items run in the order in which their jobs are due, also when that time has passed.

The dispatch learns the size and pace of items from those that ended. An item that even as a small one (0.6 of the mean) cannot be complete in time runs after all others and gives way first; among the others the one with the most time to spare gives way, not the newest.

--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -3,6 +3,13 @@
 //! Online requests come first: items run only in slots that online requests
 //! leave free, and give them back when online load rises. What an item has
 //! produced is kept, so that it goes on elsewhere.
+//!
+//! Items run in the order in which their jobs are due. One that cannot be
+//! complete in time any more runs after all that can: under overload it would
+//! make the next one late too, and so on.
+
+mod adopt;
+mod estimate;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -10,6 +17,9 @@
 
 use crate::{ledger, route};
 
+pub use adopt::Survey;
+use estimate::Estimate;
+
 /// Limits of the dispatch.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -128,15 +138,6 @@
     pub orphan: Option<Name>,
 }
 
-/// What a backend server runs, as it stated it to a new leader.
-#[derive(Clone, Debug)]
-pub struct Survey {
-    /// The backend server.
-    pub server: Server,
-    /// The ids of the requests that it runs.
-    pub runs: Vec<Name>,
-}
-
 /// What to do.
 #[derive(Clone, Debug)]
 pub enum Action {
@@ -181,6 +182,20 @@
     Crowded(Progress),
 }
 
+impl Outcome {
+    /// Returns the last event, if the run got any.
+    fn last_event(&self) -> Option<u64> {
+        match self {
+            Outcome::Completed(progress)
+            | Outcome::Broken(progress)
+            | Outcome::Failed(progress)
+            | Outcome::NotRun(progress)
+            | Outcome::Crowded(progress) => Some(progress.last),
+            Outcome::Impossible => None,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Waiting {
     failures: u32,
@@ -196,7 +211,10 @@
     Waiting,
     Running {
         server: Name,
+        /// Numbers the starts.
         started: u64,
+        /// Unix time of the start.
+        since_ms: u64,
         stopping: bool,
     },
     Recording,
@@ -228,6 +246,7 @@
     /// Open jobs by due time.
     order: BTreeSet<(u64, Name)>,
     starts: u64,
+    estimate: Estimate,
     /// Backend servers that failed and when they may be used again.
     paused: BTreeMap<Name, u64>,
     /// Until then no item starts: a new leader knows neither the online requests
@@ -243,65 +262,12 @@
             jobs: BTreeMap::new(),
             order: BTreeSet::new(),
             starts: 0,
+            estimate: Estimate::default(),
             paused: BTreeMap::new(),
             held_until_ms: 0,
         }
     }
 
-    /// Lets no item start before a Unix time, unless [`Dispatch::adopt`] is called
-    /// earlier.
-    pub fn hold(&mut self, until_ms: u64) {
-        self.held_until_ms = until_ms;
-    }
-
-    /// Takes over runs that a former leader left behind, and lets items start.
-    ///
-    /// A backend server whose caller froze or lost power works on. Without this
-    /// the item would run twice, and the run that nobody reads would keep its
-    /// slot from online requests for seconds.
-    pub fn adopt(&mut self, surveys: &[Survey]) -> Vec<Action> {
-        self.held_until_ms = 0;
-        let mut places = BTreeMap::new();
-        for (index, survey) in surveys.iter().enumerate() {
-            places.extend(survey.runs.iter().map(|id| (id, index)));
-        }
-        let free = |survey: &Survey| survey.server.slots as i64 - survey.runs.len() as i64;
-        let mut free: Vec<i64> = surveys.iter().map(free).collect();
-        let mut actions = Vec::new();
-        for (id, job) in &mut self.jobs {
-            for (index, item) in &mut job.items {
-                let place = places.get(&item.id);
-                let Some(&from) = place.filter(|_| matches!(item.state, State::Waiting)) else {
-                    continue;
-                };
-                let service = &surveys[from].server.service;
-                let others = surveys
-                    .iter()
-                    .enumerate()
-                    .filter(|(other, survey)| *other != from && survey.server.service == *service);
-                // Memory moves to another backend server only, so a single one
-                // runs the item to its end.
-                let Some((to, target)) = others.max_by_key(|(other, _)| free[*other]) else {
-                    continue;
-                };
-                free[to] -= 1;
-                free[from] += 1;
-                self.starts += 1;
-                let key = Key {
-                    job: id.clone(),
-                    item: *index,
-                };
-                let place = (&target.server.id, &target.server.address);
-                let start = begin(key, &job.host, item, self.starts, place);
-                actions.push(Action::Start(Start {
-                    orphan: Some(surveys[from].server.address.clone()),
-                    ..start
-                }));
-            }
-        }
-        actions
-    }
-
     /// Adds the unlisted items of an open job; a known job stays as it is.
     pub fn add(&mut self, id: &Name, job: &ledger::Job) {
         if self.jobs.contains_key(id) || !job.is_open() {
@@ -372,7 +338,7 @@
     pub fn plan(&mut self, servers: &[Server], routes: &route::Table, now_ms: u64) -> Vec<Action> {
         let mut actions = Vec::new();
         self.expire(routes, now_ms, &mut actions);
-        self.preempt(servers, &mut actions);
+        self.preempt(servers, now_ms, &mut actions);
         self.start(servers, routes, now_ms, &mut actions);
         actions
     }
@@ -388,17 +354,25 @@
         let attempts = self.jobs.get(&key.job)?.attempts;
         let item = self.jobs.get_mut(&key.job)?.items.get_mut(&key.item)?;
         let State::Running {
-            server, stopping, ..
+            server,
+            since_ms,
+            stopping,
+            ..
         } = &item.state
         else {
             return None;
         };
         let (server, stopping) = (server.clone(), *stopping);
+        if let Some(last) = outcome.last_event() {
+            let events = last.saturating_sub(item.waiting.progress.last);
+            self.estimate.ran(events, now_ms.saturating_sub(*since_ms));
+        }
         item.state = State::Waiting;
         let waiting = &mut item.waiting;
         waiting.avoid = None;
         match outcome {
             Outcome::Completed(progress) => {
+                self.estimate.completed(progress.last);
                 item.state = State::Recording;
                 return Some((ledger::End::Completed, progress.unsaved()));
             }
@@ -487,9 +461,8 @@
         }
     }
 
-    /// Takes items back where online requests and items exceed the slots, the
-    /// ones that started last first: they have the least to read again.
-    fn preempt(&mut self, servers: &[Server], actions: &mut Vec<Action>) {
+    /// Takes items back where online requests and items exceed the slots.
+    fn preempt(&mut self, servers: &[Server], now_ms: u64, actions: &mut Vec<Action>) {
         let staying = self.count_runs(|stopping| !stopping);
         for server in servers {
             // Runs that are being stopped have given their slots back already.
@@ -498,7 +471,7 @@
                 .saturating_sub(server.slots)
                 .min(batch);
             while excess > 0 {
-                let Some(key) = self.newest_run(&server.id) else {
+                let Some(key) = self.least_urgent_run(&server.id, now_ms) else {
                     break;
                 };
                 self.mark_stopping(&key);
@@ -508,28 +481,49 @@
         }
     }
 
-    fn newest_run(&self, id: &Name) -> Option<Key> {
-        let mut newest: Option<(u64, Key)> = None;
+    /// Returns the run at a backend server that can wait best: one that will be
+    /// late anyhow, then the one with the most time to spare, then the newest,
+    /// which has the least to read again.
+    fn least_urgent_run(&self, id: &Name, now_ms: u64) -> Option<Key> {
+        let mut chosen: Option<((bool, u64, u64), Key)> = None;
         for (job, known) in &self.jobs {
             for (index, item) in &known.items {
                 let State::Running {
                     server,
                     started,
+                    since_ms,
                     stopping: false,
                 } = &item.state
                 else {
                     continue;
                 };
-                if server == id && newest.as_ref().is_none_or(|(best, _)| started > best) {
+                if server != id {
+                    continue;
+                }
+                let ran_ms = now_ms.saturating_sub(*since_ms);
+                let made = item.waiting.progress.last + self.estimate.events_in(ran_ms);
+                let spare_ms = self.spare_ms(known.due_ms, made, now_ms);
+                let rank = (
+                    spare_ms.is_none(),
+                    spare_ms.unwrap_or(known.due_ms),
+                    *started,
+                );
+                if chosen.as_ref().is_none_or(|(best, _)| rank > *best) {
                     let key = Key {
                         job: job.clone(),
                         item: *index,
                     };
-                    newest = Some((*started, key));
+                    chosen = Some((rank, key));
                 }
             }
         }
-        newest.map(|(_, key)| key)
+        chosen.map(|(_, key)| key)
+    }
+
+    /// Returns the time that an item can still wait and be complete when its job
+    /// is due; `None` if it will be late.
+    fn spare_ms(&self, due_ms: u64, made: u64, now_ms: u64) -> Option<u64> {
+        due_ms.checked_sub(now_ms + self.estimate.remaining_ms(made))
     }
 
     fn mark_stopping(&mut self, key: &Key) {
@@ -563,16 +557,34 @@
             }
         }
         let mut left = self.options.starts;
-        for (_, id) in self.order.clone() {
-            let Some(job) = self.jobs.get_mut(&id) else {
+        for late in [false, true] {
+            self.start_some(late, &mut rooms, routes, now_ms, &mut left, actions);
+        }
+    }
+
+    /// Starts items that can be complete in time, or those that will be late.
+    fn start_some(
+        &mut self,
+        late: bool,
+        rooms: &mut Vec<(u32, &Server)>,
+        routes: &route::Table,
+        now_ms: u64,
+        left: &mut usize,
+        actions: &mut Vec<Action>,
+    ) {
+        let estimate = self.estimate.clone();
+        for (due_ms, id) in &self.order {
+            let Some(job) = self.jobs.get_mut(id) else {
                 continue;
             };
             for (index, item) in &mut job.items {
-                if left == 0 || rooms.is_empty() {
+                if *left == 0 || rooms.is_empty() {
                     return;
                 }
-                let ready =
-                    matches!(item.state, State::Waiting) && now_ms >= item.waiting.not_before_ms;
+                let remaining_ms = estimate.remaining_ms(item.waiting.progress.last);
+                let ready = matches!(item.state, State::Waiting)
+                    && now_ms >= item.waiting.not_before_ms
+                    && (now_ms + remaining_ms > *due_ms) == late;
                 let Some(route) = routes.find(&job.host, &item.path).filter(|_| ready) else {
                     continue;
                 };
@@ -585,19 +597,14 @@
                     continue;
                 };
                 *room -= 1;
-                left -= 1;
+                *left -= 1;
                 self.starts += 1;
                 let key = Key {
                     job: id.clone(),
                     item: *index,
                 };
-                let start = begin(
-                    key,
-                    &job.host,
-                    item,
-                    self.starts,
-                    (&server.id, &server.address),
-                );
+                let place = (&server.id, &server.address);
+                let start = begin(key, &job.host, item, (self.starts, now_ms), place);
                 actions.push(Action::Start(start));
             }
             rooms.retain(|(room, _)| *room > 0);
@@ -610,12 +617,13 @@
     key: Key,
     host: &Name,
     item: &mut Item,
-    started: u64,
+    (started, since_ms): (u64, u64),
     (server, address): (&Name, &Name),
 ) -> Start {
     item.state = State::Running {
         server: server.clone(),
         started,
+        since_ms,
         stopping: false,
     };
     Start {
--- a/crates/relay/tests/dispatch.rs
+++ b/crates/relay/tests/dispatch.rs
@@ -327,11 +327,14 @@
     let mut dispatch = dispatch(3);
     dispatch.hold(1_000);
     assert!(starts(&dispatch.plan(&servers(&[0, 0, 0]), &routes(), 999)).is_empty());
-    let actions = dispatch.adopt(&surveys(&[
-        &["job-0", "online-1", "online-2", "online-3"],
-        &["online-4", "online-5", "online-6"],
-        &["online-7"],
-    ]));
+    let actions = dispatch.adopt(
+        &surveys(&[
+            &["job-0", "online-1", "online-2", "online-3"],
+            &["online-4", "online-5", "online-6"],
+            &["online-7"],
+        ]),
+        0,
+    );
     let adopted = starts(&actions);
     assert_eq!(adopted.len(), 1);
     assert_eq!(&*adopted[0].id, "job-0");
@@ -349,5 +352,56 @@
 #[test]
 fn a_run_at_the_only_backend_server_is_not_moved() {
     let mut dispatch = dispatch(1);
-    assert!(dispatch.adopt(&surveys(&[&["job-0"]])).is_empty());
+    assert!(dispatch.adopt(&surveys(&[&["job-0"]]), 0).is_empty());
+}
+
+/// Replays an overload in which not all items can be complete in time. Guards
+/// against running those that are late already first, which makes all later ones
+/// late too.
+#[test]
+fn items_that_will_be_late_run_after_those_that_can_be_in_time() {
+    let mut ledger = Ledger::default();
+    let mut dispatch = Dispatch::new(Options::default());
+    for (id, due) in [("first", 6_000), ("second", 7_500), ("third", 20_000)] {
+        let job = job(&mut ledger, id, 1, due);
+        dispatch.add(&id.into(), &job);
+    }
+    let names = |actions: &[Action]| -> Vec<String> {
+        let started = starts(actions).into_iter();
+        started.map(|start| start.key.job.to_string()).collect()
+    };
+    // An item of 100 events takes 5 s.
+    let started = dispatch.plan(&servers(&[3]), &routes(), 0);
+    assert_eq!(names(&started), ["first"]);
+    let key = &starts(&started)[0].key;
+    dispatch.ended(key, Outcome::Completed(progress(100)), 5_000);
+    dispatch.recorded(key);
+    // Even a small item takes 3 s, and the second one is due in 2.5 s.
+    let started = dispatch.plan(&servers(&[3]), &routes(), 5_000);
+    assert_eq!(names(&started), ["third"]);
+    let started = dispatch.plan(&servers(&[2]), &routes(), 5_100);
+    assert_eq!(
+        names(&started),
+        ["second"],
+        "it runs where nothing else waits"
+    );
+    let stopped = preempted(&dispatch.plan(&servers(&[3]), &routes(), 5_200));
+    assert_eq!(&*stopped[0].job, "second", "and gives way first");
+}
+
+/// Guards against stopping the run that has least time to spare.
+#[test]
+fn the_run_with_most_time_to_spare_gives_way() {
+    let mut ledger = Ledger::default();
+    let mut dispatch = Dispatch::new(Options::default());
+    for (id, due, now_ms) in [("later", 18_000, 0), ("sooner", 12_000, 50)] {
+        let job = job(&mut ledger, id, 1, due);
+        dispatch.add(&id.into(), &job);
+        assert_eq!(
+            starts(&dispatch.plan(&servers(&[0]), &routes(), now_ms)).len(),
+            1
+        );
+    }
+    let stopped = preempted(&dispatch.plan(&servers(&[3]), &routes(), 100));
+    assert_eq!(&*stopped[0].job, "later");
 }
--- a/programs/gateway/src/control/orphan.rs
+++ b/programs/gateway/src/control/orphan.rs
@@ -51,7 +51,7 @@
     }
     let surveys: Vec<_> = surveys.into_iter().flatten().collect();
     let runs: usize = surveys.iter().map(|survey| survey.runs.len()).sum();
-    let actions = hub.dispatch.borrow_mut().adopt(&surveys);
+    let actions = hub.dispatch.borrow_mut().adopt(&surveys, clock::unix_ms());
     log::info!(
         backends = backends, answered = surveys.len(), runs = runs, adopted = actions.len(),
         took_ms = clock::steady_ms().saturating_sub(began_ms);
