--- a/crates/relay/src/balance.rs
+++ b/crates/relay/src/balance.rs
@@ -9,7 +9,7 @@
 
 use bw_wire::name::Name;
 
-use crate::{message, registry};
+use crate::{load, registry};
 
 /// Limits of the placement.
 #[derive(Clone, Copy, Debug)]
@@ -171,13 +171,17 @@
         server.announcement = announcement.clone();
     }
 
-    /// Takes the loads of all entry VMs.
-    pub fn set_loads(&mut self, loads: &[message::Load]) {
+    /// Forgets the loads of all entry VMs, as those of another leader follow.
+    pub fn clear_loads(&mut self) {
         for server in self.servers.values_mut() {
             server.online = 0;
             server.batch = 0;
             server.held = false;
         }
+    }
+
+    /// Takes loads of all entry VMs that changed.
+    pub fn set_loads(&mut self, loads: &[load::Load]) {
         for load in loads {
             if let Some(server) = self.servers.get_mut(&load.id) {
                 server.online = load.online;
@@ -189,13 +193,13 @@
 
     /// Returns the requests in flight from this entry VM and the results since
     /// the last report, for the leader.
-    pub fn report(&mut self) -> Vec<message::Usage> {
+    pub fn report(&mut self) -> Vec<load::Usage> {
         let mut report = Vec::new();
         for (id, server) in &mut self.servers {
             server.reported = server.own;
             let (succeeded, failed) = std::mem::take(&mut server.results);
             if server.own + succeeded + failed > 0 {
-                report.push(message::Usage {
+                report.push(load::Usage {
                     id: id.clone(),
                     online: server.own,
                     succeeded,
--- a/crates/relay/src/dispatch/adopt.rs
+++ b/crates/relay/src/dispatch/adopt.rs
@@ -60,6 +60,7 @@
                     item: *index,
                 };
                 let place = (&target.server.id, &target.server.address);
+                self.runs.entry(place.0.clone()).or_default().all += 1;
                 let start = begin(key, &job.host, item, (self.starts, now_ms), place);
                 actions.push(Action::Start(Start {
                     orphan: Some(surveys[from].server.address.clone()),
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -238,6 +238,14 @@
     items: BTreeMap<u32, Item>,
 }
 
+/// The number of runs at one backend server.
+#[derive(Clone, Copy, Debug, Default)]
+struct Runs {
+    all: u32,
+    /// Those that are being stopped.
+    stopping: u32,
+}
+
 /// The items of all open jobs.
 #[derive(Clone, Debug)]
 pub struct Dispatch {
@@ -247,6 +255,8 @@
     order: BTreeSet<(u64, Name)>,
     starts: u64,
     estimate: Estimate,
+    /// Runs by backend server.
+    runs: BTreeMap<Name, Runs>,
     /// Backend servers that failed and when they may be used again.
     paused: BTreeMap<Name, u64>,
     /// Until then no item starts: a new leader knows neither the online requests
@@ -263,6 +273,7 @@
             order: BTreeSet::new(),
             starts: 0,
             estimate: Estimate::default(),
+            runs: BTreeMap::new(),
             paused: BTreeMap::new(),
             held_until_ms: 0,
         }
@@ -297,36 +308,44 @@
             return Vec::new();
         };
         self.order.remove(&(job.due_ms, id.clone()));
-        let items = job.items.into_iter();
-        let running = items.filter(|(_, item)| matches!(item.state, State::Running { .. }));
-        let keys = running.map(|(item, _)| Key {
-            job: id.clone(),
-            item,
-        });
-        keys.collect()
-    }
-
-    /// Returns the number of running items of each backend server.
-    pub fn running(&self) -> BTreeMap<Name, u32> {
-        self.count_runs(|_| true)
-    }
-
-    /// Counts runs by backend server; `counts` is asked whether a run is being
-    /// stopped.
-    fn count_runs(&self, counts: impl Fn(bool) -> bool) -> BTreeMap<Name, u32> {
-        let mut running = BTreeMap::new();
-        for item in self.jobs.values().flat_map(|job| job.items.values()) {
+        let mut keys = Vec::new();
+        for (item, known) in job.items {
             let State::Running {
                 server, stopping, ..
-            } = &item.state
+            } = known.state
             else {
                 continue;
             };
-            if counts(*stopping) {
-                *running.entry(server.clone()).or_insert(0) += 1;
-            }
+            self.run_ended(&server, stopping);
+            let job = id.clone();
+            keys.push(Key { job, item });
+        }
+        keys
+    }
+
+    /// Returns the number of runs at a backend server.
+    pub fn running(&self, server: &str) -> u32 {
+        self.runs.get(server).map_or(0, |runs| runs.all)
+    }
+
+    /// Returns the number of runs at a backend server that are not being stopped.
+    fn staying(&self, server: &str) -> u32 {
+        let runs = self.runs.get(server);
+        runs.map_or(0, |runs| runs.all - runs.stopping)
+    }
+
+    /// Counts a run that has ended.
+    fn run_ended(&mut self, server: &str, stopping: bool) {
+        let Some(runs) = self.runs.get_mut(server) else {
+            return;
+        };
+        runs.all = runs.all.saturating_sub(1);
+        if stopping {
+            runs.stopping = runs.stopping.saturating_sub(1);
+        }
+        if runs.all == 0 {
+            self.runs.remove(server);
         }
-        running
     }
 
     /// Returns the number of items that are not listed.
@@ -368,6 +387,8 @@
             self.estimate.ran(events, now_ms.saturating_sub(*since_ms));
         }
         item.state = State::Waiting;
+        self.run_ended(&server, stopping);
+        let item = self.jobs.get_mut(&key.job)?.items.get_mut(&key.item)?;
         let waiting = &mut item.waiting;
         waiting.avoid = None;
         match outcome {
@@ -463,10 +484,9 @@
 
     /// Takes items back where online requests and items exceed the slots.
     fn preempt(&mut self, servers: &[Server], now_ms: u64, actions: &mut Vec<Action>) {
-        let staying = self.count_runs(|stopping| !stopping);
         for server in servers {
             // Runs that are being stopped have given their slots back already.
-            let batch = staying.get(&server.id).copied().unwrap_or(0);
+            let batch = self.staying(&server.id);
             let mut excess = (server.online + batch)
                 .saturating_sub(server.slots)
                 .min(batch);
@@ -529,8 +549,12 @@
     fn mark_stopping(&mut self, key: &Key) {
         let job = self.jobs.get_mut(&key.job);
         let item = job.and_then(|job| job.items.get_mut(&key.item));
-        if let Some(State::Running { stopping, .. }) = item.map(|item| &mut item.state) {
+        if let Some(State::Running {
+            server, stopping, ..
+        }) = item.map(|item| &mut item.state)
+        {
             *stopping = true;
+            self.runs.entry(server.clone()).or_default().stopping += 1;
         }
     }
 
@@ -544,13 +568,10 @@
         if now_ms < self.held_until_ms {
             return;
         }
-        let running = self.running();
         self.paused.retain(|_, until| *until > now_ms);
         let mut rooms: Vec<(u32, &Server)> = Vec::new();
         for server in servers {
-            let used = server.online
-                + self.options.reserve
-                + running.get(&server.id).copied().unwrap_or(0);
+            let used = server.online + self.options.reserve + self.running(&server.id);
             let room = server.slots.saturating_sub(used);
             if room > 0 && !self.paused.contains_key(&server.id) {
                 rooms.push((room, server));
@@ -604,6 +625,7 @@
                     item: *index,
                 };
                 let place = (&server.id, &server.address);
+                self.runs.entry(server.id.clone()).or_default().all += 1;
                 let start = begin(key, &job.host, item, (self.starts, now_ms), place);
                 actions.push(Action::Start(start));
             }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod event;
 pub mod health;
 pub mod ledger;
+pub mod load;
 pub mod message;
 pub mod registry;
 pub mod route;
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -11,10 +11,10 @@
 pub const FRAME_BYTES_MAX: usize = 64 << 20;
 
 /// Load of one backend server, summed over all entry VMs.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Load {
-    /// The id of the backend server.
-    pub id: Name,
+    /// The leader's number of the backend server.
+    pub number: u32,
     /// Online requests in flight.
     pub online: u32,
     /// Batch items running.
@@ -23,11 +23,22 @@
     pub held: bool,
 }
 
-/// What one entry VM has to say of a backend server.
+/// Loads that changed, or all of them.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Loads {
+    /// Whether this is all that the receiver needs to know.
+    pub whole: bool,
+    /// Ids of backend servers that are numbered next.
+    pub names: Vec<Name>,
+    /// The loads.
+    pub loads: Vec<Load>,
+}
+
+/// What one entry VM has to say of a backend server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Usage {
-    /// The id of the backend server.
-    pub id: Name,
+    /// The leader's number of the backend server.
+    pub number: u32,
     /// Online requests in flight.
     pub online: u32,
     /// Answers since the last report.
@@ -43,8 +54,8 @@
     pub published: Option<Arc<ledger::Published>>,
     /// Announcements that changed.
     pub backends: Vec<registry::Announcement>,
-    /// The load of all backend servers, if it changed.
-    pub loads: Option<Vec<Load>>,
+    /// Loads of backend servers, if they changed.
+    pub loads: Option<Loads>,
     /// Requests that may crash backend servers, as far as they changed.
     pub suspects: Vec<suspect::Strike>,
 }
--- a/crates/relay/tests/balance.rs
+++ b/crates/relay/tests/balance.rs
@@ -4,7 +4,7 @@
 
 use bw_relay::{
     balance::{Balance, Failure, Options, Reason, Wish},
-    message::Load,
+    load::Load,
     registry::{Announcement, State},
 };
 use bw_wire::name::Name;
--- a/programs/gateway/src/control/hub/backends.rs
+++ b/programs/gateway/src/control/hub/backends.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use bw_relay::{dispatch, ledger, message, registry, suspect};
+use bw_relay::{dispatch, ledger, load, message, registry, suspect};
 use bw_wire::name::Name;
 use tokio::sync::oneshot;
 
@@ -22,21 +22,33 @@
     pub(crate) fn set_loads(self: &Rc<Hub>, session: u64, loads: Vec<message::Usage>) {
         if let Some(node) = self.sessions.borrow().node(session) {
             for usage in &loads {
-                self.note_results(&usage.id, &node, usage.succeeded, usage.failed);
+                let id = self.loads.borrow().name(usage.number).cloned();
+                if let Some(id) = id {
+                    self.note_results(&id, &node, usage.succeeded, usage.failed);
+                }
             }
         }
-        self.sessions.borrow_mut().set_loads(session, loads);
-        let running = self.dispatch.borrow().running();
-        let servers = self.servers();
-        let crowded = servers.iter().any(|server| {
-            let batch = running.get(&server.id).copied().unwrap_or(0);
-            batch > 0 && server.online + batch > server.slots
-        });
-        if crowded {
+        let more = self.sessions.borrow_mut().set_loads(session, loads);
+        if more.into_iter().any(|number| self.is_crowded(number)) {
             runner::plan(self);
         }
     }
 
+    /// Returns whether online requests and items exceed the slots of a backend
+    /// server.
+    fn is_crowded(&self, number: u32) -> bool {
+        let loads = self.loads.borrow();
+        let Some(id) = loads.name(number) else {
+            return false;
+        };
+        let batch = self.dispatch.borrow().running(id);
+        let registry = self.registry.borrow();
+        let slots = registry
+            .get(id)
+            .map_or(0, |backend| backend.announcement.slots);
+        batch > 0 && self.sessions.borrow().online(number) + batch > slots
+    }
+
     /// Takes results of requests at a backend server.
     pub(crate) fn note_results(&self, id: &Name, entry: &Name, succeeded: u32, failed: u32) {
         if succeeded + failed == 0 {
@@ -149,30 +161,31 @@
             .broadcast(&message::Frame::Update(update));
     }
 
-    /// Returns the load of all backend servers that have any.
-    pub(super) fn loads(&self) -> Vec<message::Load> {
-        let online = self.sessions.borrow().online();
-        let mut batch = self.dispatch.borrow().running();
+    /// Returns the loads of all backend servers.
+    pub(super) fn loads(&self) -> Vec<load::Load> {
+        let sessions = self.sessions.borrow();
+        let dispatch = self.dispatch.borrow();
         let registry = self.registry.borrow();
-        let ids = registry
-            .backends()
-            .map(|backend| backend.announcement.id.clone());
         let health = self.health.borrow();
+        let publisher = self.loads.borrow();
         let now_ms = clock::steady_ms();
-        let loads = ids.map(|id| message::Load {
-            held: health.is_held(&id, now_ms),
-            online: online.get(&id).copied().unwrap_or(0),
-            batch: batch.remove(&id).unwrap_or(0),
-            id,
+        let loads = registry.backends().map(|backend| {
+            let id = &backend.announcement.id;
+            let number = publisher.number(id);
+            load::Load {
+                id: id.clone(),
+                online: number.map_or(0, |number| sessions.online(number)),
+                batch: dispatch.running(id),
+                held: health.is_held(id, now_ms),
+            }
         });
-        loads
-            .filter(|load| load.held || load.online + load.batch > 0)
-            .collect()
+        loads.collect()
     }
 
     /// Returns the backend servers that may run items.
     pub(crate) fn servers(&self) -> Vec<dispatch::Server> {
-        let online = self.sessions.borrow().online();
+        let sessions = self.sessions.borrow();
+        let loads = self.loads.borrow();
         let registry = self.registry.borrow();
         let health = self.health.borrow();
         let now_ms = clock::steady_ms();
@@ -188,7 +201,9 @@
                     address: known.address.clone(),
                     service: known.service.clone(),
                     slots: known.slots,
-                    online: online.get(&known.id).copied().unwrap_or(0),
+                    online: loads
+                        .number(&known.id)
+                        .map_or(0, |number| sessions.online(number)),
                 }
             })
             .collect()
--- a/programs/gateway/src/control/hub/mod.rs
+++ b/programs/gateway/src/control/hub/mod.rs
@@ -13,7 +13,7 @@
 };
 
 use bw_coord::{ReplicaId, host, member};
-use bw_relay::{dispatch, health, ledger, message, registry, route, suspect};
+use bw_relay::{dispatch, health, ledger, load, message, registry, route, suspect};
 use bw_wire::name::Name;
 use tokio::sync::{Notify, mpsc as async_mpsc, oneshot, watch};
 
@@ -24,10 +24,10 @@
 };
 
 /// How often loads are sent on and batch work is planned.
-const TICK: time::Duration = time::Duration::from_millis(50);
+const TICK: time::Duration = time::Duration::from_millis(20);
 /// Ticks without a change after which an empty update is sent, which shows
 /// that the leader is alive.
-const QUIET_TICKS: u32 = 8;
+const QUIET_TICKS: u32 = 20;
 /// Time limit of a call that is passed on to the leader. Operators and backend
 /// servers wait one second.
 const CALL: time::Duration = time::Duration::from_millis(900);
@@ -45,6 +45,7 @@
     link: link::Link,
     pub(crate) pool: upstream::Pool,
     pub(crate) sessions: RefCell<sessions::Sessions>,
+    loads: RefCell<load::Publisher>,
     peers: RefCell<peers::Peers>,
     registry: RefCell<registry::Registry>,
     leads: Cell<Option<u64>>,
@@ -75,6 +76,7 @@
             link,
             pool: upstream::Pool::default(),
             sessions: RefCell::default(),
+            loads: RefCell::default(),
             peers: RefCell::new(peers),
             registry: RefCell::default(),
             leads: Cell::new(None),
@@ -202,7 +204,7 @@
         message::Update {
             published: self.published.borrow().clone(),
             backends: backends.collect(),
-            loads: Some(self.loads()),
+            loads: Some(self.loads.borrow().whole()),
             suspects: self.suspects.borrow().all(),
         }
     }
@@ -308,6 +310,7 @@
         if self.leads.take().is_some() {
             log::warn!("no longer the leader");
             self.sessions.borrow_mut().close();
+            *self.loads.borrow_mut() = load::Publisher::default();
             self.runs.borrow_mut().stop_all();
             *self.dispatch.borrow_mut() = dispatch::Dispatch::new(dispatch::Options::default());
         }
@@ -427,7 +430,6 @@
 
 /// Does the leader's work that is due from time to time.
 pub(crate) async fn tick(hub: Rc<Hub>) {
-    let mut last = Vec::new();
     let mut quiet = 0;
     loop {
         tokio::time::sleep(TICK).await;
@@ -438,17 +440,16 @@
         hub.sweep();
         runner::plan(&hub);
         let loads = hub.loads();
-        let changed = loads != last;
-        quiet = if changed { 0 } else { quiet + 1 };
-        if !changed && quiet < QUIET_TICKS {
+        let changes = hub.loads.borrow_mut().changes(&loads);
+        quiet = if changes.is_some() { 0 } else { quiet + 1 };
+        if changes.is_none() && quiet < QUIET_TICKS {
             continue;
         }
         quiet = 0;
         let update = message::Update {
-            loads: changed.then(|| loads.clone()),
+            loads: changes,
             ..message::Update::default()
         };
-        last = loads;
         hub.sessions
             .borrow_mut()
             .broadcast(&message::Frame::Update(update));
--- a/programs/gateway/src/control/sessions.rs
+++ b/programs/gateway/src/control/sessions.rs
@@ -34,13 +34,20 @@
 pub(crate) struct Sessions {
     next: u64,
     sessions: HashMap<u64, Session>,
+    /// Online requests in flight by the number of the backend server, summed over
+    /// all sessions.
+    online: HashMap<u32, u32>,
 }
 
 impl Sessions {
     fn open(&mut self, node: Name, role: message::Role, queue: mpsc::Sender<Shared>) -> u64 {
         self.next += 1;
         // A node that connects anew has left its old connection.
-        self.sessions.retain(|_, session| session.node != node);
+        let mut old = self.sessions.iter();
+        let old = old.find(|(_, session)| session.node == node);
+        if let Some(old) = old.map(|(id, _)| *id) {
+            self.remove(old);
+        }
         let loads = Vec::new();
         let session = Session {
             node,
@@ -55,16 +62,19 @@
     /// Sends a frame to all sessions.
     pub(crate) fn broadcast(&mut self, frame: &message::Frame) {
         let bytes: Shared = Arc::new(message::encode(frame));
-        self.sessions.retain(|_, session| {
-            let sent = session.queue.try_send(Arc::clone(&bytes)).is_ok();
-            if !sent {
+        let mut stuck = Vec::new();
+        for (id, session) in &self.sessions {
+            if session.queue.try_send(Arc::clone(&bytes)).is_err() {
                 log::warn!(node = &*session.node; "a session does not read, closing it");
-                metrics::FRAMES_DROPPED
-                    .with_label_values(&["session_queue"])
-                    .inc();
+                stuck.push(*id);
             }
-            sent
-        });
+        }
+        for id in stuck {
+            metrics::FRAMES_DROPPED
+                .with_label_values(&["session_queue"])
+                .inc();
+            self.remove(id);
+        }
     }
 
     /// Returns whether a worker VM is connected.
@@ -76,15 +86,12 @@
     /// Closes all sessions, after which their nodes look for the new leader.
     pub(crate) fn close(&mut self) {
         self.sessions.clear();
+        self.online.clear();
     }
 
-    /// Returns the online requests in flight by backend server.
-    pub(crate) fn online(&self) -> HashMap<Name, u32> {
-        let mut online = HashMap::new();
-        for usage in self.sessions.values().flat_map(|session| &session.loads) {
-            *online.entry(usage.id.clone()).or_insert(0) += usage.online;
-        }
-        online
+    /// Returns the online requests in flight at a backend server.
+    pub(crate) fn online(&self, number: u32) -> u32 {
+        self.online.get(&number).copied().unwrap_or(0)
     }
 }
 
@@ -225,10 +232,34 @@
 }
 
 impl Sessions {
-    /// Notes the online requests of one session.
-    pub(crate) fn set_loads(&mut self, id: u64, loads: Vec<message::Usage>) {
-        if let Some(session) = self.sessions.get_mut(&id) {
-            session.loads = loads;
+    /// Notes the online requests of one session. Returns the backend servers that
+    /// have more of them than before.
+    pub(crate) fn set_loads(&mut self, id: u64, loads: Vec<message::Usage>) -> Vec<u32> {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return Vec::new();
+        };
+        let before: HashMap<u32, u32> = session
+            .loads
+            .iter()
+            .map(|usage| (usage.number, usage.online))
+            .collect();
+        let added =
+            |usage: &message::Usage| usage.online > before.get(&usage.number).copied().unwrap_or(0);
+        let more = loads.iter().filter(|usage| added(usage));
+        let more = more.map(|usage| usage.number).collect();
+        let old = std::mem::replace(&mut session.loads, loads.clone());
+        for usage in &loads {
+            *self.online.entry(usage.number).or_insert(0) += usage.online;
+        }
+        self.subtract(&old);
+        more
+    }
+
+    fn subtract(&mut self, loads: &[message::Usage]) {
+        for usage in loads {
+            if let Some(online) = self.online.get_mut(&usage.number) {
+                *online = online.saturating_sub(usage.online);
+            }
         }
     }
 
@@ -239,6 +270,8 @@
 
     /// Forgets one session.
     pub(crate) fn remove(&mut self, id: u64) {
-        self.sessions.remove(&id);
+        if let Some(session) = self.sessions.remove(&id) {
+            self.subtract(&session.loads);
+        }
     }
 }
--- a/programs/gateway/src/edge/mod.rs
+++ b/programs/gateway/src/edge/mod.rs
@@ -20,13 +20,13 @@
 use state::State;
 
 /// How often the requests in flight are reported to the leader if they changed.
-const REPORT: time::Duration = time::Duration::from_millis(100);
+const REPORT: time::Duration = time::Duration::from_millis(40);
 /// Least time between two reports about requests that need slots of batch
 /// items, which bounds the messages of a burst.
 const URGENT_GAP: time::Duration = time::Duration::from_millis(10);
 /// Reports without a change that are left out before one is sent again, which
 /// shows the leader that the entry VM is alive.
-const REPORTS_SKIPPED: u32 = 5;
+const REPORTS_SKIPPED: u32 = 12;
 /// Time after a stop signal in which new requests are still served, as the
 /// load balancer needs two readiness checks, one second apart, to notice. Later
 /// requests might not end before the process must.
@@ -99,13 +99,8 @@
 async fn take_news(state: Rc<State>, mut news: mpsc::UnboundedReceiver<link::News>) {
     while let Some(news) = news.recv().await {
         match news {
-            link::News::Connected => {
-                state.connected.set(true);
-                // A new leader plans with what entry VMs tell it.
-                let report = state.balance.borrow_mut().report();
-                state.link.notify(&message::Frame::Loads(report));
-            }
-            link::News::Disconnected => state.connected.set(false),
+            link::News::Connected => state.set_connected(true),
+            link::News::Disconnected => state.set_connected(false),
             link::News::Update(update) => state.update(update),
         }
     }
@@ -113,24 +108,16 @@
 
 /// Reports requests in flight to the leader.
 async fn report(state: Rc<State>) {
-    let mut last = Vec::new();
     let mut skipped = 0;
     loop {
         // Batch items give way only when the leader knows of the request.
         let crowded = tokio::time::timeout(REPORT, state.crowded.notified()).await;
         state.tick();
-        let report = state.balance.borrow_mut().report();
-        let failed = report.iter().any(|usage| usage.failed > 0);
-        let online: Vec<_> = report
-            .iter()
-            .map(|usage| (usage.id.clone(), usage.online))
-            .collect();
-        if !failed && online == last && skipped < REPORTS_SKIPPED {
+        let Some(report) = state.report(skipped >= REPORTS_SKIPPED) else {
             skipped += 1;
             continue;
-        }
+        };
         skipped = 0;
-        last = online;
         state.link.notify(&message::Frame::Loads(report));
         if crowded.is_ok() {
             tokio::time::sleep(URGENT_GAP).await;
--- a/programs/gateway/src/edge/state.rs
+++ b/programs/gateway/src/edge/state.rs
@@ -6,7 +6,7 @@
     sync::Arc,
 };
 
-use bw_relay::{balance, ledger, message, registry, route, suspect};
+use bw_relay::{balance, ledger, load, message, registry, route, suspect};
 use rand::{RngCore, SeedableRng};
 use tokio::sync::{Notify, watch};
 
@@ -26,7 +26,10 @@
     pub(crate) link: link::Link,
     pub(crate) pool: edge::Pool,
     pub(crate) balance: RefCell<balance::Balance>,
+    loads: RefCell<load::Subscriber>,
     pub(crate) routing: RefCell<Option<Rc<Routing>>>,
+    /// Online requests by backend server as they were reported last.
+    told: RefCell<Vec<(u32, u32)>>,
     /// Told when a request was placed where batch items must give way.
     pub(crate) crowded: Notify,
     pub(crate) connected: Cell<bool>,
@@ -64,7 +67,9 @@
             link,
             pool: edge::Pool::default(),
             balance: RefCell::new(balance::Balance::new(balance::Options::default())),
+            loads: RefCell::default(),
             routing: RefCell::new(None),
+            told: RefCell::default(),
             crowded: Notify::new(),
             connected: Cell::new(false),
             draining: Cell::new(false),
@@ -115,10 +120,43 @@
         }
         if let Some(loads) = update.loads {
             self.loads_ms.set(now_ms);
-            self.balance.borrow_mut().set_loads(&loads);
+            let changed = self.loads.borrow_mut().apply(&loads);
+            let mut balance = self.balance.borrow_mut();
+            if loads.whole {
+                balance.clear_loads();
+                // A new leader plans with what entry VMs tell it.
+                self.crowded.notify_one();
+                self.told.borrow_mut().clear();
+            }
+            balance.set_loads(&changed);
         }
     }
 
+    /// Notes that a leader was found or lost. Its numbers of backend servers are
+    /// not those of the leader before.
+    pub(crate) fn set_connected(&self, connected: bool) {
+        self.connected.set(connected);
+        self.loads.borrow_mut().clear();
+    }
+
+    /// Returns the report for the leader, `None` if it has nothing new and need not
+    /// be repeated.
+    pub(crate) fn report(&self, repeat: bool) -> Option<Vec<message::Usage>> {
+        let usage = self.balance.borrow_mut().report();
+        let report = self.loads.borrow().report(&usage);
+        let results = report
+            .iter()
+            .any(|usage| usage.succeeded + usage.failed > 0);
+        let online = report.iter().map(|usage| (usage.number, usage.online));
+        let online: Vec<_> = online.filter(|(_, online)| *online > 0).collect();
+        let mut told = self.told.borrow_mut();
+        if !repeat && !results && online == *told {
+            return None;
+        }
+        *told = online;
+        Some(report)
+    }
+
     /// Notes that a backend server broke the connection of a request.
     pub(crate) fn crashed(&self, id: &str, fingerprint: suspect::Fingerprint) {
         let strike = self.suspects.borrow_mut().crashed(fingerprint);
