Let requests wait for the first configuration after a start

Cause: after a loss of all power an entry VM refused every request until there was a leader, 0.45 s.

A request now waits up to 1 s, and only in the first 1.5 s after the start; a VM that has no configuration for longer refuses at once as before.

--- a/programs/gateway/src/edge/forward.rs
+++ b/programs/gateway/src/edge/forward.rs
@@ -19,9 +19,9 @@
     metrics,
 };
 
-/// When a caller should come back to a VM that knows no configuration yet, in
-/// milliseconds. After a loss of all power the first election ends about 1 s
-/// after the programs start; callers that came back after 0.5 s found nothing.
+/// When a caller should come back to a VM that knows no configuration, in
+/// milliseconds. It waited for one already where that made sense; callers that
+/// came back after 0.5 s found nothing.
 const UNCONFIGURED_RETRY_MS: u64 = 1_400;
 
 /// A request that is forwarded, as often as it takes.
@@ -51,7 +51,7 @@
 ) -> answer::Answer {
     let now_ms = clock::steady_ms();
     let id = text(request.headers(), &state.dialect.headers().request_id).to_owned();
-    let Some(routing) = state.routing() else {
+    let Some(routing) = state.await_routing().await else {
         refuse(&id, "no_configuration", UNCONFIGURED_RETRY_MS);
         return answer::not_run("no configuration is known yet", UNCONFIGURED_RETRY_MS);
     };
--- a/programs/gateway/src/edge/state.rs
+++ b/programs/gateway/src/edge/state.rs
@@ -19,6 +19,15 @@
 /// cut off for longer may act on an old configuration.
 const STALE_MS: u64 = 8_000;
 
+/// Time after the start in which requests wait for the first configuration, in
+/// milliseconds. After a loss of all power the first election ends 0.3 to 1 s
+/// after the programs start. A caller that is refused then comes back a second
+/// later, or not at all if its connection broke with the power before.
+const STARTUP_MS: u64 = 1_500;
+/// Longest such wait of one request in milliseconds; a caller that is refused
+/// after it has time left to come back.
+const STARTUP_WAIT_MS: u64 = 1_000;
+
 /// The state of the entry program, on one thread.
 pub(crate) struct State {
     pub(crate) settings: settings::Settings,
@@ -28,6 +37,9 @@
     pub(crate) balance: RefCell<balance::Balance>,
     loads: RefCell<load::Subscriber>,
     pub(crate) routing: RefCell<Option<Rc<Routing>>>,
+    /// Told when a configuration is in force.
+    configured: Notify,
+    started_ms: u64,
     /// Online requests by backend server as they were reported last.
     told: RefCell<Vec<(u32, u32)>>,
     /// Told when a request was placed where batch items must give way.
@@ -69,6 +81,8 @@
             balance: RefCell::new(balance::Balance::new(balance::Options::default())),
             loads: RefCell::default(),
             routing: RefCell::new(None),
+            configured: Notify::new(),
+            started_ms: clock::steady_ms(),
             told: RefCell::default(),
             crowded: Notify::new(),
             connected: Cell::new(false),
@@ -90,6 +104,21 @@
         self.routing.borrow().clone()
     }
 
+    /// Returns the configuration in force. Shortly after the start it waits for the
+    /// first one; later a VM without a configuration is cut off for longer than
+    /// callers should wait.
+    pub(crate) async fn await_routing(&self) -> Option<Rc<Routing>> {
+        let now_ms = clock::steady_ms();
+        let until_ms = (now_ms + STARTUP_WAIT_MS).min(self.started_ms + STARTUP_MS);
+        while self.routing.borrow().is_none() {
+            let configured = self.configured.notified();
+            tokio::time::timeout(edge::left(until_ms), configured)
+                .await
+                .ok()?;
+        }
+        self.routing()
+    }
+
     /// Returns whether the load balancer should send callers.
     pub(crate) fn is_ready(&self) -> bool {
         let fresh = clock::steady_ms() < self.heard_ms.get() + STALE_MS;
@@ -194,6 +223,7 @@
             limits: config.limits,
         };
         *self.routing.borrow_mut() = Some(Rc::new(routing));
+        self.configured.notify_waiters();
     }
 
     fn announce(&self, announcement: registry::Announcement, now_ms: u64) {
