Judge answers in one place and name reasons in an enum

The head of an answer was judged by the same checks in the entry program and in the batch runner; `upstream::judge` serves both and each failure has a verdict. Reasons in logs and metrics were strings; they are one enum now. The send of a request is split into the exchange, its log line and what is learnt from it. Bodies are boxed once, the three ways to place a request share their end, both HTTP listeners share their loop, and reasons that are never given are removed. Entries for jobs that nobody waits for are removed from the map of waiting calls, which kept one for each closed job that was still polled.

--- a/crates/relay/src/balance.rs
+++ b/crates/relay/src/balance.rs
@@ -219,61 +219,49 @@
     /// long everywhere.
     pub fn place(&mut self, wish: &Wish<'_>, now_ms: u64, draw: u64) -> Result<Place, Rejection> {
         let usable = |server: &&Server| is_usable(server, wish, now_ms);
-        let Some(least) = self.servers.values().filter(usable).map(load).min() else {
-            return self.place_paused(wish, now_ms, draw);
+        let least = self.servers.values().filter(usable).map(load).min();
+        let chosen = match least {
+            Some(least) => self
+                .near_least(wish, now_ms, least)
+                .or_else(|| self.with_least_online(wish, now_ms))
+                .ok_or(Reason::Overload),
+            None => self.first_recovered(wish, now_ms).ok_or(Reason::NoBackend),
         };
-        let near = self.options.near;
-        let candidates = self.servers.values().filter(usable);
-        let chosen = candidates
-            .filter(|server| load(server) <= least + near && self.has_room(server, wish))
-            .max_by_key(|server| preference(server, wish, least));
-        let Some(chosen) = chosen else {
-            return self.place_anywhere(wish, now_ms, draw);
-        };
-        let place = place_of(chosen);
-        self.started(&place.id);
-        Ok(place)
+        match chosen.map(place_of) {
+            Ok(place) => {
+                self.started(&place.id);
+                Ok(place)
+            }
+            Err(reason) => Err(self.reject(reason, wish, now_ms, draw)),
+        }
     }
 
-    /// Places a request although the least loaded backend servers are full of
-    /// online requests: others may be full of batch work only.
-    fn place_anywhere(
-        &mut self,
-        wish: &Wish<'_>,
-        now_ms: u64,
-        draw: u64,
-    ) -> Result<Place, Rejection> {
-        let usable = |server: &&Server| is_usable(server, wish, now_ms);
-        let with_room = self.servers.values().filter(usable);
-        let chosen = with_room
+    /// Returns the preferred one of the backend servers with about the least load.
+    fn near_least(&self, wish: &Wish<'_>, now_ms: u64, least: u32) -> Option<&Server> {
+        let near = least + self.options.near;
+        let servers = self.servers.values();
+        servers
+            .filter(|server| is_usable(server, wish, now_ms) && load(server) <= near)
             .filter(|server| self.has_room(server, wish))
-            .min_by_key(|server| server.online());
-        let Some(chosen) = chosen else {
-            return Err(self.reject(Reason::Overload, wish, now_ms, draw));
-        };
-        let place = place_of(chosen);
-        self.started(&place.id);
-        Ok(place)
+            .max_by_key(|server| preference(server, wish, least))
     }
 
-    /// Places a request although every backend server is paused: the one whose
-    /// pause ends first may have recovered, and a rejection helps nobody.
-    fn place_paused(
-        &mut self,
-        wish: &Wish<'_>,
-        now_ms: u64,
-        draw: u64,
-    ) -> Result<Place, Rejection> {
+    /// Returns the backend server with the fewest online requests: the least loaded
+    /// ones are full of these, but others may be full of batch items only.
+    fn with_least_online(&self, wish: &Wish<'_>, now_ms: u64) -> Option<&Server> {
         let servers = self.servers.values();
-        let chosen = servers
+        servers
+            .filter(|server| is_usable(server, wish, now_ms) && self.has_room(server, wish))
+            .min_by_key(|server| server.online())
+    }
+
+    /// Returns the backend server whose pause ends first, where all are paused: it
+    /// may have recovered, and a rejection helps nobody.
+    fn first_recovered(&self, wish: &Wish<'_>, now_ms: u64) -> Option<&Server> {
+        let servers = self.servers.values();
+        servers
             .filter(|server| is_candidate(server, wish, now_ms) && self.has_room(server, wish))
-            .min_by_key(|server| (server.held, server.paused_until_ms, load(server)));
-        let Some(chosen) = chosen else {
-            return Err(self.reject(Reason::NoBackend, wish, now_ms, draw));
-        };
-        let place = place_of(chosen);
-        self.started(&place.id);
-        Ok(place)
+            .min_by_key(|server| (server.held, server.paused_until_ms, load(server)))
     }
 
     /// Notes that a request has ended at a backend server.
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -153,10 +153,6 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum Reason {
-    /// A backend server said that it can never be done.
-    Impossible,
-    /// Too many runs failed.
-    Attempts,
     /// It waited too long.
     Expired,
     /// Its route is gone.
--- a/programs/gateway/src/control/api.rs
+++ b/programs/gateway/src/control/api.rs
@@ -1,13 +1,12 @@
 //! The HTTP interface for operators and backend servers.
 
-use std::{convert, rc::Rc, time};
+use std::{rc::Rc, time};
 
 use bw_wire::name::Name;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Method, Request, Response, StatusCode, body, header, server::conn::http1, service};
-use hyper_util::rt;
-use tokio::{net, task};
+use hyper::{Method, Request, Response, StatusCode, body, header};
+use tokio::net;
 
 use crate::{control::hub::Hub, socket};
 
@@ -22,34 +21,11 @@
 
 /// Serves operators and backend servers.
 pub(crate) async fn serve(hub: Rc<Hub>, listener: net::TcpListener) {
-    let mut connections = task::JoinSet::new();
-    loop {
-        while connections.try_join_next().is_some() {}
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!("accept failed: {error}");
-                continue;
-            }
-        };
-        if socket::tune(&stream).is_err() {
-            continue;
-        }
+    let answer = move |request| {
         let hub = Rc::clone(&hub);
-        let service = service::service_fn(move |request| {
-            let hub = Rc::clone(&hub);
-            async move { Ok::<_, convert::Infallible>(handle(&hub, request).await) }
-        });
-        connections.spawn_local(async move {
-            let serving = http1::Builder::new()
-                .timer(rt::TokioTimer::new())
-                .header_read_timeout(HEADER)
-                .serve_connection(rt::TokioIo::new(stream), service);
-            if let Err(error) = serving.await {
-                log::debug!("control connection ended: {error}");
-            }
-        });
-    }
+        async move { handle(&hub, request).await }
+    };
+    socket::serve_http(listener, HEADER, answer).await;
 }
 
 async fn handle(hub: &Rc<Hub>, request: Request<body::Incoming>) -> Answer {
--- a/programs/gateway/src/control/hub/jobs.rs
+++ b/programs/gateway/src/control/hub/jobs.rs
@@ -114,6 +114,10 @@
             return;
         }
         self.swept_ms.set(now_ms);
+        // Only calls that wait share an entry with the map.
+        self.changed
+            .borrow_mut()
+            .retain(|_, changed| Rc::strong_count(changed) > 1);
         self.pool.sweep();
         let before_ms = clock::unix_ms().saturating_sub(self.settings().retention_ms);
         let (reply, _) = oneshot::channel();
--- a/programs/gateway/src/control/runner.rs
+++ b/programs/gateway/src/control/runner.rs
@@ -4,9 +4,10 @@
 
 use bw_coord::host;
 use bw_relay::{dispatch, event, ledger};
+use bw_wire::verdict;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::{HeaderMap, Method, Request, StatusCode, header};
+use hyper::{Method, Request, StatusCode, header};
 use tokio::task;
 use tokio_util::sync::CancellationToken;
 
@@ -219,8 +220,7 @@
         Err(upstream::Failure::Timeout) => return Ended::Crowded,
         Err(_) => return Ended::Broken,
     };
-    let headers = answer.response.headers();
-    if let Some(ended) = judge(hub, start, answer.response.status(), headers) {
+    if let Some(ended) = judge(hub, start, &answer.response) {
         return ended;
     }
     let mut body = answer.response.into_body();
@@ -288,31 +288,18 @@
 }
 
 /// Judges the head of an answer; `None` if events follow.
-fn judge(
-    hub: &Hub,
-    start: &dispatch::Start,
-    status: StatusCode,
-    headers: &HeaderMap,
-) -> Option<Ended> {
+fn judge<B>(hub: &Hub, start: &dispatch::Start, answer: &hyper::Response<B>) -> Option<Ended> {
     let names = hub.dialect().headers();
-    let id = headers.get(&names.request_id);
-    if id.is_some_and(|id| id.as_bytes() != start.id.as_bytes()) {
-        return Some(Ended::Broken);
-    }
-    if status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(&names.not_run) {
-        return Some(Ended::NotRun);
-    }
-    if !headers.contains_key(&names.stamp)
-        || headers.contains_key(header::CONTENT_ENCODING)
-        || id.is_none()
-    {
-        return Some(Ended::Broken);
+    if let Err(failure) = upstream::judge(names, &start.id, answer) {
+        return Some(match failure.verdict() {
+            verdict::Verdict::NotRun => Ended::NotRun,
+            verdict::Verdict::MayHaveRun => Ended::Broken,
+        });
     }
-    let load = headers
-        .get(&names.load)
-        .and_then(|value| value.to_str().ok());
+    let load = answer.headers().get(&names.load);
+    let load = load.and_then(|value| value.to_str().ok());
     let load = load.and_then(|value| hub.dialect().load(value));
-    match status {
+    match answer.status() {
         StatusCode::OK if load.is_some_and(|load| load.waiting > 0) => Some(Ended::Crowded),
         StatusCode::OK => None,
         StatusCode::UNPROCESSABLE_ENTITY => Some(Ended::Impossible),
--- a/programs/gateway/src/control/sessions.rs
+++ b/programs/gateway/src/control/sessions.rs
@@ -100,20 +100,12 @@
     let mut connections = task::JoinSet::new();
     loop {
         while connections.try_join_next().is_some() {}
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let hub = Rc::clone(&hub);
-                connections.spawn_local(connection(hub, stream));
-            }
-            Err(error) => log::warn!("accept failed: {error}"),
-        }
+        let stream = socket::accept(&listener).await;
+        connections.spawn_local(connection(Rc::clone(&hub), stream));
     }
 }
 
 async fn connection(hub: Rc<Hub>, stream: net::TcpStream) {
-    if socket::tune(&stream).is_err() {
-        return;
-    }
     let (read, write) = stream.into_split();
     let mut reader = socket::Reader::new(read);
     match reader.next().await {
--- a/programs/gateway/src/edge/answer.rs
+++ b/programs/gateway/src/edge/answer.rs
@@ -1,41 +1,38 @@
 //! Answers of the relay itself.
 
+use std::{io, pin::Pin, task};
+
 use bytes::Bytes;
 use futures_util::stream;
-use http_body_util::{BodyExt, Full, StreamBody, combinators};
+use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::{Response, StatusCode, body, header};
 
-/// The body of an answer: in one piece or forwarded as it arrives.
-pub(crate) type Body = combinators::UnsyncBoxBody<Bytes, std::io::Error>;
+/// The body of an answer: in one piece or forwarded as it arrives. It stays on
+/// the thread that made it.
+pub(crate) struct Body(Pin<Box<dyn body::Body<Data = Bytes, Error = io::Error>>>);
 
 /// Builds a body in one piece.
 pub(crate) fn whole(bytes: impl Into<Bytes>) -> Body {
-    Full::new(bytes.into())
-        .map_err(|never| match never {})
-        .boxed_unsync()
+    let whole = Full::new(bytes.into());
+    Body(Box::pin(whole.map_err(|never| match never {})))
 }
 
 /// Builds a body from pieces that arrive over time.
-pub(crate) fn pieces<S>(stream: S) -> LocalBody
+pub(crate) fn pieces<S>(stream: S) -> Body
 where
-    S: stream::Stream<Item = Result<body::Frame<Bytes>, std::io::Error>> + 'static,
+    S: stream::Stream<Item = io::Result<body::Frame<Bytes>>> + 'static,
 {
-    LocalBody(Box::pin(StreamBody::new(stream)))
+    Body(Box::pin(StreamBody::new(stream)))
 }
 
-/// A body on the thread that made it.
-pub(crate) struct LocalBody(
-    std::pin::Pin<Box<dyn body::Body<Data = Bytes, Error = std::io::Error>>>,
-);
-
-impl body::Body for LocalBody {
+impl body::Body for Body {
     type Data = Bytes;
-    type Error = std::io::Error;
+    type Error = io::Error;
 
     fn poll_frame(
-        mut self: std::pin::Pin<&mut Self>,
-        context: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<Result<body::Frame<Bytes>, std::io::Error>>> {
+        mut self: Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<Option<io::Result<body::Frame<Bytes>>>> {
         self.0.as_mut().poll_frame(context)
     }
 
@@ -48,19 +45,13 @@
     }
 }
 
-impl From<Body> for LocalBody {
-    fn from(body: Body) -> LocalBody {
-        LocalBody(Box::pin(body))
-    }
-}
-
 /// An answer to a caller.
-pub(crate) type Answer = Response<LocalBody>;
+pub(crate) type Answer = Response<Body>;
 
 /// Builds an answer of the relay's own with a reason for people.
 pub(crate) fn own(status: StatusCode, reason: &str) -> Answer {
     let text = format!("{reason}\n");
-    let mut response = Response::new(whole(text).into());
+    let mut response = Response::new(whole(text));
     *response.status_mut() = status;
     let plain = header::HeaderValue::from_static("text/plain");
     response.headers_mut().insert(header::CONTENT_TYPE, plain);
@@ -80,7 +71,7 @@
 
 /// Builds an answer with a JSON body.
 pub(crate) fn json(status: StatusCode, bytes: Vec<u8>) -> Answer {
-    let mut response = Response::new(whole(bytes).into());
+    let mut response = Response::new(whole(bytes));
     *response.status_mut() = status;
     let kind = header::HeaderValue::from_static("application/json");
     response.headers_mut().insert(header::CONTENT_TYPE, kind);
--- a/programs/gateway/src/edge/attempt.rs
+++ b/programs/gateway/src/edge/attempt.rs
@@ -3,7 +3,7 @@
 use std::{net, rc::Rc, time};
 
 use bw_relay::balance;
-use bw_wire::name::Name;
+use bw_wire::{name::Name, verdict};
 use bytes::Bytes;
 use futures_util::stream;
 use http_body_util::{BodyExt, Full};
@@ -11,7 +11,7 @@
 
 use crate::{
     clock, dialect,
-    edge::{answer, forward, forward::Forward, front::Active, state::State},
+    edge::{answer, forward, forward::Forward, front::Active, reason::Reason, state::State},
     metrics, upstream,
 };
 
@@ -24,6 +24,13 @@
 const PATIENCE_OBJECTIVES: u64 = 4;
 /// Least such wait in milliseconds.
 const PATIENCE_MS: u64 = 1_000;
+/// When a caller should come back after a request that no backend server ran in
+/// several attempts, in milliseconds: about three times as long as a slot takes
+/// to become free.
+const GIVEN_UP_RETRY_MS: u64 = 300;
+/// When a caller should come back to a route without a service, in milliseconds;
+/// a configuration is in force everywhere within that time.
+const NO_SERVICE_RETRY_MS: u64 = 1_000;
 
 /// A backend server that works on a request, until it is dropped.
 pub(crate) struct Held {
@@ -58,12 +65,10 @@
 
 /// Why no answer could be had.
 pub(crate) enum Failed {
-    /// Nothing ran, and the caller should come back.
-    NotRun(&'static str, u64),
+    /// Nothing ran, and the caller should come back after some milliseconds.
+    NotRun(Reason, u64),
     /// The request may have run.
-    MayHaveRun(&'static str),
-    /// The time is over; the request may have run.
-    TimedOut,
+    MayHaveRun(Reason),
 }
 
 impl Attempts {
@@ -90,17 +95,17 @@
         state: &Rc<State>,
         forward: &Forward,
     ) -> Result<Accepted, Failed> {
-        let mut reason = "no_backend";
+        let mut reason = Reason::NoBackend;
         loop {
             let limit = forward.route.attempts.max(1);
             if self.ran >= limit || (self.ran > 0 && !forward.route.kind.repeatable()) {
                 return Err(Failed::MayHaveRun(reason));
             }
             if clock::steady_ms() >= forward.until_ms {
-                return Err(self.given_up("timeout"));
+                return Err(self.given_up(Reason::Timeout));
             }
             if state.suspects.borrow().is_refused(forward.fingerprint) {
-                return Err(self.given_up("poisonous_request"));
+                return Err(self.given_up(Reason::PoisonousRequest));
             }
             if self.sends >= SENDS_MAX {
                 return Err(self.given_up(reason));
@@ -114,14 +119,14 @@
                         route = &*forward.route.name, connected = state.connected.get();
                         "not placed"
                     );
-                    let reason = rejection.reason.into();
+                    let reason = Reason::from(rejection.reason);
                     return Err(Failed::NotRun(reason, rejection.retry_after_ms));
                 }
                 Err(_) => return Err(Failed::MayHaveRun(reason)),
             };
             self.sends += 1;
             if self.sends > 1 {
-                metrics::RETRIES.with_label_values(&[reason]).inc();
+                metrics::RETRIES.with_label_values(&[reason.name()]).inc();
             }
             match self.send(state, forward, &place, held).await {
                 Ok(accepted) => return Ok(accepted),
@@ -130,10 +135,9 @@
         }
     }
 
-    fn given_up(&self, reason: &'static str) -> Failed {
+    fn given_up(&self, reason: Reason) -> Failed {
         match self.ran {
-            0 => Failed::NotRun(reason, 300),
-            _ if reason == "timeout" => Failed::TimedOut,
+            0 => Failed::NotRun(reason, GIVEN_UP_RETRY_MS),
             _ => Failed::MayHaveRun(reason),
         }
     }
@@ -147,7 +151,7 @@
         let Some(service) = forward.route.service(draw) else {
             return Err(balance::Rejection {
                 reason: balance::Reason::NoBackend,
-                retry_after_ms: 1_000,
+                retry_after_ms: NO_SERVICE_RETRY_MS,
                 usable: 0,
                 least_online: 0,
             });
@@ -173,111 +177,133 @@
         Ok((place, held))
     }
 
-    /// Sends the request once. The error names the reason for the next attempt.
+    /// Sends the request once. The error is the reason for the next attempt.
     async fn send(
         &mut self,
         state: &Rc<State>,
         forward: &Forward,
         place: &balance::Place,
         held: Held,
-    ) -> Result<Accepted, &'static str> {
-        let Ok(address) = place.address.parse::<net::SocketAddr>() else {
+    ) -> Result<Accepted, Reason> {
+        let address = place.address.parse::<net::SocketAddr>().ok();
+        let request = self.request(state, forward, place);
+        let (Some(address), Some(request)) = (address, request) else {
             self.tried.push(place.id.clone());
-            return Err("bad_address");
+            return Err(Reason::BadRequest);
         };
         let repeatable = forward.route.kind.repeatable();
-        let Some(request) = self.request(state, forward, place) else {
-            return Err("bad_request");
-        };
         let limit = self.patience(forward, repeatable);
         let sent_ms = clock::steady_ms();
-        let (own, online, batch) = state.balance.borrow().view(&place.id);
+        let believed = state.balance.borrow().view(&place.id);
         let sent = state.pool.send(address, request, repeatable, limit).await;
-        let now_ms = clock::steady_ms();
-        let result = match sent {
-            Ok(answer) => judge(
-                state,
-                forward,
-                answer.response.status(),
-                answer.response.headers(),
-            )
-            .map(|()| answer),
+        let names = state.dialect.headers();
+        let judged = sent.and_then(|answer| {
+            upstream::judge(names, &forward.id, &answer.response)?;
+            Ok(answer)
+        });
+        self.log(state, forward, place, believed, sent_ms, &judged);
+        let answer = match judged {
+            Ok(answer) => answer,
             Err(failure) => {
-                self.ran += u32::from(failure.may_have_run());
-                if failure == upstream::Failure::Broken {
-                    state.crashed(&forward.id, forward.fingerprint);
-                }
-                // A request that used up its own time says nothing of the
-                // backend server.
-                if now_ms < forward.until_ms {
-                    let mut balance = state.balance.borrow_mut();
-                    balance.failed(&place.id, evidence(failure), now_ms);
-                }
-                self.tried.push(place.id.clone());
-                Err(failure.into())
+                self.note_failure(state, forward, place, failure);
+                return Err(failure.into());
             }
         };
-        let stated = match &result {
+        self.ran += 1;
+        if self.note_answer(state, forward, place, answer.response.status()) {
+            self.tried.push(place.id.clone());
+            return Err(Reason::ServerError);
+        }
+        Ok(Accepted {
+            response: answer.response,
+            lease: answer.lease,
+            held,
+        })
+    }
+
+    /// Logs one send with the load of the backend server as it was believed before
+    /// and as the answer states it.
+    fn log(
+        &self,
+        state: &State,
+        forward: &Forward,
+        place: &balance::Place,
+        (own, online, batch): (u32, u32, u32),
+        sent_ms: u64,
+        judged: &Result<upstream::Answer, upstream::Failure>,
+    ) {
+        let now_ms = clock::steady_ms();
+        let stated = match judged {
             Ok(answer) => stated_load(state, answer.response.headers()),
             Err(_) => None,
         };
-        let outcome = match &result {
+        let outcome = match judged {
             Ok(answer) => answer.response.status().as_str().to_owned(),
-            Err(reason) => (*reason).to_owned(),
+            Err(failure) => Reason::from(*failure).name().to_owned(),
         };
         log::info!(
             request = forward.id.as_str(), backend = place.id.as_str(), send = self.sends,
-            own = own, online = online, batch = batch,
+            own = own, online = online, batch = batch, loads_age_ms = state.loads_age_ms(),
             running = stated.map_or(0, |load| load.running), waiting = stated.map_or(0, |load| load.waiting),
             outcome = outcome.as_str(),
             took_ms = now_ms.saturating_sub(sent_ms), left_ms = forward.until_ms.saturating_sub(now_ms);
             "sent"
         );
-        let answer = match result {
-            Ok(answer) => answer,
-            Err(reason) => {
-                self.note(state, place, reason, now_ms);
-                return Err(reason);
-            }
-        };
-        self.ran += 1;
-        let server_error = answer.response.status() == StatusCode::INTERNAL_SERVER_ERROR;
-        {
-            let mut balance = state.balance.borrow_mut();
-            match server_error {
-                true => balance.failed(&place.id, balance::Failure::Broken, now_ms),
-                false => balance.succeeded(&place.id, now_ms),
-            }
-        }
-        let retry = server_error && repeatable && self.ran < forward.route.attempts;
-        if retry {
-            self.tried.push(place.id.clone());
-            return Err("server_error");
-        }
-        Ok(Accepted {
-            response: answer.response,
-            lease: answer.lease,
-            held,
-        })
     }
 
-    /// Notes what a refused or wrong answer says of the backend server.
-    fn note(&mut self, state: &State, place: &balance::Place, reason: &'static str, now_ms: u64) {
-        if self.tried.last() == Some(&place.id) {
-            return;
-        }
+    /// Notes what a send without an answer says of the backend server.
+    fn note_failure(
+        &mut self,
+        state: &State,
+        forward: &Forward,
+        place: &balance::Place,
+        failure: upstream::Failure,
+    ) {
         self.tried.push(place.id.clone());
+        self.ran += u32::from(failure.verdict() == verdict::Verdict::MayHaveRun);
+        if failure == upstream::Failure::Broken {
+            state.crashed(&forward.id, forward.fingerprint);
+        }
+        let now_ms = clock::steady_ms();
         let mut balance = state.balance.borrow_mut();
-        match reason {
-            "full" => balance.refused(&place.id, now_ms),
-            "other_backend" => balance.failed(&place.id, balance::Failure::Unreachable, now_ms),
-            _ => {
-                self.ran += 1;
+        match failure {
+            upstream::Failure::Full => balance.refused(&place.id, now_ms),
+            // A request that used up its own time says nothing of the backend
+            // server.
+            upstream::Failure::Connect | upstream::Failure::Timeout
+                if now_ms >= forward.until_ms => {}
+            upstream::Failure::Connect
+            | upstream::Failure::Timeout
+            | upstream::Failure::OtherBackend => {
+                balance.failed(&place.id, balance::Failure::Unreachable, now_ms);
+            }
+            upstream::Failure::Broken
+            | upstream::Failure::CrossedAnswer
+            | upstream::Failure::ForeignAnswer => {
                 balance.failed(&place.id, balance::Failure::Broken, now_ms);
             }
         }
     }
 
+    /// Notes what an answer says of the backend server. Returns whether the request
+    /// should be sent to another one.
+    fn note_answer(
+        &self,
+        state: &State,
+        forward: &Forward,
+        place: &balance::Place,
+        status: StatusCode,
+    ) -> bool {
+        let now_ms = clock::steady_ms();
+        let mut balance = state.balance.borrow_mut();
+        if status != StatusCode::INTERNAL_SERVER_ERROR {
+            balance.succeeded(&place.id, now_ms);
+            return false;
+        }
+        balance.failed(&place.id, balance::Failure::Broken, now_ms);
+        forward.route.kind.repeatable() && self.ran < forward.route.attempts
+    }
+
     fn patience(&self, forward: &Forward, repeatable: bool) -> time::Duration {
         let left = super::left(forward.until_ms);
         let last = self.ran + 1 >= forward.route.attempts;
@@ -326,45 +352,12 @@
     }
 }
 
-/// Returns what a failed exchange says of the backend server.
-fn evidence(failure: upstream::Failure) -> balance::Failure {
-    match failure {
-        upstream::Failure::Connect | upstream::Failure::Timeout => balance::Failure::Unreachable,
-        upstream::Failure::Broken => balance::Failure::Broken,
-    }
-}
-
 /// Returns the load that a backend server states in an answer.
 fn stated_load(state: &State, headers: &HeaderMap) -> Option<dialect::Load> {
     let text = forward::text(headers, &state.dialect.headers().load);
     state.dialect.load(text)
 }
 
-/// Judges the head of an answer. An error is the reason for another attempt.
-fn judge(
-    state: &State,
-    forward: &Forward,
-    status: StatusCode,
-    headers: &HeaderMap,
-) -> Result<(), &'static str> {
-    let names = state.dialect.headers();
-    let id = forward::text(headers, &names.request_id);
-    if !id.is_empty() && id != forward.id {
-        return Err("crossed_answer");
-    }
-    if status == StatusCode::MISDIRECTED_REQUEST {
-        return Err("other_backend");
-    }
-    if headers.contains_key(&names.not_run) {
-        return Err("full");
-    }
-    let foreign = headers.contains_key(header::CONTENT_ENCODING);
-    if foreign || !headers.contains_key(&names.stamp) || id.is_empty() {
-        return Err("foreign_answer");
-    }
-    Ok(())
-}
-
 /// Forwards a request whose answer is not a series of events.
 pub(crate) async fn forward(state: &Rc<State>, forward: Forward, active: Active) -> answer::Answer {
     let mut attempts = Attempts::new();
@@ -386,7 +379,7 @@
                 accepted.lease.release();
                 state.finished(forward.fingerprint);
                 let whole = answer::whole(body.to_bytes());
-                let mut response = Response::from_parts(parts, whole.into());
+                let mut response = Response::from_parts(parts, whole);
                 forward::remove_hop_headers(response.headers_mut());
                 return response;
             }
@@ -394,7 +387,7 @@
                 state.crashed(&forward.id, forward.fingerprint);
                 attempts.broke(state, &id);
             }
-            Err(_) => return failure(&forward, Failed::TimedOut),
+            Err(_) => return failure(&forward, Failed::MayHaveRun(Reason::Timeout)),
         }
     }
 }
@@ -421,20 +414,18 @@
 
 /// Answers a request that got no answer.
 pub(crate) fn failure(forward: &Forward, failed: Failed) -> answer::Answer {
-    match failed {
+    let reason = match failed {
         Failed::NotRun(reason, retry_after_ms) => {
             forward::refuse(&forward.id, reason, retry_after_ms);
-            answer::not_run(reason, retry_after_ms)
-        }
-        Failed::MayHaveRun(reason) => {
-            log::warn!(request = forward.id.as_str(), reason = reason, verdict = "may_have_run"; "failed");
-            metrics::REFUSALS.with_label_values(&[reason]).inc();
-            answer::own(StatusCode::BAD_GATEWAY, reason)
+            return answer::not_run(reason.name(), retry_after_ms);
         }
-        Failed::TimedOut => {
-            log::warn!(request = forward.id.as_str(), reason = "timeout", verdict = "may_have_run"; "failed");
-            metrics::REFUSALS.with_label_values(&["timeout"]).inc();
-            answer::own(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
-        }
-    }
+        Failed::MayHaveRun(reason) => reason,
+    };
+    log::warn!(request = forward.id.as_str(), reason = reason.name(), verdict = "may_have_run"; "failed");
+    metrics::REFUSALS.with_label_values(&[reason.name()]).inc();
+    let status = match reason {
+        Reason::Timeout => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::BAD_GATEWAY,
+    };
+    answer::own(status, reason.name())
 }
--- a/programs/gateway/src/edge/forward.rs
+++ b/programs/gateway/src/edge/forward.rs
@@ -13,6 +13,7 @@
         answer, attempt,
         front::Active,
         jobs,
+        reason::Reason,
         state::{Routing, State},
         stream,
     },
@@ -52,7 +53,7 @@
     let now_ms = clock::steady_ms();
     let id = text(request.headers(), &state.dialect.headers().request_id).to_owned();
     let Some(routing) = state.await_routing().await else {
-        refuse(&id, "no_configuration", UNCONFIGURED_RETRY_MS);
+        refuse(&id, Reason::NoConfiguration, UNCONFIGURED_RETRY_MS);
         return answer::not_run("no configuration is known yet", UNCONFIGURED_RETRY_MS);
     };
     let (path, query) = (request.uri().path(), request.uri().query().unwrap_or(""));
@@ -62,7 +63,8 @@
     let host = text(request.headers(), &header::HOST);
     let Some(route) = routing.table.find(host, path).cloned() else {
         log::info!(request = id.as_str(), host = host, path = path, version = routing.version; "no route");
-        metrics::REFUSALS.with_label_values(&["no_route"]).inc();
+        let reason = Reason::NoRoute.name();
+        metrics::REFUSALS.with_label_values(&[reason]).inc();
         return answer::own(StatusCode::NOT_FOUND, "no route");
     };
     if route.kind == route::Kind::Batch {
@@ -74,12 +76,11 @@
     };
     if state.suspects.borrow().is_refused(forward.fingerprint) {
         // Coming back later would not help.
-        log::warn!(request = forward.id.as_str(), fingerprint = forward.fingerprint.0, reason = "poisonous_request", verdict = "not_run"; "refused");
-        metrics::REFUSALS
-            .with_label_values(&["poisonous_request"])
-            .inc();
-        let reason = "the request crashes backend servers";
-        return answer::own(StatusCode::SERVICE_UNAVAILABLE, reason);
+        let reason = Reason::PoisonousRequest.name();
+        log::warn!(request = forward.id.as_str(), fingerprint = forward.fingerprint.0, reason = reason, verdict = "not_run"; "refused");
+        metrics::REFUSALS.with_label_values(&[reason]).inc();
+        let text = "the request crashes backend servers";
+        return answer::own(StatusCode::SERVICE_UNAVAILABLE, text);
     }
     match forward.route.kind.streams() {
         true => stream::forward(state, forward, active).await,
@@ -187,7 +188,8 @@
 }
 
 /// Logs and counts a refusal of a request that has not run.
-pub(crate) fn refuse(id: &str, reason: &'static str, retry_after_ms: u64) {
+pub(crate) fn refuse(id: &str, reason: Reason, retry_after_ms: u64) {
+    let reason = reason.name();
     log::info!(request = id, reason = reason, retry_after_ms = retry_after_ms, verdict = "not_run"; "refused");
     metrics::REFUSALS.with_label_values(&[reason]).inc();
 }
--- a/programs/gateway/src/edge/front.rs
+++ b/programs/gateway/src/edge/front.rs
@@ -2,7 +2,9 @@
 
 use std::{convert, rc::Rc, time};
 
-use hyper::{Method, Request, StatusCode, body, header, server::conn::http1, service};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request, Response, StatusCode, body, header, server::conn::http1, service};
 use hyper_util::rt;
 use tokio::{net, task};
 
@@ -11,8 +13,6 @@
     metrics, socket,
 };
 
-/// Pause after a failed accept, which usually means that file descriptors ran out.
-const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
 /// Time limit of a request's headers before a configuration is known.
 const HEADER: time::Duration = time::Duration::from_secs(10);
 /// Size of a request's headers before a configuration is known, and the least
@@ -29,7 +29,7 @@
     loop {
         while connections.try_join_next().is_some() {}
         let stream = tokio::select! {
-            stream = accept(&listener) => stream,
+            stream = socket::accept(&listener) => stream,
             // The sender lives as long as the process.
             _ = closing.wait_for(|closing| *closing) => break,
         };
@@ -45,10 +45,6 @@
 }
 
 async fn connection(state: Rc<State>, stream: net::TcpStream) {
-    if let Err(error) = socket::tune(&stream) {
-        log::debug!("caller has gone: {error}");
-        return;
-    }
     let limits = state.routing().map(|routing| routing.limits);
     // The HTTP library counts the wait for the next request as part of its
     // headers, so the limit is the longer one of the two.
@@ -117,44 +113,21 @@
 
 /// Serves readiness checks and metrics.
 pub(crate) async fn readiness(state: Rc<State>, listener: net::TcpListener) {
-    let mut connections = task::JoinSet::new();
-    loop {
-        while connections.try_join_next().is_some() {}
-        let stream = accept(&listener).await;
-        let state = Rc::clone(&state);
-        let service = service::service_fn(move |request| {
-            let answer = admin(&state, &request);
-            async move { Ok::<_, convert::Infallible>(answer) }
-        });
-        connections.spawn_local(async move {
-            let serving = http1::Builder::new()
-                .timer(rt::TokioTimer::new())
-                .header_read_timeout(HEADER)
-                .serve_connection(rt::TokioIo::new(stream), service);
-            if let Err(error) = serving.await {
-                log::debug!("admin connection ended: {error}");
-            }
-        });
-    }
-}
-
-fn admin(state: &State, request: &Request<body::Incoming>) -> answer::Answer {
-    match (request.method(), request.uri().path()) {
-        (&Method::GET, "/metrics") => answer::own(StatusCode::OK, &bw_base::metrics::render()),
-        (&Method::GET, _) if state.is_ready() => answer::own(StatusCode::OK, "ready"),
-        (&Method::GET, _) => answer::own(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
-        _ => answer::own(StatusCode::METHOD_NOT_ALLOWED, "use GET"),
-    }
+    let answer = move |request| {
+        let answer = admin(&state, &request);
+        async move { answer }
+    };
+    socket::serve_http(listener, HEADER, answer).await;
 }
 
-async fn accept(listener: &net::TcpListener) -> net::TcpStream {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => return stream,
-            Err(error) => {
-                log::warn!("accept failed: {error}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+fn admin(state: &State, request: &Request<body::Incoming>) -> Response<Full<Bytes>> {
+    let (status, text) = match (request.method(), request.uri().path()) {
+        (&Method::GET, "/metrics") => (StatusCode::OK, bw_base::metrics::render()),
+        (&Method::GET, _) if state.is_ready() => (StatusCode::OK, "ready\n".to_owned()),
+        (&Method::GET, _) => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
+        _ => (StatusCode::METHOD_NOT_ALLOWED, "use GET\n".to_owned()),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    response
 }
--- a/programs/gateway/src/edge/jobs.rs
+++ b/programs/gateway/src/edge/jobs.rs
@@ -10,6 +10,7 @@
     dialect::JobCall,
     edge::{
         answer, forward,
+        reason::Reason,
         state::{Routing, State},
     },
 };
@@ -64,7 +65,7 @@
     match reply {
         message::Reply::Done => answer::own(StatusCode::ACCEPTED, "accepted"),
         message::Reply::NotLeader | message::Reply::Busy => {
-            forward::refuse(&id, "no_leader", RETRY_MS);
+            forward::refuse(&id, Reason::NoLeader, RETRY_MS);
             answer::not_run("no leader", RETRY_MS)
         }
         _ => answer::own(StatusCode::GATEWAY_TIMEOUT, "outcome unknown"),
@@ -125,7 +126,7 @@
         }
         message::Reply::Body(Some(bytes)) => {
             let mut response = answer::own(StatusCode::OK, "");
-            *response.body_mut() = answer::whole(bytes).into();
+            *response.body_mut() = answer::whole(bytes);
             response
         }
         message::Reply::Page(None) | message::Reply::Body(None) | message::Reply::Unknown => {
--- a/programs/gateway/src/edge/mod.rs
+++ b/programs/gateway/src/edge/mod.rs
@@ -7,6 +7,7 @@
 mod forward;
 mod front;
 mod jobs;
+mod reason;
 mod state;
 mod stream;
 
--- a/programs/gateway/src/edge/stream.rs
+++ b/programs/gateway/src/edge/stream.rs
@@ -19,6 +19,7 @@
         forward,
         forward::Forward,
         front::Active,
+        reason::Reason,
         state::State,
     },
     metrics, upstream,
@@ -111,14 +112,14 @@
     }
 
     /// Reads from the present run. Returns false after its complete end.
-    async fn read(&mut self) -> Result<bool, &'static str> {
+    async fn read(&mut self) -> Result<bool, Reason> {
         let limit = self.silence();
         let Some(run) = &mut self.run else {
-            return Err("no_run");
+            return Err(Reason::Broken);
         };
         let frame = match tokio::time::timeout(limit, run.body.frame()).await {
-            Err(_) => return Err("silent"),
-            Ok(Some(Err(_))) => return Err("broken"),
+            Err(_) => return Err(Reason::Silent),
+            Ok(Some(Err(_))) => return Err(Reason::Broken),
             Ok(Some(Ok(frame))) => frame,
             Ok(None) => return self.ended(),
         };
@@ -134,7 +135,7 @@
         Ok(true)
     }
 
-    fn take_events(&mut self) -> Result<(), &'static str> {
+    fn take_events(&mut self) -> Result<(), Reason> {
         let mut joined: Vec<u8> = Vec::new();
         while let Some(event) = self.parser.next_event() {
             if let Some(id) = event.id {
@@ -144,7 +145,7 @@
                 }
                 if expected.is_some_and(|expected| id > expected) {
                     self.push(joined);
-                    return Err("gap");
+                    return Err(Reason::Gap);
                 }
                 self.last = Some(id);
             }
@@ -152,7 +153,7 @@
         }
         self.push(joined);
         match self.parser.is_too_large() {
-            true => Err("too_large"),
+            true => Err(Reason::TooLarge),
             false => Ok(()),
         }
     }
@@ -163,9 +164,9 @@
         }
     }
 
-    fn ended(&mut self) -> Result<bool, &'static str> {
+    fn ended(&mut self) -> Result<bool, Reason> {
         if !self.parser.is_empty() {
-            return Err("broken");
+            return Err(Reason::Broken);
         }
         self.state.finished(self.forward.fingerprint);
         if let Some(run) = self.run.take() {
@@ -180,7 +181,7 @@
     }
 
     /// Goes on at another backend server.
-    async fn resume(&mut self, reason: &'static str) -> io::Result<()> {
+    async fn resume(&mut self, reason: Reason) -> io::Result<()> {
         let run = self.run.take();
         let id = run.as_ref().map(|run| run.held.id.clone());
         drop(run);
@@ -189,19 +190,19 @@
         }
         let backend = id.as_deref().unwrap_or("");
         log::warn!(
-            request = self.forward.id.as_str(), backend = backend, reason = reason,
+            request = self.forward.id.as_str(), backend = backend, reason = reason.name(),
             last = self.last.unwrap_or(0), left_ms = self.forward.until_ms.saturating_sub(clock::steady_ms());
             "stream broke off"
         );
-        metrics::RETRIES.with_label_values(&[reason]).inc();
+        metrics::RETRIES.with_label_values(&[reason.name()]).inc();
         // A run that got under way was not broken off by its own request.
-        if reason == "broken" && self.last == self.attempts.last_event {
+        if reason == Reason::Broken && self.last == self.attempts.last_event {
             self.state
                 .crashed(&self.forward.id, self.forward.fingerprint);
         }
         let repeatable = self.forward.route.kind.repeatable() && self.events;
         if !repeatable {
-            return Err(io::Error::other(reason));
+            return Err(io::Error::other(reason.name()));
         }
         self.parser = event::Parser::default();
         self.resumed = true;
@@ -216,8 +217,8 @@
                 Ok(())
             }
             _ => {
-                log::warn!(request = self.forward.id.as_str(), reason = reason, verdict = "may_have_run"; "stream ended early");
-                Err(io::Error::other(reason))
+                log::warn!(request = self.forward.id.as_str(), reason = reason.name(), verdict = "may_have_run"; "stream ended early");
+                Err(io::Error::other(reason.name()))
             }
         }
     }
--- a/programs/gateway/src/socket.rs
+++ b/programs/gateway/src/socket.rs
@@ -1,9 +1,16 @@
 //! TCP connections between the relay's processes.
 
-use std::{io, net, time};
+use std::{convert, io, net, time};
 
 use bw_relay::message;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, Response, body, server::conn::http1, service};
+use hyper_util::rt;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    task,
+};
 
 /// How long sent data may stay unacknowledged. Round trips take a few
 /// milliseconds, so a connection that is silent for this long is cut off, and
@@ -67,6 +74,56 @@
     tokio::net::TcpListener::from_std(socket.into())
 }
 
+/// Pause after a failed accept, which usually means that file descriptors ran out.
+const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
+
+/// Accepts the next connection and sets its options.
+pub async fn accept(listener: &tokio::net::TcpListener) -> tokio::net::TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => match tune(&stream) {
+                Ok(()) => return stream,
+                Err(error) => log::debug!("a connection was closed at once: {error}"),
+            },
+            Err(error) => {
+                log::warn!("accept failed: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves HTTP to operators, backend servers and probes, each connection in a
+/// task of its own. `answer` is called for each request.
+pub async fn serve_http<A, F>(
+    listener: tokio::net::TcpListener,
+    header_limit: time::Duration,
+    answer: A,
+) where
+    A: Fn(Request<body::Incoming>) -> F + Clone + 'static,
+    F: Future<Output = Response<Full<Bytes>>> + 'static,
+{
+    let mut connections = task::JoinSet::new();
+    loop {
+        while connections.try_join_next().is_some() {}
+        let stream = accept(&listener).await;
+        let answer = answer.clone();
+        let service = service::service_fn(move |request| {
+            let answering = answer(request);
+            async move { Ok::<_, convert::Infallible>(answering.await) }
+        });
+        connections.spawn_local(async move {
+            let serving = http1::Builder::new()
+                .timer(rt::TokioTimer::new())
+                .header_read_timeout(header_limit)
+                .serve_connection(rt::TokioIo::new(stream), service);
+            if let Err(error) = serving.await {
+                log::debug!("connection ended: {error}");
+            }
+        });
+    }
+}
+
 /// Reads frames.
 pub struct Reader {
     half: tokio::net::tcp::OwnedReadHalf,
--- a/programs/gateway/src/upstream.rs
+++ b/programs/gateway/src/upstream.rs
@@ -6,13 +6,14 @@
 
 use std::{cell::RefCell, collections::HashMap, net, rc::Rc, time};
 
+use bw_wire::verdict;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{HeaderMap, body, client::conn::http1, header};
+use hyper::{HeaderMap, StatusCode, body, client::conn::http1, header};
 use hyper_util::rt::TokioIo;
 use tokio::task;
 
-use crate::{metrics, socket};
+use crate::{dialect, metrics, socket};
 
 /// Time limit of a new connection. Connecting takes a few milliseconds, so a
 /// backend server that needs longer is dead or cut off.
@@ -37,23 +38,64 @@
     since: time::Instant,
 }
 
-/// Why an exchange failed, and whether the request may have run.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::IntoStaticStr)]
-#[strum(serialize_all = "snake_case")]
+/// Why a request that was sent has no answer of its own.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Failure {
-    /// No connection was made: the request has not run.
+    /// No connection was made.
     Connect,
-    /// The connection broke: the request may have run.
+    /// The connection broke.
     Broken,
-    /// No answer came in time: the request may have run.
+    /// No answer came in time.
     Timeout,
+    /// The backend server refused the request as full.
+    Full,
+    /// Another backend server answered at the address.
+    OtherBackend,
+    /// The answer belongs to another request.
+    CrossedAnswer,
+    /// The answer does not come from a backend server.
+    ForeignAnswer,
 }
 
 impl Failure {
     /// Returns whether the request may have run.
-    pub fn may_have_run(self) -> bool {
-        !matches!(self, Failure::Connect)
+    pub fn verdict(self) -> verdict::Verdict {
+        match self {
+            Failure::Connect | Failure::Full | Failure::OtherBackend => verdict::Verdict::NotRun,
+            Failure::Broken
+            | Failure::Timeout
+            | Failure::CrossedAnswer
+            | Failure::ForeignAnswer => verdict::Verdict::MayHaveRun,
+        }
+    }
+}
+
+/// Judges the head of an answer to a request.
+///
+/// # Errors
+///
+/// Fails if it is not the answer of a backend server that ran the request.
+pub fn judge<B>(
+    names: &dialect::Headers,
+    id: &str,
+    answer: &hyper::Response<B>,
+) -> Result<(), Failure> {
+    let headers = answer.headers();
+    let answered = headers.get(&names.request_id);
+    if answered.is_some_and(|answered| answered.as_bytes() != id.as_bytes()) {
+        return Err(Failure::CrossedAnswer);
+    }
+    if answer.status() == StatusCode::MISDIRECTED_REQUEST {
+        return Err(Failure::OtherBackend);
+    }
+    if headers.contains_key(&names.not_run) {
+        return Err(Failure::Full);
+    }
+    let encoded = headers.contains_key(header::CONTENT_ENCODING);
+    if encoded || answered.is_none() || !headers.contains_key(&names.stamp) {
+        return Err(Failure::ForeignAnswer);
     }
+    Ok(())
 }
 
 /// Connections to all backend servers, kept by address.
