Stop runs of a former leader that find no slot elsewhere

Cause: backend servers take the memory of a run only into a free slot.

Where free slots are fewer than runs, none is given away: the runs are stopped one after the other, each moved into the slot that the one before has left and freed at once, and their items wait. What still finds no slot within 1 s goes on.

--- a/crates/relay/src/dispatch/adopt.rs
+++ b/crates/relay/src/dispatch/adopt.rs
@@ -15,6 +15,30 @@
     pub runs: Vec<Name>,
 }
 
+/// What to do with the runs that a former leader left behind.
+#[derive(Clone, Debug, Default)]
+pub struct Adoption {
+    /// Items that go on where a slot is free.
+    pub starts: Vec<Action>,
+    /// Runs to be stopped, one after the other, as no slot is left for them.
+    pub evictions: Vec<Eviction>,
+    /// Addresses of backend servers, the one with the most free slots first.
+    pub targets: Vec<Name>,
+}
+
+/// A run that is to be stopped. Its item waits meanwhile.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Eviction {
+    /// The id of the item, its request id.
+    pub id: Name,
+    /// The address of the backend server that runs it.
+    pub from: Name,
+}
+
+/// How long an item waits for the end of a run that is being stopped, in
+/// milliseconds. Each takes a few milliseconds, and a fleet has some tens of them.
+const EVICTION_MS: u64 = 700;
+
 impl Dispatch {
     /// Lets no item start before a Unix time, unless [`Dispatch::adopt`] is called
     /// earlier.
@@ -27,7 +51,7 @@
     /// A backend server whose caller froze or lost power works on. Without this
     /// the item would run twice, and the run that nobody reads would keep its
     /// slot from online requests for seconds.
-    pub fn adopt(&mut self, surveys: &[Survey], now_ms: u64) -> Vec<Action> {
+    pub fn adopt(&mut self, surveys: &[Survey], now_ms: u64) -> Adoption {
         self.held_until_ms = 0;
         let mut places = BTreeMap::new();
         for (index, survey) in surveys.iter().enumerate() {
@@ -35,7 +59,12 @@
         }
         let free = |survey: &Survey| survey.server.slots as i64 - survey.runs.len() as i64;
         let mut free: Vec<i64> = surveys.iter().map(free).collect();
-        let mut actions = Vec::new();
+        let open = self.jobs.values().flat_map(|job| job.items.values());
+        let orphans = open.filter(|item| places.contains_key(&item.id)).count() as i64;
+        // With too few slots none is given away: each eviction needs one that is
+        // free, and online requests need the others.
+        let scarce = orphans > free.iter().map(|free| (*free).max(0)).sum();
+        let mut adoption = Adoption::default();
         for (id, job) in &mut self.jobs {
             for (index, item) in &mut job.items {
                 let place = places.get(&item.id);
@@ -52,8 +81,16 @@
                 let Some((to, target)) = others.max_by_key(|(other, _)| free[*other]) else {
                     continue;
                 };
+                if scarce || free[to] <= 0 {
+                    item.waiting.not_before_ms = now_ms + EVICTION_MS;
+                    adoption.evictions.push(Eviction {
+                        id: item.id.clone(),
+                        from: surveys[from].server.address.clone(),
+                    });
+                    continue;
+                }
+                // The slot that it leaves is not counted: all moves begin at once.
                 free[to] -= 1;
-                free[from] += 1;
                 self.starts += 1;
                 let key = Key {
                     job: id.clone(),
@@ -62,12 +99,16 @@
                 let place = (&target.server.id, &target.server.address);
                 self.runs.entry(place.0.clone()).or_default().all += 1;
                 let start = begin(key, &job.host, item, (self.starts, now_ms), place);
-                actions.push(Action::Start(Start {
+                adoption.starts.push(Action::Start(Start {
                     orphan: Some(surveys[from].server.address.clone()),
                     ..start
                 }));
             }
         }
-        actions
+        let mut targets: Vec<usize> = (0..surveys.len()).collect();
+        targets.sort_by_key(|index| std::cmp::Reverse(free[*index]));
+        let addresses = targets.iter().map(|index| &surveys[*index].server.address);
+        adoption.targets = addresses.cloned().collect();
+        adoption
     }
 }
--- a/crates/relay/tests/dispatch.rs
+++ b/crates/relay/tests/dispatch.rs
@@ -327,7 +327,7 @@
     let mut dispatch = dispatch(3);
     dispatch.hold(1_000);
     assert!(starts(&dispatch.plan(&servers(&[0, 0, 0]), &routes(), 999)).is_empty());
-    let actions = dispatch.adopt(
+    let adoption = dispatch.adopt(
         &surveys(&[
             &["job-0", "online-1", "online-2", "online-3"],
             &["online-4", "online-5", "online-6"],
@@ -335,8 +335,8 @@
         ]),
         0,
     );
-    let adopted = starts(&actions);
-    assert_eq!(adopted.len(), 1);
+    let adopted = starts(&adoption.starts);
+    assert_eq!((adopted.len(), adoption.evictions.len()), (1, 0));
     assert_eq!(&*adopted[0].id, "job-0");
     assert_eq!(&*adopted[0].server, "s2");
     assert_eq!(adopted[0].orphan.as_deref(), Some("10.0.0.1:80"));
@@ -352,7 +352,8 @@
 #[test]
 fn a_run_at_the_only_backend_server_is_not_moved() {
     let mut dispatch = dispatch(1);
-    assert!(dispatch.adopt(&surveys(&[&["job-0"]]), 0).is_empty());
+    let adoption = dispatch.adopt(&surveys(&[&["job-0"]]), 0);
+    assert!(adoption.starts.is_empty() && adoption.evictions.is_empty());
 }
 
 /// Replays an overload in which not all items can be complete in time. Guards
@@ -405,3 +406,38 @@
     let stopped = preempted(&dispatch.plan(&servers(&[3]), &routes(), 100));
     assert_eq!(&*stopped[0].job, "later");
 }
+
+/// Replays a leader that froze at a peak, when all slots are taken. Guards against
+/// orders to move runs to full backend servers, which refuse them, and against
+/// starting the item elsewhere while its run is being stopped.
+#[test]
+fn runs_without_a_free_slot_elsewhere_are_stopped() {
+    let mut dispatch = dispatch(2);
+    let adoption = dispatch.adopt(
+        &surveys(&[
+            &["job-0", "online-1", "online-2", "online-3"],
+            &["job-1", "online-4", "online-5"],
+        ]),
+        0,
+    );
+    assert!(starts(&adoption.starts).is_empty(), "one slot for two runs");
+    assert_eq!(adoption.evictions.len(), 2);
+    assert_eq!(adoption.targets[0], servers(&[0, 0])[1].address);
+    let mut full = crate::dispatch(2);
+    let adoption = full.adopt(
+        &surveys(&[
+            &["job-0", "online-1", "online-2", "online-3"],
+            &["job-1", "online-4", "online-5", "online-6"],
+        ]),
+        0,
+    );
+    assert!(adoption.starts.is_empty());
+    let stopped: Vec<&str> = adoption.evictions.iter().map(|run| &*run.id).collect();
+    assert_eq!(stopped, ["job-0", "job-1"]);
+    assert_eq!(adoption.targets.len(), 2);
+    assert!(starts(&full.plan(&servers(&[0, 0]), &routes(), 500)).is_empty());
+    assert_eq!(
+        starts(&full.plan(&servers(&[0, 0]), &routes(), 800)).len(),
+        2
+    );
+}
--- a/programs/gateway/src/control/orphan.rs
+++ b/programs/gateway/src/control/orphan.rs
@@ -5,9 +5,10 @@
 //! them what they run, stops the runs of open items and goes on with their
 //! memory.
 
-use std::{net, rc::Rc, time};
+use std::{collections::VecDeque, net, rc::Rc, time};
 
 use bw_relay::dispatch;
+use bw_wire::name::Name;
 use bytes::Bytes;
 use futures_util::future;
 use http_body_util::{BodyExt, Full};
@@ -22,6 +23,14 @@
 /// Time limit of a call to a backend server. The calls need no slot and are
 /// answered within milliseconds; one that is down or cut off is passed over.
 const CALL: time::Duration = time::Duration::from_millis(250);
+/// Time in which runs are stopped, in milliseconds. Later the slots that become
+/// free have gone to online requests.
+const EVICTION_MS: u64 = 1_000;
+/// Pause after a run that found no slot. At a peak one becomes free in a fleet
+/// every few milliseconds.
+const REFUSED_PAUSE: time::Duration = time::Duration::from_millis(10);
+/// Backend servers that are tried for the memory of one run.
+const EVICTION_TRIES: usize = 3;
 /// Time in which all backend servers have answered or are passed over, in
 /// milliseconds.
 const SURVEY_MS: u64 = 300;
@@ -51,13 +60,57 @@
     }
     let surveys: Vec<_> = surveys.into_iter().flatten().collect();
     let runs: usize = surveys.iter().map(|survey| survey.runs.len()).sum();
-    let actions = hub.dispatch.borrow_mut().adopt(&surveys, clock::unix_ms());
+    let adoption = hub.dispatch.borrow_mut().adopt(&surveys, clock::unix_ms());
     log::info!(
-        backends = backends, answered = surveys.len(), runs = runs, adopted = actions.len(),
-        took_ms = clock::steady_ms().saturating_sub(began_ms);
+        backends = backends, answered = surveys.len(), runs = runs, adopted = adoption.starts.len(),
+        evicted = adoption.evictions.len(), took_ms = clock::steady_ms().saturating_sub(began_ms);
         "looked for runs of a former leader"
     );
-    runner::carry_out(&hub, actions);
+    runner::carry_out(&hub, adoption.starts);
+    evict(&hub, adoption.evictions, adoption.targets).await;
+}
+
+/// Stops runs that find no slot elsewhere. Memory moves only to a backend server
+/// with a free slot, so a run moves to the slot that the one before has left, and
+/// what was moved is freed at once.
+async fn evict(hub: &Hub, evictions: Vec<dispatch::Eviction>, targets: Vec<Name>) {
+    let until_ms = clock::steady_ms() + EVICTION_MS;
+    let mut targets: VecDeque<Name> = targets.into();
+    let mut waiting: VecDeque<dispatch::Eviction> = evictions.into();
+    let mut refused = 0;
+    while refused < waiting.len() && clock::steady_ms() < until_ms {
+        let Some(eviction) = waiting.pop_front() else {
+            return;
+        };
+        if stop(hub, &eviction, &targets).await {
+            targets.retain(|target| *target != eviction.from);
+            targets.push_front(eviction.from);
+            refused = 0;
+        } else {
+            waiting.push_back(eviction);
+            refused += 1;
+            tokio::time::sleep(REFUSED_PAUSE).await;
+        }
+    }
+    if !waiting.is_empty() {
+        log::warn!(runs = waiting.len(); "runs of a former leader go on");
+    }
+}
+
+/// Stops one run. Returns whether it has left its slot.
+async fn stop(hub: &Hub, eviction: &dispatch::Eviction, targets: &VecDeque<Name>) -> bool {
+    let others = targets.iter().filter(|target| **target != eviction.from);
+    for to in others.take(EVICTION_TRIES) {
+        match detach(hub, &eviction.id, &eviction.from, to).await {
+            dialect::Detached::Moved(memory) => {
+                call(hub, &eviction.from, hub.dialect().release(&memory)).await;
+                return true;
+            }
+            dialect::Detached::Stopped | dialect::Detached::Gone => return true,
+            dialect::Detached::Refused => {}
+        }
+    }
+    false
 }
 
 /// Asks one backend server for its runs; `None` if it did not say.
@@ -67,20 +120,17 @@
     Some(dispatch::Survey { server, runs })
 }
 
-/// Stops the run of a former leader and moves its memory to the backend server
-/// where the item goes on.
-pub(crate) async fn detach(hub: &Hub, start: &dispatch::Start, former: &str) -> dialect::Detached {
-    let order = hub.dialect().detachment(&start.id, &start.address);
-    let answer = call(hub, former, order).await;
+/// Stops a run of a former leader and moves its memory to another backend server.
+pub(crate) async fn detach(hub: &Hub, id: &str, from: &str, to: &str) -> dialect::Detached {
+    let answer = call(hub, from, hub.dialect().detachment(id, to)).await;
     let status = answer.as_ref().map_or(0, |(status, _)| status.as_u16());
     let detached = match answer {
-        Some((status, body)) => hub.dialect().detached(status, &body, former),
+        Some((status, body)) => hub.dialect().detached(status, &body, from),
         None => dialect::Detached::Refused,
     };
     let outcome: &'static str = (&detached).into();
     log::info!(
-        request = &*start.id, from = former, backend = &*start.server, status = status,
-        outcome = outcome;
+        request = id, from = from, to = to, status = status, outcome = outcome;
         "run of a former leader"
     );
     metrics::ORPHANS.with_label_values(&[outcome]).inc();
@@ -98,7 +148,7 @@
     }
     let mut request = Request::new(Full::new(Bytes::from(call.body)));
     *request.method_mut() = call.method;
-    *request.uri_mut() = Uri::from_static(call.path);
+    *request.uri_mut() = call.path.parse::<Uri>().ok()?;
     *request.headers_mut() = headers;
     let exchange = async {
         let answer = hub.pool.send(to, request, true, CALL).await;
--- a/programs/gateway/src/control/runner.rs
+++ b/programs/gateway/src/control/runner.rs
@@ -201,7 +201,7 @@
         return Ended::NotRun;
     };
     if let Some(former) = &start.orphan {
-        match orphan::detach(hub, start, former).await {
+        match orphan::detach(hub, &start.id, former, &start.address).await {
             dialect::Detached::Moved(memory) => {
                 let Ok(memory) = header::HeaderValue::try_from(memory) else {
                     return Ended::NotRun;
@@ -211,7 +211,7 @@
             }
             // Online requests have the slots; the item waits for one.
             dialect::Detached::Stopped => return Ended::NotRun,
-            dialect::Detached::Refused => {}
+            dialect::Detached::Gone | dialect::Detached::Refused => {}
         }
     }
     let answer = match hub.pool.send(address, request, true, HEAD).await {
--- a/programs/gateway/src/dialect.rs
+++ b/programs/gateway/src/dialect.rs
@@ -37,7 +37,9 @@
     Moved(String),
     /// It has stopped, and there was no room for its memory.
     Stopped,
-    /// There is no such run, or it goes on.
+    /// There is no such run any more.
+    Gone,
+    /// It goes on.
     Refused,
 }
 
@@ -47,7 +49,7 @@
     /// The method.
     pub method: hyper::Method,
     /// The path.
-    pub path: &'static str,
+    pub path: String,
     /// The body, in JSON unless it is empty.
     pub body: Vec<u8>,
 }
@@ -127,6 +129,10 @@
     /// [`Dialect::detachment`].
     fn detached(&self, status: StatusCode, body: &[u8], address: &str) -> Detached;
 
+    /// Returns the call that frees memory which [`Dialect::detachment`] moved, made
+    /// at the backend server that ran the request.
+    fn release(&self, memory: &str) -> Call;
+
     /// Recognizes a call on a batch job by its method, path and query.
     fn job_call(&self, method: &hyper::Method, path: &str, query: &str) -> Option<JobCall>;
 
