Give the time for stopping runs one name, and stop none without the lead

The items of runs that are being stopped waited 0.7 s while the stopping went on for 1 s, so an item could start elsewhere before its run had ended. Both use `dispatch::EVICTION_MS` now. A replica that loses the lead meanwhile stops no more runs: those of the next leader have the same ids.

--- a/crates/relay/src/dispatch/adopt.rs
+++ b/crates/relay/src/dispatch/adopt.rs
@@ -35,9 +35,10 @@
     pub from: Name,
 }
 
-/// How long an item waits for the end of a run that is being stopped, in
-/// milliseconds. Each takes a few milliseconds, and a fleet has some tens of them.
-const EVICTION_MS: u64 = 700;
+/// Time in which runs are stopped, in milliseconds; their items wait as long. One
+/// takes a few milliseconds, and later the slots that become free have gone to
+/// online requests.
+pub const EVICTION_MS: u64 = 1_000;
 
 impl Dispatch {
     /// Lets no item start before a Unix time, unless [`Dispatch::adopt`] is called
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -17,7 +17,7 @@
 
 use crate::{ledger, route};
 
-pub use adopt::{Adoption, Eviction, Survey};
+pub use adopt::{Adoption, EVICTION_MS, Eviction, Survey};
 use estimate::Estimate;
 
 /// Limits of the dispatch.
--- a/crates/relay/tests/dispatch.rs
+++ b/crates/relay/tests/dispatch.rs
@@ -1,7 +1,10 @@
 //! Batch items beside online requests.
 
 use bw_relay::{
-    dispatch::{Action, Dispatch, Key, Options, Outcome, Progress, Reason, Server, Start, Survey},
+    dispatch::{
+        Action, Dispatch, EVICTION_MS, Key, Options, Outcome, Progress, Reason, Server, Start,
+        Survey,
+    },
     ledger::{Command, End, Job, Ledger, NewItem, NewJob},
     route,
 };
@@ -435,9 +438,8 @@
     let stopped: Vec<&str> = adoption.evictions.iter().map(|run| &*run.id).collect();
     assert_eq!(stopped, ["job-0", "job-1"]);
     assert_eq!(adoption.targets.len(), 2);
-    assert!(starts(&full.plan(&servers(&[0, 0]), &routes(), 500)).is_empty());
-    assert_eq!(
-        starts(&full.plan(&servers(&[0, 0]), &routes(), 800)).len(),
-        2
-    );
+    let during = full.plan(&servers(&[0, 0]), &routes(), EVICTION_MS - 1);
+    assert!(starts(&during).is_empty());
+    let after = full.plan(&servers(&[0, 0]), &routes(), EVICTION_MS);
+    assert_eq!(starts(&after).len(), 2);
 }
--- a/programs/gateway/src/control/orphan.rs
+++ b/programs/gateway/src/control/orphan.rs
@@ -23,9 +23,6 @@
 /// Time limit of a call to a backend server. The calls need no slot and are
 /// answered within milliseconds; one that is down or cut off is passed over.
 const CALL: time::Duration = time::Duration::from_millis(250);
-/// Time in which runs are stopped, in milliseconds. Later the slots that become
-/// free have gone to online requests.
-const EVICTION_MS: u64 = 1_000;
 /// Pause after a run that found no slot. At a peak one becomes free in a fleet
 /// every few milliseconds.
 const REFUSED_PAUSE: time::Duration = time::Duration::from_millis(10);
@@ -74,11 +71,13 @@
 /// with a free slot, so a run moves to the slot that the one before has left, and
 /// what was moved is freed at once.
 async fn evict(hub: &Hub, evictions: Vec<dispatch::Eviction>, targets: Vec<Name>) {
-    let until_ms = clock::steady_ms() + EVICTION_MS;
+    let term = hub.term();
+    let until_ms = clock::steady_ms() + dispatch::EVICTION_MS;
     let mut targets: VecDeque<Name> = targets.into();
     let mut waiting: VecDeque<dispatch::Eviction> = evictions.into();
     let mut refused = 0;
-    while refused < waiting.len() && clock::steady_ms() < until_ms {
+    // The next leader's runs have the same ids.
+    while hub.term() == term && refused < waiting.len() && clock::steady_ms() < until_ms {
         let Some(eviction) = waiting.pop_front() else {
             return;
         };
