Log and measure which configuration each process knows

Callers of the incident got 404 for a route in force.

"no route" now carries whether a leader is connected and how long it has been silent, "session opened" the version that the entry VM was told first, and every replica logs the version that its state holds, also when the operator has left. Two gauges show the version in use and the last news of the leader.

--- a/programs/gateway/src/control/hub/mod.rs
+++ b/programs/gateway/src/control/hub/mod.rs
@@ -325,6 +325,9 @@
         }
         *self.routes.borrow_mut() = Rc::new(route::Table::new(&published.config));
         *current = Some(Arc::clone(published));
+        let labels: [&str; 0] = [];
+        let version = metrics::CONFIGURATION.with_label_values(&labels);
+        version.set(published.config.version as i64);
     }
 
     pub(crate) async fn propose(
--- a/programs/gateway/src/control/replica.rs
+++ b/programs/gateway/src/control/replica.rs
@@ -248,6 +248,8 @@
     /// The members as they were told last; `None` before the first time, as a
     /// replica that has yet to join has an empty list.
     members: Option<Vec<member::Member>>,
+    /// The version of the configuration that was applied last, 0 before the first.
+    version: u64,
     own: Vec<host::Input>,
 }
 
@@ -259,6 +261,7 @@
             waiting: HashMap::new(),
             next_ticket: 0,
             members: None,
+            version: 0,
             own: Vec::new(),
         }
     }
@@ -266,6 +269,7 @@
     fn run(mut self, calls: &mpsc::Receiver<Call>) -> Ended {
         loop {
             self.tell_members();
+            self.note_version();
             let mut inputs = vec![host::Input::Tick];
             inputs.append(&mut self.own);
             let wait = match inputs.len() {
@@ -466,6 +470,18 @@
         }
     }
 
+    /// Logs a change of the configuration in this replica's state, which does not
+    /// depend on whether its operator still waits.
+    fn note_version(&mut self) {
+        let machine = self.host.machine(GROUP);
+        let published = machine.and_then(|machine| machine.published());
+        let version = published.map_or(0, |published| published.config.version);
+        if version != self.version {
+            self.version = version;
+            log::info!(version = version; "configuration applied");
+        }
+    }
+
     fn tell_members(&mut self) {
         let Some(status) = self.host.status(GROUP) else {
             return;
--- a/programs/gateway/src/control/sessions.rs
+++ b/programs/gateway/src/control/sessions.rs
@@ -195,13 +195,16 @@
         }
     }
     let (queue, mut frames) = mpsc::channel::<Shared>(QUEUE);
-    let first = message::encode(&message::Frame::Update(hub.full_update()));
+    let first = hub.full_update();
+    let published = first.published.as_ref();
+    let version = published.map_or(0, |published| published.config.version);
+    let first = message::encode(&message::Frame::Update(first));
     if queue.try_send(Arc::new(first)).is_err() {
         return;
     }
     let id = hub.sessions.borrow_mut().open(peer.clone(), queue.clone());
     let node = peer.0;
-    log::info!(node = &*node; "session opened");
+    log::info!(node = &*node, version = version; "session opened");
     // The sessions hold the queue: once they drop it, the writer ends.
     let replies = queue.downgrade();
     drop(queue);
--- a/programs/gateway/src/edge/forward.rs
+++ b/programs/gateway/src/edge/forward.rs
@@ -62,7 +62,11 @@
     }
     let host = text(request.headers(), &header::HOST);
     let Some(route) = routing.table.find(host, path).cloned() else {
-        log::info!(request = id.as_str(), host = host, path = path, version = routing.version; "no route");
+        log::info!(
+            request = id.as_str(), host = host, path = path, version = routing.version,
+            connected = state.connected.get(), silence_ms = state.silence_ms();
+            "no route"
+        );
         let reason = Reason::NoRoute.name();
         metrics::REFUSALS.with_label_values(&[reason]).inc();
         return answer::own(StatusCode::NOT_FOUND, "no route");
--- a/programs/gateway/src/edge/state.rs
+++ b/programs/gateway/src/edge/state.rs
@@ -10,7 +10,7 @@
 use rand::{RngCore, SeedableRng};
 use tokio::sync::{Notify, watch};
 
-use crate::{clock, dialect, edge, link, settings};
+use crate::{clock, dialect, edge, link, metrics, settings};
 
 /// Interval between sweeps of idle connections, in milliseconds.
 const SWEEP_MS: u64 = 1_000;
@@ -121,10 +121,15 @@
 
     /// Returns whether the load balancer should send callers.
     pub(crate) fn is_ready(&self) -> bool {
-        let fresh = clock::steady_ms() < self.heard_ms.get() + STALE_MS;
+        let fresh = self.silence_ms() < STALE_MS;
         !self.draining.get() && fresh && self.routing.borrow().is_some()
     }
 
+    /// Returns the time since the leader was heard from last.
+    pub(crate) fn silence_ms(&self) -> u64 {
+        clock::steady_ms().saturating_sub(self.heard_ms.get())
+    }
+
     /// Returns the age of what is known of the requests of other entry VMs.
     pub(crate) fn loads_age_ms(&self) -> u64 {
         clock::steady_ms().saturating_sub(self.loads_ms.get())
@@ -138,6 +143,9 @@
     pub(crate) fn update(&self, update: message::Update) {
         let now_ms = clock::steady_ms();
         self.heard_ms.set(now_ms);
+        let labels: [&str; 0] = [];
+        let heard = metrics::LEADER_HEARD.with_label_values(&labels);
+        heard.set(clock::unix_ms() as i64);
         if let Some(published) = update.published {
             self.apply(&published);
         }
@@ -223,6 +231,9 @@
             limits: config.limits,
         };
         *self.routing.borrow_mut() = Some(Rc::new(routing));
+        let labels: [&str; 0] = [];
+        let version = metrics::CONFIGURATION.with_label_values(&labels);
+        version.set(config.version as i64);
         self.configured.notify_waiters();
     }
 
--- a/programs/gateway/src/metrics.rs
+++ b/programs/gateway/src/metrics.rs
@@ -82,6 +82,24 @@
     )
 });
 
+/// The version of the configuration that this process acts on.
+pub static CONFIGURATION: LazyLock<prometheus::IntGaugeVec> = LazyLock::new(|| {
+    metrics::gauge(
+        "bw_gateway_configuration_version",
+        "Version of the configuration that this process acts on.",
+        &[],
+    )
+});
+
+/// When the leader was heard from last.
+pub static LEADER_HEARD: LazyLock<prometheus::IntGaugeVec> = LazyLock::new(|| {
+    metrics::gauge(
+        "bw_gateway_leader_heard_milliseconds",
+        "Unix time in milliseconds at which news of the leader came last.",
+        &[],
+    )
+});
+
 /// Frames between our processes that were dropped, by reason.
 pub static FRAMES_DROPPED: LazyLock<prometheus::IntCounterVec> = LazyLock::new(|| {
     metrics::counter(
