Let the effects of a command follow from its application

Callers got 404 for a route in force, and runs of ended jobs kept their slots.

Cause: the leader told entry VMs of a configuration, and stopped the runs of a job, in the handler of the call, after the log had answered. The handler ends with the connection of its operator, with the session of the entry VM that carried the call, or after 0.9 s. The command is committed all the same, and the resend is found to be known and acknowledged, so nobody was ever told.

The control thread now tells the hub what an applied command calls for: a configuration to put in force, a job to add or to stop, a VM to empty. Accepted jobs went this way already. A leader that is lost before that is no gap, as the next one begins with the state after the command.

--- a/programs/gateway/src/control/evacuation.rs
+++ b/programs/gateway/src/control/evacuation.rs
@@ -68,12 +68,8 @@
         evacuation::Verdict::Unknown => message::Reply::Unknown,
         evacuation::Verdict::TooFew => message::Reply::TooFew,
         evacuation::Verdict::Accepted => {
-            let command = ledger::Command::Evacuate { node: node.clone() };
-            match hub.propose(command).await {
-                Ok(_) => {
-                    hub.evacuated.borrow_mut().insert(node);
-                    message::Reply::Done
-                }
+            match hub.propose(ledger::Command::Evacuate { node }).await {
+                Ok(_) => message::Reply::Done,
                 Err(error) => hub::refusal(Some(error)),
             }
         }
--- a/programs/gateway/src/control/hub/jobs.rs
+++ b/programs/gateway/src/control/hub/jobs.rs
@@ -76,24 +76,24 @@
     }
 
     pub(super) async fn end(&self, job: Name) -> message::Reply {
-        let result = self
-            .propose(ledger::Command::End { job: job.clone() })
-            .await;
+        let result = self.propose(ledger::Command::End { job }).await;
         match result {
-            Ok(ledger::Applied::Done) => {
-                let running = self.dispatch.borrow_mut().remove(&job);
-                log::info!(job = &*job, running = running.len(); "job ended by its caller");
-                for key in running {
-                    self.runs.borrow().stop(&key);
-                }
-                self.job_changed(&job);
-                message::Reply::Done
-            }
+            Ok(ledger::Applied::Done) => message::Reply::Done,
             Ok(_) => message::Reply::Unknown,
             Err(error) => refusal(Some(error)),
         }
     }
 
+    /// Stops the runs of a job that was ended.
+    pub(super) fn stop_job(&self, job: &Name) {
+        let running = self.dispatch.borrow_mut().remove(job);
+        log::info!(job = &**job, running = running.len(); "job ended by its caller");
+        for key in running {
+            self.runs.borrow().stop(&key);
+        }
+        self.job_changed(job);
+    }
+
     pub(super) fn sweep(self: &Rc<Hub>) {
         let now_ms = clock::steady_ms();
         if now_ms < self.swept_ms.get() + SWEEP_MS {
--- a/programs/gateway/src/control/hub/mod.rs
+++ b/programs/gateway/src/control/hub/mod.rs
@@ -284,29 +284,49 @@
         }
     }
 
+    /// Makes a configuration durable. [`Hub::carry_out`] puts it in force.
     async fn publish(&self, published: ledger::Published) -> message::Reply {
         let version = published.config.version;
-        let published = Arc::new(published);
-        let command = ledger::Command::Publish(Box::new((*published).clone()));
+        let command = ledger::Command::Publish(Box::new(published));
         let result = self.propose(command).await;
         log::info!(version = version, outcome = format!("{result:?}").as_str(); "configuration published");
         match result {
-            Ok(ledger::Applied::Done) => {
-                self.set_published(&published);
-                let update = message::Update {
-                    published: Some(published),
-                    ..message::Update::default()
-                };
-                self.sessions
-                    .borrow_mut()
-                    .broadcast(&message::Frame::Update(update));
-                message::Reply::Done
-            }
             Ok(_) => message::Reply::Done,
             Err(error) => refusal(Some(error)),
         }
     }
 
+    /// Carries out what an applied command calls for.
+    fn carry_out(&self, effect: replica::Effect) {
+        // The next leader begins with the state after the command.
+        if !self.leads() {
+            return;
+        }
+        match effect {
+            replica::Effect::Published(published) => self.put_in_force(&published),
+            replica::Effect::Accepted(id, job) => self.dispatch.borrow_mut().add(&id, &job),
+            replica::Effect::Ended(id) => self.stop_job(&id),
+            replica::Effect::Evacuated(node) => {
+                self.evacuated.borrow_mut().insert(node);
+            }
+        }
+    }
+
+    /// Tells all sessions of a configuration unless they know it.
+    fn put_in_force(&self, published: &Arc<ledger::Published>) {
+        if !self.set_published(published) {
+            return;
+        }
+        let version = published.config.version;
+        let update = message::Update {
+            published: Some(Arc::clone(published)),
+            ..message::Update::default()
+        };
+        let mut sessions = self.sessions.borrow_mut();
+        log::info!(version = version, sessions = sessions.len(); "telling entry VMs of a configuration");
+        sessions.broadcast(&message::Frame::Update(update));
+    }
+
     /// Notes that the end of an item is durable.
     pub(crate) fn item_recorded(&self, key: &dispatch::Key) {
         let recorded = self.dispatch.borrow_mut().recorded(key);
@@ -317,17 +337,19 @@
         self.job_changed(&key.job);
     }
 
-    fn set_published(&self, published: &Arc<ledger::Published>) {
+    /// Takes a configuration. Returns whether it is newer than the known one.
+    fn set_published(&self, published: &Arc<ledger::Published>) -> bool {
         let mut current = self.published.borrow_mut();
         let version = current.as_ref().map(|current| current.config.version);
         if version.is_some_and(|version| version >= published.config.version) {
-            return;
+            return false;
         }
         *self.routes.borrow_mut() = Rc::new(route::Table::new(&published.config));
         *current = Some(Arc::clone(published));
         let labels: [&str; 0] = [];
         let version = metrics::CONFIGURATION.with_label_values(&labels);
         version.set(published.config.version as i64);
+        true
     }
 
     pub(crate) async fn propose(
@@ -442,11 +464,7 @@
             }
             replica::Notice::Following { leader } => hub.follow(leader),
             replica::Notice::Leading(leading) => hub.lead(*leading),
-            replica::Notice::Accepted(id, job) => {
-                if hub.leads() {
-                    hub.dispatch.borrow_mut().add(&id, &job);
-                }
-            }
+            replica::Notice::Applied(effect) => hub.carry_out(effect),
         }
     }
 }
--- a/programs/gateway/src/control/replica.rs
+++ b/programs/gateway/src/control/replica.rs
@@ -104,8 +104,67 @@
     Following { leader: Option<ReplicaId> },
     /// This replica leads and has applied everything that was committed.
     Leading(Box<Leading>),
+    /// A command of this leader was applied.
+    Applied(Effect),
+}
+
+/// What an applied command calls for outside the replicated state. It does not
+/// depend on whether the caller still waits for the answer.
+pub(crate) enum Effect {
+    /// A configuration is in force.
+    Published(Arc<ledger::Published>),
     /// A job was accepted.
     Accepted(Name, Box<ledger::Job>),
+    /// A job was ended.
+    Ended(Name),
+    /// A VM is to be emptied.
+    Evacuated(Name),
+}
+
+/// The part of a command that its effect is found by, once it is applied.
+enum Subject {
+    Configuration,
+    Submission(Name),
+    End(Name),
+    Evacuation(Name),
+    /// The command has no effect outside the replicated state.
+    None,
+}
+
+impl Subject {
+    fn new(command: &ledger::Command) -> Subject {
+        match command {
+            ledger::Command::Publish(_) => Subject::Configuration,
+            ledger::Command::Submit(job) => Subject::Submission(job.id.clone()),
+            ledger::Command::End { job } => Subject::End(job.clone()),
+            ledger::Command::Evacuate { node } => Subject::Evacuation(node.clone()),
+            ledger::Command::Save { .. }
+            | ledger::Command::Record { .. }
+            | ledger::Command::Fail { .. }
+            | ledger::Command::Note { .. }
+            | ledger::Command::Sweep { .. } => Subject::None,
+        }
+    }
+
+    /// Returns the effect that follows from the state after the command.
+    fn effect(self, machine: &ledger::Ledger) -> Option<Effect> {
+        match self {
+            Subject::Configuration => {
+                let published = machine.published()?.clone();
+                Some(Effect::Published(Arc::new(published)))
+            }
+            Subject::Submission(id) => {
+                let job = machine.jobs().get(&id)?.clone();
+                Some(Effect::Accepted(id, Box::new(job)))
+            }
+            Subject::End(id) => {
+                let job = machine.jobs().get(&id)?;
+                job.ended.then_some(Effect::Ended(id))
+            }
+            Subject::Evacuation(node) => Some(Effect::Evacuated(node)),
+            Subject::None => None,
+        }
+    }
 }
 
 /// The state that a new leader begins with.
@@ -129,7 +188,7 @@
 
 enum Waiting {
     Propose {
-        submitted: Option<Name>,
+        subject: Subject,
         reply: oneshot::Sender<Result<ledger::Applied, host::Refusal>>,
     },
     Read {
@@ -305,12 +364,9 @@
                 }
             },
             Call::Propose { command, reply } => {
-                let submitted = match &command {
-                    ledger::Command::Submit(job) => Some(job.id.clone()),
-                    _ => None,
-                };
+                let subject = Subject::new(&command);
                 let command = ledger::encode(&command);
-                let ticket = self.wait(Waiting::Propose { submitted, reply });
+                let ticket = self.wait(Waiting::Propose { subject, reply });
                 let group = GROUP;
                 inputs.push(host::Input::Propose {
                     group,
@@ -390,13 +446,13 @@
 
     fn proposed(&mut self, ticket: u64, result: Result<Vec<u8>, host::Refusal>) {
         match self.waiting.remove(&ticket) {
-            Some(Waiting::Propose { submitted, reply }) => {
+            Some(Waiting::Propose { subject, reply }) => {
                 let applied = result.map(|bytes| {
                     let applied = ledger::decode_applied(&bytes);
                     applied.unwrap_or(ledger::Applied::Superseded)
                 });
                 if applied.is_ok() {
-                    self.tell_applied(submitted);
+                    self.tell_effect(subject);
                 }
                 // The caller may have gone.
                 let _ = reply.send(applied);
@@ -408,14 +464,11 @@
         }
     }
 
-    /// Tells what a command of this leader changed.
-    fn tell_applied(&mut self, submitted: Option<Name>) {
-        let (Some(machine), Some(id)) = (self.host.machine(GROUP), submitted) else {
-            return;
-        };
-        if let Some(job) = machine.jobs().get(&id) {
-            let job = Box::new(job.clone());
-            self.replica.notice(Notice::Accepted(id, job));
+    /// Tells what a command of this leader calls for, before its caller is answered.
+    fn tell_effect(&mut self, subject: Subject) {
+        let machine = self.host.machine(GROUP);
+        if let Some(effect) = machine.and_then(|machine| subject.effect(machine)) {
+            self.replica.notice(Notice::Applied(effect));
         }
     }
 
--- a/programs/gateway/src/control/sessions.rs
+++ b/programs/gateway/src/control/sessions.rs
@@ -83,6 +83,11 @@
         }
     }
 
+    /// Returns the number of connected processes.
+    pub(crate) fn len(&self) -> usize {
+        self.sessions.len()
+    }
+
     /// Returns whether a worker VM is connected.
     pub(crate) fn has_worker(&self, node: &str) -> bool {
         let mut sessions = self.sessions.values();
