Deny a request only under a confirmed configuration

Callers got 404 for a route in force from entry VMs that had lost control, and would have got it from one whose leader was frozen or that was not told yet.

Cause: an entry VM answered 404, and 413, from the table that it held, however old. Such an answer is a claim about the newest configuration, which an entry VM cannot know by itself.

It now asks the leader for the newest version, after the request came, and answers 404 or 413 only if that is the version in use. If a newer one exists, the request waits for its news and is looked up again; if the leader cannot be asked within 250 ms, the request is refused as not run, with a time to come back. Requests that wait share one question.

--- a/crates/relay/src/ledger.rs
+++ b/crates/relay/src/ledger.rs
@@ -277,6 +277,12 @@
         self.published.as_ref()
     }
 
+    /// Returns the version of the configuration in force, 0 before the first.
+    pub fn version(&self) -> u64 {
+        let published = self.published.as_ref();
+        published.map_or(0, |published| published.config.version)
+    }
+
     /// Returns all jobs by id.
     pub fn jobs(&self) -> &BTreeMap<Name, Job> {
         &self.jobs
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -120,6 +120,8 @@
         /// Its failure domain.
         failure_domain: Name,
     },
+    /// An entry VM asks for the version of the newest configuration.
+    Version,
 }
 
 /// The answer to a call.
@@ -161,6 +163,8 @@
     },
     /// The outcome is unknown.
     Lost,
+    /// The version of the newest configuration, 0 before the first.
+    Version(u64),
 }
 
 /// What a process does.
--- a/programs/gateway/src/control/hub/mod.rs
+++ b/programs/gateway/src/control/hub/mod.rs
@@ -257,6 +257,10 @@
                 Ok(replica::Answer::Document(document)) => message::Reply::Document(document),
                 other => refusal(other.err()),
             },
+            message::Request::Version => match self.read(replica::Read::Version).await {
+                Ok(replica::Answer::Version(version)) => message::Reply::Version(version),
+                other => refusal(other.err()),
+            },
             message::Request::Submit(job) => self.submit(*job).await,
             message::Request::Results {
                 job,
--- a/programs/gateway/src/control/replica.rs
+++ b/programs/gateway/src/control/replica.rs
@@ -75,6 +75,8 @@
 pub(crate) enum Read {
     /// The document in force.
     Document,
+    /// The version of the configuration in force.
+    Version,
     /// A page of results.
     Page { job: Name, after: u32 },
     /// Whether a VM was to be emptied.
@@ -86,6 +88,8 @@
 /// What was read.
 pub(crate) enum Answer {
     Document(Option<Vec<u8>>),
+    /// 0 before the first configuration.
+    Version(u64),
     Page(Option<ledger::Page>),
     Body(Option<Vec<u8>>),
     Evacuated(bool),
@@ -507,6 +511,7 @@
                     let published = machine.published();
                     Answer::Document(published.map(|published| published.document.clone()))
                 }
+                Read::Version => Answer::Version(machine.version()),
                 Read::Page { job, after } => {
                     Answer::Page(machine.page(job, *after as usize, PAGE_BYTES, payloads)?)
                 }
@@ -527,8 +532,7 @@
     /// depend on whether its operator still waits.
     fn note_version(&mut self) {
         let machine = self.host.machine(GROUP);
-        let published = machine.and_then(|machine| machine.published());
-        let version = published.map_or(0, |published| published.config.version);
+        let version = machine.map_or(0, ledger::Ledger::version);
         if version != self.version {
             self.version = version;
             log::info!(version = version; "configuration applied");
--- a/programs/gateway/src/edge/forward.rs
+++ b/programs/gateway/src/edge/forward.rs
@@ -10,7 +10,8 @@
 use crate::{
     clock,
     edge::{
-        answer, attempt,
+        NO_LEADER_RETRY_MS, answer, attempt,
+        confirm::{self, Standing},
         front::Active,
         jobs,
         reason::Reason,
@@ -60,16 +61,9 @@
     if let Some(call) = state.dialect.job_call(request.method(), path, query) {
         return jobs::call(state, call, request.headers()).await;
     }
-    let host = text(request.headers(), &header::HOST);
-    let Some(route) = routing.table.find(host, path).cloned() else {
-        log::info!(
-            request = id.as_str(), host = host, path = path, version = routing.version,
-            connected = state.connected.get(), silence_ms = state.silence_ms();
-            "no route"
-        );
-        let reason = Reason::NoRoute.name();
-        metrics::REFUSALS.with_label_values(&[reason]).inc();
-        return answer::own(StatusCode::NOT_FOUND, "no route");
+    let (route, routing) = match find(state, routing, &id, &request).await {
+        Ok(found) => found,
+        Err(answer) => return *answer,
     };
     if route.kind == route::Kind::Batch {
         return jobs::submit(state, &routing, &route, id, request, now_ms).await;
@@ -92,6 +86,48 @@
     }
 }
 
+/// Finds the route of a request in the newest configuration.
+async fn find(
+    state: &State,
+    mut routing: Rc<Routing>,
+    id: &str,
+    request: &Request<body::Incoming>,
+) -> Result<(Arc<route::Route>, Rc<Routing>), Box<answer::Answer>> {
+    let host = text(request.headers(), &header::HOST);
+    let path = request.uri().path();
+    loop {
+        if let Some(route) = routing.table.find(host, path) {
+            return Ok((Arc::clone(route), routing));
+        }
+        let standing = confirm::confirm(state, routing.version).await;
+        if let Standing::Replaced(newer) = standing {
+            routing = newer;
+            continue;
+        }
+        let newest = matches!(standing, Standing::Newest);
+        log::info!(
+            request = id, host = host, path = path, version = routing.version, newest = newest,
+            connected = state.connected.get(), silence_ms = state.silence_ms();
+            "no route"
+        );
+        return Err(Box::new(match newest {
+            true => {
+                let reason = Reason::NoRoute.name();
+                metrics::REFUSALS.with_label_values(&[reason]).inc();
+                answer::own(StatusCode::NOT_FOUND, "no route")
+            }
+            false => unconfirmed(id),
+        }));
+    }
+}
+
+/// Refuses a request that a newer configuration may allow.
+fn unconfirmed(id: &str) -> answer::Answer {
+    refuse(id, Reason::Unconfirmed, NO_LEADER_RETRY_MS);
+    let text = "it is not known here now whether the request is allowed";
+    answer::not_run(text, NO_LEADER_RETRY_MS)
+}
+
 async fn read(
     state: &State,
     routing: &Routing,
@@ -107,7 +143,7 @@
     let route_until_ms = now_ms.saturating_add(route.timeout_ms);
     let until_ms = route_until_ms.min(caller_until_ms.unwrap_or(u64::MAX));
     let affinity = affinity(text(&parts.headers, &names.prefix));
-    let body = collect(body, routing.limits.body_bytes, until_ms).await?;
+    let body = collect(state, routing, &id, body, until_ms).await?;
     let target = parts
         .uri
         .path_and_query()
@@ -127,18 +163,30 @@
     })
 }
 
-/// Reads a body within a size and a time.
+/// Reads a body within the size that the configuration allows and a time.
 pub(crate) async fn collect(
+    state: &State,
+    routing: &Routing,
+    id: &str,
     body: body::Incoming,
-    limit: usize,
     until_ms: u64,
 ) -> Result<Bytes, Box<answer::Answer>> {
+    let limit = routing.limits.body_bytes;
     let reading = Limited::new(body, limit).collect();
     let refused = |status, reason| Err(Box::new(answer::own(status, reason)));
     match tokio::time::timeout(super::left(until_ms), reading).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            refused(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
+            let fits_newer = match confirm::confirm(state, routing.version).await {
+                Standing::Newest => false,
+                Standing::Replaced(newer) => newer.limits.body_bytes > limit,
+                Standing::Unknown => true,
+            };
+            match fits_newer {
+                // The body is gone, so the caller has to send it again.
+                true => Err(Box::new(unconfirmed(id))),
+                false => refused(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"),
+            }
         }
         Ok(Err(_)) => refused(StatusCode::BAD_REQUEST, "the body is incomplete"),
         Err(_) => refused(
--- a/programs/gateway/src/edge/jobs.rs
+++ b/programs/gateway/src/edge/jobs.rs
@@ -9,7 +9,7 @@
     clock,
     dialect::JobCall,
     edge::{
-        answer, forward,
+        NO_LEADER_RETRY_MS, answer, forward,
         reason::Reason,
         state::{Routing, State},
     },
@@ -26,9 +26,6 @@
 const SUBMIT_MARGIN_MS: u64 = 150;
 /// Pause before a submission is sent to the next leader.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(100);
-/// When a caller should come back after a call that no leader took, in
-/// milliseconds: elections take up to a second.
-const RETRY_MS: u64 = 700;
 
 /// Accepts a job: the leader answers once the job is durable.
 pub(crate) async fn submit(
@@ -46,11 +43,11 @@
     let until_ms = now_ms
         .saturating_add(wait_ms)
         .saturating_sub(SUBMIT_MARGIN_MS);
-    let body =
-        match forward::collect(request.into_body(), routing.limits.body_bytes, until_ms).await {
-            Ok(body) => body,
-            Err(answer) => return *answer,
-        };
+    let body = request.into_body();
+    let body = match forward::collect(state, routing, &id, body, until_ms).await {
+        Ok(body) => body,
+        Err(answer) => return *answer,
+    };
     let job = match state.dialect.job(&id, route, &body, clock::unix_ms()) {
         Ok(job) => job,
         Err(refused) => {
@@ -65,8 +62,8 @@
     match reply {
         message::Reply::Done => answer::own(StatusCode::ACCEPTED, "accepted"),
         message::Reply::NotLeader | message::Reply::Busy => {
-            forward::refuse(&id, Reason::NoLeader, RETRY_MS);
-            answer::not_run("no leader", RETRY_MS)
+            forward::refuse(&id, Reason::NoLeader, NO_LEADER_RETRY_MS);
+            answer::not_run("no leader", NO_LEADER_RETRY_MS)
         }
         message::Reply::Full { retry_after_ms } => {
             forward::refuse(&id, Reason::RouteFull, retry_after_ms);
@@ -95,7 +92,7 @@
             message::Reply::NotLeader | message::Reply::Busy => true,
             _ => false,
         };
-        if !again || clock::steady_ms() + RETRY_MS >= until_ms {
+        if !again || clock::steady_ms() + NO_LEADER_RETRY_MS >= until_ms {
             // What one leader may have accepted cannot be refused any more.
             return match reply {
                 message::Reply::NotLeader | message::Reply::Busy | message::Reply::Full { .. }
@@ -144,7 +141,10 @@
         message::Reply::Done => answer::own(StatusCode::OK, "ended"),
         reply => {
             log::info!(reply = name(&reply); "call on a job not answered");
-            answer::not_run("the state of the job is not known here now", RETRY_MS)
+            answer::not_run(
+                "the state of the job is not known here now",
+                NO_LEADER_RETRY_MS,
+            )
         }
     }
 }
--- a/programs/gateway/src/edge/mod.rs
+++ b/programs/gateway/src/edge/mod.rs
@@ -4,6 +4,7 @@
 
 mod answer;
 mod attempt;
+mod confirm;
 mod forward;
 mod front;
 mod jobs;
@@ -32,6 +33,9 @@
 /// load balancer needs two readiness checks, one second apart, to notice. Later
 /// requests might not end before the process must.
 const LINGER: time::Duration = time::Duration::from_millis(2_500);
+/// When a caller should come back after a request that needs a leader and found
+/// none, in milliseconds: elections take up to a second.
+const NO_LEADER_RETRY_MS: u64 = 700;
 /// How often a drain looks for running requests.
 const POLL: time::Duration = time::Duration::from_millis(50);
 /// Time before the forced end at which the process ends by itself.
@@ -77,6 +81,7 @@
     tasks.spawn_local(drive);
     tasks.spawn_local(take_news(Rc::clone(&state), news));
     tasks.spawn_local(report(Rc::clone(&state)));
+    tasks.spawn_local(confirm::run(Rc::clone(&state)));
     tasks.spawn_local(front::readiness(
         Rc::clone(&state),
         socket::listen(readiness)?,
--- a/programs/gateway/src/edge/reason.rs
+++ b/programs/gateway/src/edge/reason.rs
@@ -12,6 +12,8 @@
     NoConfiguration,
     /// No route allows the request.
     NoRoute,
+    /// No route allows the request, and a newer configuration may have one.
+    Unconfirmed,
     /// No control replica leads.
     NoLeader,
     /// No backend server of the service is known to work, or all were tried.
--- a/programs/gateway/src/edge/state.rs
+++ b/programs/gateway/src/edge/state.rs
@@ -10,7 +10,11 @@
 use rand::{RngCore, SeedableRng};
 use tokio::sync::{Notify, watch};
 
-use crate::{clock, dialect, edge, link, metrics, settings};
+use crate::{
+    clock, dialect,
+    edge::{self, confirm},
+    link, metrics, settings,
+};
 
 /// Interval between sweeps of idle connections, in milliseconds.
 const SWEEP_MS: u64 = 1_000;
@@ -37,6 +41,7 @@
     pub(crate) balance: RefCell<balance::Balance>,
     loads: RefCell<load::Subscriber>,
     pub(crate) routing: RefCell<Option<Rc<Routing>>>,
+    pub(crate) confirmer: confirm::Confirmer,
     /// Told when a configuration is in force.
     configured: Notify,
     started_ms: u64,
@@ -81,6 +86,7 @@
             pool: edge::Pool::default(),
             loads: RefCell::default(),
             routing: RefCell::new(None),
+            confirmer: confirm::Confirmer::default(),
             configured: Notify::new(),
             started_ms: clock::steady_ms(),
             told: RefCell::default(),
@@ -110,13 +116,22 @@
     pub(crate) async fn await_routing(&self) -> Option<Rc<Routing>> {
         let now_ms = clock::steady_ms();
         let until_ms = (now_ms + STARTUP_WAIT_MS).min(self.started_ms + STARTUP_MS);
-        while self.routing.borrow().is_none() {
+        self.await_version(0, until_ms).await
+    }
+
+    /// Returns the configuration in force once it has a version at least, `None` if
+    /// that takes too long.
+    pub(crate) async fn await_version(&self, version: u64, until_ms: u64) -> Option<Rc<Routing>> {
+        loop {
             let configured = self.configured.notified();
+            let routing = self.routing();
+            if let Some(routing) = routing.filter(|routing| routing.version >= version) {
+                return Some(routing);
+            }
             tokio::time::timeout(edge::left(until_ms), configured)
                 .await
                 .ok()?;
         }
-        self.routing()
     }
 
     /// Returns whether the load balancer should send callers.
--- a/programs/gateway/src/metrics.rs
+++ b/programs/gateway/src/metrics.rs
@@ -82,6 +82,15 @@
     )
 });
 
+/// Questions about the newest configuration by outcome.
+pub static CONFIRMATIONS: LazyLock<prometheus::IntCounterVec> = LazyLock::new(|| {
+    metrics::counter(
+        "bw_gateway_confirmations_total",
+        "Requests for which the leader was asked about the newest configuration, by outcome.",
+        &["outcome"],
+    )
+});
+
 /// The version of the configuration that this process acts on.
 pub static CONFIGURATION: LazyLock<prometheus::IntGaugeVec> = LazyLock::new(|| {
     metrics::gauge(
