Try a refused request again after a burst of crashes

Callers of a sound request that was on three backend servers when these crashed were refused for good: a refused request never runs, so it can never clear itself, and the record of strikes had no time. Callers who ask the same question again shared that fate.

A suspect is now refused for a minute after its last strike, then one request with its content is tried; each trial that breaks doubles the pause, up to an hour. The refusal says when to come back. The former tests keep their assertions and pass a time.

Measured: a_sound_request_is_served_again_after_a_burst, crashes_of_one_request_grow_rare and one_trial_runs_at_a_time pass; the old record has no notion of time in which the first could be expressed, and its admission after any time is the refusal that the existing test states.

--- a/crates/relay/src/suspect.rs
+++ b/crates/relay/src/suspect.rs
@@ -4,12 +4,25 @@
 //! fingerprint of its content, as callers send it again under other ids and
 //! through other entry VMs. One that ends whole is cleared, so that a request
 //! that merely was on a backend server that crashed is not blamed for long.
+//!
+//! A burst of crashes strikes sound requests too, and one that is refused cannot
+//! clear itself. So a refused request is tried again from time to time, after
+//! pauses that grow, which bounds the crashes of one that does cause them.
 
 use std::collections::{HashMap, VecDeque};
 
 /// Strikes from which a request is refused. The third crash proves more than
 /// two: single answers break by chance.
 const REFUSE_AT: u32 = 3;
+/// Time after the last strike in which a suspect is refused, in milliseconds. It
+/// doubles with each failed trial. Bursts of crashes end within seconds, and a
+/// backend server is back before the next trial.
+const PAUSE_MS: u64 = 60_000;
+/// Most doublings of the pause, which is an hour at most.
+const DOUBLINGS_MAX: u32 = 6;
+/// Time in which a process lets no second request with the same content try, in
+/// milliseconds. Most requests end sooner, and a crash shows at once.
+const TRIAL_MS: u64 = 10_000;
 /// Suspects that are remembered; the oldest are forgotten first.
 const SUSPECTS_MAX: usize = 10_000;
 
@@ -40,63 +53,125 @@
     pub count: u32,
 }
 
+/// Whether a request may run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Admission {
+    /// It may.
+    Admitted,
+    /// It may, to find out whether it still crashes backend servers.
+    Trial,
+    /// It must not run now.
+    Refused {
+        /// When it may be tried again, in milliseconds.
+        retry_after_ms: u64,
+    },
+}
+
+/// What is known of a suspect.
+#[derive(Clone, Copy, Debug)]
+struct Record {
+    count: u32,
+    /// When the last strike became known here, in milliseconds.
+    struck_ms: u64,
+    /// Until when a trial is under way here, in milliseconds.
+    trial_until_ms: u64,
+}
+
+impl Record {
+    /// Returns when the request may be tried again; `None` if it is not refused.
+    fn refused_until_ms(&self) -> Option<u64> {
+        let trials = self.count.checked_sub(REFUSE_AT)?;
+        Some(self.struck_ms + (PAUSE_MS << trials.min(DOUBLINGS_MAX)))
+    }
+}
+
 /// The suspects that one process knows.
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
-    strikes: HashMap<Fingerprint, u32>,
+    records: HashMap<Fingerprint, Record>,
     order: VecDeque<Fingerprint>,
 }
 
 impl Suspects {
-    /// Returns whether a request must not run again.
-    pub fn is_refused(&self, fingerprint: Fingerprint) -> bool {
-        self.strikes
-            .get(&fingerprint)
-            .is_some_and(|count| *count >= REFUSE_AT)
+    /// Decides whether a request may run. `now_ms` is steady time.
+    pub fn admit(&mut self, fingerprint: Fingerprint, now_ms: u64) -> Admission {
+        let Some(record) = self.records.get_mut(&fingerprint) else {
+            return Admission::Admitted;
+        };
+        let Some(refused_until_ms) = record.refused_until_ms() else {
+            return Admission::Admitted;
+        };
+        let until_ms = refused_until_ms.max(record.trial_until_ms);
+        if now_ms < until_ms {
+            let retry_after_ms = until_ms - now_ms;
+            return Admission::Refused { retry_after_ms };
+        }
+        record.trial_until_ms = now_ms + TRIAL_MS;
+        Admission::Trial
+    }
+
+    /// Returns whether a request that was admitted must not run again.
+    pub fn is_refused(&self, fingerprint: Fingerprint, now_ms: u64) -> bool {
+        let record = self.records.get(&fingerprint);
+        record.is_some_and(|record| {
+            record.refused_until_ms().is_some() && now_ms >= record.trial_until_ms
+        })
     }
 
     /// Notes that a backend server broke the connection of a request. Returns
     /// the news for the other processes.
-    pub fn crashed(&mut self, fingerprint: Fingerprint) -> Strike {
-        let count = self.strikes.get(&fingerprint).copied().unwrap_or(0) + 1;
+    pub fn crashed(&mut self, fingerprint: Fingerprint, now_ms: u64) -> Strike {
+        let count = self
+            .records
+            .get(&fingerprint)
+            .map_or(0, |known| known.count)
+            + 1;
         let strike = Strike { fingerprint, count };
-        self.merge(strike);
+        self.merge(strike, now_ms);
         strike
     }
 
     /// Notes that a request ended whole. Returns the news for the other
     /// processes if it was a suspect.
     pub fn finished(&mut self, fingerprint: Fingerprint) -> Option<Strike> {
-        self.strikes.remove(&fingerprint)?;
+        self.records.remove(&fingerprint)?;
         let count = 0;
         Some(Strike { fingerprint, count })
     }
 
     /// Takes news of another process. Returns whether they changed anything.
-    pub fn merge(&mut self, strike: Strike) -> bool {
+    pub fn merge(&mut self, strike: Strike, now_ms: u64) -> bool {
         let Strike { fingerprint, count } = strike;
         if count == 0 {
-            return self.strikes.remove(&fingerprint).is_some();
+            return self.records.remove(&fingerprint).is_some();
+        }
+        let known = self.records.get(&fingerprint).map(|known| known.count);
+        if known == Some(count) {
+            return false;
         }
-        let known = self.strikes.insert(fingerprint, count);
-        if known.is_none() {
+        let record = Record {
+            count,
+            struck_ms: now_ms,
+            trial_until_ms: 0,
+        };
+        if self.records.insert(fingerprint, record).is_none() {
             self.order.push_back(fingerprint);
         }
         while self.order.len() > SUSPECTS_MAX {
             if let Some(oldest) = self.order.pop_front() {
-                self.strikes.remove(&oldest);
+                self.records.remove(&oldest);
             }
         }
-        known != Some(count)
+        true
     }
 
     /// Returns all suspects, for a process that connects.
     pub fn all(&self) -> Vec<Strike> {
-        let strikes = self.strikes.iter();
-        strikes
-            .map(|(fingerprint, count)| Strike {
+        let records = self.records.iter();
+        records
+            .map(|(fingerprint, record)| Strike {
                 fingerprint: *fingerprint,
-                count: *count,
+                count: record.count,
             })
             .collect()
     }
--- a/crates/relay/tests/suspect.rs
+++ b/crates/relay/tests/suspect.rs
@@ -1,6 +1,8 @@
 //! Requests that crash backend servers, told from bystanders.
 
-use bw_relay::suspect::{Fingerprint, Suspects};
+use bw_relay::suspect::{Admission, Fingerprint, Suspects};
+
+const MINUTE_MS: u64 = 60_000;
 
 fn fingerprint(body: &str) -> Fingerprint {
     Fingerprint::new("a.example", "/x", body.as_bytes())
@@ -11,12 +13,12 @@
     let (mut here, mut there) = (Suspects::default(), Suspects::default());
     let poison = fingerprint("poison");
     for _ in 0..2 {
-        there.merge(here.crashed(poison));
+        there.merge(here.crashed(poison, 0), 0);
     }
-    assert!(!here.is_refused(poison));
-    here.merge(there.crashed(poison));
-    assert!(here.is_refused(poison) && there.is_refused(poison));
-    assert!(!here.is_refused(fingerprint("other")));
+    assert!(!here.is_refused(poison, 0));
+    here.merge(there.crashed(poison, 0), 0);
+    assert!(here.is_refused(poison, 0) && there.is_refused(poison, 0));
+    assert!(!here.is_refused(fingerprint("other"), 0));
 }
 
 /// Guards against refusing a request that only was on a crashed backend server.
@@ -25,9 +27,9 @@
     let mut suspects = Suspects::default();
     let bystander = fingerprint("bystander");
     for _ in 0..5 {
-        suspects.crashed(bystander);
+        suspects.crashed(bystander, 0);
         assert!(suspects.finished(bystander).is_some());
-        assert!(!suspects.is_refused(bystander));
+        assert!(!suspects.is_refused(bystander, 0));
     }
     assert!(suspects.finished(bystander).is_none(), "nothing to tell");
 }
@@ -43,7 +45,75 @@
 fn memory_is_bounded() {
     let mut suspects = Suspects::default();
     for number in 0..20_000 {
-        suspects.crashed(fingerprint(&number.to_string()));
+        suspects.crashed(fingerprint(&number.to_string()), 0);
     }
     assert_eq!(suspects.all().len(), 10_000);
 }
+
+/// Guards against refusing a sound request for ever after a burst of crashes: one
+/// that is refused cannot show that it is sound.
+#[test]
+fn a_sound_request_is_served_again_after_a_burst() {
+    let mut suspects = Suspects::default();
+    let sound = fingerprint("sound");
+    for now_ms in [5_000, 5_400, 5_800] {
+        assert_eq!(suspects.admit(sound, now_ms), Admission::Admitted);
+        suspects.crashed(sound, now_ms);
+    }
+    let refused = suspects.admit(sound, 6_000);
+    let retry_after_ms = 5_800 + MINUTE_MS - 6_000;
+    assert_eq!(refused, Admission::Refused { retry_after_ms });
+    assert_eq!(
+        suspects.admit(sound, 6_000 + retry_after_ms),
+        Admission::Trial
+    );
+    assert!(!suspects.is_refused(sound, 6_000 + retry_after_ms));
+    suspects.finished(sound);
+    assert_eq!(
+        suspects.admit(sound, 6_001 + retry_after_ms),
+        Admission::Admitted
+    );
+}
+
+/// Guards against a request that crashes backend servers all day: every process
+/// sees it again and again, and each crash is told to all.
+#[test]
+fn crashes_of_one_request_grow_rare() {
+    let mut processes = vec![Suspects::default(); 8];
+    let poison = fingerprint("poison");
+    let mut crashes = Vec::new();
+    for now_ms in (0..24 * 60 * MINUTE_MS).step_by(1_000) {
+        for index in 0..processes.len() {
+            let admission = processes[index].admit(poison, now_ms);
+            if matches!(admission, Admission::Refused { .. }) {
+                continue;
+            }
+            crashes.push(now_ms);
+            let strike = processes[index].crashed(poison, now_ms);
+            for process in &mut processes {
+                process.merge(strike, now_ms);
+            }
+        }
+    }
+    let within = |limit_ms| crashes.iter().filter(|at| **at < limit_ms).count();
+    assert_eq!(within(MINUTE_MS), 3);
+    assert!(within(10 * MINUTE_MS) <= 6, "{}", within(10 * MINUTE_MS));
+    assert!(crashes.len() <= 32, "{}", crashes.len());
+}
+
+/// Guards against many callers who try the same content at once.
+#[test]
+fn one_trial_runs_at_a_time() {
+    let mut suspects = Suspects::default();
+    let suspect = fingerprint("suspect");
+    for _ in 0..3 {
+        suspects.crashed(suspect, 0);
+    }
+    assert_eq!(suspects.admit(suspect, MINUTE_MS), Admission::Trial);
+    let second = suspects.admit(suspect, MINUTE_MS + 1);
+    assert!(matches!(second, Admission::Refused { .. }), "{second:?}");
+    suspects.crashed(suspect, MINUTE_MS + 2);
+    assert!(suspects.is_refused(suspect, MINUTE_MS + 2));
+    let later = suspects.admit(suspect, 2 * MINUTE_MS + 2);
+    assert!(matches!(later, Admission::Refused { .. }), "{later:?}");
+}
--- a/programs/gateway/src/control/hub/backends.rs
+++ b/programs/gateway/src/control/hub/backends.rs
@@ -63,7 +63,8 @@
 
     /// Passes news about a suspect on to all entry VMs.
     pub(crate) fn strike(&self, strike: suspect::Strike) {
-        if !self.suspects.borrow_mut().merge(strike) {
+        let now_ms = clock::steady_ms();
+        if !self.suspects.borrow_mut().merge(strike, now_ms) {
             return;
         }
         log::warn!(fingerprint = strike.fingerprint.0, strikes = strike.count; "suspect changed");
--- a/programs/gateway/src/control/hub/mod.rs
+++ b/programs/gateway/src/control/hub/mod.rs
@@ -484,7 +484,7 @@
         }
         let now_ms = clock::steady_ms();
         for strike in update.suspects {
-            hub.suspects.borrow_mut().merge(strike);
+            hub.suspects.borrow_mut().merge(strike, now_ms);
         }
         let mut registry = hub.registry.borrow_mut();
         for announcement in update.backends {
--- a/programs/gateway/src/edge/attempt.rs
+++ b/programs/gateway/src/edge/attempt.rs
@@ -113,7 +113,7 @@
             if clock::steady_ms() >= forward.until_ms {
                 return Err(self.given_up(Reason::Timeout));
             }
-            if state.suspects.borrow().is_refused(forward.fingerprint) {
+            if state.is_refused(forward.fingerprint) {
                 return Err(self.given_up(Reason::PoisonousRequest));
             }
             if self.sends >= SENDS_MAX {
--- a/programs/gateway/src/edge/forward.rs
+++ b/programs/gateway/src/edge/forward.rs
@@ -72,13 +72,20 @@
         Ok(forward) => forward,
         Err(answer) => return *answer,
     };
-    if state.suspects.borrow().is_refused(forward.fingerprint) {
-        // Coming back later would not help.
-        let reason = Reason::PoisonousRequest.name();
-        log::warn!(request = forward.id.as_str(), fingerprint = forward.fingerprint.0, reason = reason, verdict = "not_run"; "refused");
-        metrics::REFUSALS.with_label_values(&[reason]).inc();
-        let text = "the request crashes backend servers";
-        return answer::own(StatusCode::SERVICE_UNAVAILABLE, text);
+    let admission = state
+        .suspects
+        .borrow_mut()
+        .admit(forward.fingerprint, now_ms);
+    match admission {
+        suspect::Admission::Admitted => {}
+        suspect::Admission::Trial => {
+            log::info!(request = forward.id.as_str(), fingerprint = forward.fingerprint.0; "trial of a suspect");
+        }
+        suspect::Admission::Refused { retry_after_ms } => {
+            refuse(&forward.id, Reason::PoisonousRequest, retry_after_ms);
+            let text = "backend servers crashed under this request";
+            return answer::not_run(text, retry_after_ms);
+        }
     }
     match forward.route.kind.streams() {
         true => stream::forward(state, forward, active).await,
--- a/programs/gateway/src/edge/state.rs
+++ b/programs/gateway/src/edge/state.rs
@@ -168,7 +168,7 @@
             self.announce(announcement, now_ms);
         }
         for strike in update.suspects {
-            self.suspects.borrow_mut().merge(strike);
+            self.suspects.borrow_mut().merge(strike, now_ms);
         }
         if let Some(loads) = update.loads {
             self.loads_ms.set(now_ms);
@@ -211,11 +211,18 @@
 
     /// Notes that a backend server broke the connection of a request.
     pub(crate) fn crashed(&self, id: &str, fingerprint: suspect::Fingerprint) {
-        let strike = self.suspects.borrow_mut().crashed(fingerprint);
+        let now_ms = clock::steady_ms();
+        let strike = self.suspects.borrow_mut().crashed(fingerprint, now_ms);
         log::warn!(request = id, fingerprint = fingerprint.0, strikes = strike.count; "suspect");
         self.link.notify(&message::Frame::Strike(strike));
     }
 
+    /// Returns whether a request that was admitted must not run again.
+    pub(crate) fn is_refused(&self, fingerprint: suspect::Fingerprint) -> bool {
+        let suspects = self.suspects.borrow();
+        suspects.is_refused(fingerprint, clock::steady_ms())
+    }
+
     /// Notes that a request ended whole.
     pub(crate) fn finished(&self, fingerprint: suspect::Fingerprint) {
         let cleared = self.suspects.borrow_mut().finished(fingerprint);
