Call no VM unknown that is only out of touch

An operator who orders a VM to be emptied got 404 while the VM was frozen or cut off: the leader knew only the VMs that were connected at that moment.

The leader now remembers the VMs that were connected since it leads, and answers 503 for one that is out of touch.

--- a/programs/gateway/src/control/evacuation.rs
+++ b/programs/gateway/src/control/evacuation.rs
@@ -65,6 +65,10 @@
         {
             message::Reply::NotLeader
         }
+        // A VM that is out of touch is no unknown one.
+        evacuation::Verdict::Unknown if hub.sessions.borrow().has_seen(&node) => {
+            message::Reply::NotLeader
+        }
         evacuation::Verdict::Unknown => message::Reply::Unknown,
         evacuation::Verdict::TooFew => message::Reply::TooFew,
         evacuation::Verdict::Accepted => {
--- a/programs/gateway/src/control/sessions.rs
+++ b/programs/gateway/src/control/sessions.rs
@@ -1,6 +1,10 @@
 //! Connections of entry VMs and other control replicas.
 
-use std::{collections::HashMap, rc::Rc, sync::Arc};
+use std::{
+    collections::{HashMap, HashSet},
+    rc::Rc,
+    sync::Arc,
+};
 
 use bw_coord::ReplicaId;
 use bw_relay::message;
@@ -42,6 +46,8 @@
     /// Online requests in flight by the number of the backend server, summed over
     /// all sessions.
     online: HashMap<u32, u32>,
+    /// VMs that an operator may name and that were connected to this leader.
+    seen: HashSet<Name>,
 }
 
 impl Sessions {
@@ -53,6 +59,9 @@
         if let Some(old) = old.map(|(id, _)| *id) {
             self.remove(old);
         }
+        if role != message::Role::Entry {
+            self.seen.insert(node.clone());
+        }
         let loads = Vec::new();
         let session = Session {
             node,
@@ -94,6 +103,12 @@
         sessions.any(|session| session.role == message::Role::Worker && *session.node == *node)
     }
 
+    /// Returns whether a worker VM or one with a replica was ever connected to this
+    /// leader.
+    pub(crate) fn has_seen(&self, node: &str) -> bool {
+        self.seen.contains(node)
+    }
+
     /// Returns the names and addresses of the VMs with a replica.
     pub(crate) fn replicas(&self) -> impl Iterator<Item = (Name, Name)> {
         let sessions = self.sessions.values();
@@ -111,6 +126,7 @@
     pub(crate) fn close(&mut self) {
         self.sessions.clear();
         self.online.clear();
+        self.seen.clear();
     }
 
     /// Returns the online requests in flight at a backend server.
