Try a refused request again after 10 s

A minute is longer than callers of a sound request keep asking, and backend servers are back a few seconds after a burst. The pauses now begin at 10 s and double up to 85 minutes.

--- a/crates/relay/src/suspect.rs
+++ b/crates/relay/src/suspect.rs
@@ -17,9 +17,9 @@
 /// Time after the last strike in which a suspect is refused, in milliseconds. It
 /// doubles with each failed trial. Bursts of crashes end within seconds, and a
 /// backend server is back before the next trial.
-const PAUSE_MS: u64 = 60_000;
-/// Most doublings of the pause, which is an hour at most.
-const DOUBLINGS_MAX: u32 = 6;
+const PAUSE_MS: u64 = 10_000;
+/// Most doublings of the pause, which is an hour and a half at most.
+const DOUBLINGS_MAX: u32 = 9;
 /// Time in which a process lets no second request with the same content try, in
 /// milliseconds. Most requests end sooner, and a crash shows at once.
 const TRIAL_MS: u64 = 10_000;
