--- a/programs/gateway/tests/link.rs
+++ b/programs/gateway/tests/link.rs
@@ -149,6 +149,28 @@
     task::LocalSet::new().run_until(test).await;
 }
 
+/// Guards against losing the leader to the old list of members of a replica that
+/// wakes up and still believes that it leads an earlier term.
+#[tokio::test]
+async fn the_members_of_an_earlier_term_do_not_end_the_link_to_the_leader() {
+    let test = async {
+        let (old, new) = (Replica::start(), Replica::start());
+        let (link, mut news, _drive) = link(old.address());
+        let mut first = old.accept().await;
+        first.welcome(None, &[new.address()]).await;
+        let mut second = new.accept().await;
+        second.welcome(Some(7), &[new.address()]).await;
+        assert!(matches!(news.recv().await, Some(link::News::Connected)));
+        first.welcome(Some(5), &[old.address()]).await;
+        // The link leaves and comes back.
+        let mut again = old.accept().await;
+        again.welcome(None, &[old.address()]).await;
+        assert!(news.try_recv().is_err(), "the leader was not lost");
+        assert_eq!(link.leader(), Some(new.address()));
+    };
+    task::LocalSet::new().run_until(test).await;
+}
+
 /// Guards against losing the way to the leader when the seeds are gone but
 /// another replica names the members.
 #[tokio::test]
