Call a VM empty only if its replica is known to have left

An operator was told that a VM was emptied while its replica still voted. The platform then removes the VM with its disk, a loss that nobody counts.

Cause: the leader looked for the VM among its sessions and took a missing one for a VM without a replica. A replica that is frozen or cut off has no session, nor has one that has yet to find a new leader.

The session is what connects the name of a VM with a member. A VM without one is now empty only if the VMs of all members are connected, so that none of them can be this one; until then the order is under way. A worker that is connected is empty at once, as before.

--- a/programs/gateway/src/control/evacuation.rs
+++ b/programs/gateway/src/control/evacuation.rs
@@ -49,6 +49,17 @@
     leaving.count()
 }
 
+/// Returns whether the VM of every member is known.
+fn all_members_connected(hub: &Hub) -> bool {
+    let own = hub.settings().internal_address().to_string();
+    let sessions = hub.sessions.borrow();
+    let connected = |member: &member::Member| {
+        let mut replicas = sessions.replicas();
+        member.address == own || replicas.any(|(_, address)| *address == *member.address)
+    };
+    hub.members().iter().all(connected)
+}
+
 /// Takes the order to empty a VM.
 pub(crate) async fn begin(hub: &Hub, node: Name) -> message::Reply {
     let vms = vms(hub);
@@ -81,8 +92,12 @@
     match hub.read(replica::Read::Evacuated(node.clone())).await {
         Ok(replica::Answer::Evacuated(true)) => {
             let vms = vms(hub);
-            let left = vms.iter().find(|vm| vm.node == node);
-            match left.is_none_or(|vm| vm.part == evacuation::Part::Standby) {
+            let empty = match vms.iter().find(|vm| vm.node == node) {
+                Some(vm) => vm.part == evacuation::Part::Standby,
+                // Only its connection says which member it is.
+                None => hub.sessions.borrow().has_worker(&node) || all_members_connected(hub),
+            };
+            match empty {
                 true => message::Reply::Empty,
                 false => message::Reply::Emptying,
             }
