Take members as complete only from the latest term

Entry VMs could lose the leader when a former one woke up, and so answer 503 to calls on jobs and to requests without a route for some hundred milliseconds.

Cause: a replica that says that it leads named the complete list of members, whichever term it was in. The list of a former leader replaced the present one, and the watch of a leader that is neither a seed nor on that list was ended. The former leader was then followed, as no later term was known any more.

The list of a replica that leads an earlier term than the known one now only adds members, as that of a follower does.

--- a/programs/gateway/src/link.rs
+++ b/programs/gateway/src/link.rs
@@ -88,6 +88,12 @@
         self.tell(News::Disconnected);
     }
 
+    /// Returns whether no replica is known to lead a later term.
+    fn is_newest(&self, term: u64) -> bool {
+        let leader = self.leader.as_ref();
+        leader.is_none_or(|leader| leader.term <= term)
+    }
+
     fn leads(&self, term: u64) -> bool {
         let leader = self.leader.as_ref();
         leader.is_some_and(|leader| leader.term == term)
@@ -219,7 +225,8 @@
 /// The members of the group as a replica knows them.
 struct Members {
     replicas: Vec<net::SocketAddr>,
-    /// Whether the replica leads; the others may be out of date.
+    /// Whether the replica leads, in no earlier term than another; the others may be
+    /// out of date.
     sure: bool,
 }
 
@@ -351,7 +358,7 @@
         let replicas = replicas.filter_map(|address| address.parse().ok());
         let members = Members {
             replicas: replicas.collect(),
-            sure: term.is_some(),
+            sure: term.is_some_and(|term| self.link.shared.borrow().is_newest(term)),
         };
         // The supervisor ends with the process.
         let _ = self.learned.send(members);
