Ask once for the newest version for each request

Callers of a path without a route got no answer while configurations followed each other faster than every 50 ms or so, and a late one at lower rates.

Cause: after each newer configuration the entry VM asked the leader once more. In a storm the answer always named a newer version, and no limit of time applied to the whole.

The leader names its version after the request came.

--- a/programs/gateway/src/edge/forward.rs
+++ b/programs/gateway/src/edge/forward.rs
@@ -86,39 +86,43 @@
     }
 }
 
-/// Finds the route of a request in the newest configuration.
+/// Finds the route of a request in a configuration that was the newest when the
+/// request was here, or in a newer one.
 async fn find(
     state: &State,
-    mut routing: Rc<Routing>,
+    routing: Rc<Routing>,
     id: &str,
     request: &Request<body::Incoming>,
 ) -> Result<(Arc<route::Route>, Rc<Routing>), Box<answer::Answer>> {
     let host = text(request.headers(), &header::HOST);
     let path = request.uri().path();
-    loop {
-        if let Some(route) = routing.table.find(host, path) {
-            return Ok((Arc::clone(route), routing));
-        }
-        let standing = confirm::confirm(state, routing.version).await;
-        if let Standing::Replaced(newer) = standing {
-            routing = newer;
-            continue;
-        }
-        let newest = matches!(standing, Standing::Newest);
-        log::info!(
-            request = id, host = host, path = path, version = routing.version, newest = newest,
-            connected = state.connected.get(), silence_ms = state.silence_ms();
-            "no route"
-        );
-        return Err(Box::new(match newest {
-            true => {
-                let reason = Reason::NoRoute.name();
-                metrics::REFUSALS.with_label_values(&[reason]).inc();
-                answer::own(StatusCode::NOT_FOUND, "no route")
-            }
-            false => unconfirmed(id),
-        }));
+    if let Some(route) = routing.table.find(host, path) {
+        return Ok((Arc::clone(route), routing));
     }
+    let standing = confirm::confirm(state, routing.version).await;
+    let (routing, newest) = match standing {
+        Standing::Newest => (routing, true),
+        Standing::Replaced(newer) => (newer, true),
+        Standing::Unknown => (routing, false),
+    };
+    // The leader named its version after the request came, so a newer one need not
+    // be asked for again.
+    if let Some(route) = routing.table.find(host, path) {
+        return Ok((Arc::clone(route), routing));
+    }
+    log::info!(
+        request = id, host = host, path = path, version = routing.version, newest = newest,
+        connected = state.connected.get(), silence_ms = state.silence_ms();
+        "no route"
+    );
+    Err(Box::new(match newest {
+        true => {
+            let reason = Reason::NoRoute.name();
+            metrics::REFUSALS.with_label_values(&[reason]).inc();
+            answer::own(StatusCode::NOT_FOUND, "no route")
+        }
+        false => unconfirmed(id),
+    }))
 }
 
 /// Refuses a request that a newer configuration may allow.
