Call a job malformed only under a confirmed configuration

Callers would get 400 for a proper request on a path that an entry VM takes for that of a batch route and that a newer configuration forwards.

Cause: whether the bytes must be a job is decided by the route, and an entry VM that was not told yet, or that has lost control, holds an old one.

Before it answers 400 it now asks the leader as it does before 404 and 413. If the newest configuration takes no jobs on the path, or is not known, the request is refused as not run; the body is gone, so the caller sends it again.

--- a/programs/gateway/src/edge/forward.rs
+++ b/programs/gateway/src/edge/forward.rs
@@ -126,7 +126,7 @@
 }
 
 /// Refuses a request that a newer configuration may allow.
-fn unconfirmed(id: &str) -> answer::Answer {
+pub(crate) fn unconfirmed(id: &str) -> answer::Answer {
     refuse(id, Reason::Unconfirmed, NO_LEADER_RETRY_MS);
     let text = "it is not known here now whether the request is allowed";
     answer::not_run(text, NO_LEADER_RETRY_MS)
--- a/programs/gateway/src/edge/jobs.rs
+++ b/programs/gateway/src/edge/jobs.rs
@@ -3,13 +3,15 @@
 use std::{rc::Rc, sync::Arc, time};
 
 use bw_relay::{message, route};
-use hyper::{HeaderMap, Request, StatusCode, body};
+use hyper::{HeaderMap, Request, StatusCode, body, header};
 
 use crate::{
     clock,
     dialect::JobCall,
     edge::{
-        NO_LEADER_RETRY_MS, answer, forward,
+        NO_LEADER_RETRY_MS, answer,
+        confirm::{self, Standing},
+        forward,
         reason::Reason,
         state::{Routing, State},
     },
@@ -43,7 +45,7 @@
     let until_ms = now_ms
         .saturating_add(wait_ms)
         .saturating_sub(SUBMIT_MARGIN_MS);
-    let body = request.into_body();
+    let (parts, body) = request.into_parts();
     let body = match forward::collect(state, routing, &id, body, until_ms).await {
         Ok(body) => body,
         Err(answer) => return *answer,
@@ -51,6 +53,19 @@
     let job = match state.dialect.job(&id, route, &body, clock::unix_ms()) {
         Ok(job) => job,
         Err(refused) => {
+            let host = forward::text(&parts.headers, &header::HOST);
+            let takes_jobs = match confirm::confirm(state, routing.version).await {
+                Standing::Newest => true,
+                Standing::Replaced(newer) => {
+                    let route = newer.table.find(host, parts.uri.path());
+                    route.is_some_and(|route| route.kind == route::Kind::Batch)
+                }
+                Standing::Unknown => false,
+            };
+            if !takes_jobs {
+                // The body is gone, so the caller has to send it again.
+                return forward::unconfirmed(&id);
+            }
             log::warn!(job = id.as_str(), reason = refused.reason.as_str(); "job refused");
             return answer::own(refused.status, &refused.reason);
         }
