Call a VM unknown only if it never connected

Operators got 404 for an order to empty a VM that was frozen or cut off at that moment. They give an order up after three such answers.

Cause: the leader knows VMs by its sessions, and one without a session was taken for unknown 4 s after the leader began.

Every process connects to every replica under its name, so each replica now remembers the names, and an order for one of them that is out of touch is answered 503. A replica forgets them when it restarts; a VM that has been out of touch since then is still called unknown.

--- a/programs/gateway/src/control/evacuation.rs
+++ b/programs/gateway/src/control/evacuation.rs
@@ -76,6 +76,8 @@
         {
             message::Reply::NotLeader
         }
+        // It is out of touch.
+        evacuation::Verdict::Unknown if hub.has_met(&node) => message::Reply::NotLeader,
         evacuation::Verdict::Unknown => message::Reply::Unknown,
         evacuation::Verdict::TooFew => message::Reply::TooFew,
         evacuation::Verdict::Accepted => {
--- a/programs/gateway/src/control/hub/mod.rs
+++ b/programs/gateway/src/control/hub/mod.rs
@@ -67,6 +67,8 @@
     suspects: RefCell<suspect::Suspects>,
     /// VMs that were ordered to be emptied, while this replica leads.
     pub(crate) evacuated: RefCell<BTreeSet<Name>>,
+    /// VMs that have connected since this program started, also while others led.
+    met: RefCell<BTreeSet<Name>>,
     /// How fast the work of routes ends while this replica leads.
     pace: RefCell<quota::Pace>,
     swept_ms: Cell<u64>,
@@ -101,6 +103,7 @@
             changed: RefCell::default(),
             suspects: RefCell::default(),
             evacuated: RefCell::default(),
+            met: RefCell::default(),
             pace: RefCell::new(quota::Pace::new(quota::Options::default())),
             swept_ms: Cell::new(0),
             led_ms: Cell::new(0),
@@ -229,6 +232,16 @@
         }
     }
 
+    /// Notes that a VM has connected.
+    pub(crate) fn meet(&self, node: &Name) {
+        self.met.borrow_mut().insert(node.clone());
+    }
+
+    /// Returns whether a VM has connected since this program started.
+    pub(crate) fn has_met(&self, node: &Name) -> bool {
+        self.met.borrow().contains(node)
+    }
+
     pub(crate) fn close_session(&self, session: u64) {
         self.sessions.borrow_mut().remove(session);
     }
--- a/programs/gateway/src/control/sessions.rs
+++ b/programs/gateway/src/control/sessions.rs
@@ -138,6 +138,7 @@
             role,
             address,
         }) => {
+            hub.meet(&node);
             let peer = (node, role, address);
             serve(&hub, peer, reader, socket::Writer::new(write)).await;
         }
