Accept an order to empty a VM again after it is gone

Operators that lost the answer to an order and sent it again got 404 when the VM had left meanwhile, although the order had been accepted.

Cause: the order was judged by the VMs that are connected now.

One of them is accepted again whatever is connected.

--- a/programs/gateway/src/control/evacuation.rs
+++ b/programs/gateway/src/control/evacuation.rs
@@ -63,8 +63,11 @@
 /// Takes the order to empty a VM.
 pub(crate) async fn begin(hub: &Hub, node: Name) -> message::Reply {
     let vms = vms(hub);
-    // A worker VM keeps no data, so it is empty at once.
-    let verdict = match hub.sessions.borrow().has_worker(&node) {
+    // A worker VM keeps no data, so it is empty at once. An order that was accepted
+    // is not refused when it comes again.
+    let accepted =
+        hub.sessions.borrow().has_worker(&node) || hub.evacuated.borrow().contains(&node);
+    let verdict = match accepted {
         true => evacuation::Verdict::Accepted,
         false => evacuation::decide(&vms, &node, hub.settings().replicas()),
     };
