Tell a new leader of suspects that changed without one

A sound request was refused as one that crashes backend servers, after a single broken connection since it last ended whole.

Cause: news of suspects went to the leader that was connected at that moment, or nowhere. Loads are repeated, so a dropped report of them does no harm, but a strike or its end is told once. The next session then brought the old strikes back to the entry VM that had cleared them.

What could not be sent is kept, and follows the first whole update of the next session, after the older news in it. A frame that is lost in a connection that breaks is still lost.

--- a/programs/gateway/src/edge/state.rs
+++ b/programs/gateway/src/edge/state.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::HashMap,
     rc::Rc,
     sync::Arc,
 };
@@ -32,6 +33,9 @@
 /// after it has time left to come back.
 const STARTUP_WAIT_MS: u64 = 1_000;
 
+/// Most suspects that wait to be told of, which bounds memory.
+const UNTOLD_MAX: usize = 1_000;
+
 /// The state of the entry program, on one thread.
 pub(crate) struct State {
     pub(crate) settings: settings::Settings,
@@ -56,6 +60,8 @@
     pub(crate) active: Cell<u64>,
     pub(crate) connections: Cell<u64>,
     pub(crate) suspects: RefCell<suspect::Suspects>,
+    /// News of suspects that no leader was told of yet.
+    untold: RefCell<HashMap<suspect::Fingerprint, u32>>,
     registry: RefCell<registry::Registry>,
     random: RefCell<rand_pcg::Pcg64Mcg>,
     swept_ms: Cell<u64>,
@@ -97,6 +103,7 @@
             active: Cell::new(0),
             connections: Cell::new(0),
             suspects: RefCell::default(),
+            untold: RefCell::default(),
             registry: RefCell::default(),
             random: RefCell::new(rand_pcg::Pcg64Mcg::seed_from_u64(seed)),
             swept_ms: Cell::new(0),
@@ -170,6 +177,9 @@
         for strike in update.suspects {
             self.suspects.borrow_mut().merge(strike);
         }
+        if update.loads.as_ref().is_some_and(|loads| loads.whole) {
+            self.tell_untold();
+        }
         if let Some(loads) = update.loads {
             self.loads_ms.set(now_ms);
             let changed = self.loads.borrow_mut().apply(&loads);
@@ -213,14 +223,37 @@
     pub(crate) fn crashed(&self, id: &str, fingerprint: suspect::Fingerprint) {
         let strike = self.suspects.borrow_mut().crashed(fingerprint);
         log::warn!(request = id, fingerprint = fingerprint.0, strikes = strike.count; "suspect");
-        self.link.notify(&message::Frame::Strike(strike));
+        self.tell(strike);
     }
 
     /// Notes that a request ended whole.
     pub(crate) fn finished(&self, fingerprint: suspect::Fingerprint) {
         let cleared = self.suspects.borrow_mut().finished(fingerprint);
         if let Some(strike) = cleared {
-            self.link.notify(&message::Frame::Strike(strike));
+            self.tell(strike);
+        }
+    }
+
+    fn tell(&self, strike: suspect::Strike) {
+        let mut untold = self.untold.borrow_mut();
+        match self.link.notify(&message::Frame::Strike(strike)) {
+            true => {
+                untold.remove(&strike.fingerprint);
+            }
+            false if untold.len() < UNTOLD_MAX => {
+                untold.insert(strike.fingerprint, strike.count);
+            }
+            false => {}
+        }
+    }
+
+    /// Tells a new leader what happened while there was none. Its own news of these
+    /// suspects are older.
+    fn tell_untold(&self) {
+        for (fingerprint, count) in self.untold.take() {
+            let strike = suspect::Strike { fingerprint, count };
+            self.suspects.borrow_mut().merge(strike);
+            self.tell(strike);
         }
     }
 
--- a/programs/gateway/src/link.rs
+++ b/programs/gateway/src/link.rs
@@ -155,17 +155,19 @@
         shared.leader.as_ref().map(|leader| leader.address)
     }
 
-    /// Sends a frame that needs no answer; it is dropped while there is no
-    /// leader or the queue is full, as later ones replace it.
-    pub fn notify(&self, frame: &message::Frame) {
+    /// Sends a frame that needs no answer. It is dropped while there is no leader or
+    /// the queue is full. Returns whether it is on its way.
+    pub fn notify(&self, frame: &message::Frame) -> bool {
         let Some(writer) = self.writer() else {
-            return;
+            return false;
         };
-        if writer.try_send(message::encode(frame)).is_err() {
+        let queued = writer.try_send(message::encode(frame)).is_ok();
+        if !queued {
             crate::metrics::FRAMES_DROPPED
                 .with_label_values(&["leader_queue"])
                 .inc();
         }
+        queued
     }
 
     /// Calls the leader. `Lost` means that the call may have had its effect,
