--- a/programs/gateway/src/edge/state.rs
+++ b/programs/gateway/src/edge/state.rs
@@ -175,10 +175,10 @@
             self.announce(announcement, now_ms);
         }
         for strike in update.suspects {
-            self.suspects.borrow_mut().merge(strike);
+            self.suspects.borrow_mut().merge(strike, now_ms);
         }
         if update.loads.as_ref().is_some_and(|loads| loads.whole) {
-            self.tell_untold();
+            self.tell_untold(now_ms);
         }
         if let Some(loads) = update.loads {
             self.loads_ms.set(now_ms);
@@ -221,11 +221,18 @@
 
     /// Notes that a backend server broke the connection of a request.
     pub(crate) fn crashed(&self, id: &str, fingerprint: suspect::Fingerprint) {
-        let strike = self.suspects.borrow_mut().crashed(fingerprint);
+        let now_ms = clock::steady_ms();
+        let strike = self.suspects.borrow_mut().crashed(fingerprint, now_ms);
         log::warn!(request = id, fingerprint = fingerprint.0, strikes = strike.count; "suspect");
         self.tell(strike);
     }
 
+    /// Returns whether a request that was admitted must not run again.
+    pub(crate) fn is_refused(&self, fingerprint: suspect::Fingerprint) -> bool {
+        let suspects = self.suspects.borrow();
+        suspects.is_refused(fingerprint, clock::steady_ms())
+    }
+
     /// Notes that a request ended whole.
     pub(crate) fn finished(&self, fingerprint: suspect::Fingerprint) {
         let cleared = self.suspects.borrow_mut().finished(fingerprint);
@@ -249,10 +256,10 @@
 
     /// Tells a new leader what happened while there was none. Its own news of these
     /// suspects are older.
-    fn tell_untold(&self) {
+    fn tell_untold(&self, now_ms: u64) {
         for (fingerprint, count) in self.untold.take() {
             let strike = suspect::Strike { fingerprint, count };
-            self.suspects.borrow_mut().merge(strike);
+            self.suspects.borrow_mut().merge(strike, now_ms);
             self.tell(strike);
         }
     }
