--- a/programs/gateway/src/control/evacuation.rs
+++ b/programs/gateway/src/control/evacuation.rs
@@ -49,11 +49,25 @@
     leaving.count()
 }
 
+/// Returns whether the VM of every member is known.
+fn all_members_connected(hub: &Hub) -> bool {
+    let own = hub.settings().internal_address().to_string();
+    let sessions = hub.sessions.borrow();
+    let connected = |member: &member::Member| {
+        let mut replicas = sessions.replicas();
+        member.address == own || replicas.any(|(_, address)| *address == *member.address)
+    };
+    hub.members().iter().all(connected)
+}
+
 /// Takes the order to empty a VM.
 pub(crate) async fn begin(hub: &Hub, node: Name) -> message::Reply {
     let vms = vms(hub);
-    // A worker VM keeps no data, so it is empty at once.
-    let verdict = match hub.sessions.borrow().has_worker(&node) {
+    // A worker VM keeps no data, so it is empty at once. An order that was accepted
+    // is not refused when it comes again.
+    let accepted =
+        hub.sessions.borrow().has_worker(&node) || hub.evacuated.borrow().contains(&node);
+    let verdict = match accepted {
         true => evacuation::Verdict::Accepted,
         false => evacuation::decide(&vms, &node, hub.settings().replicas()),
     };
@@ -65,10 +79,8 @@
         {
             message::Reply::NotLeader
         }
-        // A VM that is out of touch is no unknown one.
-        evacuation::Verdict::Unknown if hub.sessions.borrow().has_seen(&node) => {
-            message::Reply::NotLeader
-        }
+        // It is out of touch.
+        evacuation::Verdict::Unknown if hub.has_met(&node) => message::Reply::NotLeader,
         evacuation::Verdict::Unknown => message::Reply::Unknown,
         evacuation::Verdict::TooFew => message::Reply::TooFew,
         evacuation::Verdict::Accepted => {
@@ -85,8 +97,12 @@
     match hub.read(replica::Read::Evacuated(node.clone())).await {
         Ok(replica::Answer::Evacuated(true)) => {
             let vms = vms(hub);
-            let left = vms.iter().find(|vm| vm.node == node);
-            match left.is_none_or(|vm| vm.part == evacuation::Part::Standby) {
+            let empty = match vms.iter().find(|vm| vm.node == node) {
+                Some(vm) => vm.part == evacuation::Part::Standby,
+                // Only its connection says which member it is.
+                None => hub.sessions.borrow().has_worker(&node) || all_members_connected(hub),
+            };
+            match empty {
                 true => message::Reply::Empty,
                 false => message::Reply::Emptying,
             }
--- a/programs/gateway/src/link.rs
+++ b/programs/gateway/src/link.rs
@@ -88,6 +88,12 @@
         self.tell(News::Disconnected);
     }
 
+    /// Returns whether no replica is known to lead a later term.
+    fn is_newest(&self, term: u64) -> bool {
+        let leader = self.leader.as_ref();
+        leader.is_none_or(|leader| leader.term <= term)
+    }
+
     fn leads(&self, term: u64) -> bool {
         let leader = self.leader.as_ref();
         leader.is_some_and(|leader| leader.term == term)
@@ -149,17 +155,19 @@
         shared.leader.as_ref().map(|leader| leader.address)
     }
 
-    /// Sends a frame that needs no answer; it is dropped while there is no
-    /// leader or the queue is full, as later ones replace it.
-    pub fn notify(&self, frame: &message::Frame) {
+    /// Sends a frame that needs no answer. It is dropped while there is no leader or
+    /// the queue is full. Returns whether it is on its way.
+    pub fn notify(&self, frame: &message::Frame) -> bool {
         let Some(writer) = self.writer() else {
-            return;
+            return false;
         };
-        if writer.try_send(message::encode(frame)).is_err() {
+        let queued = writer.try_send(message::encode(frame)).is_ok();
+        if !queued {
             crate::metrics::FRAMES_DROPPED
                 .with_label_values(&["leader_queue"])
                 .inc();
         }
+        queued
     }
 
     /// Calls the leader. `Lost` means that the call may have had its effect,
@@ -219,7 +227,8 @@
 /// The members of the group as a replica knows them.
 struct Members {
     replicas: Vec<net::SocketAddr>,
-    /// Whether the replica leads; the others may be out of date.
+    /// Whether the replica leads, in no earlier term than another; the others may be
+    /// out of date.
     sure: bool,
 }
 
@@ -351,7 +360,7 @@
         let replicas = replicas.filter_map(|address| address.parse().ok());
         let members = Members {
             replicas: replicas.collect(),
-            sure: term.is_some(),
+            sure: term.is_some_and(|term| self.link.shared.borrow().is_newest(term)),
         };
         // The supervisor ends with the process.
         let _ = self.learned.send(members);
