Show that a sound item waits in a calm fleet after crashes

A batch item whose runs broke four times in a row without progress waits 15 s between tries, and the count survives the calm. Three bursts of five crashes, 0.4 s apart, each taking 4 of 12 backend servers, hit an item at 5.0, 5.4, 11.0 and 17.0 s when no room is left between the bursts. It then waits until 32 s, though the last crash was at 18.6 s and half of all slots are free.

--- /dev/null
+++ b/crates/relay/tests/support/mod.rs
@@ -0,0 +1,289 @@
+//! A fleet of backend servers that crash, as the dispatch sees it.
+
+use std::collections::BTreeSet;
+
+use bw_relay::{
+    dispatch::{Action, Dispatch, Key, Options, Outcome, Progress, Server, Start},
+    ledger::{Command, Ledger, NewItem, NewJob},
+    route,
+};
+
+/// Time between two plans, in milliseconds.
+const STEP_MS: u64 = 20;
+/// Requests that a backend server runs at once.
+const SLOTS: u32 = 8;
+/// Time after which a backend server that crashed is back, in milliseconds.
+const DOWN_MS: u64 = 3_000;
+/// Time from the start of a run to its first event, in milliseconds.
+const FIRST_MS: u64 = 300;
+/// Time from the start of a run to the crash that its item causes, in milliseconds.
+const CRASH_MS: u64 = 40;
+/// Events of a whole output.
+const EVENTS: u64 = 100;
+/// Time between two events in milliseconds.
+const EVENT_MS: u64 = 20;
+
+/// A run of an item.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub key: Key,
+    server: usize,
+    began_ms: u64,
+    /// The last event before the run.
+    before: u64,
+}
+
+impl Run {
+    fn last(&self, now_ms: u64) -> u64 {
+        let Some(since_ms) = now_ms.checked_sub(self.began_ms + FIRST_MS) else {
+            return self.before;
+        };
+        (self.before + 1 + since_ms / EVENT_MS).min(EVENTS)
+    }
+}
+
+/// A start of an item.
+#[derive(Clone, Debug)]
+struct Placed {
+    at_ms: u64,
+    key: Key,
+}
+
+/// The dispatch and its backend servers.
+pub struct Fleet {
+    dispatch: Dispatch,
+    ledger: Ledger,
+    routes: route::Table,
+    pub now_ms: u64,
+    /// When each backend server is back.
+    back_ms: Vec<u64>,
+    /// Online requests, which are spread over the backend servers that are up.
+    pub online: u32,
+    /// Jobs whose items crash each backend server that begins to run them.
+    bad: BTreeSet<String>,
+    pub runs: Vec<Run>,
+    placed: Vec<Placed>,
+    completed: Vec<Key>,
+    /// When an item caused a crash.
+    pub caused: Vec<u64>,
+}
+
+impl Fleet {
+    pub fn new(servers: usize, online: u32) -> Fleet {
+        Fleet {
+            dispatch: Dispatch::new(Options::default()),
+            ledger: Ledger::default(),
+            routes: routes(),
+            now_ms: 0,
+            back_ms: vec![0; servers],
+            online,
+            bad: BTreeSet::new(),
+            runs: Vec::new(),
+            placed: Vec::new(),
+            completed: Vec::new(),
+            caused: Vec::new(),
+        }
+    }
+
+    /// Submits a job of sound items.
+    pub fn submit(&mut self, id: &str, items: usize) {
+        let items = (0..items).map(|index| NewItem {
+            id: format!("{id}-{index}").as_str().into(),
+            path: "/p/x".into(),
+            headers: Vec::new(),
+            body: Vec::new(),
+            tokens: 10,
+        });
+        self.ledger.execute(Command::Submit(Box::new(NewJob {
+            id: id.into(),
+            place: route::Place {
+                host: "a.example".into(),
+                prefix: "/p/".into(),
+            },
+            submitted_ms: self.now_ms,
+            complete_ms: 18_000,
+            give_up_ms: 300_000,
+            attempts: 3,
+            items: items.collect(),
+        })));
+        self.dispatch.add(&id.into(), &self.ledger.jobs()[id]);
+    }
+
+    /// Submits a job whose items crash each backend server.
+    pub fn submit_bad(&mut self, id: &str, items: usize) {
+        self.bad.insert(id.to_owned());
+        self.submit(id, items);
+    }
+
+    pub fn is_up(&self, server: usize) -> bool {
+        self.now_ms >= self.back_ms[server]
+    }
+
+    pub fn servers_down(&self) -> usize {
+        let servers = 0..self.back_ms.len();
+        servers.filter(|server| !self.is_up(*server)).count()
+    }
+
+    /// Returns the backend servers that run an item of a job that has no event yet.
+    pub fn beginning(&self, job: &str) -> Vec<usize> {
+        let runs = self
+            .runs
+            .iter()
+            .filter(|run| &*run.key.job == job && run.last(self.now_ms) == run.before);
+        runs.map(|run| run.server).collect()
+    }
+
+    /// Returns when an item of a job was placed, in order.
+    pub fn placed_at(&self, job: &str) -> Vec<u64> {
+        let placed = self.placed.iter().filter(|placed| &*placed.key.job == job);
+        placed.map(|placed| placed.at_ms).collect()
+    }
+
+    pub fn completed_of(&self, job: &str) -> usize {
+        let completed = self.completed.iter();
+        completed.filter(|key| &*key.job == job).count()
+    }
+
+    /// Crashes a backend server with all that it runs.
+    pub fn crash(&mut self, server: usize) {
+        self.back_ms[server] = self.now_ms + DOWN_MS;
+        let (lost, kept) = std::mem::take(&mut self.runs)
+            .into_iter()
+            .partition::<Vec<Run>, _>(|run| run.server == server);
+        self.runs = kept;
+        for run in lost {
+            let outcome = Outcome::Broken(progress(run.last(self.now_ms)));
+            self.end(&run.key, outcome);
+        }
+    }
+
+    /// Runs until a time.
+    pub fn run_until(&mut self, until_ms: u64) {
+        while self.now_ms < until_ms {
+            self.step();
+        }
+    }
+
+    pub fn step(&mut self) {
+        self.now_ms += STEP_MS;
+        let servers = self.servers();
+        for action in self.dispatch.plan(&servers, &self.routes, self.now_ms) {
+            match action {
+                Action::Start(start) => self.start(start),
+                Action::Preempt(key) => self.stop(&key),
+                Action::GiveUp(key, reason) => panic!("{key:?} was given up: {reason:?}"),
+            }
+        }
+        for run in self.runs.clone() {
+            self.advance(&run);
+        }
+    }
+
+    fn servers(&self) -> Vec<Server> {
+        let up = self.back_ms.len() - self.servers_down();
+        let online = self.online.div_ceil(up.max(1) as u32);
+        // One that is down fails online requests and is held.
+        let listed = (0..self.back_ms.len()).filter(|index| self.is_up(*index));
+        let servers = listed.map(|index| Server {
+            id: name(index).as_str().into(),
+            address: "10.0.0.1:80".into(),
+            service: "desk".into(),
+            slots: SLOTS,
+            online,
+        });
+        servers.collect()
+    }
+
+    fn start(&mut self, start: Start) {
+        let servers = 0..self.back_ms.len();
+        let mut servers = servers.filter(|index| name(*index) == *start.server);
+        let server = servers.next().expect("a known backend server");
+        self.placed.push(Placed {
+            at_ms: self.now_ms,
+            key: start.key.clone(),
+        });
+        self.runs.push(Run {
+            key: start.key,
+            server,
+            began_ms: self.now_ms,
+            before: start.progress.last,
+        });
+    }
+
+    fn stop(&mut self, key: &Key) {
+        let index = self.runs.iter().position(|run| run.key == *key);
+        let run = self.runs.remove(index.expect("it runs"));
+        let progress = progress(run.last(self.now_ms));
+        self.end(key, Outcome::Broken(progress));
+    }
+
+    /// Takes one run further.
+    fn advance(&mut self, run: &Run) {
+        if !self.runs.iter().any(|known| known.key == run.key) {
+            return;
+        }
+        if self.bad.contains(&*run.key.job) {
+            if self.now_ms >= run.began_ms + CRASH_MS {
+                self.caused.push(self.now_ms);
+                self.crash(run.server);
+            }
+            return;
+        }
+        let last = run.last(self.now_ms);
+        if last == EVENTS {
+            self.runs.retain(|known| known.key != run.key);
+            self.end(&run.key, Outcome::Completed(progress(last)));
+        }
+    }
+
+    fn end(&mut self, key: &Key, outcome: Outcome) {
+        let ended = self.dispatch.ended(key, outcome, self.now_ms);
+        if ended.is_some() {
+            self.dispatch.recorded(key);
+            self.completed.push(key.clone());
+        }
+    }
+}
+
+fn name(server: usize) -> String {
+    format!("s{server}")
+}
+
+fn progress(last: u64) -> Progress {
+    let data = (1..=last).map(|id| format!("e{id}"));
+    Progress {
+        bytes: 0,
+        saved: 0,
+        last,
+        data: data.collect(),
+    }
+}
+
+fn routes() -> route::Table {
+    let service = "desk".into();
+    route::Table::new(&route::Config {
+        version: 1,
+        routes: vec![route::Route {
+            name: "r".into(),
+            host: "a.example".into(),
+            prefix: "/p/".into(),
+            kind: route::Kind::Batch,
+            timeout_ms: 1_000,
+            target_ms: 500,
+            gap_ms: 0,
+            shares: vec![route::Share { service, weight: 1 }],
+            attempts: 3,
+            priority: 2,
+            complete_ms: 18_000,
+            give_up_ms: 300_000,
+            waiting_tokens: 0,
+        }],
+        services: Vec::new(),
+        limits: route::Limits {
+            header_bytes: 1,
+            body_bytes: 1,
+            header_ms: 1,
+            idle_ms: 1,
+        },
+    })
+}
