Try items under which backend servers crashed once the fleet is calm

A batch item whose runs broke four times in a row without progress waited 15 s between tries, and nothing but the end of that pause brought it back. A burst of crashes around a sound item left it waiting in a calm fleet with room. Several items that did crash every backend server crashed four each before they were paced, and each had a pause of its own.

An item whose runs broke off twice in a row without an event is now a suspect and runs only as a trial. One trial runs at a time at first, each at a backend server without another; the number doubles with each that passes, up to one for four backend servers, and falls back to one when one breaks. A trial begins when no run broke off and no backend server failed online requests for 2 s, or when the item has waited for 5 s, and never within 2 s after a trial that broke. A crash happens as an item begins to run, so the runner tells the dispatch of the first event, which clears the item.

Only a trial that breaks while no other backend server crashes is evidence. Items with evidence share one pause of 4 s, doubling to 15 s, so their number does not raise the rate of crashes, and the ones with fewer broken trials go first. No item is given up for crashes.

--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -10,8 +10,12 @@
 
 mod adopt;
 mod estimate;
+pub mod trial;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    cmp,
+    collections::{BTreeMap, BTreeSet},
+};
 
 use bw_wire::name::Name;
 use serde::Deserialize;
@@ -36,12 +40,8 @@
     pub pause_ms: u64,
     /// Longest such pause in milliseconds.
     pub pause_max_ms: u64,
-    /// Pause before an item runs again whose runs broke off without progress
-    /// `suspect_breaks` times, in milliseconds: it may crash every backend
-    /// server, each of which is back after some seconds.
-    pub suspect_pause_ms: u64,
-    /// Broken runs without progress in a row that make an item a suspect.
-    pub suspect_breaks: u32,
+    /// How items are tried under which backend servers crashed.
+    pub trials: trial::Options,
     /// How long no item starts at a backend server that failed one, in
     /// milliseconds; the leader learns within this time whether it fails others.
     pub failed_ms: u64,
@@ -66,8 +66,7 @@
             starts: 16,
             pause_ms: 200,
             pause_max_ms: 2_000,
-            suspect_pause_ms: 15_000,
-            suspect_breaks: 4,
+            trials: trial::Options::default(),
             failed_ms: 1_000,
             crowded_ms: 400,
             evicted_ms: 200,
@@ -164,6 +163,8 @@
     /// The address of a backend server where the item still runs for a former
     /// leader. That run is stopped first and its memory moved to `server`.
     pub orphan: Option<Name>,
+    /// Whether [`Dispatch::progressed`] must be called at the first new event.
+    pub trial: bool,
 }
 
 /// What to do.
@@ -223,7 +224,7 @@
 #[derive(Clone, Debug)]
 struct Waiting {
     failures: u32,
-    /// Ends without an answer in a row, which lengthen the pause.
+    /// Runs in a row that broke off without an event.
     breaks: u32,
     not_before_ms: u64,
     avoid: Option<Name>,
@@ -284,6 +285,7 @@
     runs: BTreeMap<Name, Runs>,
     /// Backend servers that failed and when they may be used again.
     paused: BTreeMap<Name, u64>,
+    trials: trial::Trials,
     /// Until then no item starts: a new leader knows neither the online requests
     /// nor the runs that a former leader left behind.
     held_until_ms: u64,
@@ -300,6 +302,7 @@
             estimate: Estimate::default(),
             runs: BTreeMap::new(),
             paused: BTreeMap::new(),
+            trials: trial::Trials::new(options.trials),
             held_until_ms: 0,
         }
     }
@@ -335,6 +338,9 @@
         self.order.remove(&(job.due_ms, id.clone()));
         let mut keys = Vec::new();
         for (item, known) in job.items {
+            let job = id.clone();
+            let key = Key { job, item };
+            self.trials.forget(&key);
             let State::Running {
                 server, stopping, ..
             } = known.state
@@ -342,8 +348,7 @@
                 continue;
             };
             self.run_ended(&server, stopping);
-            let job = id.clone();
-            keys.push(Key { job, item });
+            keys.push(key);
         }
         keys
     }
@@ -387,6 +392,31 @@
         actions
     }
 
+    /// Returns the number of items that are tried before they run as others do.
+    pub fn suspects(&self) -> usize {
+        self.trials.suspects()
+    }
+
+    /// Returns what changed for suspects since the last call.
+    pub fn take_notes(&mut self) -> Vec<trial::Note> {
+        self.trials.take_notes()
+    }
+
+    /// Notes that online requests failed at a backend server: if others crash too,
+    /// an item is not to blame for the crash of its own.
+    pub fn requests_failed(&mut self, server: &Name, count: u32, now_ms: u64) {
+        self.trials.requests_failed(server, count, now_ms);
+    }
+
+    /// Notes the first new event of a run, which ends a trial.
+    pub fn progressed(&mut self, key: &Key) {
+        let job = self.jobs.get_mut(&key.job);
+        if let Some(item) = job.and_then(|job| job.items.get_mut(&key.item)) {
+            item.waiting.breaks = 0;
+            self.trials.passed(key);
+        }
+    }
+
     /// Takes the end of a run. Returns the output to record if the item is done.
     pub fn ended(
         &mut self,
@@ -413,6 +443,7 @@
         }
         item.state = State::Waiting;
         self.run_ended(&server, stopping);
+        self.judge(key, &outcome, (&server, stopping), now_ms);
         let item = self.jobs.get_mut(&key.job)?.items.get_mut(&key.item)?;
         let waiting = &mut item.waiting;
         waiting.avoid = None;
@@ -444,12 +475,10 @@
                 return None;
             }
             Outcome::Broken(progress) => {
-                let advanced = progress.last > waiting.progress.last;
                 waiting.progress = progress;
                 if stopping {
                     return None;
                 }
-                waiting.breaks = if advanced { 0 } else { waiting.breaks + 1 };
                 waiting.avoid = Some(server.clone());
                 self.paused.insert(server, now_ms + options.pause_ms);
             }
@@ -465,20 +494,58 @@
         let item = self.jobs.get_mut(&key.job)?.items.get_mut(&key.item)?;
         let waiting = &item.waiting;
         let pause_ms = options.pause_ms << (waiting.breaks + 2 * waiting.failures).min(5);
-        let suspect = item.waiting.breaks >= options.suspect_breaks;
-        item.waiting.not_before_ms = now_ms
-            + match suspect {
-                true => options.suspect_pause_ms,
-                false => pause_ms.min(options.pause_max_ms),
-            };
+        item.waiting.not_before_ms = now_ms + pause_ms.min(options.pause_max_ms);
         None
     }
 
+    /// Judges from the end of a run whether its item may crash backend servers.
+    fn judge(
+        &mut self,
+        key: &Key,
+        outcome: &Outcome,
+        (server, stopping): (&Name, bool),
+        now_ms: u64,
+    ) {
+        let job = self.jobs.get_mut(&key.job);
+        let Some(item) = job.and_then(|job| job.items.get_mut(&key.item)) else {
+            return;
+        };
+        let last = outcome.last_event().unwrap_or(0);
+        let advanced = last > item.waiting.progress.last;
+        let broken = matches!(outcome, Outcome::Broken(_)) && !stopping;
+        if broken {
+            self.trials.broke(server, now_ms);
+        }
+        match outcome {
+            Outcome::Completed(_) | Outcome::Failed(_) | Outcome::Impossible => {}
+            _ if advanced => {}
+            Outcome::Broken(_) if !stopping => {
+                item.waiting.breaks += 1;
+                let breaks = item.waiting.breaks;
+                match breaks.cmp(&self.options.trials.breaks.max(1)) {
+                    cmp::Ordering::Less => {}
+                    cmp::Ordering::Equal => {
+                        self.trials.add(key, &item.id, server, breaks, now_ms);
+                    }
+                    cmp::Ordering::Greater => self.trials.failed(key, now_ms),
+                }
+                return;
+            }
+            Outcome::Broken(_) | Outcome::NotRun(_) | Outcome::Crowded(_) => {
+                self.trials.stopped(key);
+                return;
+            }
+        }
+        item.waiting.breaks = 0;
+        self.trials.passed(key);
+    }
+
     /// Notes that the end of an item is durable. Returns the item's route and
     /// tokens, which no longer wait, unless its job was removed.
     pub fn recorded(&mut self, key: &Key) -> Option<(route::Place, u64)> {
         let job = self.jobs.get_mut(&key.job)?;
         let item = job.items.remove(&key.item)?;
+        self.trials.forget(key);
         let place = job.place.clone();
         if job.items.is_empty() {
             self.remove(&key.job);
@@ -606,11 +673,76 @@
             }
         }
         let mut left = self.options.starts;
+        let mut trials = self.trials.room(servers.len());
         for late in [false, true] {
+            self.start_trials(late, &mut rooms, routes, now_ms, &mut trials, actions);
             self.start_some(late, &mut rooms, routes, now_ms, &mut left, actions);
         }
     }
 
+    /// Starts trials of suspects that can be complete in time, or of those that
+    /// will be late; the ones with the fewest broken trials first.
+    fn start_trials(
+        &mut self,
+        late: bool,
+        rooms: &mut [(u32, &Server)],
+        routes: &route::Table,
+        now_ms: u64,
+        left: &mut usize,
+        actions: &mut Vec<Action>,
+    ) {
+        if *left == 0 {
+            return;
+        }
+        let mut ready = Vec::new();
+        for (broken, key) in self.trials.ready(now_ms) {
+            if let Some(job) = self.jobs.get(&key.job) {
+                ready.push((broken, job.due_ms, key));
+            }
+        }
+        ready.sort();
+        for (_, due_ms, key) in ready {
+            let Some(job) = self.jobs.get_mut(&key.job).filter(|_| *left > 0) else {
+                continue;
+            };
+            let Some(item) = job.items.get_mut(&key.item) else {
+                continue;
+            };
+            let remaining_ms = self.estimate.remaining_ms(item.waiting.progress.last);
+            let fits = matches!(item.state, State::Waiting)
+                && now_ms >= item.waiting.not_before_ms
+                && (self.options.late_last && now_ms + remaining_ms > due_ms) == late;
+            let Some(route) = routes.find(&job.place.host, &item.path).filter(|_| fits) else {
+                continue;
+            };
+            let avoid = item.waiting.avoid.as_ref();
+            let trials = &self.trials;
+            let best = rooms
+                .iter_mut()
+                .filter(|(room, server)| {
+                    *room > 0 && route.allows(&server.service) && trials.may_use(&server.id)
+                })
+                .max_by_key(|(room, server)| {
+                    let other = Some(&server.id) != avoid;
+                    (other, !trials.is_unsteady(&server.id, now_ms), *room)
+                });
+            let Some((room, server)) = best else {
+                continue;
+            };
+            *room -= 1;
+            *left -= 1;
+            self.starts += 1;
+            self.runs.entry(server.id.clone()).or_default().all += 1;
+            self.trials.began(&key, &server.id, now_ms);
+            let place = (&server.id, &server.address);
+            let start = begin(key, &job.place.host, item, (self.starts, now_ms), place);
+            actions.push(Action::Start(Start {
+                trial: true,
+                ..start
+            }));
+        }
+    }
+
     /// Starts items that can be complete in time, or those that will be late.
     fn start_some(
         &mut self,
@@ -623,6 +755,7 @@
     ) {
         let estimate = self.estimate.clone();
         let late_last = self.options.late_last;
+        let suspected = self.options.trials.breaks.max(1);
         for (due_ms, id) in &self.order {
             let Some(job) = self.jobs.get_mut(id) else {
                 continue;
@@ -634,6 +767,7 @@
                 let remaining_ms = estimate.remaining_ms(item.waiting.progress.last);
                 let ready = matches!(item.state, State::Waiting)
                     && now_ms >= item.waiting.not_before_ms
+                    && item.waiting.breaks < suspected
                     && (late_last && now_ms + remaining_ms > *due_ms) == late;
                 let Some(route) = routes.find(&job.place.host, &item.path).filter(|_| ready) else {
                     continue;
@@ -687,6 +821,7 @@
         address: address.clone(),
         progress: item.waiting.progress.clone(),
         orphan: None,
+        trial: false,
     }
 }
 
--- a/programs/gateway/src/control/hub/backends.rs
+++ b/programs/gateway/src/control/hub/backends.rs
@@ -25,6 +25,10 @@
                 let id = self.loads.borrow().name(usage.number).cloned();
                 if let Some(id) = id {
                     self.note_results(&id, &node, usage.succeeded, usage.failed);
+                    if usage.failed > 0 {
+                        let mut dispatch = self.dispatch.borrow_mut();
+                        dispatch.requests_failed(&id, usage.failed, clock::unix_ms());
+                    }
                 }
             }
         }
--- a/programs/gateway/src/control/hub/mod.rs
+++ b/programs/gateway/src/control/hub/mod.rs
@@ -508,5 +508,9 @@
         let labels: [&str; 0] = [];
         let open = hub.dispatch.borrow().open_items() as i64;
         metrics::OPEN_ITEMS.with_label_values(&labels).set(open);
+        let suspects = hub.dispatch.borrow().suspects() as i64;
+        metrics::SUSPECT_ITEMS
+            .with_label_values(&labels)
+            .set(suspects);
     }
 }
--- a/programs/gateway/src/control/runner.rs
+++ b/programs/gateway/src/control/runner.rs
@@ -3,7 +3,10 @@
 use std::{collections::BTreeMap, net, rc::Rc, time};
 
 use bw_coord::host;
-use bw_relay::{dispatch, event, ledger};
+use bw_relay::{
+    dispatch::{self, trial},
+    event, ledger,
+};
 use bw_wire::verdict;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -70,9 +73,43 @@
         .dispatch
         .borrow_mut()
         .plan(&servers, &routes, clock::unix_ms());
+    log_trials(hub);
     carry_out(hub, actions);
 }
 
+/// Logs what changed for items under which backend servers crashed.
+fn log_trials(hub: &Hub) {
+    let notes = hub.dispatch.borrow_mut().take_notes();
+    for note in notes {
+        let (job, item) = (&*note.key.job, note.key.item);
+        let (request, backend) = (&*note.id, &*note.server);
+        match note.change {
+            trial::Change::Suspected { breaks } => log::warn!(
+                job = job, item = item, request = request, backend = backend, breaks = breaks;
+                "item is suspected of crashing backend servers"
+            ),
+            trial::Change::Began { waited_ms, calm } => log::info!(
+                job = job, item = item, request = request, backend = backend,
+                waited_ms = waited_ms, calm = calm;
+                "trial of a suspect begins"
+            ),
+            trial::Change::Ended { outcome, pause_ms } => {
+                let outcome: &'static str = outcome.into();
+                log::info!(
+                    job = job, item = item, request = request, backend = backend,
+                    outcome = outcome, pause_ms = pause_ms;
+                    "trial of a suspect ended"
+                );
+                metrics::TRIALS.with_label_values(&[outcome]).inc();
+            }
+            trial::Change::Withdrawn => log::info!(
+                job = job, item = item, request = request, backend = backend;
+                "other backend servers crashed too: the crash is not held against the item"
+            ),
+        }
+    }
+}
+
 /// Carries actions of the dispatch out.
 pub(crate) fn carry_out(hub: &Rc<Hub>, actions: Vec<dispatch::Action>) {
     let mut runs = hub.runs.borrow_mut();
@@ -109,7 +146,7 @@
     let mut progress = start.progress.clone();
     let first = progress.last;
     let ended = {
-        let running = exchange(&hub, &start, &mut progress);
+        let running = exchange(&hub, &start, &mut progress, term);
         tokio::select! {
             ended = running => ended,
             () = stop.cancelled() => Ended::Stopped,
@@ -152,6 +189,7 @@
         .dispatch
         .borrow_mut()
         .ended(&start.key, outcome, clock::unix_ms());
+    log_trials(&hub);
     if let Some((end, output)) = end {
         record(hub, start.key, end, output).await;
     }
@@ -207,6 +245,7 @@
     hub: &Rc<Hub>,
     start: &dispatch::Start,
     progress: &mut dispatch::Progress,
+    term: Option<u64>,
 ) -> Ended {
     let read = replica::Read::Body {
         job: start.key.job.clone(),
@@ -247,6 +286,7 @@
     let mut body = answer.response.into_body();
     let mut parser = event::Parser::default();
     let mut held = hub.pool.budget().share();
+    let mut trial = start.trial;
     loop {
         match tokio::time::timeout(SILENCE, body.frame()).await {
             Ok(None) if parser.is_empty() && progress.last > 0 => {
@@ -264,6 +304,10 @@
                 if !fits {
                     return Ended::Broken;
                 }
+                if trial && progress.last > start.progress.last {
+                    trial = false;
+                    end_trial(hub, &start.key, term);
+                }
                 let due = progress.last >= progress.saved + SAVE_EVENTS
                     || progress.unsaved_bytes() >= SAVE_BYTES;
                 if due && !save(hub, start, progress).await {
@@ -275,6 +319,15 @@
     }
 }
 
+/// Tells the dispatch that a trial got its first event. After a change of leaders
+/// the dispatch may hold another run of the item.
+fn end_trial(hub: &Hub, key: &dispatch::Key, term: Option<u64>) {
+    if term.is_some() && hub.term() == term {
+        hub.dispatch.borrow_mut().progressed(key);
+        log_trials(hub);
+    }
+}
+
 /// Stores what a run produced. Returns false if this replica does not lead any
 /// more.
 async fn save(hub: &Hub, start: &dispatch::Start, progress: &mut dispatch::Progress) -> bool {
--- a/programs/gateway/src/metrics.rs
+++ b/programs/gateway/src/metrics.rs
@@ -64,6 +64,24 @@
     )
 });
 
+/// Trials of items under which backend servers crashed, by outcome.
+pub static TRIALS: LazyLock<prometheus::IntCounterVec> = LazyLock::new(|| {
+    metrics::counter(
+        "bw_gateway_trials_total",
+        "Trials of items under which backend servers crashed, by outcome.",
+        &["outcome"],
+    )
+});
+
+/// Items that are tried before they run as others do.
+pub static SUSPECT_ITEMS: LazyLock<prometheus::IntGaugeVec> = LazyLock::new(|| {
+    metrics::gauge(
+        "bw_gateway_suspect_items",
+        "Items that wait for a trial or are being tried.",
+        &[],
+    )
+});
+
 /// Runs of a former leader by what became of them.
 pub static ORPHANS: LazyLock<prometheus::IntCounterVec> = LazyLock::new(|| {
     metrics::counter(
