Let a trial that shows nothing not keep other suspects waiting

A trial holds the place of all others until its first event or its end. What comes before its request is sent has no time limit: on a machine with stalled disks a read of the item's body took 11.5 s in a process test, and no other suspect was tried meanwhile.

A trial counts for 3.5 s now, half a second more than a run takes that gets neither a head nor an event. Without the limit the new test leaves six of six items waiting 10 s after the last crash; with it none.

--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -673,7 +673,7 @@
             }
         }
         let mut left = self.options.starts;
-        let mut trials = self.trials.room(servers.len());
+        let mut trials = self.trials.room(servers.len(), now_ms);
         for late in [false, true] {
             self.start_trials(late, &mut rooms, routes, now_ms, &mut trials, actions);
             self.start_some(late, &mut rooms, routes, now_ms, &mut left, actions);
--- a/crates/relay/src/dispatch/trial.rs
+++ b/crates/relay/src/dispatch/trial.rs
@@ -25,6 +25,10 @@
 /// How long failed online requests say nothing new of a backend server that broke a
 /// run off, in milliseconds: callers go on trying one that is down.
 const DOWN_MS: u64 = 4_000;
+/// Time after which a trial that shows nothing no longer keeps others waiting, in
+/// milliseconds: a run ends after 3 s without a head and an event, unless what comes
+/// before it is stuck.
+const SILENT_MS: u64 = 3_500;
 /// Doublings of the pause after which it has reached any sensible limit.
 const DOUBLINGS_MAX: u32 = 16;
 
@@ -269,10 +273,15 @@
 
     /// Returns how many more trials may begin in a fleet of so many backend
     /// servers.
-    pub(super) fn room(&self, servers: usize) -> usize {
+    pub(super) fn room(&self, servers: usize, now_ms: u64) -> usize {
         let most = (servers / self.options.servers_each.max(1) as usize).max(1);
-        let running = self.suspects.values();
-        let running = running.filter(|suspect| suspect.trial_ms.is_some()).count();
+        let trials = self
+            .suspects
+            .values()
+            .filter_map(|suspect| suspect.trial_ms);
+        let running = trials
+            .filter(|began_ms| now_ms < began_ms + SILENT_MS)
+            .count();
         most.min(self.at_once as usize).saturating_sub(running)
     }
 
--- a/crates/relay/tests/crash.rs
+++ b/crates/relay/tests/crash.rs
@@ -173,3 +173,20 @@
         "last crash {calm_ms}, starts {starts:?}"
     );
 }
+
+/// Guards against suspects that wait without end for a trial that shows nothing.
+#[test]
+fn a_trial_that_shows_nothing_does_not_keep_others_waiting() {
+    let mut fleet = Fleet::new(SERVERS, ONLINE);
+    fleet.submit("before", 30);
+    fleet.submit("unlucky", 6);
+    let calm_ms = crash_beginning(&mut fleet);
+    fleet.silence_trial = true;
+    fleet.run_until(calm_ms + ALL_PLACED_MS);
+    let starts = fleet.placed_at("unlucky");
+    assert_eq!(
+        waiting(&fleet, 6),
+        0,
+        "last crash {calm_ms}, starts {starts:?}"
+    );
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -64,6 +64,9 @@
     pub online: u32,
     /// Jobs whose items crash each backend server that begins to run them.
     bad: BTreeSet<String>,
+    /// Whether the next trial shows nothing and does not end.
+    pub silence_trial: bool,
+    silent: Option<Key>,
     pub runs: Vec<Run>,
     placed: Vec<Placed>,
     completed: Vec<Key>,
@@ -83,6 +86,8 @@
             back_ms: vec![0; servers],
             online,
             bad: BTreeSet::new(),
+            silence_trial: false,
+            silent: None,
             runs: Vec::new(),
             placed: Vec::new(),
             completed: Vec::new(),
@@ -223,6 +228,9 @@
         let servers = 0..self.back_ms.len();
         let mut servers = servers.filter(|index| name(*index) == *start.server);
         let server = servers.next().expect("a known backend server");
+        if start.trial && std::mem::take(&mut self.silence_trial) {
+            self.silent = Some(start.key.clone());
+        }
         self.placed.push(Placed {
             at_ms: self.now_ms,
             key: start.key.clone(),
@@ -255,6 +263,9 @@
             }
             return;
         }
+        if self.silent.as_ref() == Some(&run.key) {
+            return;
+        }
         let last = run.last(self.now_ms);
         if run.trial && last > run.before {
             self.dispatch.progressed(&run.key);
