--- a/crates/relay/src/dispatch/adopt.rs
+++ b/crates/relay/src/dispatch/adopt.rs
@@ -4,7 +4,7 @@
 
 use bw_wire::name::Name;
 
-use super::{Action, Dispatch, Key, Server, Start, State, begin};
+use super::{Action, Dispatch, Key, Server, Start, State, start::begin};
 
 /// What a backend server runs, as it stated it to a new leader.
 #[derive(Clone, Debug)]
