Test that a trial which gives way is repeated when there is room

Online requests take the slot of a trial before its first event. That says nothing of the item, which must run within a second once there is room again.

--- a/crates/relay/tests/crash.rs
+++ b/crates/relay/tests/crash.rs
@@ -190,3 +190,21 @@
         "last crash {calm_ms}, starts {starts:?}"
     );
 }
+
+/// Guards against a pause for a suspect whose trial only gave way to online requests.
+#[test]
+fn a_trial_that_gives_way_is_repeated_when_there_is_room() {
+    let mut fleet = Fleet::new(SERVERS, ONLINE);
+    fleet.submit("before", 30);
+    fleet.submit("unlucky", 1);
+    crash_beginning(&mut fleet);
+    while fleet.beginning("unlucky").is_empty() {
+        fleet.step();
+    }
+    fleet.online = PEAK;
+    fleet.run_until(fleet.now_ms + ROOM_MS);
+    assert_eq!(waiting(&fleet, 1), 1, "it gave way");
+    fleet.online = ONLINE;
+    fleet.run_until(fleet.now_ms + 1_000);
+    assert_eq!(waiting(&fleet, 1), 0, "{:?}", fleet.placed_at("unlucky"));
+}
