--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -9,73 +9,24 @@
 //! make the next one late too, and so on.
 
 mod adopt;
+mod end;
 mod estimate;
+mod options;
+mod preempt;
+mod run;
+mod start;
+pub mod trial;
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use bw_wire::name::Name;
-use serde::Deserialize;
 
 use crate::{ledger, route};
 
 pub use adopt::{Adoption, EVICTION_MS, Eviction, Survey};
 use estimate::Estimate;
-
-/// Limits of the dispatch.
-#[derive(Clone, Copy, Debug, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct Options {
-    /// Slots of each backend server that items leave free when they start. None
-    /// are needed while entry VMs tell the leader at once of requests that need
-    /// a slot: a run then gives way within a few milliseconds.
-    pub reserve: u32,
-    /// Items that may be started in one step, so that a leader with a long
-    /// queue does not start all at the load that it saw a moment ago.
-    pub starts: usize,
-    /// Pause before an item whose run failed runs again, in milliseconds.
-    pub pause_ms: u64,
-    /// Longest such pause in milliseconds.
-    pub pause_max_ms: u64,
-    /// Pause before an item runs again whose runs broke off without progress
-    /// `suspect_breaks` times, in milliseconds: it may crash every backend
-    /// server, each of which is back after some seconds.
-    pub suspect_pause_ms: u64,
-    /// Broken runs without progress in a row that make an item a suspect.
-    pub suspect_breaks: u32,
-    /// How long no item starts at a backend server that failed one, in
-    /// milliseconds; the leader learns within this time whether it fails others.
-    pub failed_ms: u64,
-    /// How long no item starts at a backend server that turned out to be full,
-    /// in milliseconds: about half the time of an online request.
-    pub crowded_ms: u64,
-    /// How long no item starts at a backend server that took one back, in
-    /// milliseconds: a quarter of the time of an online request. Online load rises
-    /// there, and the next slot that becomes free would be taken back as well; each
-    /// start costs the reading of what the item has so far.
-    pub evicted_ms: u64,
-    /// Whether items that will be late run after all others.
-    pub late_last: bool,
-    /// Whether a new leader looks for the runs of a former one.
-    pub adopt: bool,
-}
-
-impl Default for Options {
-    fn default() -> Options {
-        Options {
-            reserve: 0,
-            starts: 16,
-            pause_ms: 200,
-            pause_max_ms: 2_000,
-            suspect_pause_ms: 15_000,
-            suspect_breaks: 4,
-            failed_ms: 1_000,
-            crowded_ms: 400,
-            evicted_ms: 200,
-            late_last: true,
-            adopt: true,
-        }
-    }
-}
+pub use options::Options;
+pub use run::{Outcome, Progress, Start};
 
 /// Names an item.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -86,47 +37,6 @@
     pub item: u32,
 }
 
-/// What an item has produced so far.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Progress {
-    /// The number of the last event that is stored in the ledger.
-    pub saved: u64,
-    /// The number of the last event, 0 before the first.
-    pub last: u64,
-    /// The data of the events that are not stored yet, in order.
-    pub data: Vec<String>,
-    /// The bytes of all events that this leader has seen.
-    pub bytes: usize,
-}
-
-impl Progress {
-    /// Adds the next event.
-    pub fn push(&mut self, data: String) {
-        self.last += 1;
-        self.bytes += data.len();
-        self.data.push(data);
-    }
-
-    /// Returns the bytes of the output that is not stored yet.
-    pub fn unsaved_bytes(&self) -> usize {
-        self.data.iter().map(String::len).sum()
-    }
-
-    /// Returns the output that is not stored yet.
-    pub fn unsaved(&self) -> ledger::Output {
-        ledger::Output {
-            after: self.saved,
-            data: self.data.clone(),
-        }
-    }
-
-    /// Notes that everything so far is stored.
-    pub fn save(&mut self) {
-        self.saved = self.last;
-        self.data.clear();
-    }
-}
-
 /// A backend server as the leader sees it.
 #[derive(Clone, Debug)]
 pub struct Server {
@@ -142,30 +52,6 @@
     pub online: u32,
 }
 
-/// An item to run now.
-#[derive(Clone, Debug)]
-pub struct Start {
-    /// The item.
-    pub key: Key,
-    /// The id of the item, its request id.
-    pub id: Name,
-    /// The host of its route.
-    pub host: Name,
-    /// Its path with the query.
-    pub path: Name,
-    /// Its headers.
-    pub headers: Vec<(Name, Name)>,
-    /// The backend server.
-    pub server: Name,
-    /// Its address.
-    pub address: Name,
-    /// What earlier runs produced.
-    pub progress: Progress,
-    /// The address of a backend server where the item still runs for a former
-    /// leader. That run is stopped first and its memory moved to `server`.
-    pub orphan: Option<Name>,
-}
-
 /// What to do.
 #[derive(Clone, Debug)]
 pub enum Action {
@@ -187,43 +73,10 @@
     RouteGone,
 }
 
-/// How a run ended.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Outcome {
-    /// The whole output is there.
-    Completed(Progress),
-    /// The run broke off or was stopped. What it produced counts.
-    Broken(Progress),
-    /// The backend server says that the run failed.
-    Failed(Progress),
-    /// The backend server says that the item can never be done.
-    Impossible,
-    /// The backend server refused it or could not be reached.
-    NotRun(Progress),
-    /// Online requests wait at the backend server although the leader believed
-    /// that a slot was free there, as long as runs of a leader before still
-    /// hold slots. The run gave its own back.
-    Crowded(Progress),
-}
-
-impl Outcome {
-    /// Returns the last event, if the run got any.
-    fn last_event(&self) -> Option<u64> {
-        match self {
-            Outcome::Completed(progress)
-            | Outcome::Broken(progress)
-            | Outcome::Failed(progress)
-            | Outcome::NotRun(progress)
-            | Outcome::Crowded(progress) => Some(progress.last),
-            Outcome::Impossible => None,
-        }
-    }
-}
-
 #[derive(Clone, Debug)]
 struct Waiting {
     failures: u32,
-    /// Ends without an answer in a row, which lengthen the pause.
+    /// Runs in a row that broke off without an event.
     breaks: u32,
     not_before_ms: u64,
     avoid: Option<Name>,
@@ -284,6 +137,7 @@
     runs: BTreeMap<Name, Runs>,
     /// Backend servers that failed and when they may be used again.
     paused: BTreeMap<Name, u64>,
+    trials: trial::Trials,
     /// Until then no item starts: a new leader knows neither the online requests
     /// nor the runs that a former leader left behind.
     held_until_ms: u64,
@@ -300,6 +154,7 @@
             estimate: Estimate::default(),
             runs: BTreeMap::new(),
             paused: BTreeMap::new(),
+            trials: trial::Trials::new(options.trials),
             held_until_ms: 0,
         }
     }
@@ -335,6 +190,9 @@
         self.order.remove(&(job.due_ms, id.clone()));
         let mut keys = Vec::new();
         for (item, known) in job.items {
+            let job = id.clone();
+            let key = Key { job, item };
+            self.trials.forget(&key);
             let State::Running {
                 server, stopping, ..
             } = known.state
@@ -342,8 +200,7 @@
                 continue;
             };
             self.run_ended(&server, stopping);
-            let job = id.clone();
-            keys.push(Key { job, item });
+            keys.push(key);
         }
         keys
     }
@@ -387,103 +244,14 @@
         actions
     }
 
-    /// Takes the end of a run. Returns the output to record if the item is done.
-    pub fn ended(
-        &mut self,
-        key: &Key,
-        outcome: Outcome,
-        now_ms: u64,
-    ) -> Option<(ledger::End, ledger::Output)> {
-        let options = self.options;
-        let attempts = self.jobs.get(&key.job)?.attempts;
-        let item = self.jobs.get_mut(&key.job)?.items.get_mut(&key.item)?;
-        let State::Running {
-            server,
-            since_ms,
-            stopping,
-            ..
-        } = &item.state
-        else {
-            return None;
-        };
-        let (server, stopping) = (server.clone(), *stopping);
-        if let Some(last) = outcome.last_event() {
-            let events = last.saturating_sub(item.waiting.progress.last);
-            self.estimate.ran(events, now_ms.saturating_sub(*since_ms));
-        }
-        item.state = State::Waiting;
-        self.run_ended(&server, stopping);
-        let item = self.jobs.get_mut(&key.job)?.items.get_mut(&key.item)?;
-        let waiting = &mut item.waiting;
-        waiting.avoid = None;
-        match outcome {
-            Outcome::Completed(progress) => {
-                self.estimate.completed(progress.last);
-                item.state = State::Recording;
-                return Some((ledger::End::Completed, progress.unsaved()));
-            }
-            Outcome::Impossible => {
-                item.state = State::Recording;
-                return Some((ledger::End::GivenUp, ledger::Output::default()));
-            }
-            Outcome::Failed(progress) => {
-                waiting.failures += 1;
-                waiting.progress = progress;
-                waiting.avoid = Some(server.clone());
-                // One that fails all that it runs fails the next item as fast.
-                self.paused.insert(server, now_ms + options.failed_ms);
-                if waiting.failures >= attempts {
-                    item.state = State::Recording;
-                    return Some((ledger::End::GivenUp, ledger::Output::default()));
-                }
-            }
-            Outcome::Crowded(progress) => {
-                waiting.progress = progress;
-                let until = now_ms + options.crowded_ms;
-                self.paused.insert(server, until);
-                return None;
-            }
-            Outcome::Broken(progress) => {
-                let advanced = progress.last > waiting.progress.last;
-                waiting.progress = progress;
-                if stopping {
-                    return None;
-                }
-                waiting.breaks = if advanced { 0 } else { waiting.breaks + 1 };
-                waiting.avoid = Some(server.clone());
-                self.paused.insert(server, now_ms + options.pause_ms);
-            }
-            // What has not run says nothing of the item.
-            Outcome::NotRun(progress) => {
-                waiting.progress = progress;
-                waiting.avoid = Some(server.clone());
-                waiting.not_before_ms = now_ms + options.pause_ms;
-                self.paused.insert(server, now_ms + options.pause_ms);
-                return None;
-            }
-        }
-        let item = self.jobs.get_mut(&key.job)?.items.get_mut(&key.item)?;
-        let waiting = &item.waiting;
-        let pause_ms = options.pause_ms << (waiting.breaks + 2 * waiting.failures).min(5);
-        let suspect = item.waiting.breaks >= options.suspect_breaks;
-        item.waiting.not_before_ms = now_ms
-            + match suspect {
-                true => options.suspect_pause_ms,
-                false => pause_ms.min(options.pause_max_ms),
-            };
-        None
+    /// Returns the number of items that are tried before they run as others do.
+    pub fn suspects(&self) -> usize {
+        self.trials.suspects()
     }
 
-    /// Notes that the end of an item is durable. Returns the item's route and
-    /// tokens, which no longer wait, unless its job was removed.
-    pub fn recorded(&mut self, key: &Key) -> Option<(route::Place, u64)> {
-        let job = self.jobs.get_mut(&key.job)?;
-        let item = job.items.remove(&key.item)?;
-        let place = job.place.clone();
-        if job.items.is_empty() {
-            self.remove(&key.job);
-        }
-        Some((place, item.tokens))
+    /// Returns what changed for suspects since the last call.
+    pub fn take_notes(&mut self) -> Vec<trial::Note> {
+        self.trials.take_notes()
     }
 
     fn expire(&mut self, routes: &route::Table, now_ms: u64, actions: &mut Vec<Action>) {
@@ -507,187 +275,6 @@
             }
         }
     }
-
-    /// Takes items back where online requests and items exceed the slots.
-    fn preempt(&mut self, servers: &[Server], now_ms: u64, actions: &mut Vec<Action>) {
-        for server in servers {
-            // Runs that are being stopped have given their slots back already.
-            let batch = self.staying(&server.id);
-            let mut excess = (server.online + batch)
-                .saturating_sub(server.slots)
-                .min(batch);
-            while excess > 0 {
-                let Some(key) = self.least_urgent_run(&server.id, now_ms) else {
-                    break;
-                };
-                self.mark_stopping(&key);
-                let until_ms = now_ms + self.options.evicted_ms;
-                self.paused.insert(server.id.clone(), until_ms);
-                actions.push(Action::Preempt(key));
-                excess -= 1;
-            }
-        }
-    }
-
-    /// Returns the run at a backend server that can wait best: one that will be
-    /// late anyhow, then the one with the most time to spare, then the newest,
-    /// which has the least to read again.
-    fn least_urgent_run(&self, id: &Name, now_ms: u64) -> Option<Key> {
-        let mut chosen: Option<((bool, u64, u64), Key)> = None;
-        for (job, known) in &self.jobs {
-            for (index, item) in &known.items {
-                let State::Running {
-                    server,
-                    started,
-                    since_ms,
-                    stopping: false,
-                } = &item.state
-                else {
-                    continue;
-                };
-                if server != id {
-                    continue;
-                }
-                let ran_ms = now_ms.saturating_sub(*since_ms);
-                let made = item.waiting.progress.last + self.estimate.events_in(ran_ms);
-                let spare_ms = self.spare_ms(known.due_ms, made, now_ms);
-                let rank = (
-                    spare_ms.is_none(),
-                    spare_ms.unwrap_or(known.due_ms),
-                    *started,
-                );
-                if chosen.as_ref().is_none_or(|(best, _)| rank > *best) {
-                    let key = Key {
-                        job: job.clone(),
-                        item: *index,
-                    };
-                    chosen = Some((rank, key));
-                }
-            }
-        }
-        chosen.map(|(_, key)| key)
-    }
-
-    /// Returns the time that an item can still wait and be complete when its job
-    /// is due; `None` if it will be late.
-    fn spare_ms(&self, due_ms: u64, made: u64, now_ms: u64) -> Option<u64> {
-        due_ms.checked_sub(now_ms + self.estimate.remaining_ms(made))
-    }
-
-    fn mark_stopping(&mut self, key: &Key) {
-        let job = self.jobs.get_mut(&key.job);
-        let item = job.and_then(|job| job.items.get_mut(&key.item));
-        if let Some(State::Running {
-            server, stopping, ..
-        }) = item.map(|item| &mut item.state)
-        {
-            *stopping = true;
-            self.runs.entry(server.clone()).or_default().stopping += 1;
-        }
-    }
-
-    fn start(
-        &mut self,
-        servers: &[Server],
-        routes: &route::Table,
-        now_ms: u64,
-        actions: &mut Vec<Action>,
-    ) {
-        if now_ms < self.held_until_ms {
-            return;
-        }
-        self.paused.retain(|_, until| *until > now_ms);
-        let mut rooms: Vec<(u32, &Server)> = Vec::new();
-        for server in servers {
-            let used = server.online + self.options.reserve + self.running(&server.id);
-            let room = server.slots.saturating_sub(used);
-            if room > 0 && !self.paused.contains_key(&server.id) {
-                rooms.push((room, server));
-            }
-        }
-        let mut left = self.options.starts;
-        for late in [false, true] {
-            self.start_some(late, &mut rooms, routes, now_ms, &mut left, actions);
-        }
-    }
-
-    /// Starts items that can be complete in time, or those that will be late.
-    fn start_some(
-        &mut self,
-        late: bool,
-        rooms: &mut Vec<(u32, &Server)>,
-        routes: &route::Table,
-        now_ms: u64,
-        left: &mut usize,
-        actions: &mut Vec<Action>,
-    ) {
-        let estimate = self.estimate.clone();
-        let late_last = self.options.late_last;
-        for (due_ms, id) in &self.order {
-            let Some(job) = self.jobs.get_mut(id) else {
-                continue;
-            };
-            for (index, item) in &mut job.items {
-                if *left == 0 || rooms.is_empty() {
-                    return;
-                }
-                let remaining_ms = estimate.remaining_ms(item.waiting.progress.last);
-                let ready = matches!(item.state, State::Waiting)
-                    && now_ms >= item.waiting.not_before_ms
-                    && (late_last && now_ms + remaining_ms > *due_ms) == late;
-                let Some(route) = routes.find(&job.place.host, &item.path).filter(|_| ready) else {
-                    continue;
-                };
-                let avoid = item.waiting.avoid.clone();
-                let best = rooms
-                    .iter_mut()
-                    .filter(|(room, server)| *room > 0 && route.allows(&server.service))
-                    .max_by_key(|(room, server)| (Some(&server.id) != avoid.as_ref(), *room));
-                let Some((room, server)) = best else {
-                    continue;
-                };
-                *room -= 1;
-                *left -= 1;
-                self.starts += 1;
-                let key = Key {
-                    job: id.clone(),
-                    item: *index,
-                };
-                let place = (&server.id, &server.address);
-                self.runs.entry(server.id.clone()).or_default().all += 1;
-                let start = begin(key, &job.place.host, item, (self.starts, now_ms), place);
-                actions.push(Action::Start(start));
-            }
-            rooms.retain(|(room, _)| *room > 0);
-        }
-    }
-}
-
-/// Marks an item as running and describes its run.
-fn begin(
-    key: Key,
-    host: &Name,
-    item: &mut Item,
-    (started, since_ms): (u64, u64),
-    (server, address): (&Name, &Name),
-) -> Start {
-    item.state = State::Running {
-        server: server.clone(),
-        started,
-        since_ms,
-        stopping: false,
-    };
-    Start {
-        key,
-        id: item.id.clone(),
-        host: host.clone(),
-        path: item.path.clone(),
-        headers: item.headers.clone(),
-        server: server.clone(),
-        address: address.clone(),
-        progress: item.waiting.progress.clone(),
-        orphan: None,
-    }
 }
 
 fn new_item(item: &ledger::Item) -> Item {
