Log why a control replica campaigns and when its disk is slow

A replica that lost the lead said neither whom it had not heard nor whether its own control thread had stood still, so a slow sync could not be told from a network or scheduling delay.

--- a/crates/coord/src/node/election.rs
+++ b/crates/coord/src/node/election.rs
@@ -29,6 +29,23 @@
         self.request_votes(kind);
     }
 
+    /// Logs why this replica begins to campaign. A long time since the step before
+    /// tells a stall of this replica from one of the leader.
+    pub(super) fn log_silent_leader(&self) {
+        if self.role == Role::Candidate {
+            return;
+        }
+        ::log::info!(
+            "group {}: replica {} campaigns in term {}: leader {:?} was last heard {} ms ago, the step before was {} ms ago",
+            self.group,
+            self.id,
+            self.term,
+            self.leader.map(|leader| leader.0),
+            self.now_ms - self.leader_heard_ms,
+            self.now_ms - self.previous_ms
+        );
+    }
+
     fn request_votes(&mut self, kind: Vote) {
         let request = Body::VoteRequest(VoteRequest {
             kind,
--- a/crates/coord/src/node/follow.rs
+++ b/crates/coord/src/node/follow.rs
@@ -63,6 +63,7 @@
         if self.leader != Some(from) || self.role == Role::Candidate {
             self.become_follower(self.term, Some(from));
         }
+        self.leader_heard_ms = self.now_ms;
         self.quiet_until_ms = self
             .quiet_until_ms
             .max(self.now_ms + self.options.election_timeout_ms);
--- a/crates/coord/src/node/lead.rs
+++ b/crates/coord/src/node/lead.rs
@@ -95,6 +95,7 @@
 
     pub(super) fn tick_leader(&mut self) {
         if !self.hears_majority() {
+            self.log_silent_majority();
             self.become_follower(self.term, None);
             return;
         }
@@ -120,6 +121,27 @@
             .has_majority(|voter| voter == self.id || self.hears(voter))
     }
 
+    /// Logs why this replica stops leading. A long time since the step before
+    /// tells a stall of this replica from one of the others.
+    fn log_silent_majority(&self) {
+        let Some(leadership) = &self.leadership else {
+            return;
+        };
+        let silent = leadership.progress.iter().map(|(replica, progress)| {
+            let silent_ms = self.now_ms - progress.heard_ms;
+            format!("replica {replica} was last heard {silent_ms} ms ago")
+        });
+        let silent: Vec<String> = silent.collect();
+        ::log::info!(
+            "group {}: replica {} hears no majority in term {}: {}, the step before was {} ms ago",
+            self.group,
+            self.id,
+            self.term,
+            silent.join(", "),
+            self.now_ms - self.previous_ms
+        );
+    }
+
     pub(super) fn hears(&self, replica: ReplicaId) -> bool {
         let Some(leadership) = &self.leadership else {
             return false;
--- a/crates/coord/src/node/mod.rs
+++ b/crates/coord/src/node/mod.rs
@@ -141,6 +141,8 @@
     group: GroupId,
     options: Options,
     now_ms: u64,
+    /// The time of the step before.
+    previous_ms: u64,
     started: bool,
     rng: rand_pcg::Pcg32,
     term: u64,
@@ -156,6 +158,8 @@
     election_due_ms: u64,
     /// Until then votes are refused, because a leader may hold a lease.
     quiet_until_ms: u64,
+    /// When the leader of the term was last heard.
+    leader_heard_ms: u64,
     campaign: Option<Campaign>,
     leadership: Option<Leadership>,
     incoming: Option<follow::Incoming>,
@@ -180,6 +184,7 @@
             group,
             options,
             now_ms: 0,
+            previous_ms: 0,
             started: false,
             rng: rand_pcg::Pcg32::seed_from_u64(seed),
             term: durable.term,
@@ -192,6 +197,7 @@
             vote_changed: false,
             election_due_ms: 0,
             quiet_until_ms: 0,
+            leader_heard_ms: 0,
             campaign: None,
             leadership: None,
             incoming: None,
@@ -229,11 +235,14 @@
 
     /// Sets the clock before inputs are handled.
     pub fn set_now(&mut self, now_ms: u64) {
+        self.previous_ms = self.now_ms;
         self.now_ms = now_ms;
         if self.started {
             return;
         }
         self.started = true;
+        self.previous_ms = now_ms;
+        self.leader_heard_ms = now_ms;
         // The replica may have answered a leader just before it restarted, and
         // that leader's lease counts on it.
         self.quiet_until_ms = now_ms + self.options.election_timeout_ms;
@@ -247,6 +256,7 @@
         if self.role == Role::Leader {
             self.tick_leader();
         } else if self.now_ms >= self.election_due_ms && self.members().is_voter(self.id) {
+            self.log_silent_leader();
             self.start_campaign(Vote::Pre);
         }
     }
--- a/programs/gateway/src/control/mod.rs
+++ b/programs/gateway/src/control/mod.rs
@@ -5,6 +5,7 @@
 //! runs on the network thread.
 
 mod api;
+mod disk;
 mod evacuation;
 mod hub;
 mod identity;
--- a/programs/gateway/src/control/replica.rs
+++ b/programs/gateway/src/control/replica.rs
@@ -13,7 +13,11 @@
 use bw_wire::name::Name;
 use tokio::sync::{mpsc as async_mpsc, oneshot};
 
-use crate::{clock, control::identity, settings};
+use crate::{
+    clock,
+    control::{disk, identity},
+    settings,
+};
 
 /// The only group.
 const GROUP: GroupId = GroupId(0);
@@ -26,6 +30,9 @@
 /// leader is answered in time (0.5 s) only if the election takes less: 500 ms
 /// meant 0.7 s without a leader.
 const ELECTION_MS: u64 = 300;
+/// A step that takes longer is logged: no heartbeat is sent meanwhile, and the
+/// interval between heartbeats is a tenth of the election timeout.
+const SLOW_STEP: time::Duration = time::Duration::from_millis(ELECTION_MS / 10);
 /// Calls handled in one step, so that one sync covers many.
 const CALLS_PER_STEP: usize = 256;
 /// Pause before a disk that failed is tried again.
@@ -121,7 +128,7 @@
 struct Edge;
 
 impl host::Edge for Edge {
-    type Disk = storage::Directory;
+    type Disk = disk::Timed;
     type Machine = ledger::Ledger;
 }
 
@@ -222,7 +229,7 @@
             .pending_bytes(PENDING_BYTES)
             .retained_bytes(RETAINED_BYTES)
             .seed(rand::random())
-            .open(disk)
+            .open(disk::Timed(disk))
     }
 
     fn clear(&self, reason: &str) {
@@ -348,6 +355,8 @@
     fn step(&mut self, inputs: Vec<host::Input>) -> Result<(), storage::Error> {
         let mut outputs = Vec::new();
         let replica = self.replica;
+        let began = time::Instant::now();
+        let (count, before) = (inputs.len(), self.host.stats());
         let result = self
             .host
             .step(inputs, clock::steady_ms(), &mut |output| match output {
@@ -357,6 +366,15 @@
                 }),
                 other => outputs.push(other),
             });
+        let took = began.elapsed();
+        if took > SLOW_STEP {
+            let after = self.host.stats();
+            log::warn!(
+                step_ms = took.as_millis() as u64, inputs = count,
+                entries = after.entries - before.entries, syncs = after.syncs - before.syncs;
+                "a step of the replicated log was slow"
+            );
+        }
         for output in outputs {
             self.handle(output);
         }
