Keep the lead while a disk syncs for longer than the election timeout

What callers saw: with a third of the group frozen, a leader lost the lead in the middle of a run, and the next leader started the item again (3 to 5 runs in place of 2 in a_run_of_a_frozen_leader_is_stopped_and_goes_on).

Cause: the control thread synced the log itself. A replica whose sync took longer than 0.3 s neither sent nor answered heartbeats. With one of three replicas frozen, one slow sync on either of the others was enough: the leader heard no majority and stopped leading, or the follower, which had stood still itself, took the leader for silent and campaigned.

No log showed a network delay, a transfer or a vote against a leader that was heard.

Change: a disk may leave a sync running (Disk::start_sync). Until the sync ends nothing more is written to the log, and the messages that depend on it wait, as before. Appends are answered at once with the last index that is durable, if term and vote are durable. Disks that finish at once (bw-control, the disk in memory by default) behave as before.

Why it is safe: no vote and no entry counts earlier than before. The early answer claims only what is durable, and renews the promise not to vote that any answer renews, which is kept in memory and over a restart by the quiet time. Elections use the same timers.

The time that a sync on another thread adds to a command was not measured.

--- a/crates/coord/src/host/group.rs
+++ b/crates/coord/src/host/group.rs
@@ -297,8 +297,9 @@
         }
     }
 
-    pub fn emit_late(&mut self, emit: &mut dyn FnMut(Output)) {
-        for (to, message) in self.node.out.late.drain(..) {
+    /// Emits the messages that waited for a sync that has finished.
+    pub fn emit_held(&mut self, emit: &mut dyn FnMut(Output)) {
+        for (to, message) in self.node.out.held.drain(..) {
             emit(Output::Send { to, message });
         }
     }
--- a/crates/coord/src/host/mod.rs
+++ b/crates/coord/src/host/mod.rs
@@ -8,7 +8,11 @@
 
 use std::{collections::BTreeMap, fmt};
 
-use crate::{GroupId, ReplicaId, member, node, payload, storage, wal};
+use crate::{
+    GroupId, ReplicaId, member, node, payload,
+    storage::{self, Disk},
+    wal,
+};
 
 pub use backup::Piece;
 pub use builder::Builder;
@@ -164,7 +168,9 @@
     /// collected: a lease read is only linearizable if the clock was read after
     /// the read was received. Appends of a leader reach `emit` before the disk
     /// sync, so that the network overlaps with the disk. One sync covers
-    /// everything that the step writes.
+    /// everything that the step writes. If the disk does not finish it within the
+    /// step, the following steps send and answer heartbeats, and what they write
+    /// shares the next sync.
     ///
     /// # Errors
     ///
@@ -257,6 +263,9 @@
         for group in self.groups.values_mut() {
             group.node.set_now(self.now_ms);
         }
+        if self.wal.is_syncing() && self.disk.poll_sync()? {
+            self.finish_sync(emit)?;
+        }
         for input in inputs {
             self.handle(input, emit)?;
         }
@@ -267,19 +276,13 @@
             group.emit_early(emit);
             group.apply(&mut self.disk, emit)?;
         }
-        self.persist()?;
+        self.persist(emit)?;
         for group in self.groups.values_mut() {
-            group.emit_late(emit);
-            group.node.persisted();
-            group.apply(&mut self.disk, emit)?;
             group.node.finish_transfer();
             group.finish(emit);
         }
         self.write_snapshots()?;
-        self.maintain_payloads()?;
-        let groups = &self.groups;
-        self.wal
-            .remove_covered(&mut self.disk, |group| snapshot_index(groups, group))
+        self.maintain_payloads()
     }
 
     fn handle(&mut self, input: Input, emit: &mut dyn FnMut(Output)) -> Result<(), storage::Error> {
@@ -314,16 +317,41 @@
         Ok(())
     }
 
-    /// Writes the records of all groups with one sync.
-    fn persist(&mut self) -> Result<(), storage::Error> {
+    /// Writes the records of all groups with one sync. While a sync is running,
+    /// the records and the messages that wait for them are collected.
+    fn persist(&mut self, emit: &mut dyn FnMut(Output)) -> Result<(), storage::Error> {
+        // A snapshot is taken of durable entries only.
+        let wait = self.starts_snapshot();
+        if self.wal.is_syncing() && wait {
+            self.disk.wait_sync()?;
+            self.finish_sync(emit)?;
+        }
+        if self.wal.is_syncing() {
+            return Ok(());
+        }
+        let finished = self.write_records()?;
+        if !finished && wait {
+            self.disk.wait_sync()?;
+        }
+        match finished || wait {
+            true => self.finish_sync(emit),
+            false => Ok(()),
+        }
+    }
+
+    /// Writes the records of all groups. Returns whether they are synced.
+    fn write_records(&mut self) -> Result<bool, storage::Error> {
         for (id, group) in &mut self.groups {
             for record in group.node.take_records() {
                 self.stats.entries += u64::from(matches!(record, wal::Record::Entry(_)));
                 self.wal.push(*id, &record);
             }
         }
+        for group in self.groups.values_mut() {
+            group.node.sync_started();
+        }
         if !self.wal.has_pending() {
-            return Ok(());
+            return Ok(true);
         }
         self.relocate();
         if self.wal.opens_segment() {
@@ -331,9 +359,29 @@
                 self.wal.push(*id, &group.node.vote_record());
             }
         }
-        self.stats.log_bytes += self.wal.commit(&mut self.disk)?;
-        self.stats.syncs += 1;
-        Ok(())
+        self.wal.start_commit(&mut self.disk)
+    }
+
+    /// Sends what waited for a sync and counts what it made durable.
+    fn finish_sync(&mut self, emit: &mut dyn FnMut(Output)) -> Result<(), storage::Error> {
+        if self.wal.is_syncing() {
+            self.stats.log_bytes += self.wal.finish_commit();
+            self.stats.syncs += 1;
+        }
+        for group in self.groups.values_mut() {
+            group.emit_held(emit);
+            group.node.persisted();
+            group.apply(&mut self.disk, emit)?;
+        }
+        let groups = &self.groups;
+        self.wal
+            .remove_covered(&mut self.disk, |group| snapshot_index(groups, group))
+    }
+
+    /// Returns whether a snapshot is due and none is being written.
+    fn starts_snapshot(&self) -> bool {
+        let due = |group: &group::Group<E::Machine>| group.snapshot_due(&self.options);
+        !self.groups.values().any(group::Group::is_writing) && self.groups.values().any(due)
     }
 
     /// Writes the live entries of quiet groups anew, so that old segments can be
@@ -372,7 +420,9 @@
             .find(|(_, group)| group.is_writing())
             .or_else(|| {
                 let mut groups = self.groups.iter();
-                groups.find(|(_, group)| group.snapshot_due(&self.options))
+                // A snapshot is started of durable entries only.
+                let idle = !self.wal.is_syncing();
+                groups.find(|(_, group)| idle && group.snapshot_due(&self.options))
             });
         let Some((id, _)) = writing else {
             return Ok(());
--- a/crates/coord/src/node/follow.rs
+++ b/crates/coord/src/node/follow.rs
@@ -77,9 +77,25 @@
         }
         let beat = append.beat;
         let outcome = self.accept(append);
+        if let AppendOutcome::Accepted { match_index } = outcome {
+            self.answer_during_sync(from, beat, match_index);
+        }
         self.reply_append(from, beat, outcome);
     }
 
+    /// Tells the leader during a sync that this replica hears it, with what is
+    /// durable so far: a sync may take longer than an election timeout, and a
+    /// leader that is not answered for that long stops leading.
+    fn answer_during_sync(&mut self, to: ReplicaId, beat: Beat, match_index: u64) {
+        // The answer also tells that the term and the vote are durable.
+        if !self.syncing || self.syncing_vote || self.vote_changed {
+            return;
+        }
+        let match_index = match_index.min(self.durable_index);
+        let outcome = AppendOutcome::Accepted { match_index };
+        self.send_early(to, Body::AppendReply(AppendReply { beat, outcome }));
+    }
+
     fn reply_append(&mut self, to: ReplicaId, beat: Beat, outcome: AppendOutcome) {
         self.send_late(to, Body::AppendReply(AppendReply { beat, outcome }));
     }
@@ -125,6 +141,7 @@
         self.log.truncate(from);
         self.members.truncate(from);
         self.durable_index = self.durable_index.min(from - 1);
+        self.syncing_index = self.syncing_index.min(from - 1);
         self.members_changed();
     }
 
@@ -277,6 +294,7 @@
             term: meta.term,
         });
         self.durable_index = index;
+        self.syncing_index = index;
         self.log.reset(meta);
         self.members_changed();
         let progress = ChunkProgress::Installed { index };
--- a/crates/coord/src/node/mod.rs
+++ b/crates/coord/src/node/mod.rs
@@ -59,6 +59,8 @@
     pub early: Vec<(ReplicaId, Envelope)>,
     /// Messages that may be sent only after the records are synced.
     pub late: Vec<(ReplicaId, Envelope)>,
+    /// Messages that may be sent only after the records that are being synced.
+    pub held: Vec<(ReplicaId, Envelope)>,
     /// Records to be written.
     pub records: Vec<Record>,
     /// Replicas that need a piece of the latest snapshot, from an offset on.
@@ -153,6 +155,12 @@
     members: member::History,
     /// The last index that is durable here.
     durable_index: u64,
+    /// The last index that is durable here once the running sync has finished.
+    syncing_index: u64,
+    /// Whether a sync is running.
+    syncing: bool,
+    /// Whether the running sync covers a change of term or vote.
+    syncing_vote: bool,
     /// Whether term or vote changed since they were last written.
     vote_changed: bool,
     election_due_ms: u64,
@@ -192,6 +200,9 @@
             role: Role::Learner,
             leader: None,
             durable_index: log.last_index(),
+            syncing_index: log.last_index(),
+            syncing: false,
+            syncing_vote: false,
             log,
             members,
             vote_changed: false,
@@ -292,7 +303,8 @@
     /// returns them all.
     pub fn take_records(&mut self) -> Vec<Record> {
         let mut records = Vec::new();
-        if std::mem::take(&mut self.vote_changed) {
+        self.syncing_vote = std::mem::take(&mut self.vote_changed);
+        if self.syncing_vote {
             records.push(self.vote_record());
         }
         records.append(&mut self.out.records);
@@ -306,10 +318,22 @@
         }
     }
 
-    /// Notes that all records were synced.
+    /// Notes that the records that were taken are being synced.
+    pub fn sync_started(&mut self) {
+        self.syncing = true;
+        self.syncing_index = self.log.last_index();
+        self.out.held.append(&mut self.out.late);
+    }
+
+    /// Notes that the records that were taken last were synced.
     pub fn persisted(&mut self) {
-        self.durable_index = self.log.last_index();
-        self.count_own_vote();
+        self.syncing = false;
+        self.syncing_vote = false;
+        self.durable_index = self.syncing_index;
+        // A vote that was cast during the sync is not durable.
+        if !self.vote_changed {
+            self.count_own_vote();
+        }
         self.advance_commit();
     }
 
--- a/crates/coord/src/storage/directory.rs
+++ b/crates/coord/src/storage/directory.rs
@@ -28,6 +28,31 @@
     entry_synced: bool,
 }
 
+/// A sync of a file that can run on another thread.
+#[derive(Debug)]
+pub struct Flush {
+    name: String,
+    file: fs::File,
+    /// The directory, if its entry of the file is not durable yet.
+    entries: Option<fs::File>,
+}
+
+impl Flush {
+    /// Makes the content and the existence of the file durable.
+    ///
+    /// # Errors
+    ///
+    /// Fails if durability cannot be guaranteed.
+    pub fn run(self) -> Result<(), Error> {
+        let synced = self.file.sync_data();
+        let synced = synced.and_then(|()| match self.entries {
+            Some(entries) => entries.sync_all(),
+            None => Ok(()),
+        });
+        synced.map_err(|error| Error::io("sync", &self.name, error))
+    }
+}
+
 impl Directory {
     /// Opens a directory and creates it if it is absent.
     ///
@@ -78,14 +103,31 @@
             .ok_or_else(|| io::ErrorKind::NotFound.into())
     }
 
-    fn sync_file(&mut self, name: &str) -> io::Result<()> {
+    /// Prepares a sync of a file, which covers what was appended so far. The
+    /// directory is not used any more if it fails.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file cannot be opened.
+    pub fn prepare_sync(&mut self, name: &str) -> Result<Flush, Error> {
+        self.sync_of(name)
+            .map_err(|error| Error::io("sync", name, error))
+    }
+
+    fn sync_of(&mut self, name: &str) -> io::Result<Flush> {
         let writer = self.writer(name)?;
-        writer.file.sync_data()?;
-        if writer.entry_synced {
-            return Ok(());
-        }
-        writer.entry_synced = true;
-        self.sync_entries()
+        let file = writer.file.try_clone()?;
+        let entry_synced = std::mem::replace(&mut writer.entry_synced, true);
+        let entries = match entry_synced {
+            true => None,
+            false => Some(fs::File::open(&self.path)?),
+        };
+        let name = name.to_owned();
+        Ok(Flush {
+            name,
+            file,
+            entries,
+        })
     }
 
     fn read_file(&self, name: &str, offset: u64, length: usize) -> io::Result<Vec<u8>> {
@@ -138,8 +180,7 @@
     }
 
     fn sync(&mut self, name: &str) -> Result<(), Error> {
-        self.sync_file(name)
-            .map_err(|error| Error::io("sync", name, error))
+        self.prepare_sync(name)?.run()
     }
 
     fn close(&mut self, name: &str) {
--- a/crates/coord/src/storage/memory.rs
+++ b/crates/coord/src/storage/memory.rs
@@ -42,6 +42,12 @@
     capacity: Option<u64>,
     failing_syncs: u64,
     syncs: u64,
+    /// Whether syncs that are started do not finish.
+    held: bool,
+    /// Whether the sync that was started finishes although syncs are held.
+    finishing: bool,
+    /// The file whose sync was started and has not finished.
+    started: Option<String>,
 }
 
 #[derive(Debug, Default)]
@@ -59,6 +65,7 @@
     /// Drops data that was not synced, as a crash of the machine does.
     pub fn crash(&self, loss: Loss) {
         let mut content = self.lock();
+        content.started = None;
         for file in content.files.values_mut() {
             file.lose(loss);
         }
@@ -86,6 +93,21 @@
         self.lock().failing_syncs = count;
     }
 
+    /// Lets syncs that are started not finish until they are let go.
+    pub fn hold_syncs(&self, held: bool) {
+        self.lock().held = held;
+    }
+
+    /// Lets the sync that was started finish, while later ones are still held.
+    pub fn finish_sync(&self) {
+        self.lock().finishing = true;
+    }
+
+    /// Returns whether a sync was started and has not finished.
+    pub fn is_syncing(&self) -> bool {
+        self.lock().started.is_some()
+    }
+
     /// Inverts a byte of a file and returns whether it exists.
     pub fn corrupt(&self, name: &str, offset: usize) -> bool {
         let mut content = self.lock();
@@ -173,6 +195,30 @@
         Ok(())
     }
 
+    fn start_sync(&mut self, name: &str) -> Result<bool, Error> {
+        let mut content = self.lock();
+        content.started = Some(name.to_owned());
+        content.finishing = false;
+        drop(content);
+        self.poll_sync()
+    }
+
+    fn poll_sync(&mut self) -> Result<bool, Error> {
+        let finished = {
+            let content = self.lock();
+            !content.held || content.finishing
+        };
+        match finished {
+            true => self.wait_sync().map(|()| true),
+            false => Ok(false),
+        }
+    }
+
+    fn wait_sync(&mut self) -> Result<(), Error> {
+        let started = self.lock().started.take();
+        started.map_or(Ok(()), |name| self.sync(&name))
+    }
+
     fn read(&mut self, name: &str, offset: u64, length: usize) -> Result<Vec<u8>, Error> {
         let content = self.lock();
         let Some(file) = content.files.get(name) else {
--- a/crates/coord/src/storage/mod.rs
+++ b/crates/coord/src/storage/mod.rs
@@ -4,7 +4,7 @@
 mod error;
 mod memory;
 
-pub use directory::Directory;
+pub use directory::{Directory, Flush};
 pub use error::Error;
 pub use memory::{Loss, Memory};
 
@@ -40,6 +40,38 @@
     /// Fails if durability cannot be guaranteed.
     fn sync(&mut self, name: &str) -> Result<(), Error>;
 
+    /// Starts a sync and returns whether it has finished. If it has not, nothing
+    /// is appended to the file and no other sync is started until
+    /// [`Disk::poll_sync`] returns true or [`Disk::wait_sync`] returns.
+    ///
+    /// A disk that may take long does not finish here, so that the replica sends
+    /// and answers heartbeats meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// Fails if durability cannot be guaranteed.
+    fn start_sync(&mut self, name: &str) -> Result<bool, Error> {
+        self.sync(name).map(|()| true)
+    }
+
+    /// Returns whether the started sync has finished.
+    ///
+    /// # Errors
+    ///
+    /// Fails if durability cannot be guaranteed.
+    fn poll_sync(&mut self) -> Result<bool, Error> {
+        Ok(true)
+    }
+
+    /// Waits until the started sync has finished.
+    ///
+    /// # Errors
+    ///
+    /// Fails if durability cannot be guaranteed.
+    fn wait_sync(&mut self) -> Result<(), Error> {
+        Ok(())
+    }
+
     /// Tells that nothing will be appended to a synced file for long, so that
     /// the disk can free what it holds for writing.
     fn close(&mut self, _name: &str) {}
--- a/crates/coord/src/wal/mod.rs
+++ b/crates/coord/src/wal/mod.rs
@@ -70,8 +70,10 @@
     /// The sequence number of the next frame.
     sequence: u64,
     segments: VecDeque<Segment>,
-    /// The frame that is being built.
+    /// The frame that is being built, or that is being synced.
     frame: frame::Builder,
+    /// Size of the frame in bytes while it is being synced.
+    syncing: Option<u64>,
     /// Highest index of each group in the frame that is being built.
     noted: BTreeMap<GroupId, u64>,
     /// Groups whose live entries are all in the frame that is being built.
@@ -92,6 +94,7 @@
             sequence: recovered.sequence,
             segments: recovered.segments,
             frame: frame::Builder::new(replica),
+            syncing: None,
             noted: BTreeMap::new(),
             relocated: Vec::new(),
         };
@@ -120,18 +123,38 @@
             .is_none_or(|segment| segment.size >= self.segment_bytes)
     }
 
-    /// Writes and syncs the frame. Returns its size in bytes.
-    pub fn commit<D: storage::Disk>(&mut self, disk: &mut D) -> Result<u64, storage::Error> {
+    /// Writes and syncs the frame.
+    pub fn commit<D: storage::Disk>(&mut self, disk: &mut D) -> Result<(), storage::Error> {
+        if !self.start_commit(disk)? {
+            disk.wait_sync()?;
+        }
+        self.finish_commit();
+        Ok(())
+    }
+
+    /// Returns whether the frame is being synced. No record is added meanwhile.
+    pub fn is_syncing(&self) -> bool {
+        self.syncing.is_some()
+    }
+
+    /// Writes the frame and starts its sync. Returns whether the sync has finished.
+    pub fn start_commit<D: storage::Disk>(&mut self, disk: &mut D) -> Result<bool, storage::Error> {
         if self.opens_segment() {
             let number = self.segments.back().map_or(1, |last| last.number + 1);
             self.segments.push_back(Segment::new(number));
         }
         let bytes = self.frame.finish(self.sequence);
-        let size = bytes.len() as u64;
+        self.syncing = Some(bytes.len() as u64);
         let last = self.segments.len() - 1;
         let name = self.segments[last].name();
         disk.append(&name, bytes)?;
-        disk.sync(&name)?;
+        disk.start_sync(&name)
+    }
+
+    /// Notes that the frame is synced. Returns its size in bytes.
+    pub fn finish_commit(&mut self) -> u64 {
+        let size = self.syncing.take().unwrap_or(0);
+        let last = self.segments.len() - 1;
         self.sequence += 1;
         self.frame = frame::Builder::reuse(self.replica, std::mem::take(&mut self.frame));
         for group in self.relocated.drain(..) {
@@ -144,7 +167,7 @@
         for (group, index) in std::mem::take(&mut self.noted) {
             segment.note(group, index);
         }
-        Ok(size)
+        size
     }
 
     /// Removes the oldest segment if snapshots cover all its entries. Only one
--- a/crates/coord/tests/common/mod.rs
+++ b/crates/coord/tests/common/mod.rs
@@ -698,7 +698,9 @@
                 continue;
             }
             let slot = self.slots.get_mut(&id).expect("known replica");
-            slot.synced.insert(group, status.last_index);
+            if !slot.disk.is_syncing() {
+                slot.synced.insert(group, status.last_index);
+            }
             if tick {
                 slot.commits.entry(group).or_default().push(status.commit);
             }
@@ -782,6 +784,11 @@
         slot.lease_end.insert(group, end);
     }
 
+    /// Holds the syncs of a replica, or lets them go.
+    pub fn hold_syncs(&mut self, id: u64, held: bool) {
+        self.slots[&id].disk.hold_syncs(held);
+    }
+
     /// Ends all faults, lets the replicas settle and checks that every
     /// acknowledged command is applied once, everywhere and in the same order.
     pub fn settle(&mut self) {
--- a/crates/coord/tests/failures.rs
+++ b/crates/coord/tests/failures.rs
@@ -357,6 +357,91 @@
     cluster.settle();
 }
 
+/// Which replicas have a slow disk.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Slow {
+    Leader,
+    Follower,
+    Both,
+}
+
+/// Guards against a leader that stops leading because no heartbeat is sent or
+/// answered while a disk syncs, and against counting what is not synced yet.
+#[rstest]
+fn sync_longer_than_the_election_timeout_does_not_end_the_lead(
+    #[values(Slow::Leader, Slow::Follower, Slow::Both)] slow: Slow,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut cluster = cluster(3, seed);
+    let leader = cluster.await_leader(FIRST);
+    let cut_off = leader % 3 + 1;
+    let follower = cut_off % 3 + 1;
+    cluster.isolate(cut_off, true);
+    cluster.run(5 * ELECTION_TIMEOUT_MS);
+    let term = cluster.status(leader, FIRST).expect("running").term;
+    cluster.hold_syncs(leader, slow != Slow::Follower);
+    cluster.hold_syncs(follower, slow != Slow::Leader);
+    let mut writes = Vec::new();
+    for _ in 0..20 {
+        writes.push(cluster.write(leader, FIRST, 100));
+        cluster.run(ELECTION_TIMEOUT_MS / 4);
+        let status = cluster.status(leader, FIRST).expect("running");
+        assert_eq!((status.role, status.term), (node::Role::Leader, term));
+        assert!(status.lease_remaining_ms > 0);
+    }
+    let answered = |write: &u64| cluster.answers.contains_key(write);
+    assert!(!writes.iter().any(answered), "one disk is no majority");
+    cluster.hold_syncs(leader, false);
+    cluster.hold_syncs(follower, false);
+    cluster.run(ELECTION_TIMEOUT_MS / 2);
+    let acked = |write: &u64| matches!(cluster.answers.get(write), Some(Ok(_)));
+    assert!(writes.iter().all(acked));
+    cluster.settle();
+}
+
+/// Guards against counting an entry that was appended during a sync as covered
+/// by it: the entry would be acknowledged with one copy on a disk.
+#[rstest]
+fn entry_appended_during_a_sync_waits_for_the_next_one(#[values(1, 2, 3)] seed: u64) {
+    let mut cluster = cluster(3, seed);
+    let leader = cluster.await_leader(FIRST);
+    cluster.isolate(leader % 3 + 1, true);
+    cluster.run(5 * ELECTION_TIMEOUT_MS);
+    cluster.hold_syncs(leader, true);
+    let first = cluster.write(leader, FIRST, 100);
+    cluster.run(ELECTION_TIMEOUT_MS / 4);
+    let second = cluster.write(leader, FIRST, 100);
+    cluster.run(ELECTION_TIMEOUT_MS / 4);
+    cluster.slots[&leader].disk.finish_sync();
+    cluster.run(ELECTION_TIMEOUT_MS / 4);
+    assert!(matches!(cluster.answers.get(&first), Some(Ok(_))));
+    assert_eq!(cluster.answers.get(&second), None);
+    cluster.hold_syncs(leader, false);
+    cluster.run(ELECTION_TIMEOUT_MS / 4);
+    assert!(matches!(cluster.answers.get(&second), Some(Ok(_))));
+    cluster.settle();
+}
+
+/// Guards against a vote that counts before it is synced: after a crash the
+/// replica could vote again in the same term.
+#[rstest]
+fn nobody_is_elected_while_no_vote_is_synced(#[values(1, 2, 3)] seed: u64) {
+    let mut cluster = cluster(3, seed);
+    let leader = cluster.await_leader(FIRST);
+    cluster.crash(leader, Loss::All);
+    for id in (1..=3).filter(|id| *id != leader) {
+        cluster.hold_syncs(id, true);
+    }
+    cluster.run(10 * ELECTION_TIMEOUT_MS);
+    assert_eq!(cluster.leader(FIRST), None);
+    for id in (1..=3).filter(|id| *id != leader) {
+        cluster.hold_syncs(id, false);
+    }
+    cluster.await_leader(FIRST);
+    cluster.start(leader).expect("healthy disk");
+    cluster.settle();
+}
+
 /// Guards against use of a host after its disk failed.
 #[rstest]
 fn stopped_host_refuses_every_input() {
--- a/crates/coord/tests/random.rs
+++ b/crates/coord/tests/random.rs
@@ -41,6 +41,13 @@
     FailSync {
         replica: sample::Index,
     },
+    HoldSyncs {
+        replica: sample::Index,
+    },
+    FinishSync {
+        replica: sample::Index,
+    },
+    LetSyncsGo,
     Restart,
     Isolate {
         replica: sample::Index,
@@ -96,6 +103,9 @@
         2 => (replica(), loss()).prop_map(|(replica, loss)| Action::Crash { replica, loss }),
         2 => (group(), loss()).prop_map(|(group, loss)| Action::CrashLeader { group, loss }),
         1 => replica().prop_map(|replica| Action::FailSync { replica }),
+        2 => replica().prop_map(|replica| Action::HoldSyncs { replica }),
+        3 => replica().prop_map(|replica| Action::FinishSync { replica }),
+        3 => Just(Action::LetSyncsGo),
         5 => Just(Action::Restart),
         1 => replica().prop_map(|replica| Action::Isolate { replica }),
         2 => group().prop_map(|group| Action::IsolateLeader { group }),
@@ -167,6 +177,13 @@
             Action::FailSync { replica } => {
                 self.cluster.slots[&self.pick(replica)].disk.fail_syncs(1);
             }
+            Action::HoldSyncs { replica } => {
+                self.cluster.hold_syncs(self.pick(replica), true);
+            }
+            Action::FinishSync { replica } => {
+                self.cluster.slots[&self.pick(replica)].disk.finish_sync();
+            }
+            Action::LetSyncsGo => self.let_syncs_go(),
             Action::Restart => self.restart(),
             Action::Isolate { replica } => {
                 let replica = self.pick(replica);
@@ -202,6 +219,12 @@
         }
     }
 
+    fn let_syncs_go(&mut self) {
+        for slot in self.cluster.slots.values() {
+            slot.disk.hold_syncs(false);
+        }
+    }
+
     /// Starts all stopped replicas that still have a disk.
     fn restart(&mut self) {
         let lost = self.operator.work.as_ref().map(|work| work.lost);
@@ -289,6 +312,7 @@
         for slot in self.cluster.slots.values() {
             slot.disk.fail_syncs(0);
         }
+        self.let_syncs_go();
         self.restart();
         for _ in 0..200 {
             self.run(ELECTION_TIMEOUT_MS);
--- a/programs/gateway/src/control/replica.rs
+++ b/programs/gateway/src/control/replica.rs
@@ -128,7 +128,7 @@
 struct Edge;
 
 impl host::Edge for Edge {
-    type Disk = disk::Timed;
+    type Disk = disk::Background;
     type Machine = ledger::Ledger;
 }
 
@@ -211,13 +211,17 @@
     }
 
     fn open(&self) -> Result<Host, storage::Error> {
-        let failed = |error: io::Error| storage::Error::Io {
-            operation: "read identity in",
-            file: self.data.display().to_string(),
-            source: Arc::new(error),
+        let failed = |operation| {
+            move |error: io::Error| storage::Error::Io {
+                operation,
+                file: self.data.display().to_string(),
+                source: Arc::new(error),
+            }
         };
-        let identity = identity::load(&self.settings, &self.data).map_err(failed)?;
+        let identity = identity::load(&self.settings, &self.data);
+        let identity = identity.map_err(failed("read identity in"))?;
         let disk = storage::Directory::open(identity::log_folder(&self.data))?;
+        let disk = disk::Background::new(disk).map_err(failed("start a thread for syncs of"))?;
         log::info!(replica = identity.replica.0, founders = identity.members.len(); "opening the log");
         host::Builder::<Edge>::new(identity.replica, identity.members)
             .group(GROUP, ledger::Ledger::default())
@@ -229,7 +233,7 @@
             .pending_bytes(PENDING_BYTES)
             .retained_bytes(RETAINED_BYTES)
             .seed(rand::random())
-            .open(disk::Timed(disk))
+            .open(disk)
     }
 
     fn clear(&self, reason: &str) {
