--- a/crates/coord/src/node/mod.rs
+++ b/crates/coord/src/node/mod.rs
@@ -59,6 +59,8 @@
     pub early: Vec<(ReplicaId, Envelope)>,
     /// Messages that may be sent only after the records are synced.
     pub late: Vec<(ReplicaId, Envelope)>,
+    /// Messages that may be sent only after the records that are being synced.
+    pub held: Vec<(ReplicaId, Envelope)>,
     /// Records to be written.
     pub records: Vec<Record>,
     /// Replicas that need a piece of the latest snapshot, from an offset on.
@@ -141,6 +143,8 @@
     group: GroupId,
     options: Options,
     now_ms: u64,
+    /// The time of the step before.
+    previous_ms: u64,
     started: bool,
     rng: rand_pcg::Pcg32,
     term: u64,
@@ -151,11 +155,19 @@
     members: member::History,
     /// The last index that is durable here.
     durable_index: u64,
+    /// The last index that is durable here once the running sync has finished.
+    syncing_index: u64,
+    /// Whether a sync is running.
+    syncing: bool,
+    /// Whether the running sync covers a change of term or vote.
+    syncing_vote: bool,
     /// Whether term or vote changed since they were last written.
     vote_changed: bool,
     election_due_ms: u64,
     /// Until then votes are refused, because a leader may hold a lease.
     quiet_until_ms: u64,
+    /// When the leader of the term was last heard.
+    leader_heard_ms: u64,
     campaign: Option<Campaign>,
     leadership: Option<Leadership>,
     incoming: Option<follow::Incoming>,
@@ -180,6 +192,7 @@
             group,
             options,
             now_ms: 0,
+            previous_ms: 0,
             started: false,
             rng: rand_pcg::Pcg32::seed_from_u64(seed),
             term: durable.term,
@@ -187,11 +200,15 @@
             role: Role::Learner,
             leader: None,
             durable_index: log.last_index(),
+            syncing_index: log.last_index(),
+            syncing: false,
+            syncing_vote: false,
             log,
             members,
             vote_changed: false,
             election_due_ms: 0,
             quiet_until_ms: 0,
+            leader_heard_ms: 0,
             campaign: None,
             leadership: None,
             incoming: None,
@@ -229,11 +246,14 @@
 
     /// Sets the clock before inputs are handled.
     pub fn set_now(&mut self, now_ms: u64) {
+        self.previous_ms = self.now_ms;
         self.now_ms = now_ms;
         if self.started {
             return;
         }
         self.started = true;
+        self.previous_ms = now_ms;
+        self.leader_heard_ms = now_ms;
         // The replica may have answered a leader just before it restarted, and
         // that leader's lease counts on it.
         self.quiet_until_ms = now_ms + self.options.election_timeout_ms;
@@ -247,6 +267,7 @@
         if self.role == Role::Leader {
             self.tick_leader();
         } else if self.now_ms >= self.election_due_ms && self.members().is_voter(self.id) {
+            self.log_silent_leader();
             self.start_campaign(Vote::Pre);
         }
     }
@@ -282,7 +303,8 @@
     /// returns them all.
     pub fn take_records(&mut self) -> Vec<Record> {
         let mut records = Vec::new();
-        if std::mem::take(&mut self.vote_changed) {
+        self.syncing_vote = std::mem::take(&mut self.vote_changed);
+        if self.syncing_vote {
             records.push(self.vote_record());
         }
         records.append(&mut self.out.records);
@@ -296,10 +318,22 @@
         }
     }
 
-    /// Notes that all records were synced.
+    /// Notes that the records that were taken are being synced.
+    pub fn sync_started(&mut self) {
+        self.syncing = true;
+        self.syncing_index = self.log.last_index();
+        self.out.held.append(&mut self.out.late);
+    }
+
+    /// Notes that the records that were taken last were synced.
     pub fn persisted(&mut self) {
-        self.durable_index = self.log.last_index();
-        self.count_own_vote();
+        self.syncing = false;
+        self.syncing_vote = false;
+        self.durable_index = self.syncing_index;
+        // A vote that was cast during the sync is not durable.
+        if !self.vote_changed {
+            self.count_own_vote();
+        }
         self.advance_commit();
     }
 
--- a/programs/gateway/src/control/replica.rs
+++ b/programs/gateway/src/control/replica.rs
@@ -13,7 +13,11 @@
 use bw_wire::name::Name;
 use tokio::sync::{mpsc as async_mpsc, oneshot};
 
-use crate::{clock, control::identity, settings};
+use crate::{
+    clock,
+    control::{disk, identity},
+    settings,
+};
 
 /// The only group.
 const GROUP: GroupId = GroupId(0);
@@ -26,6 +30,9 @@
 /// leader is answered in time (0.5 s) only if the election takes less: 500 ms
 /// meant 0.7 s without a leader.
 const ELECTION_MS: u64 = 300;
+/// A step that takes longer is logged: no heartbeat is sent meanwhile, and the
+/// interval between heartbeats is a tenth of the election timeout.
+const SLOW_STEP: time::Duration = time::Duration::from_millis(ELECTION_MS / 10);
 /// Calls handled in one step, so that one sync covers many.
 const CALLS_PER_STEP: usize = 256;
 /// Pause before a disk that failed is tried again.
@@ -184,7 +191,7 @@
 struct Edge;
 
 impl host::Edge for Edge {
-    type Disk = storage::Directory;
+    type Disk = disk::Background;
     type Machine = ledger::Ledger;
 }
 
@@ -267,13 +274,17 @@
     }
 
     fn open(&self) -> Result<Host, storage::Error> {
-        let failed = |error: io::Error| storage::Error::Io {
-            operation: "read identity in",
-            file: self.data.display().to_string(),
-            source: Arc::new(error),
+        let failed = |operation| {
+            move |error: io::Error| storage::Error::Io {
+                operation,
+                file: self.data.display().to_string(),
+                source: Arc::new(error),
+            }
         };
-        let identity = identity::load(&self.settings, &self.data).map_err(failed)?;
+        let identity = identity::load(&self.settings, &self.data);
+        let identity = identity.map_err(failed("read identity in"))?;
         let disk = storage::Directory::open(identity::log_folder(&self.data))?;
+        let disk = disk::Background::new(disk).map_err(failed("start a thread for syncs of"))?;
         log::info!(replica = identity.replica.0, founders = identity.members.len(); "opening the log");
         host::Builder::<Edge>::new(identity.replica, identity.members)
             .group(GROUP, ledger::Ledger::default())
@@ -408,6 +419,8 @@
     fn step(&mut self, inputs: Vec<host::Input>) -> Result<(), storage::Error> {
         let mut outputs = Vec::new();
         let replica = self.replica;
+        let began = time::Instant::now();
+        let (count, before) = (inputs.len(), self.host.stats());
         let result = self
             .host
             .step(inputs, clock::steady_ms(), &mut |output| match output {
@@ -417,6 +430,15 @@
                 }),
                 other => outputs.push(other),
             });
+        let took = began.elapsed();
+        if took > SLOW_STEP {
+            let after = self.host.stats();
+            log::warn!(
+                step_ms = took.as_millis() as u64, inputs = count,
+                entries = after.entries - before.entries, syncs = after.syncs - before.syncs;
+                "a step of the replicated log was slow"
+            );
+        }
         for output in outputs {
             self.handle(output);
         }
