Refuse unknown names only for the newest configuration

Callers got 404 for a model or service that an accepted configuration has, and 400 for a missing Idempotency-Key of a service that is repeatable by now. The entry VM answered from the configuration that it held. Under a valid lease this can be up to 4 s behind; a request whose body arrived after the lease had ended was refused from a configuration older than the one in force, because the lease was checked only before the body was read.

Such a refusal now waits for an exchange with the control leader that began after the request had arrived. The leader answers it after a read barrier, so the second look is at the newest accepted configuration. All requests that arrived before the exchange share it, and waiting requests cause four exchanges a second at most. Without an answer in 2 s the refusal is 503 configuration_stale with verdict not_run and Retry-After.

--- a/programs/entry/src/api/mod.rs
+++ b/programs/entry/src/api/mod.rs
@@ -151,11 +151,11 @@
         "/v1/completions" => {
             completions::answer(context, &head, upstream::Api::Completion, body).await
         }
-        "/v1/models" => models::answer(context, &head),
+        "/v1/models" => models::answer(context, &head).await,
         backend::ANNOUNCE_PATH => announce::announce(context, &head, body).await,
         backend::CACHE_EVENTS_PATH => announce::cache_events(context, &head, body).await,
         "/healthz" | "/readyz" => health::answer(context, &head),
-        path if path.starts_with("/v1/models/") => models::answer(context, &head),
+        path if path.starts_with("/v1/models/") => models::answer(context, &head).await,
         path if path.starts_with("/v1/files") || path.starts_with("/v1/batches") => {
             stored(context, &head, body).await
         }
--- a/programs/entry/src/api/models.rs
+++ b/programs/entry/src/api/models.rs
@@ -7,7 +7,7 @@
 use crate::{context, filter};
 
 /// Lists the declared models with their adapters, or describes one of them.
-pub(super) fn answer(
+pub(super) async fn answer(
     context: &context::Context,
     head: &Head,
 ) -> Result<Response, refusal::Refusal> {
@@ -15,13 +15,16 @@
     let shared = &context.shared;
     filter::admission::check_open(shared)?;
     filter::access::team(&shared.credentials, &head.headers)?;
-    let intent = &shared.snapshot.load().intent;
     let path = head.uri.path();
     if let Some(named) = path.strip_prefix("/v1/models/") {
         let named = name::Name::from(named);
-        filter::parse::target(intent, &named)?;
+        filter::declared(shared, |snapshot| {
+            filter::parse::target(&snapshot.intent, &named)
+        })
+        .await?;
         return json(&model(&named));
     }
+    let intent = &shared.snapshot.load().intent;
     let mut data = Vec::new();
     for (name, declared) in &intent.models {
         data.push(model(name));
--- a/programs/entry/src/api/service.rs
+++ b/programs/entry/src/api/service.rs
@@ -3,7 +3,7 @@
 use std::{io, sync};
 
 use bw_policy::{retry, router};
-use bw_wire::{name, refusal};
+use bw_wire::{intent, name, refusal};
 use bytes::Bytes;
 use gotham::http;
 use http_body_util::{BodyExt, Limited};
@@ -48,17 +48,14 @@
     let open = context.open.enter()?;
     let team = filter::access::team(&shared.credentials, &head.headers)?;
     let (service, path) = split(head)?;
-    let declared = shared
-        .snapshot
-        .load()
-        .intent
-        .services
-        .get(&service)
-        .cloned();
-    let declared = declared.ok_or_else(|| {
-        let message = format!("the service {:?} does not exist", service.as_str());
-        refusal::Refusal::not_run(refusal::Reason::ServiceNotFound, message)
-    })?;
+    let declared = filter::declared(shared, |snapshot| {
+        let declared = find(&snapshot.intent, &service)?;
+        if !declared.repeatable {
+            online::Key::check(head)?;
+        }
+        Ok(declared)
+    })
+    .await?;
     let body = filter::body::read(&shared.settings.limits, &head.headers, body).await?;
     let deadline_ms = filter::deadline::of(shared, head)?;
     let deadline_ms = deadline_ms.min(shared.clock.now_ms() + declared.timeout_ms);
@@ -93,6 +90,18 @@
     online::once(context, key, call.run_once()).await
 }
 
+/// Finds a declared service.
+fn find(
+    intent: &intent::Intent,
+    service: &name::Name,
+) -> Result<intent::Service, refusal::Refusal> {
+    let declared = intent.services.get(service).cloned();
+    declared.ok_or_else(|| {
+        let message = format!("the service {:?} does not exist", service.as_str());
+        refusal::Refusal::not_run(refusal::Reason::ServiceNotFound, message)
+    })
+}
+
 /// Splits a path into the service's name and the path that the service sees.
 fn split(head: &Head) -> Result<(name::Name, String), refusal::Refusal> {
     let path = head.uri.path();
--- a/programs/entry/src/context.rs
+++ b/programs/entry/src/context.rs
@@ -7,7 +7,9 @@
 use bw_wire::peer;
 use tokio::sync as async_sync;
 
-use crate::{clock, controller, drain, files, filter, routing, settings, snapshot, upstream};
+use crate::{
+    clock, confirmation, controller, drain, files, filter, routing, settings, snapshot, upstream,
+};
 
 /// Peer messages that a slow subscriber may lag behind.
 const PEER_MESSAGES: usize = 1_024;
@@ -26,6 +28,8 @@
     pub snapshot: snapshot::Cell,
     /// The configuration lease.
     pub lease: snapshot::Lease,
+    /// Tells whether the published configuration is the newest one.
+    pub confirmation: confirmation::Confirmation,
     /// Admission of online requests.
     pub admission: filter::Admission,
     /// Retry budgets.
@@ -61,6 +65,7 @@
             suspects: sync::Mutex::new(suspect::Builder::new().build()),
             snapshot: snapshot::Cell::default(),
             lease: snapshot::Lease::default(),
+            confirmation: confirmation::Confirmation::default(),
             drain: drain::Drain::default(),
             incarnation,
             peer_messages: async_sync::broadcast::Sender::new(PEER_MESSAGES),
--- a/programs/entry/src/controller/exchange.rs
+++ b/programs/entry/src/controller/exchange.rs
@@ -13,6 +13,10 @@
 
 /// Shortest time between two exchanges, in milliseconds.
 const MIN_INTERVAL_MS: u64 = 50;
+/// Time between two exchanges while requests wait for a confirmation, in
+/// milliseconds. Callers that ask for unknown names thus cause four exchanges a
+/// second at most.
+const CONFIRM_INTERVAL_MS: u64 = 250;
 
 /// When the next exchange is due and what the last one said.
 #[derive(Debug)]
@@ -49,10 +53,11 @@
     }
 
     /// Returns when the next exchange is due; none while one is running.
-    pub(super) fn due_ms(&self) -> Option<u64> {
-        let interval_ms = match self.urgent {
-            true => MIN_INTERVAL_MS,
-            false => self.interval_ms,
+    pub(super) fn due_ms(&self, is_wanted: bool) -> Option<u64> {
+        let interval_ms = match (self.urgent, is_wanted) {
+            (true, _) => MIN_INTERVAL_MS,
+            (false, true) => self.interval_ms.min(CONFIRM_INTERVAL_MS),
+            (false, false) => self.interval_ms,
         };
         (!self.running).then_some(self.last_sent_ms + interval_ms)
     }
@@ -61,6 +66,7 @@
 /// A finished exchange.
 #[derive(Debug)]
 pub(super) struct Synced {
+    number: u64,
     sent_ms: u64,
     reported: Vec<registry::Reported>,
     result: Result<wire_sync::Response, control::Error>,
@@ -73,11 +79,13 @@
         self.schedule.running = true;
         self.schedule.urgent = false;
         self.schedule.last_sent_ms = now_ms;
+        let number = self.shared.confirmation.begin();
         let (request, reported) = self.sync_request(now_ms);
         let client = self.sync_client.clone();
         self.tasks.spawn(async move {
             let result = client.sync(&request).await;
             Done::Synced(Box::new(Synced {
+                number,
                 sent_ms: now_ms,
                 reported,
                 result,
@@ -120,7 +128,7 @@
             Ok(response) => {
                 metrics::SYNCS.with_label_values(&["answered"]).inc();
                 self.registry.reported(&synced.reported);
-                self.apply(synced.sent_ms, response);
+                self.apply(synced.number, synced.sent_ms, response);
             }
             Err(error) => {
                 metrics::SYNCS.with_label_values(&["failed"]).inc();
@@ -129,7 +137,7 @@
         }
     }
 
-    fn apply(&mut self, sent_ms: u64, response: wire_sync::Response) {
+    fn apply(&mut self, number: u64, sent_ms: u64, response: wire_sync::Response) {
         let term_changed = response.leader_term != self.schedule.leader_term;
         self.schedule.full_report = term_changed || response.report_all;
         self.schedule.leader_term = response.leader_term;
@@ -189,14 +197,15 @@
         if changed {
             self.publish();
         }
-        self.extend_lease(sent_ms, response.revision, response.lease_ms);
+        self.extend_lease(number, sent_ms, response.revision, response.lease_ms);
     }
 
-    /// Extends the lease if what is published here is what the leader has.
+    /// Extends the lease and confirms the configuration if what is published
+    /// here is what the leader has.
     ///
     /// The lease counts from the time the request was sent, so that it ends
     /// here no later than the leader assumes, however long the answer took.
-    fn extend_lease(&self, sent_ms: u64, revision: u64, lease_ms: u64) {
+    fn extend_lease(&self, number: u64, sent_ms: u64, revision: u64, lease_ms: u64) {
         if revision != self.state.revision {
             log::warn!(
                 served = self.state.revision, leader = revision;
@@ -209,6 +218,7 @@
         }
         let lease_ms = lease_ms.min(wire_sync::CONFIG_LEASE_MS);
         self.shared.lease.extend(sent_ms + lease_ms);
+        self.shared.confirmation.confirm(number);
     }
 
     /// Notes since when entry VMs are missing from the list.
--- a/programs/entry/src/controller/run.rs
+++ b/programs/entry/src/controller/run.rs
@@ -162,6 +162,8 @@
                 _ = async_time::sleep(sync_in.unwrap_or_default()), if sync_in.is_some() => {
                     self.start_sync();
                 }
+                // The next exchange may be due sooner now.
+                _ = shared.confirmation.wanted() => {}
                 _ = shared.table.changed(), if flush_at.is_none() => {
                     flush_at = Some(async_time::Instant::now() + COALESCE);
                 }
@@ -187,7 +189,8 @@
 
     fn sync_in(&self) -> Option<time::Duration> {
         let now_ms = self.shared.clock.now_ms();
-        let due_ms = self.schedule.due_ms()?;
+        let is_wanted = self.shared.confirmation.is_wanted();
+        let due_ms = self.schedule.due_ms(is_wanted)?;
         Some(time::Duration::from_millis(due_ms.saturating_sub(now_ms)))
     }
 
--- a/programs/entry/src/filter/admission.rs
+++ b/programs/entry/src/filter/admission.rs
@@ -37,11 +37,13 @@
     if shared.lease.is_valid(shared.clock.now_ms()) {
         return Ok(());
     }
+    Err(stale())
+}
+
+/// Returns the refusal of a request for which an old configuration may be known.
+pub fn stale() -> refusal::Refusal {
     let message = "the entry VM has no contact with control and may hold an old configuration";
-    Err(refusal::Refusal::not_run(
-        refusal::Reason::ConfigurationStale,
-        message,
-    ))
+    refusal::Refusal::not_run(refusal::Reason::ConfigurationStale, message)
 }
 
 /// The limits and queues, shared by all threads.
--- a/programs/entry/src/filter/mod.rs
+++ b/programs/entry/src/filter/mod.rs
@@ -9,6 +9,7 @@
 pub mod admission;
 pub mod body;
 pub mod deadline;
+mod declared;
 pub mod open;
 pub mod parse;
 pub mod suspect;
@@ -20,6 +21,7 @@
 use crate::{api, context, upstream};
 
 pub use admission::Admission;
+pub use declared::declared;
 pub use open::Open;
 
 /// A request that may be sent to a backend server.
@@ -67,8 +69,10 @@
     let body = parse::online(api, &bytes)?;
     drop(bytes);
     let deadline_ms = deadline::of(shared, head)?;
-    let snapshot = shared.snapshot.load();
-    let target = parse::target(&snapshot.intent, &body.model)?;
+    let target = declared(shared, |snapshot| {
+        parse::target(&snapshot.intent, &body.model)
+    })
+    .await?;
     let fingerprint = body.fingerprint();
     suspect::check(shared, fingerprint)?;
     let service = target.model.clone();
--- a/programs/entry/src/lib.rs
+++ b/programs/entry/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod api;
 pub mod batch;
 pub mod clock;
+pub mod confirmation;
 pub mod context;
 pub mod controller;
 pub mod drain;
--- a/programs/entry/src/metrics.rs
+++ b/programs/entry/src/metrics.rs
@@ -19,6 +19,15 @@
     )
 });
 
+/// Waits for a confirmation of the configuration by outcome.
+pub static CONFIRMATIONS: LazyLock<prometheus::IntCounterVec> = LazyLock::new(|| {
+    metrics::counter(
+        "bw_entry_confirmations_total",
+        "Requests for unknown names that waited for the newest configuration",
+        &["outcome"],
+    )
+});
+
 /// Retries by the cause that led to them.
 pub static RETRIES: LazyLock<prometheus::IntCounterVec> = LazyLock::new(|| {
     metrics::counter(
--- a/programs/entry/src/online/once.rs
+++ b/programs/entry/src/online/once.rs
@@ -51,14 +51,7 @@
         body: &[u8],
         deadline_ms: u64,
     ) -> Result<Key, refusal::Refusal> {
-        let given = head.text(header::IDEMPOTENCY_KEY).map(name::Name::from);
-        let key = given.or_else(|| head.id_given.then(|| head.id.clone()));
-        let key = key.filter(|key| !key.is_empty() && key.len() <= 256);
-        let key = key.ok_or_else(|| {
-            let message = "a request that is not repeatable needs an Idempotency-Key";
-            refusal::Refusal::not_run(refusal::Reason::InvalidField, message)
-                .param(header::IDEMPOTENCY_KEY)
-        })?;
+        let key = Key::text(head)?;
         let mut content = format!("{} {}\n", head.method, head.uri).into_bytes();
         content.extend_from_slice(body);
         Ok(Key {
@@ -71,6 +64,26 @@
         })
     }
 
+    /// Checks that the headers have a key.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a request without a key.
+    pub fn check(head: &api::Head) -> Result<(), refusal::Refusal> {
+        Key::text(head).map(drop)
+    }
+
+    fn text(head: &api::Head) -> Result<name::Name, refusal::Refusal> {
+        let given = head.text(header::IDEMPOTENCY_KEY).map(name::Name::from);
+        let key = given.or_else(|| head.id_given.then(|| head.id.clone()));
+        let key = key.filter(|key| !key.is_empty() && key.len() <= 256);
+        key.ok_or_else(|| {
+            let message = "a request that is not repeatable needs an Idempotency-Key";
+            refusal::Refusal::not_run(refusal::Reason::InvalidField, message)
+                .param(header::IDEMPOTENCY_KEY)
+        })
+    }
+
     fn group(&self, groups: u32) -> u32 {
         id::group_for(format!("{}\n{}", self.team, self.key).as_bytes(), groups)
     }
