Keep a running attempt whose holder is listed twice or not yet

Callers that resent a request that is not repeatable were told outcome_unknown, for good, while the first one was running and finished. The first caller was told the same, as the record came first.

An entry VM took the process that holds the attempt for gone if the first listed process of that name had another incarnation. After a restart control lists the earlier process beside the later one until its lease has ended, 4 s, and an entry VM that is behind lists only the earlier one. Both say nothing about the later process. The same holds for an absence that was noted before it started.

An incarnation is now gone only if a later one is listed and it is not, or if it or a later one was listed and has been absent for 10 s.

--- a/programs/entry/src/controller/exchange.rs
+++ b/programs/entry/src/controller/exchange.rs
@@ -221,14 +221,20 @@
         self.shared.confirmation.confirm(number);
     }
 
-    /// Notes since when entry VMs are missing from the list.
+    /// Notes which entry VMs are missing from the list, and since when.
     fn note_absent(&mut self, listed: &[wire_sync::Peer], now_ms: u64) {
         let is_listed = |entry: &name::Name| listed.iter().any(|peer| peer.entry == *entry);
         let mut absent = (*self.state.absent).clone();
         absent.retain(|entry, _| !is_listed(entry));
         for peer in &self.state.peers {
             if !is_listed(&peer.entry) {
-                absent.entry(peer.entry.clone()).or_insert(now_ms);
+                let absence = absent
+                    .entry(peer.entry.clone())
+                    .or_insert(snapshot::Absence {
+                        incarnation: peer.incarnation,
+                        since_ms: now_ms,
+                    });
+                absence.incarnation = absence.incarnation.max(peer.incarnation);
             }
         }
         if absent != *self.state.absent {
--- a/programs/entry/src/controller/run.rs
+++ b/programs/entry/src/controller/run.rs
@@ -41,7 +41,7 @@
     pub(super) revision: u64,
     pub(super) intent: sync::Arc<bw_wire::intent::Intent>,
     pub(super) peers: Vec<bw_wire::sync::Peer>,
-    pub(super) absent: sync::Arc<collections::BTreeMap<name::Name, u64>>,
+    pub(super) absent: sync::Arc<collections::BTreeMap<name::Name, snapshot::Absence>>,
     pub(super) owners: sync::Arc<collections::BTreeMap<name::Name, name::Name>>,
     pub(super) online: collections::BTreeMap<name::Name, u32>,
 }
--- a/programs/entry/src/online/once.rs
+++ b/programs/entry/src/online/once.rs
@@ -261,7 +261,7 @@
         return false;
     };
     if entry == shared.settings.name.as_str() {
-        return incarnation != shared.incarnation;
+        return incarnation < shared.incarnation;
     }
     shared
         .snapshot
--- a/programs/entry/src/snapshot.rs
+++ b/programs/entry/src/snapshot.rs
@@ -16,26 +16,45 @@
     pub intent: sync::Arc<intent::Intent>,
     /// Other entry VMs.
     pub peers: Vec<wire_sync::Peer>,
-    /// When entry VMs that are no longer listed were last listed, on the
-    /// process clock.
-    pub absent: sync::Arc<collections::BTreeMap<name::Name, u64>>,
+    /// Entry VMs that are no longer listed.
+    pub absent: sync::Arc<collections::BTreeMap<name::Name, Absence>>,
     /// The entry VM that owns each backend server's batch work.
     pub owners: sync::Arc<collections::BTreeMap<name::Name, name::Name>>,
 }
 
+/// An entry VM that is no longer listed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Absence {
+    /// The incarnation that was listed last.
+    pub incarnation: u64,
+    /// When it was first missing, on the process clock.
+    pub since_ms: u64,
+}
+
 /// Time after which an entry VM that is no longer listed counts as gone: its
 /// lease has ended and its running requests have had time to be recorded.
 const GONE_MS: u64 = 10_000;
 
 impl Snapshot {
     /// Returns whether an incarnation of an entry VM is gone.
+    ///
+    /// Control lists an earlier process beside the later one until its lease has
+    /// ended, and this snapshot may be older than the incarnation. An incarnation
+    /// that is later than all that were listed is therefore not gone.
     pub fn is_gone(&self, entry: &str, incarnation: u64, now_ms: u64) -> bool {
-        let listed = self.peers.iter().find(|peer| peer.entry.as_str() == entry);
-        if let Some(peer) = listed {
-            return peer.incarnation != incarnation;
+        let peers = self.peers.iter();
+        let mut listed = peers
+            .filter(|peer| peer.entry.as_str() == entry)
+            .map(|peer| peer.incarnation)
+            .peekable();
+        if listed.peek().is_some() {
+            return listed.all(|listed| listed > incarnation);
         }
-        let absent_ms = self.absent.get(entry);
-        absent_ms.is_some_and(|since_ms| now_ms.saturating_sub(*since_ms) > GONE_MS)
+        let absence = self.absent.get(entry);
+        absence.is_some_and(|absence| {
+            let absent_ms = now_ms.saturating_sub(absence.since_ms);
+            absence.incarnation >= incarnation && absent_ms > GONE_MS
+        })
     }
 }
 
--- a/programs/entry/tests/once.rs
+++ b/programs/entry/tests/once.rs
@@ -194,3 +194,27 @@
     assert_eq!(last.headers["x-shop"], "7");
     assert!(!last.headers.contains_key("authorization"));
 }
+
+/// Guards against a running request whose outcome becomes unknown: control lists
+/// two processes of its entry VM for some seconds after a restart.
+#[rstest]
+fn a_request_on_a_restarted_entry_vm_is_not_recorded_as_unknown() {
+    let fleet = invoices(&[Answer::Whole]);
+    let peer = |incarnation| bw_wire::sync::Peer {
+        entry: "entry-2".into(),
+        incarnation,
+        failure_domain: "a".into(),
+        address: "127.0.0.1:1".into(),
+    };
+    fleet.control.lock().peers = vec![peer(4), peer(5)];
+    let shared = fleet.entry.shared();
+    wait_for("the peers", || shared.snapshot.load().peers.len() == 2);
+    let running = support::control::Attempt {
+        number: 1,
+        holder: "entry-2/5/r".into(),
+        outcome: None,
+    };
+    fleet.control.lock().attempts.insert("k1".into(), running);
+    assert_eq!(send(&fleet, "k1").refusal().0, "key_in_progress");
+    assert_eq!(fleet.control.lock().attempts["k1"].outcome, None);
+}
