Withdraw an attempt whose record was not answered

Callers whose request is not repeatable were told control_unavailable with verdict not_run, came back, and were refused with key_in_progress until the deadline and with outcome_unknown for good from then on, although nothing had run.

The refusal ended the request, and nobody recorded that it did not run.

A shutdown does not wait longer than for the try under way.

The support's fake control can apply commands without an answer for it.

--- a/programs/entry/src/online/once.rs
+++ b/programs/entry/src/online/once.rs
@@ -6,7 +6,7 @@
 use bw_client::control;
 use bw_wire::{
     command::work::{AttemptOutcome, Command, Reply},
-    fingerprint, header, id, name, refusal,
+    fingerprint, header, id, name, refusal, verdict,
 };
 use bytes::Bytes;
 use gotham::http;
@@ -21,6 +21,7 @@
 const MAX_ANSWER_BYTES: usize = 1024 * 1024;
 
 /// Identifies a request that runs at most once.
+#[derive(Clone)]
 pub struct Key {
     /// The team.
     pub team: name::Name,
@@ -110,8 +111,8 @@
     /// Sorts a refusal by its verdict.
     pub fn of_refusal(refusal: refusal::Refusal) -> Outcome {
         match refusal.verdict {
-            bw_wire::verdict::Verdict::NotRun => Outcome::NotRun(refusal),
-            bw_wire::verdict::Verdict::MayHaveRun => Outcome::Unknown(refusal),
+            verdict::Verdict::NotRun => Outcome::NotRun(refusal),
+            verdict::Verdict::MayHaveRun => Outcome::Unknown(refusal),
         }
     }
 
@@ -171,7 +172,7 @@
 }
 
 async fn run<F>(
-    context: &context::Context,
+    context: &sync::Arc<context::Context>,
     key: &Key,
     operation: F,
 ) -> Result<api::Response, refusal::Refusal>
@@ -196,7 +197,10 @@
     Known(AttemptOutcome),
 }
 
-async fn begin(context: &context::Context, key: &Key) -> Result<Begun, refusal::Refusal> {
+async fn begin(
+    context: &sync::Arc<context::Context>,
+    key: &Key,
+) -> Result<Begun, refusal::Refusal> {
     let shared = &context.shared;
     let left_ms = key.deadline_ms.saturating_sub(shared.clock.now_ms());
     let group = key.group(shared.settings.groups);
@@ -212,8 +216,12 @@
         };
         // Nothing has been sent to a backend server yet, whatever became of
         // the command.
-        let reply = context.control.work(group, command).await;
+        let reply = context.control.work(group, command.clone()).await;
         let reply = reply.map_err(|error| {
+            if error.verdict == verdict::Verdict::MayHaveRun {
+                let withdrawal = withdraw(sync::Arc::clone(context), key.clone(), command);
+                shared.drain.finish(withdrawal);
+            }
             let message = format!("the control replicas did not answer: {}", error.message);
             refusal::Refusal::not_run(refusal::Reason::ControlUnavailable, message)
         })?;
@@ -250,6 +258,37 @@
     }
 }
 
+/// Records that a request did not run whose attempt may have been recorded, but
+/// was not answered. A resend would otherwise find it running until its deadline
+/// and unknown from then on.
+///
+/// The repeated command gets the same attempt, as its holder is the same.
+async fn withdraw(context: sync::Arc<context::Context>, key: Key, command: Command) {
+    let shared = &context.shared;
+    let group = key.group(shared.settings.groups);
+    let give_up_ms = key.deadline_ms + RECORD_MS;
+    let request_id = key.request_id.as_str();
+    loop {
+        match context.control.work(group, command.clone()).await {
+            Ok(Reply::Begin { attempt }) => {
+                let ended = end(&context, &key, attempt, AttemptOutcome::NotRun).await;
+                if let Err(refusal) = ended {
+                    log::warn!(request_id; "attempt not withdrawn: {}", refusal.message);
+                }
+                return;
+            }
+            // The key belongs to another request, or nothing was recorded.
+            Ok(_) => return,
+            Err(error) => log::warn!(request_id; "attempt not withdrawn yet: {error}"),
+        }
+        // Nothing ran, so a shutdown does not wait for control to come back.
+        if shared.drain.is_draining() || shared.clock.now_ms() >= give_up_ms {
+            return;
+        }
+        tokio::time::sleep(RECORD_PAUSE).await;
+    }
+}
+
 /// Returns whether the process that holds an attempt is gone. If in doubt it
 /// counts as alive: the deadline of the attempt settles the rest.
 fn is_gone(shared: &context::Shared, holder: &str) -> bool {
--- a/programs/entry/tests/once.rs
+++ b/programs/entry/tests/once.rs
@@ -218,3 +218,18 @@
     assert_eq!(send(&fleet, "k1").refusal().0, "key_in_progress");
     assert_eq!(fleet.control.lock().attempts["k1"].outcome, None);
 }
+
+/// Guards against a key that is lost to a request whose caller was told that it
+/// did not run: the record of its attempt was stored, but not answered in time.
+#[rstest]
+fn a_request_whose_record_was_not_answered_may_run_later() {
+    let fleet = invoices(&[Answer::Whole]);
+    fleet.control.lock().mute = true;
+    let refusal = send(&fleet, "k1").refusal();
+    let unavailable = ("control_unavailable".to_owned(), "not_run".to_owned());
+    assert_eq!(refusal, unavailable);
+    assert_eq!(fleet.control.lock().attempts["k1"].outcome, None);
+    fleet.control.lock().mute = false;
+    wait_for("the request to run", || send(&fleet, "k1").status == 200);
+    assert_eq!(runs(&fleet), 1);
+}
--- a/programs/entry/tests/support/control.rs
+++ b/programs/entry/tests/support/control.rs
@@ -22,6 +22,8 @@
     pub silent: bool,
     /// How late answers to `sync` are.
     pub answer_ms: u64,
+    /// Commands are applied, but not answered.
+    pub mute: bool,
     /// Calls of `sync` that are not answered.
     pub lost: u32,
     pub interval_ms: u64,
@@ -58,6 +60,7 @@
     pub fn start() -> Control {
         let state = Arc::new(sync::Mutex::new(State {
             silent: false,
+            mute: false,
             answer_ms: 0,
             lost: 0,
             interval_ms: wire_sync::INTERVAL_MS,
@@ -146,6 +149,9 @@
                 panic!("entry VMs propose work only");
             };
             let reply = work_reply(&mut state.lock().expect("lock"), command);
+            if state.lock().expect("lock").mute {
+                std::future::pending::<()>().await;
+            }
             Ok::<_, ErrorObjectOwned>(command::Reply::Work(reply))
         })
         .expect("registered");
