Show an item that fails for a model that is declared

A test that fails on this code. An item of an accepted job is concluded with model_not_found, for good, although its model is in the accepted configuration: the dispatcher of an entry VM that has not heard of it yet looks the name up in the configuration that it holds. It leases chunks with unknown names on purpose, so that their job ends, and does so for up to 4 s without an exchange.

The fake control of the file can turn exchanges away and accept a configuration.

--- a/programs/entry/tests/batch.rs
+++ b/programs/entry/tests/batch.rs
@@ -50,6 +50,10 @@
     records: usize,
     /// Whether records are turned away for now.
     holds_records: bool,
+    /// Whether exchanges are turned away for now.
+    holds_syncs: bool,
+    revision: u64,
+    intent: intent::Intent,
     /// Largest number of outcomes in one record.
     largest_record: usize,
 }
@@ -140,6 +144,9 @@
             takes: 0,
             records: 0,
             holds_records: false,
+            holds_syncs: false,
+            revision: 1,
+            intent: declared(),
             largest_record: 0,
         }));
         let runtime = runtime::Builder::new_multi_thread()
@@ -275,18 +282,22 @@
         .register_method(rpc::SYNC, |params, state, _| {
             let request: wire_sync::Request = params.one()?;
             let mut state = state.lock().expect("not poisoned");
+            if state.holds_syncs {
+                return Err(ErrorObjectOwned::owned(rpc::BUSY, "busy", None::<()>));
+            }
             for heard in request.heard {
                 let id = heard.announcement.id.clone();
                 state.heard.insert(id, heard.announcement);
             }
+            let newer = request.revision < state.revision;
             Ok::<_, ErrorObjectOwned>(wire_sync::Response {
                 leader_term: 1,
                 clock_ms: 0,
                 interval_ms: wire_sync::INTERVAL_MS,
                 report_all: false,
                 lease_ms: wire_sync::CONFIG_LEASE_MS,
-                revision: 1,
-                intent: (request.revision == 0).then(|| Box::new(declared())),
+                revision: state.revision,
+                intent: newer.then(|| Box::new(state.intent.clone())),
                 table: 1,
                 whole: true,
                 backends: state.listed(),
@@ -417,6 +428,38 @@
     assert_eq!(fleet.requests(), 2);
 }
 
+/// Guards against items that fail for good because the entry VM has not heard of
+/// the configuration that declares their model.
+#[test]
+fn an_item_of_a_model_declared_a_moment_ago_does_not_fail() {
+    let fleet = Fleet::start(vec![Backend::engine("e1", &[Answer::Whole])]);
+    let warm = || fleet.lock().heard.contains_key("e1");
+    wait_for("the backend server to be reported", warm);
+    let body = r#"{"model":"new","messages":[{"role":"user","content":"c"}]}"#;
+    {
+        let mut state = fleet.lock();
+        state.holds_syncs = true;
+        state.revision += 1;
+        let models = &mut state.intent.models;
+        models.insert("new".into(), intent::Model::default());
+    }
+    let new = content(2, "/v1/chat/completions", body);
+    fleet.submit(vec![line(1), new, line(3)]);
+    // Within the configuration lease, in which the dispatcher leases chunks.
+    std::thread::sleep(time::Duration::from_millis(2_500));
+    fleet.lock().holds_syncs = false;
+    let entry = fleet.entry.as_ref().expect("running");
+    let shared = entry.shared();
+    wait_for("the configuration", || shared.snapshot.load().revision == 2);
+    wait_for("the other items", || fleet.job().counts.completed == 2);
+    let results = fleet.results();
+    let failed: Vec<&Outcome> = results
+        .iter()
+        .filter(|outcome| matches!(outcome.result, Result::Failed { .. }))
+        .collect();
+    assert!(failed.is_empty(), "{failed:?}");
+}
+
 /// Guards against items that are given up too soon, never, or without a code.
 #[rstest]
 #[case::refused_then_runs(&[Answer::Refuse, Answer::Refuse, Answer::Refuse, Answer::Refuse, Answer::Refuse, Answer::Refuse, Answer::Whole], 7, None)]
