Wait for the effect of a drain that is run again

Nobody told them whether the entry VMs had the change, so a backend server could be switched off while one still sent work.

The command compares with the accepted configuration and ended there.

docs/promises.md lists what each refusal of this way into the fleet is taken from.

--- a/programs/bilberry/src/config.rs
+++ b/programs/bilberry/src/config.rs
@@ -94,15 +94,7 @@
         false => intent.drained.insert(args.backend.as_str().into()),
     };
     if !changed {
-        let state = if args.undo {
-            "not drained"
-        } else {
-            "already drained"
-        };
-        return Err(exit::Failure::failed(format!(
-            "{} is {state}",
-            args.backend
-        )));
+        return unchanged(session, &client, args, base).await;
     }
     let plan = store_plan(session, &client, base, intent).await?;
     if args.yes {
@@ -111,6 +103,30 @@
     Ok(())
 }
 
+/// Answers for a backend server that already is as wanted. The change that made
+/// it so may be accepted but not in force yet, if its operator left before that.
+async fn unchanged(
+    session: &output::Session,
+    client: &control::Client,
+    args: &args::Drain,
+    revision: u64,
+) -> Result<(), exit::Failure> {
+    let state = match args.undo {
+        true => "not drained",
+        false => "already drained",
+    };
+    let message = format!("{} is {state}", args.backend);
+    if !args.yes {
+        return Err(exit::Failure::failed(message));
+    }
+    session.progress(&message);
+    let in_force = wait_in_force(session, client, revision).await?;
+    let document = serde_json::json!({ "revision": revision, "in_force": in_force });
+    session.print(&document, || {
+        println!("{message}, and revision {revision} is in force everywhere");
+    })
+}
+
 async fn store_plan(
     session: &output::Session,
     client: &control::Client,
--- a/programs/dev/tests/operators.rs
+++ b/programs/dev/tests/operators.rs
@@ -76,6 +76,22 @@
     assert_eq!(undone.code, 0, "{undone:?}");
 }
 
+/// Guards against a drain that cannot be run again after its answer got lost, so
+/// that nobody learns whether it is in force.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drain_that_is_run_again_waits_until_it_is_in_force() {
+    let fleet = fleet::Builder::default().start().await;
+    let first = bilberry(&fleet, &["drain", "engine-0", "--yes"]);
+    assert_eq!(first.code, 0, "{first:?}");
+    let revision = fleet.intent().await.0;
+    let again = bilberry(&fleet, &["--json", "drain", "engine-0", "--yes"]);
+    assert_eq!(again.code, 0, "{again:?}");
+    let again = again.json();
+    assert_eq!(again["revision"], revision);
+    assert_eq!(again["in_force"], true);
+    assert_eq!(fleet.intent().await.0, revision, "it changed again");
+}
+
 /// Guards against jobs that the command line cannot submit, follow and read.
 #[tokio::test(flavor = "multi_thread")]
 async fn job_is_submitted_shown_and_read() {
