Fail items for an unknown model only for the newest configuration

Items of accepted jobs were concluded with model_not_found, for good, although their model is in the accepted configuration. An entry VM that had not heard of it yet leased the chunk and looked the name up in the configuration that it held.

The task that leases chunks now waits for an exchange with the control leader that began after the chunks were leased, if they name a model that is not declared. The item is read against the configuration of that exchange or a later one.

--- a/programs/entry/src/batch/dispatch/lease.rs
+++ b/programs/entry/src/batch/dispatch/lease.rs
@@ -1,12 +1,13 @@
 //! Taking, keeping and giving back chunk leases.
 
-use std::collections;
+use std::{collections, sync};
 
-use bw_wire::{backend, command::work, name, query};
+use bw_wire::{backend, command::work, intent, name, query};
 
-use super::{Dispatcher, Done};
+use super::{Answered, Dispatcher, Done, Remote};
 use crate::{
     batch::{book, metrics, queue},
+    context,
     filter::parse,
     snapshot,
 };
@@ -106,8 +107,13 @@
         self.is_taking = true;
         let chunks = u32::try_from(missing.div_ceil(work::CHUNK_ITEMS)).unwrap_or(TAKE_CHUNKS);
         let want = waiting.min(chunks).min(TAKE_CHUNKS);
-        let call = self.remote.clone().take(group, want, models, now_ms);
-        self.tasks.spawn(async { Done::Answered(call.await) });
+        let remote = self.remote.clone();
+        let call = remote.clone().take(group, want, models, now_ms);
+        let context = sync::Arc::clone(&self.context);
+        self.tasks.spawn(async move {
+            let taken = call.await;
+            Done::Answered(confirm(&context.shared, remote, taken).await)
+        });
     }
 
     /// Returns the names in a backlog that an owned backend server can run now,
@@ -244,3 +250,44 @@
         }
     }
 }
+
+/// Waits for the newest configuration if leased chunks name a model that is not
+/// declared here, because such items fail for good. Without it those chunks are
+/// given back.
+async fn confirm(shared: &context::Shared, remote: Remote, answered: Answered) -> Answered {
+    let Answered::Taken {
+        group,
+        sent_ms,
+        leases,
+    } = answered
+    else {
+        return answered;
+    };
+    let is_known = |lease: &work::Lease| {
+        let intent = &shared.snapshot.load().intent;
+        lease.lines.iter().all(|line| is_declared(line, intent))
+    };
+    let is_final = leases.iter().all(is_known) || shared.confirmation.wait().await;
+    let (kept, unclear): (Vec<_>, Vec<_>) = leases
+        .into_iter()
+        .partition(|lease| is_final || is_known(lease));
+    if !unclear.is_empty() {
+        let chunks = unclear.into_iter().map(|lease| lease.chunk).collect();
+        remote.release(group, chunks).await;
+    }
+    Answered::Taken {
+        group,
+        sent_ms,
+        leases: kept,
+    }
+}
+
+/// Returns whether the model of a line is declared, if it names one.
+fn is_declared(line: &work::Line, intent: &intent::Intent) -> bool {
+    match &line.content {
+        work::Content::Request { model, .. } => {
+            model.is_empty() || parse::target(intent, model).is_ok()
+        }
+        work::Content::Bad { .. } => true,
+    }
+}
