--- a/programs/entry/tests/once.rs
+++ b/programs/entry/tests/once.rs
@@ -194,3 +194,42 @@
     assert_eq!(last.headers["x-shop"], "7");
     assert!(!last.headers.contains_key("authorization"));
 }
+
+/// Guards against a running request whose outcome becomes unknown: control lists
+/// two processes of its entry VM for some seconds after a restart.
+#[rstest]
+fn a_request_on_a_restarted_entry_vm_is_not_recorded_as_unknown() {
+    let fleet = invoices(&[Answer::Whole]);
+    let peer = |incarnation| bw_wire::sync::Peer {
+        entry: "entry-2".into(),
+        incarnation,
+        failure_domain: "a".into(),
+        address: "127.0.0.1:1".into(),
+    };
+    fleet.control.lock().peers = vec![peer(4), peer(5)];
+    let shared = fleet.entry.shared();
+    wait_for("the peers", || shared.snapshot.load().peers.len() == 2);
+    let running = support::control::Attempt {
+        number: 1,
+        holder: "entry-2/5/r".into(),
+        outcome: None,
+    };
+    fleet.control.lock().attempts.insert("k1".into(), running);
+    assert_eq!(send(&fleet, "k1").refusal().0, "key_in_progress");
+    assert_eq!(fleet.control.lock().attempts["k1"].outcome, None);
+}
+
+/// Guards against a key that is lost to a request whose caller was told that it
+/// did not run: the record of its attempt was stored, but not answered in time.
+#[rstest]
+fn a_request_whose_record_was_not_answered_may_run_later() {
+    let fleet = invoices(&[Answer::Whole]);
+    fleet.control.lock().mute = true;
+    let refusal = send(&fleet, "k1").refusal();
+    let unavailable = ("control_unavailable".to_owned(), "not_run".to_owned());
+    assert_eq!(refusal, unavailable);
+    assert_eq!(fleet.control.lock().attempts["k1"].outcome, None);
+    fleet.control.lock().mute = false;
+    wait_for("the request to run", || send(&fleet, "k1").status == 200);
+    assert_eq!(runs(&fleet), 1);
+}
