Show how a burst of crashes ends or holds up sound items in bw-entry

Four tests on the entry program with fake backend servers, all failing:

An item in flight at three crashes ends with poisonous_request though the backend servers are sound afterwards. A caller's request with the content of such an item is refused with the same code, and an item is ended by the crashes of a caller's request, as both are counted under one fingerprint.

An item in flight at two crashes has to run alone. Its reserved backend server is waited for 10 s; online answers of 18 s with a new one each second never leave one empty, so that the item has no outcome 30 s later.

The fake engine gets a script entry that is slow for online requests only.

--- a/programs/entry/tests/batch.rs
+++ b/programs/entry/tests/batch.rs
@@ -5,8 +5,12 @@
 
 use std::{
     collections,
-    sync::{self, Arc, atomic::Ordering},
-    time,
+    io::Write,
+    sync::{
+        self, Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread, time,
 };
 
 use bw_coord::payload;
@@ -24,7 +28,7 @@
 use rstest::rstest;
 use support::{
     backend::{self, Answer, Backend},
-    control, wait_for,
+    caller, control, wait_for,
 };
 use tokio::runtime;
 
@@ -251,6 +255,22 @@
         }
     }
 
+    fn address(&self) -> String {
+        let entry = self.entry.as_ref().expect("the entry program runs");
+        entry.address().to_string()
+    }
+
+    /// Starts a backend server again, as a later incarnation.
+    fn restart(&mut self, index: usize, script: &[Answer]) {
+        let address = self.address();
+        let old = &self.backends[index];
+        old.silence();
+        let backend = Backend::engine(&old.id, script);
+        backend.change(|announcement| announcement.incarnation += 1);
+        backend.renew(&address);
+        self.backends[index] = backend;
+    }
+
     /// Returns the requests that all backend servers saw.
     fn requests(&self) -> usize {
         self.backends.iter().map(Backend::count).sum()
@@ -586,6 +606,143 @@
     assert_eq!((suspects[0].strikes, suspects[0].isolated), (3, 1));
 }
 
+/// Starts an engine that crashes under its first request.
+fn crashing(id: &str) -> Backend {
+    let backend = Backend::engine(id, &[Answer::Close]);
+    backend.refuse_after(1);
+    backend
+}
+
+/// Returns the body of an item that [`line`] makes.
+fn body_of(number: u32) -> String {
+    match line(number).content {
+        Content::Request { body, .. } => body,
+        Content::Bad { .. } => panic!("a request"),
+    }
+}
+
+/// Guards against a sound item that is concluded because three backend servers
+/// crashed while they ran it.
+#[test]
+fn three_crashes_around_a_sound_item_do_not_end_it() {
+    let mut fleet = Fleet::start(["e1", "e2", "e3"].map(crashing).into());
+    fleet.submit(vec![line(1)]);
+    wait_for("three crashes", || fleet.requests() == 3);
+    for index in 0..3 {
+        fleet.restart(index, &[Answer::Whole]);
+    }
+    fleet.wait_done();
+    assert_eq!(answered_text(&fleet.results()[0]), backend::whole_text());
+    wait_for("the item to be cleared", || {
+        fleet.lock().suspects().is_empty()
+    });
+}
+
+/// Guards against a sound item that is never placed again after a burst of
+/// crashes, because steady online traffic leaves no backend server empty.
+#[test]
+fn an_item_runs_after_a_burst_of_crashes_beside_steady_traffic() {
+    // An answer takes longer than a reserved backend server is waited for.
+    let online = Answer::SlowOnline(time::Duration::from_secs(3));
+    let backends = vec![
+        crashing("e1"),
+        crashing("e2"),
+        Backend::engine("e3", &[online]),
+        Backend::engine("e4", &[online]),
+    ];
+    let fleet = Fleet::start_owning(backends, &["e1", "e2"]);
+    fleet.submit(vec![line(1)]);
+    wait_for("two crashes", || fleet.requests() == 2);
+    let traffic = Traffic::start(&fleet.address());
+    wait_for("online requests to run", || {
+        fleet.backends[2].count() > 0 && fleet.backends[3].count() > 0
+    });
+    for id in ["e3", "e4"] {
+        fleet.lock().owners.insert(id.into(), "entry-1".into());
+    }
+    fleet.wait_done();
+    traffic.stop();
+    assert_eq!(answered_text(&fleet.results()[0]), backend::whole_text());
+}
+
+/// Guards against a caller's sound request that is refused because backend
+/// servers crashed while they ran an item with the same content.
+#[test]
+fn crashes_around_an_item_do_not_blame_a_request_with_its_content() {
+    let mut fleet = Fleet::start(["e1", "e2", "e3"].map(crashing).into());
+    fleet.submit(vec![line(1)]);
+    wait_for("three crashes", || fleet.requests() == 3);
+    // The strike of the last crash is recorded once the item is put back.
+    wait_for("three strikes", || {
+        let suspects = fleet.lock().suspects();
+        suspects.iter().any(|suspect| suspect.strikes == 3)
+    });
+    fleet.restart(0, &[Answer::Whole]);
+    wait_for("the request to be answered", || {
+        let path = "/v1/chat/completions";
+        let response = caller::post(&fleet.address(), path, &[], &body_of(1));
+        if response.status != 200 {
+            assert_ne!(response.refusal().0, "poisonous_request");
+        }
+        response.status == 200
+    });
+}
+
+/// Guards against an item that is concluded because backend servers crashed
+/// while they ran a caller's request with the same content, and against such a
+/// request that is no longer refused after three crashes.
+#[test]
+fn crashes_around_a_request_do_not_blame_an_item_with_its_content() {
+    let mut fleet = Fleet::start(["e1", "e2", "e3"].map(crashing).into());
+    let ask = |fleet: &Fleet| {
+        let path = "/v1/chat/completions";
+        caller::post(&fleet.address(), path, &[], &body_of(1))
+    };
+    wait_for("the request to be refused", || {
+        ask(&fleet).refusal().0 == "poisonous_request"
+    });
+    assert_eq!(fleet.requests(), 3);
+    for index in 0..3 {
+        fleet.restart(index, &[Answer::Whole]);
+    }
+    fleet.submit(vec![line(1)]);
+    fleet.wait_done();
+    assert_eq!(answered_text(&fleet.results()[0]), backend::whole_text());
+    assert_eq!(ask(&fleet).refusal().0, "poisonous_request");
+}
+
+/// Online requests that begin one after the other and are never done.
+struct Traffic {
+    stops: Arc<AtomicBool>,
+    thread: thread::JoinHandle<()>,
+}
+
+impl Traffic {
+    /// Starts a request each second, 60 at most.
+    fn start(address: &str) -> Traffic {
+        let stops = Arc::new(AtomicBool::new(false));
+        let (stopped, address) = (Arc::clone(&stops), address.to_owned());
+        let thread = thread::spawn(move || {
+            let body = support::chat_body(true).to_string();
+            let mut open = Vec::new();
+            while !stopped.load(Ordering::SeqCst) && open.len() < 60 {
+                let mut stream = caller::connect(&address);
+                let head = caller::head("POST", "/v1/chat/completions", &[], body.len());
+                let sent = stream.write_all(&[head.as_slice(), body.as_bytes()].concat());
+                sent.expect("sent");
+                open.push(stream);
+                thread::sleep(time::Duration::from_secs(1));
+            }
+        });
+        Traffic { stops, thread }
+    }
+
+    fn stop(self) {
+        self.stops.store(true, Ordering::SeqCst);
+        self.thread.join().expect("joined");
+    }
+}
+
 /// Guards against chunks that are held although this entry VM owns no backend
 /// server for their model, while another one may.
 #[test]
--- a/programs/entry/tests/support/backend.rs
+++ b/programs/entry/tests/support/backend.rs
@@ -25,6 +25,8 @@
     Whole,
     /// The whole answer, with a pause before each token.
     Slow(time::Duration),
+    /// Like [`Answer::Slow`] for online requests; items get the whole answer.
+    SlowOnline(time::Duration),
     /// The connection is closed after this many tokens.
     CutAfter(usize),
     /// Like [`Answer::CutAfter`], after pauses of 100 ms.
@@ -294,6 +296,10 @@
         }
         let head = format!("HTTP/1.1 200 OK\r\n{echo}transfer-encoding: chunked\r\n\r\n");
         let mut open = send(stream, &head);
+        let is_item = seen
+            .headers
+            .get("bw-class")
+            .is_some_and(|class| class == "batch");
         let resumed = seen.headers.get("bw-resume-tokens");
         let resumed: usize = resumed.map_or(0, |value| value.parse().expect("a number"));
         let chunk_id = match answer {
@@ -311,6 +317,7 @@
                 Answer::SlowCutAfter(count) if token >= count => return false,
                 Answer::SlowCutAfter(_) => thread::sleep(time::Duration::from_millis(100)),
                 Answer::Slow(pause) => thread::sleep(pause),
+                Answer::SlowOnline(pause) if !is_item => thread::sleep(pause),
                 Answer::Garbage if token == 1 => open &= send(stream, &event("{nonsense")),
                 _ => {}
             }
