Owe items under which backend servers crashed until they are done

After a burst of crashes, jobs had items that ended with poisonous_request or had no outcome for as long as online traffic stayed, though the fleet was calm and had room. Callers' requests were refused because of items with the same content, and items were ended because of such requests.

Three crashes around a request, or one while it ran alone, end it; one with two strikes waits 10 s for an empty backend server and starts over. Both kinds shared one fingerprint and one place for isolated runs. An item also ended when its connection broke in five attempts.

Change: Fingerprint::of_item gives items a fingerprint of their own kind. suspect::item::Plan decides about them and has no refusal. From two strikes on runs are trials after a pause of 2 s that doubles to at most 120 s; 5 s without a crash in the fleet end the pause, doubled by each crash in a trial. In a calm fleet an item without a crash in a trial runs where no other suspect does. Others run on a reserved backend server once it is empty, or after 10 s beside the online requests left there if none is a suspect. At most a quarter of the backend servers of a model are reserved, never the last one. Items and requests no longer share the place for isolated runs. A broken connection is no failed attempt. An isolated trial of a job that was cancelled while it waited does not start. Strikes that sync lists keep their time, so that an answer does not begin a pause again. The state machine and the messages are unchanged.

Trials and pauses are logged with job and line, other put-backs at debug level; bw_entry_batch_trials_total counts trials by placement, and bw_entry_batch_requeued_total has the reasons crash_pause and same_trial.

--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -21,6 +21,20 @@
 
 use replica::Replica;
 
+/// Part of a model's replicas that may be reserved for isolated runs: 1 of 4.
+const RESERVED_PART: usize = 4;
+
+/// Whether a replica may be reserved for an isolated run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Spare {
+    /// It may.
+    Free,
+    /// Too many others are reserved.
+    Taken,
+    /// No other usable replica has its models.
+    Sole,
+}
+
 /// Settings of a [`Router`].
 #[derive(Clone, Debug)]
 pub struct Builder {
@@ -385,6 +399,39 @@
         }
     }
 
+    /// Returns whether a replica may be reserved for an isolated run. At most a
+    /// quarter of the replicas of its models, or one of fewer than eight, is
+    /// reserved at a time, so that the rest can take the online load.
+    pub fn spare(&self, id: &str, now_ms: u64) -> Spare {
+        let Some(wanted) = self.get(id) else {
+            return Spare::Sole;
+        };
+        let models = &wanted.announcement.loaded;
+        let is_kin = |replica: &&Replica| {
+            let loaded = &replica.announcement.loaded;
+            let shares =
+                |known: &backend::Loaded| models.iter().any(|model| model.model == known.model);
+            loaded.iter().any(shares)
+        };
+        let (mut usable, mut reserved) = (0, 0);
+        for replica in self.slots.values().map(|&slot| &self.replicas[slot]) {
+            match replica.obstacle(&self.settings, now_ms) {
+                None if is_kin(&replica) => usable += 1,
+                Some(Unavailable::Reserved) if is_kin(&replica) => reserved += 1,
+                _ => {}
+            }
+        }
+        if usable < 2 {
+            return Spare::Sole;
+        }
+        let most = ((usable + reserved) / RESERVED_PART).max(1);
+        if reserved < most {
+            Spare::Free
+        } else {
+            Spare::Taken
+        }
+    }
+
     /// Counts a request as in flight on the chosen replica and remembers its
     /// prefix there.
     pub fn begin(&mut self, choice: &Choice, request: &Request<'_>, now_ms: u64) {
@@ -460,6 +507,11 @@
         self.get(id).map_or(0, |replica| replica.online)
     }
 
+    /// Returns the own online requests on one backend server that are suspects.
+    pub fn suspects_on(&self, id: &str) -> u32 {
+        self.get(id).map_or(0, |replica| replica.suspects)
+    }
+
     /// Returns the other entry VMs' online requests on one backend server, and
     /// when they were learnt.
     pub fn fleet_on(&self, id: &str) -> (u32, u64) {
--- a/crates/policy/src/suspect/mod.rs
+++ b/crates/policy/src/suspect/mod.rs
@@ -3,7 +3,10 @@
 //! Every request in flight on a backend server that crashes gets a strike. One
 //! strike keeps suspects apart from each other, so that the next crash tells
 //! them apart; two strikes call for a run alone; a third crash, or a crash
-//! alone, refuses the request. A suspect that finishes is cleared.
+//! alone, refuses the request of a caller. Batch items are never refused; see
+//! [`item`]. A suspect that finishes is cleared.
+
+pub mod item;
 
 use std::collections;
 
@@ -15,6 +18,9 @@
 const ISOLATE_AT: u32 = 2;
 /// Strikes from which a request is refused.
 const REFUSE_AT: u32 = 3;
+/// Most crashes remembered per suspect, to count each of them once. The work
+/// machine remembers as many.
+const CRASHES_MAX: usize = 16;
 
 /// Settings of a [`Suspects`].
 #[derive(Clone, Debug)]
@@ -53,8 +59,8 @@
         self
     }
 
-    /// Sets how many isolated runs this entry VM does at once. Each takes a
-    /// whole backend server out of use.
+    /// Sets how many isolated runs of callers' requests this entry VM does at
+    /// once. Each takes a whole backend server out of use.
     pub fn max_isolated(mut self, runs: usize) -> Builder {
         self.max_isolated = runs.max(1);
         self
@@ -67,11 +73,13 @@
             suspects: collections::BTreeMap::new(),
             cleared: collections::BTreeMap::new(),
             isolated: collections::BTreeSet::new(),
+            trials: collections::BTreeSet::new(),
+            crash_ms: 0,
         }
     }
 }
 
-/// How a request is to be run.
+/// How a request of a caller is to be run.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Treatment {
     /// Like any other.
@@ -122,7 +130,7 @@
 pub struct Flight {
     /// The request.
     pub fingerprint: fingerprint::Fingerprint,
-    /// Whether it ran isolated.
+    /// Whether it ran isolated, or in a trial of an item.
     pub isolated: bool,
 }
 
@@ -132,6 +140,8 @@
     isolated: u32,
     until_ms: u64,
     news_ms: u64,
+    /// When the last strike was learnt.
+    struck_ms: u64,
     /// Crashes counted here, so that each counts once.
     crashes: Vec<name::Name>,
 }
@@ -142,11 +152,16 @@
     settings: Builder,
     suspects: collections::BTreeMap<fingerprint::Fingerprint, Entry>,
     cleared: collections::BTreeMap<fingerprint::Fingerprint, u64>,
+    /// Callers' requests that run isolated.
     isolated: collections::BTreeSet<fingerprint::Fingerprint>,
+    /// Items that run in a trial.
+    trials: collections::BTreeSet<fingerprint::Fingerprint>,
+    /// When the last crash of a backend server under any request was learnt.
+    crash_ms: u64,
 }
 
 impl Suspects {
-    /// Returns how a request is to be run.
+    /// Returns how a request of a caller is to be run.
     pub fn treatment(&self, fingerprint: fingerprint::Fingerprint) -> Treatment {
         let Some(entry) = self.suspects.get(&fingerprint) else {
             return Treatment::Normal;
@@ -165,7 +180,7 @@
         Treatment::Isolated
     }
 
-    /// Notes that an isolated run begins. [`Suspects::finished`],
+    /// Notes that an isolated run of a caller's request begins. [`Suspects::finished`],
     /// [`Suspects::crashed`] or [`Suspects::abandoned`] ends it.
     pub fn isolate(&mut self, fingerprint: fingerprint::Fingerprint) {
         self.isolated.insert(fingerprint);
@@ -174,6 +189,7 @@
     /// Notes that a run ended without an answer and without a crash.
     pub fn abandoned(&mut self, fingerprint: fingerprint::Fingerprint) {
         self.isolated.remove(&fingerprint);
+        self.trials.remove(&fingerprint);
     }
 
     /// Counts a crash of a backend server against the requests in flight there.
@@ -188,7 +204,7 @@
         let crash = name::Name::from(format!("{backend}/{incarnation}"));
         let mut commands = Vec::new();
         for flight in flights {
-            self.isolated.remove(&flight.fingerprint);
+            self.abandoned(flight.fingerprint);
             if self.strike(&crash, flight, now_ms) {
                 commands.push(work::Command::Strike {
                     fingerprint: flight.fingerprint,
@@ -208,7 +224,7 @@
         fingerprint: fingerprint::Fingerprint,
         now_ms: u64,
     ) -> Option<work::Command> {
-        self.isolated.remove(&fingerprint);
+        self.abandoned(fingerprint);
         self.suspects.remove(&fingerprint)?;
         self.cleared.insert(fingerprint, now_ms);
         Some(work::Command::Clear { fingerprint })
@@ -217,9 +233,8 @@
     /// Takes a suspect from a peer or from the reply to a recorded strike.
     pub fn merge(&mut self, suspect: &work::Suspect, now_ms: u64) {
         self.cleared.remove(&suspect.fingerprint);
+        self.learn(suspect, now_ms);
         let entry = self.entry(suspect.fingerprint);
-        entry.strikes = entry.strikes.max(suspect.strikes);
-        entry.isolated = entry.isolated.max(suspect.isolated);
         entry.until_ms = entry.until_ms.max(suspect.until_ms);
         entry.news_ms = now_ms;
         self.bound();
@@ -231,19 +246,32 @@
         let grace_ms = self.settings.sync_grace_ms;
         let is_recent = |at_ms: u64| now_ms.saturating_sub(at_ms) <= grace_ms;
         self.cleared.retain(|_, &mut at_ms| is_recent(at_ms));
-        self.suspects.retain(|_, entry| is_recent(entry.news_ms));
+        let listed: collections::BTreeSet<fingerprint::Fingerprint> =
+            suspects.iter().map(|suspect| suspect.fingerprint).collect();
+        self.suspects
+            .retain(|fingerprint, entry| is_recent(entry.news_ms) || listed.contains(fingerprint));
         for suspect in suspects {
             if self.cleared.contains_key(&suspect.fingerprint) {
                 continue;
             }
-            let entry = self.entry(suspect.fingerprint);
-            entry.strikes = entry.strikes.max(suspect.strikes);
-            entry.isolated = entry.isolated.max(suspect.isolated);
-            entry.until_ms = suspect.until_ms;
+            self.learn(suspect, now_ms);
+            self.entry(suspect.fingerprint).until_ms = suspect.until_ms;
         }
         self.bound();
     }
 
+    /// Takes the strikes that others counted.
+    fn learn(&mut self, suspect: &work::Suspect, now_ms: u64) {
+        let entry = self.entry(suspect.fingerprint);
+        let is_struck = suspect.strikes > entry.strikes;
+        entry.strikes = entry.strikes.max(suspect.strikes);
+        entry.isolated = entry.isolated.max(suspect.isolated);
+        if is_struck {
+            entry.struck_ms = now_ms;
+            self.crash_ms = now_ms;
+        }
+    }
+
     /// Returns a suspect as peers are told of it.
     pub fn get(&self, fingerprint: fingerprint::Fingerprint) -> Option<work::Suspect> {
         let entry = self.suspects.get(&fingerprint)?;
@@ -271,10 +299,15 @@
         if entry.crashes.contains(crash) {
             return false;
         }
+        if entry.crashes.len() >= CRASHES_MAX {
+            entry.crashes.remove(0);
+        }
         entry.crashes.push(crash.clone());
         entry.strikes += 1;
         entry.isolated += u32::from(flight.isolated);
         entry.news_ms = now_ms;
+        entry.struck_ms = now_ms;
+        self.crash_ms = now_ms;
         true
     }
 
@@ -284,6 +317,7 @@
             isolated: 0,
             until_ms: 0,
             news_ms: 0,
+            struck_ms: 0,
             crashes: Vec::new(),
         })
     }
--- a/crates/policy/tests/router.rs
+++ b/crates/policy/tests/router.rs
@@ -523,3 +523,26 @@
         }
     }
 }
+
+/// Guards against isolated runs that leave the online load too few replicas.
+#[rstest]
+#[case::one(1, 0)]
+#[case::two(2, 1)]
+#[case::seven(7, 1)]
+#[case::twelve(12, 3)]
+fn few_replicas_are_reserved_at_a_time(#[case] replicas: usize, #[case] expected: usize) {
+    let mut router = fleet(settled(), replicas);
+    let mut reserved = 0;
+    for index in 0..replicas {
+        let id = format!("e{index:02}");
+        if router.spare(&id, 0) == router::Spare::Free {
+            router.reserve(&id, 1_000);
+            reserved += 1;
+        }
+    }
+    assert_eq!(reserved, expected);
+    let last = format!("e{:02}", replicas - 1);
+    let sole = replicas - reserved == 1;
+    let refused = [router::Spare::Taken, router::Spare::Sole][usize::from(sole)];
+    assert_eq!(router.spare(&last, 0), refused);
+}
--- a/crates/state/src/work/suspects.rs
+++ b/crates/state/src/work/suspects.rs
@@ -8,8 +8,9 @@
 
 /// Most suspects that are kept; the one that expires first makes room.
 const SUSPECTS_MAX: usize = 10_000;
-/// Most crashes remembered per suspect, to count each of them once. A request
-/// is refused after three.
+/// Most crashes counted per suspect. A caller's request is refused after three;
+/// the pause of an item is at its longest by then, and its record expires with
+/// the last crash that is counted.
 const CRASHES_MAX: usize = 16;
 
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
--- a/crates/wire/src/fingerprint.rs
+++ b/crates/wire/src/fingerprint.rs
@@ -29,6 +29,13 @@
         }
         Fingerprint::of_bytes(canonical.to_string().as_bytes())
     }
+
+    /// Returns the fingerprint of a batch item whose request has this one.
+    /// Strikes of items and of callers' requests with the same content are
+    /// counted apart.
+    pub fn of_item(self) -> Fingerprint {
+        Fingerprint::of_bytes(format!("item {self}").as_bytes())
+    }
 }
 
 impl fmt::Display for Fingerprint {
--- a/programs/entry/src/batch/dispatch/lease.rs
+++ b/programs/entry/src/batch/dispatch/lease.rs
@@ -39,7 +39,7 @@
     fn is_idle(&self, chunk: &work::ChunkRef) -> bool {
         let runs = self.running.values().any(|run| run.chunk == *chunk);
         let isolated = self.isolation.as_ref();
-        let waits = isolated.is_some_and(|isolation| isolation.waits_for(chunk));
+        let waits = isolated.is_some_and(|isolation| isolation.waiting() == Some(chunk));
         !runs && !waits && !self.book.has_outcomes_of(chunk)
     }
 
--- a/programs/entry/src/batch/dispatch/outcome.rs
+++ b/programs/entry/src/batch/dispatch/outcome.rs
@@ -60,14 +60,20 @@
             stream,
             place,
             mut item,
-            isolated,
+            run,
             progressed,
             end,
         } = ended;
         self.pacer.stopped(&place.backend, stream, now_ms);
-        if isolated {
+        if run == item::Run::Reserved {
             self.isolation = None;
         }
+        if run.is_trial() {
+            let fingerprint = item.work.fingerprint;
+            self.context
+                .shared
+                .with_suspects(|suspects, _| suspects.abandoned(fingerprint));
+        }
         if !self.book.holds(&item.work.chunk) {
             return;
         }
@@ -114,6 +120,7 @@
                 work.text.clear();
                 work.tokens = 0;
             }
+            Cause::Broken => return self.broken(item, progressed, now_ms),
             _ => {}
         }
         work.attempts = if progressed { 1 } else { work.attempts + 1 };
@@ -123,10 +130,19 @@
             refusal.message = format!("{} attempts failed: {}", work.failures, refusal.message);
             return self.conclude(&item, queue::failed(&refusal), "given_up", now_ms);
         }
-        let pause_ms = (RETRY_MS.0 << work.failures.min(10)).min(RETRY_MS.1);
+        let pause_ms = pause_ms(work.failures);
         self.put_back(item, cause, now_ms + pause_ms);
     }
 
+    /// Puts an item back whose connection broke, perhaps by a crash. Crashes
+    /// never end an item; the rules for suspects add their own pauses.
+    fn broken(&mut self, mut item: Item, progressed: bool, now_ms: u64) {
+        let work = &mut item.work;
+        work.breaks = if progressed { 1 } else { work.breaks + 1 };
+        let pause_ms = pause_ms(work.breaks);
+        self.put_back(item, Cause::Broken.into(), now_ms + pause_ms);
+    }
+
     /// Notes the outcome of an item.
     pub(super) fn conclude(&mut self, item: &Item, result: work::Result, label: &str, now_ms: u64) {
         metrics::ITEMS.with_label_values(&[label]).inc();
@@ -139,10 +155,21 @@
 
     pub(super) fn put_back(&mut self, item: Item, reason: &str, until_ms: u64) {
         metrics::REQUEUED.with_label_values(&[reason]).inc();
+        log::debug!(
+            job = item.work.chunk.job.as_str(),
+            line = item.work.number,
+            reason = reason;
+            "item put back"
+        );
         self.queue.delay(item, until_ms);
     }
 }
 
+/// Returns the pause after a number of failed attempts, in milliseconds.
+fn pause_ms(failures: u32) -> u64 {
+    (RETRY_MS.0 << failures.min(10)).min(RETRY_MS.1)
+}
+
 /// Returns the outcome of a complete answer.
 fn answer(item: &Item, stream: u64, end: &crate::upstream::End) -> work::Result {
     let work = &item.work;
--- a/programs/entry/src/batch/dispatch/place.rs
+++ b/programs/entry/src/batch/dispatch/place.rs
@@ -2,21 +2,21 @@
 
 use std::sync::{self, atomic};
 
-use bw_policy::{pacer, router};
-use bw_wire::{backend, refusal};
+use bw_policy::{
+    pacer, router,
+    suspect::{self, item::Plan},
+};
+use bw_wire::{backend, name};
 use tokio_util::sync::CancellationToken;
 
 use super::{Dispatcher, Done, Running};
 use crate::{
-    batch::{
-        isolate, item,
-        queue::{self, Item},
-    },
-    clock, filter,
+    batch::{isolate, item, metrics, queue::Item},
+    clock,
     reservation::Reservation,
 };
 
-/// Pause before a suspect looks for a place again.
+/// Pause before a suspect looks for a place again, in milliseconds.
 const SUSPECT_MS: u64 = 500;
 
 impl Dispatcher {
@@ -45,59 +45,89 @@
     /// otherwise.
     fn place(&mut self, item: Item, announcement: &backend::Announcement, now_ms: u64) {
         let fingerprint = item.work.fingerprint;
-        match filter::suspect::check(&self.context.shared, fingerprint) {
-            Ok(router::Fit::Any) => self.start(item, place_of(announcement), false, now_ms),
-            Ok(router::Fit::Dispersed) => {
-                let id = &announcement.id;
-                let is_shared = self
-                    .running
-                    .values()
-                    .any(|run| run.is_suspect && run.backend == *id);
-                if is_shared {
-                    self.put_back(item, "suspect_beside_suspect", now_ms + SUSPECT_MS);
-                } else {
-                    self.start(item, place_of(announcement), false, now_ms);
-                }
+        let shared = &self.context.shared;
+        let plan = shared.with_suspects(|suspects, now_ms| suspects.plan(fingerprint, now_ms));
+        match plan {
+            Plan::Normal => self.start(item, place_of(announcement), item::Run::Normal, now_ms),
+            Plan::Dispersed { trial: false } => {
+                self.disperse(item, announcement, item::Run::Normal, now_ms);
             }
-            Ok(router::Fit::Isolated) if self.isolation.is_none() => {
-                self.isolate(item, place_of(announcement), now_ms);
+            Plan::Dispersed { trial: true } => {
+                self.disperse(item, announcement, item::Run::Dispersed, now_ms);
             }
-            Ok(router::Fit::Isolated) => {
-                self.put_back(item, "isolated_run_in_progress", now_ms + SUSPECT_MS);
+            Plan::Isolated => self.isolate(item, announcement, now_ms),
+            Plan::Wait { until_ms, reason } => {
+                if reason == suspect::item::Reason::CrashPause {
+                    log_pause(&item, until_ms.saturating_sub(now_ms));
+                }
+                self.put_back(item, reason.into(), until_ms);
             }
-            Err(refusal) => self.refused(item, &refusal, now_ms),
         }
     }
 
+    /// Starts an item unless another suspect runs on the backend server.
+    fn disperse(
+        &mut self,
+        item: Item,
+        announcement: &backend::Announcement,
+        run: item::Run,
+        now_ms: u64,
+    ) {
+        let id = &announcement.id;
+        let table = &self.context.shared.table;
+        let online = table.with(|state, _| state.router.suspects_on(id));
+        let mut running = self.running.values();
+        let is_shared = running.any(|run| run.is_suspect && run.backend == *id);
+        if is_shared || online > 0 {
+            return self.put_back(item, "suspect_beside_suspect", now_ms + SUSPECT_MS);
+        }
+        if run.is_trial() {
+            let fingerprint = item.work.fingerprint;
+            self.context
+                .shared
+                .with_suspects(|suspects, _| suspects.begin_trial(fingerprint));
+            log_trial(&item, id, "dispersed");
+        }
+        self.start(item, place_of(announcement), run, now_ms);
+    }
+
     /// Reserves a backend server for an item, which starts once it is empty.
-    fn isolate(&mut self, item: Item, place: item::Place, now_ms: u64) {
-        let backend = place.backend.clone();
-        match Reservation::new(&self.context, backend, item.work.fingerprint) {
-            Ok(reservation) => {
+    /// The only one of a model is not reserved.
+    fn isolate(&mut self, item: Item, announcement: &backend::Announcement, now_ms: u64) {
+        if self.isolation.is_some() {
+            return self.put_back(item, "isolated_run_in_progress", now_ms + SUSPECT_MS);
+        }
+        let backend = announcement.id.clone();
+        let table = &self.context.shared.table;
+        match table.with(|state, now_ms| state.router.spare(&backend, now_ms)) {
+            router::Spare::Free => {
+                log::info!(
+                    job = item.work.chunk.job.as_str(),
+                    line = item.work.number,
+                    backend = backend.as_str();
+                    "backend server reserved for an item under which others crashed"
+                );
+                let fingerprint = item.work.fingerprint;
+                let reservation = Reservation::of_trial(&self.context, backend, fingerprint);
+                let place = place_of(announcement);
                 let isolation =
                     isolate::Isolation::new(&self.context, reservation, place, item, now_ms);
                 self.isolation = Some(isolation);
             }
-            Err(refusal) => self.refused(item, &refusal, now_ms),
-        }
-    }
-
-    /// Gives a poisonous item up. Others wait for the isolated run of the same
-    /// request, or for a free place for their own.
-    fn refused(&mut self, item: Item, refusal: &refusal::Refusal, now_ms: u64) {
-        if refusal.reason == refusal::Reason::PoisonousRequest {
-            self.conclude(&item, queue::failed(refusal), "poisonous", now_ms);
-        } else {
-            self.put_back(item, "isolated_run_in_progress", now_ms + SUSPECT_MS);
+            router::Spare::Taken => {
+                self.put_back(item, "isolated_run_in_progress", now_ms + SUSPECT_MS);
+            }
+            router::Spare::Sole => {
+                self.disperse(item, announcement, item::Run::Dispersed, now_ms);
+            }
         }
     }
 
-    fn start(&mut self, item: Item, place: item::Place, isolated: bool, now_ms: u64) {
+    fn start(&mut self, item: Item, place: item::Place, run: item::Run, now_ms: u64) {
         self.streams += 1;
         let stream = self.streams;
-        let suspects = |suspects: &mut bw_policy::suspect::Suspects, _| {
-            suspects.get(item.work.fingerprint).is_some()
-        };
+        let suspects =
+            |suspects: &mut suspect::Suspects, _| suspects.get(item.work.fingerprint).is_some();
         // A byte of prompt is about a quarter of a token.
         let prompt_tokens = u32::try_from(item.work.body.len() / 4).unwrap_or(u32::MAX / 2);
         let running = Running {
@@ -110,7 +140,7 @@
             )),
             cancel: CancellationToken::new(),
         };
-        if !isolated {
+        if run != item::Run::Reserved {
             let urgent_before_ms = clock::unix_ms() + self.settings.urgent_ms;
             let paced = pacer::Stream {
                 id: stream,
@@ -129,7 +159,7 @@
             stream,
             place,
             item,
-            isolated,
+            run,
             cancel: running.cancel.clone(),
             tokens: sync::Arc::clone(&running.tokens),
         };
@@ -138,11 +168,17 @@
             .spawn(async { Done::Ended(Box::new(attempt.run().await)) });
     }
 
-    /// Starts the isolated run when its backend server is empty.
+    /// Starts the isolated run when its backend server is empty, or when it has
+    /// waited long enough for that.
     pub(super) fn advance_isolation(&mut self, now_ms: u64) {
         let Some(isolation) = &mut self.isolation else {
             return;
         };
+        let waiting = isolation.waiting();
+        if waiting.is_some_and(|chunk| !self.book.holds(chunk)) {
+            self.isolation = None;
+            return;
+        }
         let backend = isolation.backend().clone();
         let streams = self
             .running
@@ -150,15 +186,38 @@
             .filter(|run| run.backend == backend)
             .count();
         let place = isolation.place.clone();
-        if let Some(item) = isolation.ready(streams as u32, now_ms) {
-            self.start(item, place, true, now_ms);
+        if let Some((item, ready)) = isolation.ready(streams as u32, now_ms) {
+            log_trial(&item, &backend, ready.into());
+            self.start(item, place, item::Run::Reserved, now_ms);
         } else if let Some(item) = isolation.overdue(now_ms) {
             self.isolation = None;
-            self.put_back(item, "no_empty_backend", now_ms + 10 * SUSPECT_MS);
+            self.put_back(item, "no_empty_backend", now_ms + SUSPECT_MS);
         }
     }
 }
 
+/// Notes that an item pauses.
+fn log_pause(item: &Item, pause_ms: u64) {
+    log::info!(
+        job = item.work.chunk.job.as_str(),
+        line = item.work.number,
+        pause_ms = pause_ms;
+        "item under which backend servers crashed pauses"
+    );
+}
+
+/// Notes that the trial of an item begins.
+fn log_trial(item: &Item, backend: &name::Name, placement: &str) {
+    metrics::TRIALS.with_label_values(&[placement]).inc();
+    log::info!(
+        job = item.work.chunk.job.as_str(),
+        line = item.work.number,
+        backend = backend.as_str(),
+        placement = placement;
+        "trial of an item under which backend servers crashed"
+    );
+}
+
 fn place_of(announcement: &backend::Announcement) -> item::Place {
     item::Place {
         backend: announcement.id.clone(),
--- a/programs/entry/src/batch/item.rs
+++ b/programs/entry/src/batch/item.rs
@@ -26,13 +26,34 @@
     pub(super) address: name::Name,
 }
 
+/// How an attempt shares its backend server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Run {
+    /// Like any other item.
+    Normal,
+    /// A trial where the pacer has room, without another suspect.
+    Dispersed,
+    /// A trial on the backend server that is reserved for it.
+    Reserved,
+}
+
+impl Run {
+    /// Returns whether a crash under the attempt counts as one of a trial.
+    pub(super) fn is_trial(self) -> bool {
+        match self {
+            Run::Normal => false,
+            Run::Dispersed | Run::Reserved => true,
+        }
+    }
+}
+
 /// An attempt that is to be run.
 pub(super) struct Attempt {
     pub(super) context: sync::Arc<context::Context>,
     pub(super) stream: u64,
     pub(super) place: Place,
     pub(super) item: Item,
-    pub(super) isolated: bool,
+    pub(super) run: Run,
     /// Cancels the attempt.
     pub(super) cancel: CancellationToken,
     /// The tokens so far, for the choice of the streams to cancel.
@@ -54,7 +75,7 @@
     pub(super) stream: u64,
     pub(super) place: Place,
     pub(super) item: Item,
-    pub(super) isolated: bool,
+    pub(super) run: Run,
     /// Whether this attempt added tokens.
     pub(super) progressed: bool,
     pub(super) end: End,
@@ -78,7 +99,7 @@
             stream: self.stream,
             place: self.place,
             item: self.item,
-            isolated: self.isolated,
+            run: self.run,
             end,
         }
     }
@@ -156,7 +177,7 @@
             End::Failed(error) if error.cause == Cause::Broken => {
                 let flight = suspect::Flight {
                     fingerprint,
-                    isolated: self.isolated,
+                    isolated: self.run.is_trial(),
                 };
                 let place = &self.place;
                 crash::broken(
--- a/programs/entry/src/batch/metrics.rs
+++ b/programs/entry/src/batch/metrics.rs
@@ -22,6 +22,15 @@
     )
 });
 
+/// Trials of items under which backend servers crashed, by placement.
+pub static TRIALS: LazyLock<prometheus::IntCounterVec> = LazyLock::new(|| {
+    metrics::counter(
+        "bw_entry_batch_trials_total",
+        "Trials of batch items under which backend servers crashed",
+        &["placement"],
+    )
+});
+
 /// Chunks that were dropped before all their items had an outcome, by reason.
 pub static DROPPED: LazyLock<prometheus::IntCounterVec> = LazyLock::new(|| {
     metrics::counter(
--- a/programs/entry/src/batch/queue.rs
+++ b/programs/entry/src/batch/queue.rs
@@ -15,14 +15,17 @@
     pub(super) api: upstream::Api,
     pub(super) target: parse::Target,
     pub(super) body: sync::Arc<str>,
+    /// Of a kind that no caller's request has.
     pub(super) fingerprint: fingerprint::Fingerprint,
     /// The text so far and its length in tokens, from which a resume goes on.
     pub(super) text: String,
     pub(super) tokens: u64,
-    /// Failed attempts since the last progress.
+    /// Failed attempts since the last progress, apart from broken ones.
     pub(super) attempts: u32,
-    /// All failed attempts.
+    /// All failed attempts, apart from broken ones.
     pub(super) failures: u32,
+    /// Attempts whose connection broke since the last progress.
+    pub(super) breaks: u32,
 }
 
 /// A waiting item.
@@ -69,11 +72,12 @@
             api,
             target,
             body: body.as_str().into(),
-            fingerprint: parsed.fingerprint(),
+            fingerprint: parsed.fingerprint().of_item(),
             text: String::new(),
             tokens: 0,
             attempts: 0,
             failures: 0,
+            breaks: 0,
         },
     })
 }
--- a/programs/entry/src/reservation.rs
+++ b/programs/entry/src/reservation.rs
@@ -20,7 +20,7 @@
 }
 
 impl Reservation {
-    /// Reserves a backend server.
+    /// Reserves a backend server for a caller's request.
     ///
     /// # Errors
     ///
@@ -42,13 +42,33 @@
         if let suspect::Treatment::Refused(refusal) = treatment {
             return Err(refusal);
         }
+        Ok(Reservation::announced(context, backend, fingerprint))
+    }
+
+    /// Reserves a backend server for a trial of an item, which begins with it.
+    pub(crate) fn of_trial(
+        context: &sync::Arc<context::Context>,
+        backend: name::Name,
+        fingerprint: fingerprint::Fingerprint,
+    ) -> Reservation {
+        context
+            .shared
+            .with_suspects(|suspects, _| suspects.begin_trial(fingerprint));
+        Reservation::announced(context, backend, fingerprint)
+    }
+
+    fn announced(
+        context: &sync::Arc<context::Context>,
+        backend: name::Name,
+        fingerprint: fingerprint::Fingerprint,
+    ) -> Reservation {
         let reservation = Reservation {
             context: sync::Arc::clone(context),
             backend,
             fingerprint,
         };
         reservation.announce(RESERVE_MS);
-        Ok(reservation)
+        reservation
     }
 
     fn announce(&self, duration_ms: u64) {
