--- a/crates/relay/tests/crash.rs
+++ b/crates/relay/tests/crash.rs
@@ -88,6 +88,12 @@
     items - fleet.completed_of("unlucky") - running.count()
 }
 
+fn assert_all_placed(fleet: &Fleet, items: usize, calm_ms: u64) {
+    let starts = fleet.placed_at("unlucky");
+    let left = waiting(fleet, items);
+    assert_eq!(left, 0, "last crash {calm_ms}, starts {starts:?}");
+}
+
 /// Guards against a sound item that is left waiting for 15 s in a calm fleet with
 /// room because several backend servers crashed while they ran it.
 #[test]
@@ -112,12 +118,7 @@
     fleet.submit("unlucky", 40);
     let calm_ms = crash_beginning(&mut fleet);
     fleet.run_until(calm_ms + ALL_PLACED_MS);
-    let starts = fleet.placed_at("unlucky");
-    assert_eq!(
-        waiting(&fleet, 40),
-        0,
-        "last crash {calm_ms}, starts {starts:?}"
-    );
+    assert_all_placed(&fleet, 40, calm_ms);
 }
 
 /// Guards against items that take down one backend server after the other.
@@ -166,12 +167,7 @@
     fleet.submit("unlucky", 6);
     let calm_ms = crash_beginning(&mut fleet);
     fleet.run_until(calm_ms + ALL_PLACED_MS);
-    let starts = fleet.placed_at("unlucky");
-    assert_eq!(
-        waiting(&fleet, 6),
-        0,
-        "last crash {calm_ms}, starts {starts:?}"
-    );
+    assert_all_placed(&fleet, 6, calm_ms);
 }
 
 /// Guards against suspects that wait without end for a trial that shows nothing.
@@ -183,12 +179,7 @@
     let calm_ms = crash_beginning(&mut fleet);
     fleet.silence_trial = true;
     fleet.run_until(calm_ms + ALL_PLACED_MS);
-    let starts = fleet.placed_at("unlucky");
-    assert_eq!(
-        waiting(&fleet, 6),
-        0,
-        "last crash {calm_ms}, starts {starts:?}"
-    );
+    assert_all_placed(&fleet, 6, calm_ms);
 }
 
 /// Guards against a pause for a suspect whose trial only gave way to online requests.
--- a/crates/relay/tests/dispatch.rs
+++ b/crates/relay/tests/dispatch.rs
@@ -1,14 +1,16 @@
 //! Batch items beside online requests.
 
+mod support;
+
 use bw_relay::{
     dispatch::{
-        Action, Dispatch, EVICTION_MS, Key, Options, Outcome, Progress, Reason, Server, Start,
-        Survey,
+        Action, Dispatch, EVICTION_MS, Key, Options, Outcome, Reason, Server, Start, Survey,
     },
     ledger::{Command, End, Job, Ledger, NewItem, NewJob},
     route,
 };
 use rstest::rstest;
+use support::work::{self, progress};
 
 const SLOTS: u32 = 4;
 
@@ -47,32 +49,7 @@
 }
 
 fn routes() -> route::Table {
-    let service = "desk".into();
-    route::Table::new(&route::Config {
-        version: 1,
-        routes: vec![route::Route {
-            name: "r".into(),
-            host: "a.example".into(),
-            prefix: "/p/".into(),
-            kind: route::Kind::Batch,
-            timeout_ms: 1_000,
-            target_ms: 500,
-            gap_ms: 0,
-            shares: vec![route::Share { service, weight: 1 }],
-            attempts: 3,
-            priority: 2,
-            complete_ms: 18_000,
-            give_up_ms: 60_000,
-            waiting_tokens: 0,
-        }],
-        services: Vec::new(),
-        limits: route::Limits {
-            header_bytes: 1,
-            body_bytes: 1,
-            header_ms: 1,
-            idle_ms: 1,
-        },
-    })
+    work::routes(60_000)
 }
 
 fn servers(online: &[u32]) -> Vec<Server> {
@@ -104,16 +81,6 @@
     keys.collect()
 }
 
-fn progress(last: u64) -> Progress {
-    let data = (1..=last).map(|id| format!("e{id}"));
-    Progress {
-        bytes: 0,
-        saved: 0,
-        last,
-        data: data.collect(),
-    }
-}
-
 #[test]
 fn items_take_only_slots_that_online_requests_leave_free() {
     let mut dispatch = dispatch(20);
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -1,9 +1,13 @@
 //! A fleet of backend servers that crash, as the dispatch sees it.
 
+#![allow(dead_code, reason = "each test file uses a part of the support")]
+
+pub mod work;
+
 use std::collections::BTreeSet;
 
 use bw_relay::{
-    dispatch::{Action, Dispatch, Key, Options, Outcome, Progress, Server, Start},
+    dispatch::{Action, Dispatch, Key, Options, Outcome, Server, Start},
     ledger::{Command, Ledger, NewItem, NewJob},
     route,
 };
@@ -22,6 +26,8 @@
 const REPORT_MS: u64 = 40;
 /// Events of a whole output.
 const EVENTS: u64 = 100;
+/// Time after which an item may be given up, in milliseconds.
+const GIVE_UP_MS: u64 = 300_000;
 /// Time between two events in milliseconds.
 const EVENT_MS: u64 = 20;
 
@@ -81,7 +87,7 @@
         Fleet {
             dispatch: Dispatch::new(Options::default()),
             ledger: Ledger::default(),
-            routes: routes(),
+            routes: work::routes(GIVE_UP_MS),
             now_ms: 0,
             back_ms: vec![0; servers],
             online,
@@ -113,7 +119,7 @@
             },
             submitted_ms: self.now_ms,
             complete_ms: 18_000,
-            give_up_ms: 300_000,
+            give_up_ms: GIVE_UP_MS,
             attempts: 3,
             items: items.collect(),
         })));
@@ -166,7 +172,7 @@
             .partition::<Vec<Run>, _>(|run| run.server == server);
         self.runs = kept;
         for run in lost {
-            let outcome = Outcome::Broken(progress(run.last(self.now_ms)));
+            let outcome = Outcome::Broken(work::progress(run.last(self.now_ms)));
             self.end(&run.key, outcome);
         }
     }
@@ -247,7 +253,7 @@
     fn stop(&mut self, key: &Key) {
         let index = self.runs.iter().position(|run| run.key == *key);
         let run = self.runs.remove(index.expect("it runs"));
-        let progress = progress(run.last(self.now_ms));
+        let progress = work::progress(run.last(self.now_ms));
         self.end(key, Outcome::Broken(progress));
     }
 
@@ -272,7 +278,7 @@
         }
         if last == EVENTS {
             self.runs.retain(|known| known.key != run.key);
-            self.end(&run.key, Outcome::Completed(progress(last)));
+            self.end(&run.key, Outcome::Completed(work::progress(last)));
         }
     }
 
@@ -288,42 +294,3 @@
 fn name(server: usize) -> String {
     format!("s{server}")
 }
-
-fn progress(last: u64) -> Progress {
-    let data = (1..=last).map(|id| format!("e{id}"));
-    Progress {
-        bytes: 0,
-        saved: 0,
-        last,
-        data: data.collect(),
-    }
-}
-
-fn routes() -> route::Table {
-    let service = "desk".into();
-    route::Table::new(&route::Config {
-        version: 1,
-        routes: vec![route::Route {
-            name: "r".into(),
-            host: "a.example".into(),
-            prefix: "/p/".into(),
-            kind: route::Kind::Batch,
-            timeout_ms: 1_000,
-            target_ms: 500,
-            gap_ms: 0,
-            shares: vec![route::Share { service, weight: 1 }],
-            attempts: 3,
-            priority: 2,
-            complete_ms: 18_000,
-            give_up_ms: 300_000,
-            waiting_tokens: 0,
-        }],
-        services: Vec::new(),
-        limits: route::Limits {
-            header_bytes: 1,
-            body_bytes: 1,
-            header_ms: 1,
-            idle_ms: 1,
-        },
-    })
-}
--- /dev/null
+++ b/crates/relay/tests/support/work.rs
@@ -0,0 +1,44 @@
+//! Work as the dispatch knows it.
+
+use bw_relay::{dispatch::Progress, route};
+
+/// What an item has produced up to an event.
+pub fn progress(last: u64) -> Progress {
+    let data = (1..=last).map(|id| format!("e{id}"));
+    Progress {
+        bytes: 0,
+        saved: 0,
+        last,
+        data: data.collect(),
+    }
+}
+
+/// A table with one route for jobs.
+pub fn routes(give_up_ms: u64) -> route::Table {
+    let service = "desk".into();
+    route::Table::new(&route::Config {
+        version: 1,
+        routes: vec![route::Route {
+            name: "r".into(),
+            host: "a.example".into(),
+            prefix: "/p/".into(),
+            kind: route::Kind::Batch,
+            timeout_ms: 1_000,
+            target_ms: 500,
+            gap_ms: 0,
+            shares: vec![route::Share { service, weight: 1 }],
+            attempts: 3,
+            priority: 2,
+            complete_ms: 18_000,
+            give_up_ms,
+            waiting_tokens: 0,
+        }],
+        services: Vec::new(),
+        limits: route::Limits {
+            header_bytes: 1,
+            body_bytes: 1,
+            header_ms: 1,
+            idle_ms: 1,
+        },
+    })
+}
