--- a/programs/gateway/src/control/hub/mod.rs
+++ b/programs/gateway/src/control/hub/mod.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     clock,
-    control::{evacuation, identity, members, orphan, peers, replica, runner, sessions},
+    control::{effect, evacuation, identity, members, orphan, peers, replica, runner, sessions},
     dialect, link, metrics, settings, socket, upstream,
 };
 
@@ -314,16 +314,16 @@
     }
 
     /// Carries out what an applied command calls for.
-    fn carry_out(&self, effect: replica::Effect) {
+    fn carry_out(&self, effect: effect::Effect) {
         // The next leader begins with the state after the command.
         if !self.leads() {
             return;
         }
         match effect {
-            replica::Effect::Published(published) => self.put_in_force(&published),
-            replica::Effect::Accepted(id, job) => self.dispatch.borrow_mut().add(&id, &job),
-            replica::Effect::Ended(id) => self.stop_job(&id),
-            replica::Effect::Evacuated(node) => {
+            effect::Effect::Published(published) => self.put_in_force(&published),
+            effect::Effect::Accepted(id, job) => self.dispatch.borrow_mut().add(&id, &job),
+            effect::Effect::Ended(id) => self.stop_job(&id),
+            effect::Effect::Evacuated(node) => {
                 self.evacuated.borrow_mut().insert(node);
             }
         }
--- a/programs/gateway/src/control/mod.rs
+++ b/programs/gateway/src/control/mod.rs
@@ -6,6 +6,7 @@
 
 mod api;
 mod disk;
+mod effect;
 mod evacuation;
 mod hub;
 mod identity;
--- a/programs/gateway/src/control/replica.rs
+++ b/programs/gateway/src/control/replica.rs
@@ -15,7 +15,11 @@
 
 use crate::{
     clock,
-    control::{disk, identity},
+    control::{
+        disk,
+        effect::{Effect, Subject},
+        identity,
+    },
     settings,
 };
 
@@ -119,65 +123,6 @@
     Applied(Effect),
 }
 
-/// What an applied command calls for outside the replicated state. It does not
-/// depend on whether the caller still waits for the answer.
-pub(crate) enum Effect {
-    /// A configuration is in force.
-    Published(Arc<ledger::Published>),
-    /// A job was accepted.
-    Accepted(Name, Box<ledger::Job>),
-    /// A job was ended.
-    Ended(Name),
-    /// A VM is to be emptied.
-    Evacuated(Name),
-}
-
-/// The part of a command that its effect is found by, once it is applied.
-enum Subject {
-    Configuration,
-    Submission(Name),
-    End(Name),
-    Evacuation(Name),
-    /// The command has no effect outside the replicated state.
-    None,
-}
-
-impl Subject {
-    fn new(command: &ledger::Command) -> Subject {
-        match command {
-            ledger::Command::Publish(_) => Subject::Configuration,
-            ledger::Command::Submit(job) => Subject::Submission(job.id.clone()),
-            ledger::Command::End { job } => Subject::End(job.clone()),
-            ledger::Command::Evacuate { node } => Subject::Evacuation(node.clone()),
-            ledger::Command::Save { .. }
-            | ledger::Command::Record { .. }
-            | ledger::Command::Fail { .. }
-            | ledger::Command::Note { .. }
-            | ledger::Command::Sweep { .. } => Subject::None,
-        }
-    }
-
-    /// Returns the effect that follows from the state after the command.
-    fn effect(self, machine: &ledger::Ledger) -> Option<Effect> {
-        match self {
-            Subject::Configuration => {
-                let published = machine.published()?.clone();
-                Some(Effect::Published(Arc::new(published)))
-            }
-            Subject::Submission(id) => {
-                let job = machine.jobs().get(&id)?.clone();
-                Some(Effect::Accepted(id, Box::new(job)))
-            }
-            Subject::End(id) => {
-                let job = machine.jobs().get(&id)?;
-                job.ended.then_some(Effect::Ended(id))
-            }
-            Subject::Evacuation(node) => Some(Effect::Evacuated(node)),
-            Subject::None => None,
-        }
-    }
-}
-
 /// The state that a new leader begins with.
 pub(crate) struct Leading {
     pub(crate) term: u64,
