Make two tests of the batch dispatcher wait for the state that they need

every_item_runs_once_and_outcomes_are_grouped expects items on both backend servers. An entry VM that looks between the two announcements owns the first one alone for the next 20 ticks, 0.1 s or more, in which the items may all run there. Both are now handed over at once, after both have announced themselves and the job is submitted.

a_shutdown_records_outcomes_and_gives_leases_back failed once beside heavy load: fewer than 6 outcomes. It waited until 8 requests had arrived and took the first 6 to be answered. All 8 may arrive before an answer is read, and the shutdown cancels what has no whole answer yet, as it should. Now the backend server has two places for items, so that the eighth request starts only after the outcomes of six items are at hand.

All assertions and bounds are as before.

--- a/programs/entry/tests/batch.rs
+++ b/programs/entry/tests/batch.rs
@@ -193,6 +193,14 @@
         self.state.lock().expect("not poisoned")
     }
 
+    /// Hands all backend servers to the entry VM at once. All have announced
+    /// themselves to it, so that it uses all of them from its next look on.
+    fn own_all(&self) {
+        for owner in self.lock().owners.values_mut() {
+            *owner = "entry-1".into();
+        }
+    }
+
     /// Creates a job with these lines.
     fn submit(&self, lines: Vec<Line>) {
         let mut state = self.lock();
@@ -407,8 +415,10 @@
         Backend::engine("e1", &[Answer::Whole]),
         Backend::engine("e2", &[Answer::Whole]),
     ];
-    let fleet = Fleet::start(backends);
+    // An entry VM that owned one of them first would run items on it alone.
+    let fleet = Fleet::start_owning(backends, &[]);
     fleet.submit((1..=60).map(line).collect());
+    fleet.own_all();
     fleet.wait_done();
     let results = fleet.results();
     assert_eq!(results.len(), 60);
@@ -589,7 +599,7 @@
 /// outcomes that are lost at a shutdown.
 #[test]
 fn a_shutdown_records_outcomes_and_gives_leases_back() {
-    let mut fleet = Fleet::start(vec![Backend::engine(
+    let backend = Backend::engine(
         "e1",
         &[
             Answer::Whole,
@@ -600,7 +610,11 @@
             Answer::Whole,
             SLOW,
         ],
-    )]);
+    );
+    // One place is kept free, so that two items run at a time: the eighth starts
+    // once the outcomes of six are at hand.
+    backend.change(|announcement| announcement.capacity = 3);
+    let mut fleet = Fleet::start(vec![backend]);
     fleet.submit((1..=100).map(line).collect());
     // The outcomes are at hand, but not recorded, when the process drains.
     fleet.lock().holds_records = true;
