Show that slow syncs of votes prevent an election

No leader is elected as long as the disks' syncs take longer than the election timeout: a candidate whose timer ends before its vote is durable begins to campaign for the next term and drops the votes of the present one.

Evidence: backend_servers_are_known_after_all_control_was_killed timed out twice beside jobs that synced the same disk without pause, with terms that went on without a leader.

--- a/crates/coord/tests/failures.rs
+++ b/crates/coord/tests/failures.rs
@@ -399,6 +399,44 @@
     cluster.settle();
 }
 
+/// Guards against elections that start over again and again because votes take
+/// longer to sync than a candidate waits before it campaigns again.
+#[rstest]
+fn syncs_longer_than_the_election_timeout_do_not_prevent_an_election(
+    #[values(1, 2, 5, 20)] timeouts: u64,
+    #[values(1, 2, 3, 4)] seed: u64,
+) {
+    let mut cluster = cluster(3, seed);
+    let sync_ms = timeouts * ELECTION_TIMEOUT_MS;
+    let replicas = [1, 2, 3];
+    for id in replicas {
+        cluster.hold_syncs(id, true);
+    }
+    let mut began = [None; 3];
+    let start = cluster.now;
+    while cluster.leader(FIRST).is_none() {
+        let elapsed = cluster.now - start;
+        // A candidate's vote and that of a voter are synced one after the other;
+        // rivals may repeat that a few times.
+        let limit = 20 * sync_ms + 10 * ELECTION_TIMEOUT_MS;
+        assert!(elapsed < limit, "no leader after {elapsed} ms");
+        for (began, id) in began.iter_mut().zip(replicas) {
+            let disk = &cluster.slots[&id].disk;
+            if !disk.is_syncing() {
+                *began = None;
+            } else if cluster.now >= *began.get_or_insert(cluster.now) + sync_ms {
+                disk.finish_sync();
+                *began = None;
+            }
+        }
+        cluster.run(10);
+    }
+    for id in replicas {
+        cluster.hold_syncs(id, false);
+    }
+    cluster.settle();
+}
+
 /// Guards against counting an entry that was appended during a sync as covered
 /// by it: the entry would be acknowledged with one copy on a disk.
 #[rstest]
