List the pacer's order of equally idle servers as a known fault

every_item_runs_once_and_outcomes_are_grouped failed once beside heavy load: one of two servers got no item. The pacer orders equally idle servers by their names; where turns are 47 ms apart or more, as on a busy machine, the first one has earned a stream again by each turn. equally_idle_servers_take_turns shows it without a clock and fails on this code.

--- a/crates/policy/tests/pacer.rs
+++ b/crates/policy/tests/pacer.rs
@@ -391,6 +391,29 @@
     assert_eq!(used.len(), 3, "{turns:?}");
 }
 
+/// Guards against an owned server that gets no stream while another gets them
+/// all: where streams end before the next turn, both are idle at each turn.
+#[test]
+fn equally_idle_servers_take_turns() {
+    let mut pacer = pacer::Builder::new().build();
+    for id in ["e00", "e01"] {
+        pacer.update(&facts(id, load(0, 0)), 0);
+    }
+    pacer.backlog(1_000_000, 0);
+    let mut turns = Vec::new();
+    // By each of these times, both servers have earned a stream.
+    for now_ms in (0..1_000).step_by(60) {
+        for room in pacer.room(now_ms) {
+            pacer.started(&room.id, stream(now_ms), now_ms);
+            pacer.stopped(&room.id, now_ms, now_ms);
+            turns.push(room.id);
+        }
+    }
+    assert!(turns.len() > 10, "{turns:?}");
+    let alternates = turns.windows(2).all(|pair| pair[0] != pair[1]);
+    assert!(alternates, "{turns:?}");
+}
+
 /// Guards against a stream that starts on the last server without a prompt.
 #[rstest]
 #[case::one_arrival(&["e00"], 1)]
