Begin and count the runs of items in one place

Cause: a run was begun in three places (items, trials, runs of a former leader), each of which counted it by hand beside a function that only marked the item. Whether an item would be late was decided three times, too.

Change: dispatch::runs begins, counts and ends runs. Items and trials share one check of whether an item may start in a pass, and the estimate alone says how long an item can wait. Decisions stay as they are.

--- a/crates/relay/src/dispatch/adopt.rs
+++ b/crates/relay/src/dispatch/adopt.rs
@@ -4,7 +4,7 @@
 
 use bw_wire::name::Name;
 
-use super::{Action, Dispatch, Key, Server, Start, State, start::begin};
+use super::{Action, Dispatch, Key, Server, Start, State};
 
 /// What a backend server runs, as it stated it to a new leader.
 #[derive(Clone, Debug)]
@@ -92,14 +92,12 @@
                 }
                 // The slot that it leaves is not counted: all moves begin at once.
                 free[to] -= 1;
-                self.starts += 1;
                 let key = Key {
                     job: id.clone(),
                     item: *index,
                 };
-                let place = (&target.server.id, &target.server.address);
-                self.runs.entry(place.0.clone()).or_default().all += 1;
-                let start = begin(key, &job.place.host, item, (self.starts, now_ms), place);
+                let host = &job.place.host;
+                let start = self.runs.begin(key, host, item, &target.server, now_ms);
                 adoption.starts.push(Action::Start(Start {
                     orphan: Some(surveys[from].server.address.clone()),
                     ..start
--- a/crates/relay/src/dispatch/end.rs
+++ b/crates/relay/src/dispatch/end.rs
@@ -48,7 +48,7 @@
             self.estimate.ran(events, now_ms.saturating_sub(*since_ms));
         }
         item.state = State::Waiting;
-        self.run_ended(&server, stopping);
+        self.runs.end(&server, stopping);
         self.judge(key, &outcome, (&server, stopping), now_ms);
         let item = self.jobs.get_mut(&key.job)?.items.get_mut(&key.item)?;
         let waiting = &mut item.waiting;
--- a/crates/relay/src/dispatch/estimate.rs
+++ b/crates/relay/src/dispatch/estimate.rs
@@ -13,7 +13,7 @@
 
 /// Averages over the items that ended, from which the time that an item still
 /// needs is estimated.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Estimate {
     /// Events of an item; 0 before the first item was complete.
     events: f64,
@@ -41,9 +41,15 @@
         }
     }
 
+    /// Returns the time that an item which has made some events can still wait and
+    /// be complete when its job is due; `None` if it will be late.
+    pub(super) fn spare_ms(&self, due_ms: u64, made: u64, now_ms: u64) -> Option<u64> {
+        due_ms.checked_sub(now_ms + self.remaining_ms(made))
+    }
+
     /// Returns the time that an item which has made some events needs at least, in
     /// milliseconds; 0 while nothing is known.
-    pub(super) fn remaining_ms(&self, made: u64) -> u64 {
+    fn remaining_ms(&self, made: u64) -> u64 {
         let events = (self.events * SMALL - made as f64).max(0.0);
         match self.run_events > 0.0 {
             true => (events * self.run_ms / self.run_events) as u64,
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -14,6 +14,7 @@
 mod options;
 mod preempt;
 mod run;
+mod runs;
 mod start;
 pub mod trial;
 
@@ -27,6 +28,7 @@
 use estimate::Estimate;
 pub use options::Options;
 pub use run::{Outcome, Progress, Start};
+use runs::Runs;
 
 /// Names an item.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -116,14 +118,6 @@
     items: BTreeMap<u32, Item>,
 }
 
-/// The number of runs at one backend server.
-#[derive(Clone, Copy, Debug, Default)]
-struct Runs {
-    all: u32,
-    /// Those that are being stopped.
-    stopping: u32,
-}
-
 /// The items of all open jobs.
 #[derive(Clone, Debug)]
 pub struct Dispatch {
@@ -131,10 +125,8 @@
     jobs: BTreeMap<Name, Job>,
     /// Open jobs by due time.
     order: BTreeSet<(u64, Name)>,
-    starts: u64,
     estimate: Estimate,
-    /// Runs by backend server.
-    runs: BTreeMap<Name, Runs>,
+    runs: Runs,
     /// Backend servers that failed and when they may be used again.
     paused: BTreeMap<Name, u64>,
     trials: trial::Trials,
@@ -150,9 +142,8 @@
             options,
             jobs: BTreeMap::new(),
             order: BTreeSet::new(),
-            starts: 0,
             estimate: Estimate::default(),
-            runs: BTreeMap::new(),
+            runs: Runs::default(),
             paused: BTreeMap::new(),
             trials: trial::Trials::new(options.trials),
             held_until_ms: 0,
@@ -199,7 +190,7 @@
             else {
                 continue;
             };
-            self.run_ended(&server, stopping);
+            self.runs.end(&server, stopping);
             keys.push(key);
         }
         keys
@@ -207,27 +198,7 @@
 
     /// Returns the number of runs at a backend server.
     pub fn running(&self, server: &str) -> u32 {
-        self.runs.get(server).map_or(0, |runs| runs.all)
-    }
-
-    /// Returns the number of runs at a backend server that are not being stopped.
-    fn staying(&self, server: &str) -> u32 {
-        let runs = self.runs.get(server);
-        runs.map_or(0, |runs| runs.all - runs.stopping)
-    }
-
-    /// Counts a run that has ended.
-    fn run_ended(&mut self, server: &str, stopping: bool) {
-        let Some(runs) = self.runs.get_mut(server) else {
-            return;
-        };
-        runs.all = runs.all.saturating_sub(1);
-        if stopping {
-            runs.stopping = runs.stopping.saturating_sub(1);
-        }
-        if runs.all == 0 {
-            self.runs.remove(server);
-        }
+        self.runs.at(server).all
     }
 
     /// Returns the number of items that are not listed.
--- a/crates/relay/src/dispatch/preempt.rs
+++ b/crates/relay/src/dispatch/preempt.rs
@@ -9,7 +9,7 @@
     pub(super) fn preempt(&mut self, servers: &[Server], now_ms: u64, actions: &mut Vec<Action>) {
         for server in servers {
             // Runs that are being stopped have given their slots back already.
-            let batch = self.staying(&server.id);
+            let batch = self.runs.at(&server.id).staying();
             let mut excess = (server.online + batch)
                 .saturating_sub(server.slots)
                 .min(batch);
@@ -47,7 +47,7 @@
                 }
                 let ran_ms = now_ms.saturating_sub(*since_ms);
                 let made = item.waiting.progress.last + self.estimate.events_in(ran_ms);
-                let spare_ms = self.spare_ms(known.due_ms, made, now_ms);
+                let spare_ms = self.estimate.spare_ms(known.due_ms, made, now_ms);
                 let rank = (
                     spare_ms.is_none(),
                     spare_ms.unwrap_or(known.due_ms),
@@ -65,12 +65,6 @@
         chosen.map(|(_, key)| key)
     }
 
-    /// Returns the time that an item can still wait and be complete when its job
-    /// is due; `None` if it will be late.
-    fn spare_ms(&self, due_ms: u64, made: u64, now_ms: u64) -> Option<u64> {
-        due_ms.checked_sub(now_ms + self.estimate.remaining_ms(made))
-    }
-
     fn mark_stopping(&mut self, key: &Key) {
         let job = self.jobs.get_mut(&key.job);
         let item = job.and_then(|job| job.items.get_mut(&key.item));
@@ -79,7 +73,7 @@
         }) = item.map(|item| &mut item.state)
         {
             *stopping = true;
-            self.runs.entry(server.clone()).or_default().stopping += 1;
+            self.runs.stop(server);
         }
     }
 }
--- a/crates/relay/src/dispatch/start.rs
+++ b/crates/relay/src/dispatch/start.rs
@@ -1,10 +1,31 @@
 //! Items that start where online requests leave slots free.
 
-use bw_wire::name::Name;
-
-use super::{Action, Dispatch, Item, Key, Server, Start, State};
+use super::{Action, Dispatch, Item, Key, Server, Start, State, estimate::Estimate};
 use crate::route;
 
+/// One pass over the waiting items.
+#[derive(Clone, Copy)]
+struct Pass {
+    /// Whether it starts the items that will be late, or those that can be
+    /// complete in time.
+    late: bool,
+    /// Whether items that will be late wait for the second pass.
+    late_last: bool,
+    estimate: Estimate,
+    now_ms: u64,
+}
+
+impl Pass {
+    /// Returns whether an item of a job that is due then may start in this pass.
+    fn admits(&self, item: &Item, due_ms: u64) -> bool {
+        let made = item.waiting.progress.last;
+        let spare_ms = self.estimate.spare_ms(due_ms, made, self.now_ms);
+        matches!(item.state, State::Waiting)
+            && self.now_ms >= item.waiting.not_before_ms
+            && (self.late_last && spare_ms.is_none()) == self.late
+    }
+}
+
 impl Dispatch {
     /// Starts items where slots are free.
     pub(super) fn start(
@@ -29,25 +50,30 @@
         let mut left = self.options.starts;
         let mut trials = self.trials.room(servers.len(), now_ms);
         for late in [false, true] {
-            self.start_trials(late, &mut rooms, routes, now_ms, &mut trials, actions);
-            self.start_some(late, &mut rooms, routes, now_ms, &mut left, actions);
+            let pass = Pass {
+                late,
+                late_last: self.options.late_last,
+                estimate: self.estimate,
+                now_ms,
+            };
+            self.start_trials(pass, &mut rooms, routes, &mut trials, actions);
+            self.start_some(pass, &mut rooms, routes, &mut left, actions);
         }
     }
 
-    /// Starts trials of suspects that can be complete in time, or of those that
-    /// will be late; the ones with the fewest broken trials first.
+    /// Starts trials of suspects, the ones with the fewest broken trials first.
     fn start_trials(
         &mut self,
-        late: bool,
+        pass: Pass,
         rooms: &mut [(u32, &Server)],
         routes: &route::Table,
-        now_ms: u64,
         left: &mut usize,
         actions: &mut Vec<Action>,
     ) {
         if *left == 0 {
             return;
         }
+        let now_ms = pass.now_ms;
         let mut ready = Vec::new();
         for (broken, key) in self.trials.ready(now_ms) {
             if let Some(job) = self.jobs.get(&key.job) {
@@ -62,11 +88,10 @@
             let Some(item) = job.items.get_mut(&key.item) else {
                 continue;
             };
-            let remaining_ms = self.estimate.remaining_ms(item.waiting.progress.last);
-            let fits = matches!(item.state, State::Waiting)
-                && now_ms >= item.waiting.not_before_ms
-                && (self.options.late_last && now_ms + remaining_ms > due_ms) == late;
-            let Some(route) = routes.find(&job.place.host, &item.path).filter(|_| fits) else {
+            if !pass.admits(item, due_ms) {
+                continue;
+            }
+            let Some(route) = routes.find(&job.place.host, &item.path) else {
                 continue;
             };
             let avoid = item.waiting.avoid.as_ref();
@@ -85,11 +110,9 @@
             };
             *room -= 1;
             *left -= 1;
-            self.starts += 1;
-            self.runs.entry(server.id.clone()).or_default().all += 1;
             self.trials.began(&key, &server.id, now_ms);
-            let place = (&server.id, &server.address);
-            let start = begin(key, &job.place.host, item, (self.starts, now_ms), place);
+            let host = &job.place.host;
+            let start = self.runs.begin(key, host, item, server, now_ms);
             actions.push(Action::Start(Start {
                 trial: true,
                 ..start
@@ -97,18 +120,15 @@
         }
     }
 
-    /// Starts items that can be complete in time, or those that will be late.
+    /// Starts items that are no suspects.
     fn start_some(
         &mut self,
-        late: bool,
+        pass: Pass,
         rooms: &mut Vec<(u32, &Server)>,
         routes: &route::Table,
-        now_ms: u64,
         left: &mut usize,
         actions: &mut Vec<Action>,
     ) {
-        let estimate = self.estimate.clone();
-        let late_last = self.options.late_last;
         let suspected = self.options.trials.breaks.max(1);
         for (due_ms, id) in &self.order {
             let Some(job) = self.jobs.get_mut(id) else {
@@ -118,12 +138,10 @@
                 if *left == 0 || rooms.is_empty() {
                     return;
                 }
-                let remaining_ms = estimate.remaining_ms(item.waiting.progress.last);
-                let ready = matches!(item.state, State::Waiting)
-                    && now_ms >= item.waiting.not_before_ms
-                    && item.waiting.breaks < suspected
-                    && (late_last && now_ms + remaining_ms > *due_ms) == late;
-                let Some(route) = routes.find(&job.place.host, &item.path).filter(|_| ready) else {
+                if item.waiting.breaks >= suspected || !pass.admits(item, *due_ms) {
+                    continue;
+                }
+                let Some(route) = routes.find(&job.place.host, &item.path) else {
                     continue;
                 };
                 let avoid = item.waiting.avoid.clone();
@@ -136,45 +154,15 @@
                 };
                 *room -= 1;
                 *left -= 1;
-                self.starts += 1;
                 let key = Key {
                     job: id.clone(),
                     item: *index,
                 };
-                let place = (&server.id, &server.address);
-                self.runs.entry(server.id.clone()).or_default().all += 1;
-                let start = begin(key, &job.place.host, item, (self.starts, now_ms), place);
+                let host = &job.place.host;
+                let start = self.runs.begin(key, host, item, server, pass.now_ms);
                 actions.push(Action::Start(start));
             }
             rooms.retain(|(room, _)| *room > 0);
         }
     }
 }
-
-/// Marks an item as running and describes its run.
-pub(super) fn begin(
-    key: Key,
-    host: &Name,
-    item: &mut Item,
-    (started, since_ms): (u64, u64),
-    (server, address): (&Name, &Name),
-) -> Start {
-    item.state = State::Running {
-        server: server.clone(),
-        started,
-        since_ms,
-        stopping: false,
-    };
-    Start {
-        key,
-        id: item.id.clone(),
-        host: host.clone(),
-        path: item.path.clone(),
-        headers: item.headers.clone(),
-        server: server.clone(),
-        address: address.clone(),
-        progress: item.waiting.progress.clone(),
-        orphan: None,
-        trial: false,
-    }
-}
