Clear a suspect whose answer was passed on in whole

Cause: only answers that are read in whole before they are passed on, and streams, told the suspects that the request ended whole. An answer that is passed on as it arrives did not, so no trial of it could clear the request.

Change: the passage of an answer clears the request at the end of the body. hyper reports a body that ends early as an error, so the end means that the answer is whole.

--- a/programs/gateway/src/edge/attempt.rs
+++ b/programs/gateway/src/edge/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net, rc::Rc, time};
 
-use bw_relay::balance;
+use bw_relay::{balance, suspect};
 use bw_wire::{name::Name, verdict};
 use bytes::{Bytes, BytesMut};
 use futures_util::stream;
@@ -384,7 +384,7 @@
         // One that states a larger length is passed on as it arrives.
         let large = accepted.response.body().size_hint().exact();
         if !forward.route.kind.repeatable() || large.is_some_and(|length| length > WHOLE_BYTES) {
-            return pass(state, accepted, active, forward.until_ms);
+            return pass(state, accepted, active, &forward);
         }
         let id = accepted.held.id.clone();
         let (parts, body) = accepted.response.into_parts();
@@ -430,7 +430,12 @@
 
 /// Passes an answer on as it arrives, until the request's time is over. One that
 /// states no length may not be larger than `PASSED_BYTES`.
-fn pass(state: &Rc<State>, accepted: Accepted, active: Active, until_ms: u64) -> answer::Answer {
+fn pass(
+    state: &Rc<State>,
+    accepted: Accepted,
+    active: Active,
+    forward: &Forward,
+) -> answer::Answer {
     let (mut parts, body) = accepted.response.into_parts();
     forward::remove_hop_headers(&mut parts.headers);
     let stated = body.size_hint().exact();
@@ -438,7 +443,8 @@
         state: Rc::clone(state),
         body,
         left: stated.unwrap_or(PASSED_BYTES),
-        until_ms,
+        until_ms: forward.until_ms,
+        fingerprint: forward.fingerprint,
         lease: accepted.lease,
         held: accepted.held,
         _active: active,
@@ -449,6 +455,7 @@
             Some(Ok(frame)) => Some((Ok(frame), Some(passage))),
             Some(Err(error)) => Some((Err(error), None)),
             None => {
+                passage.state.finished(passage.fingerprint);
                 passage.lease.release();
                 None
             }
@@ -464,6 +471,7 @@
     /// Bytes that may still come.
     left: u64,
     until_ms: u64,
+    fingerprint: suspect::Fingerprint,
     lease: upstream::Lease,
     held: Held,
     _active: Active,
