Refuse an order to empty a VM only when the replicas are settled

What operators would see: 409, which ends the call for good, for an order to empty a VM while a standby restarted or its connection was reset, although enough replicas would be left a second later.

Cause: the number of replicas was taken from the connections of the moment. Only the first 4 s of a leader counted as unsettled.

Change: the sessions keep when a VM with a replica was lost last. For 4 s after that, as for 4 s after the lead began, "too few" and "unknown" are answered with 503. A restart takes one to two seconds, so 409 is given once a replica that restarts is back or has stayed away.

--- a/programs/gateway/src/control/evacuation.rs
+++ b/programs/gateway/src/control/evacuation.rs
@@ -11,7 +11,8 @@
     control::{hub, hub::Hub, members, replica},
 };
 
-/// Time in which replicas find a new leader, in milliseconds.
+/// Time in which replicas find a new leader, or come back after a restart, which
+/// takes one to two seconds, in milliseconds.
 const SETTLE_MS: u64 = 4_000;
 
 /// Returns the VMs with a replica as far as they are connected.
@@ -60,6 +61,14 @@
     hub.members().iter().all(connected)
 }
 
+/// Returns whether replicas may be out of touch only for a moment. What depends on
+/// their number is not known then.
+fn is_unsettled(hub: &Hub) -> bool {
+    let lost_ms = hub.sessions.borrow().replica_lost_ms();
+    let changed_ms = hub.led_ms().max(lost_ms.unwrap_or(0));
+    clock::steady_ms() < changed_ms + SETTLE_MS
+}
+
 /// Takes the order to empty a VM.
 pub(crate) async fn begin(hub: &Hub, node: Name) -> message::Reply {
     let vms = vms(hub);
@@ -73,10 +82,7 @@
     };
     log::info!(node = &*node, known = vms.len(), verdict = format!("{verdict:?}").as_str(); "order to empty a VM");
     match verdict {
-        // Replicas need a moment to find a new leader.
-        evacuation::Verdict::Unknown | evacuation::Verdict::TooFew
-            if clock::steady_ms() < hub.led_ms() + SETTLE_MS =>
-        {
+        evacuation::Verdict::Unknown | evacuation::Verdict::TooFew if is_unsettled(hub) => {
             message::Reply::NotLeader
         }
         // It is out of touch.
--- a/programs/gateway/src/control/sessions.rs
+++ b/programs/gateway/src/control/sessions.rs
@@ -42,6 +42,8 @@
     /// Online requests in flight by the number of the backend server, summed over
     /// all sessions.
     online: HashMap<u32, u32>,
+    /// When the last connection of a VM with a replica ended.
+    replica_lost_ms: Option<u64>,
 }
 
 impl Sessions {
@@ -107,6 +109,11 @@
         replicas.find_map(|(name, address)| (*name == *node).then_some(address))
     }
 
+    /// Returns when the last connection of a VM with a replica ended, if one did.
+    pub(crate) fn replica_lost_ms(&self) -> Option<u64> {
+        self.replica_lost_ms
+    }
+
     /// Closes all sessions, after which their nodes look for the new leader.
     pub(crate) fn close(&mut self) {
         self.sessions.clear();
@@ -292,8 +299,12 @@
 
     /// Forgets one session.
     pub(crate) fn remove(&mut self, id: u64) {
-        if let Some(session) = self.sessions.remove(&id) {
-            self.subtract(&session.loads);
+        let Some(session) = self.sessions.remove(&id) else {
+            return;
+        };
+        if session.role == message::Role::Control {
+            self.replica_lost_ms = Some(clock::steady_ms());
         }
+        self.subtract(&session.loads);
     }
 }
