Ignore news of a suspect that newer ones overtook

What callers would see: two entry VMs tell of crashes under the same content at the same moment, and the lower count arrives last. The request was then no suspect any more, so it could crash one more backend server; or its pause began anew, so that a sound request was refused for longer than the pause.

Cause: each count that differed from the known one replaced it and the time of the last strike.

Change: only a higher count, or 0, changes a record. A lower count is also the truth if the request was cleared in between, so the news that no leader was told of keep that it was cleared before later strikes (a_suspect_that_was_cleared_and_struck_again_has_only_the_later_strike); they move to suspect::Untold, where they can be tested.

What remains: a clearing that is lost with a leader after it was sent leaves the higher count with the other entry VMs. The next request that ends whole, or a trial after the pause, clears it.

--- a/crates/relay/src/suspect.rs
+++ b/crates/relay/src/suspect.rs
@@ -25,6 +25,8 @@
 const TRIAL_MS: u64 = 10_000;
 /// Suspects that are remembered; the oldest are forgotten first.
 const SUSPECTS_MAX: usize = 10_000;
+/// Most suspects that wait to be told of, which bounds memory.
+const UNTOLD_MAX: usize = 1_000;
 
 /// Names the content of a request.
 #[derive(
@@ -139,14 +141,15 @@
         Some(Strike { fingerprint, count })
     }
 
-    /// Takes news of another process. Returns whether they changed anything.
+    /// Takes news of another process. Returns whether they changed anything: news
+    /// with fewer strikes than are known were overtaken by newer ones.
     pub fn merge(&mut self, strike: Strike, now_ms: u64) -> bool {
         let Strike { fingerprint, count } = strike;
         if count == 0 {
             return self.records.remove(&fingerprint).is_some();
         }
         let known = self.records.get(&fingerprint).map(|known| known.count);
-        if known == Some(count) {
+        if known >= Some(count) {
             return false;
         }
         let record = Record {
@@ -176,3 +179,31 @@
             .collect()
     }
 }
+
+/// News of one process that no leader was told of yet.
+#[derive(Clone, Debug, Default)]
+pub struct Untold {
+    news: HashMap<Fingerprint, Vec<Strike>>,
+}
+
+impl Untold {
+    /// Adds news. They replace earlier ones of the same suspect, except that it was
+    /// cleared: strikes that follow count from there.
+    pub fn add(&mut self, strike: Strike) {
+        let known = self.news.contains_key(&strike.fingerprint);
+        if !known && self.news.len() >= UNTOLD_MAX {
+            return;
+        }
+        let news = self.news.entry(strike.fingerprint).or_default();
+        news.retain(|earlier| earlier.count == 0 && strike.count > 0);
+        news.push(strike);
+    }
+
+    /// Takes all news, those of one suspect in their order.
+    pub fn take(&mut self) -> Vec<Strike> {
+        std::mem::take(&mut self.news)
+            .into_values()
+            .flatten()
+            .collect()
+    }
+}
--- a/crates/relay/tests/suspect.rs
+++ b/crates/relay/tests/suspect.rs
@@ -1,6 +1,6 @@
 //! Requests that crash backend servers, told from bystanders.
 
-use bw_relay::suspect::{Admission, Fingerprint, Suspects};
+use bw_relay::suspect::{Admission, Fingerprint, Strike, Suspects, Untold};
 
 const PAUSE_MS: u64 = 10_000;
 const DAY_MS: u64 = 24 * 60 * 60 * 1_000;
@@ -119,3 +119,40 @@
     let later = suspects.admit(suspect, 2 * PAUSE_MS + 2);
     assert!(matches!(later, Admission::Refused { .. }), "{later:?}");
 }
+
+/// Guards against news that crossed with newer ones: they let a suspect run again, or
+/// began its pause anew.
+#[test]
+fn older_news_of_a_suspect_change_nothing() {
+    let mut suspects = Suspects::default();
+    let fingerprint = fingerprint("suspect");
+    for _ in 0..3 {
+        suspects.crashed(fingerprint, 0);
+    }
+    for count in [2, 3] {
+        let older = Strike { fingerprint, count };
+        assert!(!suspects.merge(older, PAUSE_MS - 1), "{count}");
+    }
+    assert!(suspects.is_refused(fingerprint, PAUSE_MS - 1));
+    assert_eq!(suspects.admit(fingerprint, PAUSE_MS), Admission::Trial);
+}
+
+/// Guards against a leader that ignores a strike as older news, because it was not told
+/// that the suspect had been cleared before.
+#[test]
+fn a_suspect_that_was_cleared_and_struck_again_has_only_the_later_strike() {
+    let (mut leader, mut entry) = (Suspects::default(), Suspects::default());
+    let fingerprint = fingerprint("suspect");
+    for _ in 0..2 {
+        leader.merge(entry.crashed(fingerprint, 0), 0);
+    }
+    let mut untold = Untold::default();
+    untold.add(entry.finished(fingerprint).expect("news"));
+    untold.add(entry.crashed(fingerprint, 1));
+    for strike in untold.take() {
+        leader.merge(strike, 2);
+    }
+    let count = 1;
+    assert_eq!(leader.all(), [Strike { fingerprint, count }]);
+    assert!(untold.take().is_empty());
+}
--- a/programs/gateway/src/edge/state.rs
+++ b/programs/gateway/src/edge/state.rs
@@ -2,7 +2,6 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
     rc::Rc,
     sync::Arc,
 };
@@ -33,9 +32,6 @@
 /// after it has time left to come back.
 const STARTUP_WAIT_MS: u64 = 1_000;
 
-/// Most suspects that wait to be told of, which bounds memory.
-const UNTOLD_MAX: usize = 1_000;
-
 /// The state of the entry program, on one thread.
 pub(crate) struct State {
     pub(crate) settings: settings::Settings,
@@ -61,7 +57,7 @@
     pub(crate) connections: Cell<u64>,
     pub(crate) suspects: RefCell<suspect::Suspects>,
     /// News of suspects that no leader was told of yet.
-    untold: RefCell<HashMap<suspect::Fingerprint, u32>>,
+    untold: RefCell<suspect::Untold>,
     registry: RefCell<registry::Registry>,
     random: RefCell<rand_pcg::Pcg64Mcg>,
     swept_ms: Cell<u64>,
@@ -243,22 +239,22 @@
 
     fn tell(&self, strike: suspect::Strike) {
         let mut untold = self.untold.borrow_mut();
-        match self.link.notify(&message::Frame::Strike(strike)) {
-            true => {
-                untold.remove(&strike.fingerprint);
-            }
-            false if untold.len() < UNTOLD_MAX => {
-                untold.insert(strike.fingerprint, strike.count);
+        untold.add(strike);
+        let mut sent = true;
+        for strike in untold.take() {
+            // News of one suspect stay in their order.
+            sent = sent && self.link.notify(&message::Frame::Strike(strike));
+            if !sent {
+                untold.add(strike);
             }
-            false => {}
         }
     }
 
     /// Tells a new leader what happened while there was none. Its own news of these
     /// suspects are older.
     fn tell_untold(&self, now_ms: u64) {
-        for (fingerprint, count) in self.untold.take() {
-            let strike = suspect::Strike { fingerprint, count };
+        let news = self.untold.borrow_mut().take();
+        for strike in news {
             self.suspects.borrow_mut().merge(strike, now_ms);
             self.tell(strike);
         }
