Keep the names of VMs that can be emptied in the ledger

What operators would see: 404 for an order to empty a VM that exists, if it has been out of touch since the leader's program started, such as after a loss of all power. Three such answers end the operator's call.

Cause: "unknown" was said from the VMs that had connected to this one program since its start. A control program that has just started does not know which VMs there are.

Change: the leader notes in the log which VMs with a replica or a worker have connected (Command::Meet), each once, as an effect of an applied command. The 404 is given from that set. Entry VMs keep nothing and cannot be emptied; an order that names one is answered 404 also after it has connected, where it was answered 503 without end.

--- a/crates/relay/src/ledger.rs
+++ b/crates/relay/src/ledger.rs
@@ -218,6 +218,11 @@
         /// Unix milliseconds.
         before_ms: u64,
     },
+    /// Notes a VM that can be emptied, so that it is known while it is out of touch.
+    Meet {
+        /// The VM.
+        node: Name,
+    },
 }
 
 /// The result of a command.
@@ -267,6 +272,10 @@
     /// sum, as a submission must not look at all open items.
     waiting: BTreeMap<route::Place, u64>,
     next_key: u64,
+    /// VMs that can be emptied. They follow the other fields in a snapshot, as older
+    /// snapshots end there.
+    #[serde(skip)]
+    met: BTreeSet<Name>,
     #[serde(skip)]
     effects: Vec<payload::Effect>,
 }
@@ -308,6 +317,11 @@
         self.evacuated.contains(node)
     }
 
+    /// Returns the VMs that can be emptied.
+    pub fn met(&self) -> &BTreeSet<Name> {
+        &self.met
+    }
+
     /// Returns the key of an item's body, unless the item is listed or its job
     /// has ended.
     pub fn body(&self, job: &str, item: &str) -> Option<payload::Key> {
@@ -387,6 +401,10 @@
                 Applied::Done
             }
             Command::Sweep { before_ms } => self.sweep(before_ms),
+            Command::Meet { node } => {
+                self.met.insert(node);
+                Applied::Done
+            }
         }
     }
 
@@ -618,12 +636,16 @@
     }
 
     fn snapshot(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).unwrap_or_default()
+        postcard::to_stdvec(&(self, &self.met)).unwrap_or_default()
     }
 
     fn restore(&mut self, data: &[u8]) -> std::result::Result<(), host::RestoreError> {
-        *self = postcard::from_bytes(data)
-            .map_err(|error| host::RestoreError::new(error.to_string()))?;
+        let failed = |error: postcard::Error| host::RestoreError::new(error.to_string());
+        let (mut restored, rest) = postcard::take_from_bytes::<Ledger>(data).map_err(failed)?;
+        if !rest.is_empty() {
+            restored.met = postcard::from_bytes(rest).map_err(failed)?;
+        }
+        *self = restored;
         Ok(())
     }
 }
--- a/crates/relay/tests/ledger.rs
+++ b/crates/relay/tests/ledger.rs
@@ -200,6 +200,23 @@
     assert!(store.payloads.is_empty());
 }
 
+/// Guards against a replica that cannot read a snapshot written before the ledger knew
+/// VMs.
+#[test]
+fn an_older_snapshot_is_restored() {
+    let mut store = Store::default();
+    store.execute(Command::Evacuate { node: "a".into() });
+    let older = postcard::to_stdvec(&store.ledger).expect("plain data");
+    store.execute(Command::Meet { node: "b".into() });
+    let mut restored = Ledger::default();
+    restored.restore(&older).expect("an older snapshot");
+    assert!(restored.is_evacuated("a") && restored.met().is_empty());
+    restored
+        .restore(&store.ledger.snapshot())
+        .expect("a snapshot");
+    assert!(restored.is_evacuated("a") && restored.met().contains("b"));
+}
+
 #[test]
 fn a_snapshot_restores_the_same_state() {
     let mut store = Store::default();
--- a/programs/gateway/src/control/effect.rs
+++ b/programs/gateway/src/control/effect.rs
@@ -16,6 +16,8 @@
     Ended(Name),
     /// A VM is to be emptied.
     Evacuated(Name),
+    /// A VM is known that can be emptied.
+    Met(Name),
 }
 
 /// The part of a command that its effect is found by, once it is applied.
@@ -24,6 +26,7 @@
     Submission(Name),
     End(Name),
     Evacuation(Name),
+    Meeting(Name),
     /// The command has no effect outside the replicated state.
     None,
 }
@@ -35,6 +38,7 @@
             ledger::Command::Submit(job) => Subject::Submission(job.id.clone()),
             ledger::Command::End { job } => Subject::End(job.clone()),
             ledger::Command::Evacuate { node } => Subject::Evacuation(node.clone()),
+            ledger::Command::Meet { node } => Subject::Meeting(node.clone()),
             ledger::Command::Save { .. }
             | ledger::Command::Record { .. }
             | ledger::Command::Fail { .. }
@@ -59,6 +63,7 @@
                 job.ended.then_some(Effect::Ended(id))
             }
             Subject::Evacuation(node) => Some(Effect::Evacuated(node)),
+            Subject::Meeting(node) => Some(Effect::Met(node)),
             Subject::None => None,
         }
     }
--- a/programs/gateway/src/control/hub/mod.rs
+++ b/programs/gateway/src/control/hub/mod.rs
@@ -67,7 +67,8 @@
     suspects: RefCell<suspect::Suspects>,
     /// VMs that were ordered to be emptied, while this replica leads.
     pub(crate) evacuated: RefCell<BTreeSet<Name>>,
-    /// VMs that have connected since this program started, also while others led.
+    /// VMs that can be emptied, while this replica leads. They stay known when they are
+    /// out of touch.
     met: RefCell<BTreeSet<Name>>,
     /// How fast the work of routes ends while this replica leads.
     pace: RefCell<quota::Pace>,
@@ -232,12 +233,18 @@
         }
     }
 
-    /// Notes that a VM has connected.
-    pub(crate) fn meet(&self, node: &Name) {
-        self.met.borrow_mut().insert(node.clone());
+    /// Notes that a VM has connected. That it can be emptied is made durable.
+    pub(crate) fn meet(&self, node: &Name, role: message::Role) {
+        if role == message::Role::Entry || self.has_met(node) {
+            return;
+        }
+        // After a refusal it is noted when the VM connects to the next leader.
+        let (reply, _) = oneshot::channel();
+        let command = ledger::Command::Meet { node: node.clone() };
+        self.tell(replica::Call::Propose { command, reply });
     }
 
-    /// Returns whether a VM has connected since this program started.
+    /// Returns whether a VM that can be emptied has ever connected to a leader.
     pub(crate) fn has_met(&self, node: &Name) -> bool {
         self.met.borrow().contains(node)
     }
@@ -326,6 +333,9 @@
             effect::Effect::Evacuated(node) => {
                 self.evacuated.borrow_mut().insert(node);
             }
+            effect::Effect::Met(node) => {
+                self.met.borrow_mut().insert(node);
+            }
         }
     }
 
@@ -417,6 +427,7 @@
             self.dispatch.borrow_mut().add(id, job);
         }
         *self.evacuated.borrow_mut() = leading.evacuated;
+        *self.met.borrow_mut() = leading.met;
         self.led_ms.set(now_ms);
         self.leads.set(Some(leading.term));
         self.standing.send_replace(());
--- a/programs/gateway/src/control/replica.rs
+++ b/programs/gateway/src/control/replica.rs
@@ -131,6 +131,8 @@
     pub(crate) backends: Vec<registry::Announcement>,
     /// VMs that were ordered to be emptied.
     pub(crate) evacuated: BTreeSet<Name>,
+    /// VMs that can be emptied.
+    pub(crate) met: BTreeSet<Name>,
 }
 
 struct Edge;
@@ -467,6 +469,7 @@
             jobs: jobs.collect(),
             backends: machine.backends().cloned().collect(),
             evacuated: machine.evacuated().clone(),
+            met: machine.met().clone(),
         };
         self.replica.notice(Notice::Leading(Box::new(leading)));
     }
--- a/programs/gateway/src/control/sessions.rs
+++ b/programs/gateway/src/control/sessions.rs
@@ -145,7 +145,6 @@
             role,
             address,
         }) => {
-            hub.meet(&node);
             let peer = (node, role, address);
             serve(&hub, peer, reader, socket::Writer::new(write)).await;
         }
@@ -216,7 +215,8 @@
         return;
     }
     let id = hub.sessions.borrow_mut().open(peer.clone(), queue.clone());
-    let node = peer.0;
+    let (node, role, _) = peer;
+    hub.meet(&node, role);
     log::info!(node = &*node, version = version; "session opened");
     // The sessions hold the queue: once they drop it, the writer ends.
     let replies = queue.downgrade();
