Keep closed jobs for their time also if clocks differ

What callers would see: 404 for the results of a job that must still be readable, if the time of day of the leader is seconds ahead of that of the entry VM that took the job. The time of day may jump by seconds.

Cause: a job is dated by the entry VM and swept by the leader's clock, exactly when its time is over.

Evidence: a_closed_job_stays_for_its_time_beside_clocks_that_differ failed before, with a leader 3 s ahead.

The ledger makes the command, so that the rule can be tested.

--- a/crates/relay/src/ledger.rs
+++ b/crates/relay/src/ledger.rs
@@ -11,6 +11,10 @@
 
 use crate::{registry, route};
 
+/// How far the time of day of two VMs may be apart, in milliseconds: it may jump by
+/// seconds, forward or backward.
+const CLOCK_ERROR_MS: u64 = 10_000;
+
 /// A configuration with the bytes that an operator sent, which are read back.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Published {
@@ -225,6 +229,15 @@
     },
 }
 
+impl Command {
+    /// Returns the command that forgets closed jobs once they were readable for a
+    /// time. `now_ms` is Unix time.
+    pub fn sweep(now_ms: u64, retention_ms: u64) -> Command {
+        let before_ms = now_ms.saturating_sub(retention_ms.saturating_add(CLOCK_ERROR_MS));
+        Command::Sweep { before_ms }
+    }
+}
+
 /// The result of a command.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum Applied {
--- a/crates/relay/tests/ledger.rs
+++ b/crates/relay/tests/ledger.rs
@@ -200,6 +200,23 @@
     assert!(store.payloads.is_empty());
 }
 
+/// Guards against a job that is answered with 404 within its time, as the clock of the
+/// leader is ahead of that of the entry VM that took the job.
+#[test]
+fn a_closed_job_stays_for_its_time_beside_clocks_that_differ() {
+    const RETENTION_MS: u64 = 120_000;
+    let mut store = Store::default();
+    store.execute(job(&["a"]));
+    store.record(0, End::Completed, "out");
+    let in_time_ms = 1_000 + RETENTION_MS - 1;
+    for ahead_ms in [0, 3_000, 9_000] {
+        store.execute(Command::sweep(in_time_ms + ahead_ms, RETENTION_MS));
+        assert!(store.page("job", 0, 1).is_some(), "{ahead_ms} ms ahead");
+    }
+    store.execute(Command::sweep(in_time_ms + 20_000, RETENTION_MS));
+    assert_eq!(store.page("job", 0, 1), None);
+}
+
 /// Guards against a replica that cannot read a snapshot written before the ledger knew
 /// VMs.
 #[test]
--- a/programs/gateway/src/control/hub/jobs.rs
+++ b/programs/gateway/src/control/hub/jobs.rs
@@ -105,9 +105,8 @@
             .borrow_mut()
             .retain(|_, changed| Rc::strong_count(changed) > 1);
         self.pool.sweep();
-        let before_ms = clock::unix_ms().saturating_sub(self.settings().retention_ms);
         let (reply, _) = oneshot::channel();
-        let command = ledger::Command::Sweep { before_ms };
+        let command = ledger::Command::sweep(clock::unix_ms(), self.settings().retention_ms);
         self.tell(replica::Call::Propose { command, reply });
     }
 }
