--- a/crates/relay/src/ledger.rs
+++ b/crates/relay/src/ledger.rs
@@ -11,6 +11,10 @@
 
 use crate::{registry, route};
 
+/// How far the time of day of two VMs may be apart, in milliseconds: it may jump by
+/// seconds, forward or backward.
+const CLOCK_ERROR_MS: u64 = 10_000;
+
 /// A configuration with the bytes that an operator sent, which are read back.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Published {
@@ -218,6 +222,20 @@
         /// Unix milliseconds.
         before_ms: u64,
     },
+    /// Notes a VM that can be emptied, so that it is known while it is out of touch.
+    Meet {
+        /// The VM.
+        node: Name,
+    },
+}
+
+impl Command {
+    /// Returns the command that forgets closed jobs once they were readable for a
+    /// time. `now_ms` is Unix time.
+    pub fn sweep(now_ms: u64, retention_ms: u64) -> Command {
+        let before_ms = now_ms.saturating_sub(retention_ms.saturating_add(CLOCK_ERROR_MS));
+        Command::Sweep { before_ms }
+    }
 }
 
 /// The result of a command.
@@ -267,6 +285,10 @@
     /// sum, as a submission must not look at all open items.
     waiting: BTreeMap<route::Place, u64>,
     next_key: u64,
+    /// VMs that can be emptied. They follow the other fields in a snapshot, as older
+    /// snapshots end there.
+    #[serde(skip)]
+    met: BTreeSet<Name>,
     #[serde(skip)]
     effects: Vec<payload::Effect>,
 }
@@ -308,6 +330,11 @@
         self.evacuated.contains(node)
     }
 
+    /// Returns the VMs that can be emptied.
+    pub fn met(&self) -> &BTreeSet<Name> {
+        &self.met
+    }
+
     /// Returns the key of an item's body, unless the item is listed or its job
     /// has ended.
     pub fn body(&self, job: &str, item: &str) -> Option<payload::Key> {
@@ -387,6 +414,10 @@
                 Applied::Done
             }
             Command::Sweep { before_ms } => self.sweep(before_ms),
+            Command::Meet { node } => {
+                self.met.insert(node);
+                Applied::Done
+            }
         }
     }
 
@@ -618,12 +649,16 @@
     }
 
     fn snapshot(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).unwrap_or_default()
+        postcard::to_stdvec(&(self, &self.met)).unwrap_or_default()
     }
 
     fn restore(&mut self, data: &[u8]) -> std::result::Result<(), host::RestoreError> {
-        *self = postcard::from_bytes(data)
-            .map_err(|error| host::RestoreError::new(error.to_string()))?;
+        let failed = |error: postcard::Error| host::RestoreError::new(error.to_string());
+        let (mut restored, rest) = postcard::take_from_bytes::<Ledger>(data).map_err(failed)?;
+        if !rest.is_empty() {
+            restored.met = postcard::from_bytes(rest).map_err(failed)?;
+        }
+        *self = restored;
         Ok(())
     }
 }
