Register gauges without labels as plain gauges

Five places in the gateway built an empty list of labels to set a gauge that has none. Names, help texts and values stay as they are; a gauge is served as 0 from its first use on.

--- a/crates/base/src/metrics.rs
+++ b/crates/base/src/metrics.rs
@@ -24,6 +24,16 @@
     register(gauge)
 }
 
+/// Registers a gauge without labels, or returns a detached one if the name is taken.
+///
+/// # Panics
+///
+/// Panics if the name is not a valid metric name.
+pub fn plain_gauge(name: &str, help: &str) -> prometheus::IntGauge {
+    let gauge = prometheus::IntGauge::new(name, help).expect("valid metric name");
+    register(gauge)
+}
+
 /// Registers a histogram with labels; `buckets` are upper bounds in seconds.
 ///
 /// # Panics
--- a/programs/gateway/src/control/hub/mod.rs
+++ b/programs/gateway/src/control/hub/mod.rs
@@ -373,9 +373,7 @@
         }
         *self.routes.borrow_mut() = Rc::new(route::Table::new(&published.config));
         *current = Some(Arc::clone(published));
-        let labels: [&str; 0] = [];
-        let version = metrics::CONFIGURATION.with_label_values(&labels);
-        version.set(published.config.version as i64);
+        metrics::CONFIGURATION.set(published.config.version as i64);
         true
     }
 
@@ -551,12 +549,9 @@
         hub.sessions
             .borrow_mut()
             .broadcast(&message::Frame::Update(update));
-        let labels: [&str; 0] = [];
         let open = hub.dispatch.borrow().open_items() as i64;
-        metrics::OPEN_ITEMS.with_label_values(&labels).set(open);
+        metrics::OPEN_ITEMS.set(open);
         let suspects = hub.dispatch.borrow().suspects() as i64;
-        metrics::SUSPECT_ITEMS
-            .with_label_values(&labels)
-            .set(suspects);
+        metrics::SUSPECT_ITEMS.set(suspects);
     }
 }
--- a/programs/gateway/src/edge/state.rs
+++ b/programs/gateway/src/edge/state.rs
@@ -161,9 +161,7 @@
     pub(crate) fn update(&self, update: message::Update) {
         let now_ms = clock::steady_ms();
         self.heard_ms.set(now_ms);
-        let labels: [&str; 0] = [];
-        let heard = metrics::LEADER_HEARD.with_label_values(&labels);
-        heard.set(clock::unix_ms() as i64);
+        metrics::LEADER_HEARD.set(clock::unix_ms() as i64);
         if let Some(published) = update.published {
             self.apply(&published);
         }
@@ -282,9 +280,7 @@
             limits: config.limits,
         };
         *self.routing.borrow_mut() = Some(Rc::new(routing));
-        let labels: [&str; 0] = [];
-        let version = metrics::CONFIGURATION.with_label_values(&labels);
-        version.set(config.version as i64);
+        metrics::CONFIGURATION.set(config.version as i64);
         self.configured.notify_waiters();
     }
 
--- a/programs/gateway/src/metrics.rs
+++ b/programs/gateway/src/metrics.rs
@@ -74,11 +74,10 @@
 });
 
 /// Items that are tried before they run as others do.
-pub static SUSPECT_ITEMS: LazyLock<prometheus::IntGaugeVec> = LazyLock::new(|| {
-    metrics::gauge(
+pub static SUSPECT_ITEMS: LazyLock<prometheus::IntGauge> = LazyLock::new(|| {
+    metrics::plain_gauge(
         "bw_gateway_suspect_items",
         "Items that wait for a trial or are being tried.",
-        &[],
     )
 });
 
@@ -92,11 +91,10 @@
 });
 
 /// Batch items that are accepted and not listed.
-pub static OPEN_ITEMS: LazyLock<prometheus::IntGaugeVec> = LazyLock::new(|| {
-    metrics::gauge(
+pub static OPEN_ITEMS: LazyLock<prometheus::IntGauge> = LazyLock::new(|| {
+    metrics::plain_gauge(
         "bw_gateway_open_items",
         "Items that are not listed yet.",
-        &[],
     )
 });
 
@@ -110,20 +108,18 @@
 });
 
 /// The version of the configuration that this process acts on.
-pub static CONFIGURATION: LazyLock<prometheus::IntGaugeVec> = LazyLock::new(|| {
-    metrics::gauge(
+pub static CONFIGURATION: LazyLock<prometheus::IntGauge> = LazyLock::new(|| {
+    metrics::plain_gauge(
         "bw_gateway_configuration_version",
         "Version of the configuration that this process acts on.",
-        &[],
     )
 });
 
 /// When the leader was heard from last.
-pub static LEADER_HEARD: LazyLock<prometheus::IntGaugeVec> = LazyLock::new(|| {
-    metrics::gauge(
+pub static LEADER_HEARD: LazyLock<prometheus::IntGauge> = LazyLock::new(|| {
+    metrics::plain_gauge(
         "bw_gateway_leader_heard_milliseconds",
         "Unix time in milliseconds at which news of the leader came last.",
-        &[],
     )
 });
 
