Remember that an unknown backend server has left

What callers would see: requests sent to a backend server whose leaving was acknowledged, until its address answers no more (DRAIN).

Cause: the leader answered 200 to the leaving of a backend server that it did not know, and told nobody. But others may know it: an announcement is acknowledged before it is durable, so a leader that begins after a loss of all control does not know a backend server that entry VMs use. An announcement that is late also came to stay after the leaving.

Change: leaving makes an entry without an address for an unknown id. It is told and noted as every other leaving, and keeps late announcements of that start away. Entries without an address take no address over.

Registry::leave takes the time, as such an entry is forgotten after a while; the two calls in leaving_by_name_counts_for_the_start_that_said_so have one argument more and check the same.

--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -44,6 +44,27 @@
     pub sequence: u64,
 }
 
+impl Announcement {
+    /// Describes a backend server of which only its leaving is known.
+    fn gone(id: Name, born_ms: u64) -> Announcement {
+        Announcement {
+            id,
+            service: Name::default(),
+            address: Name::default(),
+            failure_domain: Name::default(),
+            slots: 0,
+            state: State::Leaving,
+            born_ms,
+            sequence: 0,
+        }
+    }
+
+    /// Returns whether both have the same known address.
+    fn shares_address(&self, other: &Announcement) -> bool {
+        !self.address.is_empty() && self.address == other.address
+    }
+}
+
 /// What is known of one backend server.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Backend {
@@ -106,7 +127,7 @@
             };
         }
         let successor = self.backends.values().any(|other| {
-            other.announcement.address == announcement.address
+            other.announcement.shares_address(&announcement)
                 && other.announcement.born_ms > announcement.born_ms
                 && announcement.born_ms > 0
         });
@@ -115,7 +136,7 @@
         }
         for other in self.backends.values_mut() {
             let old = &mut other.announcement;
-            if old.address == announcement.address && old.state != State::Leaving {
+            if old.shares_address(&announcement) && old.state != State::Leaving {
                 old.state = State::Leaving;
             }
         }
@@ -128,9 +149,18 @@
         Outcome::Changed
     }
 
-    /// Notes that a backend server goes. Returns the entry if it changed.
-    pub fn leave(&mut self, id: &str, born_ms: u64) -> Option<Announcement> {
-        let known = self.backends.get_mut(id)?;
+    /// Notes that a backend server goes, also one that is not known: other processes
+    /// may know it, or its announcement may come later. Returns the entry if it changed.
+    pub fn leave(&mut self, id: &str, born_ms: u64, now_ms: u64) -> Option<Announcement> {
+        let Some(known) = self.backends.get_mut(id) else {
+            let announcement = Announcement::gone(id.into(), born_ms);
+            let backend = Backend {
+                announcement: announcement.clone(),
+                heard_ms: now_ms,
+            };
+            self.backends.insert(id.into(), backend);
+            return Some(announcement);
+        };
         let old = &mut known.announcement;
         if (born_ms > 0 && old.born_ms > born_ms) || old.state == State::Leaving {
             return None;
--- a/crates/relay/tests/registry.rs
+++ b/crates/relay/tests/registry.rs
@@ -86,11 +86,33 @@
     assert_eq!(state(&registry, "x"), State::Ready);
 }
 
+/// Guards against new work for a backend server whose leaving overtook its announcement,
+/// or that only other processes know.
+#[test]
+fn leaving_by_name_counts_also_before_the_backend_server_is_known() {
+    let (mut leader, mut entry) = (Registry::default(), Registry::default());
+    entry.announce(announcement("x", 10, 1, State::Ready), 0);
+    leader.leave("y", 20, 0);
+    let left = leader.leave("x", 10, 0).expect("a change to tell");
+    assert_eq!(entry.announce(left.clone(), 1), Outcome::Changed);
+    for registry in [&mut leader, &mut entry] {
+        let late = registry.announce(announcement("x", 10, 2, State::Ready), 2);
+        assert_eq!(late, Outcome::Stale);
+        assert_eq!(state(registry, "x"), State::Leaving);
+    }
+    let mut next = Registry::default();
+    next.leave("y", 20, 0);
+    assert_eq!(next.announce(left, 3), Outcome::Changed);
+}
+
 #[test]
 fn leaving_by_name_counts_for_the_start_that_said_so() {
     let mut registry = Registry::default();
     registry.announce(announcement("x", 20, 1, State::Ready), 0);
-    assert!(registry.leave("x", 10).is_none(), "an earlier start left");
-    assert!(registry.leave("x", 20).is_some());
+    assert!(
+        registry.leave("x", 10, 1).is_none(),
+        "an earlier start left"
+    );
+    assert!(registry.leave("x", 20, 1).is_some());
     assert_eq!(state(&registry, "x"), State::Leaving);
 }
--- a/programs/gateway/src/control/hub/backends.rs
+++ b/programs/gateway/src/control/hub/backends.rs
@@ -108,7 +108,8 @@
     }
 
     pub(super) async fn leave(&self, id: &str, born_ms: u64) -> message::Reply {
-        let left = self.registry.borrow_mut().leave(id, born_ms);
+        let now_ms = clock::steady_ms();
+        let left = self.registry.borrow_mut().leave(id, born_ms, now_ms);
         if let Some(announcement) = left {
             self.tell_backend(&announcement.id);
         }
@@ -119,7 +120,7 @@
     /// leaving is known gets no new work, also from the next leader.
     pub(super) async fn note(&self, id: &str) -> message::Reply {
         let Some(command) = self.note_command(id) else {
-            // An unknown one has nothing that could be forgotten.
+            // It was forgotten, as it left long ago.
             return message::Reply::Done;
         };
         match self.propose(command).await {
