Count no silence while the leader itself was frozen

What callers saw in the test: 503 for every request after all control had been frozen for 8 s, until each backend server announced itself again.

Cause: the first thing that a leader did after a freeze of more than 6 s was to call all backend servers silent, before it noticed that it no longer led. When it led again, it began with what it remembered: the ledger has the announcement of the last change only, which is older than what the last heartbeat renewed. It then told all entry VMs that no backend server can be used.

Change: a gap of more than 1 s between two checks for silence is the absence of the checking process. All entries then count as heard from now, as at the begin of a lead.

--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -9,6 +9,9 @@
 /// so that a delayed announcement does not bring it back. Announcements are
 /// delayed by seconds, a partition holds them up for longer.
 const TOMBSTONE_MS: u64 = 300_000;
+/// Time between two checks for silence from which the process was frozen itself, in
+/// milliseconds. Checks are due every 20 ms; announcements every second and more.
+const ABSENCE_MS: u64 = 1_000;
 
 /// What a backend server says of its state.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize, strum::Display)]
@@ -90,6 +93,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     backends: BTreeMap<Name, Backend>,
+    /// When silence was checked for last.
+    checked_ms: Option<u64>,
 }
 
 impl Registry {
@@ -170,8 +175,13 @@
     }
 
     /// Marks backend servers that were silent for long and forgets old ones.
-    /// Returns the entries that changed.
+    /// Returns the entries that changed. Time in which this was not called does not
+    /// count, as nobody listened.
     pub fn expire(&mut self, now_ms: u64, silent_ms: u64) -> Vec<Announcement> {
+        let checked_ms = self.checked_ms.replace(now_ms);
+        if checked_ms.is_some_and(|checked_ms| now_ms > checked_ms + ABSENCE_MS) {
+            self.refresh(now_ms);
+        }
         self.backends.retain(|_, backend| {
             backend.announcement.state == State::Ready
                 || now_ms < backend.heard_ms.saturating_add(TOMBSTONE_MS)
--- a/crates/relay/tests/registry.rs
+++ b/crates/relay/tests/registry.rs
@@ -86,6 +86,19 @@
     assert_eq!(state(&registry, "x"), State::Ready);
 }
 
+/// Guards against a leader that was frozen and calls all backend servers silent, as it
+/// did not hear them meanwhile.
+#[test]
+fn the_own_absence_is_no_silence_of_backend_servers() {
+    let mut registry = Registry::default();
+    registry.announce(announcement("x", 10, 1, State::Ready), 1_000);
+    let times = (1_000..=2_000).chain(10_000..=15_000).step_by(20);
+    for now_ms in times {
+        assert!(registry.expire(now_ms, 5_000).is_empty(), "{now_ms}");
+    }
+    assert_eq!(registry.expire(15_020, 5_000).len(), 1);
+}
+
 /// Guards against new work for a backend server whose leaving overtook its announcement,
 /// or that only other processes know.
 #[test]
