Clear a suspected stream at its first event

What callers would see: after a burst of crashes, 503 for a sound request as long as the trial of its content streams, for up to 10 s. If the caller of the trial left before the end, or the stream broke off later for another reason, the content stayed a suspect and had one trial in 10 s and entry VM.

Cause: only the whole end of a stream cleared its request, although a stream that breaks off after an event is not held against it either.

Evidence: a_stream_is_cleared_by_its_first_event failed before: 503 "backend servers crashed under this request" 1 s after the trial began to stream.

Change: the first new event of a run clears the request, as it clears an item of a job. A request that crashes its backend server as it begins to run gets no event, so it is refused as before.

--- a/programs/gateway/src/edge/stream.rs
+++ b/programs/gateway/src/edge/stream.rs
@@ -140,6 +140,7 @@
 
     fn take_events(&mut self) -> Result<(), Reason> {
         let mut joined: Vec<u8> = Vec::new();
+        let before = self.last;
         while let Some(event) = self.parser.next_event() {
             if let Some(id) = event.id {
                 let expected = self.last.map(|last| last + 1);
@@ -155,6 +156,11 @@
             joined.extend_from_slice(&event.bytes);
         }
         self.push(joined);
+        // A request that crashes its backend server does so as it begins to run, so the
+        // first event clears it, as it clears an item.
+        if before == self.attempts.last_event && self.last != before {
+            self.state.finished(self.forward.fingerprint);
+        }
         let fits = self.held.set(self.parser.pending());
         match fits && !self.parser.is_too_large() {
             true => Ok(()),
