--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -9,6 +9,9 @@
 /// so that a delayed announcement does not bring it back. Announcements are
 /// delayed by seconds, a partition holds them up for longer.
 const TOMBSTONE_MS: u64 = 300_000;
+/// Time between two checks for silence from which the process was frozen itself, in
+/// milliseconds. Checks are due every 20 ms; announcements every second and more.
+const ABSENCE_MS: u64 = 1_000;
 
 /// What a backend server says of its state.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize, strum::Display)]
@@ -44,6 +47,27 @@
     pub sequence: u64,
 }
 
+impl Announcement {
+    /// Describes a backend server of which only its leaving is known.
+    fn gone(id: Name, born_ms: u64) -> Announcement {
+        Announcement {
+            id,
+            service: Name::default(),
+            address: Name::default(),
+            failure_domain: Name::default(),
+            slots: 0,
+            state: State::Leaving,
+            born_ms,
+            sequence: 0,
+        }
+    }
+
+    /// Returns whether both have the same known address.
+    fn shares_address(&self, other: &Announcement) -> bool {
+        !self.address.is_empty() && self.address == other.address
+    }
+}
+
 /// What is known of one backend server.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Backend {
@@ -69,6 +93,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     backends: BTreeMap<Name, Backend>,
+    /// When silence was checked for last.
+    checked_ms: Option<u64>,
 }
 
 impl Registry {
@@ -106,7 +132,7 @@
             };
         }
         let successor = self.backends.values().any(|other| {
-            other.announcement.address == announcement.address
+            other.announcement.shares_address(&announcement)
                 && other.announcement.born_ms > announcement.born_ms
                 && announcement.born_ms > 0
         });
@@ -115,7 +141,7 @@
         }
         for other in self.backends.values_mut() {
             let old = &mut other.announcement;
-            if old.address == announcement.address && old.state != State::Leaving {
+            if old.shares_address(&announcement) && old.state != State::Leaving {
                 old.state = State::Leaving;
             }
         }
@@ -128,9 +154,18 @@
         Outcome::Changed
     }
 
-    /// Notes that a backend server goes. Returns the entry if it changed.
-    pub fn leave(&mut self, id: &str, born_ms: u64) -> Option<Announcement> {
-        let known = self.backends.get_mut(id)?;
+    /// Notes that a backend server goes, also one that is not known: other processes
+    /// may know it, or its announcement may come later. Returns the entry if it changed.
+    pub fn leave(&mut self, id: &str, born_ms: u64, now_ms: u64) -> Option<Announcement> {
+        let Some(known) = self.backends.get_mut(id) else {
+            let announcement = Announcement::gone(id.into(), born_ms);
+            let backend = Backend {
+                announcement: announcement.clone(),
+                heard_ms: now_ms,
+            };
+            self.backends.insert(id.into(), backend);
+            return Some(announcement);
+        };
         let old = &mut known.announcement;
         if (born_ms > 0 && old.born_ms > born_ms) || old.state == State::Leaving {
             return None;
@@ -140,8 +175,13 @@
     }
 
     /// Marks backend servers that were silent for long and forgets old ones.
-    /// Returns the entries that changed.
+    /// Returns the entries that changed. Time in which this was not called does not
+    /// count, as nobody listened.
     pub fn expire(&mut self, now_ms: u64, silent_ms: u64) -> Vec<Announcement> {
+        let checked_ms = self.checked_ms.replace(now_ms);
+        if checked_ms.is_some_and(|checked_ms| now_ms > checked_ms + ABSENCE_MS) {
+            self.refresh(now_ms);
+        }
         self.backends.retain(|_, backend| {
             backend.announcement.state == State::Ready
                 || now_ms < backend.heard_ms.saturating_add(TOMBSTONE_MS)
