Date jobs and waits by one clock that does not jump

What callers would see: items listed as given up seconds before their time, if the time of day of a leader jumps ahead, of a new leader is ahead, or of the entry VM that took the job is behind. A jump back lengthened all waits of the dispatch by as much.

Cause: entry VMs dated jobs by their time of day, and the leader compared the dates with its own at each plan.

Evidence: items_of_a_former_leader_are_not_given_up_by_a_clock_ahead fails with the old rule for a leader that is 1 ms ahead. Process tests cannot shift a clock, so the use of the calendar in the control program has no test of its own.

Change: the leader dates a job as it proposes it (ledger::Command::submit). While it leads, Unix time goes on with its steady clock (calendar::Calendar). Items of jobs that a former leader dated are given up 10 s later, as its clock may have been behind. They go on running meanwhile where there is room.

--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -22,7 +22,7 @@
 
 use bw_wire::name::Name;
 
-use crate::{ledger, route};
+use crate::{calendar, ledger, route};
 
 pub use adopt::{Adoption, EVICTION_MS, Eviction, Survey};
 use estimate::Estimate;
@@ -150,8 +150,19 @@
         }
     }
 
-    /// Adds the unlisted items of an open job; a known job stays as it is.
+    /// Adds the unlisted items of an open job that this leader dated; a known job
+    /// stays as it is.
     pub fn add(&mut self, id: &Name, job: &ledger::Job) {
+        self.insert(id, job, 0);
+    }
+
+    /// Adds an open job like [`Dispatch::add`] that a former leader dated. Its clock
+    /// may have been behind, so the items are given up later.
+    pub fn inherit(&mut self, id: &Name, job: &ledger::Job) {
+        self.insert(id, job, calendar::ERROR_MS);
+    }
+
+    fn insert(&mut self, id: &Name, job: &ledger::Job, error_ms: u64) {
         if self.jobs.contains_key(id) || !job.is_open() {
             return;
         }
@@ -165,7 +176,10 @@
         let known = Job {
             place: job.place.clone(),
             due_ms,
-            expires_ms: job.submitted_ms.saturating_add(job.give_up_ms),
+            expires_ms: job
+                .submitted_ms
+                .saturating_add(job.give_up_ms)
+                .saturating_add(error_ms),
             attempts: job.attempts.max(1),
             items: items.collect(),
         };
--- a/crates/relay/src/ledger.rs
+++ b/crates/relay/src/ledger.rs
@@ -9,11 +9,7 @@
 use bw_wire::name::Name;
 use serde::{Deserialize, Serialize};
 
-use crate::{registry, route};
-
-/// How far the time of day of two VMs may be apart, in milliseconds: it may jump by
-/// seconds, forward or backward.
-const CLOCK_ERROR_MS: u64 = 10_000;
+use crate::{calendar, registry, route};
 
 /// A configuration with the bytes that an operator sent, which are read back.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
@@ -46,7 +42,7 @@
     pub id: Name,
     /// The place of its route.
     pub place: route::Place,
-    /// When it was received, in Unix milliseconds.
+    /// When it was received, in Unix milliseconds; [`Command::submit`] replaces it.
     pub submitted_ms: u64,
     /// When its results are due, in milliseconds after its submission.
     pub complete_ms: u64,
@@ -230,10 +226,19 @@
 }
 
 impl Command {
+    /// Returns the command that accepts a job, which is dated `now_ms`, Unix time of
+    /// the leader: what is owed for a time is counted on one clock.
+    pub fn submit(job: NewJob, now_ms: u64) -> Command {
+        Command::Submit(Box::new(NewJob {
+            submitted_ms: now_ms,
+            ..job
+        }))
+    }
+
     /// Returns the command that forgets closed jobs once they were readable for a
     /// time. `now_ms` is Unix time.
     pub fn sweep(now_ms: u64, retention_ms: u64) -> Command {
-        let before_ms = now_ms.saturating_sub(retention_ms.saturating_add(CLOCK_ERROR_MS));
+        let before_ms = now_ms.saturating_sub(retention_ms.saturating_add(calendar::ERROR_MS));
         Command::Sweep { before_ms }
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -5,6 +5,7 @@
 //! milliseconds, so that tests replay load patterns exactly.
 
 pub mod balance;
+pub mod calendar;
 pub mod dispatch;
 pub mod evacuation;
 pub mod event;
--- a/crates/relay/tests/dispatch.rs
+++ b/crates/relay/tests/dispatch.rs
@@ -233,6 +233,23 @@
     assert!(dispatch.plan(&servers(&[]), &routes, now_ms + 1).is_empty());
 }
 
+/// Guards against items that are given up too early, as the clock of a new leader is
+/// ahead of that of the leader which dated the job.
+#[test]
+fn items_of_a_former_leader_are_not_given_up_by_a_clock_ahead() {
+    let job = job(&mut Ledger::default(), "job", 1, 18_000);
+    let given_up = |now_ms| {
+        let mut dispatch = Dispatch::new(Options::default());
+        dispatch.inherit(&"job".into(), &job);
+        let actions = dispatch.plan(&[], &routes(), now_ms);
+        matches!(actions[..], [Action::GiveUp(_, Reason::Expired)])
+    };
+    for ahead_ms in [1, 3_000, 9_000] {
+        assert!(!given_up(59_999 + ahead_ms), "{ahead_ms} ms ahead");
+    }
+    assert!(given_up(60_000 + 10_000));
+}
+
 #[test]
 fn an_ended_job_names_its_runs() {
     let mut dispatch = dispatch(9);
--- a/crates/relay/tests/ledger.rs
+++ b/crates/relay/tests/ledger.rs
@@ -200,6 +200,18 @@
     assert!(store.payloads.is_empty());
 }
 
+/// Guards against a job that is dated by the clock of an entry VM, which differs from
+/// that by which its items are given up.
+#[test]
+fn a_job_is_dated_by_the_leader() {
+    let mut store = Store::default();
+    let Command::Submit(job) = job(&["a"]) else {
+        panic!("a submission");
+    };
+    store.execute(Command::submit(*job, 7_000));
+    assert_eq!(store.ledger.jobs()["job"].submitted_ms, 7_000);
+}
+
 /// Guards against a job that is answered with 404 within its time, as the clock of the
 /// leader is ahead of that of the entry VM that took the job.
 #[test]
--- a/programs/gateway/src/control/hub/backends.rs
+++ b/programs/gateway/src/control/hub/backends.rs
@@ -27,7 +27,7 @@
                     self.note_results(&id, &node, usage.succeeded, usage.failed);
                     if usage.failed > 0 {
                         let mut dispatch = self.dispatch.borrow_mut();
-                        dispatch.requests_failed(&id, usage.failed, clock::unix_ms());
+                        dispatch.requests_failed(&id, usage.failed, self.unix_ms());
                     }
                 }
             }
@@ -132,7 +132,7 @@
     pub(super) fn note_command(&self, id: &str) -> Option<ledger::Command> {
         let registry = self.registry.borrow();
         let announcement = registry.get(id)?.announcement.clone();
-        let now_ms = clock::unix_ms();
+        let now_ms = self.unix_ms();
         Some(ledger::Command::Note {
             announcement,
             now_ms,
--- a/programs/gateway/src/control/hub/jobs.rs
+++ b/programs/gateway/src/control/hub/jobs.rs
@@ -15,7 +15,7 @@
 impl Hub {
     pub(super) async fn submit(&self, job: ledger::NewJob) -> message::Reply {
         let (id, place, tokens) = (job.id.clone(), job.place.clone(), job.tokens());
-        let command = ledger::Command::Submit(Box::new(job));
+        let command = ledger::Command::submit(job, self.unix_ms());
         match self.propose(command).await {
             Ok(ledger::Applied::Full { waiting, limit }) => {
                 let excess = waiting.saturating_add(tokens).saturating_sub(limit);
@@ -106,7 +106,7 @@
             .retain(|_, changed| Rc::strong_count(changed) > 1);
         self.pool.sweep();
         let (reply, _) = oneshot::channel();
-        let command = ledger::Command::sweep(clock::unix_ms(), self.settings().retention_ms);
+        let command = ledger::Command::sweep(self.unix_ms(), self.settings().retention_ms);
         self.tell(replica::Call::Propose { command, reply });
     }
 }
--- a/programs/gateway/src/control/hub/mod.rs
+++ b/programs/gateway/src/control/hub/mod.rs
@@ -13,7 +13,9 @@
 };
 
 use bw_coord::{ReplicaId, host, member};
-use bw_relay::{dispatch, health, ledger, load, message, quota, registry, route, suspect};
+use bw_relay::{
+    calendar, dispatch, health, ledger, load, message, quota, registry, route, suspect,
+};
 use bw_wire::name::Name;
 use tokio::sync::{Notify, mpsc as async_mpsc, oneshot, watch};
 
@@ -75,6 +77,8 @@
     swept_ms: Cell<u64>,
     /// When this replica began to lead.
     led_ms: Cell<u64>,
+    /// Unix time, set when this replica began to lead.
+    calendar: Cell<calendar::Calendar>,
 }
 
 impl Hub {
@@ -108,6 +112,10 @@
             pace: RefCell::new(quota::Pace::new(quota::Options::default())),
             swept_ms: Cell::new(0),
             led_ms: Cell::new(0),
+            calendar: Cell::new(calendar::Calendar::new(
+                clock::unix_ms(),
+                clock::steady_ms(),
+            )),
         }
     }
 
@@ -155,6 +163,12 @@
         self.led_ms.get()
     }
 
+    /// Returns the Unix time in milliseconds. It does not jump while this replica
+    /// leads.
+    pub(crate) fn unix_ms(&self) -> u64 {
+        self.calendar.get().unix_ms(clock::steady_ms())
+    }
+
     pub(crate) fn follows(&self) -> bool {
         self.leader.get().is_some()
     }
@@ -407,7 +421,9 @@
 
     fn lead(self: &Rc<Hub>, leading: replica::Leading) {
         let now_ms = clock::steady_ms();
-        log::info!(term = leading.term, open_jobs = leading.jobs.len(); "leading");
+        let unix_ms = clock::unix_ms();
+        log::info!(term = leading.term, open_jobs = leading.jobs.len(), unix_ms = unix_ms; "leading");
+        self.calendar.set(calendar::Calendar::new(unix_ms, now_ms));
         {
             let mut registry = self.registry.borrow_mut();
             for announcement in leading.backends {
@@ -422,7 +438,7 @@
             self.set_published(published);
         }
         for (id, job) in &leading.jobs {
-            self.dispatch.borrow_mut().add(id, job);
+            self.dispatch.borrow_mut().inherit(id, job);
         }
         *self.evacuated.borrow_mut() = leading.evacuated;
         *self.met.borrow_mut() = leading.met;
--- a/programs/gateway/src/control/orphan.rs
+++ b/programs/gateway/src/control/orphan.rs
@@ -39,7 +39,7 @@
 pub(crate) fn begin(hub: &Rc<Hub>) {
     let open = {
         let mut dispatch = hub.dispatch.borrow_mut();
-        dispatch.hold(clock::unix_ms() + SURVEY_MS);
+        dispatch.hold(hub.unix_ms() + SURVEY_MS);
         dispatch.open_items()
     };
     if open > 0 && hub.settings().dispatch.adopt {
@@ -60,7 +60,7 @@
     }
     let surveys: Vec<_> = surveys.into_iter().flatten().collect();
     let runs: usize = surveys.iter().map(|survey| survey.runs.len()).sum();
-    let adoption = hub.dispatch.borrow_mut().adopt(&surveys, clock::unix_ms());
+    let adoption = hub.dispatch.borrow_mut().adopt(&surveys, hub.unix_ms());
     log::info!(
         backends = backends, answered = surveys.len(), runs = runs, adopted = adoption.starts.len(),
         evicted = adoption.evictions.len(), took_ms = clock::steady_ms().saturating_sub(began_ms);
--- a/programs/gateway/src/control/runner.rs
+++ b/programs/gateway/src/control/runner.rs
@@ -72,7 +72,7 @@
     let actions = hub
         .dispatch
         .borrow_mut()
-        .plan(&servers, &routes, clock::unix_ms());
+        .plan(&servers, &routes, hub.unix_ms());
     log_trials(hub);
     carry_out(hub, actions);
 }
@@ -188,7 +188,7 @@
     let end = hub
         .dispatch
         .borrow_mut()
-        .ended(&start.key, outcome, clock::unix_ms());
+        .ended(&start.key, outcome, hub.unix_ms());
     log_trials(&hub);
     if let Some((end, output)) = end {
         record(hub, start.key, end, output).await;
