Move the disk with a thread for syncs to bw-coord

Cause: the platform's control program had the only disk that leaves a long sync running (Background), and bw-control is to have the same one. Both programs share bw-coord, whose storage module already holds the directory and its prepared syncs. A copy in each program would drift apart, and bw-base does not know bw-coord.

Change: storage::Background wraps a storage::Folder, a disk that can prepare a sync to be run on another thread. The file-system directory is one; a test can bring its own. A prepared sync is a function, so that such a folder can say what it does. The program's behaviour does not change, except that the error of a thread that cannot be started names the thread and not the data folder.

One thread for a host and not one for each group: the groups share one log, of which one sync runs at a time, so that more threads would have nothing to do.

--- a/programs/gateway/src/control/disk.rs
+++ b/crates/coord/src/storage/background.rs
@@ -1,35 +1,41 @@
-//! A directory whose long syncs run beside the control thread.
+//! A folder whose long syncs run on a thread of their own.
 
-use std::{io, mem, sync::mpsc, thread, time};
+use std::{mem, sync::mpsc, thread, time};
 
-use bw_coord::storage::{self, Disk};
+use crate::storage::{Disk, Error, File, Flush, Folder};
 
-/// How long the control thread waits for a sync before it goes on without it.
-/// Disks usually sync in 5 ms; heartbeats are sent every 30 ms.
+/// How long a step waits for a sync before it goes on without it. Disks usually
+/// sync in 5 ms, and the programs' election timeouts are 100 ms or more.
 const PATIENCE: time::Duration = time::Duration::from_millis(20);
 /// A sync that takes longer is logged: ten times what the disks usually take.
 const SLOW_SYNC: time::Duration = time::Duration::from_millis(50);
 
-/// A directory of the file system with a thread for syncs of the log.
-#[derive(Debug)]
-pub(crate) struct Background {
-    directory: storage::Directory,
-    syncs: mpsc::Sender<storage::Flush>,
-    results: mpsc::Receiver<Result<(), storage::Error>>,
+/// A disk that leaves long syncs of the log running on a thread.
+///
+/// One thread serves all groups of a host, as they share one log, of which one
+/// sync runs at a time. Other files are synced by the caller's thread.
+pub struct Background {
+    folder: Box<dyn Folder>,
+    syncs: mpsc::Sender<Flush>,
+    results: mpsc::Receiver<Result<(), Error>>,
     thread: Option<thread::JoinHandle<()>>,
 }
 
 impl Background {
+    /// Starts the thread for the syncs of a folder.
+    ///
     /// # Errors
     ///
     /// Fails if no thread can be started.
-    pub(crate) fn new(directory: storage::Directory) -> io::Result<Background> {
+    pub fn new(folder: Box<dyn Folder>) -> Result<Background, Error> {
         let (syncs, started) = mpsc::channel();
         let (finished, results) = mpsc::channel();
         let thread = thread::Builder::new().name("sync".to_owned());
-        let thread = thread.spawn(move || run_syncs(&started, &finished))?;
+        let thread = thread
+            .spawn(move || run_syncs(&started, &finished))
+            .map_err(|error| Error::io("start", "the thread for syncs", error))?;
         Ok(Background {
-            directory,
+            folder,
             syncs,
             results,
             thread: Some(thread),
@@ -50,10 +56,7 @@
     }
 }
 
-fn run_syncs(
-    started: &mpsc::Receiver<storage::Flush>,
-    finished: &mpsc::Sender<Result<(), storage::Error>>,
-) {
+fn run_syncs(started: &mpsc::Receiver<Flush>, finished: &mpsc::Sender<Result<(), Error>>) {
     for flush in started {
         let result = timed(|| flush.run());
         // The receiver is gone only if the thread is about to end, too.
@@ -74,55 +77,53 @@
 }
 
 impl Disk for Background {
-    fn append(&mut self, name: &str, data: &[u8]) -> Result<(), storage::Error> {
-        self.directory.append(name, data)
+    fn append(&mut self, name: &str, data: &[u8]) -> Result<(), Error> {
+        self.folder.append(name, data)
     }
 
-    fn sync(&mut self, name: &str) -> Result<(), storage::Error> {
-        timed(|| self.directory.sync(name))
+    fn sync(&mut self, name: &str) -> Result<(), Error> {
+        timed(|| self.folder.sync(name))
     }
 
-    fn start_sync(&mut self, name: &str) -> Result<bool, storage::Error> {
-        let flush = self.directory.prepare_sync(name)?;
-        self.syncs
-            .send(flush)
-            .map_err(|_| storage::Error::Stopped)?;
+    fn start_sync(&mut self, name: &str) -> Result<bool, Error> {
+        let flush = self.folder.prepare_sync(name)?;
+        self.syncs.send(flush).map_err(|_| Error::Stopped)?;
         match self.results.recv_timeout(PATIENCE) {
             Ok(result) => result.map(|()| true),
             Err(mpsc::RecvTimeoutError::Timeout) => Ok(false),
-            Err(mpsc::RecvTimeoutError::Disconnected) => Err(storage::Error::Stopped),
+            Err(mpsc::RecvTimeoutError::Disconnected) => Err(Error::Stopped),
         }
     }
 
-    fn poll_sync(&mut self) -> Result<bool, storage::Error> {
+    fn poll_sync(&mut self) -> Result<bool, Error> {
         match self.results.try_recv() {
             Ok(result) => result.map(|()| true),
             Err(mpsc::TryRecvError::Empty) => Ok(false),
-            Err(mpsc::TryRecvError::Disconnected) => Err(storage::Error::Stopped),
+            Err(mpsc::TryRecvError::Disconnected) => Err(Error::Stopped),
         }
     }
 
-    fn wait_sync(&mut self) -> Result<(), storage::Error> {
-        self.results.recv().unwrap_or(Err(storage::Error::Stopped))
+    fn wait_sync(&mut self) -> Result<(), Error> {
+        self.results.recv().unwrap_or(Err(Error::Stopped))
     }
 
     fn close(&mut self, name: &str) {
-        self.directory.close(name);
+        self.folder.close(name);
     }
 
-    fn read(&mut self, name: &str, offset: u64, length: usize) -> Result<Vec<u8>, storage::Error> {
-        self.directory.read(name, offset, length)
+    fn read(&mut self, name: &str, offset: u64, length: usize) -> Result<Vec<u8>, Error> {
+        self.folder.read(name, offset, length)
     }
 
-    fn remove(&mut self, name: &str) -> Result<(), storage::Error> {
-        self.directory.remove(name)
+    fn remove(&mut self, name: &str) -> Result<(), Error> {
+        self.folder.remove(name)
     }
 
-    fn rename(&mut self, from: &str, to: &str) -> Result<(), storage::Error> {
-        self.directory.rename(from, to)
+    fn rename(&mut self, from: &str, to: &str) -> Result<(), Error> {
+        self.folder.rename(from, to)
     }
 
-    fn list(&mut self) -> Result<Vec<storage::File>, storage::Error> {
-        self.directory.list()
+    fn list(&mut self) -> Result<Vec<File>, Error> {
+        self.folder.list()
     }
 }
--- a/crates/coord/src/storage/directory.rs
+++ b/crates/coord/src/storage/directory.rs
@@ -7,7 +7,7 @@
     path,
 };
 
-use crate::storage::{Disk, Error, File};
+use crate::storage::{Disk, Error, File, Flush, Folder};
 
 /// The file whose lock keeps a second process out of the directory.
 const LOCK_FILE: &str = "lock";
@@ -28,31 +28,6 @@
     entry_synced: bool,
 }
 
-/// A sync of a file that can run on another thread.
-#[derive(Debug)]
-pub struct Flush {
-    name: String,
-    file: fs::File,
-    /// The directory, if its entry of the file is not durable yet.
-    entries: Option<fs::File>,
-}
-
-impl Flush {
-    /// Makes the content and the existence of the file durable.
-    ///
-    /// # Errors
-    ///
-    /// Fails if durability cannot be guaranteed.
-    pub fn run(self) -> Result<(), Error> {
-        let synced = self.file.sync_data();
-        let synced = synced.and_then(|()| match self.entries {
-            Some(entries) => entries.sync_all(),
-            None => Ok(()),
-        });
-        synced.map_err(|error| Error::io("sync", &self.name, error))
-    }
-}
-
 impl Directory {
     /// Opens a directory and creates it if it is absent.
     ///
@@ -103,17 +78,6 @@
             .ok_or_else(|| io::ErrorKind::NotFound.into())
     }
 
-    /// Prepares a sync of a file, which covers what was appended so far. The
-    /// directory is not used any more if it fails.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the file cannot be opened.
-    pub fn prepare_sync(&mut self, name: &str) -> Result<Flush, Error> {
-        self.sync_of(name)
-            .map_err(|error| Error::io("sync", name, error))
-    }
-
     fn sync_of(&mut self, name: &str) -> io::Result<Flush> {
         let writer = self.writer(name)?;
         let file = writer.file.try_clone()?;
@@ -123,11 +87,9 @@
             false => Some(fs::File::open(&self.path)?),
         };
         let name = name.to_owned();
-        Ok(Flush {
-            name,
-            file,
-            entries,
-        })
+        Ok(Flush::new(move || {
+            sync_files(&file, entries.as_ref()).map_err(|error| Error::io("sync", &name, error))
+        }))
     }
 
     fn read_file(&self, name: &str, offset: u64, length: usize) -> io::Result<Vec<u8>> {
@@ -172,6 +134,20 @@
     }
 }
 
+/// Syncs the content of a file, and the directory if its entry of the file is not
+/// durable yet.
+fn sync_files(file: &fs::File, entries: Option<&fs::File>) -> io::Result<()> {
+    file.sync_data()?;
+    entries.map_or(Ok(()), fs::File::sync_all)
+}
+
+impl Folder for Directory {
+    fn prepare_sync(&mut self, name: &str) -> Result<Flush, Error> {
+        self.sync_of(name)
+            .map_err(|error| Error::io("sync", name, error))
+    }
+}
+
 impl Disk for Directory {
     fn append(&mut self, name: &str, data: &[u8]) -> Result<(), Error> {
         self.writer(name)
--- a/crates/coord/src/storage/mod.rs
+++ b/crates/coord/src/storage/mod.rs
@@ -1,11 +1,15 @@
 //! Durable storage of a replica.
 
+mod background;
 mod directory;
 mod error;
+mod flush;
 mod memory;
 
-pub use directory::{Directory, Flush};
+pub use background::Background;
+pub use directory::Directory;
 pub use error::Error;
+pub use flush::{Flush, Folder};
 pub use memory::{Loss, Memory};
 
 /// Suffix of files that are not complete yet; they are removed at the next start.
--- a/programs/gateway/src/control/mod.rs
+++ b/programs/gateway/src/control/mod.rs
@@ -5,7 +5,6 @@
 //! runs on the network thread.
 
 mod api;
-mod disk;
 mod effect;
 mod evacuation;
 mod hub;
--- a/programs/gateway/src/control/replica.rs
+++ b/programs/gateway/src/control/replica.rs
@@ -16,7 +16,6 @@
 use crate::{
     clock,
     control::{
-        disk,
         effect::{Effect, Subject},
         identity,
     },
@@ -136,7 +135,7 @@
 struct Edge;
 
 impl host::Edge for Edge {
-    type Disk = disk::Background;
+    type Disk = storage::Background;
     type Machine = ledger::Ledger;
 }
 
@@ -219,17 +218,14 @@
     }
 
     fn open(&self) -> Result<Host, storage::Error> {
-        let failed = |operation| {
-            move |error: io::Error| storage::Error::Io {
-                operation,
-                file: self.data.display().to_string(),
-                source: Arc::new(error),
-            }
+        let failed = |error: io::Error| storage::Error::Io {
+            operation: "read identity in",
+            file: self.data.display().to_string(),
+            source: Arc::new(error),
         };
-        let identity = identity::load(&self.settings, &self.data);
-        let identity = identity.map_err(failed("read identity in"))?;
-        let disk = storage::Directory::open(identity::log_folder(&self.data))?;
-        let disk = disk::Background::new(disk).map_err(failed("start a thread for syncs of"))?;
+        let identity = identity::load(&self.settings, &self.data).map_err(failed)?;
+        let directory = storage::Directory::open(identity::log_folder(&self.data))?;
+        let disk = storage::Background::new(Box::new(directory))?;
         log::info!(replica = identity.replica.0, founders = identity.members.len(); "opening the log");
         host::Builder::<Edge>::new(identity.replica, identity.members)
             .group(GROUP, ledger::Ledger::default())
