Keep the leads of bw-control while a disk syncs for long

All control replicas had stood still for 9.3 s ("the step before was 9311 ms ago"), so that no entry VM was answered.

Cause: bw-control synced its log in the control thread. During a sync a replica answered no call, and neither sent nor answered heartbeats.

Change: bw-control uses storage::Background. A stop now waits for the sync, at most for stop_ms, and answers what it covers; /healthz fails once a sync has run for 5 s.

Why it is safe: answers to commands and member changes follow from committed entries, and a replica counts its own only once they are synced. Take is answered without the log only when it leases nothing. Several groups share one log and one sync, so that one thread serves them; what a group has in a running sync is kept by group.

Nothing was measured on a disk that is really slow.

--- a/crates/coord/src/host/mod.rs
+++ b/crates/coord/src/host/mod.rs
@@ -147,6 +147,8 @@
     wal: wal::Wal,
     groups: BTreeMap<GroupId, group::Group<E::Machine>>,
     now_ms: u64,
+    /// The time of the step that began the last sync of the log.
+    sync_began_ms: u64,
     stopped: bool,
     /// An error of a read outside of a step, which the next step reports.
     failure: Option<storage::Error>,
@@ -250,6 +252,13 @@
         self.stats
     }
 
+    /// Returns for how long a sync of the log has been running, in milliseconds up
+    /// to the time given to the last step, or `None` if none is running.
+    pub fn syncing_ms(&self) -> Option<u64> {
+        let running = self.wal.is_syncing();
+        running.then(|| self.now_ms - self.sync_began_ms)
+    }
+
     /// Returns the id of this replica.
     pub fn replica(&self) -> ReplicaId {
         self.replica
@@ -359,6 +368,7 @@
                 self.wal.push(*id, &group.node.vote_record());
             }
         }
+        self.sync_began_ms = self.now_ms;
         self.wal.start_commit(&mut self.disk)
     }
 
--- a/crates/coord/src/host/recovery.rs
+++ b/crates/coord/src/host/recovery.rs
@@ -75,6 +75,7 @@
         wal,
         groups,
         now_ms: 0,
+        sync_began_ms: 0,
         stopped: false,
         failure: None,
         maintain_ms: 0,
--- a/programs/control/src/core/chores.rs
+++ b/programs/control/src/core/chores.rs
@@ -226,6 +226,8 @@
             metrics::DISK.with_label_values(&[name]).set(total as i64);
         }
         self.parts.health.set_stats(stats);
+        let syncing_ms = self.parts.host.syncing_ms().unwrap_or(0);
+        self.parts.health.syncing(syncing_ms);
         self.parts.health.looped(ready && self.stopping.is_none());
     }
 
--- a/programs/control/src/core/mod.rs
+++ b/programs/control/src/core/mod.rs
@@ -8,7 +8,7 @@
 pub(crate) use members::coord as member;
 mod waiting;
 
-use std::{collections, sync, sync::mpsc, time};
+use std::{collections, sync, sync::mpsc, thread, time};
 
 use bw_coord::{GroupId, ReplicaId, host, node, storage};
 use bw_state::machine;
@@ -35,7 +35,7 @@
 pub(crate) struct Edge;
 
 impl host::Edge for Edge {
-    type Disk = storage::Directory;
+    type Disk = storage::Background;
     type Machine = machine::Machine;
 }
 
@@ -117,11 +117,23 @@
             if self.stopped() {
                 // Calls that arrived meanwhile are sent on to the new leaders.
                 let inputs = self.collect();
-                return self.step(inputs);
+                self.step(inputs)?;
+                return self.finish_sync();
             }
         }
     }
 
+    /// Waits for the sync that the last step left running, so that the calls which
+    /// it makes durable are answered.
+    fn finish_sync(&mut self) -> Result<(), storage::Error> {
+        let until_ms = self.stopping.map_or(0, |stopping| stopping.until_ms);
+        while self.parts.host.syncing_ms().is_some() && self.clock.now_ms() < until_ms {
+            thread::sleep(TICK);
+            self.step(vec![host::Input::Tick])?;
+        }
+        Ok(())
+    }
+
     /// Waits for calls and turns them into inputs.
     fn collect(&mut self) -> Vec<host::Input> {
         let mut inputs = vec![host::Input::Tick];
--- a/programs/control/src/handle.rs
+++ b/programs/control/src/handle.rs
@@ -51,6 +51,20 @@
 /// Fails if a token file or the data folder cannot be read, the data is damaged
 /// or an address cannot be bound.
 pub fn start(settings: settings::Settings) -> anyhow::Result<Handle> {
+    let directory = storage::Directory::open(&settings.data)
+        .with_context(|| format!("data folder {}", settings.data.display()))?;
+    start_on(settings, Box::new(directory))
+}
+
+/// Starts a control replica like [`start`], in a data folder that is open.
+///
+/// # Errors
+///
+/// Fails like [`start`].
+pub fn start_on(
+    settings: settings::Settings,
+    folder: Box<dyn storage::Folder>,
+) -> anyhow::Result<Handle> {
     let tokens = match &settings.token_file {
         Some(file) => {
             let tokens = access::Tokens::load(file);
@@ -59,8 +73,8 @@
         }
         None => None,
     };
-    let host =
-        open(&settings).with_context(|| format!("data folder {}", settings.data.display()))?;
+    let host = open(&settings, folder)
+        .with_context(|| format!("data folder {}", settings.data.display()))?;
     let health = sync::Arc::new(admin::Health::new(tokens.clone()));
     let (caller, calls) = Caller::new(CALLS_MAX);
     let stop_network = CancellationToken::new();
@@ -184,7 +198,10 @@
     }
 }
 
-fn open(settings: &settings::Settings) -> anyhow::Result<host::Host<core::Edge>> {
+fn open(
+    settings: &settings::Settings,
+    mut folder: Box<dyn storage::Folder>,
+) -> anyhow::Result<host::Host<core::Edge>> {
     let members = settings.first_members();
     let members = members.iter().map(core::member).collect();
     let mut builder = host::Builder::<core::Edge>::new(ReplicaId(settings.replica), members)
@@ -193,21 +210,20 @@
     for group in 0..=settings.work_groups {
         builder = builder.group(GroupId(group), machine::Machine::for_group(group));
     }
-    let mut directory = storage::Directory::open(&settings.data)?;
-    let is_empty = storage::Disk::list(&mut directory)?.is_empty();
-    if let Some(folder) = settings.restore_from.as_ref().filter(|_| is_empty) {
+    let is_empty = storage::Disk::list(folder.as_mut())?.is_empty();
+    if let Some(backups) = settings.restore_from.as_ref().filter(|_| is_empty) {
         log::warn!(
             "the data folder is empty and is filled from {}",
-            folder.display()
+            backups.display()
         );
         for group in 0..=settings.work_groups {
-            let file = folder.join(format!("group-{group}.backup"));
+            let file = backups.join(format!("group-{group}.backup"));
             let backup = fs::File::open(&file);
             let backup = backup.with_context(|| format!("backup {}", file.display()))?;
             builder = builder.restore(GroupId(group), io::BufReader::new(backup));
         }
     }
-    Ok(builder.open(directory)?)
+    Ok(builder.open(storage::Background::new(folder)?)?)
 }
 
 struct Network {
--- a/programs/control/src/lib.rs
+++ b/programs/control/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! One control thread owns the replicated logs and all soft state. A network
 //! thread runs the control port, the links to the other replicas, the admin
-//! endpoints and the orders to backend servers; it only moves messages.
+//! endpoints and the orders to backend servers; it only moves messages. A third
+//! one syncs the log, so that the control thread goes on while a disk is slow.
 
 mod core;
 mod handle;
@@ -11,4 +12,4 @@
 pub mod registry;
 pub mod settings;
 
-pub use handle::{Handle, start};
+pub use handle::{Handle, start, start_on};
--- a/programs/control/src/network/admin.rs
+++ b/programs/control/src/network/admin.rs
@@ -19,13 +19,15 @@
 use bw_base::{access, metrics};
 use bw_coord::host;
 
-/// Age of the control thread's last loop above which it counts as stuck.
+/// Age of the control thread's last loop, or of a running sync of its log, above
+/// which the replica counts as stuck.
 const STUCK: time::Duration = time::Duration::from_secs(5);
 
 /// What the admin endpoints show, written by the control thread.
 pub(crate) struct Health {
     start: time::Instant,
     looped_ms: AtomicU64,
+    syncing_ms: AtomicU64,
     failed: AtomicBool,
     ready: AtomicBool,
     stats: sync::Mutex<host::Stats>,
@@ -37,6 +39,7 @@
         Health {
             start: time::Instant::now(),
             looped_ms: AtomicU64::new(0),
+            syncing_ms: AtomicU64::new(0),
             failed: AtomicBool::new(false),
             ready: AtomicBool::new(false),
             stats: sync::Mutex::default(),
@@ -51,6 +54,12 @@
         self.ready.store(ready, Ordering::Relaxed);
     }
 
+    /// Notes for how long a sync of the log has been running, or 0 if none is. The
+    /// control thread goes on meanwhile, but the replica stores nothing.
+    pub(crate) fn syncing(&self, syncing_ms: u64) {
+        self.syncing_ms.store(syncing_ms, Ordering::Relaxed);
+    }
+
     /// Notes that the replica stopped for good.
     pub(crate) fn fail(&self) {
         self.failed.store(true, Ordering::Relaxed);
@@ -74,7 +83,9 @@
 
     fn alive(&self) -> bool {
         let looped = time::Duration::from_millis(self.looped_ms.load(Ordering::Relaxed));
-        !self.failed.load(Ordering::Relaxed) && self.start.elapsed() < looped + STUCK
+        let syncing = time::Duration::from_millis(self.syncing_ms.load(Ordering::Relaxed));
+        let stuck = self.start.elapsed() >= looped + STUCK || syncing >= STUCK;
+        !stuck && !self.failed.load(Ordering::Relaxed)
     }
 
     fn ready(&self) -> bool {
