Let votes that sync for longer than the election timeout elect a leader

What callers saw: no leader while votes took longer to sync than a candidate waits; beside jobs that sync the same disk without pause, backend_servers_are_known_after_all_control_was_killed once waited for one.

It began a pre-vote, which replaced the campaign of its term. The requests for votes of term 1 and for pre-votes of term 2 left together when the sync ended; network delays reordered them, so voters granted the pre-vote before their own syncs began. The candidate raised the term, and the votes of term 1, which took another sync, counted for nothing. Voters whose votes were being synced also campaigned. The terms rose by one each sync or two.

Change: the votes of the present term and the pre-votes for the next one are kept apart, and a pre-vote leaves the former as they are. A replica starts no campaign while its vote is not durable (the messages would wait for that sync), and once it is durable waits for one to two times as long as the vote took, at random.

Why it is safe: a vote is sent and counted only after its sync, as before. The kept votes belong to a term in which the candidate voted for itself, so it can grant nobody else a vote in it; they are dropped when the term rises and when it follows a leader of the term. Until then its log cannot change, so what the voters compared still holds. Quiet times and leases are untouched; a campaign only starts later than before.

--- a/crates/coord/src/node/election.rs
+++ b/crates/coord/src/node/election.rs
@@ -2,33 +2,50 @@
 
 use std::collections::BTreeSet;
 
+use rand::Rng;
+
 use crate::{
-    ReplicaId,
+    ReplicaId, member,
     message::{Body, Vote, VoteReply, VoteRequest},
     node::{Campaign, Node, Role},
 };
 
+/// A replica whose vote waited for its sync campaigns again after one to this many
+/// times that wait, as another vote may first wait for a sync that is running. The
+/// spread keeps rivals apart whose syncs end together.
+const VOTE_WAIT_FACTOR: u64 = 2;
+
 impl Node {
-    /// Starts a campaign. A pre-vote leaves the term as it is.
+    /// Starts a campaign. A pre-vote leaves the term and its votes as they are.
     pub(super) fn start_campaign(&mut self, kind: Vote) {
         self.role = Role::Candidate;
         self.leader = None;
         match kind {
-            Vote::Pre => self.reset_pre_vote_timer(),
-            Vote::Real | Vote::Transfer => self.reset_election_timer(),
-        }
-        if kind != Vote::Pre {
-            self.term += 1;
-            self.vote = Some(self.id);
-            self.vote_changed = true;
+            Vote::Pre => {
+                self.reset_pre_vote_timer();
+                self.pre_votes = Some(BTreeSet::new());
+            }
+            Vote::Real | Vote::Transfer => {
+                self.reset_election_timer();
+                self.term += 1;
+                self.cast_vote(self.id);
+                self.pre_votes = None;
+                self.campaign = Some(Campaign {
+                    kind,
+                    granted: BTreeSet::new(),
+                });
+            }
         }
-        self.campaign = Some(Campaign {
-            kind,
-            granted: BTreeSet::new(),
-        });
         self.request_votes(kind);
     }
 
+    /// Votes in the present term. The vote counts once it is durable.
+    fn cast_vote(&mut self, candidate: ReplicaId) {
+        self.vote = Some(candidate);
+        self.vote_changed = true;
+        self.vote_cast_ms = Some(self.now_ms);
+    }
+
     /// Logs why this replica begins to campaign. A long time since the step before
     /// tells a stall of this replica from one of the leader.
     pub(super) fn log_silent_leader(&self) {
@@ -67,30 +84,41 @@
         voters.filter(|replica| *replica != self.id)
     }
 
-    /// Counts the candidate's own vote, which must be durable.
-    pub(super) fn count_own_vote(&mut self) {
-        let id = self.id;
-        let counted = match &mut self.campaign {
-            Some(campaign) => campaign.granted.insert(id),
-            None => false,
-        };
-        if counted {
-            self.check_votes();
+    /// Notes that term and vote are durable, and counts the candidate's own vote.
+    pub(super) fn vote_persisted(&mut self) {
+        if let Some(cast_ms) = self.vote_cast_ms.take() {
+            self.await_votes(self.now_ms - cast_ms);
         }
+        self.count_vote(self.id);
+        self.count_pre_vote(self.id);
     }
 
-    fn check_votes(&mut self) {
-        let Some(campaign) = &self.campaign else {
+    /// Puts the next campaign off while other votes of the term may become durable.
+    fn await_votes(&mut self, wait_ms: u64) {
+        if wait_ms == 0 {
             return;
-        };
-        let kind = campaign.kind;
-        let granted = |voter| campaign.granted.contains(&voter);
-        if !granted(self.id) || !self.members().has_majority(granted) {
+        }
+        let delay = self.rng.random_range(wait_ms..=VOTE_WAIT_FACTOR * wait_ms);
+        self.election_due_ms = self.election_due_ms.max(self.now_ms + delay);
+    }
+
+    fn count_vote(&mut self, from: ReplicaId) {
+        let Some(campaign) = &mut self.campaign else {
             return;
+        };
+        if campaign.granted.insert(from)
+            && has_won(self.id, self.members.current().1, &campaign.granted)
+        {
+            self.become_leader();
         }
-        match kind {
-            Vote::Pre => self.start_campaign(Vote::Real),
-            Vote::Real | Vote::Transfer => self.become_leader(),
+    }
+
+    fn count_pre_vote(&mut self, from: ReplicaId) {
+        let Some(granted) = &mut self.pre_votes else {
+            return;
+        };
+        if granted.insert(from) && has_won(self.id, self.members.current().1, granted) {
+            self.start_campaign(Vote::Real);
         }
     }
 
@@ -130,8 +158,9 @@
         let free = self.vote.is_none_or(|vote| vote == from) && self.leader.is_none();
         let granted = term == self.term && free && self.is_up_to_date(&request);
         if granted {
-            self.vote_changed |= self.vote.is_none();
-            self.vote = Some(from);
+            if self.vote.is_none() {
+                self.cast_vote(from);
+            }
             self.reset_election_timer();
         }
         let kind = request.kind;
@@ -148,16 +177,16 @@
             self.become_follower(term, None);
             return;
         }
-        let expected = match reply.kind {
-            Vote::Pre => self.term + 1,
-            Vote::Real | Vote::Transfer => self.term,
-        };
-        let Some(campaign) = &mut self.campaign else {
+        if !reply.granted {
             return;
-        };
-        if reply.granted && term == expected && reply.kind == campaign.kind {
-            campaign.granted.insert(from);
-            self.check_votes();
+        }
+        let campaign = self.campaign.as_ref().map(|campaign| campaign.kind);
+        match reply.kind {
+            Vote::Pre if term == self.term + 1 => self.count_pre_vote(from),
+            Vote::Real | Vote::Transfer if term == self.term && campaign == Some(reply.kind) => {
+                self.count_vote(from);
+            }
+            Vote::Pre | Vote::Real | Vote::Transfer => {}
         }
     }
 
@@ -177,6 +206,7 @@
             self.term = term;
             self.vote = None;
             self.vote_changed = true;
+            self.vote_cast_ms = None;
             // Only an append of the new term's leader names it.
             self.leader = None;
         }
@@ -184,6 +214,7 @@
             self.reset_election_timer();
         }
         self.campaign = None;
+        self.pre_votes = None;
         self.leader = leader;
         self.role = self.passive_role();
     }
@@ -204,3 +235,8 @@
         );
     }
 }
+
+/// Returns whether a candidate's own vote and those of others are a majority.
+fn has_won(candidate: ReplicaId, members: &member::List, granted: &BTreeSet<ReplicaId>) -> bool {
+    granted.contains(&candidate) && members.has_majority(|voter| granted.contains(&voter))
+}
--- a/crates/coord/src/node/lead.rs
+++ b/crates/coord/src/node/lead.rs
@@ -28,6 +28,7 @@
             self.term
         );
         self.campaign = None;
+        self.pre_votes = None;
         self.role = Role::Leader;
         self.leader = Some(self.id);
         let first_index = self.log.last_index() + 1;
--- a/crates/coord/src/node/mod.rs
+++ b/crates/coord/src/node/mod.rs
@@ -106,7 +106,7 @@
     beat: message::Beat,
 }
 
-/// The votes of a candidate.
+/// The votes of a candidate in its present term.
 #[derive(Debug)]
 struct Campaign {
     kind: Vote,
@@ -168,7 +168,13 @@
     quiet_until_ms: u64,
     /// When the leader of the term was last heard.
     leader_heard_ms: u64,
+    /// When the present vote was cast, until it is durable.
+    vote_cast_ms: Option<u64>,
+    /// The campaign in the present term. It lasts while this replica asks for
+    /// pre-votes again, so that votes which took long to sync still count.
     campaign: Option<Campaign>,
+    /// The pre-votes for the next term.
+    pre_votes: Option<BTreeSet<ReplicaId>>,
     leadership: Option<Leadership>,
     incoming: Option<follow::Incoming>,
     /// The collected effects.
@@ -209,7 +215,9 @@
             election_due_ms: 0,
             quiet_until_ms: 0,
             leader_heard_ms: 0,
+            vote_cast_ms: None,
             campaign: None,
+            pre_votes: None,
             leadership: None,
             incoming: None,
             out: Outbox::default(),
@@ -266,12 +274,21 @@
     pub fn tick(&mut self) {
         if self.role == Role::Leader {
             self.tick_leader();
-        } else if self.now_ms >= self.election_due_ms && self.members().is_voter(self.id) {
+        } else if self.campaign_is_due() {
             self.log_silent_leader();
             self.start_campaign(Vote::Pre);
         }
     }
 
+    /// Returns whether this replica starts a campaign. None starts while a vote is
+    /// not durable: its messages would wait for the same sync, and voters would
+    /// then get them beside those of the present term.
+    fn campaign_is_due(&self) -> bool {
+        self.now_ms >= self.election_due_ms
+            && self.vote_cast_ms.is_none()
+            && self.members().is_voter(self.id)
+    }
+
     /// Handles a message of another replica.
     pub fn receive(&mut self, from: ReplicaId, message: Envelope) {
         match message.body {
@@ -332,7 +349,7 @@
         self.durable_index = self.syncing_index;
         // A vote that was cast during the sync is not durable.
         if !self.vote_changed {
-            self.count_own_vote();
+            self.vote_persisted();
         }
         self.advance_commit();
     }
--- a/crates/coord/tests/failures.rs
+++ b/crates/coord/tests/failures.rs
@@ -437,6 +437,67 @@
     cluster.settle();
 }
 
+/// What a candidate of term 1 receives before a vote of that term arrives.
+#[derive(Clone, Copy, Debug)]
+enum Between {
+    Nothing,
+    /// An append of another replica that leads term 1.
+    Leader,
+    /// A pre-vote that lets it campaign in term 2.
+    PreVote,
+}
+
+/// Guards against dropping the votes of the present term when a candidate asks for
+/// pre-votes again, and against counting one after the candidate has followed
+/// another leader or left the term.
+#[rstest]
+#[case::nothing(Between::Nothing, true)]
+#[case::leader(Between::Leader, false)]
+#[case::pre_vote(Between::PreVote, false)]
+fn late_vote_elects_only_a_candidate_that_stayed_in_the_term(
+    #[case] between: Between,
+    #[case] elected: bool,
+) {
+    let voter = |id| member::Member::voter(ReplicaId(id), "", "zone-a");
+    let members = (1..=3).map(voter).collect();
+    let mut host = host::Builder::<common::Edge>::new(ReplicaId(1), members)
+        .election_timeout_ms(ELECTION_TIMEOUT_MS)
+        .group(FIRST, common::Journal::default())
+        .open(storage::Memory::new())
+        .expect("an empty disk opens");
+    let mut now = 0;
+    // Group 0; a pre-vote and a vote of term 1, a request for pre-votes of term 2.
+    let (pre_vote, vote, request) = ([0, 1, 1, 0, 1], [0, 1, 1, 1, 1], [0, 2, 0, 0, 0, 0]);
+    // An append without entries, and a pre-vote of term 2.
+    let (append, second) = ([0, 1, 2, 0, 0, 0, 1, 1, 0], [0, 2, 1, 0, 1]);
+    let mut step = |received: Option<&[u8]>| {
+        let input = received.map_or(host::Input::Tick, |bytes| host::Input::Message {
+            from: ReplicaId(2),
+            message: message::decode(bytes).expect("well formed"),
+        });
+        now += 10;
+        let mut requested = false;
+        host.step(vec![input], now, &mut |output| {
+            if let host::Output::Send { message, .. } = output {
+                requested |= message::encode(&message) == request;
+            }
+        })
+        .expect("healthy disk");
+        let status = host.status(FIRST).expect("known");
+        (status.role, status.term, requested)
+    };
+    while step(None).0 != node::Role::Candidate {}
+    assert_eq!(step(Some(&pre_vote)).1, 1);
+    while !step(None).2 {}
+    match between {
+        Between::Nothing => {}
+        Between::Leader => assert_eq!(step(Some(&append)).0, node::Role::Follower),
+        Between::PreVote => assert_eq!(step(Some(&second)).1, 2),
+    }
+    let (role, _, _) = step(Some(&vote));
+    assert_eq!(role == node::Role::Leader, elected, "{role}");
+}
+
 /// Guards against counting an entry that was appended during a sync as covered
 /// by it: the entry would be acknowledged with one copy on a disk.
 #[rstest]
