Eject crashed replicas before live ones that pause

With half of a group ejected as frozen, replicas at which every connection was refused stayed in use. Callers got backend_failed or no_backend while two servers still answered, and an item under which servers had crashed was sent to the crashed ones again and again.

Cause: ejections are bounded to half of a group, first come first served. Two servers that send a token every 3 s count as frozen after 500 ms and took both places; two crashed ones that still announced themselves reached their fourth failure later and could not be ejected any more. Probes did not help, as the slow servers take longer than the 2 s of a probe.

Change: where half of a group is ejected, a replica from which only failures came since its last sign of life, as many as it takes to be ejected, takes the place of an ejected one that has shown a later sign of life since its ejection. The number of ejected replicas stays bounded as before.

Why it works: what is restored answers and what is ejected does not, so that the rest only gets stronger. A replica without signs of life is not restored by the rule, so that two replicas do not displace each other in turns.

replicas_that_answer_nothing_are_ejected_before_live_ones fails without the change (case 1: nothing is ejected); its other two cases hold the rule's limits.

--- a/crates/policy/src/health/mod.rs
+++ b/crates/policy/src/health/mod.rs
@@ -288,7 +288,9 @@
         }
     }
 
-    /// Ejects the worst candidates of a group, as far as the limits allow.
+    /// Ejects the worst candidates of a group, as far as the limits allow. Where
+    /// as many are ejected as may be, one that answers nothing takes the place of
+    /// one that does.
     fn eject(
         &mut self,
         group: &name::Name,
@@ -307,9 +309,22 @@
             .collect();
         candidates.sort();
         for (why, id) in candidates {
-            if !self.may_eject(ids, &id, why) {
+            let live = match self.is_full(ids) {
+                true => match self.live_ejected(ids, &id, why) {
+                    Some(live) => Some(live),
+                    None => continue,
+                },
+                false => None,
+            };
+            if !self.can_spare(ids, &id, why, live.as_ref()) {
                 continue;
             }
+            if let Some(live) = live
+                && let Some(replica) = self.replicas.get_mut(&live)
+            {
+                replica.restore(now_ms);
+                changes.push(Change::Restored { id: live });
+            }
             if let Some(replica) = self.replicas.get_mut(&id) {
                 replica.eject(&self.settings, why, now_ms);
                 changes.push(Change::Ejected { id, why });
@@ -317,28 +332,70 @@
         }
     }
 
-    /// Returns whether the rest of the group can do without a replica. A frozen
-    /// replica carries no load, so that only the share is bounded for it.
-    fn may_eject(&self, ids: &[name::Name], id: &name::Name, why: Ejection) -> bool {
-        let group = || ids.iter().filter_map(|id| self.replicas.get(id));
-        let ejected = group()
+    /// Returns whether no more replicas of a group may be ejected.
+    fn is_full(&self, ids: &[name::Name]) -> bool {
+        let ejected = self
+            .group(ids)
             .filter(|replica| replica.ejection().is_some())
             .count();
         let allowed = (ids.len() as f32 * self.settings.max_share) as usize;
-        if ejected + 1 > allowed {
-            return false;
+        ejected + 1 > allowed
+    }
+
+    /// Returns the ejected replica in whose place a candidate is to be ejected:
+    /// the last one to show signs of life, if it did so since its ejection and
+    /// the candidate answers nothing. Otherwise replicas that are silent for
+    /// moments would keep dead ones in use.
+    fn live_ejected(
+        &self,
+        ids: &[name::Name],
+        candidate: &name::Name,
+        why: Ejection,
+    ) -> Option<name::Name> {
+        let candidate = self.replicas.get(candidate)?;
+        if why != Ejection::Failing || !candidate.answers_nothing(&self.settings) {
+            return None;
         }
+        self.group(ids)
+            .filter(|replica| replica.lives_ejected())
+            .filter(|replica| replica.alive_ms() > candidate.alive_ms())
+            .max_by_key(|replica| replica.alive_ms())
+            .map(|replica| replica.facts.id.clone())
+    }
+
+    /// Returns whether the rest of the group, with the replica that is restored
+    /// at the same time, can do without a replica. A frozen replica carries no
+    /// load, so that its ejection takes nothing from the rest.
+    fn can_spare(
+        &self,
+        ids: &[name::Name],
+        id: &name::Name,
+        why: Ejection,
+        restored: Option<&name::Name>,
+    ) -> bool {
         if why == Ejection::Frozen {
             return true;
         }
-        let requests: f32 = group().map(|replica| replica.facts.requests.max(0.0)).sum();
-        let rest: f32 = group()
-            .filter(|replica| replica.ejection().is_none() && replica.facts.id != *id)
+        let requests: f32 = self
+            .group(ids)
+            .map(|replica| replica.facts.requests.max(0.0))
+            .sum();
+        let is_used = |replica: &&Replica| {
+            let is_restored = restored == Some(&replica.facts.id);
+            (replica.ejection().is_none() || is_restored) && replica.facts.id != *id
+        };
+        let rest: f32 = self
+            .group(ids)
+            .filter(is_used)
             .map(|replica| replica.facts.capacity as f32)
             .sum();
         requests <= rest * self.settings.max_use
     }
 
+    fn group<'a>(&'a self, ids: &'a [name::Name]) -> impl Iterator<Item = &'a Replica> {
+        ids.iter().filter_map(|id| self.replicas.get(id))
+    }
+
     /// Restarts all silences if this process itself did not run: it read
     /// nothing meanwhile, which is no replica's fault.
     fn excuse_own_pause(&mut self, now_ms: u64) {
--- a/crates/policy/src/health/replica.rs
+++ b/crates/policy/src/health/replica.rs
@@ -34,6 +34,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Ejected {
     why: Ejection,
+    at_ms: u64,
     probe_ms: u64,
     pause_ms: u64,
     probing: bool,
@@ -45,6 +46,10 @@
     outstanding: u32,
     decoding: u32,
     quiet_since_ms: u64,
+    /// When the last sign of life was seen.
+    alive_ms: Option<u64>,
+    /// Failures since the last sign of life.
+    unanswered: u32,
     first_ms: f32,
     samples: f32,
     done: f32,
@@ -61,6 +66,8 @@
             outstanding: 0,
             decoding: 0,
             quiet_since_ms: now_ms,
+            alive_ms: None,
+            unanswered: 0,
             first_ms: 0.0,
             samples: 0.0,
             done: 0.0,
@@ -79,7 +86,7 @@
     }
 
     pub(super) fn progress(&mut self, flight: &mut Flight, now_ms: u64) {
-        self.quiet_since_ms = now_ms;
+        self.note_alive(now_ms);
         if !flight.has_first {
             flight.has_first = true;
             self.decoding += 1;
@@ -102,9 +109,12 @@
         match outcome {
             Outcome::Done => {
                 self.done += 1.0;
-                self.quiet_since_ms = now_ms;
+                self.note_alive(now_ms);
+            }
+            Outcome::Failed => {
+                self.failed += 1.0;
+                self.unanswered = self.unanswered.saturating_add(1);
             }
-            Outcome::Failed => self.failed += 1.0,
             Outcome::Cancelled => {}
         }
     }
@@ -117,6 +127,23 @@
         self.ejected.map(|ejected| ejected.why)
     }
 
+    /// Returns when the last sign of life was seen.
+    pub(super) fn alive_ms(&self) -> Option<u64> {
+        self.alive_ms
+    }
+
+    /// Returns whether the replica is ejected and has shown signs of life since.
+    pub(super) fn lives_ejected(&self) -> bool {
+        self.ejected
+            .is_some_and(|ejected| self.alive_ms > Some(ejected.at_ms))
+    }
+
+    /// Returns whether nothing but failures came from the replica lately, as many
+    /// as it takes to be ejected.
+    pub(super) fn answers_nothing(&self, settings: &Builder) -> bool {
+        self.unanswered as f32 >= settings.min_failures
+    }
+
     /// Returns the average first-token time, once there are enough samples.
     pub(super) fn first_ms(&self, settings: &Builder) -> Option<f32> {
         (self.samples >= settings.min_samples).then_some(self.first_ms)
@@ -151,6 +178,7 @@
         self.last_pause_ms = pause_ms;
         self.ejected = Some(Ejected {
             why,
+            at_ms: now_ms,
             probe_ms: now_ms + pause_ms,
             pause_ms,
             probing: false,
@@ -196,8 +224,9 @@
     }
 
     /// Starts the record again: old samples would eject the replica at once.
-    fn restore(&mut self, now_ms: u64) {
+    pub(super) fn restore(&mut self, now_ms: u64) {
         self.ejected = None;
+        self.unanswered = 0;
         self.samples = 0.0;
         self.done = 0.0;
         self.failed = 0.0;
@@ -205,6 +234,12 @@
         self.quiet_since_ms = now_ms;
     }
 
+    fn note_alive(&mut self, now_ms: u64) {
+        self.quiet_since_ms = now_ms;
+        self.alive_ms = Some(now_ms);
+        self.unanswered = 0;
+    }
+
     /// Lets the next ejection start with the shortest pause after a minute of
     /// health.
     fn forgive(&mut self, now_ms: u64) {
--- a/crates/policy/tests/health.rs
+++ b/crates/policy/tests/health.rs
@@ -185,6 +185,51 @@
     assert_eq!(ejected(&changes).len(), allowed);
 }
 
+/// Guards against replicas that answer nothing and stay in use because replicas
+/// that do answer, with long pauses, were ejected as frozen before.
+#[rstest]
+#[case::failing_ones_are_silent(true, 0, &[2, 3], &[0, 1])]
+#[case::frozen_ones_stay_silent(false, 0, &[], &[])]
+#[case::failing_ones_still_answer(true, 1, &[], &[])]
+fn replicas_that_answer_nothing_are_ejected_before_live_ones(
+    #[case] is_alive: bool,
+    #[case] answered: usize,
+    #[case] failing: &[usize],
+    #[case] restored: &[usize],
+) {
+    let (mut health, now_ms) = group(4, 4.0);
+    let mut slow: Vec<Flight> = (0..2)
+        .map(|index| health.begin(&id(index), now_ms))
+        .collect();
+    for flight in &mut slow {
+        health.progress(flight, now_ms);
+    }
+    let changes = tick_for(&mut health, &mut [], now_ms, 550);
+    let frozen = [(id(0), Ejection::Frozen), (id(1), Ejection::Frozen)];
+    assert_eq!(ejected(&changes), frozen);
+    let now_ms = now_ms + 600;
+    for index in 2..4 {
+        for _ in 0..40 {
+            let flight = health.begin(&id(index), now_ms);
+            health.end(flight, Outcome::Failed, now_ms);
+        }
+        (0..answered).for_each(|_| run(&mut health, index, now_ms, 1, Outcome::Done));
+    }
+    if is_alive {
+        for flight in &mut slow {
+            health.progress(flight, now_ms + 50);
+        }
+    }
+    let changes = tick_for(&mut health, &mut [], now_ms + 50, 2_000);
+    let expected: Vec<_> = failing.iter().map(|&index| id(index)).collect();
+    let ejected: Vec<_> = ejected(&changes).into_iter().map(|(id, _)| id).collect();
+    assert_eq!(ejected, expected);
+    for index in 0..2 {
+        let is_restored = changes.contains(&Change::Restored { id: id(index) });
+        assert_eq!(is_restored, restored.contains(&index), "{changes:?}");
+    }
+}
+
 /// Guards against a replica that is never used again, and against probes that
 /// a replica which stays bad gets again and again.
 #[test]
