Try items elsewhere while a server cannot be connected to

An item was sent to the same backend server every 200 ms for as long as that server announced itself but could not be connected to, while other servers had places.

Cause: the pacer gives turns to the idlest server first. A server that cannot be connected to never runs anything, so that it stays the idlest. The health rules end this by ejecting it, but they eject at most half of a group: with three such servers of five, the third keeps all turns.

Change: the dispatcher tells the pacer of attempts that reached no server. No stream starts on such a server for 300 ms, doubling to 10 s with each further failure. A later incarnation starts without a pause.

Why it works: the pause is longer than the 200 ms after which an item is placed again, so that each next attempt goes to a server that was not tried. The pauses grow, so that the failures do not use up the attempts when many servers are gone. They are short enough at first for one item to bring the server to the number of failures that ejects it (pauses_leave_the_failures_that_eject_a_server, which fails with a first pause of 1 s).

--- a/crates/policy/src/pacer/mod.rs
+++ b/crates/policy/src/pacer/mod.rs
@@ -286,6 +286,14 @@
         self.note_idle(now_ms);
     }
 
+    /// Notes that an incarnation of a backend server could not be connected to.
+    /// No stream starts there for a pause, which doubles with each failure.
+    pub fn unreachable(&mut self, id: &str, incarnation: u64, now_ms: u64) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.note_unreachable(incarnation, now_ms);
+        }
+    }
+
     /// Returns the streams to cancel because of load reports or because their
     /// backend server is no longer usable. Called with each tick.
     pub fn surplus(&mut self, now_ms: u64) -> Vec<u64> {
@@ -301,6 +309,8 @@
     /// Owned servers take turns: while the prompts of new streams are computed on
     /// one, online requests find others on which none are. A server whose last
     /// turn was not used, as nothing waits for its model, comes after the others.
+    /// One that cannot be connected to stays idler than the others and would get
+    /// all turns, so that it pauses.
     pub fn room(&mut self, now_ms: u64) -> Vec<Room> {
         let mut turns = self.turns(now_ms);
         let mut order: Vec<(&name::Name, &mut Server)> = self.servers.iter_mut().collect();
@@ -313,7 +323,8 @@
             if turns == 0 {
                 break;
             }
-            if server.started_within(self.settings.slot_ms, now_ms) {
+            let is_starting = server.started_within(self.settings.slot_ms, now_ms);
+            if is_starting || server.is_paused(now_ms) {
                 continue;
             }
             let streams = server.room(&self.settings, now_ms);
--- a/crates/policy/src/pacer/server.rs
+++ b/crates/policy/src/pacer/server.rs
@@ -35,6 +35,14 @@
 const WAITING_MIN_USE: f32 = 0.8;
 /// Preemptions after which a stream is cancelled last, so that it ends some day.
 const PROTECTED_AFTER: u32 = 3;
+/// Pause of a server after it could not be connected to. It doubles with each
+/// further failure. It is longer than the 200 ms after which an item is placed
+/// again, so that the item is tried on other servers, and short enough that the
+/// failures of one item eject the server where there are no others.
+const UNREACHABLE_MS: u64 = 300;
+/// Longest pause of a server that cannot be connected to. It bounds how long the
+/// server stays without streams after a fault of the network.
+const UNREACHABLE_MAX_MS: u64 = 10_000;
 
 /// A batch stream.
 #[derive(Clone, Debug)]
@@ -65,6 +73,13 @@
     online: u32,
 }
 
+/// Time in which no stream starts.
+#[derive(Clone, Copy, Debug)]
+struct Pause {
+    duration_ms: u64,
+    until_ms: u64,
+}
+
 #[derive(Debug)]
 pub(super) struct Server {
     incarnation: u64,
@@ -89,6 +104,8 @@
     started_ms: Option<u64>,
     /// When room was last granted, if no stream started since.
     unused_ms: Option<u64>,
+    /// The last pause after the server could not be connected to.
+    pause: Option<Pause>,
     /// Average cost of the streams that started, in long prompts.
     cost: f32,
     floor: bool,
@@ -117,6 +134,7 @@
             streams: Vec::new(),
             started_ms: None,
             unused_ms: None,
+            pause: None,
             cost: 1.0,
             floor: false,
             ramp: 0.0,
@@ -127,7 +145,10 @@
     }
 
     pub(super) fn update(&mut self, facts: &Facts, now_ms: u64) {
-        self.incarnation = facts.incarnation;
+        if self.incarnation != facts.incarnation {
+            self.incarnation = facts.incarnation;
+            self.pause = None;
+        }
         self.capacity = facts.capacity.clamp(1, MAX_CAPACITY);
         self.usable = facts.usable;
         self.load = facts.load;
@@ -282,6 +303,30 @@
         self.unused_ms
     }
 
+    /// Notes that an incarnation could not be connected to. Streams that started
+    /// before the pause lengthen it no further.
+    pub(super) fn note_unreachable(&mut self, incarnation: u64, now_ms: u64) {
+        if incarnation != self.incarnation || self.is_paused(now_ms) {
+            return;
+        }
+        // A failure long after the last pause is the first of a new fault.
+        let last = self
+            .pause
+            .filter(|pause| now_ms < pause.until_ms + pause.duration_ms);
+        let duration_ms = last.map_or(UNREACHABLE_MS, |pause| {
+            (pause.duration_ms * 2).min(UNREACHABLE_MAX_MS)
+        });
+        self.pause = Some(Pause {
+            duration_ms,
+            until_ms: now_ms + duration_ms,
+        });
+    }
+
+    /// Returns whether no stream may start, as the server could not be connected to.
+    pub(super) fn is_paused(&self, now_ms: u64) -> bool {
+        self.pause.is_some_and(|pause| now_ms < pause.until_ms)
+    }
+
     /// Returns whether a stream started within the last `window_ms`.
     pub(super) fn started_within(&self, window_ms: u64, now_ms: u64) -> bool {
         self.started_ms
@@ -290,6 +335,7 @@
 
     pub(super) fn takes_floor(&self, settings: &Builder, now_ms: u64) -> bool {
         self.usable
+            && !self.is_paused(now_ms)
             && self.running() == 0
             && self.waiting(settings, now_ms) == 0
             && self.kv_used(settings, now_ms) < settings.kv_stop
--- a/crates/policy/tests/pacer.rs
+++ b/crates/policy/tests/pacer.rs
@@ -4,7 +4,10 @@
 
 use std::collections;
 
-use bw_policy::pacer::{self, Facts, Item, Online, Pacer, Share, Stream};
+use bw_policy::{
+    health,
+    pacer::{self, Facts, Item, Online, Pacer, Share, Stream},
+};
 use bw_wire::{backend, name};
 use common::{CAPACITY, load};
 use proptest::prelude::*;
@@ -414,6 +417,83 @@
     assert!(alternates, "{turns:?}");
 }
 
+/// Guards against a stream that is sent again and again to servers that cannot
+/// be connected to, because these stay idler than the others.
+#[rstest]
+#[case::one(&["e00"])]
+#[case::two(&["e00", "e01"])]
+fn a_stream_gets_past_unreachable_servers(#[case] unreachable: &[&str]) {
+    let mut pacer = three_servers();
+    pacer.own_online("e02", 4, 0);
+    let mut reached = Vec::new();
+    for now_ms in (1_000..3_000).step_by(200) {
+        for room in pacer.room(now_ms).into_iter().take(1) {
+            pacer.started(&room.id, stream(now_ms), now_ms);
+            if unreachable.contains(&room.id.as_str()) {
+                pacer.unreachable(&room.id, 1, now_ms);
+            } else {
+                reached.push(now_ms);
+            }
+            pacer.stopped(&room.id, now_ms, now_ms);
+        }
+    }
+    assert!(reached.len() >= 4, "{reached:?}");
+    assert!(reached[0] <= 1_800, "{reached:?}");
+}
+
+/// Guards against a server that gets no streams although it can be connected to
+/// again, or although it was started again.
+#[rstest]
+#[case::pause_is_over(1, 10_000)]
+#[case::started_again(2, 100)]
+fn servers_that_were_unreachable_are_used_again(#[case] incarnation: u64, #[case] within_ms: u64) {
+    let mut pacer = pacer();
+    let mut now_ms = 1_000;
+    for _ in 0..20 {
+        pacer.unreachable(ID, 1, now_ms);
+        now_ms += 200;
+    }
+    assert_eq!(pacer.room(now_ms), []);
+    let facts = Facts {
+        incarnation,
+        ..facts(ID, load(0, 0))
+    };
+    pacer.update(&facts, now_ms);
+    assert!(!pacer.room(now_ms + within_ms).is_empty());
+}
+
+/// Guards against pauses that keep an unreachable server in use: one item alone
+/// has to fail there often enough for its ejection.
+#[test]
+fn pauses_leave_the_failures_that_eject_a_server() {
+    let mut pacer = pacer();
+    let mut health = health::Builder::new().build();
+    for id in [ID, "e01"] {
+        let facts = health::Facts {
+            id: id.into(),
+            incarnation: 1,
+            group: "m".into(),
+            capacity: CAPACITY,
+            requests: 0.0,
+        };
+        health.update(facts, 0);
+    }
+    let (mut now_ms, mut due_ms) = (1_000, 1_000);
+    while health.standing(ID) == health::Standing::Healthy {
+        assert!(now_ms < 7_000, "not ejected");
+        if now_ms >= due_ms && !pacer.room(now_ms).is_empty() {
+            let flight = health.begin(&ID.into(), now_ms);
+            pacer.started(ID, stream(now_ms), now_ms);
+            pacer.stopped(ID, now_ms, now_ms);
+            health.end(flight, health::Outcome::Failed, now_ms);
+            pacer.unreachable(ID, 1, now_ms);
+            due_ms = now_ms + 200;
+        }
+        now_ms += 50;
+        health.tick(now_ms);
+    }
+}
+
 /// Guards against a stream that starts on the last server without a prompt.
 #[rstest]
 #[case::one_arrival(&["e00"], 1)]
--- a/programs/entry/src/batch/dispatch/outcome.rs
+++ b/programs/entry/src/batch/dispatch/outcome.rs
@@ -65,6 +65,12 @@
             end,
         } = ended;
         self.pacer.stopped(&place.backend, stream, now_ms);
+        if let item::End::Failed(error) = &end
+            && error.cause == Cause::Unreachable
+        {
+            let incarnation = place.incarnation;
+            self.pacer.unreachable(&place.backend, incarnation, now_ms);
+        }
         if run == item::Run::Reserved {
             self.isolation = None;
         }
--- a/programs/entry/tests/batch.rs
+++ b/programs/entry/tests/batch.rs
@@ -739,6 +739,26 @@
     assert_eq!(answered_text(&fleet.results()[0]), backend::whole_text());
 }
 
+/// Guards against an item that is sent for good to a backend server that cannot
+/// be connected to: more are than may be ejected, and they stay idler than others.
+#[test]
+fn an_item_gets_past_unreachable_backend_servers_that_cannot_be_ejected() {
+    let mut backends: Vec<Backend> = ["e1", "e2", "e3"].map(Backend::unreachable).into();
+    backends.push(Backend::engine("e4", &[Answer::Whole]));
+    backends.push(Backend::engine("e5", &[Answer::Whole]));
+    let fleet = Fleet::start_owning(backends, &[]);
+    for id in ["e4", "e5"] {
+        fleet.lock().online.insert(id.into(), 4);
+    }
+    wait_for("all backend servers to be reported", || {
+        fleet.lock().heard.len() == 5
+    });
+    fleet.own_all();
+    fleet.submit(vec![line(1)]);
+    fleet.wait_done();
+    assert_eq!(answered_text(&fleet.results()[0]), backend::whole_text());
+}
+
 /// Guards against a caller's sound request that is refused because backend
 /// servers crashed while they ran an item with the same content.
 #[test]
