Wait for suspects to end on a reserved backend server

An item that waited for its isolated run was put back after 10 s (no_empty_backend) and started to wait again on another backend server, while the callers' suspects on the first one were about to end.

Cause: the wait of 10 s is a limit for answers beside which an item may run in the end. It never runs beside suspects, so that with one there the whole wait is lost, and the reserved backend server gets new suspects.

Evidence: an_item_runs_after_a_burst_of_crashes_beside_steady_traffic, case 2, beside eight busy processes. The order of names made this rare: e1 gets all attempts and is ejected within 1.3 s, so that e3 is reserved, without online requests, when it crashes.

Change: while suspects are left on the reserved backend server, the item waits up to 20 s, of the 30 s that a reservation holds. The decision moves to bw-policy (suspect::item::Step).

Why it works: a reserved backend server takes no new suspects, and those there are cleared as they end, so that waiting on ends the wait sooner than a new start. Suspects that run for longer than 20 s still make the item give up.

trials_wait_for_their_backend_server fails without the longer limit (case 6: the trial is given up).

--- a/crates/policy/src/suspect/item.rs
+++ b/crates/policy/src/suspect/item.rs
@@ -21,6 +21,17 @@
 const CALM_MS: u64 = 5_000;
 /// Pause of an item whose content another trial runs, in milliseconds.
 const TRIAL_MS: u64 = 500;
+/// Time after which the other entry VMs' counts show that they have stopped to
+/// send work to a reserved backend server, in milliseconds.
+const SETTLE_MS: u64 = 1_000;
+/// How long an item waits for its reserved backend server to become empty, in
+/// milliseconds. Long online answers may take longer, so that it then runs
+/// beside them.
+const WAIT_MS: u64 = 10_000;
+/// How long it waits for suspects there to end, in milliseconds. It never runs
+/// beside them, and to start again elsewhere would take as long again. The rest
+/// of the 30 s of a reservation is for the run.
+const SUSPECTS_MS: u64 = 20_000;
 
 /// Why an item waits.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, strum::IntoStaticStr)]
@@ -53,6 +64,54 @@
     },
 }
 
+/// What still runs on a backend server that is reserved for a trial.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Rest {
+    /// Batch streams.
+    pub streams: u32,
+    /// Online requests of all entry VMs.
+    pub online: u32,
+    /// Own online requests that are suspects.
+    pub suspects: u32,
+}
+
+/// What is to be done about a trial that waits for its reserved backend server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Step {
+    /// It waits on.
+    Wait,
+    /// It starts, as the backend server is empty.
+    Empty,
+    /// It starts beside online requests that are no suspects.
+    WaitOver,
+    /// It is given up, and the reservation with it.
+    GiveUp,
+}
+
+impl Step {
+    /// Decides about a trial whose backend server was reserved `age_ms` ago.
+    pub fn of(rest: Rest, age_ms: u64) -> Step {
+        if age_ms >= SETTLE_MS && rest.streams == 0 {
+            if rest.online == 0 {
+                return Step::Empty;
+            }
+            if age_ms >= WAIT_MS && rest.suspects == 0 {
+                return Step::WaitOver;
+            }
+        }
+        let limit_ms = if rest.suspects > 0 {
+            SUSPECTS_MS
+        } else {
+            WAIT_MS
+        };
+        match age_ms < limit_ms {
+            true => Step::Wait,
+            false => Step::GiveUp,
+        }
+    }
+}
+
 impl Suspects {
     /// Returns how an item is to be run.
     pub fn plan(&self, fingerprint: fingerprint::Fingerprint, now_ms: u64) -> Plan {
--- a/crates/policy/tests/suspect.rs
+++ b/crates/policy/tests/suspect.rs
@@ -6,7 +6,10 @@
 
 use bw_policy::{
     router::{self, Request, Target},
-    suspect::{self, Evidence, Flight, Suspects, Treatment, item::Plan},
+    suspect::{
+        self, Evidence, Flight, Suspects, Treatment,
+        item::{Plan, Rest, Step},
+    },
 };
 use bw_wire::{command::work, fingerprint::Fingerprint, name, refusal, verdict};
 use rstest::rstest;
@@ -439,3 +442,30 @@
     outcome.most_breaks = breaks.values().copied().max().unwrap_or(0);
     outcome
 }
+
+/// Guards against a trial that is given up while suspects end on its reserved
+/// backend server, so that it starts to wait again elsewhere, and against one
+/// that runs beside a suspect or waits for longer than the reservation holds.
+#[rstest]
+#[case::not_settled(0, 0, 0, 999, Step::Wait)]
+#[case::empty(0, 0, 0, 1_000, Step::Empty)]
+#[case::others_run(0, 2, 0, 9_999, Step::Wait)]
+#[case::others_run_long(0, 2, 0, 10_000, Step::WaitOver)]
+#[case::streams_run_long(1, 2, 0, 10_000, Step::GiveUp)]
+#[case::a_suspect_runs_long(0, 2, 1, 18_000, Step::Wait)]
+#[case::the_suspect_has_ended(0, 1, 0, 18_050, Step::WaitOver)]
+#[case::a_suspect_runs_too_long(0, 2, 1, 20_000, Step::GiveUp)]
+fn trials_wait_for_their_backend_server(
+    #[case] streams: u32,
+    #[case] online: u32,
+    #[case] suspects: u32,
+    #[case] age_ms: u64,
+    #[case] expected: Step,
+) {
+    let rest = Rest {
+        streams,
+        online,
+        suspects,
+    };
+    assert_eq!(Step::of(rest, age_ms), expected);
+}
--- a/programs/entry/src/batch/dispatch/place.rs
+++ b/programs/entry/src/batch/dispatch/place.rs
@@ -4,7 +4,10 @@
 
 use bw_policy::{
     pacer, router,
-    suspect::{self, item::Plan},
+    suspect::{
+        self,
+        item::{Plan, Step},
+    },
 };
 use bw_wire::{backend, name};
 use tokio_util::sync::CancellationToken;
@@ -174,8 +177,10 @@
         let Some(isolation) = &mut self.isolation else {
             return;
         };
-        let waiting = isolation.waiting();
-        if waiting.is_some_and(|chunk| !self.book.holds(chunk)) {
+        let Some(chunk) = isolation.waiting() else {
+            return;
+        };
+        if !self.book.holds(chunk) {
             self.isolation = None;
             return;
         }
@@ -186,13 +191,19 @@
             .filter(|run| run.backend == backend)
             .count();
         let place = isolation.place.clone();
-        if let Some((item, ready)) = isolation.ready(streams as u32, now_ms) {
-            log_trial(&item, &backend, ready.into());
-            self.start(item, place, item::Run::Reserved, now_ms);
-        } else if let Some(item) = isolation.overdue(now_ms) {
+        let step = isolation.step(streams as u32, now_ms);
+        if step == Step::Wait {
+            return;
+        }
+        let Some(item) = isolation.take() else {
+            return;
+        };
+        if step == Step::GiveUp {
             self.isolation = None;
-            self.put_back(item, "no_empty_backend", now_ms + SUSPECT_MS);
+            return self.put_back(item, "no_empty_backend", now_ms + SUSPECT_MS);
         }
+        log_trial(&item, &backend, step.into());
+        self.start(item, place, item::Run::Reserved, now_ms);
     }
 }
 
