Complete an upload with a key that was lost before its seal

A caller that sent an upload with an Idempotency-Key again, more than an hour after the first one was lost between the claim of the key and the seal of its file, got 500 internal for the 31 days for which the key is kept. So did one whose file was deleted. An upload whose own chunks were dropped on the way, because the entry VM or the caller stood still for an hour, got 400 invalid_field ("chunks are missing") or 500, though nothing was wrong with the request.

Cause: the key is bound to the file of the first upload before that is sealed, and a seal that found no file was taken for an internal error.

Now a seal without the whole content is answered with NotFound, and the entry VM goes on: if the file that the key stands for no longer exists, it binds the successor of the key (the key, a line feed, the id of the lost file) to the file of this upload and seals that. A header cannot hold a line feed, so no caller can send a successor. Claims are commands in the log, so resends through any entry VM agree on one file again. A key stands for at most 16 files, one after the other; then it is refused with 409 key_conflict, not_run. An upload whose own chunks were dropped gets 503 control_unavailable with Retry-After, not_run: a file without a seal does not exist.

--- a/crates/state/src/work/files.rs
+++ b/crates/state/src/work/files.rs
@@ -129,8 +129,10 @@
                 (true, false) => invalid("the file is complete"),
             };
         }
+        // Chunks were dropped while the upload was under way. Its content is as
+        // lost as that of a file without any chunk.
         if !file.chunks.keys().copied().eq(0..seal.chunks) {
-            return invalid("chunks are missing");
+            return work::Reply::NotFound;
         }
         let bounds = file.chunks.values().filter_map(|chunk| chunk.rows.bounds());
         if !bounds.is_sorted_by(|(_, before), (after, _)| before < after) {
--- a/crates/wire/src/refusal.rs
+++ b/crates/wire/src/refusal.rs
@@ -67,7 +67,8 @@
     ShuttingDown,
     /// Too many connections or open streams.
     Overloaded,
-    /// The idempotency key was used with another body.
+    /// The idempotency key was used with another body, or for too many files
+    /// that no longer exist.
     KeyConflict,
     /// The request with this idempotency key is still running.
     KeyInProgress,
--- a/programs/entry/src/files/upload.rs
+++ b/programs/entry/src/files/upload.rs
@@ -14,6 +14,10 @@
 /// throughput of a single upload no further and take more memory.
 const CHUNKS_IN_FLIGHT: usize = 4;
 
+/// Most files that one idempotency key may stand for, one after the other. The
+/// next one takes its place when a file is deleted, or dropped before its seal.
+const FILES_PER_KEY: usize = 16;
+
 /// What an upload consisted of, besides the chunks that are already stored.
 struct Received {
     filename: String,
@@ -53,14 +57,45 @@
         if received.chunks == 0 {
             return Err(invalid("the file has no items").param("file"));
         }
-        let file = match key {
-            Some(key) => {
-                let body = digest_of(&received);
-                self.claim(team, key, body, file.clone()).await?
+        match key {
+            Some(key) => self.seal_claimed(team, key, &file, &received).await,
+            None => {
+                let sealed = self.seal(team, &file, &received).await?;
+                sealed.ok_or_else(dropped)
             }
-            None => file,
-        };
-        self.seal(team, &file, received).await
+        }
+    }
+
+    /// Completes the file that an idempotency key stands for: the file of the
+    /// first upload as long as it exists, or else the one of this upload.
+    ///
+    /// The key is bound before the file is sealed. If an upload is lost in
+    /// between, its chunks are dropped after some time, and no resend can seal
+    /// its file. The key's successor is bound to the next file in the same way,
+    /// so that all resends agree on that one.
+    async fn seal_claimed(
+        &self,
+        team: &name::Name,
+        key: &str,
+        file: &name::Name,
+        received: &Received,
+    ) -> Result<openai::File, refusal::Refusal> {
+        let body = digest_of(received);
+        let mut bound = name::Name::from(key);
+        for _ in 0..FILES_PER_KEY {
+            let claimed = self.claim(team, &bound, body, file.clone()).await?;
+            if let Some(sealed) = self.seal(team, &claimed, received).await? {
+                return Ok(sealed);
+            }
+            if claimed == *file {
+                return Err(dropped());
+            }
+            bound = successor(key, &claimed);
+        }
+        Err(refusal::Refusal::not_run(
+            refusal::Reason::KeyConflict,
+            "the idempotency key was used for too many files that no longer exist",
+        ))
     }
 
     async fn receive(
@@ -195,23 +230,26 @@
         }
     }
 
+    /// Completes a file. Returns `None` if its content does not exist: the file
+    /// was deleted, or its chunks were dropped before it was sealed.
     async fn seal(
         &self,
         team: &name::Name,
         file: &name::Name,
-        received: Received,
-    ) -> Result<openai::File, refusal::Refusal> {
+        received: &Received,
+    ) -> Result<Option<openai::File>, refusal::Refusal> {
         let group = group_of(self, "file", file)?;
         let command = work::Command::FileSeal {
             file: file.clone(),
             team: team.clone(),
-            filename: received.filename,
-            purpose: received.purpose,
+            filename: received.filename.clone(),
+            purpose: received.purpose.clone(),
             bytes: received.bytes,
             chunks: received.chunks,
         };
         match self.inner.client.work(group, command).await {
-            Ok(work::Reply::Ok) => self.file(team, file).await,
+            Ok(work::Reply::Ok) => self.file(team, file).await.map(Some),
+            Ok(work::Reply::NotFound) => Ok(None),
             Ok(work::Reply::Invalid { message }) => Err(invalid(&message)),
             Ok(other) => Err(unexpected(&other)),
             Err(error) => Err(unavailable(&error)),
@@ -290,6 +328,19 @@
     }
 }
 
+/// Returns the key that is bound once the file of a key no longer exists. A
+/// header cannot hold a line feed, so no caller can send it as a key.
+fn successor(key: &str, file: &name::Name) -> name::Name {
+    format!("{key}\n{file}").into()
+}
+
+/// Refuses an upload whose own chunks were dropped before it was complete. A
+/// file without a seal does not exist, so the upload did not run.
+fn dropped() -> refusal::Refusal {
+    let message = "the content was dropped, as the upload took too long; send it again";
+    refusal::Refusal::not_run(refusal::Reason::ControlUnavailable, message)
+}
+
 fn digest_of(received: &Received) -> fingerprint::Fingerprint {
     let hash = received.hash.digest128();
     fingerprint::Fingerprint((hash >> 64) as u64, hash as u64)
--- a/programs/entry/tests/support/control.rs
+++ b/programs/entry/tests/support/control.rs
@@ -1,17 +1,19 @@
-//! A control replica that leads and keeps attempts in memory.
+//! A control replica that leads and keeps attempts, files and claims in memory.
 
 use std::{
     collections,
     sync::{self, Arc},
 };
 
+use bw_coord::payload;
+use bw_state::work;
 use bw_wire::{
     backend,
     command::{
         self,
         work::{AttemptOutcome, Command, Reply, Suspect},
     },
-    intent, name, renewal, rpc, sync as wire_sync,
+    intent, name, query, renewal, rpc, sync as wire_sync,
 };
 use jsonrpsee::{RpcModule, server::ServerBuilder, types::ErrorObjectOwned};
 use tokio::runtime;
@@ -39,6 +41,44 @@
     pub strikes: Vec<(name::Name, bool)>,
     pub cleared: usize,
     pub attempts: collections::HashMap<name::Name, Attempt>,
+    pub store: Store,
+    /// Seals of files that arrived.
+    pub seals: usize,
+    /// Seals are not applied and not answered.
+    pub loses_seals: bool,
+}
+
+/// A work machine for files and claims of all groups.
+#[derive(Default)]
+pub struct Store {
+    pub machine: work::Machine,
+    payloads: payload::Memory,
+    index: u64,
+    now_ms: u64,
+}
+
+impl Store {
+    /// Lets time pass and drops what is kept no longer.
+    pub fn pass(&mut self, ms: u64) {
+        self.now_ms += ms;
+        self.apply(Command::Expire);
+    }
+
+    fn apply(&mut self, command: Command) -> Reply {
+        self.index += 1;
+        let stamped = command::Stamped {
+            now_ms: self.now_ms,
+            command,
+        };
+        let reply = self.machine.apply(self.index, stamped);
+        self.payloads.carry_out(self.machine.effects());
+        reply
+    }
+
+    fn query(&self, query: &query::Query) -> Option<query::Answer> {
+        let answer = self.machine.query(query, &mut &self.payloads);
+        answer.expect("the payloads are stored")
+    }
 }
 
 /// A recorded attempt.
@@ -76,6 +116,9 @@
             strikes: Vec::new(),
             cleared: 0,
             attempts: collections::HashMap::new(),
+            store: Store::default(),
+            seals: 0,
+            loses_seals: false,
         }));
         let runtime = runtime::Builder::new_multi_thread()
             .worker_threads(1)
@@ -148,6 +191,7 @@
             let command::Command::Work(command) = propose.command else {
                 panic!("entry VMs propose work only");
             };
+            lose_seal(&state, &command).await;
             let reply = work_reply(&mut state.lock().expect("lock"), command);
             if state.lock().expect("lock").mute {
                 std::future::pending::<()>().await;
@@ -156,6 +200,13 @@
         })
         .expect("registered");
     module
+        .register_method(rpc::QUERY, |params, state, _| {
+            let ask: rpc::Ask = params.one()?;
+            let answer = state.lock().expect("lock").store.query(&ask.query);
+            Ok::<_, ErrorObjectOwned>(answer.expect("a query about work"))
+        })
+        .expect("registered");
+    module
 }
 
 /// Waits until the fake is no longer silent.
@@ -178,6 +229,21 @@
     }
 }
 
+/// Counts a seal, and keeps one that is to be lost without an answer.
+async fn lose_seal(state: &Arc<sync::Mutex<State>>, command: &Command) {
+    if !matches!(command, Command::FileSeal { .. }) {
+        return;
+    }
+    let lost = {
+        let mut state = state.lock().expect("lock");
+        state.seals += 1;
+        state.loses_seals
+    };
+    if lost {
+        std::future::pending::<()>().await;
+    }
+}
+
 fn sync_reply(state: &mut State, request: wire_sync::Request) -> wire_sync::Response {
     for dated in &request.heard {
         let id = &dated.announcement.id;
@@ -299,6 +365,10 @@
                 .retain(|suspect| suspect.fingerprint != fingerprint);
             Reply::Ok
         }
+        Command::FileChunk { .. }
+        | Command::FileSeal { .. }
+        | Command::FileDelete { .. }
+        | Command::Claim { .. } => state.store.apply(command),
         _ => Reply::Ok,
     }
 }
