Say that a request crashes backend servers only if that is recorded

An entry VM refused a request with 422 poisonous_request from the strikes that it held. A request that had finished elsewhere, and so was no suspect any more, was refused until the next exchange with control; without control, for as long as that lasted. One that was cleared and struck once again elsewhere kept its old count here, and so its refusal, for up to 6 hours, because exchanges only ever raise a count.

Cause: strikes that are known here may be old, and nothing asked for the newest.

Before 422 is given, the entry VM now reads the suspects of the request's work group, behind a barrier on its leader and after the request arrived. If the record says that the request crashed too many backend servers, 422 follows. If not, the record takes the place of what was known, and the request runs accordingly; news from here and from peers that are younger than 5 s stay, as they may not be recorded yet. Without an answer that settles it in 2 s the refusal is 503 control_unavailable with Retry-After, and not_run unless an attempt of the request may have run.

Requests that arrive before a read begins share it, and there are at most four reads a second of a group from an entry VM, so that resends of a poisonous request do not load control. The limit of three crashes holds as before for recorded strikes.

Evidence: on the code before, a_request_that_was_cleared_elsewhere_is_not_said_to_be_poisonous, a_request_with_fewer_strikes_than_known_may_run, an_entry_vm_without_control_calls_no_request_poisonous (422 in each) and resends_of_a_poisonous_request_share_reads_of_its_record (0 reads) fail; they pass now.

--- a/crates/policy/src/suspect/mod.rs
+++ b/crates/policy/src/suspect/mod.rs
@@ -166,7 +166,7 @@
         let Some(entry) = self.suspects.get(&fingerprint) else {
             return Treatment::Normal;
         };
-        if entry.isolated > 0 || entry.strikes >= REFUSE_AT {
+        if is_refused(entry.strikes, entry.isolated) {
             return Treatment::Refused(poisonous());
         }
         if entry.strikes < ISOLATE_AT {
@@ -260,6 +260,30 @@
         self.bound();
     }
 
+    /// Takes the record of a request that was read after all recorded strikes,
+    /// `None` if there is none. Younger news from here and from peers stay, as
+    /// they may not be recorded yet.
+    pub fn replace(
+        &mut self,
+        fingerprint: fingerprint::Fingerprint,
+        recorded: Option<&work::Suspect>,
+        now_ms: u64,
+    ) {
+        let Some(entry) = self.suspects.get_mut(&fingerprint) else {
+            return;
+        };
+        if now_ms.saturating_sub(entry.news_ms) <= self.settings.sync_grace_ms {
+            return;
+        }
+        let Some(recorded) = recorded else {
+            self.suspects.remove(&fingerprint);
+            return;
+        };
+        entry.strikes = recorded.strikes;
+        entry.isolated = recorded.isolated;
+        entry.until_ms = recorded.until_ms;
+    }
+
     /// Takes the strikes that others counted.
     fn learn(&mut self, suspect: &work::Suspect, now_ms: u64) {
         let entry = self.entry(suspect.fingerprint);
@@ -337,6 +361,15 @@
     }
 }
 
+/// Returns whether a request of a caller with this record is refused for good.
+pub fn is_poisonous(recorded: &work::Suspect) -> bool {
+    is_refused(recorded.strikes, recorded.isolated)
+}
+
+fn is_refused(strikes: u32, isolated: u32) -> bool {
+    isolated > 0 || strikes >= REFUSE_AT
+}
+
 fn poisonous() -> refusal::Refusal {
     refusal::Refusal::may_have_run(
         refusal::Reason::PoisonousRequest,
--- a/crates/policy/tests/suspect.rs
+++ b/crates/policy/tests/suspect.rs
@@ -147,6 +147,30 @@
     suspects.crashed(&"e00".into(), now_ms, &[flight], now_ms);
 }
 
+/// Guards against strikes that stay known here for good after a clearing
+/// elsewhere, and against an older record that hides a crash seen here.
+#[test]
+fn a_record_replaces_what_is_known_unless_that_is_younger() {
+    let mut suspects = suspect::Builder::new().sync_grace_ms(1_000).build();
+    for number in 1..=3 {
+        crash_at(&mut suspects, POISON, false, number);
+    }
+    suspects.replace(POISON, None, 1_003);
+    assert!(matches!(suspects.treatment(POISON), Treatment::Refused(_)));
+    let recorded = work::Suspect {
+        fingerprint: POISON,
+        strikes: 1,
+        isolated: 0,
+        until_ms: 60_000,
+    };
+    assert!(!suspect::is_poisonous(&recorded));
+    suspects.replace(POISON, Some(&recorded), 1_004);
+    assert_eq!(suspects.treatment(POISON), Treatment::Dispersed);
+    assert_eq!(suspects.get(POISON), Some(recorded));
+    suspects.replace(POISON, None, 1_004);
+    assert_eq!(suspects.treatment(POISON), Treatment::Normal);
+}
+
 /// Guards against an item that many crashes end or hold up for good, and
 /// against one that waits though the fleet has been calm for a short time.
 #[rstest]
--- a/programs/entry/src/context.rs
+++ b/programs/entry/src/context.rs
@@ -8,7 +8,8 @@
 use tokio::sync as async_sync;
 
 use crate::{
-    clock, confirmation, controller, drain, files, filter, routing, settings, snapshot, upstream,
+    clock, confirmation, controller, drain, files, filter, records, routing, settings, snapshot,
+    upstream,
 };
 
 /// Peer messages that a slow subscriber may lag behind.
@@ -132,6 +133,8 @@
     pub upstream: upstream::Client,
     /// The client of the control replicas.
     pub control: control::Client,
+    /// The recorded suspects.
+    pub records: records::Records,
     /// Files and batch jobs.
     pub files: files::Store,
     /// Requests that run or wait.
@@ -154,6 +157,7 @@
             events,
             upstream: shared.upstream_client(),
             control,
+            records: records::Records::new(shared.settings.groups),
             files,
             open: filter::Open::new(limits.open_streams),
             shared,
--- a/programs/entry/src/controller/run.rs
+++ b/programs/entry/src/controller/run.rs
@@ -3,7 +3,7 @@
 use std::{collections, io, net, sync, time};
 
 use bw_client::control;
-use bw_wire::{backend, command, fingerprint, id, name, peer};
+use bw_wire::{backend, command, name, peer};
 use jsonrpsee::server::ServerHandle;
 use tokio::{sync as async_sync, task, time as async_time};
 
@@ -12,7 +12,7 @@
     exchange::{Schedule, Synced},
     health, listing, peers, probe, registry,
 };
-use crate::{context, metrics, snapshot, upstream};
+use crate::{context, filter, metrics, snapshot, upstream};
 
 /// Time limit of one call to one control replica during an exchange. Two calls
 /// fit into the configuration lease, so that one hung replica does not end it.
@@ -268,7 +268,7 @@
             self.peers.broadcast(peer::Message::Suspect(suspect));
         }
         let client = self.client.clone();
-        let group = self.suspect_group(&fingerprint);
+        let group = filter::suspect::group_of(&self.shared, &fingerprint);
         self.tasks.spawn(async move {
             match client.work(group, command).await {
                 Ok(command::work::Reply::Suspect(suspect)) => Done::Struck(suspect),
@@ -304,11 +304,6 @@
         }
     }
 
-    fn suspect_group(&self, fingerprint: &fingerprint::Fingerprint) -> u32 {
-        let key = fingerprint.to_string();
-        id::group_for(key.as_bytes(), self.shared.settings.groups)
-    }
-
     fn reserved(&mut self, backend: name::Name, duration_ms: u64) {
         self.reserve(&backend, duration_ms);
         let message = peer::Message::Reserve {
--- a/programs/entry/src/filter/mod.rs
+++ b/programs/entry/src/filter/mod.rs
@@ -74,7 +74,7 @@
     })
     .await?;
     let fingerprint = body.fingerprint();
-    suspect::check(shared, fingerprint)?;
+    suspect::confirmed(context, fingerprint).await?;
     let service = target.model.clone();
     let request = admission::Request {
         team: team.clone(),
--- a/programs/entry/src/filter/suspect.rs
+++ b/programs/entry/src/filter/suspect.rs
@@ -1,11 +1,18 @@
 //! Refuses requests that crash backend servers.
 
+use std::time;
+
 use bw_policy::{router, suspect};
-use bw_wire::{fingerprint, refusal};
+use bw_wire::{fingerprint, id, refusal};
+use tokio::time as async_time;
 
 use crate::context;
 
-/// Returns how a request may share a backend server.
+/// Longest wait for the record of a request. It covers a read that meets a hung
+/// replica (1.5 s), and strikes that are being recorded.
+const WAIT: time::Duration = time::Duration::from_millis(2_000);
+
+/// Returns how a request may share a backend server, as far as is known here.
 ///
 /// # Errors
 ///
@@ -21,3 +28,57 @@
         treatment => Ok(treatment.fit().unwrap_or_default()),
     }
 }
+
+/// Returns how a request may share a backend server. That it crashes backend
+/// servers is said only if its work group has recorded it.
+///
+/// # Errors
+///
+/// Refuses like [`check`], and for now if the work group does not confirm that
+/// the request crashed too many backend servers.
+pub async fn confirmed(
+    context: &context::Context,
+    fingerprint: fingerprint::Fingerprint,
+) -> Result<router::Fit, refusal::Refusal> {
+    let settled = async_time::timeout(WAIT, settle(context, fingerprint));
+    settled.await.unwrap_or_else(|_| Err(unconfirmed()))
+}
+
+async fn settle(
+    context: &context::Context,
+    fingerprint: fingerprint::Fingerprint,
+) -> Result<router::Fit, refusal::Refusal> {
+    let shared = &context.shared;
+    let group = group_of(shared, &fingerprint);
+    loop {
+        let poisonous = match check(shared, fingerprint) {
+            Err(refusal) if refusal.reason == refusal::Reason::PoisonousRequest => refusal,
+            checked => return checked,
+        };
+        let recorded = context.records.suspects(&context.control, group).await;
+        let Some(recorded) = recorded else {
+            continue;
+        };
+        let recorded = recorded
+            .iter()
+            .find(|suspect| suspect.fingerprint == fingerprint);
+        if recorded.is_some_and(suspect::is_poisonous) {
+            return Err(poisonous);
+        }
+        shared.with_suspects(|suspects, now_ms| suspects.replace(fingerprint, recorded, now_ms));
+    }
+}
+
+/// Returns the work group that records the strikes of a request.
+pub fn group_of(shared: &context::Shared, fingerprint: &fingerprint::Fingerprint) -> u32 {
+    let key = fingerprint.to_string();
+    id::group_for(key.as_bytes(), shared.settings.groups)
+}
+
+/// Refuses a request that crashed backend servers as far as is known here.
+pub fn unconfirmed() -> refusal::Refusal {
+    refusal::Refusal::not_run(
+        refusal::Reason::ControlUnavailable,
+        "control did not confirm in time whether this request crashes backend servers",
+    )
+}
--- a/programs/entry/src/lib.rs
+++ b/programs/entry/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod metrics;
 pub mod online;
 pub mod program;
+mod records;
 mod reservation;
 pub mod routing;
 pub mod settings;
--- a/programs/entry/src/online/run/attempt.rs
+++ b/programs/entry/src/online/run/attempt.rs
@@ -103,8 +103,8 @@
 
     /// Starts an attempt on a chosen backend server.
     async fn launch(&mut self) -> Result<Starting, refusal::Refusal> {
-        let shared = &self.context.shared;
-        let fit = filter::suspect::check(shared, self.request.fingerprint)
+        let fit = filter::suspect::confirmed(&self.context, self.request.fingerprint)
+            .await
             .map_err(|refusal| self.with_verdict(refusal))?;
         let slot = match fit {
             router::Fit::Isolated => self.pick_isolated().await,
--- a/programs/entry/src/online/run/failure.rs
+++ b/programs/entry/src/online/run/failure.rs
@@ -69,7 +69,8 @@
         self.running = false;
         // A suspect that is refused from now on hears the actual reason.
         let fingerprint = self.request.fingerprint;
-        filter::suspect::check(&self.context.shared, fingerprint)
+        filter::suspect::confirmed(&self.context, fingerprint)
+            .await
             .map_err(|refusal| self.with_verdict(refusal))?;
         match decision {
             // A suspect runs isolated at most once.
--- a/programs/entry/src/reservation.rs
+++ b/programs/entry/src/reservation.rs
@@ -5,7 +5,7 @@
 use bw_policy::suspect;
 use bw_wire::{fingerprint, name, refusal};
 
-use crate::{context, controller};
+use crate::{context, controller, filter};
 
 /// How long a backend server stays reserved for an isolated run, unless the run
 /// ends sooner. Renewed reservations would outlive an entry VM that dies.
@@ -24,9 +24,9 @@
     ///
     /// # Errors
     ///
-    /// Refuses a request that crashed too many backend servers, and one of
-    /// which another isolated run is in progress: one may have begun since the
-    /// request was checked.
+    /// Refuses for now a request that crashed too many backend servers, and one
+    /// of which another isolated run is in progress: one may have begun since
+    /// the request was checked.
     pub(crate) fn new(
         context: &sync::Arc<context::Context>,
         backend: name::Name,
@@ -39,8 +39,15 @@
             }
             treatment
         });
-        if let suspect::Treatment::Refused(refusal) = treatment {
-            return Err(refusal);
+        match treatment {
+            // Learnt since the request was checked, and not confirmed.
+            suspect::Treatment::Refused(refusal)
+                if refusal.reason == refusal::Reason::PoisonousRequest =>
+            {
+                return Err(filter::suspect::unconfirmed());
+            }
+            suspect::Treatment::Refused(refusal) => return Err(refusal),
+            _ => {}
         }
         Ok(Reservation::announced(context, backend, fingerprint))
     }
--- a/programs/entry/tests/confirmation.rs
+++ b/programs/entry/tests/confirmation.rs
@@ -4,9 +4,14 @@
 
 use std::{io::Write, thread, time};
 
-use bw_wire::{intent, sync as wire_sync};
+use bw_policy::suspect::Treatment;
+use bw_wire::{command::work, fingerprint, intent, sync as wire_sync};
 use rstest::rstest;
-use support::{Fleet, backend::Backend, caller, fleet, wait_for};
+use support::{
+    Fleet,
+    backend::{Answer, Backend},
+    caller, chat_body, fleet, wait_for,
+};
 
 const COMPLETIONS: &str = "/v1/completions";
 const UNKNOWN_MODEL: &str = r#"{"model":"new","prompt":"hello"}"#;
@@ -28,12 +33,17 @@
 /// Returns a fleet whose next exchange is as far away as it can be.
 fn between_exchanges(backends: Vec<Backend>) -> Fleet {
     let fleet = fleet(backends);
+    slow_down(&fleet);
+    fleet
+}
+
+/// Makes the next exchange as far away as it can be.
+fn slow_down(fleet: &Fleet) {
     fleet.control.lock().interval_ms = wire_sync::LONG_INTERVAL_MS;
     let exchanges = || fleet.control.lock().syncs.len();
     // The interval holds from the second exchange on.
     let first = exchanges();
     wait_for("two exchanges", || exchanges() >= first + 2);
-    fleet
 }
 
 /// Guards against 404 or 400 for what an accepted configuration has, while the
@@ -126,3 +136,87 @@
     println!("{exchanges} exchanges for {FLOOD} requests, at most {most}");
     assert!(exchanges as u128 <= most, "{exchanges} exchanges");
 }
+
+/// Returns a fleet that holds the request of [`chat_body`] for poisonous, and
+/// whose next exchange is as far away as it can be.
+fn suspecting() -> Fleet {
+    let backends = vec![Backend::engine("e1", &[Answer::Whole])];
+    let fleet = fleet(backends);
+    let fingerprint = fingerprint::Fingerprint::of_request(&chat_body(false));
+    fleet.control.lock().suspects.push(work::Suspect {
+        fingerprint,
+        strikes: 3,
+        isolated: 1,
+        until_ms: u64::MAX,
+    });
+    wait_for("the suspect to be known", || {
+        let shared = fleet.entry.shared();
+        let treatment = shared.with_suspects(|suspects, _| suspects.treatment(fingerprint));
+        matches!(treatment, Treatment::Refused(_))
+    });
+    slow_down(&fleet);
+    fleet
+}
+
+/// Guards against 422 for a request that has finished elsewhere since, and so is
+/// no suspect any more.
+#[rstest]
+fn a_request_that_was_cleared_elsewhere_is_not_said_to_be_poisonous() {
+    let fleet = suspecting();
+    fleet.control.lock().suspects.clear();
+    let response = fleet.chat(&chat_body(false));
+    assert_eq!(response.status, 200, "{}", response.text());
+}
+
+/// Guards against a count of strikes that outlives a clearing elsewhere: a
+/// later single strike is no reason to refuse.
+#[rstest]
+fn a_request_with_fewer_strikes_than_known_may_run() {
+    let fleet = suspecting();
+    {
+        let mut control = fleet.control.lock();
+        control.suspects[0].strikes = 1;
+        control.suspects[0].isolated = 0;
+    }
+    let response = fleet.chat(&chat_body(false));
+    assert_eq!(response.status, 200, "{}", response.text());
+}
+
+/// Guards against 422 of an entry VM that has lost control and may not know that
+/// the request is no suspect any more.
+#[rstest]
+fn an_entry_vm_without_control_calls_no_request_poisonous() {
+    let fleet = suspecting();
+    fleet.control.lock().silent = true;
+    let response = fleet.chat(&chat_body(false));
+    assert_eq!(response.status, 503, "{}", response.text());
+    let refusal = ("control_unavailable".to_owned(), "not_run".to_owned());
+    assert_eq!(response.refusal(), refusal);
+    assert!(response.header("retry-after").is_some());
+    assert_eq!(fleet.backends[0].count(), 0);
+}
+
+/// Guards against a poisonous request that runs again, and against callers that
+/// load control with one read for each resend of it.
+#[rstest]
+fn resends_of_a_poisonous_request_share_reads_of_its_record() {
+    let fleet = suspecting();
+    let start = time::Instant::now();
+    let callers = (0..FLOOD).map(|_| {
+        let address = fleet.address();
+        let body = chat_body(false).to_string();
+        thread::spawn(move || caller::post(&address, "/v1/chat/completions", &[], &body))
+    });
+    let callers: Vec<_> = callers.collect();
+    for caller in callers {
+        let response = caller.join().expect("ended");
+        assert_eq!(response.status, 422, "{}", response.text());
+        let refusal = ("poisonous_request".to_owned(), "may_have_run".to_owned());
+        assert_eq!(response.refusal(), refusal);
+    }
+    let reads = fleet.control.lock().suspect_reads;
+    let most = 2 + start.elapsed().as_millis() / 250;
+    println!("{reads} reads for {FLOOD} requests, at most {most}");
+    assert!((1..=most).contains(&(reads as u128)), "{reads} reads");
+    assert_eq!(fleet.backends[0].count(), 0);
+}
--- a/programs/entry/tests/support/control.rs
+++ b/programs/entry/tests/support/control.rs
@@ -41,6 +41,8 @@
     pub strikes: Vec<(name::Name, bool)>,
     pub cleared: usize,
     pub attempts: collections::HashMap<name::Name, Attempt>,
+    /// Reads of the recorded suspects.
+    pub suspect_reads: usize,
     pub store: Store,
     /// Seals of files that arrived.
     pub seals: usize,
@@ -116,6 +118,7 @@
             strikes: Vec::new(),
             cleared: 0,
             attempts: collections::HashMap::new(),
+            suspect_reads: 0,
             store: Store::default(),
             seals: 0,
             loses_seals: false,
@@ -200,9 +203,17 @@
         })
         .expect("registered");
     module
-        .register_method(rpc::QUERY, |params, state, _| {
+        .register_async_method(rpc::QUERY, |params, state, _| async move {
+            heard(&state).await;
             let ask: rpc::Ask = params.one()?;
-            let answer = state.lock().expect("lock").store.query(&ask.query);
+            let mut state = state.lock().expect("lock");
+            let answer = match ask.query {
+                query::Query::Suspects => {
+                    state.suspect_reads += 1;
+                    Some(query::Answer::Suspects(state.suspects.clone()))
+                }
+                query => state.store.query(&query),
+            };
             Ok::<_, ErrorObjectOwned>(answer.expect("a query about work"))
         })
         .expect("registered");
