Try a request elsewhere when an engine does not have its model

A caller got 400 invalid_field, may_have_run, for a proper request when the engine answered 404 because it had unloaded the model since its last announcement, or 401 because it did not accept the entry VM. An accepted item ended for good with the engine's 404.

Cause: every client error of an engine but 408 and 429 counted as a fault of the request, and the verdict that the engine states was read with 503 and 429 only. The entry VM picked the engine by what it had announced last, which may be old.

Only 400, 413 and 422 put the request at fault now; they concern the request alone. Any other client error with the verdict not_run is a refusal before running, like 503: the request goes on elsewhere, an item is put back. Without a verdict it is a failed attempt. A request that fails everywhere gets 502 or 503 with Retry-After.

Evidence: on the code before, the cases not_loaded, unknown_there and credentials of a_request_that_fails_everywhere_has_a_true_verdict, not_loaded of a_later_attempt_completes_the_answer, and not_loaded_then_runs and unknown_there_then_runs of failed_attempts_are_repeated_within_bounds fail.

--- a/programs/entry/src/upstream/call.rs
+++ b/programs/entry/src/upstream/call.rs
@@ -291,13 +291,31 @@
     let status = response.status();
     let busy = status == http::StatusCode::SERVICE_UNAVAILABLE
         || status == http::StatusCode::TOO_MANY_REQUESTS;
+    busy && says_not_run(response)
+}
+
+fn says_not_run<B>(response: &http::Response<B>) -> bool {
     let verdict = response.headers().get(header::VERDICT);
-    busy && verdict.is_some_and(|value| value == "not-run" || value == "not_run")
+    verdict.is_some_and(|value| value == "not-run" || value == "not_run")
+}
+
+/// Returns whether a status says that the request is wrong for every engine.
+/// Other client errors depend on the one engine: it may not have the model any
+/// more (404), or not accept the credentials of the entry VM (401).
+fn is_rejection(status: http::StatusCode) -> bool {
+    matches!(
+        status,
+        http::StatusCode::BAD_REQUEST
+            | http::StatusCode::PAYLOAD_TOO_LARGE
+            | http::StatusCode::UNPROCESSABLE_ENTITY
+    )
 }
 
 async fn refused(response: http::Response<body::Incoming>) -> Error {
-    let not_run = refused_before_running(&response);
     let status = response.status();
+    let is_other_client_error = status.is_client_error() && !is_rejection(status);
+    let not_run =
+        refused_before_running(&response) || (is_other_client_error && says_not_run(&response));
     let body = Limited::new(response.into_body(), MAX_ERROR_BYTES);
     let body = match async_time::timeout(time::Duration::from_secs(1), body.collect()).await {
         Ok(Ok(collected)) => collected.to_bytes(),
@@ -307,13 +325,9 @@
     if not_run {
         return Error::not_run(Cause::Refused, message);
     }
-    let at_fault = status.is_client_error()
-        && status != http::StatusCode::TOO_MANY_REQUESTS
-        && status != http::StatusCode::REQUEST_TIMEOUT;
-    let cause = if at_fault {
-        Cause::Rejected
-    } else {
-        Cause::Failed
+    let cause = match is_rejection(status) {
+        true => Cause::Rejected,
+        false => Cause::Failed,
     };
     let error = Error {
         cause,
--- a/programs/entry/tests/batch.rs
+++ b/programs/entry/tests/batch.rs
@@ -493,6 +493,8 @@
 /// Guards against items that are given up too soon, never, or without a code.
 #[rstest]
 #[case::refused_then_runs(&[Answer::Refuse, Answer::Refuse, Answer::Refuse, Answer::Refuse, Answer::Refuse, Answer::Refuse, Answer::Whole], 7, None)]
+#[case::not_loaded_then_runs(&[Answer::NotLoaded, Answer::Whole], 2, None)]
+#[case::unknown_there_then_runs(&[Answer::Status(404), Answer::Whole], 2, None)]
 #[case::broken_then_resumed(&[Answer::CutAfter(2), Answer::Whole], 2, None)]
 #[case::corrupt_then_runs(&[Answer::Doubled, Answer::Whole], 2, None)]
 #[case::always_fails(&[Answer::Status(500)], 5, Some("backend_failed"))]
--- a/programs/entry/tests/fault.rs
+++ b/programs/entry/tests/fault.rs
@@ -21,6 +21,7 @@
 #[case::close(Answer::Close)]
 #[case::freeze(Answer::Freeze)]
 #[case::refuse(Answer::Refuse)]
+#[case::not_loaded(Answer::NotLoaded)]
 #[case::error(Answer::Status(500))]
 #[case::cut_before_the_first_token(Answer::CutAfter(0))]
 #[case::cut(Answer::CutAfter(3))]
@@ -73,6 +74,9 @@
 /// saying that it is incomplete.
 #[rstest]
 #[case::refused_by_the_backend(Answer::Refuse, "no_backend|backend_failed", "not_run")]
+#[case::not_loaded(Answer::NotLoaded, "no_backend|backend_failed", "not_run")]
+#[case::unknown_there(Answer::Status(404), "backend_failed", "may_have_run")]
+#[case::credentials(Answer::Status(401), "backend_failed", "may_have_run")]
 #[case::closed(Answer::Close, "backend_failed", "may_have_run")]
 #[case::error(Answer::Status(500), "backend_failed", "may_have_run")]
 #[case::unavailable_without_verdict(Answer::Status(503), "backend_failed", "may_have_run")]
@@ -80,6 +84,7 @@
 #[case::cut_before_the_first_token(Answer::CutAfter(0), "backend_failed", "may_have_run")]
 #[case::crossed(Answer::CrossedId, "backend_failed", "may_have_run")]
 #[case::rejected(Answer::Status(400), "invalid_field", "may_have_run")]
+#[case::unprocessable(Answer::Status(422), "invalid_field", "may_have_run")]
 fn a_request_that_fails_everywhere_has_a_true_verdict(
     #[case] fault: Answer,
     #[case] codes: &str,
--- a/programs/entry/tests/support/backend.rs
+++ b/programs/entry/tests/support/backend.rs
@@ -41,6 +41,8 @@
     Freeze,
     /// 503 with verdict not run.
     Refuse,
+    /// 404 with verdict not run: the model is not loaded.
+    NotLoaded,
     /// This status, without a verdict.
     Status(u16),
     /// The echoed request id is another one.
@@ -288,6 +290,10 @@
                 let headers = format!("{echo}bw-verdict: not_run\r\n");
                 return send(stream, &whole(503, &headers, "{}"));
             }
+            Answer::NotLoaded => {
+                let headers = format!("{echo}bw-verdict: not_run\r\n");
+                return send(stream, &whole(404, &headers, "{}"));
+            }
             Answer::Status(status) => return send(stream, &whole(status, &echo, "{}")),
             _ => {}
         }
