Tell the leader of missing entries while a sync is running

What callers saw: with syncs of 5 election timeouts and more (1 s with a timeout of 0.2 s) leaders were elected and lost the lead again within some syncs; commands that waited were answered Lost.

Cause: a follower that misses an append, because it was lost or overtaken by a later one, rejects all that follow. A follower answers appends while a sync is running only if it accepts them; a rejection waited for the sync. The leader did not learn of the gap, went on past it, and every heartbeat was rejected too, so it heard nothing from that follower for a whole sync, more than an election timeout, and stopped leading.

Evidence, cluster in memory, three replicas, syncs of 5 timeouts: "hears no majority in term 1: replica 1 was last heard 274 ms ago, replica 3 was last heard 206 ms ago" with a network that loses nothing but delays messages by 1 to 5 ms each.

Change: a rejection leaves at once while a sync is running, under the same condition as the early answer to an accepted append: term and vote are durable.

Why it is safe: a rejection makes nothing count. Its hint only tells the leader where to try next; what the follower holds durably is told by accepted appends alone. As any answer, it renews the promise not to vote, which is kept in memory and over a restart by the quiet time.

No test fails if a rejection leaves before the term is durable; the early answer has the same gap.

--- a/crates/coord/src/node/follow.rs
+++ b/crates/coord/src/node/follow.rs
@@ -77,20 +77,31 @@
         }
         let beat = append.beat;
         let outcome = self.accept(append);
-        if let AppendOutcome::Accepted { match_index } = outcome {
-            self.answer_during_sync(from, beat, match_index);
+        match outcome {
+            AppendOutcome::Accepted { match_index } if self.answers_during_sync() => {
+                self.answer_durable(from, beat, match_index);
+                self.reply_append(from, beat, outcome);
+            }
+            // A rejection claims nothing that has to become durable.
+            AppendOutcome::Rejected { .. } if self.answers_during_sync() => {
+                self.send_early(from, Body::AppendReply(AppendReply { beat, outcome }));
+            }
+            AppendOutcome::Accepted { .. } | AppendOutcome::Rejected { .. } => {
+                self.reply_append(from, beat, outcome);
+            }
         }
-        self.reply_append(from, beat, outcome);
     }
 
-    /// Tells the leader during a sync that this replica hears it, with what is
-    /// durable so far: a sync may take longer than an election timeout, and a
-    /// leader that is not answered for that long stops leading.
-    fn answer_during_sync(&mut self, to: ReplicaId, beat: Beat, match_index: u64) {
-        // The answer also tells that the term and the vote are durable.
-        if !self.syncing || self.syncing_vote || self.vote_changed {
-            return;
-        }
+    /// Returns whether a sync is running and the leader is answered during it: a
+    /// sync may take longer than an election timeout, and a leader that is not
+    /// answered for that long stops leading. Any answer tells that the term and the
+    /// vote are durable.
+    fn answers_during_sync(&self) -> bool {
+        self.syncing && !self.syncing_vote && !self.vote_changed
+    }
+
+    /// Answers an append with what is durable of it so far.
+    fn answer_durable(&mut self, to: ReplicaId, beat: Beat, match_index: u64) {
         let match_index = match_index.min(self.durable_index);
         let outcome = AppendOutcome::Accepted { match_index };
         self.send_early(to, Body::AppendReply(AppendReply { beat, outcome }));
--- a/crates/coord/tests/failures.rs
+++ b/crates/coord/tests/failures.rs
@@ -399,6 +399,42 @@
     cluster.settle();
 }
 
+/// Guards against a leader that stops leading because a follower that missed an
+/// append tells it only after a sync.
+#[rstest]
+fn append_lost_during_a_long_sync_does_not_end_the_lead(#[values(1, 2, 3)] seed: u64) {
+    let mut cluster = cluster(3, seed);
+    let leader = cluster.await_leader(FIRST);
+    let cut_off = leader % 3 + 1;
+    let follower = cut_off % 3 + 1;
+    cluster.isolate(cut_off, true);
+    cluster.run(5 * ELECTION_TIMEOUT_MS);
+    let term = cluster.status(leader, FIRST).expect("running").term;
+    cluster.hold_syncs(follower, true);
+    let synced = cluster.write(leader, FIRST, 100);
+    cluster.run(ELECTION_TIMEOUT_MS / 10);
+    assert!(cluster.slots[&follower].disk.is_syncing());
+    cluster.blocked.insert((leader, follower));
+    let lost = cluster.write(leader, FIRST, 100);
+    cluster.run(ELECTION_TIMEOUT_MS / 10);
+    cluster.blocked.remove(&(leader, follower));
+    for _ in 0..20 {
+        cluster.run(ELECTION_TIMEOUT_MS / 4);
+        let status = cluster.status(leader, FIRST).expect("running");
+        assert_eq!((status.role, status.term), (node::Role::Leader, term));
+    }
+    let answered = |write| cluster.answers.contains_key(write);
+    assert!(
+        ![synced, lost].iter().any(answered),
+        "one disk is no majority"
+    );
+    cluster.hold_syncs(follower, false);
+    cluster.run(ELECTION_TIMEOUT_MS / 2);
+    let acked = |write| matches!(cluster.answers.get(write), Some(Ok(_)));
+    assert!([synced, lost].iter().all(acked));
+    cluster.settle();
+}
+
 /// Guards against elections that start over again and again because votes take
 /// longer to sync than a candidate waits before it campaigns again.
 #[rstest]
