Let equally idle servers take turns in the pacer

An owned server could get no batch stream at all while another got them all. every_item_runs_once_and_outcomes_are_grouped failed once in 11 runs beside heavy load: one of two servers got no item.

Cause: where streams end before the next turn, both servers are equally idle, and the order of their names decided.

Evidence: equally_idle_servers_take_turns failed; e00 had all 16 turns.

Change: of equally idle servers the one whose last stream started longest ago comes first.

Why it works: a server that gets a stream goes to the end of those that are as idle as it is, so that each of them gets every turn in its row.

--- a/crates/policy/src/pacer/mod.rs
+++ b/crates/policy/src/pacer/mod.rs
@@ -309,6 +309,7 @@
     /// Owned servers take turns: while the prompts of new streams are computed on
     /// one, online requests find others on which none are. A server whose last
     /// turn was not used, as nothing waits for its model, comes after the others.
+    /// Of equally idle servers the one whose last turn is longest ago comes first.
     /// One that cannot be connected to stays idler than the others and would get
     /// all turns, so that it pauses.
     pub fn room(&mut self, now_ms: u64) -> Vec<Room> {
@@ -316,7 +317,9 @@
         let mut order: Vec<(&name::Name, &mut Server)> = self.servers.iter_mut().collect();
         order.sort_by(|(_, one), (_, other)| {
             let unused = one.unused_ms().cmp(&other.unused_ms());
-            unused.then(one.use_share().total_cmp(&other.use_share()))
+            let idler = one.use_share().total_cmp(&other.use_share());
+            let started = one.started_ms().cmp(&other.started_ms());
+            unused.then(idler).then(started)
         });
         let mut rooms = Vec::new();
         for (id, server) in order {
--- a/crates/policy/src/pacer/server.rs
+++ b/crates/policy/src/pacer/server.rs
@@ -327,6 +327,11 @@
         self.pause.is_some_and(|pause| now_ms < pause.until_ms)
     }
 
+    /// Returns when the last stream started.
+    pub(super) fn started_ms(&self) -> Option<u64> {
+        self.started_ms
+    }
+
     /// Returns whether a stream started within the last `window_ms`.
     pub(super) fn started_within(&self, window_ms: u64, now_ms: u64) -> bool {
         self.started_ms
