Log the content and the backend server of each strike

Cause: the lines of a refusal and of a strike did not say which content or which backend server they were about, so that the strikes, trials and refusals of one content could only be matched by time.

Change: the strike names the backend server, a refusal as a suspect names the fingerprint, a clearing is logged, and bw_gateway_suspects_total counts strikes, trials and clearings.

Result: builds; no change of behaviour.

--- a/programs/gateway/src/entry/attempt.rs
+++ b/programs/gateway/src/entry/attempt.rs
@@ -274,7 +274,7 @@
         self.tried.push(place.id.clone());
         self.maybe_ran += u32::from(failure.verdict() == verdict::Verdict::MayHaveRun);
         if failure == upstream::Failure::Broken {
-            state.note_crash(&forward.id, forward.fingerprint);
+            state.note_crash(&forward.id, &place.id, forward.fingerprint);
         }
         let now_ms = clock::monotonic_ms();
         let mut balance = state.balance.borrow_mut();
@@ -410,7 +410,7 @@
                 metrics::RETRIES.with_label_values(&[reason.name()]).inc();
                 // An endless response does not make its request a suspect.
                 if reason == Reason::Broken {
-                    state.note_crash(&forward.id, forward.fingerprint);
+                    state.note_crash(&forward.id, &id, forward.fingerprint);
                 }
                 attempts.note_broken(state, &id);
             }
--- a/programs/gateway/src/entry/forward.rs
+++ b/programs/gateway/src/entry/forward.rs
@@ -84,8 +84,11 @@
         suspect::Admission::Admitted => {}
         suspect::Admission::Trial => {
             log::info!(request = forward.id.as_str(), fingerprint = forward.fingerprint.0; "suspected request is admitted as a trial");
+            metrics::SUSPECTS.with_label_values(&["trial"]).inc();
         }
         suspect::Admission::Refused { retry_after_ms } => {
+            // The fingerprint leads to the strikes that other ids of this content got.
+            log::info!(request = forward.id.as_str(), fingerprint = forward.fingerprint.0; "suspected request is not admitted");
             note_refusal(&forward.id, Reason::PoisonousRequest, retry_after_ms);
             let text = "backend servers crashed under this request";
             return response::not_run(text, retry_after_ms);
--- a/programs/gateway/src/entry/state.rs
+++ b/programs/gateway/src/entry/state.rs
@@ -215,10 +215,14 @@
 
     /// Adds a strike against a request whose connection the backend server broke, as
     /// one does that crashes.
-    pub(crate) fn note_crash(&self, id: &str, fingerprint: suspect::Fingerprint) {
+    pub(crate) fn note_crash(&self, id: &str, backend: &str, fingerprint: suspect::Fingerprint) {
         let now_ms = clock::monotonic_ms();
         let strike = self.suspects.borrow_mut().crashed(fingerprint, now_ms);
-        log::warn!(request = id, fingerprint = fingerprint.0, strikes = strike.count; "request is suspected of crashing backend servers");
+        log::warn!(
+            request = id, backend = backend, fingerprint = fingerprint.0, strikes = strike.count;
+            "request is suspected of crashing backend servers"
+        );
+        metrics::SUSPECTS.with_label_values(&["strike"]).inc();
         self.report_strike(strike);
     }
 
@@ -232,6 +236,8 @@
     pub(crate) fn note_completed(&self, fingerprint: suspect::Fingerprint) {
         let cleared = self.suspects.borrow_mut().finished(fingerprint);
         if let Some(strike) = cleared {
+            log::info!(fingerprint = fingerprint.0; "suspected request completed, suspicion cleared");
+            metrics::SUSPECTS.with_label_values(&["cleared"]).inc();
             self.report_strike(strike);
         }
     }
--- a/programs/gateway/src/entry/stream.rs
+++ b/programs/gateway/src/entry/stream.rs
@@ -215,7 +215,7 @@
         // A request that has produced events is not what crashed the backend server.
         if reason == Reason::Broken && self.last_event == self.attempts.last_event {
             self.state
-                .note_crash(&self.forward.id, self.forward.fingerprint);
+                .note_crash(&self.forward.id, backend, self.forward.fingerprint);
         }
         let repeatable = self.forward.route.kind.repeatable() && self.is_event_stream;
         if !repeatable {
--- a/programs/gateway/src/metrics.rs
+++ b/programs/gateway/src/metrics.rs
@@ -75,6 +75,16 @@
     )
 });
 
+/// Counts what happened to callers' requests that are suspected of crashing backend
+/// servers: a `strike`, a `trial`, or that one was `cleared`.
+pub static SUSPECTS: LazyLock<prometheus::IntCounterVec> = LazyLock::new(|| {
+    metrics::counter(
+        "bw_gateway_suspects_total",
+        "Strikes against callers' requests, trials and clearings.",
+        &["event"],
+    )
+});
+
 /// Suspected items whose trial is pending or under way.
 pub static SUSPECT_ITEMS: LazyLock<prometheus::IntGauge> = LazyLock::new(|| {
     metrics::plain_gauge(
