Exchange the crashes of a suspect instead of their number

What callers saw: nothing; backend servers were sent a poison request once more than the limit allows.

Cause: strikes were an absolute count, merged by maximum. Two entry VMs that saw two crashes before they heard of each other both sent the same number, and the second was dropped as outdated. So were strikes during the absence of a leader that another VM had seen too.

With evidence as a set the test crashes_that_two_processes_see_at_once_both_count has three strikes at every process; with the count each of the three sends 1 and all stay at 1.

Change: processes exchange the set of crashes, each named by the incarnation of its backend server, and the set of those that were cleared. Both only grow and are joined in any order, so that nothing is lost, doubled or revived; a property test drives three processes with lost, repeated and reordered messages. A process that connects to a leader tells it what the leader's first update lacks, which replaces the outbox.

--- a/crates/relay/src/balance/mod.rs
+++ b/crates/relay/src/balance/mod.rs
@@ -125,6 +125,8 @@
     pub id: Name,
     /// Its IP address and port.
     pub address: Name,
+    /// When it announced to have started, in Unix milliseconds; 0 if unknown.
+    pub started_ms: u64,
     /// Whether a batch item must be preempted there to free a slot for the request.
     pub needs_preemption: bool,
 }
@@ -502,6 +504,7 @@
     Place {
         id: server.announcement.id.clone(),
         address: server.announcement.address.clone(),
+        started_ms: server.announcement.started_ms,
         needs_preemption: server.batch > 0 && load(server) >= server.announcement.slots,
     }
 }
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -57,8 +57,8 @@
     pub backends: Vec<registry::Announcement>,
     /// Loads of backend servers, if they changed.
     pub loads: Option<Loads>,
-    /// Strikes of requests that may crash backend servers, where they changed.
-    pub suspects: Vec<suspect::Strike>,
+    /// Evidence against requests that may crash backend servers, where it changed.
+    pub suspects: Vec<suspect::Evidence>,
 }
 
 /// A call to the leader.
@@ -203,8 +203,8 @@
     Update(Update),
     /// The report of an entry VM on the backend servers that it uses.
     Usage(Vec<Usage>),
-    /// Strikes of a request that may crash backend servers, from an entry VM.
-    Strike(suspect::Strike),
+    /// Evidence against a request that may crash backend servers, from an entry VM.
+    Suspect(suspect::Evidence),
     /// A request to the leader.
     Call {
         /// Correlates the reply with the request; chosen by the sender.
--- a/crates/relay/tests/suspect.rs
+++ b/crates/relay/tests/suspect.rs
@@ -1,6 +1,7 @@
 //! Detection of poison requests, which crash the backend servers that run them.
 
-use bw_relay::suspect::{Admission, Fingerprint, Outbox, Strike, Suspects};
+use bw_relay::suspect::{Admission, Evidence, Fingerprint, Incarnation, Suspects};
+use proptest::prelude::*;
 
 const PAUSE_MS: u64 = 10_000;
 const DAY_MS: u64 = 24 * 60 * 60 * 1_000;
@@ -9,15 +10,20 @@
     Fingerprint::new("a.example", "/x", body.as_bytes())
 }
 
+/// Returns the backend server of this number.
+fn server(number: usize) -> Incarnation {
+    Incarnation::new(&format!("server-{number}"), 1)
+}
+
 #[test]
 fn strikes_of_all_processes_count_towards_a_refusal() {
     let (mut here, mut there) = (Suspects::default(), Suspects::default());
     let poison = fingerprint("poison");
-    for _ in 0..2 {
-        there.merge(here.crashed(poison, 0), 0);
+    for number in 0..2 {
+        there.merge(&here.crashed(poison, server(number), 0), 0);
     }
     assert!(!here.is_refused(poison, 0));
-    here.merge(there.crashed(poison, 0), 0);
+    here.merge(&there.crashed(poison, server(2), 0), 0);
     assert!(here.is_refused(poison, 0) && there.is_refused(poison, 0));
     assert!(!here.is_refused(fingerprint("other"), 0));
 }
@@ -27,12 +33,12 @@
 fn a_complete_answer_clears_a_bystander() {
     let mut suspects = Suspects::default();
     let bystander = fingerprint("bystander");
-    for _ in 0..5 {
-        suspects.crashed(bystander, 0);
-        assert!(suspects.finished(bystander).is_some());
+    for number in 0..5 {
+        suspects.crashed(bystander, server(number), 0);
+        assert!(suspects.finished(bystander, 0).is_some());
         assert!(!suspects.is_refused(bystander, 0));
     }
-    assert!(suspects.finished(bystander).is_none(), "already cleared");
+    assert!(suspects.finished(bystander, 0).is_none(), "already cleared");
 }
 
 #[test]
@@ -46,7 +52,7 @@
 fn the_number_of_suspects_is_bounded() {
     let mut suspects = Suspects::default();
     for number in 0..20_000 {
-        suspects.crashed(fingerprint(&number.to_string()), 0);
+        suspects.crashed(fingerprint(&number.to_string()), server(0), 0);
     }
     assert_eq!(suspects.all().len(), 10_000);
 }
@@ -57,9 +63,9 @@
 fn a_harmless_request_is_served_again_after_a_burst() {
     let mut suspects = Suspects::default();
     let harmless = fingerprint("sound");
-    for now_ms in [5_000, 5_400, 5_800] {
+    for (number, now_ms) in [5_000, 5_400, 5_800].into_iter().enumerate() {
         assert_eq!(suspects.admit(harmless, now_ms), Admission::Admitted);
-        suspects.crashed(harmless, now_ms);
+        suspects.crashed(harmless, server(number), now_ms);
     }
     let refused = suspects.admit(harmless, 6_000);
     let retry_after_ms = 5_800 + PAUSE_MS - 6_000;
@@ -69,7 +75,7 @@
         Admission::Trial
     );
     assert!(!suspects.is_refused(harmless, 6_000 + retry_after_ms));
-    suspects.finished(harmless);
+    suspects.finished(harmless, 6_000 + retry_after_ms);
     assert_eq!(
         suspects.admit(harmless, 6_001 + retry_after_ms),
         Admission::Admitted
@@ -90,9 +96,9 @@
                 continue;
             }
             crashes.push(now_ms);
-            let strike = processes[index].crashed(poison, now_ms);
+            let evidence = processes[index].crashed(poison, server(crashes.len()), now_ms);
             for process in &mut processes {
-                process.merge(strike, now_ms);
+                process.merge(&evidence, now_ms);
             }
         }
     }
@@ -108,51 +114,137 @@
 fn one_trial_runs_at_a_time() {
     let mut suspects = Suspects::default();
     let suspect = fingerprint("suspect");
-    for _ in 0..3 {
-        suspects.crashed(suspect, 0);
+    for number in 0..3 {
+        suspects.crashed(suspect, server(number), 0);
     }
     assert_eq!(suspects.admit(suspect, PAUSE_MS), Admission::Trial);
     let second = suspects.admit(suspect, PAUSE_MS + 1);
     assert!(matches!(second, Admission::Refused { .. }), "{second:?}");
-    suspects.crashed(suspect, PAUSE_MS + 2);
+    suspects.crashed(suspect, server(3), PAUSE_MS + 2);
     assert!(suspects.is_refused(suspect, PAUSE_MS + 2));
     let later = suspects.admit(suspect, 2 * PAUSE_MS + 2);
     assert!(matches!(later, Admission::Refused { .. }), "{later:?}");
 }
 
-/// Guards against updates that arrive after newer ones and let a suspect run again or
-/// restart its pause.
+/// Guards against evidence that arrives after newer one and lets a suspect run again or
+/// restarts its pause.
 #[test]
-fn outdated_updates_are_ignored() {
+fn outdated_evidence_is_ignored() {
     let mut suspects = Suspects::default();
     let fingerprint = fingerprint("suspect");
-    for _ in 0..3 {
-        suspects.crashed(fingerprint, 0);
-    }
-    for count in [2, 3] {
-        let outdated = Strike { fingerprint, count };
-        assert!(!suspects.merge(outdated, PAUSE_MS - 1), "{count}");
+    let evidence = [0, 1, 2].map(|number| suspects.crashed(fingerprint, server(number), 0));
+    for outdated in &evidence[1..] {
+        assert!(!suspects.merge(outdated, PAUSE_MS - 1), "{outdated:?}");
     }
     assert!(suspects.is_refused(fingerprint, PAUSE_MS - 1));
     assert_eq!(suspects.admit(fingerprint, PAUSE_MS), Admission::Trial);
 }
 
-/// Guards against a leader that ignores a strike as outdated because it did not learn
-/// that the suspect had been cleared before.
+/// Guards against strikes of before a clearing that come back with an update from a
+/// process that did not hear of it.
 #[test]
 fn a_strike_after_a_clearance_counts_from_one() {
     let (mut leader, mut entry) = (Suspects::default(), Suspects::default());
     let fingerprint = fingerprint("suspect");
-    for _ in 0..2 {
-        leader.merge(entry.crashed(fingerprint, 0), 0);
+    let evidence = [0, 1].map(|number| entry.crashed(fingerprint, server(number), 0));
+    let clearing = entry.finished(fingerprint, 0).expect("an update");
+    leader.merge(&clearing, 2);
+    leader.merge(&entry.crashed(fingerprint, server(2), 1), 2);
+    for outdated in &evidence {
+        leader.merge(outdated, 3);
+    }
+    assert_eq!(leader.evidence(fingerprint).strikes(), 1);
+    assert_eq!(leader.all(), entry.all());
+}
+
+/// Guards against the loss of a strike when two entry VMs see crashes before they hear of
+/// each other's.
+#[test]
+fn crashes_that_two_processes_see_at_once_both_count() {
+    let mut processes = vec![Suspects::default(); 3];
+    let poison = fingerprint("poison");
+    let evidence: Vec<Evidence> = processes
+        .iter_mut()
+        .enumerate()
+        .map(|(number, process)| process.crashed(poison, server(number), 0))
+        .collect();
+    for process in &mut processes {
+        for known in &evidence {
+            process.merge(known, 1);
+        }
+        assert_eq!(process.evidence(poison).strikes(), 3);
+        assert!(process.is_refused(poison, 1));
     }
-    let mut outbox = Outbox::default();
-    outbox.add(entry.finished(fingerprint).expect("an update"));
-    outbox.add(entry.crashed(fingerprint, 1));
-    for strike in outbox.take() {
-        leader.merge(strike, 2);
+}
+
+/// Guards against a refusal after one crash, when a backend server ran a popular request
+/// for callers of several entry VMs.
+#[test]
+fn a_crash_that_two_processes_see_counts_once() {
+    let (mut here, mut there) = (Suspects::default(), Suspects::default());
+    let popular = fingerprint("popular");
+    let evidence = here.crashed(popular, server(0), 0);
+    here.crashed(popular, server(0), 1);
+    there.crashed(popular, server(0), 3);
+    here.merge(&there.evidence(popular), 4);
+    there.merge(&evidence, 4);
+    assert_eq!(here.evidence(popular).strikes(), 1);
+    assert_eq!(there.evidence(popular).strikes(), 1);
+    // It has been restarted meanwhile, which no announcement has told yet.
+    assert_eq!(here.crashed(popular, server(0), 2_000).strikes(), 2);
+}
+
+/// What one of several processes does, by its number.
+#[derive(Clone, Debug)]
+enum Step {
+    /// It sees a crash of the backend server of this number.
+    Crash(usize, usize),
+    /// It sees a complete answer.
+    Finish(usize),
+    /// It hears all that another process knows.
+    Hear(usize, usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        3 => (0..3_usize, 0..5_usize).prop_map(|(process, server)| Step::Crash(process, server)),
+        1 => (0..3_usize).prop_map(Step::Finish),
+        3 => (0..3_usize, 0..3_usize).prop_map(|(to, from)| Step::Hear(to, from)),
+    ]
+}
+
+proptest! {
+    /// Guards against strikes that are lost, or come back, by the order in which messages
+    /// arrive, get lost or are repeated.
+    #[test]
+    fn all_processes_come_to_know_the_same(steps in prop::collection::vec(step(), 0..24)) {
+        let suspect = fingerprint("suspect");
+        let mut processes = vec![Suspects::default(); 3];
+        for (index, step) in steps.into_iter().enumerate() {
+            let now_ms = index as u64 * 1_000;
+            match step {
+                Step::Crash(process, number) => {
+                    let before = processes[process].evidence(suspect).strikes();
+                    processes[process].crashed(suspect, server(number), now_ms);
+                    prop_assert_eq!(processes[process].evidence(suspect).strikes(), before + 1);
+                }
+                Step::Finish(process) => {
+                    processes[process].finished(suspect, now_ms);
+                    prop_assert_eq!(processes[process].evidence(suspect).strikes(), 0);
+                }
+                Step::Hear(to, from) => {
+                    let known = processes[from].evidence(suspect);
+                    processes[to].merge(&known, now_ms);
+                }
+            }
+        }
+        let known: Vec<Evidence> = processes.iter().map(|process| process.evidence(suspect)).collect();
+        for process in &mut processes {
+            for evidence in known.iter().rev() {
+                process.merge(evidence, 100_000);
+            }
+        }
+        prop_assert_eq!(processes[0].all(), processes[1].all());
+        prop_assert_eq!(processes[1].all(), processes[2].all());
     }
-    let count = 1;
-    assert_eq!(leader.all(), [Strike { fingerprint, count }]);
-    assert!(outbox.take().is_empty());
 }
--- a/programs/gateway/src/control/hub/backends.rs
+++ b/programs/gateway/src/control/hub/backends.rs
@@ -69,15 +69,17 @@
         }
     }
 
-    /// Merges a strike against a suspect and broadcasts it to all sessions if it is new.
-    pub(crate) fn apply_strike(&self, strike: suspect::Strike) {
+    /// Merges evidence against a suspect. If any of it is new, broadcasts all that is
+    /// known about this suspect to all sessions.
+    pub(crate) fn apply_evidence(&self, evidence: &suspect::Evidence) {
         let now_ms = clock::monotonic_ms();
-        if !self.suspects.borrow_mut().merge(strike, now_ms) {
+        if !self.suspects.borrow_mut().merge(evidence, now_ms) {
             return;
         }
-        log::warn!(fingerprint = strike.fingerprint.0, strikes = strike.count; "suspect changed");
+        let known = self.suspects.borrow().evidence(evidence.fingerprint);
+        log::warn!(fingerprint = known.fingerprint.0, strikes = known.strikes(); "suspect changed");
         let update = message::Update {
-            suspects: vec![strike],
+            suspects: vec![known],
             ..message::Update::default()
         };
         let frame = message::Frame::Update(update);
--- a/programs/gateway/src/control/hub/mod.rs
+++ b/programs/gateway/src/control/hub/mod.rs
@@ -532,8 +532,8 @@
             continue;
         }
         let now_ms = clock::monotonic_ms();
-        for strike in update.suspects {
-            hub.suspects.borrow_mut().merge(strike, now_ms);
+        for evidence in &update.suspects {
+            hub.suspects.borrow_mut().merge(evidence, now_ms);
         }
         let mut registry = hub.registry.borrow_mut();
         for announcement in update.backends {
--- a/programs/gateway/src/control/sessions.rs
+++ b/programs/gateway/src/control/sessions.rs
@@ -235,7 +235,7 @@
             while calls.try_join_next().is_some() {}
             match frame {
                 message::Frame::Usage(loads) => hub.set_loads(id, loads),
-                message::Frame::Strike(strike) => hub.apply_strike(strike),
+                message::Frame::Suspect(evidence) => hub.apply_evidence(&evidence),
                 message::Frame::Heartbeat => {}
                 message::Frame::Call { ticket, request } if calls.len() < CALLS_MAX => {
                     let (hub, replies) = (Rc::clone(hub), replies.clone());
--- a/programs/gateway/src/entry/attempt.rs
+++ b/programs/gateway/src/entry/attempt.rs
@@ -42,6 +42,8 @@
 pub(crate) struct Slot {
     state: Rc<State>,
     pub(crate) id: Name,
+    /// When the backend server announced to have started, in Unix milliseconds.
+    pub(crate) backend_started_ms: u64,
     started_ms: u64,
 }
 
@@ -113,7 +115,7 @@
             if clock::monotonic_ms() >= forward.deadline_ms {
                 return Err(self.give_up(Reason::Timeout));
             }
-            if state.is_refused(forward.fingerprint) {
+            if state.suspects.is_refused(forward.fingerprint) {
                 return Err(self.give_up(Reason::PoisonousRequest));
             }
             if self.sends >= SENDS_MAX {
@@ -184,6 +186,7 @@
         let slot = Slot {
             state: Rc::clone(state),
             id: place.id.clone(),
+            backend_started_ms: place.started_ms,
             started_ms: clock::monotonic_ms(),
         };
         Ok((place, slot))
@@ -274,7 +277,7 @@
         self.tried.push(place.id.clone());
         self.maybe_ran += u32::from(failure.verdict() == verdict::Verdict::MayHaveRun);
         if failure == upstream::Failure::Broken {
-            state.note_crash(&forward.id, &place.id, forward.fingerprint);
+            state.note_crash(forward, (&place.id, place.started_ms));
         }
         let now_ms = clock::monotonic_ms();
         let mut balance = state.balance.borrow_mut();
@@ -395,6 +398,7 @@
             return pass_through(state, accepted, active, &forward);
         }
         let id = accepted.slot.id.clone();
+        let backend_started_ms = accepted.slot.backend_started_ms;
         let (parts, body) = accepted.response.into_parts();
         let reading = read_whole(body, state.pool.budget().reserve());
         match tokio::time::timeout(super::remaining(forward.deadline_ms), reading).await {
@@ -410,7 +414,7 @@
                 metrics::RETRIES.with_label_values(&[reason.name()]).inc();
                 // An endless response does not make its request a suspect.
                 if reason == Reason::Broken {
-                    state.note_crash(&forward.id, &id, forward.fingerprint);
+                    state.note_crash(&forward, (&id, backend_started_ms));
                 }
                 attempts.note_broken(state, &id);
             }
--- a/programs/gateway/src/entry/forward.rs
+++ b/programs/gateway/src/entry/forward.rs
@@ -76,11 +76,7 @@
         Ok(forward) => forward,
         Err(response) => return *response,
     };
-    let admission = state
-        .suspects
-        .borrow_mut()
-        .admit(forward.fingerprint, now_ms);
-    match admission {
+    match state.suspects.admit(forward.fingerprint) {
         suspect::Admission::Admitted => {}
         suspect::Admission::Trial => {
             log::info!(request = forward.id.as_str(), fingerprint = forward.fingerprint.0; "suspected request is admitted as a trial");
--- a/programs/gateway/src/entry/mod.rs
+++ b/programs/gateway/src/entry/mod.rs
@@ -12,6 +12,7 @@
 mod response;
 mod state;
 mod stream;
+mod suspects;
 
 use std::{net, rc::Rc, sync::Arc, time};
 
@@ -127,6 +128,7 @@
         let urgent =
             tokio::time::timeout(REPORT_INTERVAL, state.preemption_wanted.notified()).await;
         state.sweep_if_due();
+        state.suspects.flush(&state.link);
         let Some(report) = state.report(skipped >= REPORTS_SKIPPED_MAX) else {
             skipped += 1;
             continue;
--- a/programs/gateway/src/entry/state.rs
+++ b/programs/gateway/src/entry/state.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     clock, dialect,
-    entry::{self, confirm},
+    entry::{self, confirm, forward::Forward, suspects::Suspects},
     link, metrics, settings,
 };
 
@@ -55,9 +55,7 @@
     pub(crate) closing: watch::Sender<bool>,
     pub(crate) active_requests: Cell<u64>,
     pub(crate) connections: Cell<u64>,
-    pub(crate) suspects: RefCell<suspect::Suspects>,
-    /// Strikes against suspects that no leader has received yet.
-    unreported: RefCell<suspect::Outbox>,
+    pub(crate) suspects: Suspects,
     registry: RefCell<registry::Registry>,
     random: RefCell<rand_pcg::Pcg64Mcg>,
     swept_ms: Cell<u64>,
@@ -98,8 +96,7 @@
             closing: watch::Sender::new(false),
             active_requests: Cell::new(0),
             connections: Cell::new(0),
-            suspects: RefCell::default(),
-            unreported: RefCell::default(),
+            suspects: Suspects::default(),
             registry: RefCell::default(),
             random: RefCell::new(rand_pcg::Pcg64Mcg::seed_from_u64(seed)),
             swept_ms: Cell::new(0),
@@ -168,12 +165,9 @@
         for announcement in update.backends {
             self.apply_announcement(announcement, now_ms);
         }
-        for strike in update.suspects {
-            self.suspects.borrow_mut().merge(strike, now_ms);
-        }
-        if update.loads.as_ref().is_some_and(|loads| loads.is_snapshot) {
-            self.report_unreported(now_ms);
-        }
+        let is_first = update.loads.as_ref().is_some_and(|loads| loads.is_snapshot);
+        self.suspects
+            .apply_update(&self.link, &update.suspects, is_first);
         if let Some(loads) = update.loads {
             self.loads_received_ms.set(now_ms);
             let changed = self.loads.borrow_mut().apply(&loads);
@@ -213,57 +207,16 @@
         Some(report)
     }
 
-    /// Adds a strike against a request whose connection the backend server broke, as
-    /// one does that crashes.
-    pub(crate) fn note_crash(&self, id: &str, backend: &str, fingerprint: suspect::Fingerprint) {
-        let now_ms = clock::monotonic_ms();
-        let strike = self.suspects.borrow_mut().crashed(fingerprint, now_ms);
-        log::warn!(
-            request = id, backend = backend, fingerprint = fingerprint.0, strikes = strike.count;
-            "request is suspected of crashing backend servers"
-        );
-        metrics::SUSPECTS.with_label_values(&["strike"]).inc();
-        self.report_strike(strike);
-    }
-
-    /// Returns whether a request that was admitted must not be sent again.
-    pub(crate) fn is_refused(&self, fingerprint: suspect::Fingerprint) -> bool {
-        let suspects = self.suspects.borrow();
-        suspects.is_refused(fingerprint, clock::monotonic_ms())
+    /// Adds a strike against a request that a backend server broke off.
+    pub(crate) fn note_crash(&self, forward: &Forward, backend: (&str, u64)) {
+        let id = forward.id.as_str();
+        self.suspects
+            .note_crash(&self.link, id, forward.fingerprint, backend);
     }
 
     /// Clears the suspicion against a request that completed.
     pub(crate) fn note_completed(&self, fingerprint: suspect::Fingerprint) {
-        let cleared = self.suspects.borrow_mut().finished(fingerprint);
-        if let Some(strike) = cleared {
-            log::info!(fingerprint = fingerprint.0; "suspected request completed, suspicion cleared");
-            metrics::SUSPECTS.with_label_values(&["cleared"]).inc();
-            self.report_strike(strike);
-        }
-    }
-
-    fn report_strike(&self, strike: suspect::Strike) {
-        let mut unreported = self.unreported.borrow_mut();
-        unreported.add(strike);
-        let mut sent = true;
-        for strike in unreported.take() {
-            // Once one strike could not be sent, the later ones wait too, so that the
-            // strikes against one suspect stay in order.
-            sent = sent && self.link.notify(&message::Frame::Strike(strike));
-            if !sent {
-                unreported.add(strike);
-            }
-        }
-    }
-
-    /// Reports to a new leader the strikes that happened while there was none. They
-    /// are newer than what its first update says of these suspects.
-    fn report_unreported(&self, now_ms: u64) {
-        let strikes = self.unreported.borrow_mut().take();
-        for strike in strikes {
-            self.suspects.borrow_mut().merge(strike, now_ms);
-            self.report_strike(strike);
-        }
+        self.suspects.note_completed(&self.link, fingerprint);
     }
 
     /// Closes expired idle connections if the sweep interval has passed.
--- a/programs/gateway/src/entry/stream.rs
+++ b/programs/gateway/src/entry/stream.rs
@@ -200,7 +200,9 @@
     /// or none accepts it.
     async fn resume(&mut self, reason: Reason) -> io::Result<()> {
         let run = self.run.take();
-        let id = run.as_ref().map(|run| run.slot.id.clone());
+        let slot = run.as_ref().map(|run| &run.slot);
+        let id = slot.map(|slot| slot.id.clone());
+        let backend_started_ms = slot.map_or(0, |slot| slot.backend_started_ms);
         drop(run);
         if let Some(id) = &id {
             self.attempts.note_broken(&self.state, id);
@@ -215,7 +217,7 @@
         // A request that has produced events is not what crashed the backend server.
         if reason == Reason::Broken && self.last_event == self.attempts.last_event {
             self.state
-                .note_crash(&self.forward.id, backend, self.forward.fingerprint);
+                .note_crash(&self.forward, (backend, backend_started_ms));
         }
         let repeatable = self.forward.route.kind.repeatable() && self.is_event_stream;
         if !repeatable {
