Let the control group grant the trials of a poison request

What callers saw: nothing of their own.

Cause: the number of crashes of one content is a budget of the whole fleet, and each process spent it by itself. When the pause of 10 s after the third strike was over, every entry VM admitted one trial, as it reserved the trial in its own memory only. The refusals of all entry VMs named the same moment in Retry-After, so that the callers were there.

The third strike is known at 69.317 s; refusals count down to 79.317 s on all entry VMs; 'admitted as a trial' for the same fingerprint on five of them at 79.353, 79.369, 79.373, 79.382 and 79.430 s; four backend servers end at 79.432 to 79.518 s. No leader was lost.

Change: a trial is a command of the replicated ledger. An entry VM sends a refused request only after the group has counted the trial, for one run, whatever dies in between; the reply, or silence, leaves the count as it is. At most two trials of a content are granted in 31 days, one at a time, after growing pauses and preferably while no backend server crashes under other requests. A trial that did not run is returned; one that ended without a result, as its caller left, is returned with a pause that doubles. Suspects are recorded from the second strike on, so that a loss of power of all VMs does not start the count anew. The connection pool does not send a suspect again by itself.

Why it holds for a month, for 6 and for 400 entry VMs: three crashes make the refusal, and the state machine grants two trials. Beyond that run only requests that were under way when the third crash became known (some 10 ms), and, where control is away, three crashes an entry VM at most.

--- a/crates/relay/src/ledger/command.rs
+++ b/crates/relay/src/ledger/command.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::total;
-use crate::{registry, route, unix_time};
+use crate::{registry, route, suspect::trial, unix_time};
 
 /// A configuration together with the document that an operator sent, so that it can be
 /// read back unchanged.
@@ -144,6 +144,8 @@
         /// The name of the VM.
         node: Name,
     },
+    /// Records a suspect, or begins or ends a trial of one.
+    Suspect(trial::Command),
 }
 
 impl Command {
@@ -182,4 +184,6 @@
         /// Most tokens that may wait or run on the route.
         limit: u64,
     },
+    /// Whether a trial may begin.
+    Trial(trial::Verdict),
 }
--- a/crates/relay/src/ledger/mod.rs
+++ b/crates/relay/src/ledger/mod.rs
@@ -12,7 +12,7 @@
 use bw_wire::name::Name;
 use serde::{Deserialize, Serialize};
 
-use crate::{registry, route};
+use crate::{registry, route, suspect::trial};
 
 pub use command::{Applied, Command, End, NewItem, NewJob, Output, Published};
 
@@ -136,6 +136,10 @@
     /// older snapshots have only these.
     #[serde(skip)]
     registered: BTreeSet<Name>,
+    /// Requests that may crash backend servers, with their trials. A snapshot holds them
+    /// last.
+    #[serde(skip)]
+    trials: trial::Trials,
     /// Payload changes that [`host::Machine::effects`] has not returned yet.
     #[serde(skip)]
     effects: Vec<payload::Effect>,
@@ -183,6 +187,11 @@
         &self.registered
     }
 
+    /// Returns the recorded suspects.
+    pub fn trials(&self) -> &trial::Trials {
+        &self.trials
+    }
+
     /// Returns the payload key of an item's body; `None` if the item is unknown, is
     /// listed or its job has ended.
     pub fn body(&self, job: &str, item: &str) -> Option<payload::Key> {
@@ -267,6 +276,10 @@
                 self.registered.insert(node);
                 Applied::Done
             }
+            Command::Suspect(command) => match self.trials.execute(command) {
+                Some(verdict) => Applied::Trial(verdict),
+                None => Applied::Done,
+            },
         }
     }
 
@@ -501,14 +514,18 @@
     }
 
     fn snapshot(&self) -> Vec<u8> {
-        postcard::to_stdvec(&(self, &self.registered)).unwrap_or_default()
+        postcard::to_stdvec(&(self, &self.registered, &self.trials)).unwrap_or_default()
     }
 
     fn restore(&mut self, data: &[u8]) -> std::result::Result<(), host::RestoreError> {
         let failed = |error: postcard::Error| host::RestoreError::new(error.to_string());
         let (mut restored, rest) = postcard::take_from_bytes::<Ledger>(data).map_err(failed)?;
         if !rest.is_empty() {
-            restored.registered = postcard::from_bytes(rest).map_err(failed)?;
+            let (registered, rest) = postcard::take_from_bytes(rest).map_err(failed)?;
+            restored.registered = registered;
+            if !rest.is_empty() {
+                restored.trials = postcard::from_bytes(rest).map_err(failed)?;
+            }
         }
         *self = restored;
         Ok(())
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -5,7 +5,7 @@
 use bw_wire::name::Name;
 use serde::{Deserialize, Serialize};
 
-use crate::{ledger, registry, suspect};
+use crate::{ledger, registry, suspect, suspect::trial};
 
 /// Largest frame, in bytes. It is several times the size of the largest job.
 pub const FRAME_BYTES_MAX: usize = 64 << 20;
@@ -123,6 +123,13 @@
     },
     /// An entry VM asks for the version of the newest configuration.
     Version,
+    /// An entry VM asks whether it may run a refused request as a trial.
+    Trial {
+        /// The content of the request.
+        fingerprint: suspect::Fingerprint,
+        /// Identifies the trial; chosen at random by the entry VM.
+        ticket: u64,
+    },
 }
 
 /// The reply to a request.
@@ -167,6 +174,8 @@
     Lost,
     /// The version of the newest configuration, 0 before the first.
     Version(u64),
+    /// Whether a trial may begin.
+    Trial(trial::Verdict),
 }
 
 /// The role of a process.
@@ -231,6 +240,15 @@
     },
     /// Shows that the sender is alive while it has nothing else to send.
     Heartbeat,
+    /// What became of a trial, from the entry VM that ran it.
+    TrialEnded {
+        /// The content of the request.
+        fingerprint: suspect::Fingerprint,
+        /// The ticket of the trial.
+        ticket: u64,
+        /// How it ended.
+        end: trial::End,
+    },
 }
 
 /// Encodes a frame, preceded by its length as a big-endian `u32`.
--- a/crates/relay/src/suspect/mod.rs
+++ b/crates/relay/src/suspect/mod.rs
@@ -9,10 +9,10 @@
 //! several of them see at the same time, or while there is no leader, add up whichever
 //! way the messages take.
 //!
-//! A burst of crashes gives strikes to harmless requests too, and a request that is
-//! refused cannot clear itself. A refused request is therefore admitted as a trial
-//! from time to time. The pauses between trials grow exponentially, which bounds the
-//! number of crashes that a poison request causes.
+//! A request with three strikes is refused. It may still run as a trial, which the
+//! control group grants; see [`trial`].
+
+pub mod trial;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -22,16 +22,9 @@
 /// Time within which broken connections to one backend server are one crash, in
 /// milliseconds. A crash breaks all of them at once, and a restart takes longer.
 const SAME_CRASH_MS: u64 = 100;
-/// Time after the last strike in which a suspect is refused, in milliseconds. It
-/// doubles with each failed trial. Bursts of crashes end within seconds, and a
-/// backend server has restarted before the next trial.
-const PAUSE_MS: u64 = 10_000;
-/// Most doublings of the pause, which is an hour and a half at most.
-const DOUBLINGS_MAX: u32 = 9;
-/// Time after the start of a trial in which a process starts no other trial of the
-/// same content, in milliseconds. Most requests end sooner, and a crash is noticed
-/// at once.
-const TRIAL_MS: u64 = 10_000;
+/// Time after a crash under another request in which the fleet is not calm, in
+/// milliseconds. Crashes of one burst are closer together.
+const CALM_MS: u64 = 2_000;
 /// Most suspects in memory. Those with the fewest strikes are dropped first, and of
 /// these the oldest.
 const SUSPECTS_MAX: usize = 10_000;
@@ -145,30 +138,12 @@
     }
 }
 
-/// Whether a request may run.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Admission {
-    /// It may run like any other request.
-    Admitted,
-    /// It may run, to find out whether it still crashes backend servers.
-    Trial,
-    /// It must not run now.
-    Refused {
-        /// Time until it may be tried again, in milliseconds.
-        retry_after_ms: u64,
-    },
-}
-
 #[derive(Clone, Debug)]
 struct Record {
     evidence: Evidence,
     /// When this process learned of the last crash of each incarnation, in monotonic
     /// milliseconds.
     learned_ms: BTreeMap<Incarnation, u64>,
-    /// When this process learned of the last strike, in monotonic milliseconds.
-    last_strike_ms: u64,
-    /// End of the time that is reserved for a trial of this process; 0 without one.
-    trial_until_ms: u64,
     /// The place in the order of the suspects that are dropped first.
     rank: Rank,
 }
@@ -176,15 +151,6 @@
 /// The number of strikes, the order in which the records were created, and the suspect.
 type Rank = (usize, u64, Fingerprint);
 
-impl Record {
-    /// Returns when the request may be tried again; `None` if it has too few strikes to
-    /// be refused.
-    fn refused_until_ms(&self) -> Option<u64> {
-        let trials = self.evidence.strikes().checked_sub(REFUSE_AT)? as u32;
-        Some(self.last_strike_ms + (PAUSE_MS << trials.min(DOUBLINGS_MAX)))
-    }
-}
-
 /// The suspects that one process knows, with their strikes.
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
@@ -192,33 +158,28 @@
     /// The records in the order in which they are dropped.
     order: BTreeSet<Rank>,
     created: u64,
+    /// The last crash that this process learned of, and the last one under another
+    /// request than that, with the monotonic time.
+    last_crashes: [Option<(Fingerprint, u64)>; 2],
 }
 
 impl Suspects {
-    /// Decides whether a request may run. `now_ms` is read from the monotonic clock.
-    pub fn admit(&mut self, fingerprint: Fingerprint, now_ms: u64) -> Admission {
-        let Some(record) = self.records.get_mut(&fingerprint) else {
-            return Admission::Admitted;
-        };
-        let Some(refused_until_ms) = record.refused_until_ms() else {
-            return Admission::Admitted;
-        };
-        let until_ms = refused_until_ms.max(record.trial_until_ms);
-        if now_ms < until_ms {
-            let retry_after_ms = until_ms - now_ms;
-            return Admission::Refused { retry_after_ms };
-        }
-        record.trial_until_ms = now_ms + TRIAL_MS;
-        Admission::Trial
+    /// Returns whether a request has too many strikes to run, unless it is a trial.
+    pub fn is_refused(&self, fingerprint: Fingerprint) -> bool {
+        self.strikes(fingerprint) >= REFUSE_AT
     }
 
-    /// Returns whether an admitted request must not be retried: it has enough strikes
-    /// to be refused and no trial of it is under way.
-    pub fn is_refused(&self, fingerprint: Fingerprint, now_ms: u64) -> bool {
+    /// Returns the number of strikes against a request.
+    pub fn strikes(&self, fingerprint: Fingerprint) -> usize {
         let record = self.records.get(&fingerprint);
-        record.is_some_and(|record| {
-            record.refused_until_ms().is_some() && now_ms >= record.trial_until_ms
-        })
+        record.map_or(0, |record| record.evidence.strikes())
+    }
+
+    /// Returns whether no backend server crashed recently under another request. A trial
+    /// at such a time shows best whether it is the cause.
+    pub fn is_calm(&self, fingerprint: Fingerprint, now_ms: u64) -> bool {
+        let mut crashes = self.last_crashes.iter().flatten();
+        !crashes.any(|(other, at_ms)| *other != fingerprint && now_ms < at_ms + CALM_MS)
     }
 
     /// Adds a strike, as an incarnation of a backend server broke the connection of a
@@ -266,8 +227,6 @@
         let record = self.records.entry(fingerprint).or_insert_with(|| Record {
             evidence: Evidence::new(fingerprint),
             learned_ms: BTreeMap::new(),
-            last_strike_ms: 0,
-            trial_until_ms: 0,
             rank: (0, created, fingerprint),
         });
         self.created += 1;
@@ -278,8 +237,11 @@
         let crashes = &record.evidence.crashes;
         for crash in crashes.difference(&known) {
             record.learned_ms.insert(crash.incarnation, now_ms);
-            record.last_strike_ms = now_ms;
-            record.trial_until_ms = 0;
+            let [last, other] = &mut self.last_crashes;
+            if last.is_some_and(|(last, _)| last != fingerprint) {
+                *other = *last;
+            }
+            *last = Some((fingerprint, now_ms));
         }
         record.learned_ms.retain(|incarnation, _| {
             crashes
--- a/programs/gateway/src/control/effect.rs
+++ b/programs/gateway/src/control/effect.rs
@@ -43,7 +43,8 @@
             | ledger::Command::Record { .. }
             | ledger::Command::Fail { .. }
             | ledger::Command::Announce { .. }
-            | ledger::Command::Sweep { .. } => Subject::None,
+            | ledger::Command::Sweep { .. }
+            | ledger::Command::Suspect(_) => Subject::None,
         }
     }
 
--- a/programs/gateway/src/control/hub/backends.rs
+++ b/programs/gateway/src/control/hub/backends.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use bw_relay::{dispatch, ledger, load, message, registry, suspect};
+use bw_relay::{dispatch, ledger, load, message, registry};
 use bw_wire::name::Name;
 use tokio::sync::oneshot;
 
@@ -69,23 +69,6 @@
         }
     }
 
-    /// Merges evidence against a suspect. If any of it is new, broadcasts all that is
-    /// known about this suspect to all sessions.
-    pub(crate) fn apply_evidence(&self, evidence: &suspect::Evidence) {
-        let now_ms = clock::monotonic_ms();
-        if !self.suspects.borrow_mut().merge(evidence, now_ms) {
-            return;
-        }
-        let known = self.suspects.borrow().evidence(evidence.fingerprint);
-        log::warn!(fingerprint = known.fingerprint.0, strikes = known.strikes(); "suspect changed");
-        let update = message::Update {
-            suspects: vec![known],
-            ..message::Update::default()
-        };
-        let frame = message::Frame::Update(update);
-        self.sessions.borrow_mut().broadcast(&frame);
-    }
-
     pub(super) async fn announce(&self, announcement: registry::Announcement) -> message::Reply {
         let leaving = announcement.state == registry::State::Leaving;
         let id = announcement.id.clone();
--- a/programs/gateway/src/control/hub/mod.rs
+++ b/programs/gateway/src/control/hub/mod.rs
@@ -3,6 +3,7 @@
 
 mod backends;
 mod jobs;
+mod suspects;
 
 use std::{
     cell::{Cell, RefCell},
@@ -65,6 +66,8 @@
     result_waiters: RefCell<HashMap<Name, Rc<Notify>>>,
     health: RefCell<health::Health>,
     suspects: RefCell<suspect::Suspects>,
+    /// Suspects that are in the replicated state; valid while this replica is the leader.
+    recorded_suspects: RefCell<BTreeSet<suspect::Fingerprint>>,
     /// VMs whose evacuation was ordered; valid while this replica is the leader.
     pub(crate) evacuated: RefCell<BTreeSet<Name>>,
     /// VMs that can be evacuated, even while they are disconnected; valid while this
@@ -106,6 +109,7 @@
             runs: RefCell::default(),
             result_waiters: RefCell::default(),
             suspects: RefCell::default(),
+            recorded_suspects: RefCell::default(),
             evacuated: RefCell::default(),
             known_vms: RefCell::default(),
             throughput: RefCell::new(quota::Throughput::new(quota::Options::default())),
@@ -300,6 +304,10 @@
                 Ok(replica::Answer::Version(version)) => message::Reply::Version(version),
                 other => refusal(other.err()),
             },
+            message::Request::Trial {
+                fingerprint,
+                ticket,
+            } => self.begin_trial(fingerprint, ticket).await,
             message::Request::Submit(job) => self.submit(*job).await,
             message::Request::Results {
                 job,
@@ -447,6 +455,14 @@
         for (id, job) in &leading.jobs {
             self.dispatch.borrow_mut().inherit(id, job);
         }
+        *self.recorded_suspects.borrow_mut() = leading
+            .suspects
+            .iter()
+            .map(|evidence| evidence.fingerprint)
+            .collect();
+        for evidence in &leading.suspects {
+            self.suspects.borrow_mut().merge(evidence, now_ms);
+        }
         *self.evacuated.borrow_mut() = leading.evacuated;
         *self.known_vms.borrow_mut() = leading.known_vms;
         self.leading_since_ms.set(now_ms);
--- /dev/null
+++ b/programs/gateway/src/control/hub/suspects.rs
@@ -0,0 +1,106 @@
+//! The leader's view of requests that may crash backend servers.
+
+use bw_relay::{ledger, message, suspect, suspect::trial};
+use tokio::sync::oneshot;
+
+use super::{Hub, refusal};
+use crate::{clock, control::replica, metrics};
+
+impl Hub {
+    /// Merges evidence against a suspect. If any of it is new, broadcasts all that is
+    /// known about this suspect to all sessions and records it.
+    pub(crate) fn apply_evidence(&self, evidence: &suspect::Evidence) {
+        let now_ms = clock::monotonic_ms();
+        if !self.suspects.borrow_mut().merge(evidence, now_ms) {
+            return;
+        }
+        let known = self.suspects.borrow().evidence(evidence.fingerprint);
+        log::warn!(fingerprint = known.fingerprint.0, strikes = known.strikes(); "suspect changed");
+        let update = message::Update {
+            suspects: vec![known.clone()],
+            ..message::Update::default()
+        };
+        let frame = message::Frame::Update(update);
+        self.sessions.borrow_mut().broadcast(&frame);
+        self.record_suspect(known);
+    }
+
+    /// Records evidence if it can lead to a refusal, or if it clears a recorded suspect.
+    fn record_suspect(&self, evidence: suspect::Evidence) {
+        let fingerprint = evidence.fingerprint;
+        let mut recorded = self.recorded_suspects.borrow_mut();
+        let record = match evidence.strikes() {
+            0 => recorded.remove(&fingerprint),
+            strikes if strikes >= trial::RECORD_AT => {
+                recorded.insert(fingerprint);
+                true
+            }
+            _ => recorded.contains(&fingerprint),
+        };
+        if record {
+            let now_ms = self.unix_ms();
+            self.propose_unanswered(trial::Command::Record { evidence, now_ms });
+        }
+    }
+
+    /// Asks the group for a trial of a refused request.
+    pub(super) async fn begin_trial(
+        &self,
+        fingerprint: suspect::Fingerprint,
+        ticket: u64,
+    ) -> message::Reply {
+        let calm = {
+            let suspects = self.suspects.borrow();
+            suspects.is_calm(fingerprint, clock::monotonic_ms())
+        };
+        let now_ms = self.unix_ms();
+        let command = trial::Command::Begin {
+            fingerprint,
+            ticket,
+            calm,
+            now_ms,
+        };
+        let verdict = match self.propose(ledger::Command::Suspect(command)).await {
+            Ok(ledger::Applied::Trial(verdict)) => verdict,
+            Ok(_) => return message::Reply::Lost,
+            Err(error) => return refusal(Some(error)),
+        };
+        let (outcome, retry_after_ms) = match verdict {
+            trial::Verdict::Granted => ("granted", 0),
+            trial::Verdict::Wait { retry_after_ms } => ("wait", retry_after_ms),
+            trial::Verdict::Exhausted => ("exhausted", 0),
+        };
+        log::info!(
+            fingerprint = fingerprint.0, ticket = ticket, calm = calm,
+            outcome = outcome, retry_after_ms = retry_after_ms;
+            "trial of a suspected request"
+        );
+        metrics::TRIAL_VERDICTS.with_label_values(&[outcome]).inc();
+        message::Reply::Trial(verdict)
+    }
+
+    /// Records what became of a trial.
+    pub(crate) fn trial_ended(
+        &self,
+        fingerprint: suspect::Fingerprint,
+        ticket: u64,
+        end: trial::End,
+    ) {
+        let outcome: &'static str = end.into();
+        log::info!(fingerprint = fingerprint.0, ticket = ticket, outcome = outcome; "trial of a suspected request reported");
+        let now_ms = self.unix_ms();
+        self.propose_unanswered(trial::Command::End {
+            fingerprint,
+            ticket,
+            end,
+            now_ms,
+        });
+    }
+
+    /// Proposes a command whose loss with a leader only delays or costs a trial.
+    fn propose_unanswered(&self, command: trial::Command) {
+        let (reply, _) = oneshot::channel();
+        let command = ledger::Command::Suspect(command);
+        self.send_call(replica::Call::Propose { command, reply });
+    }
+}
--- a/programs/gateway/src/control/replica.rs
+++ b/programs/gateway/src/control/replica.rs
@@ -9,7 +9,7 @@
 };
 
 use bw_coord::{GroupId, ReplicaId, host, member, message, node, storage};
-use bw_relay::{ledger, registry};
+use bw_relay::{ledger, registry, suspect};
 use bw_wire::name::Name;
 use tokio::sync::{mpsc as async_mpsc, oneshot};
 
@@ -133,6 +133,8 @@
     pub(crate) evacuated: BTreeSet<Name>,
     /// VMs that can be evacuated.
     pub(crate) known_vms: BTreeSet<Name>,
+    /// Evidence against the recorded suspects.
+    pub(crate) suspects: Vec<suspect::Evidence>,
 }
 
 struct Edge;
@@ -471,6 +473,7 @@
             backends: machine.backends().cloned().collect(),
             evacuated: machine.evacuated().clone(),
             known_vms: machine.registered().clone(),
+            suspects: machine.trials().evidence().cloned().collect(),
         };
         self.replica.notify(Notice::Leading(Box::new(leading)));
     }
--- a/programs/gateway/src/control/sessions.rs
+++ b/programs/gateway/src/control/sessions.rs
@@ -236,6 +236,11 @@
             match frame {
                 message::Frame::Usage(loads) => hub.set_loads(id, loads),
                 message::Frame::Suspect(evidence) => hub.apply_evidence(&evidence),
+                message::Frame::TrialEnded {
+                    fingerprint,
+                    ticket,
+                    end,
+                } => hub.trial_ended(fingerprint, ticket, end),
                 message::Frame::Heartbeat => {}
                 message::Frame::Call { ticket, request } if calls.len() < CALLS_MAX => {
                     let (hub, replies) = (Rc::clone(hub), replies.clone());
--- a/programs/gateway/src/entry/attempt.rs
+++ b/programs/gateway/src/entry/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net, rc::Rc, time};
 
-use bw_relay::{balance, suspect};
+use bw_relay::balance;
 use bw_wire::{name::Name, verdict};
 use bytes::{Bytes, BytesMut};
 use futures_util::stream;
@@ -108,14 +108,15 @@
     ) -> Result<Accepted, Failed> {
         let mut reason = Reason::NoBackend;
         loop {
-            let limit = forward.route.attempts.max(1);
-            if self.maybe_ran >= limit || (self.maybe_ran > 0 && !forward.route.kind.repeatable()) {
+            if self.maybe_ran >= runs_max(forward)
+                || (self.maybe_ran > 0 && !forward.route.kind.repeatable())
+            {
                 return Err(Failed::MayHaveRun(reason));
             }
             if clock::monotonic_ms() >= forward.deadline_ms {
                 return Err(self.give_up(Reason::Timeout));
             }
-            if state.suspects.is_refused(forward.fingerprint) {
+            if forward.permit.is_none() && state.suspects.is_refused(forward.fingerprint) {
                 return Err(self.give_up(Reason::PoisonousRequest));
             }
             if self.sends >= SENDS_MAX {
@@ -210,7 +211,13 @@
         let timeout = self.head_timeout(forward, repeatable);
         let sent_ms = clock::monotonic_ms();
         let known_load = state.balance.borrow().view(&place.id);
-        let sent = state.pool.send(address, request, repeatable, timeout).await;
+        if let Some(permit) = &forward.permit {
+            permit.sent();
+        }
+        // A suspect is not sent again by the pool, as each send may crash the backend
+        // server.
+        let resend = repeatable && !state.suspects.is_suspect(forward.fingerprint);
+        let sent = state.pool.send(address, request, resend, timeout).await;
         let names = state.dialect.headers();
         let checked = sent.and_then(|exchange| {
             upstream::check_head(names, &forward.id, &exchange.response)?;
@@ -275,7 +282,11 @@
         failure: upstream::Failure,
     ) {
         self.tried.push(place.id.clone());
-        self.maybe_ran += u32::from(failure.verdict() == verdict::Verdict::MayHaveRun);
+        let may_have_run = failure.verdict() == verdict::Verdict::MayHaveRun;
+        self.maybe_ran += u32::from(may_have_run);
+        if let Some(permit) = forward.permit.as_ref().filter(|_| !may_have_run) {
+            permit.not_run();
+        }
         if failure == upstream::Failure::Broken {
             state.note_crash(forward, (&place.id, place.started_ms));
         }
@@ -317,12 +328,12 @@
             return false;
         }
         balance.failed(&place.id, balance::Failure::Broken, now_ms);
-        forward.route.kind.repeatable() && self.maybe_ran < forward.route.attempts
+        forward.route.kind.repeatable() && self.maybe_ran < runs_max(forward)
     }
 
     fn head_timeout(&self, forward: &Forward, repeatable: bool) -> time::Duration {
         let remaining = super::remaining(forward.deadline_ms);
-        let is_last = self.maybe_ran + 1 >= forward.route.attempts;
+        let is_last = self.maybe_ran + 1 >= runs_max(forward);
         if !repeatable || is_last {
             return remaining;
         }
@@ -370,6 +381,14 @@
     }
 }
 
+/// Returns how often a request may run. A trial is permitted for one run.
+fn runs_max(forward: &Forward) -> u32 {
+    match forward.permit {
+        Some(_) => 1,
+        None => forward.route.attempts.max(1),
+    }
+}
+
 /// Returns the load that a backend server reports in a response.
 fn reported_load(state: &State, headers: &HeaderMap) -> Option<dialect::Load> {
     let text = forward::header_text(headers, &state.dialect.headers().load);
@@ -395,7 +414,7 @@
         if !forward.route.kind.repeatable()
             || large.is_some_and(|length| length > BUFFERED_BYTES_MAX)
         {
-            return pass_through(state, accepted, active, &forward);
+            return pass_through(state, accepted, active, forward);
         }
         let id = accepted.slot.id.clone();
         let backend_started_ms = accepted.slot.backend_started_ms;
@@ -404,7 +423,7 @@
         match tokio::time::timeout(super::remaining(forward.deadline_ms), reading).await {
             Ok(Ok(body)) => {
                 accepted.lease.release();
-                state.note_completed(forward.fingerprint);
+                state.note_completed(&forward);
                 let mut response = Response::from_parts(parts, response::full(body));
                 forward::remove_hop_headers(response.headers_mut());
                 return response;
@@ -449,7 +468,7 @@
     state: &Rc<State>,
     accepted: Accepted,
     active: Active,
-    forward: &Forward,
+    forward: Forward,
 ) -> response::Response {
     let (mut parts, body) = accepted.response.into_parts();
     forward::remove_hop_headers(&mut parts.headers);
@@ -458,8 +477,7 @@
         state: Rc::clone(state),
         body,
         left: stated.unwrap_or(UNSIZED_BYTES_MAX),
-        deadline_ms: forward.deadline_ms,
-        fingerprint: forward.fingerprint,
+        forward,
         lease: accepted.lease,
         slot: accepted.slot,
         _active: active,
@@ -470,7 +488,7 @@
             Some(Ok(frame)) => Some((Ok(frame), Some(passthrough))),
             Some(Err(error)) => Some((Err(error), None)),
             None => {
-                passthrough.state.note_completed(passthrough.fingerprint);
+                passthrough.state.note_completed(&passthrough.forward);
                 passthrough.lease.release();
                 None
             }
@@ -485,8 +503,7 @@
     body: body::Incoming,
     /// The number of bytes that may still follow.
     left: u64,
-    deadline_ms: u64,
-    fingerprint: suspect::Fingerprint,
+    forward: Forward,
     lease: upstream::Lease,
     slot: Slot,
     _active: Active,
@@ -494,8 +511,11 @@
 
 impl Passthrough {
     async fn next(&mut self) -> Option<io::Result<body::Frame<Bytes>>> {
-        let next =
-            tokio::time::timeout(super::remaining(self.deadline_ms), self.body.frame()).await;
+        let next = tokio::time::timeout(
+            super::remaining(self.forward.deadline_ms),
+            self.body.frame(),
+        )
+        .await;
         let frame = match next {
             Ok(frame) => frame?.map_err(io::Error::other),
             Err(late) => Err(io::Error::other(late)),
--- a/programs/gateway/src/entry/forward.rs
+++ b/programs/gateway/src/entry/forward.rs
@@ -18,6 +18,7 @@
         response,
         state::{Routing, State},
         stream,
+        suspects::{self, Admission, Permit},
     },
     metrics,
 };
@@ -47,6 +48,8 @@
     pub(crate) affinity: u64,
     /// Identifies the content of the request, regardless of its id.
     pub(crate) fingerprint: suspect::Fingerprint,
+    /// The permission to run it although it is refused.
+    pub(crate) permit: Option<Permit>,
 }
 
 /// Handles one request of a caller.
@@ -72,20 +75,27 @@
     if route.kind == route::Kind::Batch {
         return jobs::submit(state, &routing, &route, id, request, now_ms).await;
     }
-    let forward = match read_request(state, &routing, route, id, request, now_ms).await {
+    let mut forward = match read_request(state, &routing, route, id, request, now_ms).await {
         Ok(forward) => forward,
         Err(response) => return *response,
     };
-    match state.suspects.admit(forward.fingerprint) {
-        suspect::Admission::Admitted => {}
-        suspect::Admission::Trial => {
-            log::info!(request = forward.id.as_str(), fingerprint = forward.fingerprint.0; "suspected request is admitted as a trial");
+    match suspects::admit(state, forward.fingerprint).await {
+        Admission::Admitted => {}
+        Admission::Trial(permit) => {
+            log::info!(
+                request = forward.id.as_str(), fingerprint = forward.fingerprint.0;
+                "suspected request is admitted as a trial"
+            );
             metrics::SUSPECTS.with_label_values(&["trial"]).inc();
+            forward.permit = Some(permit);
         }
-        suspect::Admission::Refused { retry_after_ms } => {
+        Admission::Refused {
+            reason,
+            retry_after_ms,
+        } => {
             // The fingerprint leads to the strikes that other ids of this content got.
             log::info!(request = forward.id.as_str(), fingerprint = forward.fingerprint.0; "suspected request is not admitted");
-            note_refusal(&forward.id, Reason::PoisonousRequest, retry_after_ms);
+            note_refusal(&forward.id, reason, retry_after_ms);
             let text = "backend servers crashed under this request";
             return response::not_run(text, retry_after_ms);
         }
@@ -174,6 +184,7 @@
         deadline_ms,
         affinity,
         fingerprint,
+        permit: None,
     })
 }
 
--- a/programs/gateway/src/entry/state.rs
+++ b/programs/gateway/src/entry/state.rs
@@ -6,7 +6,7 @@
     sync::Arc,
 };
 
-use bw_relay::{balance, ledger, load, message, registry, route, suspect};
+use bw_relay::{balance, ledger, load, message, registry, route};
 use rand::{RngCore, SeedableRng};
 use tokio::sync::{Notify, watch};
 
@@ -212,11 +212,18 @@
         let id = forward.id.as_str();
         self.suspects
             .note_crash(&self.link, id, forward.fingerprint, backend);
+        if let Some(permit) = &forward.permit {
+            permit.settle();
+        }
     }
 
     /// Clears the suspicion against a request that completed.
-    pub(crate) fn note_completed(&self, fingerprint: suspect::Fingerprint) {
-        self.suspects.note_completed(&self.link, fingerprint);
+    pub(crate) fn note_completed(&self, forward: &Forward) {
+        self.suspects
+            .note_completed(&self.link, forward.fingerprint);
+        if let Some(permit) = &forward.permit {
+            permit.settle();
+        }
     }
 
     /// Closes expired idle connections if the sweep interval has passed.
--- a/programs/gateway/src/entry/stream.rs
+++ b/programs/gateway/src/entry/stream.rs
@@ -165,7 +165,10 @@
         // A request that crashes its backend server does so when it starts to run, so
         // the first event clears it of suspicion, as it does a batch item.
         if before == self.attempts.last_event && self.last_event != before {
-            self.state.note_completed(self.forward.fingerprint);
+            if let Some(permit) = &self.forward.permit {
+                permit.streaming();
+            }
+            self.state.note_completed(&self.forward);
         }
         let fits = self.reservation.resize(self.parser.pending());
         match fits && !self.parser.is_too_large() {
@@ -184,7 +187,7 @@
         if !self.parser.is_empty() {
             return Err(Reason::Broken);
         }
-        self.state.note_completed(self.forward.fingerprint);
+        self.state.note_completed(&self.forward);
         if let Some(run) = self.run.take() {
             run.lease.release();
             drop(run.slot);
--- a/programs/gateway/src/metrics.rs
+++ b/programs/gateway/src/metrics.rs
@@ -85,6 +85,15 @@
     )
 });
 
+/// Counts calls for a trial of a refused request, by the leader's verdict.
+pub static TRIAL_VERDICTS: LazyLock<prometheus::IntCounterVec> = LazyLock::new(|| {
+    metrics::counter(
+        "bw_gateway_request_trials_total",
+        "Calls for a trial of a refused request, by verdict.",
+        &["verdict"],
+    )
+});
+
 /// Suspected items whose trial is pending or under way.
 pub static SUSPECT_ITEMS: LazyLock<prometheus::IntGauge> = LazyLock::new(|| {
     metrics::plain_gauge(
