Count crashes in the middle of a response against its request

What callers saw: nothing of their own. A request that crashes its backend server after its first event, or within a response that is not a stream, was sent to backend servers without limit.

Cause: the first event of any run cleared the request, and a run that broke off after an event gave no strike, as a request was taken to crash its backend server before it. A response that is passed on as it arrives gave neither a strike nor a failure of the backend server when it broke off. A whole response with status 500, and a stream that had nothing left to send, cleared the request too.

Change: a response that the backend server breaks off is a strike, however far it has come. Only a whole response clears, without a server error and with at least one new event in a stream.

--- a/programs/gateway/src/entry/attempt.rs
+++ b/programs/gateway/src/entry/attempt.rs
@@ -423,7 +423,9 @@
         match tokio::time::timeout(super::remaining(forward.deadline_ms), reading).await {
             Ok(Ok(body)) => {
                 accepted.lease.release();
-                state.note_completed(&forward);
+                if is_conclusive(parts.status) {
+                    state.note_completed(&forward);
+                }
                 let mut response = Response::from_parts(parts, response::full(body));
                 forward::remove_hop_headers(response.headers_mut());
                 return response;
@@ -442,6 +444,12 @@
     }
 }
 
+/// Returns whether a whole response with this status shows that its request does not
+/// crash backend servers. A server error may be sent before the request has run.
+pub(crate) fn is_conclusive(status: StatusCode) -> bool {
+    !status.is_server_error()
+}
+
 /// Reads a whole body into memory, within the size limit and the memory budget.
 async fn read_whole(
     mut body: body::Incoming,
@@ -476,6 +484,7 @@
     let passthrough = Passthrough {
         state: Rc::clone(state),
         body,
+        status: parts.status,
         left: stated.unwrap_or(UNSIZED_BYTES_MAX),
         forward,
         lease: accepted.lease,
@@ -488,7 +497,9 @@
             Some(Ok(frame)) => Some((Ok(frame), Some(passthrough))),
             Some(Err(error)) => Some((Err(error), None)),
             None => {
-                passthrough.state.note_completed(&passthrough.forward);
+                if is_conclusive(passthrough.status) {
+                    passthrough.state.note_completed(&passthrough.forward);
+                }
                 passthrough.lease.release();
                 None
             }
@@ -501,6 +512,7 @@
 struct Passthrough {
     state: Rc<State>,
     body: body::Incoming,
+    status: StatusCode,
     /// The number of bytes that may still follow.
     left: u64,
     forward: Forward,
@@ -517,24 +529,33 @@
         )
         .await;
         let frame = match next {
-            Ok(frame) => frame?.map_err(io::Error::other),
+            Ok(frame) => frame?.map_err(|error| {
+                self.note_broken(Reason::Broken);
+                let backend = (&*self.slot.id, self.slot.backend_started_ms);
+                self.state.note_crash(&self.forward, backend);
+                io::Error::other(error)
+            }),
             Err(late) => Err(io::Error::other(late)),
         };
         let bytes = frame.as_ref().ok().and_then(body::Frame::data_ref);
         let length = bytes.map_or(0, |bytes| bytes.len() as u64);
         let Some(left) = self.left.checked_sub(length) else {
-            let mut balance = self.state.balance.borrow_mut();
-            balance.failed(
-                &self.slot.id,
-                balance::Failure::Broken,
-                clock::monotonic_ms(),
-            );
-            log::warn!(backend = &*self.slot.id, reason = Reason::Endless.name(); "response broke off");
+            self.note_broken(Reason::Endless);
             return Some(Err(io::Error::other(Reason::Endless.name())));
         };
         self.left = left;
         Some(frame)
     }
+
+    fn note_broken(&self, reason: Reason) {
+        log::warn!(
+            request = self.forward.id.as_str(), backend = &*self.slot.id, reason = reason.name();
+            "response broke off"
+        );
+        let now_ms = clock::monotonic_ms();
+        let mut balance = self.state.balance.borrow_mut();
+        balance.failed(&self.slot.id, balance::Failure::Broken, now_ms);
+    }
 }
 
 /// Builds the response to a request whose attempts failed.
--- a/programs/gateway/src/entry/stream.rs
+++ b/programs/gateway/src/entry/stream.rs
@@ -49,13 +49,15 @@
         .ok();
     let (mut parts, body) = accepted.response.into_parts();
     forward::remove_hop_headers(&mut parts.headers);
-    let is_event_stream = parts.status == StatusCode::OK;
+    let status = parts.status;
+    let is_event_stream = status == StatusCode::OK;
     let source = Source {
         state: Rc::clone(state),
         last_event: attempts.last_event,
         resumed: false,
         forward,
         attempts,
+        status,
         is_event_stream,
         run: Some(Run {
             body,
@@ -90,6 +92,8 @@
     state: Rc<State>,
     forward: Forward,
     attempts: Attempts,
+    /// The status of the response that the caller has.
+    status: StatusCode,
     /// False if the response is an error, whose body is forwarded as it is.
     is_event_stream: bool,
     run: Option<Run>,
@@ -162,13 +166,10 @@
             joined.extend_from_slice(&event.bytes);
         }
         self.push(joined);
-        // A request that crashes its backend server does so when it starts to run, so
-        // the first event clears it of suspicion, as it does a batch item.
-        if before == self.attempts.last_event && self.last_event != before {
-            if let Some(permit) = &self.forward.permit {
-                permit.streaming();
-            }
-            self.state.note_completed(&self.forward);
+        if self.last_event != before
+            && let Some(permit) = &self.forward.permit
+        {
+            permit.streaming();
         }
         let fits = self.reservation.resize(self.parser.pending());
         match fits && !self.parser.is_too_large() {
@@ -187,7 +188,11 @@
         if !self.parser.is_empty() {
             return Err(Reason::Broken);
         }
-        self.state.note_completed(&self.forward);
+        // A run that had nothing left to send shows nothing about the request.
+        let has_run = self.last_event != self.attempts.last_event || !self.is_event_stream;
+        if has_run && attempt::is_conclusive(self.status) {
+            self.state.note_completed(&self.forward);
+        }
         if let Some(run) = self.run.take() {
             run.lease.release();
             drop(run.slot);
@@ -217,8 +222,8 @@
             "stream broke off"
         );
         metrics::RETRIES.with_label_values(&[reason.name()]).inc();
-        // A request that has produced events is not what crashed the backend server.
-        if reason == Reason::Broken && self.last_event == self.attempts.last_event {
+        // A request may crash its backend server after any number of events.
+        if reason == Reason::Broken {
             self.state
                 .note_crash(&self.forward, (backend, backend_started_ms));
         }
