Broadcast changed suspects together with the loads

Cause: each change of a suspect was a frame to each session. With strikes for responses that have begun, the crash of a failure domain changes thousands of suspects within milliseconds, more frames than the queue of a session holds; a full queue closes the session.

--- a/programs/gateway/src/control/hub/mod.rs
+++ b/programs/gateway/src/control/hub/mod.rs
@@ -66,6 +66,8 @@
     result_waiters: RefCell<HashMap<Name, Rc<Notify>>>,
     health: RefCell<health::Health>,
     suspects: RefCell<suspect::Suspects>,
+    /// Suspects that changed since the last broadcast.
+    changed_suspects: RefCell<BTreeSet<suspect::Fingerprint>>,
     /// Suspects that are in the replicated state; valid while this replica is the leader.
     recorded_suspects: RefCell<BTreeSet<suspect::Fingerprint>>,
     /// VMs whose evacuation was ordered; valid while this replica is the leader.
@@ -109,6 +111,7 @@
             runs: RefCell::default(),
             result_waiters: RefCell::default(),
             suspects: RefCell::default(),
+            changed_suspects: RefCell::default(),
             recorded_suspects: RefCell::default(),
             evacuated: RefCell::default(),
             known_vms: RefCell::default(),
@@ -580,13 +583,16 @@
         runner::plan(&hub);
         let loads = hub.loads();
         let changes = hub.loads.borrow_mut().changes(&loads);
-        quiet = if changes.is_some() { 0 } else { quiet + 1 };
-        if changes.is_none() && quiet < QUIET_TICKS_MAX {
+        let suspects = hub.take_changed_suspects();
+        let changed = changes.is_some() || !suspects.is_empty();
+        quiet = if changed { 0 } else { quiet + 1 };
+        if !changed && quiet < QUIET_TICKS_MAX {
             continue;
         }
         quiet = 0;
         let update = message::Update {
             loads: changes,
+            suspects,
             ..message::Update::default()
         };
         hub.sessions
--- a/programs/gateway/src/control/hub/suspects.rs
+++ b/programs/gateway/src/control/hub/suspects.rs
@@ -7,8 +7,8 @@
 use crate::{clock, control::replica, metrics};
 
 impl Hub {
-    /// Merges evidence against a suspect. If any of it is new, broadcasts all that is
-    /// known about this suspect to all sessions and records it.
+    /// Merges evidence against a suspect. If any of it is new, records all that is known
+    /// about this suspect and broadcasts it with the next loads.
     pub(crate) fn apply_evidence(&self, evidence: &suspect::Evidence) {
         let now_ms = clock::monotonic_ms();
         if !self.suspects.borrow_mut().merge(evidence, now_ms) {
@@ -16,15 +16,22 @@
         }
         let known = self.suspects.borrow().evidence(evidence.fingerprint);
         log::warn!(fingerprint = known.fingerprint.0, strikes = known.strikes(); "suspect changed");
-        let update = message::Update {
-            suspects: vec![known.clone()],
-            ..message::Update::default()
-        };
-        let frame = message::Frame::Update(update);
-        self.sessions.borrow_mut().broadcast(&frame);
+        self.changed_suspects.borrow_mut().insert(known.fingerprint);
         self.record_suspect(known);
     }
 
+    /// Removes and returns what has to be broadcast. The crash of a failure domain
+    /// changes thousands of suspects at once, which single messages would not carry to
+    /// hundreds of sessions.
+    pub(super) fn take_changed_suspects(&self) -> Vec<suspect::Evidence> {
+        let changed = std::mem::take(&mut *self.changed_suspects.borrow_mut());
+        let suspects = self.suspects.borrow();
+        changed
+            .into_iter()
+            .map(|fingerprint| suspects.evidence(fingerprint))
+            .collect()
+    }
+
     /// Records evidence if it can lead to a refusal, or if it clears a recorded suspect.
     fn record_suspect(&self, evidence: suspect::Evidence) {
         let fingerprint = evidence.fingerprint;
