Ignore announcements that cannot be meant

Here, one announcement with 4,294,967,295 slots ended every placement of every entry VM: placement visits each slot, so that a process with overflow checks panics for each request, and one without them fills its memory. An odd announcement with the address of a backend server that is in use, for a service that does not exist, from the far future or nested 100,000 levels deep, took that address over and cost the other entry.

Cause: what another program writes was checked for its syntax only. Numbers, lengths and depth entered later sums, loops and comparisons as they came.

Change: the leader checks names, address, slots and start of an announcement before it takes it, also those of an older ledger, and logs what it ignores. A service that is not configured does not take the address of one that is.

--- a/crates/relay/src/balance/mod.rs
+++ b/crates/relay/src/balance/mod.rs
@@ -452,7 +452,7 @@
     /// Returns the most online requests that a backend server may have, running or
     /// queued.
     fn limit(&self, server: &Server) -> u32 {
-        server.announcement.slots + self.options.queue
+        server.announcement.slots.saturating_add(self.options.queue)
     }
 
     fn reject(&self, reason: Reason, request: &Request<'_>, now_ms: u64) -> Rejection {
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -176,6 +176,8 @@
     Version(u64),
     /// Whether a trial may begin.
     Trial(trial::Verdict),
+    /// Nothing was done: the announcement cannot be meant.
+    Invalid,
 }
 
 /// The role of a process.
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -1,6 +1,6 @@
 //! The registry of backend servers, built from their announcements.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, net};
 
 use bw_wire::name::Name;
 use serde::{Deserialize, Serialize};
@@ -14,6 +14,28 @@
 /// announcements every second or less often.
 const FREEZE_MS: u64 = 1_000;
 
+/// Most slots that a backend server may announce. Placement visits each of them.
+const SLOTS_MAX: u32 = 4_096;
+/// Longest id, service or failure domain, in bytes.
+const NAME_BYTES_MAX: usize = 256;
+/// How far a start may lie in the future of this VM's clock, in milliseconds. An entry
+/// from the far future would outrank every later one.
+const CLOCK_SKEW_MAX_MS: u64 = 60 * 60 * 1_000;
+
+/// Why an announcement cannot be meant.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Invalid {
+    /// The id, the service or the failure domain is empty or too long.
+    Name,
+    /// The address is no unicast IP address with a port.
+    Address,
+    /// There are no slots, or more than any backend server has.
+    Slots,
+    /// The start lies in the future.
+    Start,
+}
+
 /// The state of a backend server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -49,6 +71,33 @@
 }
 
 impl Announcement {
+    /// Checks what a backend server says of itself, at a Unix time in milliseconds.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the announcement cannot be meant, as one from a faulty program.
+    pub fn check(&self, unix_ms: u64) -> Result<(), Invalid> {
+        let mut names = [&self.id, &self.service, &self.failure_domain].into_iter();
+        if names.any(|name| name.is_empty() || name.len() > NAME_BYTES_MAX) {
+            return Err(Invalid::Name);
+        }
+        let address = self.address.parse::<net::SocketAddr>().ok();
+        let is_usable = |address: net::SocketAddr| {
+            let ip = address.ip();
+            address.port() > 0 && !ip.is_unspecified() && !ip.is_multicast()
+        };
+        if !address.is_some_and(is_usable) {
+            return Err(Invalid::Address);
+        }
+        if self.slots == 0 || self.slots > SLOTS_MAX {
+            return Err(Invalid::Slots);
+        }
+        if self.started_ms > unix_ms.saturating_add(CLOCK_SKEW_MAX_MS) {
+            return Err(Invalid::Start);
+        }
+        Ok(())
+    }
+
     /// Creates the entry of a backend server of which only its leaving is known.
     fn tombstone(id: Name, started_ms: u64) -> Announcement {
         Announcement {
@@ -109,6 +158,17 @@
         self.backends.get(id)
     }
 
+    /// Returns another backend server that takes new work at the address of an
+    /// announcement.
+    pub fn ready_at_address(&self, announcement: &Announcement) -> Option<&Announcement> {
+        let mut known = self.backends.values().map(|backend| &backend.announcement);
+        known.find(|known| {
+            known.state == State::Ready
+                && known.id != announcement.id
+                && known.shares_address(announcement)
+        })
+    }
+
     /// Applies an announcement that came from the backend server or from another
     /// process.
     ///
--- a/programs/gateway/src/control/hub/backends.rs
+++ b/programs/gateway/src/control/hub/backends.rs
@@ -70,6 +70,9 @@
     }
 
     pub(super) async fn announce(&self, announcement: registry::Announcement) -> message::Reply {
+        if !self.is_plausible(&announcement) {
+            return message::Reply::Invalid;
+        }
         let leaving = announcement.state == registry::State::Leaving;
         let id = announcement.id.clone();
         let outcome = self
@@ -97,6 +100,34 @@
         }
     }
 
+    /// Returns whether an announcement may come from a backend server. A service that is
+    /// not configured does not take the address of a backend server that is in use.
+    fn is_plausible(&self, announcement: &registry::Announcement) -> bool {
+        let id = &*announcement.id;
+        if let Err(invalid) = announcement.check(self.unix_ms()) {
+            log::warn!(backend = id, reason = invalid.to_string().as_str(); "announcement ignored");
+            return false;
+        }
+        let published = self.published.borrow();
+        let services = published
+            .as_ref()
+            .map(|published| &published.config.services);
+        let is_configured = |service: &Name| {
+            services.is_some_and(|services| services.iter().any(|known| known.name == *service))
+        };
+        let registry = self.registry.borrow();
+        let conflict = registry
+            .ready_at_address(announcement)
+            .filter(|known| is_configured(&known.service) && !is_configured(&announcement.service));
+        if let Some(known) = conflict {
+            log::warn!(
+                backend = id, service = &*announcement.service, used_by = &*known.id;
+                "announcement ignored: its service is not configured and its address is in use"
+            );
+        }
+        conflict.is_none()
+    }
+
     pub(super) async fn leave(&self, id: &str, started_ms: u64) -> message::Reply {
         let now_ms = clock::monotonic_ms();
         let left = self.registry.borrow_mut().leave(id, started_ms, now_ms);
--- a/programs/gateway/src/control/hub/mod.rs
+++ b/programs/gateway/src/control/hub/mod.rs
@@ -442,7 +442,11 @@
         self.unix_clock.set(unix_time::Clock::new(unix_ms, now_ms));
         {
             let mut registry = self.registry.borrow_mut();
-            for announcement in leading.backends {
+            let backends = leading.backends.into_iter().filter(|announcement| {
+                let is_leaving = announcement.state == registry::State::Leaving;
+                is_leaving || announcement.check(unix_ms).is_ok()
+            });
+            for announcement in backends {
                 registry.announce(announcement, now_ms);
             }
             registry.refresh(now_ms);
