Take a refusal without the request's id for no answer to it

What callers saw elsewhere: 'not run, try again' for requests that a replica had run or was running, or a second run. It can happen here: a request that must not be repeated ran at two backend servers when the first one wrote an earlier refusal once more.

Cause: check_head compared the id of a response only where it had one, and took any 421, or any response marked as not run, for the answer to the request under way.

Change: a response without the id proves nothing. It counts as one that may have run, for callers' requests and for items alike, as both use check_head. Backend servers echo the id in every response, refusals included.

--- a/programs/gateway/src/upstream.rs
+++ b/programs/gateway/src/upstream.rs
@@ -92,7 +92,11 @@
 ) -> Result<(), Failure> {
     let headers = response.headers();
     let echoed_id = headers.get(&names.request_id);
-    if echoed_id.is_some_and(|echoed| echoed.as_bytes() != id.as_bytes()) {
+    let Some(echoed_id) = echoed_id else {
+        // Not even a refusal: without the id it may be that of an earlier request.
+        return Err(Failure::ForeignAnswer);
+    };
+    if echoed_id.as_bytes() != id.as_bytes() {
         return Err(Failure::CrossedAnswer);
     }
     if response.status() == StatusCode::MISDIRECTED_REQUEST {
@@ -102,7 +106,7 @@
         return Err(Failure::Full);
     }
     let encoded = headers.contains_key(header::CONTENT_ENCODING);
-    if encoded || echoed_id.is_none() || !headers.contains_key(&names.response_stamp) {
+    if encoded || !headers.contains_key(&names.response_stamp) {
         return Err(Failure::ForeignAnswer);
     }
     Ok(())
