Continue a stream only by events of another stream

What callers saw elsewhere: an error's text or head in the middle of their stream, or a stream that ended as if it were complete. It can happen here in three ways: a page with status 200 continued a stream that had broken off; a response within a body without a stated length reached the caller; and a batch item that had broken off was listed as completed, with a part of its output, after such a page.

Cause: any response with status 200 counted as events, and any block that ends in a blank line as an event.

Evidence: misbehavior.rs, an_error_does_not_continue_a_stream::page, a_response_within_a_stream_does_not_reach_the_caller and an_error_is_no_part_of_an_item::page fail on the code before; responses with status 500, 422 and 503 did no harm.

Change: a run of a stream or an item needs the content type of events, if one is stated; the head of another response ends the run as a broken one.

--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -15,6 +15,12 @@
 }
 
 impl Event {
+    /// Returns whether this is the head of another response, which a faulty backend
+    /// server sends within a body whose length is not stated.
+    pub fn is_response_head(&self) -> bool {
+        self.bytes.trim_ascii_start().starts_with(b"HTTP/1.")
+    }
+
     /// Returns the values of the `data` fields, joined by line feeds.
     pub fn data(&self) -> String {
         let text = String::from_utf8_lossy(&self.bytes);
--- a/programs/gateway/src/control/runner.rs
+++ b/programs/gateway/src/control/runner.rs
@@ -354,9 +354,12 @@
 }
 
 /// Adds the complete events to the output. Returns false if an event is missing or
-/// too large.
+/// too large, or another response follows.
 fn take_events(parser: &mut event::Parser, progress: &mut dispatch::Progress) -> bool {
     while let Some(event) = parser.next_event() {
+        if event.is_response_head() {
+            return false;
+        }
         let Some(id) = event.id else {
             continue;
         };
@@ -390,7 +393,7 @@
     let load = load.and_then(|value| hub.dialect().decode_load(value));
     match response.status() {
         StatusCode::OK if load.is_some_and(|load| load.waiting > 0) => Some(Ended::Crowded),
-        StatusCode::OK => None,
+        StatusCode::OK if upstream::has_events(response.headers()) => None,
         StatusCode::UNPROCESSABLE_ENTITY => Some(Ended::Impossible),
         StatusCode::INTERNAL_SERVER_ERROR => Some(Ended::Failed),
         _ => Some(Ended::Broken),
--- a/programs/gateway/src/entry/stream.rs
+++ b/programs/gateway/src/entry/stream.rs
@@ -47,10 +47,10 @@
     attempts.last_event = forward::header_text(&forward.headers, &names.last_event_id)
         .parse()
         .ok();
+    let is_event_stream = is_event_stream(&accepted.response);
     let (mut parts, body) = accepted.response.into_parts();
     forward::remove_hop_headers(&mut parts.headers);
     let status = parts.status;
-    let is_event_stream = status == StatusCode::OK;
     let source = Source {
         state: Rc::clone(state),
         last_event: attempts.last_event,
@@ -80,6 +80,11 @@
     Response::from_parts(parts, response::streamed(pieces))
 }
 
+/// Returns whether a response can begin or continue a stream.
+fn is_event_stream(response: &Response<body::Incoming>) -> bool {
+    response.status() == StatusCode::OK && upstream::has_events(response.headers())
+}
+
 /// The response of one backend server, which may be a part of the stream.
 struct Run {
     body: body::Incoming,
@@ -94,7 +99,8 @@
     attempts: Attempts,
     /// The status of the response that the caller has.
     status: StatusCode,
-    /// False if the response is an error, whose body is forwarded as it is.
+    /// False if the response is an error or another document, whose body is forwarded as
+    /// it is.
     is_event_stream: bool,
     run: Option<Run>,
     parser: event::Parser,
@@ -152,6 +158,10 @@
         let mut joined: Vec<u8> = Vec::new();
         let before = self.last_event;
         while let Some(event) = self.parser.next_event() {
+            if event.is_response_head() {
+                self.push(joined);
+                return Err(Reason::ForeignAnswer);
+            }
             if let Some(id) = event.id {
                 let expected = self.last_event.map(|last_event| last_event + 1);
                 if expected.is_some_and(|expected| id < expected) {
@@ -236,7 +246,7 @@
         self.resumed = true;
         self.attempts.last_event = self.last_event;
         match self.attempts.run(&self.state, &self.forward).await {
-            Ok(accepted) if accepted.response.status() == StatusCode::OK => {
+            Ok(accepted) if is_event_stream(&accepted.response) => {
                 self.run = Some(Run {
                     body: accepted.response.into_body(),
                     lease: accepted.lease,
--- a/programs/gateway/src/upstream.rs
+++ b/programs/gateway/src/upstream.rs
@@ -31,6 +31,8 @@
 /// Largest response head in bytes, and most bytes that are read ahead of a body.
 /// Real heads have a few hundred bytes.
 const HEAD_BYTES_MAX: usize = 16 << 10;
+/// The content type of a stream of events, without parameters.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
 /// Idle connections that are kept per backend server.
 const IDLE_CONNECTIONS_MAX: usize = 16;
 
@@ -112,6 +114,13 @@
     Ok(())
 }
 
+/// Returns whether the body of a response with these headers is a stream of events,
+/// unless they say otherwise.
+pub fn has_events(headers: &HeaderMap) -> bool {
+    let stated = headers.get(header::CONTENT_TYPE);
+    stated.is_none_or(|value| value.as_bytes().starts_with(EVENT_STREAM))
+}
+
 /// Idle connections to all backend servers, by address; clones share them.
 #[derive(Clone, Default)]
 pub struct Pool {
