Take the refusal of another request for no answer (bw-entry)

What callers saw elsewhere: 'not run, try again' for a request that a replica ran, or a second run. The OpenAI-compatible way has the fault too, in a smaller form: the verdict of an unsuccessful response was believed before its id was compared, so that a request marked as not repeatable ran at a second backend server.

Evidence: a_stale_refusal_does_not_say_that_a_request_has_not_run in programs/entry/tests/once.rs, for a service and an engine; before, the second request runs twice in both.

Change: the verdict of a response counts only with the request's id.

--- a/programs/entry/src/upstream/call.rs
+++ b/programs/entry/src/upstream/call.rs
@@ -151,7 +151,7 @@
         let request = request(&call)?;
         let response = self.send(request, first_token_deadline).await?;
         if !response.status().is_success() {
-            return Err(response_error(response).await);
+            return Err(response_error(response, &call.request_id).await);
         }
         check_echo(&response, &call.request_id)?;
         Ok(Stream::new(
@@ -181,7 +181,7 @@
         insert_header(&mut request, header::REQUEST_ID, &forward.request_id)?;
         let response = self.send(request, deadline).await?;
         if refused_before_running(&response) {
-            return Err(response_error(response).await);
+            return Err(response_error(response, &forward.request_id).await);
         }
         check_echo(&response, &forward.request_id)?;
         Ok(response)
@@ -314,9 +314,18 @@
     )
 }
 
-/// Returns the error that an unsuccessful response stands for.
-async fn response_error(response: http::Response<body::Incoming>) -> Error {
+/// Returns the error that an unsuccessful response stands for. Without the request's id
+/// it may be the refusal of an earlier request, which says nothing about this one.
+async fn response_error(
+    response: http::Response<body::Incoming>,
+    request_id: &name::Name,
+) -> Error {
     let status = response.status();
+    if has_not_run_verdict(&response)
+        && let Err(error) = check_echo(&response, request_id)
+    {
+        return error;
+    }
     let is_other_client_error = status.is_client_error() && !is_rejection(status);
     let not_run = refused_before_running(&response)
         || (is_other_client_error && has_not_run_verdict(&response));
--- a/programs/entry/tests/once.rs
+++ b/programs/entry/tests/once.rs
@@ -87,6 +87,33 @@
     assert_eq!(fleet.backends[1].count(), 4);
 }
 
+/// Guards against a refusal of an earlier request that is taken for one of this request,
+/// which then runs at another backend server too.
+#[rstest]
+#[case::service(INVOICE, "x")]
+#[case::engine("/v1/chat/completions", &chat_body(false).to_string())]
+fn a_stale_refusal_does_not_say_that_a_request_has_not_run(#[case] path: &str, #[case] body: &str) {
+    let backend = |id, answers: &[Answer]| match path {
+        INVOICE => Backend::service(id, "invoice", answers),
+        _ => Backend::engine(id, answers),
+    };
+    let fleet = fleet(vec![
+        backend("s1", &[Answer::StaleRefusal]),
+        backend("s2", &[Answer::Whole]),
+    ]);
+    for number in 1..=4 {
+        let key = format!("k{number}");
+        let headers = [("idempotency-key", key.as_str()), ("bw-repeatable", "no")];
+        let response = caller::post(&fleet.address(), path, &headers, body);
+        assert!(
+            response.status == 200 || response.refusal().1 == "may_have_run",
+            "{}",
+            response.text()
+        );
+        assert_eq!(runs(&fleet), number, "{key} ran once");
+    }
+}
+
 /// Guards against an outcome that is not recorded because the caller disconnects:
 /// the request must finish, and a resend must get its answer.
 #[rstest]
--- a/programs/entry/tests/support/backend.rs
+++ b/programs/entry/tests/support/backend.rs
@@ -41,6 +41,8 @@
     Freeze,
     /// 503 with verdict not run.
     Refuse,
+    /// 503 with verdict not run and the id of an earlier request.
+    StaleRefusal,
     /// 404 with verdict not run: the model is not loaded.
     NotLoaded,
     /// This status, without a verdict.
@@ -292,6 +294,10 @@
                 let headers = format!("{echo}bw-verdict: not_run\r\n");
                 return send(stream, &whole(503, &headers, "{}"));
             }
+            Answer::StaleRefusal => {
+                let headers = "bw-request-id: earlier\r\nbw-verdict: not_run\r\n";
+                return send(stream, &whole(503, headers, "{}"));
+            }
             Answer::NotLoaded => {
                 let headers = format!("{echo}bw-verdict: not_run\r\n");
                 return send(stream, &whole(404, &headers, "{}"));
