Let one entry VM at a time run a suspect isolated (bw-entry)

A request with two strikes may run once more, apart from other work, and each entry VM permitted that by its own memory. With N entry VMs as many isolated runs begin at once, each on a backend server of its own, and each may crash it.

Evidence: a_suspect_runs_isolated_on_one_entry_vm_at_a_time, with a fake control replica that knows of a run on another entry VM; before, the third run takes place all the same.

Change: the run is recorded as an attempt in the work group before it begins, like that of a request that is not repeatable, by the code that was there for these. It is released when the run ends without a broken connection; one that may have crashed its backend server, or whose entry VM dies, is not. No stored format and no message changes.

A sound request with two strikes is refused for the moment while the work group does not answer; before, it would have run isolated.

--- a/programs/entry/src/lib.rs
+++ b/programs/entry/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod drain;
 pub mod files;
 pub mod filter;
+mod isolation;
 pub mod metrics;
 pub mod online;
 pub mod program;
--- a/programs/entry/src/online/mod.rs
+++ b/programs/entry/src/online/mod.rs
@@ -1,7 +1,7 @@
 //! Runs online requests on backend servers: routing, retries, hedges, resumes,
 //! isolated runs of suspects, and requests that run at most once.
 
-mod once;
+pub(crate) mod once;
 mod render;
 mod run;
 mod stream;
--- a/programs/entry/src/online/once.rs
+++ b/programs/entry/src/online/once.rs
@@ -195,14 +195,15 @@
 }
 
 /// How control answers the start of an attempt.
-enum Begun {
+pub(crate) enum Begun {
     /// The operation may run, as the attempt with this number.
     Run(u64),
     /// An earlier attempt with this key has ended.
     Recorded(AttemptOutcome),
 }
 
-async fn begin(
+/// Records that an attempt begins, before anything is sent.
+pub(crate) async fn begin(
     context: &sync::Arc<context::Context>,
     key: &Key,
 ) -> Result<Begun, refusal::Refusal> {
@@ -315,7 +316,7 @@
 
 /// Records the outcome of an attempt. If another outcome has already been
 /// recorded, returns that one.
-async fn end(
+pub(crate) async fn end(
     context: &context::Context,
     key: &Key,
     attempt: u64,
--- a/programs/entry/src/online/run/attempt.rs
+++ b/programs/entry/src/online/run/attempt.rs
@@ -113,13 +113,13 @@
             _ => self.pick_next(sharing).await,
         };
         let slot = slot.map_err(|error| error.refusal().verdict(self.call.verdict()))?;
-        let claim = self.claim(slot)?;
+        let claim = self.claim(slot).await?;
         Ok(self.start(claim, false))
     }
 
     /// Claims the backend server of a slot, with a reservation for an isolated
     /// run.
-    fn claim(&self, slot: routing::Slot) -> Result<Claim, refusal::Refusal> {
+    async fn claim(&self, slot: routing::Slot) -> Result<Claim, refusal::Refusal> {
         if slot.sharing() != router::Sharing::Isolated {
             return Ok(Claim {
                 slot,
@@ -127,8 +127,10 @@
             });
         }
         let backend = slot.choice().id.clone();
-        let reservation = Reservation::new(&self.context, backend, self.request.fingerprint)
-            .map_err(|refusal| self.with_verdict(refusal))?;
+        let run = name::Name::from(format!("{}-{}", self.request.unique_id, self.attempts + 1));
+        let reservation =
+            Reservation::new(&self.context, backend, self.request.fingerprint, &run).await;
+        let reservation = reservation.map_err(|refusal| self.with_verdict(refusal))?;
         Ok(Claim {
             slot,
             reservation: Some(reservation),
--- a/programs/entry/src/online/run/failure.rs
+++ b/programs/entry/src/online/run/failure.rs
@@ -26,7 +26,7 @@
     ) -> Result<bool, refusal::Refusal> {
         let Claim {
             mut slot,
-            reservation,
+            mut reservation,
         } = claim;
         log::info!(
             request_id = self.request.id.as_str(),
@@ -40,6 +40,11 @@
         let choice = slot.choice().clone();
         drop(slot);
         if error.cause == Cause::Broken {
+            // Whether it was a crash may become known only when the backend server
+            // announces itself again.
+            if let Some(reservation) = &mut reservation {
+                reservation.spend();
+            }
             self.check_crash(&choice, is_isolated).await;
         }
         // Kept until the strike is counted, so that no other run of the same
--- a/programs/entry/src/reservation.rs
+++ b/programs/entry/src/reservation.rs
@@ -5,7 +5,7 @@
 use bw_policy::suspect;
 use bw_wire::{fingerprint, name, refusal};
 
-use crate::{context, controller, filter};
+use crate::{context, controller, filter, isolation};
 
 /// Longest reservation of a backend server, in milliseconds; it ends sooner with
 /// the run. It is not renewed, so that it expires if this entry VM crashes.
@@ -17,6 +17,8 @@
     context: sync::Arc<context::Context>,
     backend: name::Name,
     fingerprint: fingerprint::Fingerprint,
+    /// The permission for the isolated run of a caller's request.
+    permit: Option<isolation::Permit>,
 }
 
 impl Reservation {
@@ -26,11 +28,12 @@
     ///
     /// Refuses a request whose other isolated run is in progress, and, until it is
     /// confirmed, one with too many crashes. Both can have happened since the
-    /// request was checked.
-    pub(crate) fn new(
+    /// request was checked. Also refuses one that another entry VM runs isolated.
+    pub(crate) async fn new(
         context: &sync::Arc<context::Context>,
         backend: name::Name,
         fingerprint: fingerprint::Fingerprint,
+        run: &name::Name,
     ) -> Result<Reservation, refusal::Refusal> {
         let treatment = context.shared.with_suspects(|suspects, _| {
             let treatment = suspects.treatment(fingerprint);
@@ -50,7 +53,19 @@
             suspect::Treatment::Refused(refusal) => return Err(refusal),
             _ => {}
         }
-        Ok(Reservation::start(context, backend, fingerprint))
+        // Ends the isolated run of this entry VM if there is no permission.
+        let mut reservation = Reservation::of(context, backend, fingerprint);
+        let permit = isolation::Permit::begin(context, fingerprint, run, DURATION_MS).await?;
+        reservation.permit = Some(permit);
+        reservation.send(DURATION_MS);
+        Ok(reservation)
+    }
+
+    /// Notes that the run may have crashed its backend server.
+    pub(crate) fn spend(&mut self) {
+        if let Some(permit) = &mut self.permit {
+            permit.spend();
+        }
     }
 
     /// Reserves a backend server for a trial of a batch item, and begins the trial.
@@ -62,21 +77,22 @@
         context
             .shared
             .with_suspects(|suspects, _| suspects.begin_trial(fingerprint));
-        Reservation::start(context, backend, fingerprint)
+        let reservation = Reservation::of(context, backend, fingerprint);
+        reservation.send(DURATION_MS);
+        reservation
     }
 
-    fn start(
+    fn of(
         context: &sync::Arc<context::Context>,
         backend: name::Name,
         fingerprint: fingerprint::Fingerprint,
     ) -> Reservation {
-        let reservation = Reservation {
+        Reservation {
             context: sync::Arc::clone(context),
             backend,
             fingerprint,
-        };
-        reservation.send(DURATION_MS);
-        reservation
+            permit: None,
+        }
     }
 
     fn send(&self, duration_ms: u64) {
--- a/programs/entry/tests/fault.rs
+++ b/programs/entry/tests/fault.rs
@@ -245,6 +245,53 @@
     assert!(strikes[2].1, "the third run was isolated");
 }
 
+/// Guards against an isolated run of the same suspect on every entry VM at once, each of
+/// which may crash a backend server.
+#[rstest]
+fn a_suspect_runs_isolated_on_one_entry_vm_at_a_time() {
+    let crashing = |id: &str| Backend::engine(id, &[Answer::Close]);
+    let fleet = fleet(["e1", "e2", "e3", "e4"].map(crashing).into());
+    for backend in &fleet.backends {
+        backend.refuse_after(1);
+    }
+    fleet.control.lock().isolated_elsewhere = true;
+    let runs = || fleet.backends.iter().map(Backend::count).sum::<usize>();
+    let mut last = (String::new(), String::new());
+    for _ in 0..4 {
+        last = fleet.chat(&chat_body(true)).refusal();
+    }
+    assert_eq!(runs(), 2, "the two runs before the isolated one");
+    assert_eq!(last, ("overloaded".to_owned(), "not_run".to_owned()));
+    fleet.control.lock().isolated_elsewhere = false;
+    for _ in 0..4 {
+        last = fleet.chat(&chat_body(true)).refusal();
+    }
+    assert_eq!(runs(), 3, "the isolated run");
+    assert_eq!(last.0, "poisonous_request");
+}
+
+/// Guards against a suspect that stays refused after its isolated run: the run ends
+/// without a crash, and the next one may begin.
+#[rstest]
+fn an_isolated_run_that_does_not_crash_is_not_counted() {
+    let fleet = fleet(vec![
+        Backend::engine("e1", &[Answer::Close, Answer::Status(500)]),
+        Backend::engine("e2", &[Answer::Close, Answer::Status(500)]),
+        Backend::engine("e3", &[Answer::Status(500)]),
+    ]);
+    for backend in &fleet.backends[..2] {
+        backend.refuse_after(1);
+    }
+    for _ in 0..6 {
+        let refusal = fleet.chat(&chat_body(true)).refusal();
+        assert_ne!(refusal.0, "poisonous_request");
+    }
+    *fleet.backends[2].script.lock().expect("lock") = [Answer::Whole].into();
+    wait_for("the request to be served", || {
+        fleet.chat(&chat_body(false)).status == 200
+    });
+}
+
 /// Guards against requests that fail after their backend server has crashed: all
 /// are suspects then, and the only backend server without another suspect is the
 /// one that crashed.
--- a/programs/entry/tests/support/control.rs
+++ b/programs/entry/tests/support/control.rs
@@ -39,6 +39,8 @@
     pub suspects: Vec<Suspect>,
     pub syncs: Vec<wire_sync::Request>,
     pub strikes: Vec<(name::Name, bool)>,
+    /// Whether another entry VM runs a suspect isolated.
+    pub isolated_elsewhere: bool,
     pub cleared: usize,
     pub attempts: collections::HashMap<name::Name, Attempt>,
     /// Number of reads of the recorded suspects.
@@ -116,6 +118,7 @@
             suspects: Vec::new(),
             syncs: Vec::new(),
             strikes: Vec::new(),
+            isolated_elsewhere: false,
             cleared: 0,
             attempts: collections::HashMap::new(),
             suspect_reads: 0,
@@ -290,6 +293,11 @@
 
 fn work_reply(state: &mut State, command: Command) -> Reply {
     match command {
+        Command::AttemptBegin { team, .. } if team.is_empty() && state.isolated_elsewhere => {
+            Reply::InProgress {
+                holder: "another-entry/1/run".into(),
+            }
+        }
         Command::AttemptBegin {
             key,
             holder,
