End only reservations that were announced (bw-entry)

Cause: a reservation without permission for its isolated run was dropped like one in use, which told the other entry VMs that its backend server is free again. The reservation that ended may have been that of the entry VM that has the permission.

Evidence: a_suspect_runs_isolated_on_one_entry_vm_at_a_time now also looks at the messages to the other entry VMs; before, it sees the end of a reservation of e4 that was never made.

Change: the end is sent only after the beginning.

--- a/programs/entry/src/reservation.rs
+++ b/programs/entry/src/reservation.rs
@@ -19,6 +19,8 @@
     fingerprint: fingerprint::Fingerprint,
     /// The permission for the isolated run of a caller's request.
     permit: Option<isolation::Permit>,
+    /// Whether the other entry VMs were told to keep the backend server free.
+    is_announced: bool,
 }
 
 impl Reservation {
@@ -57,7 +59,7 @@
         let mut reservation = Reservation::of(context, backend, fingerprint);
         let permit = isolation::Permit::begin(context, fingerprint, run, DURATION_MS).await?;
         reservation.permit = Some(permit);
-        reservation.send(DURATION_MS);
+        reservation.announce();
         Ok(reservation)
     }
 
@@ -77,8 +79,8 @@
         context
             .shared
             .with_suspects(|suspects, _| suspects.begin_trial(fingerprint));
-        let reservation = Reservation::of(context, backend, fingerprint);
-        reservation.send(DURATION_MS);
+        let mut reservation = Reservation::of(context, backend, fingerprint);
+        reservation.announce();
         reservation
     }
 
@@ -92,9 +94,15 @@
             backend,
             fingerprint,
             permit: None,
+            is_announced: false,
         }
     }
 
+    fn announce(&mut self) {
+        self.is_announced = true;
+        self.send(DURATION_MS);
+    }
+
     fn send(&self, duration_ms: u64) {
         self.context.events.send(controller::Event::Reserved {
             backend: self.backend.clone(),
@@ -110,6 +118,9 @@
         self.context
             .shared
             .with_suspects(|suspects, _| suspects.abandoned(fingerprint));
-        self.send(0);
+        // Without an own reservation, this would end one of another entry VM.
+        if self.is_announced {
+            self.send(0);
+        }
     }
 }
--- a/programs/entry/tests/fault.rs
+++ b/programs/entry/tests/fault.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use bw_wire::peer;
 use rstest::rstest;
 use support::{
     backend::{Answer, Backend, whole_text},
@@ -255,6 +256,7 @@
         backend.refuse_after(1);
     }
     fleet.control.lock().isolated_elsewhere = true;
+    let mut messages = fleet.entry.shared().peer_messages.subscribe();
     let runs = || fleet.backends.iter().map(Backend::count).sum::<usize>();
     let mut last = (String::new(), String::new());
     for _ in 0..4 {
@@ -262,6 +264,13 @@
     }
     assert_eq!(runs(), 2, "the two runs before the isolated one");
     assert_eq!(last, ("overloaded".to_owned(), "not_run".to_owned()));
+    // The end of a reservation would also end that of the other entry VM.
+    while let Ok(message) = messages.try_recv() {
+        assert!(
+            !matches!(message, peer::Message::Reserve { .. }),
+            "{message:?}"
+        );
+    }
     fleet.control.lock().isolated_elsewhere = false;
     for _ in 0..4 {
         last = fleet.chat(&chat_body(true)).refusal();
