Log the parts of a prompt with each send and strike

Change: the dialect decodes the ids of the parts; `sent` and the line of a strike name them, the latter also the start of the backend server.

--- a/programs/gateway/src/dialect.rs
+++ b/programs/gateway/src/dialect.rs
@@ -20,8 +20,8 @@
     pub response_stamp: HeaderName,
     /// Present if the backend server has not run the request.
     pub not_run: HeaderName,
-    /// Ids of the parts of the prompt, separated by commas. All but the last may
-    /// be shared with other requests.
+    /// The parts of the prompt, separated by commas. All but the last may be shared with
+    /// other requests.
     pub prompt_prefix: HeaderName,
     /// How long a call may wait for new results, in milliseconds.
     pub wait_ms: HeaderName,
@@ -117,6 +117,10 @@
     /// Decodes the value of the [`Headers::load`] header; `None` if it is malformed.
     fn decode_load(&self, value: &str) -> Option<Load>;
 
+    /// Returns the ids of the parts of a prompt in order, as the value of the
+    /// [`Headers::prompt_prefix`] header lists them. Entries without an id are left out.
+    fn decode_parts<'a>(&self, value: &'a str) -> Vec<&'a str>;
+
     /// Returns the call that lists the runs of a backend server.
     fn list_runs(&self) -> Call;
 
--- a/programs/gateway/src/entry/attempt.rs
+++ b/programs/gateway/src/entry/attempt.rs
@@ -265,6 +265,7 @@
         };
         log::info!(
             request = forward.id.as_str(), backend = place.id.as_str(), send = self.sends,
+            parts = forward.logged_parts.as_str(),
             own = own, online = online, batch = batch, loads_age_ms = state.loads_age_ms(),
             running = reported.map_or(0, |load| load.running), waiting = reported.map_or(0, |load| load.waiting),
             outcome = outcome.as_str(),
--- a/programs/gateway/src/entry/forward.rs
+++ b/programs/gateway/src/entry/forward.rs
@@ -28,6 +28,9 @@
 /// 0.5 s still found none.
 const UNCONFIGURED_RETRY_MS: u64 = 1_400;
 
+/// Most bytes of the ids of parts in a log line.
+const LOGGED_PARTS_BYTES: usize = 256;
+
 /// A request to forward, which several attempts may send.
 pub(crate) struct Forward {
     pub(crate) id: String,
@@ -48,6 +51,9 @@
     pub(crate) affinity: u64,
     /// Identifies the content of the request, regardless of its id.
     pub(crate) fingerprint: suspect::Fingerprint,
+    /// The ids of the parts of the prompt, as logs name them: separated by commas, and
+    /// cut to [`LOGGED_PARTS_BYTES`].
+    pub(crate) logged_parts: String,
     /// The permission to run it although it is refused.
     pub(crate) permit: Option<Permit>,
 }
@@ -166,7 +172,9 @@
     let caller_deadline_ms = wait_ms.map(|wait| now_ms.saturating_add(wait));
     let route_deadline_ms = now_ms.saturating_add(route.timeout_ms);
     let deadline_ms = route_deadline_ms.min(caller_deadline_ms.unwrap_or(u64::MAX));
-    let affinity = affinity(header_text(&parts.headers, &names.prompt_prefix));
+    let prefix = header_text(&parts.headers, &names.prompt_prefix);
+    let affinity = affinity(prefix);
+    let logged_parts = logged_parts(&state.dialect.decode_parts(prefix));
     let body = read_body(state, routing, &id, body, deadline_ms).await?;
     let target = parts
         .uri
@@ -184,6 +192,7 @@
         deadline_ms,
         affinity,
         fingerprint,
+        logged_parts,
         permit: None,
     })
 }
@@ -254,6 +263,22 @@
     xxhash_rust::xxh3::xxh3_64(shared.as_bytes())
 }
 
+/// Joins the ids of parts as far as they fit into a log line.
+fn logged_parts(ids: &[&str]) -> String {
+    let mut text = String::new();
+    for id in ids {
+        if text.len() + id.len() >= LOGGED_PARTS_BYTES {
+            text.push_str(",...");
+            break;
+        }
+        if !text.is_empty() {
+            text.push(',');
+        }
+        text.push_str(id);
+    }
+    text
+}
+
 /// Returns the value of a header; empty if it is absent or not ASCII text.
 pub(crate) fn header_text<'a>(headers: &'a HeaderMap, name: &header::HeaderName) -> &'a str {
     let value = headers.get(name).and_then(|value| value.to_str().ok());
--- a/programs/gateway/src/entry/state.rs
+++ b/programs/gateway/src/entry/state.rs
@@ -209,9 +209,7 @@
 
     /// Adds a strike against a request that a backend server broke off.
     pub(crate) fn note_crash(&self, forward: &Forward, backend: (&str, u64)) {
-        let id = forward.id.as_str();
-        self.suspects
-            .note_crash(&self.link, id, forward.fingerprint, backend);
+        self.suspects.note_crash(&self.link, forward, backend);
         if let Some(permit) = &forward.permit {
             permit.settle();
         }
--- a/programs/gateway/src/entry/suspects.rs
+++ b/programs/gateway/src/entry/suspects.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     clock,
-    entry::{NO_LEADER_RETRY_MS, reason::Reason, state::State},
+    entry::{NO_LEADER_RETRY_MS, forward::Forward, reason::Reason, state::State},
     link, metrics,
 };
 
@@ -200,17 +200,18 @@
     pub(crate) fn note_crash(
         &self,
         link: &link::Link,
-        id: &str,
-        fingerprint: suspect::Fingerprint,
+        forward: &Forward,
         (backend, started_ms): (&str, u64),
     ) {
+        let fingerprint = forward.fingerprint;
         let incarnation = suspect::Incarnation::new(backend, started_ms);
         let now_ms = clock::monotonic_ms();
         let mut known = self.known.borrow_mut();
         let evidence = known.crashed(fingerprint, incarnation, now_ms);
         drop(known);
         log::warn!(
-            request = id, backend = backend, fingerprint = fingerprint.0, strikes = evidence.strikes();
+            request = forward.id.as_str(), parts = forward.logged_parts.as_str(), backend = backend,
+            started_ms = started_ms, fingerprint = fingerprint.0, strikes = evidence.strikes();
             "request is suspected of crashing backend servers"
         );
         metrics::SUSPECTS.with_label_values(&["strike"]).inc();
