Refuse the part of a prompt that explains the crashes

Cause: suspects were known by the hash of host, target and body. No two of the requests had the same content, so each had two strikes at most and was sent to a second backend server.

Change: a crash accuses the parts of the prompt, too, but for the last one. The culprits are a small set of suspects that explains the crashes; whole answers clear the others, and parts with earlier answers need more crashes, and one that comes later. Evidence is exchanged, recorded and tried as that of contents. A request that broke off is not sent again when a part has two strikes.

Why it works: the culprit is in each of its crashes and in no whole answer. What it shares its requests with is either answered without it, or has the same crashes, and then only requests with both are refused.

--- a/crates/relay/src/ledger/mod.rs
+++ b/crates/relay/src/ledger/mod.rs
@@ -524,7 +524,7 @@
             let (registered, rest) = postcard::take_from_bytes(rest).map_err(failed)?;
             restored.registered = registered;
             if !rest.is_empty() {
-                restored.trials = postcard::from_bytes(rest).map_err(failed)?;
+                restored.trials = trial::Trials::decode(rest).map_err(failed)?;
             }
         }
         *self = restored;
--- a/crates/relay/src/suspect/mod.rs
+++ b/crates/relay/src/suspect/mod.rs
@@ -1,37 +1,55 @@
-//! Detection of poison requests, which crash the backend servers that run them.
+//! Detection of what crashes backend servers: whole requests, and parts of prompts.
 //!
-//! A request whose backend server breaks the connection gets a strike for that crash.
-//! Strikes are counted by a fingerprint of the request's content, as callers retry it
-//! under other ids and through other entry VMs. A complete answer clears the request, so
-//! that one that merely ran on a backend server that crashed is soon rid of its strikes.
+//! A request whose backend server breaks the connection gets a strike for that crash, and
+//! so does each part of its prompt but the last, which belongs to the request alone.
+//! Requests are known by a fingerprint of their content, as callers retry them under
+//! other ids and through other entry VMs. A request is refused for a culprit that explains
+//! the crashes; see [`culprit`].
+//!
+//! A whole answer to a run that was sent after a crash clears the request and its parts of
+//! that crash, so that those that merely ran on a backend server that crashed are soon rid
+//! of their strikes. Whole answers of before show that a part was sound; they don't clear
+//! it, but it takes more crashes to refuse it.
 //!
 //! Processes exchange the crashes themselves and not their number. The crashes that
 //! several of them see at the same time, or while there is no leader, add up whichever
 //! way the messages take.
 //!
-//! A request with three strikes is refused. It may still run as a trial, which the
-//! control group grants; see [`trial`].
+//! What is refused may still run as a trial, which the control group grants; see [`trial`].
 
+mod answers;
+pub mod culprit;
+mod request;
 pub mod trial;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-/// Strikes from which a request is refused. Two are not enough, as single answers break
-/// off by chance.
-const REFUSE_AT: usize = 3;
+use answers::Answers;
+pub use culprit::Refusal;
+pub use request::Request;
+
 /// Time within which broken connections to one backend server are one crash, in
 /// milliseconds. A crash breaks all of them at once, and a restart takes longer.
 const SAME_CRASH_MS: u64 = 100;
 /// Time after a crash under another request in which the fleet is not calm, in
 /// milliseconds. Crashes of one burst are closer together.
 const CALM_MS: u64 = 2_000;
+/// Time from the first crash of a suspect to the send of a run from which a crash of that
+/// run is a later one, in milliseconds. A burst of crashes ends within that time, and
+/// answers to sound requests are complete.
+const LATER_MS: u64 = 1_000;
+/// Strikes of an unanswered part from which a request with it is not sent again after it
+/// broke off.
+const RESEND_BELOW: usize = 2;
 /// Most suspects in memory. Those with the fewest strikes are dropped first, and of
 /// these the oldest.
 const SUSPECTS_MAX: usize = 10_000;
 /// Most crashes that are kept of one suspect, and as many that it was cleared of.
 const CRASHES_MAX: usize = 16;
+/// Most backend servers whose last crash is kept.
+const INCARNATIONS_MAX: usize = 4_096;
 
-/// A hash of the content of a request.
+/// A hash of the content of a request, or of the id of a part of its prompt.
 #[derive(
     Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Serialize, serde::Deserialize,
 )]
@@ -43,6 +61,11 @@
     pub fn new(host: &str, target: &str, body: &[u8]) -> Fingerprint {
         Fingerprint(hash(&[host.as_bytes(), target.as_bytes(), body]))
     }
+
+    /// Hashes the id of a part of a prompt, whichever route the request has.
+    pub fn of_part(id: &str) -> Fingerprint {
+        Fingerprint(hash(&[id.as_bytes()]))
+    }
 }
 
 /// Hashes parts so that bytes that move from one to the next change the result.
@@ -57,7 +80,7 @@
 
 /// One run of the program of a backend server, from its start to its end.
 #[derive(
-    Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, serde::Serialize, serde::Deserialize,
+    Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Serialize, serde::Deserialize,
 )]
 pub struct Incarnation(u64);
 
@@ -81,16 +104,21 @@
     number: u32,
 }
 
-/// What is known against the requests with one content, as processes tell it to each
-/// other. It only grows, so that it may be merged in any order and more than once.
+/// What is known against one content or part, as processes tell it to each other. It only
+/// grows, so that it may be merged in any order and more than once.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, serde::Serialize, serde::Deserialize)]
 pub struct Evidence {
-    /// The fingerprint of the requests.
+    /// The fingerprint of the content or part.
     pub fingerprint: Fingerprint,
     /// Crashes that no complete answer has followed.
     crashes: BTreeSet<Crash>,
     /// Crashes that a complete answer has followed.
     cleared: BTreeSet<Crash>,
+    /// Those of `crashes` whose run was sent at least [`LATER_MS`] after the first of them
+    /// was known.
+    later: BTreeSet<Crash>,
+    /// Whether a request with this part has been answered in whole; false for contents.
+    answered: bool,
 }
 
 impl Evidence {
@@ -99,6 +127,8 @@
             fingerprint,
             crashes: BTreeSet::new(),
             cleared: BTreeSet::new(),
+            later: BTreeSet::new(),
+            answered: false,
         }
     }
 
@@ -107,6 +137,11 @@
         self.crashes.len()
     }
 
+    /// Returns whether a request with this part has been answered in whole.
+    pub fn is_answered(&self) -> bool {
+        self.answered
+    }
+
     fn is_empty(&self) -> bool {
         self.crashes.is_empty() && self.cleared.is_empty()
     }
@@ -124,26 +159,37 @@
         while self.crashes.len() > CRASHES_MAX {
             self.crashes.pop_last();
         }
+        self.later.extend(&other.later);
+        let crashes = &self.crashes;
+        self.later.retain(|crash| crashes.contains(crash));
+        self.answered |= other.answered;
         *self != before
     }
+}
 
-    /// Returns the number that a further crash of an incarnation gets.
-    fn next_number(&self, incarnation: Incarnation) -> u32 {
-        let known = self.crashes.iter().chain(&self.cleared);
-        let numbers = known.filter(|crash| crash.incarnation == incarnation);
-        numbers
-            .map(|crash| crash.number + 1)
-            .max()
-            .unwrap_or_default()
+/// Evidence in the snapshots of former versions.
+#[derive(serde::Deserialize)]
+struct FormerEvidence {
+    fingerprint: Fingerprint,
+    crashes: BTreeSet<Crash>,
+    cleared: BTreeSet<Crash>,
+}
+
+impl From<FormerEvidence> for Evidence {
+    fn from(former: FormerEvidence) -> Evidence {
+        Evidence {
+            crashes: former.crashes,
+            cleared: former.cleared,
+            ..Evidence::new(former.fingerprint)
+        }
     }
 }
 
 #[derive(Clone, Debug)]
 struct Record {
     evidence: Evidence,
-    /// When this process learned of the last crash of each incarnation, in monotonic
-    /// milliseconds.
-    learned_ms: BTreeMap<Incarnation, u64>,
+    /// When this process learned of each crash, in monotonic milliseconds.
+    learned_ms: BTreeMap<Crash, u64>,
     /// The place in the order of the suspects that are dropped first.
     rank: Rank,
 }
@@ -161,20 +207,62 @@
     /// The last crash that this process learned of, and the last one under another
     /// request than that, with the monotonic time.
     last_crashes: [Option<(Fingerprint, u64)>; 2],
+    /// The last crash of each backend server, by its number, with the monotonic time at
+    /// which this process learned of it.
+    incarnations: HashMap<Incarnation, (u32, u64)>,
+    /// The parts of requests that were answered in whole.
+    answers: Answers,
+    /// What requests are refused for; `None` if the evidence has changed.
+    culprits: Option<culprit::Culprits>,
 }
 
 impl Suspects {
-    /// Returns whether a request has too many strikes to run, unless it is a trial.
-    pub fn is_refused(&self, fingerprint: Fingerprint) -> bool {
-        self.strikes(fingerprint) >= REFUSE_AT
+    /// Returns whether requests with this content or part alone are refused.
+    pub fn is_refused(&mut self, fingerprint: Fingerprint) -> bool {
+        let request = Request::new(fingerprint, &[]);
+        self.refusal(&request).is_some()
+    }
+
+    /// Returns why a request must not run, unless as a trial.
+    pub fn refusal(&mut self, request: &Request) -> Option<Refusal> {
+        let (order, records) = (&self.order, &self.records);
+        let culprits = self.culprits.get_or_insert_with(|| {
+            let least = (culprit::REFUSE_AT, 0, Fingerprint(0));
+            let heavy = order.range(least..);
+            let records = heavy.filter_map(|(_, _, fingerprint)| records.get(fingerprint));
+            culprit::Culprits::new(records.map(|record| &record.evidence))
+        });
+        culprits.refusal(request)
+    }
+
+    /// Returns whether a request that broke off may be sent to another backend server. A
+    /// second crash under a part that no whole answer is known of makes it likely that
+    /// there would be a third.
+    pub fn may_resend(&self, request: &Request) -> bool {
+        let mut parts = request.parts().iter();
+        !parts.any(|part| {
+            let record = self.records.get(part);
+            record.is_some_and(|record| {
+                record.evidence.strikes() >= RESEND_BELOW && !record.evidence.answered
+            })
+        })
     }
 
-    /// Returns the number of strikes against a request.
+    /// Returns the number of strikes against a content or part.
     pub fn strikes(&self, fingerprint: Fingerprint) -> usize {
         let record = self.records.get(&fingerprint);
         record.map_or(0, |record| record.evidence.strikes())
     }
 
+    /// Returns whether there are strikes against a request, or against a part of it that
+    /// no whole answer is known of.
+    pub fn is_suspect(&self, request: &Request) -> bool {
+        let mut records = request
+            .subjects()
+            .filter_map(|subject| self.records.get(&subject));
+        records.any(|record| record.evidence.strikes() > 0 && !record.evidence.answered)
+    }
+
     /// Returns whether no backend server crashed recently under another request. A trial
     /// at such a time shows best whether it is the cause.
     pub fn is_calm(&self, fingerprint: Fingerprint, now_ms: u64) -> bool {
@@ -182,39 +270,87 @@
         !crashes.any(|(other, at_ms)| *other != fingerprint && now_ms < at_ms + CALM_MS)
     }
 
-    /// Adds a strike, as an incarnation of a backend server broke the connection of a
-    /// request. Returns what is known now, for the other processes.
+    /// Adds a strike for a content of which nothing else is known.
     pub fn crashed(
         &mut self,
         fingerprint: Fingerprint,
         incarnation: Incarnation,
         now_ms: u64,
     ) -> Evidence {
-        let mut evidence = self.evidence(fingerprint);
-        let record = self.records.get(&fingerprint);
-        let learned_ms = record.and_then(|record| record.learned_ms.get(&incarnation));
-        if learned_ms.is_some_and(|at_ms| now_ms < at_ms + SAME_CRASH_MS) {
-            return evidence;
-        }
-        let number = evidence.next_number(incarnation);
-        evidence.crashes.insert(Crash {
-            incarnation,
-            number,
+        let request = Request::new(fingerprint, &[]);
+        self.request_crashed(&request, incarnation, now_ms, now_ms);
+        self.evidence(fingerprint)
+    }
+
+    /// Adds a strike against a request and its parts, as an incarnation of a backend
+    /// server broke the connection of a run that was sent at `sent_ms`. Returns what is
+    /// known now where it changed, for the other processes.
+    pub fn request_crashed(
+        &mut self,
+        request: &Request,
+        incarnation: Incarnation,
+        sent_ms: u64,
+        now_ms: u64,
+    ) -> Vec<Evidence> {
+        let crash = self.crash(incarnation, now_ms);
+        let parts = request.parts().len();
+        let subjects = request.subjects().enumerate();
+        let changed = subjects.filter_map(|(index, subject)| {
+            let mut evidence = self.evidence(subject);
+            if !evidence.crashes.insert(crash) {
+                return None;
+            }
+            let record = self.records.get(&subject);
+            let first_ms = record.and_then(|record| record.learned_ms.values().min());
+            if first_ms.is_some_and(|first_ms| first_ms + LATER_MS <= sent_ms) {
+                evidence.later.insert(crash);
+            }
+            evidence.answered |= index < parts && self.answers.contains(subject, now_ms);
+            self.merge(&evidence, now_ms).then_some(evidence)
         });
-        self.merge(&evidence, now_ms);
-        evidence
+        changed.collect()
     }
 
-    /// Clears a request that got a complete answer. Returns what is known now, for the
-    /// other processes, if it had strikes.
+    /// Clears a content of all crashes, after a complete answer. Returns what is known
+    /// now, for the other processes, if it had strikes.
     pub fn finished(&mut self, fingerprint: Fingerprint, now_ms: u64) -> Option<Evidence> {
-        let mut evidence = self.evidence(fingerprint);
-        if evidence.crashes.is_empty() {
-            return None;
+        self.clear(fingerprint, now_ms, now_ms)
+    }
+
+    /// Clears a request of the crashes that were known when a run of it was sent, after a
+    /// complete answer, and its parts if the run has `succeeded`: another answer may be
+    /// written without reading the prompt. Returns what is known now where it changed, for
+    /// the other processes.
+    pub fn request_answered(
+        &mut self,
+        request: &Request,
+        succeeded: bool,
+        sent_ms: u64,
+        now_ms: u64,
+    ) -> Vec<Evidence> {
+        let mut changed = Vec::new();
+        if let Some(content) = request.content() {
+            changed.extend(self.clear(content, sent_ms, now_ms));
         }
-        evidence.cleared.append(&mut evidence.crashes);
-        self.merge(&evidence, now_ms);
-        Some(evidence)
+        if succeeded {
+            for part in request.parts() {
+                self.answers.insert(*part, now_ms);
+                changed.extend(self.clear(*part, sent_ms, now_ms));
+            }
+        }
+        changed
+    }
+
+    /// Clears a suspect of the crashes that were known at `sent_ms`.
+    fn clear(&mut self, subject: Fingerprint, sent_ms: u64, now_ms: u64) -> Option<Evidence> {
+        let record = self.records.get(&subject)?;
+        let mut evidence = record.evidence.clone();
+        let known = record.learned_ms.iter();
+        let known = known.filter(|(_, learned_ms)| **learned_ms <= sent_ms);
+        evidence.cleared.extend(known.map(|(crash, _)| crash));
+        evidence.answered |= self.answers.contains(subject, now_ms);
+        let is_new = self.merge(&evidence, now_ms);
+        is_new.then(|| self.evidence(subject))
     }
 
     /// Applies what another process knows. Returns whether anything was new.
@@ -230,33 +366,37 @@
             rank: (0, created, fingerprint),
         });
         self.created += 1;
-        let known = record.evidence.crashes.clone();
         if !record.evidence.merge(evidence) {
             return false;
         }
+        // A crash that was cleared already has its number, too.
+        for crash in evidence.crashes.iter().chain(&evidence.cleared) {
+            let last = self.incarnations.entry(crash.incarnation);
+            let last = last.or_insert((crash.number, now_ms));
+            if crash.number > last.0 {
+                *last = (crash.number, now_ms);
+            }
+        }
         let crashes = &record.evidence.crashes;
-        for crash in crashes.difference(&known) {
-            record.learned_ms.insert(crash.incarnation, now_ms);
+        for crash in crashes {
+            if record.learned_ms.contains_key(crash) {
+                continue;
+            }
+            record.learned_ms.insert(*crash, now_ms);
             let [last, other] = &mut self.last_crashes;
             if last.is_some_and(|(last, _)| last != fingerprint) {
                 *other = *last;
             }
             *last = Some((fingerprint, now_ms));
         }
-        record.learned_ms.retain(|incarnation, _| {
-            crashes
-                .iter()
-                .any(|crash| crash.incarnation == *incarnation)
-        });
+        record.learned_ms.retain(|crash, _| crashes.contains(crash));
         self.order.remove(&record.rank);
+        if crashes.len().max(record.rank.0) >= culprit::REFUSE_AT {
+            self.culprits = None;
+        }
         record.rank.0 = crashes.len();
         self.order.insert(record.rank);
-        while self.records.len() > SUSPECTS_MAX {
-            let Some((_, _, dropped)) = self.order.pop_first() else {
-                break;
-            };
-            self.records.remove(&dropped);
-        }
+        self.drop_excess();
         true
     }
 
@@ -266,7 +406,7 @@
         records.map(|record| record.evidence.clone()).collect()
     }
 
-    /// Returns what is known about one content.
+    /// Returns what is known about one content or part.
     pub fn evidence(&self, fingerprint: Fingerprint) -> Evidence {
         let record = self.records.get(&fingerprint);
         record.map_or_else(
@@ -274,4 +414,51 @@
             |record| record.evidence.clone(),
         )
     }
+
+    /// Notes that requests with a suspected part were answered here, if so. Returns
+    /// whether the other processes don't know that yet.
+    pub fn note_answered(&mut self, evidence: &Evidence, now_ms: u64) -> bool {
+        if evidence.answered || !self.answers.contains(evidence.fingerprint, now_ms) {
+            return false;
+        }
+        let mut known = self.evidence(evidence.fingerprint);
+        known.answered = true;
+        self.merge(&known, now_ms);
+        true
+    }
+
+    /// Returns the crash of an incarnation that this process sees now.
+    fn crash(&mut self, incarnation: Incarnation, now_ms: u64) -> Crash {
+        let last = self.incarnations.get(&incarnation).copied();
+        let number = match last {
+            Some((number, at_ms)) if now_ms < at_ms + SAME_CRASH_MS => number,
+            Some((number, _)) => number + 1,
+            None => 0,
+        };
+        if last.is_none_or(|(last, _)| last < number) {
+            self.incarnations.insert(incarnation, (number, now_ms));
+        }
+        Crash {
+            incarnation,
+            number,
+        }
+    }
+
+    fn drop_excess(&mut self) {
+        while self.records.len() > SUSPECTS_MAX {
+            let Some((_, _, dropped)) = self.order.pop_first() else {
+                break;
+            };
+            self.records.remove(&dropped);
+        }
+        if self.incarnations.len() > INCARNATIONS_MAX {
+            let oldest = self
+                .incarnations
+                .iter()
+                .min_by_key(|(_, (_, at_ms))| *at_ms);
+            if let Some(incarnation) = oldest.map(|(incarnation, _)| *incarnation) {
+                self.incarnations.remove(&incarnation);
+            }
+        }
+    }
 }
--- a/crates/relay/src/suspect/trial.rs
+++ b/crates/relay/src/suspect/trial.rs
@@ -11,17 +11,20 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Evidence, Fingerprint, SUSPECTS_MAX};
+use super::{Evidence, Fingerprint, FormerEvidence, SUSPECTS_MAX};
 
 /// Most trials of one content that may crash a backend server.
 pub const TRIALS_MAX: u32 = 2;
 /// Strikes from which a suspect is recorded. Harmless requests rarely have two, and a
 /// loss of power of all VMs must not lead to more than one crash that is not counted.
-pub const RECORD_AT: usize = 2;
+const RECORD_AT: usize = 2;
+/// Strikes from which a part that has been answered is recorded. The first part of all
+/// prompts of a route is in each crash, and is cleared by the next answers.
+const RECORD_ANSWERED_AT: usize = 4;
 /// Time after the last strike in which no trial begins, in milliseconds. It doubles with
 /// each trial. Bursts of crashes end within seconds, and a backend server has restarted
 /// before the next trial.
-const PAUSE_MS: u64 = 10_000;
+pub const PAUSE_MS: u64 = 10_000;
 /// Most doublings of the pause, which is an hour and a half at most.
 const DOUBLINGS_MAX: u32 = 9;
 /// Time for which a trial that has not ended keeps others from beginning, in
@@ -74,6 +77,14 @@
     },
 }
 
+/// Returns the number of strikes from which a suspect is recorded.
+pub fn record_at(evidence: &Evidence) -> usize {
+    match evidence.is_answered() {
+        true => RECORD_ANSWERED_AT,
+        false => RECORD_AT,
+    }
+}
+
 /// What became of a trial that neither crashed a backend server nor was answered.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -124,6 +135,23 @@
 }
 
 impl Trials {
+    /// Decodes the part of a snapshot that holds the suspects. Snapshots of before parts of
+    /// prompts were judged hold less evidence.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes are neither form.
+    pub(crate) fn decode(bytes: &[u8]) -> Result<Trials, postcard::Error> {
+        postcard::from_bytes(bytes).or_else(|error| {
+            let former: Former = postcard::from_bytes(bytes).map_err(|_| error)?;
+            let suspects = former.suspects.into_iter();
+            let suspects = suspects.map(|(fingerprint, former)| (fingerprint, former.into()));
+            Ok(Trials {
+                suspects: suspects.collect(),
+            })
+        })
+    }
+
     /// Returns the evidence against all recorded suspects.
     pub fn evidence(&self) -> impl Iterator<Item = &Evidence> {
         self.suspects.values().map(|suspect| &suspect.evidence)
@@ -255,3 +283,32 @@
 fn pause_ms(doublings: u32) -> u64 {
     PAUSE_MS << doublings.min(DOUBLINGS_MAX)
 }
+
+/// The suspects in the snapshots of former versions.
+#[derive(Deserialize)]
+struct Former {
+    suspects: BTreeMap<Fingerprint, FormerSuspect>,
+}
+
+#[derive(Deserialize)]
+struct FormerSuspect {
+    evidence: FormerEvidence,
+    trials: u32,
+    inconclusive: u32,
+    open: Vec<u64>,
+    not_before_ms: u64,
+    changed_ms: u64,
+}
+
+impl From<FormerSuspect> for Suspect {
+    fn from(former: FormerSuspect) -> Suspect {
+        Suspect {
+            evidence: former.evidence.into(),
+            trials: former.trials,
+            inconclusive: former.inconclusive,
+            open: former.open,
+            not_before_ms: former.not_before_ms,
+            changed_ms: former.changed_ms,
+        }
+    }
+}
--- a/programs/gateway/src/control/hub/suspects.rs
+++ b/programs/gateway/src/control/hub/suspects.rs
@@ -38,7 +38,7 @@
         let mut recorded = self.recorded_suspects.borrow_mut();
         let record = match evidence.strikes() {
             0 => recorded.remove(&fingerprint),
-            strikes if strikes >= trial::RECORD_AT => {
+            strikes if strikes >= trial::record_at(&evidence) => {
                 recorded.insert(fingerprint);
                 true
             }
--- a/programs/gateway/src/entry/attempt.rs
+++ b/programs/gateway/src/entry/attempt.rs
@@ -43,10 +43,31 @@
     state: Rc<State>,
     pub(crate) id: Name,
     /// When the backend server announced to have started, in Unix milliseconds.
-    pub(crate) backend_started_ms: u64,
+    backend_started_ms: u64,
     started_ms: u64,
 }
 
+/// A run of a request at a backend server.
+#[derive(Clone, Copy)]
+pub(crate) struct Run<'a> {
+    pub(crate) backend: &'a str,
+    /// When the backend server announced to have started, in Unix milliseconds.
+    pub(crate) backend_started_ms: u64,
+    /// When the run was sent, in monotonic milliseconds.
+    pub(crate) sent_ms: u64,
+}
+
+impl Slot {
+    /// Returns the run that occupies the slot.
+    pub(crate) fn run(&self) -> Run<'_> {
+        Run {
+            backend: &self.id,
+            backend_started_ms: self.backend_started_ms,
+            sent_ms: self.started_ms,
+        }
+    }
+}
+
 impl Drop for Slot {
     fn drop(&mut self) {
         let took_ms = clock::monotonic_ms().saturating_sub(self.started_ms);
@@ -116,8 +137,13 @@
             if clock::monotonic_ms() >= forward.deadline_ms {
                 return Err(self.give_up(Reason::Timeout));
             }
-            if forward.permit.is_none() && state.suspects.is_refused(forward.fingerprint) {
-                return Err(self.give_up(Reason::PoisonousRequest));
+            // Other processes may have seen crashes since the last send.
+            if let Some(reason) = state.suspects.refusal_of_send(forward) {
+                return Err(self.give_up(reason));
+            }
+            if self.maybe_ran > 0 && !state.suspects.may_resend(&forward.subjects) {
+                log::info!(request = forward.id.as_str(), parts = forward.logged_parts.as_str(); "not sent again, as a part is suspected");
+                return Err(self.give_up(Reason::PoisonousPart));
             }
             if self.sends >= SENDS_MAX {
                 return Err(self.give_up(reason));
@@ -209,25 +235,25 @@
         };
         let repeatable = forward.route.kind.repeatable();
         let timeout = self.head_timeout(forward, repeatable);
-        let sent_ms = clock::monotonic_ms();
+        let run = slot.run();
         let known_load = state.balance.borrow().view(&place.id);
         if let Some(permit) = &forward.permit {
             permit.sent();
         }
         // A suspect is not sent again by the pool, as each send may crash the backend
         // server.
-        let resend = repeatable && !state.suspects.is_suspect(forward.fingerprint);
+        let resend = repeatable && !state.suspects.is_suspect(&forward.subjects);
         let sent = state.pool.send(address, request, resend, timeout).await;
         let names = state.dialect.headers();
         let checked = sent.and_then(|exchange| {
             upstream::check_head(names, &forward.id, &exchange.response)?;
             Ok(exchange)
         });
-        self.log_send(state, forward, place, known_load, sent_ms, &checked);
+        self.log_send(state, forward, place, known_load, run.sent_ms, &checked);
         let exchange = match checked {
             Ok(exchange) => exchange,
             Err(failure) => {
-                self.note_failure(state, forward, place, failure);
+                self.note_failure(state, forward, run, failure);
                 return Err(failure.into());
             }
         };
@@ -279,22 +305,22 @@
         &mut self,
         state: &State,
         forward: &Forward,
-        place: &balance::Place,
+        run: Run<'_>,
         failure: upstream::Failure,
     ) {
-        self.tried.push(place.id.clone());
+        self.tried.push(run.backend.into());
         let may_have_run = failure.verdict() == verdict::Verdict::MayHaveRun;
         self.maybe_ran += u32::from(may_have_run);
         if let Some(permit) = forward.permit.as_ref().filter(|_| !may_have_run) {
             permit.not_run();
         }
         if failure == upstream::Failure::Broken {
-            state.note_crash(forward, (&place.id, place.started_ms));
+            state.note_crash(forward, run);
         }
         let now_ms = clock::monotonic_ms();
         let mut balance = state.balance.borrow_mut();
         match failure {
-            upstream::Failure::Full => balance.refused(&place.id, now_ms),
+            upstream::Failure::Full => balance.refused(run.backend, now_ms),
             // A request that ran out of its own time does not make the backend server
             // unhealthy.
             upstream::Failure::Connect | upstream::Failure::Timeout
@@ -302,13 +328,13 @@
             upstream::Failure::Connect
             | upstream::Failure::Timeout
             | upstream::Failure::OtherBackend => {
-                balance.failed(&place.id, balance::Failure::Unreachable, now_ms);
+                balance.failed(run.backend, balance::Failure::Unreachable, now_ms);
             }
             upstream::Failure::Broken
             | upstream::Failure::CrossedAnswer
             | upstream::Failure::ForeignAnswer
             | upstream::Failure::Endless => {
-                balance.failed(&place.id, balance::Failure::Broken, now_ms);
+                balance.failed(run.backend, balance::Failure::Broken, now_ms);
             }
         }
     }
@@ -417,40 +443,31 @@
         {
             return pass_through(state, accepted, active, forward);
         }
-        let id = accepted.slot.id.clone();
-        let backend_started_ms = accepted.slot.backend_started_ms;
+        let slot = accepted.slot;
         let (parts, body) = accepted.response.into_parts();
         let reading = read_whole(body, state.pool.budget().reserve());
         match tokio::time::timeout(super::remaining(forward.deadline_ms), reading).await {
             Ok(Ok(body)) => {
                 accepted.lease.release();
-                if is_conclusive(parts.status) {
-                    state.note_completed(&forward);
-                }
+                state.note_answered(&forward, parts.status, slot.run());
                 let mut response = Response::from_parts(parts, response::full(body));
                 forward::remove_hop_headers(response.headers_mut());
                 return response;
             }
             Ok(Err(reason)) => {
-                log::warn!(request = forward.id.as_str(), backend = &*id, reason = reason.name(); "response broke off");
+                log::warn!(request = forward.id.as_str(), backend = &*slot.id, reason = reason.name(); "response broke off");
                 metrics::RETRIES.with_label_values(&[reason.name()]).inc();
                 // An endless response does not make its request a suspect.
                 if reason == Reason::Broken {
-                    state.note_crash(&forward, (&id, backend_started_ms));
+                    state.note_crash(&forward, slot.run());
                 }
-                attempts.note_broken(state, &id);
+                attempts.note_broken(state, &slot.id);
             }
             Err(_) => return failure_response(&forward, Failed::MayHaveRun(Reason::Timeout)),
         }
     }
 }
 
-/// Returns whether a whole response with this status shows that its request does not
-/// crash backend servers. A server error may be sent before the request has run.
-pub(crate) fn is_conclusive(status: StatusCode) -> bool {
-    !status.is_server_error()
-}
-
 /// Reads a whole body into memory, within the size limit and the memory budget.
 async fn read_whole(
     mut body: body::Incoming,
@@ -498,9 +515,11 @@
             Some(Ok(frame)) => Some((Ok(frame), Some(passthrough))),
             Some(Err(error)) => Some((Err(error), None)),
             None => {
-                if is_conclusive(passthrough.status) {
-                    passthrough.state.note_completed(&passthrough.forward);
-                }
+                passthrough.state.note_answered(
+                    &passthrough.forward,
+                    passthrough.status,
+                    passthrough.slot.run(),
+                );
                 passthrough.lease.release();
                 None
             }
@@ -532,8 +551,7 @@
         let frame = match next {
             Ok(frame) => frame?.map_err(|error| {
                 self.note_broken(Reason::Broken);
-                let backend = (&*self.slot.id, self.slot.backend_started_ms);
-                self.state.note_crash(&self.forward, backend);
+                self.state.note_crash(&self.forward, self.slot.run());
                 io::Error::other(error)
             }),
             Err(late) => Err(io::Error::other(late)),
--- a/programs/gateway/src/entry/forward.rs
+++ b/programs/gateway/src/entry/forward.rs
@@ -49,8 +49,8 @@
     /// Hash of the shared parts of the prompt, by which requests that share them are
     /// placed together.
     pub(crate) affinity: u64,
-    /// Identifies the content of the request, regardless of its id.
-    pub(crate) fingerprint: suspect::Fingerprint,
+    /// The content of the request, regardless of its id, and the parts of its prompt.
+    pub(crate) subjects: suspect::Request,
     /// The ids of the parts of the prompt, as logs name them: separated by commas, and
     /// cut to [`LOGGED_PARTS_BYTES`].
     pub(crate) logged_parts: String,
@@ -58,6 +58,17 @@
     pub(crate) permit: Option<Permit>,
 }
 
+impl Forward {
+    /// Returns the id of the part of the prompt with this fingerprint; empty if the
+    /// fingerprint is that of the content.
+    pub(crate) fn part_id(&self, state: &State, fingerprint: suspect::Fingerprint) -> String {
+        let prefix = header_values(&self.headers, &state.dialect.headers().prompt_prefix);
+        let ids = state.dialect.decode_parts(&prefix).into_iter();
+        let mut ids = ids.filter(|id| suspect::Fingerprint::of_part(id) == fingerprint);
+        ids.next().unwrap_or_default().to_owned()
+    }
+}
+
 /// Handles one request of a caller.
 pub(crate) async fn handle(
     state: &Rc<State>,
@@ -85,22 +96,30 @@
         Ok(forward) => forward,
         Err(response) => return *response,
     };
-    match suspects::admit(state, forward.fingerprint).await {
+    match suspects::admit(state, &forward.subjects).await {
         Admission::Admitted => {}
         Admission::Trial(permit) => {
+            let fingerprint = permit.fingerprint;
             log::info!(
-                request = forward.id.as_str(), fingerprint = forward.fingerprint.0;
+                request = forward.id.as_str(), fingerprint = fingerprint.0,
+                part = forward.part_id(state, fingerprint).as_str();
                 "suspected request is admitted as a trial"
             );
             metrics::SUSPECTS.with_label_values(&["trial"]).inc();
             forward.permit = Some(permit);
         }
         Admission::Refused {
+            fingerprint,
             reason,
             retry_after_ms,
         } => {
-            // The fingerprint leads to the strikes that other ids of this content got.
-            log::info!(request = forward.id.as_str(), fingerprint = forward.fingerprint.0; "suspected request is not admitted");
+            // The part or the fingerprint leads to the strikes that other requests got.
+            log::info!(
+                request = forward.id.as_str(), fingerprint = fingerprint.0,
+                part = forward.part_id(state, fingerprint).as_str(),
+                strikes = state.suspects.strikes(fingerprint);
+                "suspected request is not admitted"
+            );
             note_refusal(&forward.id, reason, retry_after_ms);
             let text = "backend servers crashed under this request";
             return response::not_run(text, retry_after_ms);
@@ -172,15 +191,15 @@
     let caller_deadline_ms = wait_ms.map(|wait| now_ms.saturating_add(wait));
     let route_deadline_ms = now_ms.saturating_add(route.timeout_ms);
     let deadline_ms = route_deadline_ms.min(caller_deadline_ms.unwrap_or(u64::MAX));
-    let prefix = header_text(&parts.headers, &names.prompt_prefix);
-    let affinity = affinity(prefix);
-    let logged_parts = logged_parts(&state.dialect.decode_parts(prefix));
+    let prefix = header_values(&parts.headers, &names.prompt_prefix);
+    let affinity = affinity(&prefix);
     let body = read_body(state, routing, &id, body, deadline_ms).await?;
     let target = parts
         .uri
         .path_and_query()
         .map_or("", |target| target.as_str());
-    let fingerprint = suspect::Fingerprint::new(&route.host, target, &body);
+    let content = suspect::Fingerprint::new(&route.host, target, &body);
+    let part_ids = state.dialect.decode_parts(&prefix);
     Ok(Forward {
         id,
         method: parts.method,
@@ -191,8 +210,8 @@
         caller_deadline_ms,
         deadline_ms,
         affinity,
-        fingerprint,
-        logged_parts,
+        subjects: suspect::Request::new(content, &part_ids),
+        logged_parts: logged_parts(&part_ids),
         permit: None,
     })
 }
@@ -285,6 +304,13 @@
     value.unwrap_or("")
 }
 
+/// Returns the values of a header that may be repeated, joined by commas.
+fn header_values(headers: &HeaderMap, name: &header::HeaderName) -> String {
+    let values = headers.get_all(name).iter();
+    let values: Vec<&str> = values.filter_map(|value| value.to_str().ok()).collect();
+    values.join(",")
+}
+
 /// Logs and counts a refusal of a request that has not run.
 pub(crate) fn note_refusal(id: &str, reason: Reason, retry_after_ms: u64) {
     let reason = reason.name();
--- a/programs/gateway/src/entry/reason.rs
+++ b/programs/gateway/src/entry/reason.rs
@@ -24,6 +24,8 @@
     RouteFull,
     /// The request is suspected of crashing backend servers.
     PoisonousRequest,
+    /// A part of its prompt is suspected of crashing backend servers.
+    PoisonousPart,
     /// The address of the backend server or the request to it is not valid.
     BadRequest,
     /// The deadline of the request or the timeout of an attempt has passed.
--- a/programs/gateway/src/entry/state.rs
+++ b/programs/gateway/src/entry/state.rs
@@ -7,12 +7,13 @@
 };
 
 use bw_relay::{balance, ledger, load, message, registry, route};
+use hyper::StatusCode;
 use rand::{RngCore, SeedableRng};
 use tokio::sync::{Notify, watch};
 
 use crate::{
     clock, dialect,
-    entry::{self, confirm, forward::Forward, suspects::Suspects},
+    entry::{self, attempt::Run, confirm, forward::Forward, suspects::Suspects},
     link, metrics, settings,
 };
 
@@ -208,17 +209,21 @@
     }
 
     /// Adds a strike against a request that a backend server broke off.
-    pub(crate) fn note_crash(&self, forward: &Forward, backend: (&str, u64)) {
-        self.suspects.note_crash(&self.link, forward, backend);
+    pub(crate) fn note_crash(&self, forward: &Forward, run: Run<'_>) {
+        self.suspects.note_crash(self, forward, run);
         if let Some(permit) = &forward.permit {
             permit.settle();
         }
     }
 
-    /// Clears the suspicion against a request that completed.
-    pub(crate) fn note_completed(&self, forward: &Forward) {
-        self.suspects
-            .note_completed(&self.link, forward.fingerprint);
+    /// Clears the suspicion against a request that was answered in whole. A server error
+    /// may be sent before the request has run and shows nothing.
+    pub(crate) fn note_answered(&self, forward: &Forward, status: StatusCode, run: Run<'_>) {
+        if status.is_server_error() {
+            return;
+        }
+        let succeeded = status.is_success();
+        self.suspects.note_answered(self, forward, succeeded, run);
         if let Some(permit) = &forward.permit {
             permit.settle();
         }
--- a/programs/gateway/src/entry/stream.rs
+++ b/programs/gateway/src/entry/stream.rs
@@ -200,10 +200,11 @@
         }
         // A run that had nothing left to send shows nothing about the request.
         let has_run = self.last_event != self.attempts.last_event || !self.is_event_stream;
-        if has_run && attempt::is_conclusive(self.status) {
-            self.state.note_completed(&self.forward);
-        }
         if let Some(run) = self.run.take() {
+            if has_run {
+                self.state
+                    .note_answered(&self.forward, self.status, run.slot.run());
+            }
             run.lease.release();
             drop(run.slot);
         }
@@ -217,15 +218,11 @@
     /// Resumes the stream at another backend server, or fails if that is not allowed
     /// or none accepts it.
     async fn resume(&mut self, reason: Reason) -> io::Result<()> {
-        let run = self.run.take();
-        let slot = run.as_ref().map(|run| &run.slot);
-        let id = slot.map(|slot| slot.id.clone());
-        let backend_started_ms = slot.map_or(0, |slot| slot.backend_started_ms);
-        drop(run);
-        if let Some(id) = &id {
-            self.attempts.note_broken(&self.state, id);
+        let slot = self.run.take().map(|run| run.slot);
+        if let Some(slot) = &slot {
+            self.attempts.note_broken(&self.state, &slot.id);
         }
-        let backend = id.as_deref().unwrap_or("");
+        let backend = slot.as_ref().map_or("", |slot| &*slot.id);
         log::warn!(
             request = self.forward.id.as_str(), backend = backend, reason = reason.name(),
             last = self.last_event.unwrap_or(0), left_ms = self.forward.deadline_ms.saturating_sub(clock::monotonic_ms());
@@ -233,9 +230,8 @@
         );
         metrics::RETRIES.with_label_values(&[reason.name()]).inc();
         // A request may crash its backend server after any number of events.
-        if reason == Reason::Broken {
-            self.state
-                .note_crash(&self.forward, (backend, backend_started_ms));
+        if let Some(slot) = slot.filter(|_| reason == Reason::Broken) {
+            self.state.note_crash(&self.forward, slot.run());
         }
         let repeatable = self.forward.route.kind.repeatable() && self.is_event_stream;
         if !repeatable {
--- a/programs/gateway/src/entry/suspects.rs
+++ b/programs/gateway/src/entry/suspects.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     clock,
-    entry::{NO_LEADER_RETRY_MS, forward::Forward, reason::Reason, state::State},
+    entry::{NO_LEADER_RETRY_MS, attempt::Run, forward::Forward, reason::Reason, state::State},
     link, metrics,
 };
 
@@ -30,6 +30,8 @@
     Trial(Permit),
     /// It must not run now.
     Refused {
+        /// The content or the part that it is refused for.
+        fingerprint: suspect::Fingerprint,
         reason: Reason,
         /// Time until it may be tried again, in milliseconds.
         retry_after_ms: u64,
@@ -38,23 +40,26 @@
 
 /// Decides whether a request may run. Asks the leader for a trial if it is refused and
 /// one may be due.
-pub(crate) async fn admit(state: &Rc<State>, fingerprint: suspect::Fingerprint) -> Admission {
+pub(crate) async fn admit(state: &Rc<State>, request: &suspect::Request) -> Admission {
     let suspects = &state.suspects;
-    if !suspects.is_refused(fingerprint) {
+    let Some(refusal) = suspects.refusal(request) else {
         return Admission::Admitted;
-    }
+    };
+    let fingerprint = refusal.fingerprint;
     let now_ms = clock::monotonic_ms();
     let refused = |reason, retry_after_ms| Admission::Refused {
+        fingerprint,
         reason,
         retry_after_ms,
     };
-    if let Some(wait_ms) = suspects.wait_ms(fingerprint, now_ms) {
-        return refused(Reason::PoisonousRequest, wait_ms);
+    let wait_ms = suspects.wait_ms(fingerprint, now_ms);
+    if let Some(wait_ms) = wait_ms.or(refusal.has_others.then_some(trial::PAUSE_MS)) {
+        return refused(reason_of(refusal), wait_ms);
     }
     if state.link.leader().is_none() {
         return refused(Reason::NoLeader, NO_LEADER_RETRY_MS);
     }
-    // Other requests with this content wait for the reply.
+    // Other requests with this content or part wait for the reply.
     suspects.set_wait(fingerprint, ASK_TIMEOUT.as_millis() as u64);
     let permit = Permit::new(state, fingerprint);
     let request = message::Request::Trial {
@@ -65,11 +70,11 @@
         message::Reply::Trial(trial::Verdict::Granted) => return Admission::Trial(permit),
         message::Reply::Trial(trial::Verdict::Wait { retry_after_ms }) => {
             permit.settle();
-            (Reason::PoisonousRequest, retry_after_ms)
+            (reason_of(refusal), retry_after_ms)
         }
         message::Reply::Trial(trial::Verdict::Exhausted) => {
             permit.settle();
-            (Reason::PoisonousRequest, EXHAUSTED_RETRY_MS)
+            (reason_of(refusal), EXHAUSTED_RETRY_MS)
         }
         // The trial may have been granted: the permit, which ends unused, returns it.
         reply => {
@@ -81,6 +86,13 @@
     refused(reason, wait_ms)
 }
 
+fn reason_of(refusal: suspect::Refusal) -> Reason {
+    match refusal.part {
+        Some(_) => Reason::PoisonousPart,
+        None => Reason::PoisonousRequest,
+    }
+}
+
 /// How far the request of a trial has come.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Stage {
@@ -95,7 +107,8 @@
 /// is dropped, unless the evidence against the request says so.
 pub(crate) struct Permit {
     state: Rc<State>,
-    fingerprint: suspect::Fingerprint,
+    /// The content or the part that is tried.
+    pub(crate) fingerprint: suspect::Fingerprint,
     ticket: u64,
     stage: Cell<Stage>,
 }
@@ -170,14 +183,33 @@
 }
 
 impl Suspects {
-    /// Returns whether a request has too many strikes to run, unless it is a trial.
-    pub(crate) fn is_refused(&self, fingerprint: suspect::Fingerprint) -> bool {
-        self.known.borrow().is_refused(fingerprint)
+    /// Returns why a request must not run, unless as a trial.
+    fn refusal(&self, request: &suspect::Request) -> Option<suspect::Refusal> {
+        self.known.borrow_mut().refusal(request)
+    }
+
+    /// Returns why a request that was admitted must not be sent now.
+    pub(crate) fn refusal_of_send(&self, forward: &Forward) -> Option<Reason> {
+        let refusal = self.refusal(&forward.subjects)?;
+        let permit = forward.permit.as_ref();
+        let permitted = permit.is_some_and(|permit| permit.fingerprint == refusal.fingerprint);
+        let refused = !permitted || refusal.has_others;
+        refused.then(|| reason_of(refusal))
+    }
+
+    /// Returns whether a request that broke off may be sent to another backend server.
+    pub(crate) fn may_resend(&self, request: &suspect::Request) -> bool {
+        self.known.borrow().may_resend(request)
     }
 
     /// Returns whether there are strikes against a request.
-    pub(crate) fn is_suspect(&self, fingerprint: suspect::Fingerprint) -> bool {
-        self.known.borrow().strikes(fingerprint) > 0
+    pub(crate) fn is_suspect(&self, request: &suspect::Request) -> bool {
+        self.known.borrow().is_suspect(request)
+    }
+
+    /// Returns the number of strikes against a content or part.
+    pub(crate) fn strikes(&self, fingerprint: suspect::Fingerprint) -> usize {
+        self.known.borrow().strikes(fingerprint)
     }
 
     /// Returns how long a refused request is not tried; `None` if the leader is to be
@@ -195,44 +227,56 @@
         waits.insert(fingerprint, now_ms + wait_ms);
     }
 
-    /// Adds a strike against a request whose connection the backend server broke, as
-    /// one does that crashes.
-    pub(crate) fn note_crash(
-        &self,
-        link: &link::Link,
-        forward: &Forward,
-        (backend, started_ms): (&str, u64),
-    ) {
-        let fingerprint = forward.fingerprint;
-        let incarnation = suspect::Incarnation::new(backend, started_ms);
+    /// Adds a strike against a request and its parts, as the backend server broke its
+    /// connection, as one does that crashes.
+    pub(crate) fn note_crash(&self, state: &State, forward: &Forward, run: Run<'_>) {
+        let incarnation = suspect::Incarnation::new(run.backend, run.backend_started_ms);
         let now_ms = clock::monotonic_ms();
-        let mut known = self.known.borrow_mut();
-        let evidence = known.crashed(fingerprint, incarnation, now_ms);
-        drop(known);
+        let changed = self.known.borrow_mut().request_crashed(
+            &forward.subjects,
+            incarnation,
+            run.sent_ms,
+            now_ms,
+        );
+        let content = forward.subjects.content();
+        let strikes = |subject| self.strikes(subject);
+        let part_strikes = forward.subjects.parts().iter().map(|part| strikes(*part));
         log::warn!(
-            request = forward.id.as_str(), parts = forward.logged_parts.as_str(), backend = backend,
-            started_ms = started_ms, fingerprint = fingerprint.0, strikes = evidence.strikes();
+            request = forward.id.as_str(), parts = forward.logged_parts.as_str(), backend = run.backend,
+            started_ms = run.backend_started_ms, fingerprint = content.map_or(0, |content| content.0),
+            strikes = content.map_or(0, strikes), part_strikes = part_strikes.max().unwrap_or(0);
             "request is suspected of crashing backend servers"
         );
         metrics::SUSPECTS.with_label_values(&["strike"]).inc();
-        self.report(link, fingerprint);
+        self.report(&state.link, changed);
     }
 
-    /// Clears the suspicion against a request that completed.
-    pub(crate) fn note_completed(&self, link: &link::Link, fingerprint: suspect::Fingerprint) {
+    /// Clears a request that was answered in whole, and its parts if it `succeeded`.
+    pub(crate) fn note_answered(
+        &self,
+        state: &State,
+        forward: &Forward,
+        succeeded: bool,
+        run: Run<'_>,
+    ) {
         let now_ms = clock::monotonic_ms();
-        if self
-            .known
-            .borrow_mut()
-            .finished(fingerprint, now_ms)
-            .is_none()
-        {
-            return;
+        let changed = self.known.borrow_mut().request_answered(
+            &forward.subjects,
+            succeeded,
+            run.sent_ms,
+            now_ms,
+        );
+        for evidence in &changed {
+            let fingerprint = evidence.fingerprint;
+            log::info!(
+                request = forward.id.as_str(), backend = run.backend, fingerprint = fingerprint.0,
+                part = forward.part_id(state, fingerprint).as_str(), strikes = evidence.strikes();
+                "suspected request completed, suspicion cleared"
+            );
+            metrics::SUSPECTS.with_label_values(&["cleared"]).inc();
+            self.waits.borrow_mut().remove(&fingerprint);
         }
-        log::info!(fingerprint = fingerprint.0; "suspected request completed, suspicion cleared");
-        metrics::SUSPECTS.with_label_values(&["cleared"]).inc();
-        self.waits.borrow_mut().remove(&fingerprint);
-        self.report(link, fingerprint);
+        self.report(&state.link, changed);
     }
 
     /// Merges what the leader knows. `is_first` tells whether this is all that a new
@@ -247,9 +291,12 @@
         let mut known = self.known.borrow_mut();
         for evidence in suspects {
             known.merge(evidence, now_ms);
-            if !known.is_refused(evidence.fingerprint) {
+            if known.strikes(evidence.fingerprint) == 0 {
                 self.waits.borrow_mut().remove(&evidence.fingerprint);
             }
+            if known.note_answered(evidence, now_ms) {
+                self.unreported.borrow_mut().insert(evidence.fingerprint);
+            }
         }
         if is_first {
             let told: BTreeSet<_> = suspects.iter().collect();
@@ -277,8 +324,12 @@
         ended.drain(..told);
     }
 
-    fn report(&self, link: &link::Link, fingerprint: suspect::Fingerprint) {
-        self.unreported.borrow_mut().insert(fingerprint);
+    fn report(&self, link: &link::Link, changed: Vec<suspect::Evidence>) {
+        if changed.is_empty() {
+            return;
+        }
+        let changed = changed.iter().map(|evidence| evidence.fingerprint);
+        self.unreported.borrow_mut().extend(changed);
         self.flush(link);
     }
 }
