Test that replicas go on after their disks were full in turn

Change: a full in-memory disk takes what fits, as a real one does, so that a record is left in part. Three replicas, whose disks are full for 4 s in turn, twice each, while commands go on. The report can't happen in the log.

--- a/crates/coord/src/storage/memory.rs
+++ b/crates/coord/src/storage/memory.rs
@@ -170,15 +170,20 @@
 impl Disk for Memory {
     fn append(&mut self, name: &str, data: &[u8]) -> Result<(), Error> {
         let mut content = self.lock();
-        let used = content.used() + data.len() as u64;
-        if content.capacity.is_some_and(|capacity| used > capacity) {
-            return Err(Error::Full {
+        let room = content.capacity.map(|capacity| {
+            let room = capacity.saturating_sub(content.used());
+            usize::try_from(room).unwrap_or(usize::MAX)
+        });
+        // A full disk takes what fits.
+        let taken = &data[..data.len().min(room.unwrap_or(data.len()))];
+        let file = content.files.entry(name.to_owned()).or_default();
+        file.data.extend_from_slice(taken);
+        match taken.len() == data.len() {
+            true => Ok(()),
+            false => Err(Error::Full {
                 file: name.to_owned(),
-            });
+            }),
         }
-        let file = content.files.entry(name.to_owned()).or_default();
-        file.data.extend_from_slice(data);
-        Ok(())
     }
 
     fn sync(&mut self, name: &str) -> Result<(), Error> {
--- a/crates/coord/tests/failures.rs
+++ b/crates/coord/tests/failures.rs
@@ -365,6 +365,53 @@
     cluster.settle();
 }
 
+/// Guards against a replica that stays behind, or is taken for corrupt, after its disk was
+/// full in the middle of a write.
+#[rstest]
+fn replicas_go_on_after_their_disks_were_full_in_turn(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64,
+    #[values(0, 3, 40)] room: u64,
+) {
+    let mut cluster = cluster(3, seed);
+    cluster.write_acked(FIRST, 100);
+    for round in 0..6 {
+        let full = round % 3 + 1;
+        let disk = cluster.replicas[&full].disk.clone();
+        disk.set_capacity(Some(disk.used() + room));
+        for _ in 0..FULL_MS / REOPEN_PAUSE_MS {
+            for group in GROUPS {
+                let leader = cluster.await_leader(group);
+                cluster.write(leader, group, 100);
+            }
+            cluster.run(REOPEN_PAUSE_MS);
+            reopen(&mut cluster, full);
+        }
+        disk.set_capacity(None);
+        cluster.run(REOPEN_PAUSE_MS);
+        reopen(&mut cluster, full);
+        for group in GROUPS {
+            cluster.write_acked(group, 100);
+        }
+    }
+    cluster.run(REOPEN_PAUSE_MS);
+    assert!(cluster.replicas.values().all(|replica| replica.host.is_some()));
+    cluster.settle();
+}
+
+/// How long a disk is full.
+const FULL_MS: u64 = 4_000;
+/// Pause after which a replica opens its log again.
+const REOPEN_PAUSE_MS: u64 = 1_000;
+
+/// Opens the log of a replica that has stopped, which fails while its disk is full.
+fn reopen(cluster: &mut Cluster, id: u64) {
+    if cluster.replicas[&id].host.is_none()
+        && let Err(error) = cluster.start(id)
+    {
+        assert!(matches!(error, storage::Error::Full { .. }), "{error}");
+    }
+}
+
 /// Which replicas have a slow disk.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum SlowDisk {
