Take an empty response that ends with its connection for one that broke off

What callers saw, as another operator reports: a backend server stopped in the head of its answer, and callers got a 200 with an empty or short body that looked whole.

Cause: a response without length and chunks ends with its connection. One that is cut after the head was taken for an empty one: as a whole stream, as the end of a stream that was resumed there, or as the end of a batch item.

A head that is cut, a short length, a missing chunk, a reset, and a stream that ends inside an event did not look whole before either.

Change: such a response without any byte of a body counts as broken, on streams, other answers and batch items.

--- a/crates/coord/tests/failures.rs
+++ b/crates/coord/tests/failures.rs
@@ -394,7 +394,12 @@
         }
     }
     cluster.run(REOPEN_PAUSE_MS);
-    assert!(cluster.replicas.values().all(|replica| replica.host.is_some()));
+    assert!(
+        cluster
+            .replicas
+            .values()
+            .all(|replica| replica.host.is_some())
+    );
     cluster.settle();
 }
 
--- a/programs/gateway/src/control/runner.rs
+++ b/programs/gateway/src/control/runner.rs
@@ -289,13 +289,15 @@
     if let Some(ended) = check_response(hub, start, &exchange.response) {
         return ended;
     }
+    // An empty response that ends with its connection may have been cut after the head.
+    let mut may_be_cut = !upstream::is_framed(exchange.response.headers());
     let mut body = exchange.response.into_body();
     let mut parser = event::Parser::default();
     let mut reservation = hub.pool.budget().reserve();
     let mut trial = start.trial;
     loop {
         match tokio::time::timeout(SILENCE_TIMEOUT, body.frame()).await {
-            Ok(None) if parser.is_empty() && progress.last > 0 => {
+            Ok(None) if parser.is_empty() && progress.last > 0 && !may_be_cut => {
                 exchange.lease.release();
                 return Ended::Completed;
             }
@@ -303,6 +305,7 @@
                 let Ok(bytes) = frame.into_data() else {
                     continue;
                 };
+                may_be_cut &= bytes.is_empty();
                 parser.push(&bytes);
                 let fits = take_events(&mut parser, progress)
                     && progress.bytes <= OUTPUT_BYTES_MAX
--- a/programs/gateway/src/entry/attempt.rs
+++ b/programs/gateway/src/entry/attempt.rs
@@ -1,6 +1,6 @@
 //! Attempts to send a request to a backend server until one responds.
 
-use std::{io, net, rc::Rc, time};
+use std::{error, io, net, rc::Rc, time};
 
 use bw_relay::balance;
 use bw_wire::{name::Name, verdict};
@@ -445,7 +445,15 @@
         }
         let slot = accepted.slot;
         let (parts, body) = accepted.response.into_parts();
-        let reading = read_whole(body, state.pool.budget().reserve());
+        let is_framed = upstream::is_framed(&parts.headers);
+        let reading = async {
+            let body = read_whole(body, state.pool.budget().reserve()).await?;
+            match is_framed || !body.is_empty() {
+                true => Ok(body),
+                // The backend server may have stopped after the head.
+                false => Err(Reason::Broken),
+            }
+        };
         match tokio::time::timeout(super::remaining(forward.deadline_ms), reading).await {
             Ok(Ok(body)) => {
                 accepted.lease.release();
@@ -497,11 +505,13 @@
     forward: Forward,
 ) -> response::Response {
     let (mut parts, body) = accepted.response.into_parts();
+    let is_framed = upstream::is_framed(&parts.headers);
     forward::remove_hop_headers(&mut parts.headers);
     let stated = body.size_hint().exact();
     let passthrough = Passthrough {
         state: Rc::clone(state),
         body,
+        may_be_cut: !is_framed,
         status: parts.status,
         left: stated.unwrap_or(UNSIZED_BYTES_MAX),
         forward,
@@ -532,6 +542,9 @@
 struct Passthrough {
     state: Rc<State>,
     body: body::Incoming,
+    /// Whether the response ends with its connection and no byte of it has arrived, as
+    /// where the backend server stops after the head.
+    may_be_cut: bool,
     status: StatusCode,
     /// The number of bytes that may still follow.
     left: u64,
@@ -549,15 +562,13 @@
         )
         .await;
         let frame = match next {
-            Ok(frame) => frame?.map_err(|error| {
-                self.note_broken(Reason::Broken);
-                self.state.note_crash(&self.forward, self.slot.run());
-                io::Error::other(error)
-            }),
+            Ok(None) if self.may_be_cut => Err(self.note_crash(Reason::Broken.name())),
+            Ok(frame) => frame?.map_err(|error| self.note_crash(error)),
             Err(late) => Err(io::Error::other(late)),
         };
         let bytes = frame.as_ref().ok().and_then(body::Frame::data_ref);
         let length = bytes.map_or(0, |bytes| bytes.len() as u64);
+        self.may_be_cut &= length == 0;
         let Some(left) = self.left.checked_sub(length) else {
             self.note_broken(Reason::Endless);
             return Some(Err(io::Error::other(Reason::Endless.name())));
@@ -566,6 +577,12 @@
         Some(frame)
     }
 
+    fn note_crash(&self, error: impl Into<Box<dyn error::Error + Send + Sync>>) -> io::Error {
+        self.note_broken(Reason::Broken);
+        self.state.note_crash(&self.forward, self.slot.run());
+        io::Error::other(error)
+    }
+
     fn note_broken(&self, reason: Reason) {
         log::warn!(
             request = self.forward.id.as_str(), backend = &*self.slot.id, reason = reason.name();
--- a/programs/gateway/src/entry/stream.rs
+++ b/programs/gateway/src/entry/stream.rs
@@ -49,6 +49,7 @@
         .ok();
     let is_event_stream = is_event_stream(&accepted.response);
     let (mut parts, body) = accepted.response.into_parts();
+    let is_framed = upstream::is_framed(&parts.headers);
     forward::remove_hop_headers(&mut parts.headers);
     let status = parts.status;
     let source = Source {
@@ -61,6 +62,8 @@
         is_event_stream,
         run: Some(Run {
             body,
+            is_framed,
+            has_data: false,
             lease: accepted.lease,
             slot: accepted.slot,
         }),
@@ -88,6 +91,10 @@
 /// The response of one backend server, which may be a part of the stream.
 struct Run {
     body: body::Incoming,
+    /// Whether the response states where its body ends.
+    is_framed: bool,
+    /// Whether any of the body has arrived.
+    has_data: bool,
     lease: upstream::Lease,
     slot: Slot,
 }
@@ -145,6 +152,7 @@
         let Ok(bytes) = frame.into_data() else {
             return Ok(true);
         };
+        run.has_data |= !bytes.is_empty();
         if !self.is_event_stream {
             self.output.push_back(bytes);
             return Ok(true);
@@ -195,7 +203,10 @@
     }
 
     fn complete(&mut self) -> Result<bool, Reason> {
-        if !self.parser.is_empty() {
+        // A backend server that stops after the head sends the same as one whose response
+        // is empty and ends with its connection.
+        let is_empty = |run: &Run| !run.is_framed && !run.has_data;
+        if !self.parser.is_empty() || self.run.as_ref().is_some_and(is_empty) {
             return Err(Reason::Broken);
         }
         // A run that had nothing left to send shows nothing about the request.
@@ -244,6 +255,8 @@
         match self.attempts.run(&self.state, &self.forward).await {
             Ok(accepted) if is_event_stream(&accepted.response) => {
                 self.run = Some(Run {
+                    is_framed: upstream::is_framed(accepted.response.headers()),
+                    has_data: false,
                     body: accepted.response.into_body(),
                     lease: accepted.lease,
                     slot: accepted.slot,
--- a/programs/gateway/src/upstream.rs
+++ b/programs/gateway/src/upstream.rs
@@ -121,6 +121,12 @@
     stated.is_none_or(|value| value.as_bytes().starts_with(EVENT_STREAM))
 }
 
+/// Returns whether a response states where its body ends, by a length or by chunks. The
+/// body of another one ends with its connection, also where the backend server stops.
+pub fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Idle connections to all backend servers, by address; clones share them.
 #[derive(Clone, Default)]
 pub struct Pool {
