Count an answer that ends with its connection once its backend server answers again

What callers saw: with answers that have neither length nor chunks, requests with a deadly part go on to crash backend servers.

Cause: a crash between two events ends such a stream like a whole one, so the crash cleared the part that caused it and gave no strike.

Change: such an answer waits. It clears its request and parts once the same start of the backend server has responded to a later request, and is a strike against them when that start breaks a connection or refuses a new one.

--- a/programs/gateway/src/entry/attempt.rs
+++ b/programs/gateway/src/entry/attempt.rs
@@ -57,6 +57,14 @@
     pub(crate) sent_ms: u64,
 }
 
+/// What the head of a whole answer says.
+#[derive(Clone, Copy)]
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    /// Whether it stated where its body ends.
+    pub(crate) is_framed: bool,
+}
+
 impl Slot {
     /// Returns the run that occupies the slot.
     pub(crate) fn run(&self) -> Run<'_> {
@@ -141,8 +149,8 @@
             if let Some(reason) = state.suspects.refusal_of_send(forward) {
                 return Err(self.give_up(reason));
             }
-            if self.maybe_ran > 0 && !state.suspects.may_resend(&forward.subjects) {
-                log::info!(request = forward.id.as_str(), parts = forward.logged_parts.as_str(); "not sent again, as a part is suspected");
+            if self.maybe_ran > 0 && !state.suspects.may_resend(&forward.subject.request) {
+                log::info!(request = forward.subject.id.as_str(), parts = forward.subject.logged_parts.as_str(); "not sent again, as a part is suspected");
                 return Err(self.give_up(Reason::PoisonousPart));
             }
             if self.sends >= SENDS_MAX {
@@ -152,7 +160,7 @@
                 Ok(placed) => placed,
                 Err(rejection) if self.maybe_ran == 0 => {
                     log::info!(
-                        request = forward.id.as_str(), usable = rejection.usable,
+                        request = forward.subject.id.as_str(), usable = rejection.usable,
                         least_online = rejection.least_online, unseen = rejection.unseen_requests, loads_age_ms = state.loads_age_ms(),
                         route = &*forward.route.name, connected = state.connected.get();
                         "not placed"
@@ -242,11 +250,11 @@
         }
         // A suspect is not sent again by the pool, as each send may crash the backend
         // server.
-        let resend = repeatable && !state.suspects.is_suspect(&forward.subjects);
+        let resend = repeatable && !state.suspects.is_suspect(&forward.subject.request);
         let sent = state.pool.send(address, request, resend, timeout).await;
         let names = state.dialect.headers();
         let checked = sent.and_then(|exchange| {
-            upstream::check_head(names, &forward.id, &exchange.response)?;
+            upstream::check_head(names, &forward.subject.id, &exchange.response)?;
             Ok(exchange)
         });
         self.log_send(state, forward, place, known_load, run.sent_ms, &checked);
@@ -257,6 +265,7 @@
                 return Err(failure.into());
             }
         };
+        state.suspects.note_response(&state.link, run);
         self.maybe_ran += 1;
         if self.note_response(state, forward, place, exchange.response.status()) {
             self.tried.push(place.id.clone());
@@ -290,8 +299,8 @@
             Err(failure) => Reason::from(*failure).name().to_owned(),
         };
         log::info!(
-            request = forward.id.as_str(), backend = place.id.as_str(), send = self.sends,
-            parts = forward.logged_parts.as_str(),
+            request = forward.subject.id.as_str(), backend = place.id.as_str(), send = self.sends,
+            parts = forward.subject.logged_parts.as_str(),
             own = own, online = online, batch = batch, loads_age_ms = state.loads_age_ms(),
             running = reported.map_or(0, |load| load.running), waiting = reported.map_or(0, |load| load.waiting),
             outcome = outcome.as_str(),
@@ -314,8 +323,10 @@
         if let Some(permit) = forward.permit.as_ref().filter(|_| !may_have_run) {
             permit.not_run();
         }
-        if failure == upstream::Failure::Broken {
-            state.note_crash(forward, run);
+        match failure {
+            upstream::Failure::Broken => state.note_crash(forward, run),
+            upstream::Failure::Connect => state.suspects.note_unreachable(&state.link, run),
+            _ => {}
         }
         let now_ms = clock::monotonic_ms();
         let mut balance = state.balance.borrow_mut();
@@ -457,13 +468,17 @@
         match tokio::time::timeout(super::remaining(forward.deadline_ms), reading).await {
             Ok(Ok(body)) => {
                 accepted.lease.release();
-                state.note_answered(&forward, parts.status, slot.run());
+                let answer = Answer {
+                    status: parts.status,
+                    is_framed,
+                };
+                state.note_answered(&forward, answer, slot.run());
                 let mut response = Response::from_parts(parts, response::full(body));
                 forward::remove_hop_headers(response.headers_mut());
                 return response;
             }
             Ok(Err(reason)) => {
-                log::warn!(request = forward.id.as_str(), backend = &*slot.id, reason = reason.name(); "response broke off");
+                log::warn!(request = forward.subject.id.as_str(), backend = &*slot.id, reason = reason.name(); "response broke off");
                 metrics::RETRIES.with_label_values(&[reason.name()]).inc();
                 // An endless response does not make its request a suspect.
                 if reason == Reason::Broken {
@@ -512,7 +527,10 @@
         state: Rc::clone(state),
         body,
         may_be_cut: !is_framed,
-        status: parts.status,
+        answer: Answer {
+            status: parts.status,
+            is_framed,
+        },
         left: stated.unwrap_or(UNSIZED_BYTES_MAX),
         forward,
         lease: accepted.lease,
@@ -527,7 +545,7 @@
             None => {
                 passthrough.state.note_answered(
                     &passthrough.forward,
-                    passthrough.status,
+                    passthrough.answer,
                     passthrough.slot.run(),
                 );
                 passthrough.lease.release();
@@ -545,7 +563,7 @@
     /// Whether the response ends with its connection and no byte of it has arrived, as
     /// where the backend server stops after the head.
     may_be_cut: bool,
-    status: StatusCode,
+    answer: Answer,
     /// The number of bytes that may still follow.
     left: u64,
     forward: Forward,
@@ -585,7 +603,7 @@
 
     fn note_broken(&self, reason: Reason) {
         log::warn!(
-            request = self.forward.id.as_str(), backend = &*self.slot.id, reason = reason.name();
+            request = self.forward.subject.id.as_str(), backend = &*self.slot.id, reason = reason.name();
             "response broke off"
         );
         let now_ms = clock::monotonic_ms();
@@ -598,12 +616,12 @@
 pub(crate) fn failure_response(forward: &Forward, failed: Failed) -> response::Response {
     let reason = match failed {
         Failed::NotRun(reason, retry_after_ms) => {
-            forward::note_refusal(&forward.id, reason, retry_after_ms);
+            forward::note_refusal(&forward.subject.id, reason, retry_after_ms);
             return response::not_run(reason.name(), retry_after_ms);
         }
         Failed::MayHaveRun(reason) => reason,
     };
-    log::warn!(request = forward.id.as_str(), reason = reason.name(), verdict = "may_have_run"; "failed");
+    log::warn!(request = forward.subject.id.as_str(), reason = reason.name(), verdict = "may_have_run"; "failed");
     metrics::REFUSALS.with_label_values(&[reason.name()]).inc();
     let status = match reason {
         Reason::Timeout => StatusCode::GATEWAY_TIMEOUT,
--- a/programs/gateway/src/entry/forward.rs
+++ b/programs/gateway/src/entry/forward.rs
@@ -18,7 +18,7 @@
         response,
         state::{Routing, State},
         stream,
-        suspects::{self, Admission, Permit},
+        suspects::{self, Admission, Permit, Subject},
     },
     metrics,
 };
@@ -28,12 +28,10 @@
 /// 0.5 s still found none.
 const UNCONFIGURED_RETRY_MS: u64 = 1_400;
 
-/// Most bytes of the ids of parts in a log line.
-const LOGGED_PARTS_BYTES: usize = 256;
-
 /// A request to forward, which several attempts may send.
 pub(crate) struct Forward {
-    pub(crate) id: String,
+    /// What the request can be suspected for, with its id.
+    pub(crate) subject: Rc<Subject>,
     pub(crate) method: Method,
     /// The path and query as received.
     pub(crate) target: hyper::Uri,
@@ -49,26 +47,10 @@
     /// Hash of the shared parts of the prompt, by which requests that share them are
     /// placed together.
     pub(crate) affinity: u64,
-    /// The content of the request, regardless of its id, and the parts of its prompt.
-    pub(crate) subjects: suspect::Request,
-    /// The ids of the parts of the prompt, as logs name them: separated by commas, and
-    /// cut to [`LOGGED_PARTS_BYTES`].
-    pub(crate) logged_parts: String,
     /// The permission to run it although it is refused.
     pub(crate) permit: Option<Permit>,
 }
 
-impl Forward {
-    /// Returns the id of the part of the prompt with this fingerprint; empty if the
-    /// fingerprint is that of the content.
-    pub(crate) fn part_id(&self, state: &State, fingerprint: suspect::Fingerprint) -> String {
-        let prefix = header_values(&self.headers, &state.dialect.headers().prompt_prefix);
-        let ids = state.dialect.decode_parts(&prefix).into_iter();
-        let mut ids = ids.filter(|id| suspect::Fingerprint::of_part(id) == fingerprint);
-        ids.next().unwrap_or_default().to_owned()
-    }
-}
-
 /// Handles one request of a caller.
 pub(crate) async fn handle(
     state: &Rc<State>,
@@ -96,13 +78,13 @@
         Ok(forward) => forward,
         Err(response) => return *response,
     };
-    match suspects::admit(state, &forward.subjects).await {
+    match suspects::admit(state, &forward.subject.request).await {
         Admission::Admitted => {}
         Admission::Trial(permit) => {
             let fingerprint = permit.fingerprint;
             log::info!(
-                request = forward.id.as_str(), fingerprint = fingerprint.0,
-                part = forward.part_id(state, fingerprint).as_str();
+                request = forward.subject.id.as_str(), fingerprint = fingerprint.0,
+                part = forward.subject.part_id(fingerprint);
                 "suspected request is admitted as a trial"
             );
             metrics::SUSPECTS.with_label_values(&["trial"]).inc();
@@ -115,12 +97,12 @@
         } => {
             // The part or the fingerprint leads to the strikes that other requests got.
             log::info!(
-                request = forward.id.as_str(), fingerprint = fingerprint.0,
-                part = forward.part_id(state, fingerprint).as_str(),
+                request = forward.subject.id.as_str(), fingerprint = fingerprint.0,
+                part = forward.subject.part_id(fingerprint),
                 strikes = state.suspects.strikes(fingerprint);
                 "suspected request is not admitted"
             );
-            note_refusal(&forward.id, reason, retry_after_ms);
+            note_refusal(&forward.subject.id, reason, retry_after_ms);
             let text = "backend servers crashed under this request";
             return response::not_run(text, retry_after_ms);
         }
@@ -201,7 +183,7 @@
     let content = suspect::Fingerprint::new(&route.host, target, &body);
     let part_ids = state.dialect.decode_parts(&prefix);
     Ok(Forward {
-        id,
+        subject: Rc::new(Subject::new(id, content, &part_ids)),
         method: parts.method,
         target: parts.uri,
         headers: end_to_end_headers(parts.headers),
@@ -210,8 +192,6 @@
         caller_deadline_ms,
         deadline_ms,
         affinity,
-        subjects: suspect::Request::new(content, &part_ids),
-        logged_parts: logged_parts(&part_ids),
         permit: None,
     })
 }
@@ -282,22 +262,6 @@
     xxhash_rust::xxh3::xxh3_64(shared.as_bytes())
 }
 
-/// Joins the ids of parts as far as they fit into a log line.
-fn logged_parts(ids: &[&str]) -> String {
-    let mut text = String::new();
-    for id in ids {
-        if text.len() + id.len() >= LOGGED_PARTS_BYTES {
-            text.push_str(",...");
-            break;
-        }
-        if !text.is_empty() {
-            text.push(',');
-        }
-        text.push_str(id);
-    }
-    text
-}
-
 /// Returns the value of a header; empty if it is absent or not ASCII text.
 pub(crate) fn header_text<'a>(headers: &'a HeaderMap, name: &header::HeaderName) -> &'a str {
     let value = headers.get(name).and_then(|value| value.to_str().ok());
--- a/programs/gateway/src/entry/state.rs
+++ b/programs/gateway/src/entry/state.rs
@@ -7,13 +7,18 @@
 };
 
 use bw_relay::{balance, ledger, load, message, registry, route};
-use hyper::StatusCode;
 use rand::{RngCore, SeedableRng};
 use tokio::sync::{Notify, watch};
 
 use crate::{
     clock, dialect,
-    entry::{self, attempt::Run, confirm, forward::Forward, suspects::Suspects},
+    entry::{
+        self,
+        attempt::{self, Run},
+        confirm,
+        forward::Forward,
+        suspects::Suspects,
+    },
     link, metrics, settings,
 };
 
@@ -210,20 +215,26 @@
 
     /// Adds a strike against a request that a backend server broke off.
     pub(crate) fn note_crash(&self, forward: &Forward, run: Run<'_>) {
-        self.suspects.note_crash(self, forward, run);
+        self.suspects.note_crash(&self.link, &forward.subject, run);
         if let Some(permit) = &forward.permit {
             permit.settle();
         }
     }
 
-    /// Clears the suspicion against a request that was answered in whole. A server error
-    /// may be sent before the request has run and shows nothing.
-    pub(crate) fn note_answered(&self, forward: &Forward, status: StatusCode, run: Run<'_>) {
-        if status.is_server_error() {
+    /// Notes that a request was answered in whole. A server error may be sent before the
+    /// request has run and shows nothing.
+    pub(crate) fn note_answered(&self, forward: &Forward, answer: attempt::Answer, run: Run<'_>) {
+        if answer.status.is_server_error() {
             return;
         }
-        let succeeded = status.is_success();
-        self.suspects.note_answered(self, forward, succeeded, run);
+        let succeeded = answer.status.is_success();
+        if !answer.is_framed {
+            self.suspects
+                .note_unconfirmed(&forward.subject, succeeded, run);
+            return;
+        }
+        self.suspects
+            .note_answered(&self.link, &forward.subject, succeeded, run);
         if let Some(permit) = &forward.permit {
             permit.settle();
         }
--- a/programs/gateway/src/entry/stream.rs
+++ b/programs/gateway/src/entry/stream.rs
@@ -213,14 +213,18 @@
         let has_run = self.last_event != self.attempts.last_event || !self.is_event_stream;
         if let Some(run) = self.run.take() {
             if has_run {
+                let answer = attempt::Answer {
+                    status: self.status,
+                    is_framed: run.is_framed,
+                };
                 self.state
-                    .note_answered(&self.forward, self.status, run.slot.run());
+                    .note_answered(&self.forward, answer, run.slot.run());
             }
             run.lease.release();
             drop(run.slot);
         }
         log::info!(
-            request = self.forward.id.as_str(), last = self.last_event.unwrap_or(0), resumed = self.resumed;
+            request = self.forward.subject.id.as_str(), last = self.last_event.unwrap_or(0), resumed = self.resumed;
             "stream complete"
         );
         Ok(false)
@@ -235,7 +239,7 @@
         }
         let backend = slot.as_ref().map_or("", |slot| &*slot.id);
         log::warn!(
-            request = self.forward.id.as_str(), backend = backend, reason = reason.name(),
+            request = self.forward.subject.id.as_str(), backend = backend, reason = reason.name(),
             last = self.last_event.unwrap_or(0), left_ms = self.forward.deadline_ms.saturating_sub(clock::monotonic_ms());
             "stream broke off"
         );
@@ -264,7 +268,7 @@
                 Ok(())
             }
             _ => {
-                log::warn!(request = self.forward.id.as_str(), reason = reason.name(), verdict = "may_have_run"; "stream ended early");
+                log::warn!(request = self.forward.subject.id.as_str(), reason = reason.name(), verdict = "may_have_run"; "stream ended early");
                 Err(io::Error::other(reason.name()))
             }
         }
--- a/programs/gateway/src/entry/suspects.rs
+++ b/programs/gateway/src/entry/suspects.rs
@@ -2,12 +2,13 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     rc::Rc,
     time,
 };
 
 use bw_relay::{message, suspect, suspect::trial};
+use bw_wire::name::Name;
 
 use crate::{
     clock,
@@ -22,6 +23,79 @@
 /// crashed backend servers, in milliseconds.
 const EXHAUSTED_RETRY_MS: u64 = 60 * 60 * 1_000;
 
+/// Most bytes of the ids of parts in a log line.
+const LOGGED_PARTS_BYTES: usize = 256;
+/// Time for which an answer that ended with its connection waits for a sign that its
+/// backend server had not crashed, or had, in milliseconds.
+const UNCONFIRMED_MS: u64 = 30_000;
+/// Most such answers; the oldest are dropped.
+const UNCONFIRMED_MAX: usize = 1_000;
+
+/// What a request can be suspected for, and what logs say of it.
+pub(crate) struct Subject {
+    pub(crate) id: String,
+    /// The content and the parts of the prompt.
+    pub(crate) request: suspect::Request,
+    /// The ids of the parts, separated by commas and cut to [`LOGGED_PARTS_BYTES`].
+    pub(crate) logged_parts: String,
+}
+
+impl Subject {
+    pub(crate) fn new(id: String, content: suspect::Fingerprint, part_ids: &[&str]) -> Subject {
+        let mut logged_parts = String::new();
+        for part_id in part_ids {
+            if logged_parts.len() + part_id.len() >= LOGGED_PARTS_BYTES {
+                logged_parts.push_str(",...");
+                break;
+            }
+            if !logged_parts.is_empty() {
+                logged_parts.push(',');
+            }
+            logged_parts.push_str(part_id);
+        }
+        Subject {
+            id,
+            request: suspect::Request::new(content, part_ids),
+            logged_parts,
+        }
+    }
+
+    /// Returns the id of the part with this fingerprint; empty if it is that of the
+    /// content, or of a part that logs don't name.
+    pub(crate) fn part_id(&self, fingerprint: suspect::Fingerprint) -> &str {
+        let mut ids = self.logged_parts.split(',');
+        let found = ids.find(|id| suspect::Fingerprint::of_part(id) == fingerprint);
+        found.unwrap_or_default()
+    }
+}
+
+/// An answer that ended with its connection, as it also does where its backend server
+/// crashes. It counts for its request once that backend server has answered again, and
+/// against it if that can't be reached any more.
+struct Unconfirmed {
+    subject: Rc<Subject>,
+    succeeded: bool,
+    backend: Name,
+    backend_started_ms: u64,
+    sent_ms: u64,
+    ended_ms: u64,
+}
+
+impl Unconfirmed {
+    fn run(&self) -> Run<'_> {
+        Run {
+            backend: &self.backend,
+            backend_started_ms: self.backend_started_ms,
+            sent_ms: self.sent_ms,
+        }
+    }
+
+    /// Returns whether the answer came from this start of a backend server.
+    fn is_from(&self, run: Run<'_>) -> bool {
+        *self.backend == *run.backend && self.backend_started_ms == run.backend_started_ms
+    }
+}
+
 /// Whether a request may run.
 pub(crate) enum Admission {
     /// It may run like any other request.
@@ -180,6 +254,8 @@
     unreported: RefCell<BTreeSet<suspect::Fingerprint>>,
     /// Ends of trials that the leader was not told yet.
     ended: RefCell<Vec<message::Frame>>,
+    /// Answers that ended with their connection, the oldest first.
+    unconfirmed: RefCell<VecDeque<Unconfirmed>>,
 }
 
 impl Suspects {
@@ -190,7 +266,7 @@
 
     /// Returns why a request that was admitted must not be sent now.
     pub(crate) fn refusal_of_send(&self, forward: &Forward) -> Option<Reason> {
-        let refusal = self.refusal(&forward.subjects)?;
+        let refusal = self.refusal(&forward.subject.request)?;
         let permit = forward.permit.as_ref();
         let permitted = permit.is_some_and(|permit| permit.fingerprint == refusal.fingerprint);
         let refused = !permitted || refusal.has_others;
@@ -229,39 +305,51 @@
 
     /// Adds a strike against a request and its parts, as the backend server broke its
     /// connection, as one does that crashes.
-    pub(crate) fn note_crash(&self, state: &State, forward: &Forward, run: Run<'_>) {
+    pub(crate) fn note_crash(&self, link: &link::Link, subject: &Subject, run: Run<'_>) {
+        self.strike(link, subject, run);
+        self.note_unreachable(link, run);
+    }
+
+    /// Adds strikes against the requests whose answers ended with the connection to a
+    /// backend server that can't be reached any more.
+    pub(crate) fn note_unreachable(&self, link: &link::Link, run: Run<'_>) {
+        for answer in self.take_unconfirmed(|answer| answer.is_from(run)) {
+            self.strike(link, &answer.subject, answer.run());
+        }
+    }
+
+    fn strike(&self, link: &link::Link, subject: &Subject, run: Run<'_>) {
         let incarnation = suspect::Incarnation::new(run.backend, run.backend_started_ms);
         let now_ms = clock::monotonic_ms();
-        let changed = self.known.borrow_mut().request_crashed(
-            &forward.subjects,
-            incarnation,
-            run.sent_ms,
-            now_ms,
-        );
-        let content = forward.subjects.content();
-        let strikes = |subject| self.strikes(subject);
-        let part_strikes = forward.subjects.parts().iter().map(|part| strikes(*part));
+        let request = &subject.request;
+        let changed =
+            self.known
+                .borrow_mut()
+                .request_crashed(request, incarnation, run.sent_ms, now_ms);
+        let content = request.content();
+        let part_strikes = request.parts().iter().map(|part| self.strikes(*part));
         log::warn!(
-            request = forward.id.as_str(), parts = forward.logged_parts.as_str(), backend = run.backend,
+            request = subject.id.as_str(), parts = subject.logged_parts.as_str(), backend = run.backend,
             started_ms = run.backend_started_ms, fingerprint = content.map_or(0, |content| content.0),
-            strikes = content.map_or(0, strikes), part_strikes = part_strikes.max().unwrap_or(0);
+            strikes = content.map_or(0, |content| self.strikes(content)),
+            part_strikes = part_strikes.max().unwrap_or(0);
             "request is suspected of crashing backend servers"
         );
         metrics::SUSPECTS.with_label_values(&["strike"]).inc();
-        self.report(&state.link, changed);
+        self.report(link, changed);
     }
 
     /// Clears a request that was answered in whole, and its parts if it `succeeded`.
     pub(crate) fn note_answered(
         &self,
-        state: &State,
-        forward: &Forward,
+        link: &link::Link,
+        subject: &Subject,
         succeeded: bool,
         run: Run<'_>,
     ) {
         let now_ms = clock::monotonic_ms();
         let changed = self.known.borrow_mut().request_answered(
-            &forward.subjects,
+            &subject.request,
             succeeded,
             run.sent_ms,
             now_ms,
@@ -269,14 +357,56 @@
         for evidence in &changed {
             let fingerprint = evidence.fingerprint;
             log::info!(
-                request = forward.id.as_str(), backend = run.backend, fingerprint = fingerprint.0,
-                part = forward.part_id(state, fingerprint).as_str(), strikes = evidence.strikes();
+                request = subject.id.as_str(), backend = run.backend, fingerprint = fingerprint.0,
+                part = subject.part_id(fingerprint), strikes = evidence.strikes();
                 "suspected request completed, suspicion cleared"
             );
             metrics::SUSPECTS.with_label_values(&["cleared"]).inc();
             self.waits.borrow_mut().remove(&fingerprint);
         }
-        self.report(&state.link, changed);
+        self.report(link, changed);
+    }
+
+    /// Notes an answer that ended with its connection, until it is known whether its
+    /// backend server crashed.
+    pub(crate) fn note_unconfirmed(&self, subject: &Rc<Subject>, succeeded: bool, run: Run<'_>) {
+        let mut unconfirmed = self.unconfirmed.borrow_mut();
+        unconfirmed.push_back(Unconfirmed {
+            subject: Rc::clone(subject),
+            succeeded,
+            backend: run.backend.into(),
+            backend_started_ms: run.backend_started_ms,
+            sent_ms: run.sent_ms,
+            ended_ms: clock::monotonic_ms(),
+        });
+        if unconfirmed.len() > UNCONFIRMED_MAX {
+            unconfirmed.pop_front();
+        }
+    }
+
+    /// Counts the answers that ended with their connection before a run was sent, to which
+    /// the same backend server has responded.
+    pub(crate) fn note_response(&self, link: &link::Link, run: Run<'_>) {
+        let confirmed =
+            |answer: &Unconfirmed| answer.is_from(run) && answer.ended_ms <= run.sent_ms;
+        for answer in self.take_unconfirmed(confirmed) {
+            self.note_answered(link, &answer.subject, answer.succeeded, answer.run());
+        }
+    }
+
+    /// Removes and returns some of the answers that ended with their connection, and drops
+    /// those that have waited for long.
+    fn take_unconfirmed(&self, is_taken: impl Fn(&Unconfirmed) -> bool) -> Vec<Unconfirmed> {
+        let mut unconfirmed = self.unconfirmed.borrow_mut();
+        if unconfirmed.is_empty() {
+            return Vec::new();
+        }
+        let now_ms = clock::monotonic_ms();
+        let all = std::mem::take(&mut *unconfirmed).into_iter();
+        let recent = all.filter(|answer| now_ms < answer.ended_ms + UNCONFIRMED_MS);
+        let (taken, kept): (Vec<_>, Vec<_>) = recent.partition(is_taken);
+        *unconfirmed = kept.into();
+        taken
     }
 
     /// Merges what the leader knows. `is_first` tells whether this is all that a new
