Refuse requests that are read late in a stop, and answer the others before it ends

What callers saw, as another operator reports: requests that came late in the grace of a planned stop were passed on and cut off without an answer, among them requests that must not be repeated.

Cause: connections close 2.5 s after the stop signal, but a request whose body is still on its way then is read to its end, and forwarded with the full time limit of its route. The same limit lets one that came just before run beyond the exit.

Evidence: on the code before, a request that was read 3.8 s after the signal ran, and one that came 2.4 s after it to a silent backend server got no answer.

--- a/programs/gateway/src/entry/forward.rs
+++ b/programs/gateway/src/entry/forward.rs
@@ -28,6 +28,10 @@
 /// 0.5 s still found none.
 const UNCONFIGURED_RETRY_MS: u64 = 1_400;
 
+/// Retry-after time of a request that was read when the VM was about to stop, in
+/// milliseconds. The load balancer sends the next attempt to another VM.
+const STOPPING_RETRY_MS: u64 = 50;
+
 /// A request to forward, which several attempts may send.
 pub(crate) struct Forward {
     /// What the request can be suspected for, with its id.
@@ -78,6 +82,11 @@
         Ok(forward) => forward,
         Err(response) => return *response,
     };
+    // It might not end before the process does.
+    if *state.closing.borrow() {
+        note_refusal(&forward.subject.id, Reason::Stopping, STOPPING_RETRY_MS);
+        return response::not_run("this VM is stopping", STOPPING_RETRY_MS);
+    }
     match suspects::admit(state, &forward.subject.request).await {
         Admission::Admitted => {}
         Admission::Trial(permit) => {
@@ -172,7 +181,9 @@
     let wait_ms: Option<u64> = header_text(&parts.headers, &names.deadline_ms).parse().ok();
     let caller_deadline_ms = wait_ms.map(|wait| now_ms.saturating_add(wait));
     let route_deadline_ms = now_ms.saturating_add(route.timeout_ms);
-    let deadline_ms = route_deadline_ms.min(caller_deadline_ms.unwrap_or(u64::MAX));
+    let deadline_ms = route_deadline_ms
+        .min(caller_deadline_ms.unwrap_or(u64::MAX))
+        .min(state.answer_until_ms.get());
     let prefix = header_values(&parts.headers, &names.prompt_prefix);
     let affinity = affinity(&prefix);
     let body = read_body(state, routing, &id, body, deadline_ms).await?;
--- a/programs/gateway/src/entry/mod.rs
+++ b/programs/gateway/src/entry/mod.rs
@@ -41,6 +41,9 @@
 const NO_LEADER_RETRY_MS: u64 = 700;
 /// Interval at which a drain checks for running requests.
 const DRAIN_POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
+/// Time before the exit by which a request that came after the stop signal is answered.
+/// The answer has to reach its caller.
+const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(100);
 /// Time before the kill at which the process exits by itself.
 const EXIT_MARGIN: time::Duration = time::Duration::from_millis(700);
 
@@ -146,10 +149,14 @@
 async fn drain(state: &State, grace: time::Duration) {
     state.draining.set(true);
     let started = time::Instant::now();
+    let timeout = grace.saturating_sub(EXIT_MARGIN);
+    let answer_within = timeout.saturating_sub(ANSWER_MARGIN).as_millis() as u64;
+    state
+        .answer_until_ms
+        .set(clock::monotonic_ms() + answer_within);
     log::info!(requests = state.active_requests.get(), connections = state.connections.get(); "stop signal, draining");
     tokio::time::sleep(DRAIN_LINGER.min(grace)).await;
     state.closing.send_replace(true);
-    let timeout = grace.saturating_sub(EXIT_MARGIN);
     while started.elapsed() < timeout {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         if state.active_requests.get() == 0 {
--- a/programs/gateway/src/entry/reason.rs
+++ b/programs/gateway/src/entry/reason.rs
@@ -10,6 +10,8 @@
 pub(crate) enum Reason {
     /// No configuration is known yet.
     NoConfiguration,
+    /// This VM is about to stop.
+    Stopping,
     /// No route matches the request.
     NoRoute,
     /// The known configuration denies the request, but a newer one may allow it.
--- a/programs/gateway/src/entry/state.rs
+++ b/programs/gateway/src/entry/state.rs
@@ -57,6 +57,9 @@
     pub(crate) preemption_wanted: Notify,
     pub(crate) connected: Cell<bool>,
     pub(crate) draining: Cell<bool>,
+    /// Until when requests must be answered, as the process exits, in monotonic
+    /// milliseconds.
+    pub(crate) answer_until_ms: Cell<u64>,
     /// Set to true once callers' idle connections must be closed.
     pub(crate) closing: watch::Sender<bool>,
     pub(crate) active_requests: Cell<u64>,
@@ -99,6 +102,7 @@
             preemption_wanted: Notify::new(),
             connected: Cell::new(false),
             draining: Cell::new(false),
+            answer_until_ms: Cell::new(u64::MAX),
             closing: watch::Sender::new(false),
             active_requests: Cell::new(0),
             connections: Cell::new(0),
