Refuse a deadly part in batch items, and count both ways together

What callers saw: items with a deadly part crashed backend servers one after the other, and the sound items and requests there with them; requests with the same part had to crash three more.

Cause: the dispatch counts broken runs for each item, and no two items are alike. Its counts are the leader's alone.

Change: the leader judges the parts of an item with the evidence that callers' requests use, adds to it, and asks the group for a trial like an entry VM. A refused item waits, without a pause for the backend server, until its route gives it up.

--- a/crates/relay/src/dispatch/end.rs
+++ b/crates/relay/src/dispatch/end.rs
@@ -89,6 +89,14 @@
                 waiting.avoid = Some(server.clone());
                 self.paused.insert(server, now_ms + options.pause_ms);
             }
+            Outcome::Refused {
+                progress,
+                retry_after_ms,
+            } => {
+                waiting.progress = progress;
+                waiting.not_before_ms = now_ms.saturating_add(retry_after_ms);
+                return None;
+            }
             // A run that did not begin counts neither as failed nor as broken.
             Outcome::NotRun(progress) => {
                 waiting.progress = progress;
@@ -140,7 +148,10 @@
                 }
                 return;
             }
-            Outcome::Broken(_) | Outcome::NotRun(_) | Outcome::Crowded(_) => {
+            Outcome::Broken(_)
+            | Outcome::NotRun(_)
+            | Outcome::Refused { .. }
+            | Outcome::Crowded(_) => {
                 self.trials.trial_unfinished(key);
                 return;
             }
--- a/crates/relay/src/dispatch/run.rs
+++ b/crates/relay/src/dispatch/run.rs
@@ -89,6 +89,13 @@
     Impossible,
     /// The run did not begin, as the backend server refused it or could not be reached.
     NotRun(Progress),
+    /// The run did not begin, as a part of the item's prompt crashes backend servers.
+    Refused {
+        /// The output of earlier runs.
+        progress: Progress,
+        /// Time for which the item does not start, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// The run gave its slot back, as online requests are queued at the backend server.
     /// The leader took the slot for free because it does not count slots that runs of a
     /// former leader still occupy.
@@ -104,6 +111,7 @@
             | Outcome::Broken(progress)
             | Outcome::Failed(progress)
             | Outcome::NotRun(progress)
+            | Outcome::Refused { progress, .. }
             | Outcome::Crowded(progress) => Some(progress.last),
             Outcome::Impossible => None,
         }
--- a/crates/relay/src/suspect/trial.rs
+++ b/crates/relay/src/suspect/trial.rs
@@ -25,6 +25,9 @@
 /// each trial. Bursts of crashes end within seconds, and a backend server has restarted
 /// before the next trial.
 pub const PAUSE_MS: u64 = 10_000;
+/// Time after which the leader is asked again for a trial of a suspect whose trials all
+/// crashed backend servers, in milliseconds.
+pub const EXHAUSTED_RETRY_MS: u64 = 60 * 60 * 1_000;
 /// Most doublings of the pause, which is an hour and a half at most.
 const DOUBLINGS_MAX: u32 = 9;
 /// Time for which a trial that has not ended keeps others from beginning, in
--- a/programs/gateway/src/control/hub/mod.rs
+++ b/programs/gateway/src/control/hub/mod.rs
@@ -7,7 +7,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     rc::Rc,
     sync::{Arc, mpsc},
     time,
@@ -65,7 +65,9 @@
     pub(crate) runs: RefCell<runner::Runs>,
     result_waiters: RefCell<HashMap<Name, Rc<Notify>>>,
     health: RefCell<health::Health>,
-    suspects: RefCell<suspect::Suspects>,
+    pub(crate) suspects: RefCell<suspect::Suspects>,
+    /// Until when no trial of a suspect is asked for, in monotonic milliseconds.
+    trial_waits: RefCell<BTreeMap<suspect::Fingerprint, u64>>,
     /// Suspects that changed since the last broadcast.
     changed_suspects: RefCell<BTreeSet<suspect::Fingerprint>>,
     /// Suspects that are in the replicated state; valid while this replica is the leader.
@@ -111,6 +113,7 @@
             runs: RefCell::default(),
             result_waiters: RefCell::default(),
             suspects: RefCell::default(),
+            trial_waits: RefCell::default(),
             changed_suspects: RefCell::default(),
             recorded_suspects: RefCell::default(),
             evacuated: RefCell::default(),
--- a/programs/gateway/src/control/hub/suspects.rs
+++ b/programs/gateway/src/control/hub/suspects.rs
@@ -11,13 +11,46 @@
     /// about this suspect and broadcasts it with the next loads.
     pub(crate) fn apply_evidence(&self, evidence: &suspect::Evidence) {
         let now_ms = clock::monotonic_ms();
-        if !self.suspects.borrow_mut().merge(evidence, now_ms) {
-            return;
+        let known = {
+            let mut suspects = self.suspects.borrow_mut();
+            if !suspects.merge(evidence, now_ms) {
+                return;
+            }
+            suspects.note_answered(evidence, now_ms);
+            suspects.evidence(evidence.fingerprint)
+        };
+        self.publish_evidence(vec![known]);
+    }
+
+    /// Records what is known about suspects and broadcasts it with the next loads.
+    pub(crate) fn publish_evidence(&self, changed: Vec<suspect::Evidence>) {
+        for known in changed {
+            log::warn!(fingerprint = known.fingerprint.0, strikes = known.strikes(); "suspect changed");
+            self.changed_suspects.borrow_mut().insert(known.fingerprint);
+            self.record_suspect(known);
         }
-        let known = self.suspects.borrow().evidence(evidence.fingerprint);
-        log::warn!(fingerprint = known.fingerprint.0, strikes = known.strikes(); "suspect changed");
-        self.changed_suspects.borrow_mut().insert(known.fingerprint);
-        self.record_suspect(known);
+    }
+
+    /// Returns how long no trial of a suspect is asked for; `None` if one may be due.
+    pub(crate) fn trial_wait_ms(&self, fingerprint: suspect::Fingerprint) -> Option<u64> {
+        let now_ms = clock::monotonic_ms();
+        let mut waits = self.trial_waits.borrow_mut();
+        waits.retain(|_, until_ms| now_ms < *until_ms);
+        waits.get(&fingerprint).map(|until_ms| until_ms - now_ms)
+    }
+
+    /// Sets how long no trial of a suspect is asked for.
+    pub(crate) fn set_trial_wait(&self, fingerprint: suspect::Fingerprint, wait_ms: u64) {
+        let until_ms = clock::monotonic_ms() + wait_ms;
+        self.trial_waits.borrow_mut().insert(fingerprint, until_ms);
+    }
+
+    /// Returns when a backend server announced to have started, in Unix milliseconds; 0 if
+    /// it is unknown.
+    pub(crate) fn backend_started_ms(&self, id: &str) -> u64 {
+        let registry = self.registry.borrow();
+        let backend = registry.get(id);
+        backend.map_or(0, |backend| backend.announcement.started_ms)
     }
 
     /// Removes and returns what has to be broadcast. The crash of a failure domain
@@ -51,7 +84,7 @@
     }
 
     /// Asks the group for a trial of a refused request.
-    pub(super) async fn begin_trial(
+    pub(crate) async fn begin_trial(
         &self,
         fingerprint: suspect::Fingerprint,
         ticket: u64,
--- a/programs/gateway/src/control/mod.rs
+++ b/programs/gateway/src/control/mod.rs
@@ -9,6 +9,7 @@
 mod evacuation;
 mod hub;
 mod identity;
+mod item;
 mod members;
 mod orphan;
 mod peers;
--- a/programs/gateway/src/control/runner.rs
+++ b/programs/gateway/src/control/runner.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     clock,
-    control::{hub::Hub, orphan, replica},
+    control::{hub::Hub, item, orphan, replica},
     dialect, metrics, upstream,
 };
 
@@ -144,11 +144,19 @@
     let began_ms = clock::monotonic_ms();
     let mut progress = start.progress.clone();
     let first = progress.last;
-    let ended = {
-        let running = exchange(&hub, &start, &mut progress, term);
-        tokio::select! {
-            ended = running => ended,
-            () = stop.cancelled() => Ended::Stopped,
+    let subject = item::Subject::new(&hub, &start);
+    let ended = match item::admit(&hub, &subject).await {
+        item::Admission::Refused { retry_after_ms } => Ended::Refused { retry_after_ms },
+        item::Admission::Admitted(permit) => {
+            let running = exchange(&hub, &start, &subject, &mut progress, term);
+            let ended = tokio::select! {
+                ended = running => ended,
+                () = stop.cancelled() => Ended::Stopped,
+            };
+            if let Some(permit) = permit {
+                permit.end(&hub, ended);
+            }
+            ended
         }
     };
     let name: &'static str = (&ended).into();
@@ -166,7 +174,7 @@
     let node = hub.settings().node.as_str().into();
     let (succeeded, failed) = match ended {
         Ended::Completed => (1, 0),
-        Ended::Broken | Ended::Failed => (0, 1),
+        Ended::Broken | Ended::Disconnected | Ended::Failed => (0, 1),
         _ => (0, 0),
     };
     hub.note_results(&start.server, &node, succeeded, failed);
@@ -178,7 +186,11 @@
     }
     let outcome = match ended {
         Ended::Completed => dispatch::Outcome::Completed(progress),
-        Ended::Stopped | Ended::Broken => dispatch::Outcome::Broken(progress),
+        Ended::Stopped | Ended::Broken | Ended::Disconnected => dispatch::Outcome::Broken(progress),
+        Ended::Refused { retry_after_ms } => dispatch::Outcome::Refused {
+            progress,
+            retry_after_ms,
+        },
         Ended::Failed => dispatch::Outcome::Failed(progress),
         Ended::Impossible => dispatch::Outcome::Impossible,
         Ended::NotRun => dispatch::Outcome::NotRun(progress),
@@ -231,12 +243,20 @@
 /// How a run ended, printed in snake case in logs and metrics.
 #[derive(Clone, Copy, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
-enum Ended {
+pub(super) enum Ended {
     Completed,
     /// The run was cancelled, or this replica is not the leader any more.
     Stopped,
-    /// The connection broke, fell silent or carried an invalid response.
+    /// The connection fell silent or carried an invalid response.
     Broken,
+    /// The connection broke, as it does when the backend server crashes.
+    #[strum(serialize = "broken")]
+    Disconnected,
+    /// A part of the prompt crashes backend servers.
+    Refused {
+        /// Time for which the item does not start, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// The backend server responded with status 500.
     Failed,
     /// The item is invalid, so that no backend server can run it (status 422).
@@ -250,6 +270,21 @@
 async fn exchange(
     hub: &Rc<Hub>,
     start: &dispatch::Start,
+    subject: &item::Subject,
+    progress: &mut dispatch::Progress,
+    term: Option<u64>,
+) -> Ended {
+    let ended = send(hub, start, subject, progress, term).await;
+    if let Ended::Disconnected = ended {
+        subject.note_crash(hub);
+    }
+    ended
+}
+
+async fn send(
+    hub: &Rc<Hub>,
+    start: &dispatch::Start,
+    subject: &item::Subject,
     progress: &mut dispatch::Progress,
     term: Option<u64>,
 ) -> Ended {
@@ -280,17 +315,21 @@
             dialect::Migration::Gone | dialect::Migration::Refused => {}
         }
     }
-    let exchange = match hub.pool.send(address, request, true, HEAD_TIMEOUT).await {
+    // The pool would send it to a backend server that it may have crashed.
+    let resend = !subject.is_suspect(hub);
+    let exchange = match hub.pool.send(address, request, resend, HEAD_TIMEOUT).await {
         Ok(exchange) => exchange,
         Err(upstream::Failure::Connect) => return Ended::NotRun,
         Err(upstream::Failure::Timeout) => return Ended::Crowded,
+        Err(upstream::Failure::Broken) => return Ended::Disconnected,
         Err(_) => return Ended::Broken,
     };
     if let Some(ended) = check_response(hub, start, &exchange.response) {
         return ended;
     }
     // An empty response that ends with its connection may have been cut after the head.
-    let mut may_be_cut = !upstream::is_framed(exchange.response.headers());
+    let is_framed = upstream::is_framed(exchange.response.headers());
+    let mut may_be_cut = !is_framed;
     let mut body = exchange.response.into_body();
     let mut parser = event::Parser::default();
     let mut reservation = hub.pool.budget().reserve();
@@ -299,6 +338,10 @@
         match tokio::time::timeout(SILENCE_TIMEOUT, body.frame()).await {
             Ok(None) if parser.is_empty() && progress.last > 0 && !may_be_cut => {
                 exchange.lease.release();
+                // One that ends with its connection may have crashed its backend server.
+                if is_framed {
+                    subject.note_answered(hub);
+                }
                 return Ended::Completed;
             }
             Ok(Some(Ok(frame))) => {
@@ -323,7 +366,8 @@
                     return Ended::Stopped;
                 }
             }
-            _ => return Ended::Broken,
+            Ok(None | Some(Err(_))) => return Ended::Disconnected,
+            Err(_) => return Ended::Broken,
         }
     }
 }
--- a/programs/gateway/src/entry/suspects.rs
+++ b/programs/gateway/src/entry/suspects.rs
@@ -19,9 +19,6 @@
 /// Timeout of the call that asks for a trial. The leader answers once the trial is on
 /// disk in a majority of replicas, which takes some 10 ms.
 const ASK_TIMEOUT: time::Duration = time::Duration::from_millis(300);
-/// Time after which the leader is asked again for a trial of a content whose trials all
-/// crashed backend servers, in milliseconds.
-const EXHAUSTED_RETRY_MS: u64 = 60 * 60 * 1_000;
 
 /// Most bytes of the ids of parts in a log line.
 const LOGGED_PARTS_BYTES: usize = 256;
@@ -148,7 +145,7 @@
         }
         message::Reply::Trial(trial::Verdict::Exhausted) => {
             permit.settle();
-            (reason_of(refusal), EXHAUSTED_RETRY_MS)
+            (reason_of(refusal), trial::EXHAUSTED_RETRY_MS)
         }
         // The trial may have been granted: the permit, which ends unused, returns it.
         reply => {
