--- a/crates/relay/src/suspect/answers.rs
+++ b/crates/relay/src/suspect/answers.rs
@@ -2,35 +2,48 @@
 
 use std::collections::HashMap;
 
-use super::Fingerprint;
+use super::{Fingerprint, drop_oldest};
 
 /// Time for which an answer shows that a part was sound, in milliseconds. A new version of
 /// a model may make it deadly, so the answers of long ago count for nothing.
 const RETENTION_MS: u64 = 10 * 60 * 1_000;
-/// Most parts that are kept. A tenth of them, those with the oldest answers, are dropped
-/// when there are more.
+/// Most parts that are kept.
 const PARTS_MAX: usize = 10_000;
 
-/// When a request with each part was last answered in whole, in monotonic milliseconds.
+/// The answers to requests with one part. Times are monotonic, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+struct Answer {
+    /// When the last one was complete.
+    at_ms: u64,
+    /// The latest time at which an answered run was sent.
+    sent_ms: u64,
+}
+
+/// The parts whose requests were answered in whole.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Answers(HashMap<Fingerprint, u64>);
+pub(super) struct Answers(HashMap<Fingerprint, Answer>);
 
 impl Answers {
     /// Returns whether a request with a part was answered lately.
     pub(super) fn contains(&self, part: Fingerprint, now_ms: u64) -> bool {
-        let at_ms = self.0.get(&part);
-        at_ms.is_some_and(|at_ms| now_ms < at_ms + RETENTION_MS)
+        let answer = self.0.get(&part);
+        answer.is_some_and(|answer| now_ms < answer.at_ms + RETENTION_MS)
+    }
+
+    /// Returns the latest time at which a run with a part was sent that was answered;
+    /// `None` if none is known.
+    pub(super) fn sent_ms(&self, part: Fingerprint) -> Option<u64> {
+        self.0.get(&part).map(|answer| answer.sent_ms)
     }
 
-    /// Records a whole answer to a request with a part.
-    pub(super) fn insert(&mut self, part: Fingerprint, now_ms: u64) {
-        self.0.insert(part, now_ms);
-        if self.0.len() <= PARTS_MAX {
-            return;
-        }
-        let mut times: Vec<u64> = self.0.values().copied().collect();
-        let (_, oldest_ms, _) = times.select_nth_unstable(PARTS_MAX / 10);
-        let oldest_ms = *oldest_ms;
-        self.0.retain(|_, at_ms| *at_ms > oldest_ms);
+    /// Records a whole answer to a run with a part.
+    pub(super) fn insert(&mut self, part: Fingerprint, sent_ms: u64, now_ms: u64) {
+        let known = self.0.entry(part).or_insert(Answer {
+            at_ms: now_ms,
+            sent_ms,
+        });
+        known.at_ms = now_ms;
+        known.sent_ms = known.sent_ms.max(sent_ms);
+        drop_oldest(&mut self.0, PARTS_MAX, |answer| answer.at_ms);
     }
 }
--- a/crates/relay/src/suspect/mod.rs
+++ b/crates/relay/src/suspect/mod.rs
@@ -22,7 +22,10 @@
 mod request;
 pub mod trial;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    hash::Hash,
+};
 
 use answers::Answers;
 pub use culprit::Refusal;
@@ -46,8 +49,10 @@
 const SUSPECTS_MAX: usize = 10_000;
 /// Most crashes that are kept of one suspect, and as many that it was cleared of.
 const CRASHES_MAX: usize = 16;
-/// Most backend servers whose last crash is kept.
+/// Most backend servers whose last crash is kept, and most crashes.
 const INCARNATIONS_MAX: usize = 4_096;
+/// The part of the entries that is dropped when there are too many, as a divisor.
+const DROPPED_PART: usize = 10;
 
 /// A hash of the content of a request, or of the id of a part of its prompt.
 #[derive(
@@ -95,7 +100,7 @@
 /// A crash of a backend server under a request. All processes that see the same crash
 /// give it the same value.
 #[derive(
-    Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, serde::Serialize, serde::Deserialize,
+    Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Serialize, serde::Deserialize,
 )]
 pub struct Crash {
     incarnation: Incarnation,
@@ -146,16 +151,15 @@
         self.crashes.is_empty() && self.cleared.is_empty()
     }
 
-    /// Adds what another process knows. Returns whether anything was new.
-    fn merge(&mut self, other: &Evidence) -> bool {
-        let before = self.clone();
+    /// Adds what another process knows.
+    fn merge(&mut self, other: &Evidence) {
         self.cleared.extend(&other.cleared);
-        while self.cleared.len() > CRASHES_MAX {
-            self.cleared.pop_first();
-        }
         self.crashes.extend(&other.crashes);
         let cleared = &self.cleared;
         self.crashes.retain(|crash| !cleared.contains(crash));
+        while self.cleared.len() > CRASHES_MAX {
+            self.cleared.pop_first();
+        }
         while self.crashes.len() > CRASHES_MAX {
             self.crashes.pop_last();
         }
@@ -163,7 +167,16 @@
         let crashes = &self.crashes;
         self.later.retain(|crash| crashes.contains(crash));
         self.answered |= other.answered;
-        *self != before
+    }
+
+    /// Clears the suspect of some crashes.
+    fn clear(&mut self, is_cleared: impl Fn(&Crash) -> bool) {
+        let cleared = self.crashes.iter().copied().filter(is_cleared);
+        let known = Evidence {
+            cleared: cleared.collect(),
+            ..Evidence::new(self.fingerprint)
+        };
+        self.merge(&known);
     }
 }
 
@@ -210,6 +223,9 @@
     /// The last crash of each backend server, by its number, with the monotonic time at
     /// which this process learned of it.
     incarnations: HashMap<Incarnation, (u32, u64)>,
+    /// When this process learned of each crash, under whichever request, in monotonic
+    /// milliseconds. Evidence of a crash that is long cleared may come late.
+    crashes: HashMap<Crash, u64>,
     /// The parts of requests that were answered in whole.
     answers: Answers,
     /// What requests are refused for; `None` if the evidence has changed.
@@ -334,7 +350,7 @@
         }
         if succeeded {
             for part in request.parts() {
-                self.answers.insert(*part, now_ms);
+                self.answers.insert(*part, sent_ms, now_ms);
                 changed.extend(self.clear(*part, sent_ms, now_ms));
             }
         }
@@ -355,6 +371,7 @@
 
     /// Applies what another process knows. Returns whether anything was new.
     pub fn merge(&mut self, evidence: &Evidence, now_ms: u64) -> bool {
+        self.note_crashes(evidence, now_ms);
         let fingerprint = evidence.fingerprint;
         if !self.records.contains_key(&fingerprint) && evidence.is_empty() {
             return false;
@@ -366,23 +383,24 @@
             rank: (0, created, fingerprint),
         });
         self.created += 1;
-        if !record.evidence.merge(evidence) {
-            return false;
+        let before = record.evidence.clone();
+        record.evidence.merge(evidence);
+        if let Some(sent_ms) = self.answers.sent_ms(fingerprint) {
+            let learned = |crash: &Crash| self.crashes.get(crash).copied().unwrap_or(now_ms);
+            record.evidence.clear(|crash| learned(crash) <= sent_ms);
         }
-        // A crash that was cleared already has its number, too.
-        for crash in evidence.crashes.iter().chain(&evidence.cleared) {
-            let last = self.incarnations.entry(crash.incarnation);
-            let last = last.or_insert((crash.number, now_ms));
-            if crash.number > last.0 {
-                *last = (crash.number, now_ms);
-            }
+        if record.evidence == before {
+            return false;
         }
         let crashes = &record.evidence.crashes;
         for crash in crashes {
             if record.learned_ms.contains_key(crash) {
                 continue;
             }
-            record.learned_ms.insert(*crash, now_ms);
+            let learned_ms = self.crashes.get(crash).copied();
+            record
+                .learned_ms
+                .insert(*crash, learned_ms.unwrap_or(now_ms));
             let [last, other] = &mut self.last_crashes;
             if last.is_some_and(|(last, _)| last != fingerprint) {
                 *other = *last;
@@ -427,6 +445,23 @@
         true
     }
 
+    /// Notes when this process learned of the crashes in evidence, and their numbers. Those
+    /// that were cleared already have a number, too.
+    fn note_crashes(&mut self, evidence: &Evidence, now_ms: u64) {
+        for crash in evidence.crashes.iter().chain(&evidence.cleared) {
+            self.crashes.entry(*crash).or_insert(now_ms);
+            let last = self.incarnations.entry(crash.incarnation);
+            let last = last.or_insert((crash.number, now_ms));
+            if crash.number > last.0 {
+                *last = (crash.number, now_ms);
+            }
+        }
+        drop_oldest(&mut self.crashes, INCARNATIONS_MAX, |at_ms| *at_ms);
+        drop_oldest(&mut self.incarnations, INCARNATIONS_MAX, |(_, at_ms)| {
+            *at_ms
+        });
+    }
+
     /// Returns the crash of an incarnation that this process sees now.
     fn crash(&mut self, incarnation: Incarnation, now_ms: u64) -> Crash {
         let last = self.incarnations.get(&incarnation).copied();
@@ -451,14 +486,20 @@
             };
             self.records.remove(&dropped);
         }
-        if self.incarnations.len() > INCARNATIONS_MAX {
-            let oldest = self
-                .incarnations
-                .iter()
-                .min_by_key(|(_, (_, at_ms))| *at_ms);
-            if let Some(incarnation) = oldest.map(|(incarnation, _)| *incarnation) {
-                self.incarnations.remove(&incarnation);
-            }
-        }
     }
 }
+
+/// Drops a part of the entries, those with the oldest times, if there are too many.
+fn drop_oldest<K: Eq + Hash, V>(
+    entries: &mut HashMap<K, V>,
+    max: usize,
+    at_ms: impl Fn(&V) -> u64,
+) {
+    if entries.len() <= max {
+        return;
+    }
+    let mut times: Vec<u64> = entries.values().map(&at_ms).collect();
+    let (_, oldest_ms, _) = times.select_nth_unstable(max / DROPPED_PART);
+    let oldest_ms = *oldest_ms;
+    entries.retain(|_, entry| at_ms(entry) > oldest_ms);
+}
