Refuse the narrower of two parts that explain the crashes nearly alike

What callers saw, in the soak: while no request had been answered yet, all requests were refused for the first part of their prompts, and the deadly part was not.

Cause: the first part is in all crashes of the deadly one. With one more, in a response that broke off by chance, it had the most and was taken first, and explained the others.

Change: a suspect that has all crashes of another one, and at most two more, is not taken before it.

--- a/crates/relay/src/suspect/culprit.rs
+++ b/crates/relay/src/suspect/culprit.rs
@@ -7,6 +7,9 @@
 //! its requests with, such as the first part of all prompts of a route, from being refused
 //! with it.
 //!
+//! A suspect that has all crashes of another one and only a few more is not taken: single
+//! answers break off by chance, and the first part of a route is in most of them.
+//!
 //! Suspects with exactly the same crashes can't be told apart. They are one culprit, and
 //! only requests with all of them are refused, so that a sound one is still answered and
 //! cleared with other requests.
@@ -18,7 +21,7 @@
 
 use std::{
     cmp,
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeSet, HashMap, HashSet},
 };
 
 use super::{Crash, Evidence, Fingerprint, Request};
@@ -40,6 +43,20 @@
     pub has_others: bool,
 }
 
+/// Suspects with the same crashes, which can't be told apart.
+struct Group<'a> {
+    members: Vec<Fingerprint>,
+    crashes: &'a BTreeSet<Crash>,
+    answered: bool,
+}
+
+impl Group<'_> {
+    /// Returns the number of unexplained crashes from which it is a culprit.
+    fn refuse_at(&self) -> usize {
+        refuse_at(self.answered)
+    }
+}
+
 /// The suspects for which requests are refused.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Culprits {
@@ -50,26 +67,21 @@
 impl Culprits {
     /// Finds the culprits among suspects with at least [`REFUSE_AT`] strikes.
     pub(super) fn new<'a>(suspects: impl Iterator<Item = &'a Evidence>) -> Culprits {
-        let mut suspects: Vec<&Evidence> = suspects.filter(|known| can_be(known)).collect();
-        suspects.sort_unstable_by_key(|&known| {
-            let strikes = cmp::Reverse(known.strikes());
-            (known.answered, strikes, &known.crashes, known.fingerprint)
-        });
-        let is_same = |one: &&Evidence, other: &&Evidence| {
-            one.answered == other.answered && one.crashes == other.crashes
-        };
-        let mut explained: BTreeSet<Crash> = BTreeSet::new();
-        let mut groups = HashMap::new();
-        for group in suspects.chunk_by(is_same) {
-            let first = group[0];
-            let unexplained = first.crashes.difference(&explained).count();
-            if unexplained >= refuse_at(first) {
-                explained.extend(&first.crashes);
-                let members = group.iter().map(|known| known.fingerprint);
-                groups.insert(first.fingerprint, members.collect());
+        let mut search = Search::new(group(suspects));
+        let mut culprits = Vec::new();
+        for index in 0..search.groups.len() {
+            while let Some(culprit) = search.culprit(index) {
+                search.explained.extend(search.groups[culprit].crashes);
+                culprits.push(culprit);
             }
         }
-        Culprits { groups }
+        let groups = culprits.into_iter().map(|culprit| {
+            let members = std::mem::take(&mut search.groups[culprit].members);
+            (members[0], members)
+        });
+        Culprits {
+            groups: groups.collect(),
+        }
     }
 
     /// Returns why a request is refused. Of a culprit of several suspects, the one that
@@ -96,14 +108,90 @@
     }
 }
 
+/// Groups the suspects that can be culprits by their crashes, those that are taken first
+/// at the front.
+fn group<'a>(suspects: impl Iterator<Item = &'a Evidence>) -> Vec<Group<'a>> {
+    let mut suspects: Vec<&Evidence> = suspects.filter(|known| can_be(known)).collect();
+    suspects.sort_unstable_by_key(|&known| {
+        let strikes = cmp::Reverse(known.strikes());
+        (known.answered, strikes, &known.crashes, known.fingerprint)
+    });
+    let is_same = |one: &&Evidence, other: &&Evidence| {
+        one.answered == other.answered && one.crashes == other.crashes
+    };
+    let groups = suspects.chunk_by(is_same).map(|members| Group {
+        members: members.iter().map(|known| known.fingerprint).collect(),
+        crashes: &members[0].crashes,
+        answered: members[0].answered,
+    });
+    groups.collect()
+}
+
 fn can_be(known: &Evidence) -> bool {
     let goes_on = !known.answered || !known.later.is_empty();
-    goes_on && known.strikes() >= refuse_at(known)
+    goes_on && known.strikes() >= refuse_at(known.answered)
 }
 
-fn refuse_at(known: &Evidence) -> usize {
-    match known.answered {
+fn refuse_at(answered: bool) -> usize {
+    match answered {
         true => REFUSE_ANSWERED_AT,
         false => REFUSE_AT,
     }
 }
+
+/// The search for the culprits.
+struct Search<'a> {
+    groups: Vec<Group<'a>>,
+    /// The groups that a crash accuses, by their index.
+    accused: HashMap<Crash, Vec<usize>>,
+    explained: HashSet<Crash>,
+}
+
+impl<'a> Search<'a> {
+    fn new(groups: Vec<Group<'a>>) -> Search<'a> {
+        let mut accused: HashMap<Crash, Vec<usize>> = HashMap::new();
+        for (index, group) in groups.iter().enumerate() {
+            for crash in group.crashes {
+                accused.entry(*crash).or_default().push(index);
+            }
+        }
+        Search {
+            groups,
+            accused,
+            explained: HashSet::new(),
+        }
+    }
+
+    fn unexplained(&self, group: usize) -> impl Iterator<Item = &'a Crash> + use<'a, '_> {
+        let crashes = self.groups[group].crashes.iter();
+        crashes.filter(|crash| !self.explained.contains(crash))
+    }
+
+    /// Returns the culprit that a group points to: itself, or one that explains all but a
+    /// few of its unexplained crashes and none else.
+    fn culprit(&self, group: usize) -> Option<usize> {
+        let crashes: BTreeSet<&Crash> = self.unexplained(group).collect();
+        if crashes.len() < self.groups[group].refuse_at() {
+            return None;
+        }
+        // A narrower group misses fewer crashes than are looked at here.
+        let accused = crashes.iter().take(REFUSE_AT);
+        let others = accused.flat_map(|crash| &self.accused[*crash]).copied();
+        let narrower = others.filter_map(|other| {
+            let mut count = 0;
+            for crash in self.unexplained(other) {
+                if !crashes.contains(crash) {
+                    return None;
+                }
+                count += 1;
+            }
+            let other_group = &self.groups[other];
+            let fits = other_group.answered == self.groups[group].answered
+                && (other_group.refuse_at()..crashes.len()).contains(&count)
+                && crashes.len() - count < REFUSE_AT;
+            fits.then_some((count, cmp::Reverse(other)))
+        });
+        let widest = narrower.max();
+        Some(widest.map_or(group, |(_, cmp::Reverse(other))| other))
+    }
+}
--- a/crates/relay/tests/culprit.rs
+++ b/crates/relay/tests/culprit.rs
@@ -453,6 +453,50 @@
     assert_eq!(here.refusal(&request(&ids)), None);
 }
 
+/// Guards against refusing the first part of a route that was not answered yet, as it is
+/// in all crashes of a deadly part and in one more (soak, seed 4).
+#[rstest]
+#[case::none_more(0)]
+#[case::one_more(1)]
+#[case::two_more(2)]
+fn a_part_in_more_crashes_is_not_refused_instead_of_the_deadly_one(#[case] more: u64) {
+    let mut known = Suspects::default();
+    let [sound, deadly] = [&["lead", "own-0"][..], &["lead", "dead", "own-1"]];
+    for crash in 0..3 + more {
+        let ids = if crash < more { sound } else { deadly };
+        let content = Fingerprint::new("host", &crash.to_string(), b"");
+        let incarnation = Incarnation::new(&format!("server-{crash}"), 1);
+        let sent_ms = crash * 200;
+        known.request_crashed(&Request::new(content, ids), incarnation, sent_ms, sent_ms);
+    }
+    let content = Fingerprint::new("host", "new", b"");
+    assert_eq!(known.refusal(&Request::new(content, sound)), None);
+    let refusal = known.refusal(&Request::new(content, deadly));
+    assert_eq!(refusal.and_then(|refusal| refusal.part), Some(1));
+}
+
+/// Guards against a deadly part that hides behind contents that are sent again and again.
+#[test]
+fn a_part_is_refused_when_its_contents_are_repeated() {
+    let mut known = Suspects::default();
+    let part = Fingerprint::of_part("dead");
+    let mut crashes = 0;
+    for content in 0..10 {
+        let content = Fingerprint::new("host", &content.to_string(), b"");
+        let request = Request::new(content, &["dead", "own"]);
+        for _ in 0..3 {
+            if known.refusal(&request).is_some() {
+                break;
+            }
+            let incarnation = Incarnation::new(&format!("server-{crashes}"), 1);
+            known.request_crashed(&request, incarnation, crashes * 1_000, crashes * 1_000);
+            crashes += 1;
+        }
+    }
+    assert!(known.is_refused(part));
+    assert!(crashes <= 8, "{crashes} crashes");
+}
+
 /// Guards against odd lists of parts: none, empty, repeated and very many.
 #[rstest]
 #[case::none(&[], 0)]
