--- a/programs/entry/tests/fault.rs
+++ b/programs/entry/tests/fault.rs
@@ -246,6 +246,35 @@
     assert!(strikes[2].1, "the third run was isolated");
 }
 
+/// Guards against requests with one message that crash one backend server after another,
+/// as no two of them have the same content (second incident BUDGET).
+#[rstest]
+fn a_message_that_crashes_backend_servers_is_refused_in_all_chats() {
+    let ids: Vec<String> = (0..12).map(|index| format!("e{index}")).collect();
+    let crashing = ids.iter().map(|id| Backend::engine(id, &[Answer::Close]));
+    let fleet = fleet(crashing.collect());
+    for backend in &fleet.backends {
+        backend.refuse_after(1);
+    }
+    let chat = |contents: &[&str]| {
+        let mut body = chat_body(true);
+        let messages = contents
+            .iter()
+            .map(|content| serde_json::json!({ "role": "user", "content": content }));
+        body["messages"] = messages.collect();
+        fleet.chat(&body).refusal()
+    };
+    for number in 0..6 {
+        chat(&["lead", "dead", &format!("own {number}")]);
+    }
+    let runs: usize = fleet.backends.iter().map(Backend::count).sum();
+    assert!(runs <= 5, "{runs} runs with the message");
+    let last = chat(&["lead", "dead", "own"]);
+    assert_eq!(last, ("poisonous_part".to_owned(), "not_run".to_owned()));
+    let other = chat(&["lead", "other", "own"]);
+    assert_ne!(other.0, "poisonous_part");
+}
+
 /// Guards against an isolated run of the same suspect on every entry VM at once, each of
 /// which may crash a backend server.
 #[rstest]
