Take a response that has no body for a whole one

Cause: only a length and chunks counted as an end that is stated.

Evidence: a_response_without_content_is_whole, plain, did not pass before.

Change: the HTTP library says whether the length of the body is known, which it also is for a response that has none.

--- a/crates/suspect/src/lib.rs
+++ b/crates/suspect/src/lib.rs
@@ -42,7 +42,7 @@
 const LATER_MS: u64 = 1_000;
 /// Strikes of an unanswered part from which a request with it is not sent again after it
 /// broke off.
-const RESEND_BELOW: usize = 2;
+const NO_RESEND_AT: usize = 2;
 /// Most suspects in memory. Those with the fewest strikes are dropped first, and of
 /// these the oldest.
 pub const SUSPECTS_MAX: usize = 10_000;
@@ -254,7 +254,7 @@
         !parts.any(|part| {
             let record = self.records.get(part);
             record.is_some_and(|record| {
-                record.evidence.strikes() >= RESEND_BELOW && !record.evidence.answered
+                record.evidence.strikes() >= NO_RESEND_AT && !record.evidence.answered
             })
         })
     }
--- a/programs/gateway/src/control/runner.rs
+++ b/programs/gateway/src/control/runner.rs
@@ -328,7 +328,7 @@
         return ended;
     }
     // An empty response that ends with its connection may have been cut after the head.
-    let is_framed = upstream::is_framed(exchange.response.headers());
+    let is_framed = upstream::is_framed(&exchange.response);
     let mut may_be_cut = !is_framed;
     let mut body = exchange.response.into_body();
     let mut parser = event::Parser::default();
--- a/programs/gateway/src/entry/attempt.rs
+++ b/programs/gateway/src/entry/attempt.rs
@@ -455,8 +455,8 @@
             return pass_through(state, accepted, active, forward);
         }
         let slot = accepted.slot;
+        let is_framed = upstream::is_framed(&accepted.response);
         let (parts, body) = accepted.response.into_parts();
-        let is_framed = upstream::is_framed(&parts.headers);
         let reading = async {
             let body = read_whole(body, state.pool.budget().reserve()).await?;
             match is_framed || !body.is_empty() {
@@ -519,8 +519,8 @@
     active: Active,
     forward: Forward,
 ) -> response::Response {
+    let is_framed = upstream::is_framed(&accepted.response);
     let (mut parts, body) = accepted.response.into_parts();
-    let is_framed = upstream::is_framed(&parts.headers);
     forward::remove_hop_headers(&mut parts.headers);
     let stated = body.size_hint().exact();
     let passthrough = Passthrough {
--- a/programs/gateway/src/entry/stream.rs
+++ b/programs/gateway/src/entry/stream.rs
@@ -48,8 +48,8 @@
         .parse()
         .ok();
     let is_event_stream = is_event_stream(&accepted.response);
+    let is_framed = upstream::is_framed(&accepted.response);
     let (mut parts, body) = accepted.response.into_parts();
-    let is_framed = upstream::is_framed(&parts.headers);
     forward::remove_hop_headers(&mut parts.headers);
     let status = parts.status;
     let source = Source {
@@ -259,7 +259,7 @@
         match self.attempts.run(&self.state, &self.forward).await {
             Ok(accepted) if is_event_stream(&accepted.response) => {
                 self.run = Some(Run {
-                    is_framed: upstream::is_framed(accepted.response.headers()),
+                    is_framed: upstream::is_framed(&accepted.response),
                     has_data: false,
                     body: accepted.response.into_body(),
                     lease: accepted.lease,
--- a/programs/gateway/src/upstream.rs
+++ b/programs/gateway/src/upstream.rs
@@ -9,7 +9,7 @@
 use bw_wire::verdict;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{HeaderMap, StatusCode, body, client::conn::http1, header};
+use hyper::{HeaderMap, StatusCode, body, body::Body, client::conn::http1, header};
 use hyper_util::rt::TokioIo;
 use tokio::task;
 
@@ -121,10 +121,12 @@
     stated.is_none_or(|value| value.as_bytes().starts_with(EVENT_STREAM))
 }
 
-/// Returns whether a response states where its body ends, by a length or by chunks. The
-/// body of another one ends with its connection, also where the backend server stops.
-pub fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+/// Returns whether a response states where its body ends, by a length, by chunks or as it
+/// has none. The body of another one ends with its connection, also where the backend
+/// server stops.
+pub fn is_framed(response: &hyper::Response<body::Incoming>) -> bool {
+    let has_chunks = response.headers().contains_key(header::TRANSFER_ENCODING);
+    has_chunks || response.body().size_hint().exact().is_some()
 }
 
 /// Idle connections to all backend servers, by address; clones share them.
