--- a/review/tools/common.rs
+++ b/review/tools/common.rs
@@ -7,7 +7,7 @@
     fs,
     io::{Read, Write},
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream},
-    os::fd::FromRawFd,
+    os::{fd::{AsRawFd, FromRawFd}, unix::process::CommandExt},
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{Arc, Mutex, atomic::{AtomicBool, AtomicU64, Ordering}},
@@ -28,6 +28,8 @@
     fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
     fn connect(fd: i32, address: *const SockAddrIn, length: u32) -> i32;
+    fn prctl(option: i32, value: u64) -> i32;
+    fn listen(fd: i32, backlog: i32) -> i32;
 }
 
 #[repr(C)]
@@ -88,14 +90,16 @@
     pub fn start(&mut self) {
         let log = fs::File::options().append(true).create(true).open(self.settings.with_extension("log")).expect("log");
         let errors = log.try_clone().expect("log");
-        let child = Command::new(&self.binary)
-            .arg("--config")
-            .arg(&self.settings)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(errors)
-            .spawn()
-            .expect("the program starts");
+        let mut command = Command::new(&self.binary);
+        command.arg("--config").arg(&self.settings).stdin(Stdio::null()).stdout(log).stderr(errors);
+        // The program ends with this one, however this one ends.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(1, SIGKILL as u64);
+                Ok(())
+            });
+        }
+        let child = command.spawn().expect("the program starts");
         self.child = Some(child);
     }
 
@@ -113,6 +117,15 @@
         }
     }
 
+    /// The machine has lost its disk, and starts again at its address.
+    pub fn start_with_empty_disk(&mut self) {
+        self.kill();
+        let _ = fs::remove_dir_all(self.settings.with_extension("data"));
+        let settings = fs::read_to_string(&self.settings).expect("settings");
+        fs::write(&self.settings, settings.replace("first_start: true", "first_start: false")).expect("settings");
+        self.start();
+    }
+
     pub fn exited(&mut self) -> bool {
         match &mut self.child {
             Some(child) => child.try_wait().ok().flatten().is_some(),
@@ -342,28 +355,9 @@
     read_response(&mut stream, until, None)
 }
 
-/// What a client's link carries, in bytes a second: `first` for so long, then `later`.
-#[derive(Clone, Copy)]
-pub struct Link {
-    pub first: f64,
-    pub first_for: Duration,
-    pub later: f64,
-}
-
-impl Link {
-    /// Returns after which time this many bytes have come.
-    fn due(&self, bytes: usize) -> Duration {
-        let slow = self.first * self.first_for.as_secs_f64();
-        let bytes = bytes as f64;
-        match bytes < slow {
-            true => Duration::from_secs_f64(bytes / self.first),
-            false => self.first_for + Duration::from_secs_f64((bytes - slow) / self.later),
-        }
-    }
-}
-
-/// Reads one answer. With `link`, no more bytes are read than that link carries.
-pub fn read_response(stream: &mut TcpStream, until: Instant, link: Option<Link>) -> Option<Response> {
+/// Reads one answer. With `rate`, no more than so many bytes a second are read, as over a
+/// slow link.
+pub fn read_response(stream: &mut TcpStream, until: Instant, rate: Option<f64>) -> Option<Response> {
     let mut bytes: Vec<u8> = Vec::new();
     let began = Instant::now();
     let mut expected = 0;
@@ -389,8 +383,8 @@
             ended = true;
             continue;
         }
-        if let Some(link) = link {
-            let due = began + link.due(bytes.len());
+        if let Some(rate) = rate {
+            let due = began + Duration::from_secs_f64(bytes.len() as f64 / rate);
             if due > now {
                 thread::sleep((due - now).min(until - now));
                 continue;
@@ -469,7 +463,6 @@
         let stream = TcpStream::from_raw_fd(fd);
         setsockopt(fd, 6, 2, &segment, 4);
         setsockopt(fd, 1, 8, &window, 4);
-        setsockopt(fd, 6, 10, &window, 4);
         match connect(fd, &address, size_of::<SockAddrIn>() as u32) {
             0 => Some(stream),
             _ => None,
@@ -498,15 +491,20 @@
 
 /// What a replica does with a request for work: it writes the answer to the stream and
 /// returns whether the connection stays open.
-pub type Handler = Arc<dyn Fn(&Replica, &Received, &mut TcpStream) -> bool + Send + Sync>;
+pub type Handler = Arc<dyn Fn(&Arc<Replica>, &Received, &mut TcpStream) -> bool + Send + Sync>;
+
+/// Length of the queue of new connections of a replica.
+const QUEUE: i32 = 16;
 
 /// A stand-in for a replica of a service.
 pub struct Replica {
-    pub id: String,
+    id: Mutex<String>,
     pub service: String,
     pub address: SocketAddr,
     pub zone: String,
-    pub born: u64,
+    born: AtomicU64,
+    /// Until when it is silent, in Unix milliseconds: it reads and answers nothing.
+    dark_until: AtomicU64,
     pub slots: u32,
     sequence: AtomicU64,
     pub draining: AtomicBool,
@@ -519,13 +517,16 @@
 impl Replica {
     pub fn start(fleet: &Fleet, host: u8, service: &str, slots: u32, record: &Record, handler: Handler) -> Arc<Replica> {
         let listener = TcpListener::bind((fleet.ip(host), 0)).expect("a port");
+        // A short queue, which is filled while the replica is dark.
+        unsafe { listen(listener.as_raw_fd(), QUEUE) };
         let address = listener.local_addr().expect("bound");
         let replica = Arc::new(Replica {
-            id: format!("i-{host:02x}{:06x}", unix_ms() & 0xff_ffff),
+            id: Mutex::new(new_id(host)),
             service: service.to_owned(),
             address,
             zone: ["zone-a", "zone-b", "zone-c"][host as usize % 3].to_owned(),
-            born: unix_ms(),
+            born: AtomicU64::new(unix_ms()),
+            dark_until: AtomicU64::new(0),
             slots,
             sequence: AtomicU64::new(0),
             draining: AtomicBool::new(false),
@@ -537,6 +538,10 @@
         let serving = Arc::clone(&replica);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                // A machine that is dark accepts no connection.
+                if serving.await_light() {
+                    continue;
+                }
                 let replica = Arc::clone(&serving);
                 thread::spawn(move || replica.serve(stream));
             }
@@ -553,6 +558,48 @@
         replica
     }
 
+    pub fn id(&self) -> String {
+        self.id.lock().expect("id").clone()
+    }
+
+    /// Falls silent for so long, with all its connections, and starts again as a new
+    /// lifetime with a new id after that.
+    pub fn go_dark(self: &Arc<Replica>, for_ms: u64) {
+        let until = unix_ms() + for_ms;
+        self.dark_until.store(until, Ordering::Relaxed);
+        self.announcing.store(false, Ordering::Relaxed);
+        let replica = Arc::clone(self);
+        thread::spawn(move || {
+            // Fills the queue of the listener, so that the kernel answers no other caller.
+            let fill = || TcpStream::connect_timeout(&replica.address, Duration::from_millis(50)).ok();
+            let queue: Vec<_> = (0..2 * QUEUE + 2).map(|_| fill()).collect();
+            sleep_ms(until.saturating_sub(unix_ms()));
+            drop(queue);
+            let host = match replica.address.ip() {
+                IpAddr::V4(ip) => ip.octets()[3],
+                IpAddr::V6(_) => 0,
+            };
+            *replica.id.lock().expect("id") = new_id(host);
+            replica.born.store(unix_ms(), Ordering::Relaxed);
+            replica.sequence.store(0, Ordering::Relaxed);
+            replica.announcing.store(true, Ordering::Relaxed);
+            replica.beat();
+        });
+    }
+
+    pub fn is_dark(&self) -> bool {
+        unix_ms() < self.dark_until.load(Ordering::Relaxed)
+    }
+
+    /// Waits while it is silent. Returns whether it was.
+    fn await_light(&self) -> bool {
+        let was_dark = self.is_dark();
+        while self.is_dark() {
+            sleep_ms(20);
+        }
+        was_dark
+    }
+
     /// Sends one heartbeat, to one control program after the other until one acknowledges.
     pub fn beat(&self) -> bool {
         let state = match self.draining.load(Ordering::Relaxed) {
@@ -562,27 +609,32 @@
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
         let body = format!(
             r#"{{"Service":"{}","Address":"{}","Zone":"{}","Version":"v1","Slots":{},"State":"{state}","ColdLeftMs":0,"Stage":"hybrid","Models":[{{"Name":"m","Version":1,"Adapters":[]}}],"Seq":{sequence},"born":{}}}"#,
-            self.service, self.address, self.zone, self.slots, self.born
+            self.service, self.address, self.zone, self.slots, self.born.load(Ordering::Relaxed)
         );
-        let path = format!("/instances/{}", self.id);
+        let path = format!("/instances/{}", self.id());
         self.controls.iter().any(|control| {
             let response = call(*control, "PUT", &path, &[("Host", "control"), ("Content-Type", "application/json")], body.as_bytes(), 1_000);
             response.is_some_and(|response| response.complete && response.status == 200)
         })
     }
 
-    fn serve(&self, mut stream: TcpStream) {
+    fn serve(self: &Arc<Replica>, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut bytes: Vec<u8> = Vec::new();
         loop {
+            let born = self.born.load(Ordering::Relaxed);
             let Some(received) = read_request(&mut stream, &mut bytes) else {
                 return;
             };
+            // Nothing of before a crash is answered after it.
+            if self.await_light() || self.born.load(Ordering::Relaxed) != born {
+                return;
+            }
             let stays = if received.target == "/report" {
                 self.answer(&mut stream, &received, 200, "application/json", br#"{"Stage":"hybrid","Models":[],"Busy":false,"Seq":0,"Waiting":0,"Running":0,"KvUsed":0,"KvTotal":100000,"Handles":0,"Runs":[]}"#)
             } else if received.target == "/kv-move" {
                 self.answer(&mut stream, &received, 404, "application/json", b"{}")
-            } else if received.header("bilberrywind-expect-instance") != self.id && !received.header("bilberrywind-expect-instance").is_empty() {
+            } else if received.header("bilberrywind-expect-instance") != self.id() && !received.header("bilberrywind-expect-instance").is_empty() {
                 self.answer(&mut stream, &received, 421, "text/plain", b"")
             } else {
                 (self.handler)(self, &received, &mut stream)
@@ -597,7 +649,7 @@
     pub fn answer(&self, stream: &mut TcpStream, received: &Received, status: u16, kind: &str, body: &[u8]) -> bool {
         let head = format!(
             "HTTP/1.1 {status} X\r\nContent-Type: {kind}\r\nBilberrywind-Request-Id: {}\r\nBilberrywind-Response-Stamp: s.{}.{}\r\nBilberrywind-Instance-Id: {}\r\nContent-Length: {}\r\n\r\n",
-            received.id(), self.id, body.len(), self.id, body.len()
+            received.id(), self.id(), body.len(), self.id(), body.len()
         );
         stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(body)).is_ok()
     }
@@ -606,18 +658,32 @@
     pub fn refuse(&self, stream: &mut TcpStream, received: &Received) -> bool {
         let head = format!(
             "HTTP/1.1 503 X\r\nBilberrywind-Request-Id: {}\r\nBilberrywind-Not-Executed: full\r\nBilberrywind-Response-Stamp: s.{}.0\r\nContent-Length: 0\r\n\r\n",
-            received.id(), self.id
+            received.id(), self.id()
         );
         stream.write_all(head.as_bytes()).is_ok()
     }
 
+    /// Writes the head of a stream and its next events, and not the end.
+    pub fn stream_part(&self, stream: &mut TcpStream, received: &Received, events: u64, data: &dyn Fn(u64) -> String) {
+        let first: u64 = received.header("last-event-id").parse().unwrap_or(0);
+        let mut text = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nBilberrywind-Request-Id: {}\r\nBilberrywind-Response-Stamp: s.{}.e\r\nTransfer-Encoding: chunked\r\n\r\n",
+            received.id(), self.id()
+        );
+        for number in first + 1..=first + events {
+            let event = format!("id: {number}\ndata: {}\n\n", data(number));
+            text.push_str(&format!("{:x}\r\n{event}\r\n", event.len()));
+        }
+        let _ = stream.write_all(text.as_bytes());
+    }
+
     /// Writes a stream of events after `Last-Event-Id`, up to the event `total`. `pause_ms`
     /// passes before each event. Returns the last event that was written in whole, and
     /// whether the stream is complete.
     pub fn stream_events(&self, stream: &mut TcpStream, received: &Received, total: u64, pause_ms: u64, data: &dyn Fn(u64) -> String) -> (u64, bool) {
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nBilberrywind-Request-Id: {}\r\nBilberrywind-Response-Stamp: s.{}.e\r\nTransfer-Encoding: chunked\r\n\r\n",
-            received.id(), self.id
+            received.id(), self.id()
         );
         let first: u64 = received.header("last-event-id").parse().unwrap_or(0);
         if stream.write_all(head.as_bytes()).is_err() {
@@ -625,7 +691,7 @@
         }
         for number in first + 1..=total {
             sleep_ms(pause_ms);
-            if has_closed(stream) {
+            if self.await_light() || has_closed(stream) {
                 return (number - 1, false);
             }
             let event = format!("id: {number}\ndata: {}\n\n", data(number));
@@ -638,6 +704,10 @@
     }
 }
 
+fn new_id(host: u8) -> String {
+    format!("i-{host:02x}{:08x}", unix_ms() & 0xffff_ffff)
+}
+
 /// Returns whether the peer has closed the connection.
 pub fn has_closed(stream: &TcpStream) -> bool {
     let _ = stream.set_nonblocking(true);
