--- a/review/tools/common.rs
+++ b/review/tools/common.rs
@@ -708,6 +708,14 @@
     format!("i-{host:02x}{:08x}", unix_ms() & 0xffff_ffff)
 }
 
+/// Closes a connection with a reset.
+pub fn reset(stream: &TcpStream) {
+    // SO_LINGER with a time of 0.
+    let linger = [1_i32, 0];
+    unsafe { setsockopt(stream.as_raw_fd(), 1, 13, linger.as_ptr(), 8) };
+    let _ = stream.shutdown(std::net::Shutdown::Read);
+}
+
 /// Returns whether the peer has closed the connection.
 pub fn has_closed(stream: &TcpStream) -> bool {
     let _ = stream.set_nonblocking(true);
