Log why an item waits, since when, by which evidence and until when

An on-call engineer could see the runs of an item and its listing, but not why it did not run between them: the logs could not tell an item that is refused for a part of its prompt from one that the dispatch believes to run, or for which it sees no free slot.

The dispatch names the reason for each item that waits.

Behaviour is unchanged.

--- a/crates/relay/src/dispatch/end.rs
+++ b/crates/relay/src/dispatch/end.rs
@@ -49,6 +49,10 @@
             self.estimate.ran(events, now_ms.saturating_sub(*since_ms));
         }
         item.state = State::Waiting;
+        item.waiting.refused = None;
+        if outcome.has_run() {
+            item.waiting.since_ms = now_ms;
+        }
         self.runs.end(&server, stopping);
         self.update_suspicion(key, &outcome, (&server, stopping), now_ms);
         let item = self.jobs.get_mut(&key.job)?.items.get_mut(&key.item)?;
@@ -91,9 +95,11 @@
             }
             Outcome::Refused {
                 progress,
+                part,
                 retry_after_ms,
             } => {
                 waiting.progress = progress;
+                waiting.refused = Some(part);
                 waiting.not_before_ms = now_ms.saturating_add(retry_after_ms);
                 return None;
             }
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -17,12 +17,13 @@
 mod runs;
 mod start;
 pub mod trial;
+pub mod wait;
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use bw_wire::name::Name;
 
-use crate::{ledger, route, unix_time};
+use crate::{ledger, route, suspect, unix_time};
 
 pub use adopt::{Adoption, EVICTION_MS, Eviction, Survey};
 use estimate::Estimate;
@@ -79,6 +80,10 @@
 /// What earlier runs of an item left for the next one.
 #[derive(Clone, Debug)]
 struct Waiting {
+    /// Unix time of the end of the last run, or of the acceptance of the job.
+    since_ms: u64,
+    /// The part of its prompt that it was refused for when it last started.
+    refused: Option<suspect::Fingerprint>,
     /// Runs that failed according to the backend server.
     failures: u32,
     /// Runs in a row that broke off without an event.
@@ -183,7 +188,8 @@
             .iter()
             .enumerate()
             .filter(|(_, item)| !item.listed);
-        let items = unlisted.map(|(index, item)| (index as u32, new_item(item)));
+        let since_ms = job.submitted_ms;
+        let items = unlisted.map(|(index, item)| (index as u32, new_item(item, since_ms)));
         let due_ms = job.submitted_ms.saturating_add(job.complete_ms);
         let known = Job {
             route: job.route.clone(),
@@ -276,7 +282,7 @@
     }
 }
 
-fn new_item(item: &ledger::Item) -> Item {
+fn new_item(item: &ledger::Item, since_ms: u64) -> Item {
     Item {
         id: item.id.clone(),
         path: item.path.clone(),
@@ -284,6 +290,8 @@
         tokens: item.tokens,
         state: State::Waiting,
         waiting: Waiting {
+            since_ms,
+            refused: None,
             failures: item.failures,
             breaks: 0,
             not_before_ms: 0,
--- a/crates/relay/src/dispatch/run.rs
+++ b/crates/relay/src/dispatch/run.rs
@@ -3,7 +3,7 @@
 use bw_wire::name::Name;
 
 use super::Key;
-use crate::ledger;
+use crate::{ledger, suspect};
 
 /// The output of an item so far.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -93,6 +93,8 @@
     Refused {
         /// The output of earlier runs.
         progress: Progress,
+        /// The part.
+        part: suspect::Fingerprint,
         /// Time for which the item does not start, in milliseconds.
         retry_after_ms: u64,
     },
@@ -103,6 +105,14 @@
 }
 
 impl Outcome {
+    /// Returns whether a backend server may have begun to run the item.
+    pub(super) fn has_run(&self) -> bool {
+        !matches!(
+            self,
+            Outcome::NotRun(_) | Outcome::Refused { .. } | Outcome::Crowded(_)
+        )
+    }
+
     /// Returns the number of the item's last event after the run; `None` if the item is
     /// impossible.
     pub(super) fn last_event(&self) -> Option<u64> {
--- a/crates/relay/src/dispatch/start.rs
+++ b/crates/relay/src/dispatch/start.rs
@@ -42,8 +42,7 @@
         // Backend servers where items may start, with the number of free slots.
         let mut candidates: Vec<(u32, &Server)> = Vec::new();
         for server in servers {
-            let used = server.online + self.options.reserve + self.running(&server.id);
-            let free = server.slots.saturating_sub(used);
+            let free = self.free_slots(server);
             if free > 0 && !self.paused.contains_key(&server.id) {
                 candidates.push((free, server));
             }
--- /dev/null
+++ b/crates/relay/src/dispatch/wait.rs
@@ -0,0 +1,160 @@
+//! Why items wait.
+
+use bw_wire::name::Name;
+
+use super::{Dispatcher, Job, Key, Server, State, Waiting};
+use crate::{route, suspect};
+
+/// Why an item does not run now.
+#[derive(
+    Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, strum::EnumIter, strum::IntoStaticStr,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum Reason {
+    /// A new leader does not know yet what the backend servers run.
+    NewLeader,
+    /// A part of its prompt is in crashes of backend servers and is refused.
+    RefusedPart,
+    /// Its last run broke off, failed or did not begin a short time ago.
+    Pause,
+    /// Its runs broke off without an event, and it waits for a trial.
+    Trial,
+    /// No backend server runs its service.
+    NoBackend,
+    /// No backend server of its service has a free slot.
+    NoSlot,
+    /// Backend servers with free slots take no items for a moment, as a run was preempted
+    /// or failed there.
+    BackendPause,
+    /// It starts in one of the next steps, after items that are more urgent.
+    Turn,
+}
+
+/// An item that waits, and why.
+#[derive(Clone, Debug)]
+pub struct Wait {
+    /// The job of the item and its index in the job.
+    pub key: Key,
+    /// The id of the item, which is its request id.
+    pub id: Name,
+    /// Unix time since which it waits: the end of its last run or its acceptance.
+    pub since_ms: u64,
+    /// Why it does not run now.
+    pub reason: Reason,
+    /// Unix time at which the reason ends or is looked at again, if that is known.
+    pub until_ms: Option<u64>,
+    /// The part that is refused.
+    pub part: Option<suspect::Fingerprint>,
+    /// Runs in a row that broke off without an event. From some of them on the item itself
+    /// is suspected of crashing backend servers.
+    pub breaks: u32,
+}
+
+/// The slots that items of one service can use.
+#[derive(Clone, Copy, Debug, Default)]
+struct Room {
+    backends: usize,
+    /// Free slots where items may start.
+    open: u32,
+    /// Free slots of backend servers that take no items for a moment.
+    paused: u32,
+}
+
+/// The items that wait, and the room for them.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    /// The items, in the order in which they are due.
+    pub waits: Vec<Wait>,
+    /// Free slots, wherever they are.
+    pub free_slots: u32,
+}
+
+impl Dispatcher {
+    /// Returns the items that wait now, with the reason of each.
+    pub fn queue(&self, servers: &[Server], routes: &route::Table, now_ms: u64) -> Queue {
+        let mut queue = Queue::default();
+        for server in servers {
+            queue.free_slots += self.free_slots(server);
+        }
+        for (_, id) in &self.order {
+            let Some(job) = self.jobs.get(id) else {
+                continue;
+            };
+            // All items of a job have the same route, and mostly the same path.
+            let room = self.room(job, servers, routes);
+            for (index, item) in &job.items {
+                if !matches!(item.state, State::Waiting) {
+                    continue;
+                }
+                let (reason, until_ms) = self.wait_reason(&item.waiting, room, now_ms);
+                queue.waits.push(Wait {
+                    key: Key {
+                        job: id.clone(),
+                        item: *index,
+                    },
+                    id: item.id.clone(),
+                    since_ms: item.waiting.since_ms,
+                    reason,
+                    until_ms,
+                    part: item.waiting.refused,
+                    breaks: item.waiting.breaks,
+                });
+            }
+        }
+        queue
+    }
+
+    /// Returns whether an item of this wait is itself in crashes that no other backend
+    /// server had at that time, so that it may wait for longer.
+    pub fn is_suspect(&self, wait: &Wait) -> bool {
+        wait.breaks >= self.options.trials.breaks.max(1)
+    }
+
+    fn wait_reason(&self, waiting: &Waiting, room: Room, now_ms: u64) -> (Reason, Option<u64>) {
+        if now_ms < self.no_starts_before_ms {
+            return (Reason::NewLeader, Some(self.no_starts_before_ms));
+        }
+        if now_ms < waiting.not_before_ms {
+            let reason = match waiting.refused {
+                Some(_) => Reason::RefusedPart,
+                None => Reason::Pause,
+            };
+            return (reason, Some(waiting.not_before_ms));
+        }
+        let reason = match room {
+            Room { backends: 0, .. } => Reason::NoBackend,
+            Room {
+                open: 0, paused: 0, ..
+            } => Reason::NoSlot,
+            Room { open: 0, .. } => Reason::BackendPause,
+            _ if waiting.breaks >= self.options.trials.breaks.max(1) => Reason::Trial,
+            _ => Reason::Turn,
+        };
+        (reason, None)
+    }
+
+    fn room(&self, job: &Job, servers: &[Server], routes: &route::Table) -> Room {
+        let mut room = Room::default();
+        let item = job.items.values().next();
+        let Some(route) = item.and_then(|item| routes.find(&job.route.host, &item.path)) else {
+            return room;
+        };
+        for server in servers
+            .iter()
+            .filter(|server| route.allows(&server.service))
+        {
+            room.backends += 1;
+            match self.paused.contains_key(&server.id) {
+                true => room.paused += self.free_slots(server),
+                false => room.open += self.free_slots(server),
+            }
+        }
+        room
+    }
+
+    /// Returns the slots of a backend server that neither online requests nor items use.
+    pub(super) fn free_slots(&self, server: &Server) -> u32 {
+        let used = server.online + self.options.reserve + self.running(&server.id);
+        server.slots.saturating_sub(used)
+    }
+}
--- a/crates/relay/tests/burst.rs
+++ b/crates/relay/tests/burst.rs
@@ -252,9 +252,10 @@
                 self.waiting.remove(&*run.start.id);
                 self.runs.push(run);
             }
-            Err(retry_after_ms) => {
+            Err((part, retry_after_ms)) => {
                 let outcome = Outcome::Refused {
                     progress: run.start.progress.clone(),
+                    part,
                     retry_after_ms,
                 };
                 self.dispatch.ended(&run.start.key, outcome, self.now_ms);
@@ -262,16 +263,16 @@
         }
     }
 
-    /// Decides whether an item may run, and for which part it is a trial; else returns how
-    /// long it must not.
-    fn admit(&mut self, run: &Run) -> Result<Option<(Fingerprint, u64)>, u64> {
+    /// Decides whether an item may run, and for which part it is a trial; else returns the
+    /// part and how long it must not.
+    fn admit(&mut self, run: &Run) -> Result<Option<(Fingerprint, u64)>, (Fingerprint, u64)> {
         let Some(refusal) = self.suspects.refusal(&request(&run.start)) else {
             return Ok(None);
         };
         let (part, now_ms) = (refusal.fingerprint, self.now_ms);
         let until_ms = self.waits.get(&part).copied().unwrap_or(0);
         if now_ms < until_ms {
-            return Err(until_ms - now_ms);
+            return Err((part, until_ms - now_ms));
         }
         self.tickets += 1;
         let verdict = self.trials.execute(trial::Command::Begin {
@@ -286,7 +287,7 @@
             Some(Verdict::Exhausted) | None => trial::EXHAUSTED_RETRY_MS,
         };
         self.waits.insert(part, now_ms + wait_ms);
-        Err(wait_ms)
+        Err((part, wait_ms))
     }
 
     /// Advances a run to the current time.
--- a/crates/suspect/src/lib.rs
+++ b/crates/suspect/src/lib.rs
@@ -35,7 +35,7 @@
 const SAME_CRASH_MS: u64 = 100;
 /// Time after a crash under another request in which the fleet is not calm, in
 /// milliseconds. Crashes of one burst are closer together.
-const CALM_MS: u64 = 2_000;
+pub const CALM_MS: u64 = 2_000;
 /// Time from the first crash of a suspect to the send of a run from which a crash of that
 /// run is a later one, in milliseconds. A burst of crashes ends within that time, and
 /// answers to sound requests are complete.
@@ -288,6 +288,12 @@
         !crashes.any(|(other, at_ms)| *other != fingerprint && now_ms < at_ms + CALM_MS)
     }
 
+    /// Returns when this process learned of the last crash of any backend server, in
+    /// monotonic milliseconds.
+    pub fn last_any_crash_ms(&self) -> Option<u64> {
+        self.crashes.values().max().copied()
+    }
+
     /// Adds a strike for a content of which nothing else is known.
     pub fn crashed(
         &mut self,
--- a/programs/gateway/src/control/item.rs
+++ b/programs/gateway/src/control/item.rs
@@ -97,6 +97,8 @@
     Admitted(Option<Permit>),
     /// It must not run now.
     Refused {
+        /// The part that it is refused for.
+        part: suspect::Fingerprint,
         /// Time for which it does not start, in milliseconds.
         retry_after_ms: u64,
     },
@@ -155,5 +157,8 @@
         retry_after_ms = retry_after_ms;
         "item with a suspected part is not admitted"
     );
-    Admission::Refused { retry_after_ms }
+    Admission::Refused {
+        part: fingerprint,
+        retry_after_ms,
+    }
 }
--- a/programs/gateway/src/control/mod.rs
+++ b/programs/gateway/src/control/mod.rs
@@ -13,6 +13,7 @@
 mod members;
 mod orphan;
 mod peers;
+mod queue;
 mod replica;
 mod runner;
 mod sessions;
@@ -81,6 +82,7 @@
     tasks.spawn_local(hub::handle_notices(Rc::clone(&hub), notices));
     tasks.spawn_local(hub::run_periodic_work(Rc::clone(&hub)));
     tasks.spawn_local(hub::send_heartbeats(Rc::clone(&hub)));
+    tasks.spawn_local(queue::watch(Rc::clone(&hub)));
     tasks.spawn_local(members::join(Rc::clone(&hub)));
     tasks.spawn_local(evacuation::run(Rc::clone(&hub)));
     tasks.spawn_local(sessions::listen(
--- a/programs/gateway/src/control/runner.rs
+++ b/programs/gateway/src/control/runner.rs
@@ -5,7 +5,7 @@
 use bw_coord::host;
 use bw_relay::{
     dispatch::{self, trial},
-    event, ledger,
+    event, ledger, suspect,
 };
 use bw_wire::verdict;
 use bytes::Bytes;
@@ -146,7 +146,13 @@
     let first = progress.last;
     let subject = item::Subject::new(&hub, &start);
     let ended = match item::admit(&hub, &subject).await {
-        item::Admission::Refused { retry_after_ms } => Ended::Refused { retry_after_ms },
+        item::Admission::Refused {
+            part,
+            retry_after_ms,
+        } => Ended::Refused {
+            part,
+            retry_after_ms,
+        },
         item::Admission::Admitted(permit) => {
             let running = exchange(&hub, &start, &subject, &mut progress, term);
             let ended = tokio::select! {
@@ -187,8 +193,12 @@
     let outcome = match ended {
         Ended::Completed => dispatch::Outcome::Completed(progress),
         Ended::Stopped | Ended::Broken | Ended::Disconnected => dispatch::Outcome::Broken(progress),
-        Ended::Refused { retry_after_ms } => dispatch::Outcome::Refused {
+        Ended::Refused {
+            part,
+            retry_after_ms,
+        } => dispatch::Outcome::Refused {
             progress,
+            part,
             retry_after_ms,
         },
         Ended::Failed => dispatch::Outcome::Failed(progress),
@@ -254,6 +264,8 @@
     Disconnected,
     /// A part of the prompt crashes backend servers.
     Refused {
+        /// The part.
+        part: suspect::Fingerprint,
         /// Time for which the item does not start, in milliseconds.
         retry_after_ms: u64,
     },
--- a/programs/gateway/src/metrics.rs
+++ b/programs/gateway/src/metrics.rs
@@ -117,6 +117,33 @@
     metrics::plain_gauge("bw_gateway_open_items", "Items that are not listed yet.")
 });
 
+/// Items that wait, by the reason why they do not run now.
+pub static WAITING_ITEMS: LazyLock<prometheus::IntGaugeVec> = LazyLock::new(|| {
+    metrics::gauge(
+        "bw_gateway_waiting_items",
+        "Items that wait for a run, by reason.",
+        &["reason"],
+    )
+});
+
+/// The longest time for which an item has waited, by the reason why it does not run now.
+pub static OLDEST_WAIT_MS: LazyLock<prometheus::IntGaugeVec> = LazyLock::new(|| {
+    metrics::gauge(
+        "bw_gateway_oldest_wait_milliseconds",
+        "Longest current wait of an item for a run, by reason.",
+        &["reason"],
+    )
+});
+
+/// Counts items that waited beyond their bound although there was room for them, by reason.
+pub static OVERDUE_ITEMS: LazyLock<prometheus::IntCounterVec> = LazyLock::new(|| {
+    metrics::counter(
+        "bw_gateway_overdue_items_total",
+        "Items that waited beyond their bound although backend servers had room, by reason.",
+        &["reason"],
+    )
+});
+
 /// Counts requests for which the leader was asked for the newest configuration
 /// version, by outcome.
 pub static CONFIRMATIONS: LazyLock<prometheus::IntCounterVec> = LazyLock::new(|| {
