--- a/crates/relay/src/dispatch/end.rs
+++ b/crates/relay/src/dispatch/end.rs
@@ -49,11 +49,11 @@
             self.estimate.ran(events, now_ms.saturating_sub(*since_ms));
         }
         item.state = State::Waiting;
-        item.waiting.refused = None;
         if outcome.has_run() {
             item.waiting.since_ms = now_ms;
         }
         self.runs.end(&server, stopping);
+        self.holds.ended(key, now_ms);
         self.update_suspicion(key, &outcome, (&server, stopping), now_ms);
         let item = self.jobs.get_mut(&key.job)?.items.get_mut(&key.item)?;
         let waiting = &mut item.waiting;
@@ -93,14 +93,9 @@
                 waiting.avoid = Some(server.clone());
                 self.paused.insert(server, now_ms + options.pause_ms);
             }
-            Outcome::Refused {
-                progress,
-                part,
-                retry_after_ms,
-            } => {
+            Outcome::Refused { progress, refusal } => {
                 waiting.progress = progress;
-                waiting.refused = Some(part);
-                waiting.not_before_ms = now_ms.saturating_add(retry_after_ms);
+                self.holds.hold(waiting, refusal, now_ms);
                 return None;
             }
             // A run that did not begin counts neither as failed nor as broken.
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -11,6 +11,7 @@
 mod adopt;
 mod end;
 mod estimate;
+mod hold;
 mod options;
 mod preempt;
 mod run;
@@ -27,6 +28,7 @@
 
 pub use adopt::{Adoption, EVICTION_MS, Eviction, Survey};
 use estimate::Estimate;
+pub use hold::{Hold, Refusal};
 pub use options::Options;
 pub use run::{Outcome, Progress, Start};
 use runs::Runs;
@@ -82,8 +84,9 @@
 struct Waiting {
     /// Unix time of the end of the last run, or of the acceptance of the job.
     since_ms: u64,
-    /// The part of its prompt that it was refused for when it last started.
-    refused: Option<suspect::Fingerprint>,
+    /// The parts of its prompt if one of them was refused. The item is held back as long
+    /// as [`hold::Holds`] has an entry for them.
+    held: Option<suspect::Request>,
     /// Runs that failed according to the backend server.
     failures: u32,
     /// Runs in a row that broke off without an event.
@@ -146,6 +149,7 @@
     /// ends.
     paused: BTreeMap<Name, u64>,
     trials: trial::Trials,
+    holds: hold::Holds,
     /// Unix time before which no item starts: a new leader knows neither the online
     /// requests nor the runs that a former leader left behind.
     no_starts_before_ms: u64,
@@ -162,6 +166,7 @@
             runs: Runs::default(),
             paused: BTreeMap::new(),
             trials: trial::Trials::new(options.trials),
+            holds: hold::Holds::default(),
             no_starts_before_ms: 0,
         }
     }
@@ -216,6 +221,7 @@
             let job = id.clone();
             let key = Key { job, item };
             self.trials.remove(&key);
+            self.holds.ended(&key, 0);
             let State::Running {
                 server, stopping, ..
             } = known.state
@@ -248,6 +254,25 @@
         actions
     }
 
+    /// Ends the holds of items whose parts are not refused any more, and returns them.
+    pub fn release_holds(
+        &mut self,
+        is_refused: impl FnMut(&suspect::Request) -> bool,
+    ) -> Vec<Hold> {
+        self.holds.release(is_refused)
+    }
+
+    /// Records that an item runs as a trial of a part of its prompt.
+    pub fn trial_began(&mut self, key: &Key, now_ms: u64) {
+        self.holds.trial_began(key, now_ms);
+    }
+
+    /// Records that a run that is the trial of a part has outlived the time in which a
+    /// deadly part crashes its backend server, while the part is still refused.
+    pub fn trial_lived(&mut self, key: &Key, now_ms: u64) {
+        self.holds.trial_lived(key, now_ms);
+    }
+
     /// Returns the number of suspects: items that may crash backend servers and run as
     /// trials only.
     pub fn suspects(&self) -> usize {
@@ -291,7 +316,7 @@
         state: State::Waiting,
         waiting: Waiting {
             since_ms,
-            refused: None,
+            held: None,
             failures: item.failures,
             breaks: 0,
             not_before_ms: 0,
--- a/crates/relay/src/dispatch/preempt.rs
+++ b/crates/relay/src/dispatch/preempt.rs
@@ -29,9 +29,10 @@
 
     /// Returns the run at a backend server whose preemption costs the least: one that
     /// will be late anyway, then the one with the most slack, then the newest one, whose
-    /// output is the shortest for the next run to read.
+    /// output is the shortest for the next run to read. Trials give way last, as other
+    /// items wait for their results.
     fn least_urgent_run(&self, id: &Name, now_ms: u64) -> Option<Key> {
-        let mut chosen: Option<((bool, u64, u64), Key)> = None;
+        let mut chosen: Option<((bool, bool, u64, u64), Key)> = None;
         for (job, known) in &self.jobs {
             for (index, item) in &known.items {
                 let State::Running {
@@ -49,16 +50,18 @@
                 let running_ms = now_ms.saturating_sub(*since_ms);
                 let produced = item.waiting.progress.last + self.estimate.events_in(running_ms);
                 let slack_ms = self.estimate.slack_ms(known.due_ms, produced, now_ms);
+                let key = Key {
+                    job: job.clone(),
+                    item: *index,
+                };
+                let is_trial = self.holds.is_trial(&key) || self.trials.is_tried(&key);
                 let rank = (
+                    !is_trial,
                     slack_ms.is_none(),
                     slack_ms.unwrap_or(known.due_ms),
                     *number,
                 );
                 if chosen.as_ref().is_none_or(|(best, _)| rank > *best) {
-                    let key = Key {
-                        job: job.clone(),
-                        item: *index,
-                    };
                     chosen = Some((rank, key));
                 }
             }
--- a/crates/relay/src/dispatch/run.rs
+++ b/crates/relay/src/dispatch/run.rs
@@ -2,8 +2,8 @@
 
 use bw_wire::name::Name;
 
-use super::Key;
-use crate::{ledger, suspect};
+use super::{Key, Refusal};
+use crate::ledger;
 
 /// The output of an item so far.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -93,10 +93,8 @@
     Refused {
         /// The output of earlier runs.
         progress: Progress,
-        /// The part.
-        part: suspect::Fingerprint,
-        /// Time for which the item does not start, in milliseconds.
-        retry_after_ms: u64,
+        /// The parts that the item was refused for.
+        refusal: Refusal,
     },
     /// The run gave its slot back, as online requests are queued at the backend server.
     /// The leader took the slot for free because it does not count slots that runs of a
--- a/crates/relay/src/dispatch/start.rs
+++ b/crates/relay/src/dispatch/start.rs
@@ -88,7 +88,7 @@
             let Some(item) = job.items.get_mut(&key.item) else {
                 continue;
             };
-            if !pass.admits(item, due_ms) {
+            if !pass.admits(item, due_ms) || !self.holds.admits(&item.waiting, now_ms) {
                 continue;
             }
             let Some(route) = routes.find(&job.route.host, &item.path) else {
@@ -111,6 +111,7 @@
             *free -= 1;
             *remaining -= 1;
             self.trials.trial_began(&key, &server.id, now_ms);
+            self.holds.started(&item.waiting, &key);
             let host = &job.route.host;
             let start = self.runs.begin(key, host, item, server, now_ms);
             actions.push(Action::Start(Start {
@@ -138,17 +139,27 @@
                 if *remaining == 0 || candidates.is_empty() {
                     return;
                 }
-                if item.waiting.breaks >= suspect_breaks || !pass.admits(item, *due_ms) {
+                if item.waiting.breaks >= suspect_breaks
+                    || !pass.admits(item, *due_ms)
+                    || !self.holds.admits(&item.waiting, pass.now_ms)
+                {
                     continue;
                 }
                 let Some(route) = routes.find(&job.route.host, &item.path) else {
                     continue;
                 };
                 let avoid = item.waiting.avoid.clone();
+                // A crash for another reason would end the trial of a part.
+                let asks = self.holds.get(&item.waiting).is_some();
+                let trials = &self.trials;
                 let chosen = candidates
                     .iter_mut()
                     .filter(|(free, server)| *free > 0 && route.allows(&server.service))
-                    .max_by_key(|(free, server)| (Some(&server.id) != avoid.as_ref(), *free));
+                    .max_by_key(|(free, server)| {
+                        let is_other = Some(&server.id) != avoid.as_ref();
+                        let is_stable = asks && !trials.is_unstable(&server.id, pass.now_ms);
+                        (is_other, is_stable, *free)
+                    });
                 let Some((free, server)) = chosen else {
                     continue;
                 };
@@ -158,6 +169,7 @@
                     job: id.clone(),
                     item: *index,
                 };
+                self.holds.started(&item.waiting, &key);
                 let host = &job.route.host;
                 let start = self.runs.begin(key, host, item, server, pass.now_ms);
                 actions.push(Action::Start(start));
--- a/crates/relay/src/dispatch/trial.rs
+++ b/crates/relay/src/dispatch/trial.rs
@@ -313,6 +313,12 @@
         !suspects.any(|suspect| suspect.trial_began_ms.is_some() && suspect.server == *server)
     }
 
+    /// Returns whether a trial of an item has begun and not ended.
+    pub(super) fn is_tried(&self, key: &Key) -> bool {
+        let suspect = self.suspects.get(key);
+        suspect.is_some_and(|suspect| suspect.trial_began_ms.is_some())
+    }
+
     /// Returns whether a backend server crashed recently, or a run broke off there.
     pub(super) fn is_unstable(&self, server: &Name, now_ms: u64) -> bool {
         let last_ms = self.last_breaks.get(server);
--- a/crates/relay/src/dispatch/wait.rs
+++ b/crates/relay/src/dispatch/wait.rs
@@ -87,6 +87,7 @@
                     continue;
                 }
                 let (reason, until_ms) = self.wait_reason(&item.waiting, room, now_ms);
+                let hold = self.holds.get(&item.waiting);
                 queue.waits.push(Wait {
                     key: Key {
                         job: id.clone(),
@@ -96,7 +97,7 @@
                     since_ms: item.waiting.since_ms,
                     reason,
                     until_ms,
-                    part: item.waiting.refused,
+                    part: hold.map(|hold| hold.fingerprint),
                     breaks: item.waiting.breaks,
                 });
             }
@@ -114,12 +115,11 @@
         if now_ms < self.no_starts_before_ms {
             return (Reason::NewLeader, Some(self.no_starts_before_ms));
         }
+        if let Some(hold) = self.holds.get(waiting) {
+            return (Reason::RefusedPart, Some(hold.until_ms));
+        }
         if now_ms < waiting.not_before_ms {
-            let reason = match waiting.refused {
-                Some(_) => Reason::RefusedPart,
-                None => Reason::Pause,
-            };
-            return (reason, Some(waiting.not_before_ms));
+            return (Reason::Pause, Some(waiting.not_before_ms));
         }
         let reason = match room {
             Room { backends: 0, .. } => Reason::NoBackend,
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -58,7 +58,7 @@
     /// Loads of backend servers, if they changed.
     pub loads: Option<Loads>,
     /// Evidence against requests that may crash backend servers, where it changed.
-    pub suspects: Vec<suspect::Evidence>,
+    pub suspects: Vec<suspect::Report>,
 }
 
 /// A call to the leader.
@@ -125,8 +125,10 @@
     Version,
     /// An entry VM asks whether it may run a refused request as a trial.
     Trial {
-        /// The content of the request.
+        /// The content of the request, or a part of its prompt.
         fingerprint: suspect::Fingerprint,
+        /// Whether it is a part.
+        is_part: bool,
         /// Identifies the trial; chosen at random by the entry VM.
         ticket: u64,
     },
@@ -215,7 +217,7 @@
     /// The report of an entry VM on the backend servers that it uses.
     Usage(Vec<Usage>),
     /// Evidence against a request that may crash backend servers, from an entry VM.
-    Suspect(suspect::Evidence),
+    Suspect(suspect::Report),
     /// A request to the leader.
     Call {
         /// Correlates the reply with the request; chosen by the sender.
--- a/crates/relay/src/suspect/trial.rs
+++ b/crates/relay/src/suspect/trial.rs
@@ -2,7 +2,8 @@
 //!
 //! A request that is refused cannot clear itself, and a burst of crashes makes harmless
 //! requests suspects too. A refused request may therefore run as a trial after a pause.
-//! The number of trials of one content is limited for the whole fleet and for as long as
+//! Trials of parts of prompts, which many requests share, have rules of their own: see
+//! [`part`]. The number of trials of one content is limited for the whole fleet and for as long as
 //! the record is kept, so it is part of the replicated state: an entry VM sends a refused
 //! request only after the group has counted the trial. A trial that did not reach a
 //! backend server, or ended without a crash, is not counted in the end.
@@ -11,7 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Crash, Evidence, Fingerprint, SUSPECTS_MAX};
+use super::{Crash, Evidence, Fingerprint, Incarnation, SUSPECTS_MAX, part};
 
 /// Most trials of one content that may crash a backend server.
 pub const TRIALS_MAX: u32 = 2;
@@ -25,9 +26,12 @@
 /// each trial. Bursts of crashes end within seconds, and a backend server has restarted
 /// before the next trial.
 pub const PAUSE_MS: u64 = 10_000;
-/// Time after which the leader is asked again for a trial of a suspect whose trials all
-/// crashed backend servers, in milliseconds.
+/// Time after which a caller may try again a request whose trials all crashed backend
+/// servers, in milliseconds.
 pub const EXHAUSTED_RETRY_MS: u64 = 60 * 60 * 1_000;
+/// Time after which the leader is asked again for a trial of such a suspect, in
+/// milliseconds. All backend servers may have been replaced by then.
+pub const EXHAUSTED_ASK_MS: u64 = 10_000;
 /// Most doublings of the pause, which is an hour and a half at most.
 const DOUBLINGS_MAX: u32 = 9;
 /// Time for which a trial that has not ended keeps others from beginning, in
@@ -41,7 +45,7 @@
 const CALM_RETRY_MS: u64 = 1_000;
 /// Time after the last strike or trial after which a record is outdated, in
 /// milliseconds: 31 days.
-const RETENTION_MS: u64 = 31 * 24 * 60 * 60 * 1_000;
+pub(super) const RETENTION_MS: u64 = 31 * 24 * 60 * 60 * 1_000;
 
 /// The part of the suspects that is removed when there are too many, as a divisor.
 const EVICTED_PART: usize = 10;
@@ -78,6 +82,15 @@
         /// When the leader learned of it.
         now_ms: u64,
     },
+    /// Begins a trial of a part if one is due.
+    BeginPart(part::Begin),
+    /// Ends the trials of parts that a former leader ran and whose results are lost.
+    Abandoned {
+        /// Backend servers that have been running since. They were not crashed.
+        running: Vec<Incarnation>,
+        /// When a new leader found out.
+        now_ms: u64,
+    },
 }
 
 /// Returns the number of strikes from which a suspect is recorded.
@@ -100,6 +113,8 @@
     /// It still runs and has sent a first event, so that another trial of the content
     /// need not wait for its end.
     Streaming,
+    /// The leader stopped the item for online requests, or it found no free slot.
+    Preempted,
 }
 
 /// Whether a trial may begin.
@@ -135,22 +150,32 @@
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Trials {
     suspects: BTreeMap<Fingerprint, Suspect>,
+    /// In a snapshot after the suspects, as former versions have only these.
+    parts: part::Parts,
 }
 
 impl Trials {
-    /// Decodes the part of a snapshot that holds the suspects. Snapshots of before parts of
-    /// prompts were judged hold less evidence.
+    /// Decodes the part of a snapshot that holds the suspects. Snapshots of former versions
+    /// hold no trials of parts, and those of before parts were judged less evidence.
     ///
     /// # Errors
     ///
-    /// Fails if the bytes are neither form.
+    /// Fails if the bytes are none of the forms.
     pub(crate) fn decode(bytes: &[u8]) -> Result<Trials, postcard::Error> {
-        postcard::from_bytes(bytes).or_else(|error| {
+        let decoded = postcard::take_from_bytes(bytes).and_then(|(suspects, rest)| {
+            let parts = match rest.is_empty() {
+                true => part::Parts::default(),
+                false => postcard::from_bytes(rest)?,
+            };
+            Ok(Trials { suspects, parts })
+        });
+        decoded.or_else(|error| {
             let former: Former = postcard::from_bytes(bytes).map_err(|_| error)?;
             let suspects = former.suspects.into_iter();
             let suspects = suspects.map(|(fingerprint, former)| (fingerprint, former.into()));
             Ok(Trials {
                 suspects: suspects.collect(),
+                parts: part::Parts::default(),
             })
         })
     }
@@ -164,7 +189,16 @@
     pub fn execute(&mut self, command: Command) -> Option<Verdict> {
         match command {
             Command::Record { evidence, now_ms } => {
-                self.record(&evidence, now_ms);
+                self.record(&evidence.without_ages(), now_ms);
+                None
+            }
+            Command::BeginPart(begin) => {
+                let suspect = self.suspects.get(&begin.fingerprint);
+                let struck_ms = suspect.map_or(0, |suspect| suspect.changed_ms);
+                Some(self.parts.begin(&begin, struck_ms))
+            }
+            Command::Abandoned { running, now_ms } => {
+                self.parts.abandoned(&running, now_ms);
                 None
             }
             Command::Begin {
@@ -179,6 +213,7 @@
                 end,
                 now_ms,
             } => {
+                self.parts.end(fingerprint, ticket, end, now_ms);
                 self.end(fingerprint, ticket, end, now_ms);
                 None
             }
@@ -195,12 +230,17 @@
         let before = suspect.evidence.strikes();
         suspect.evidence.merge(evidence);
         let strikes = suspect.evidence.strikes();
-        if strikes == 0 {
-            self.suspects.remove(&fingerprint);
-        } else if strikes > before {
+        if strikes > before {
             suspect.open.clear();
             suspect.changed_ms = now_ms;
             suspect.not_before_ms = now_ms + pause_ms(suspect.trials);
+            self.parts.struck(fingerprint);
+        }
+        if strikes < before {
+            self.parts.cleared(fingerprint);
+        }
+        if strikes == 0 {
+            self.suspects.remove(&fingerprint);
         }
     }
 
@@ -241,7 +281,7 @@
             suspect.trials = suspect.trials.saturating_sub(1);
         }
         suspect.not_before_ms = match end {
-            End::NotRun | End::Streaming => now_ms,
+            End::NotRun | End::Streaming | End::Preempted => now_ms,
             End::Inconclusive => {
                 suspect.inconclusive += 1;
                 now_ms + pause_ms(suspect.inconclusive - 1)
--- a/crates/relay/tests/burst.rs
+++ b/crates/relay/tests/burst.rs
@@ -6,11 +6,11 @@
 use std::collections::BTreeMap;
 
 use bw_relay::{
-    dispatch::{Action, Dispatcher, Key, Options, Outcome, Server, Start},
+    dispatch::{Action, Dispatcher, Key, Options, Outcome, Refusal, Server, Start, wait},
     ledger::{Command, Ledger, NewItem, NewJob},
     route,
     suspect::{
-        Fingerprint, Incarnation, Request, Suspects,
+        self, Fingerprint, Incarnation, Request, SURVIVAL_MS, Suspects, part,
         trial::{self, End, Verdict},
     },
 };
@@ -107,6 +107,15 @@
         };
         (before + 1 + since_ms / EVENT_MS).min(EVENTS)
     }
+
+    /// Returns the run as the evidence knows it.
+    fn evidence(&self, now_ms: u64) -> suspect::Run {
+        let events = self.last(now_ms) - self.start.progress.last;
+        suspect::Run {
+            sent_ms: self.sent_ms,
+            written_ms: events.saturating_sub(1) * EVENT_MS,
+        }
+    }
 }
 
 /// The leader and the backend servers.
@@ -123,12 +132,14 @@
     /// When each server is up again, and the number of its starts.
     servers: Vec<(u64, u64)>,
     last_crash_ms: u64,
+    /// Since when there has been room for all items.
+    room_since_ms: u64,
     online: u32,
     runs: Vec<Run>,
     /// The open items, each with the time since which it waits.
     waiting: BTreeMap<String, u64>,
-    /// The longest wait in a calm fleet with room.
-    longest_ms: u64,
+    /// The longest wait in a calm fleet with room, in milliseconds, and its reason.
+    longest: (u64, Option<wait::Reason>),
 }
 
 impl Fleet {
@@ -144,10 +155,11 @@
             tickets: 0,
             servers: vec![(0, 0); SERVERS],
             last_crash_ms: 0,
+            room_since_ms: 0,
             online: 0,
             runs: Vec::new(),
             waiting: BTreeMap::new(),
-            longest_ms: 0,
+            longest: (0, None),
         }
     }
 
@@ -185,26 +197,36 @@
         }
         self.servers[server] = (self.now_ms + DOWN_MS, starts + 1);
         self.last_crash_ms = self.now_ms;
+        // Callers' requests are at all backend servers.
+        let online = Request::of_parts(&["online", "own"]);
+        let run = suspect::Run::sent(self.now_ms);
+        let incarnation = Incarnation::new(&name(server), starts);
+        self.suspects
+            .request_crashed(&online, incarnation, run, self.now_ms);
         let runs = std::mem::take(&mut self.runs).into_iter();
         let (broken, kept) = runs.partition::<Vec<Run>, _>(|run| run.server == server);
         self.runs = kept;
         for run in broken {
-            self.note_crash(&run, Incarnation::new(&name(server), starts));
+            self.note_crash(&run, incarnation);
             self.end(&run, Outcome::Broken(work::progress(run.last(self.now_ms))));
         }
     }
 
     fn note_crash(&mut self, run: &Run, incarnation: Incarnation) {
         let request = request(&run.start);
-        let changed =
-            self.suspects
-                .request_crashed(&request, incarnation, run.sent_ms, self.now_ms);
+        let changed = self.suspects.request_crashed(
+            &request,
+            incarnation,
+            run.evidence(self.now_ms),
+            self.now_ms,
+        );
         self.record(changed);
     }
 
-    fn record(&mut self, changed: Vec<bw_relay::suspect::Evidence>) {
+    fn record(&mut self, changed: Vec<suspect::Evidence>) {
         let now_ms = self.now_ms;
         for evidence in changed {
+            self.waits.remove(&evidence.fingerprint);
             self.trials
                 .execute(trial::Command::Record { evidence, now_ms });
         }
@@ -213,6 +235,9 @@
     fn step(&mut self) {
         self.now_ms += STEP_MS;
         let servers = self.ready_servers();
+        let suspects = &mut self.suspects;
+        self.dispatch
+            .release_holds(|request| suspects.refusal(request).is_some());
         for action in self.dispatch.plan(&servers, &self.routes, self.now_ms) {
             match action {
                 Action::Start(start) => self.start(start),
@@ -249,14 +274,20 @@
         match self.admit(&run) {
             Ok(trial) => {
                 run.trial = trial;
+                if trial.is_some() {
+                    self.dispatch.trial_began(&run.start.key, self.now_ms);
+                }
                 self.waiting.remove(&*run.start.id);
                 self.runs.push(run);
             }
-            Err((part, retry_after_ms)) => {
+            Err((fingerprint, retry_after_ms)) => {
                 let outcome = Outcome::Refused {
                     progress: run.start.progress.clone(),
-                    part,
-                    retry_after_ms,
+                    refusal: Refusal {
+                        request: request(&run.start),
+                        fingerprint,
+                        retry_after_ms,
+                    },
                 };
                 self.dispatch.ended(&run.start.key, outcome, self.now_ms);
             }
@@ -275,16 +306,20 @@
             return Err((part, until_ms - now_ms));
         }
         self.tickets += 1;
-        let verdict = self.trials.execute(trial::Command::Begin {
+        let incarnation = Incarnation::new(&run.start.server, self.servers[run.server].1);
+        let verdict = self.trials.execute(trial::Command::BeginPart(part::Begin {
             fingerprint: part,
             ticket: self.tickets,
-            calm: self.suspects.is_calm(part, now_ms),
+            backend: Some(incarnation),
+            calm_in_ms: self.suspects.calm_in_ms(part, now_ms),
+            was_disturbed: self.suspects.was_disturbed(part),
+            oldest_start_ms: 0,
             now_ms,
-        });
+        }));
         let wait_ms = match verdict {
             Some(Verdict::Granted) => return Ok(Some((part, self.tickets))),
             Some(Verdict::Wait { retry_after_ms }) => retry_after_ms,
-            Some(Verdict::Exhausted) | None => trial::EXHAUSTED_RETRY_MS,
+            Some(Verdict::Exhausted) | None => trial::EXHAUSTED_ASK_MS,
         };
         self.waits.insert(part, now_ms + wait_ms);
         Err((part, wait_ms))
@@ -292,6 +327,18 @@
 
     /// Advances a run to the current time.
     fn advance(&mut self, run: &Run) {
+        let evidence = run.evidence(self.now_ms);
+        if evidence.written_ms > 0 && evidence.written_ms.is_multiple_of(SURVIVAL_MS) {
+            let request = request(&run.start);
+            let changed = self.suspects.request_lived(&request, evidence, self.now_ms);
+            self.record(changed);
+            if let Some((fingerprint, ticket)) = run.trial
+                && self.suspects.refusal(&request).is_some()
+            {
+                self.end_trial(fingerprint, ticket, End::Streaming);
+                self.dispatch.trial_lived(&run.start.key, self.now_ms);
+            }
+        }
         if run.last(self.now_ms) < EVENTS {
             return;
         }
@@ -307,16 +354,22 @@
         let index = self.runs.iter().position(|run| run.start.key == *key);
         let run = self.runs.remove(index.expect("a current run"));
         if let Some((fingerprint, ticket)) = run.trial {
-            self.trials.execute(trial::Command::End {
-                fingerprint,
-                ticket,
-                end: End::Inconclusive,
-                now_ms: self.now_ms,
-            });
+            self.end_trial(fingerprint, ticket, End::Preempted);
         }
         self.end(&run, Outcome::Broken(work::progress(run.last(self.now_ms))));
     }
 
+    fn end_trial(&mut self, fingerprint: Fingerprint, ticket: u64, end: End) {
+        let now_ms = self.now_ms;
+        self.trials.execute(trial::Command::End {
+            fingerprint,
+            ticket,
+            end,
+            now_ms,
+        });
+        self.waits.remove(&fingerprint);
+    }
+
     fn end(&mut self, run: &Run, outcome: Outcome) {
         let key = &run.start.key;
         match self.dispatch.ended(key, outcome, self.now_ms) {
@@ -329,18 +382,30 @@
         }
     }
 
+    /// Returns the items that wait, and why.
+    fn queue(&self) -> Vec<wait::Wait> {
+        let queue = self
+            .dispatch
+            .queue(&self.ready_servers(), &self.routes, self.now_ms);
+        queue.waits
+    }
+
     /// Updates the longest wait. Only the time counts for which the fleet has been calm
     /// with room for all items.
     fn measure(&mut self) {
-        let calm_ms = self.last_crash_ms + CALM_MS;
         let has_room = self.runs.len() + self.waiting.len() <= SERVERS * SLOTS as usize;
-        if self.last_crash_ms == 0 || self.now_ms < calm_ms || self.online > 0 || !has_room {
-            return;
+        if self.last_crash_ms == 0 || self.online > 0 || !has_room {
+            self.room_since_ms = self.now_ms;
         }
-        let since = self.waiting.values().min().copied();
-        if let Some(since_ms) = since {
-            let waited_ms = self.now_ms.saturating_sub(since_ms.max(calm_ms));
-            self.longest_ms = self.longest_ms.max(waited_ms);
+        let from_ms = self.room_since_ms.max(self.last_crash_ms + CALM_MS);
+        let Some(since_ms) = self.waiting.values().min().copied() else {
+            return;
+        };
+        let waited_ms = self.now_ms.saturating_sub(since_ms.max(from_ms));
+        if waited_ms > self.longest.0 {
+            let mut waits = self.queue().into_iter();
+            let wait = waits.find(|wait| self.waiting.get(&*wait.id) == Some(&since_ms));
+            self.longest = (waited_ms, wait.map(|wait| wait.reason));
         }
     }
 }
@@ -355,7 +420,7 @@
 }
 
 /// Plays a burst until all items are complete. Returns the longest wait in the calm fleet.
-fn play(burst: Burst, load: Load, seed: u64) -> u64 {
+fn play(burst: Burst, load: Load, seed: u64) -> (u64, Option<wait::Reason>) {
     let mut random = Random(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
     let mut fleet = Fleet::new();
     let crashes = burst.crashes();
@@ -390,9 +455,9 @@
     assert!(
         fleet.waiting.is_empty() && fleet.runs.is_empty(),
         "not complete: {:?}",
-        fleet.waiting
+        fleet.queue()
     );
-    fleet.longest_ms
+    fleet.longest
 }
 
 /// Guards against items that nothing is wrong with and that never run again, as backend
@@ -402,8 +467,8 @@
     #[values(Burst::InTurn, Burst::Pairs, Burst::FailureDomain)] burst: Burst,
     #[values(Load::Quiet, Load::Peaks, Load::Flood)] load: Load,
 ) {
-    let waits: Vec<u64> = (1..=20).map(|seed| play(burst, load, seed)).collect();
+    let waits: Vec<_> = (1..=20).map(|seed| play(burst, load, seed)).collect();
     println!("longest waits in milliseconds: {waits:?}");
-    let late = waits.iter().filter(|wait_ms| **wait_ms > WAIT_MAX_MS);
+    let late = waits.iter().filter(|(wait_ms, _)| *wait_ms > WAIT_MAX_MS);
     assert_eq!(late.count(), 0, "{waits:?}");
 }
--- a/crates/suspect/examples/cost.rs
+++ b/crates/suspect/examples/cost.rs
@@ -5,7 +5,7 @@
 
 use std::{hint, time::Instant};
 
-use bw_suspect::{Evidence, Fingerprint, Incarnation, Request, Suspects};
+use bw_suspect::{Evidence, Fingerprint, Incarnation, Request, Run, Suspects};
 
 /// Requests in flight on each backend server that crashes.
 const IN_FLIGHT: u64 = 8;
@@ -35,7 +35,7 @@
         let incarnation = Incarnation::new(&format!("server-{crash}"), 1);
         for run in 0..IN_FLIGHT {
             let request = request(crash * IN_FLIGHT + run, run == 0);
-            known.request_crashed(&request, incarnation, crash, crash);
+            known.request_crashed(&request, incarnation, Run::sent(crash), crash);
         }
     }
     known
@@ -60,7 +60,7 @@
         let began = Instant::now();
         for number in 0..u64::from(REPEATS) {
             let incarnation = Incarnation::new("next", number);
-            known.request_crashed(&request(number, true), incarnation, 0, 1_000_000);
+            known.request_crashed(&request(number, true), incarnation, Run::sent(0), 1_000_000);
             hint::black_box(known.refusal(&probe));
         }
         let changed_us = micros(began);
--- a/crates/suspect/src/culprit.rs
+++ b/crates/suspect/src/culprit.rs
@@ -20,11 +20,12 @@
 //! answered.
 
 use std::{
+    borrow::Cow,
     cmp,
     collections::{BTreeSet, HashMap, HashSet},
 };
 
-use super::{Crash, Evidence, Fingerprint, Request};
+use super::{Crash, Fingerprint, Request};
 
 /// Strikes from which a suspect can be a culprit. Two are not enough, as single answers
 /// break off by chance.
@@ -32,6 +33,23 @@
 /// Strikes from which a part that has been answered can be a culprit.
 const REFUSE_ANSWERED_AT: usize = 5;
 
+/// A suspect that may be a culprit.
+pub(super) struct Suspicion<'a> {
+    pub(super) fingerprint: Fingerprint,
+    /// Whether runs with this part have shown that it is sound.
+    pub(super) answered: bool,
+    /// Whether the crashes go on, or no run has shown that the part is sound.
+    pub(super) goes_on: bool,
+    /// The crashes that speak against it.
+    pub(super) crashes: Cow<'a, BTreeSet<Crash>>,
+}
+
+impl Suspicion<'_> {
+    fn can_be_culprit(&self) -> bool {
+        self.goes_on && self.crashes.len() >= refuse_at(self.answered)
+    }
+}
+
 /// Why a request is refused.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Refusal {
@@ -39,14 +57,15 @@
     pub fingerprint: Fingerprint,
     /// The index of the part of the prompt; `None` for the content.
     pub part: Option<usize>,
-    /// Whether the request has other culprits, too. A trial of it would show nothing.
+    /// Whether the request has other culprits or likely ones, too. A trial of it would
+    /// accuse the wrong one.
     pub has_others: bool,
 }
 
 /// Suspects with the same crashes, which can't be told apart.
 struct Group<'a> {
     members: Vec<Fingerprint>,
-    crashes: &'a BTreeSet<Crash>,
+    crashes: Cow<'a, BTreeSet<Crash>>,
     answered: bool,
 }
 
@@ -66,12 +85,14 @@
 
 impl Culprits {
     /// Finds the culprits among suspects with at least [`REFUSE_AT`] strikes.
-    pub(super) fn new<'a>(suspects: impl Iterator<Item = &'a Evidence>) -> Culprits {
-        let mut search = Search::new(group(suspects));
+    pub(super) fn new(suspicions: Vec<Suspicion<'_>>) -> Culprits {
+        let mut search = Search::new(group(suspicions));
         let mut culprits = Vec::new();
         for index in 0..search.groups.len() {
             while let Some(culprit) = search.culprit(index) {
-                search.explained.extend(search.groups[culprit].crashes);
+                search
+                    .explained
+                    .extend(search.groups[culprit].crashes.iter());
                 culprits.push(culprit);
             }
         }
@@ -84,6 +105,12 @@
         }
     }
 
+    /// Returns whether two suspects are one culprit, as they can't be told apart.
+    pub(super) fn are_one(&self, one: Fingerprint, other: Fingerprint) -> bool {
+        let mut groups = self.groups.values();
+        one == other || groups.any(|group| group.contains(&one) && group.contains(&other))
+    }
+
     /// Returns why a request is refused. Of a culprit of several suspects, the one that
     /// the fewest other requests have stands for all: the content, or the last part.
     pub(super) fn refusal(&self, request: &Request) -> Option<Refusal> {
@@ -110,26 +137,29 @@
 
 /// Groups the suspects that can be culprits by their crashes, those that are taken first
 /// at the front.
-fn group<'a>(suspects: impl Iterator<Item = &'a Evidence>) -> Vec<Group<'a>> {
-    let mut suspects: Vec<&Evidence> = suspects.filter(|known| can_be(known)).collect();
-    suspects.sort_unstable_by_key(|&known| {
-        let strikes = cmp::Reverse(known.strikes());
-        (known.answered, strikes, &known.crashes, known.fingerprint)
+fn group(mut suspicions: Vec<Suspicion<'_>>) -> Vec<Group<'_>> {
+    suspicions.retain(Suspicion::can_be_culprit);
+    suspicions.sort_unstable_by(|one, other| {
+        let key = |known: &Suspicion<'_>| (known.answered, cmp::Reverse(known.crashes.len()));
+        let by_strikes = key(one).cmp(&key(other));
+        by_strikes
+            .then_with(|| one.crashes.cmp(&other.crashes))
+            .then(one.fingerprint.cmp(&other.fingerprint))
     });
-    let is_same = |one: &&Evidence, other: &&Evidence| {
-        one.answered == other.answered && one.crashes == other.crashes
-    };
-    let groups = suspects.chunk_by(is_same).map(|members| Group {
-        members: members.iter().map(|known| known.fingerprint).collect(),
-        crashes: &members[0].crashes,
-        answered: members[0].answered,
-    });
-    groups.collect()
-}
-
-fn can_be(known: &Evidence) -> bool {
-    let goes_on = !known.answered || !known.later.is_empty();
-    goes_on && known.strikes() >= refuse_at(known.answered)
+    let mut groups: Vec<Group<'_>> = Vec::new();
+    for known in suspicions {
+        match groups.last_mut() {
+            Some(group) if group.answered == known.answered && group.crashes == known.crashes => {
+                group.members.push(known.fingerprint);
+            }
+            _ => groups.push(Group {
+                members: vec![known.fingerprint],
+                crashes: known.crashes,
+                answered: known.answered,
+            }),
+        }
+    }
+    groups
 }
 
 fn refuse_at(answered: bool) -> usize {
@@ -151,7 +181,7 @@
     fn new(groups: Vec<Group<'a>>) -> Search<'a> {
         let mut accused: HashMap<Crash, Vec<usize>> = HashMap::new();
         for (index, group) in groups.iter().enumerate() {
-            for crash in group.crashes {
+            for crash in group.crashes.iter() {
                 accused.entry(*crash).or_default().push(index);
             }
         }
@@ -162,7 +192,7 @@
         }
     }
 
-    fn unexplained(&self, group: usize) -> impl Iterator<Item = &'a Crash> + use<'a, '_> {
+    fn unexplained(&self, group: usize) -> impl Iterator<Item = &Crash> {
         let crashes = self.groups[group].crashes.iter();
         crashes.filter(|crash| !self.explained.contains(crash))
     }
--- a/crates/suspect/src/lib.rs
+++ b/crates/suspect/src/lib.rs
@@ -11,6 +11,12 @@
 //! of their strikes. Whole answers of before show that a part was sound; they don't clear
 //! it, but it takes more crashes to refuse it.
 //!
+//! A part that crashes backend servers does so in every run, after about the same time. A
+//! run that was sent no earlier than the one that a crash met, and that writes on for
+//! longer, therefore clears their common parts of that crash before it is complete. Runs
+//! of batch items last for seconds and are preempted, so that few of them are ever
+//! answered in whole.
+//!
 //! Processes exchange the crashes themselves and not their number. The crashes that
 //! several of them see at the same time, or while there is no leader, add up whichever
 //! way the messages take.
@@ -19,21 +25,29 @@
 
 mod answers;
 pub mod culprit;
+mod report;
 mod request;
+mod run;
+mod timeline;
 
 use std::{
+    borrow::Cow,
     collections::{BTreeMap, BTreeSet, HashMap},
     hash::Hash,
 };
 
 use answers::Answers;
 pub use culprit::Refusal;
+pub use report::Report;
 pub use request::Request;
+use run::Age;
+pub use run::{Run, SURVIVAL_MS, Writing};
+use timeline::Timeline;
 
 /// Time within which broken connections to one backend server are one crash, in
 /// milliseconds. A crash breaks all of them at once, and a restart takes longer.
 const SAME_CRASH_MS: u64 = 100;
-/// Time after a crash under another request in which the fleet is not calm, in
+/// Time after a crash that a suspect is not accused of in which the fleet is not calm, in
 /// milliseconds. Crashes of one burst are closer together.
 pub const CALM_MS: u64 = 2_000;
 /// Time from the first crash of a suspect to the send of a run from which a crash of that
@@ -43,6 +57,9 @@
 /// Strikes of an unanswered part from which a request with it is not sent again after it
 /// broke off.
 const NO_RESEND_AT: usize = 2;
+/// Time after the last crash of a suspect in which a request with other likely suspects is
+/// no trial of it, in milliseconds. Requests without them have been tried by then.
+const OTHERS_WAIT_MS: u64 = 10_000;
 /// Most suspects in memory. Those with the fewest strikes are dropped first, and of
 /// these the oldest.
 pub const SUSPECTS_MAX: usize = 10_000;
@@ -121,8 +138,13 @@
     /// Those of `crashes` whose run was sent at least [`LATER_MS`] after the first of them
     /// was known.
     later: BTreeSet<Crash>,
-    /// Whether a request with this part has been answered in whole; false for contents.
+    /// Whether a run with this part has been answered in whole or has outlived the time in
+    /// which a deadly part crashes its backend server; false for contents.
     answered: bool,
+    /// The ages of the youngest runs that `crashes` met. They are sent in a [`Report`] and
+    /// are not stored: without them, only runs that are sent later clear a suspect.
+    #[serde(skip)]
+    ages: BTreeMap<Crash, Age>,
 }
 
 impl Evidence {
@@ -134,6 +156,7 @@
             cleared: BTreeSet::new(),
             later: BTreeSet::new(),
             answered: false,
+            ages: BTreeMap::new(),
         }
     }
 
@@ -160,10 +183,34 @@
         self.answered
     }
 
+    /// Removes the ages of runs, which are not stored.
+    pub fn without_ages(mut self) -> Evidence {
+        self.ages.clear();
+        self
+    }
+
     fn is_empty(&self) -> bool {
         self.crashes.is_empty() && self.cleared.is_empty()
     }
 
+    /// Returns whether a crash is held against the suspect or was.
+    fn knows(&self, crash: &Crash) -> bool {
+        self.crashes.contains(crash) || self.cleared.contains(crash)
+    }
+
+    /// Returns the age of the youngest run that a crash met, 0 if it is not known.
+    fn age(&self, crash: &Crash) -> Age {
+        self.ages.get(crash).copied().unwrap_or_default()
+    }
+
+    /// Notes the age of a run that a crash met. Returns whether no younger one is known.
+    fn note_age(&mut self, crash: Crash, age: Age) -> bool {
+        let known = self.ages.entry(crash).or_insert(Age::MAX);
+        let is_younger = age < *known;
+        *known = age.min(*known);
+        is_younger
+    }
+
     /// Adds what another process knows.
     pub fn merge(&mut self, other: &Evidence) {
         self.cleared.extend(&other.cleared);
@@ -177,8 +224,12 @@
             self.crashes.pop_last();
         }
         self.later.extend(&other.later);
+        for (crash, age) in &other.ages {
+            self.note_age(*crash, *age);
+        }
         let crashes = &self.crashes;
         self.later.retain(|crash| crashes.contains(crash));
+        self.ages.retain(|crash, _| crashes.contains(crash));
         self.answered |= other.answered;
     }
 
@@ -202,9 +253,37 @@
     rank: Rank,
 }
 
+impl Record {
+    /// Returns whether a crash met only runs that had outlived the time in which a deadly
+    /// part crashes its backend server.
+    fn has_old_runs(&self) -> bool {
+        let mut ages = self.evidence.ages.values();
+        ages.any(|age| age.has_survived())
+    }
+
+    /// Returns the crashes that count. One that met only runs of a part which had long
+    /// been writing says little if other backend servers crashed at that time. `timeline`
+    /// holds all crashes; `None` if there are no such runs.
+    fn counted(&self, timeline: Option<&Timeline>) -> Cow<'_, BTreeSet<Crash>> {
+        let crashes = &self.evidence.crashes;
+        let Some(timeline) = timeline.filter(|_| self.has_old_runs()) else {
+            return Cow::Borrowed(crashes);
+        };
+        let counted = crashes.iter().copied().filter(|crash| {
+            let learned_ms = self.learned_ms.get(crash).copied().unwrap_or(0);
+            !self.evidence.age(crash).has_survived()
+                || !timeline.has_other(learned_ms, |other| self.evidence.knows(other))
+        });
+        Cow::Owned(counted.collect())
+    }
+}
+
 /// The number of strikes, the order in which the records were created, and the suspect.
 type Rank = (usize, u64, Fingerprint);
 
+/// The lowest rank of a suspect that can be a culprit.
+const LEAST_HEAVY: Rank = (culprit::REFUSE_AT, 0, Fingerprint(0));
+
 /// The suspects that one process knows, with their strikes.
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
@@ -212,9 +291,6 @@
     /// The records in the order in which they are dropped.
     order: BTreeSet<Rank>,
     created: u64,
-    /// The last crash that this process learned of, and the last one under another
-    /// request than that, with the monotonic time.
-    last_crashes: [Option<(Fingerprint, u64)>; 2],
     /// The last crash of each backend server, by its number, with the monotonic time at
     /// which this process learned of it.
     incarnations: HashMap<Incarnation, (u32, u64)>,
@@ -236,14 +312,38 @@
 
     /// Returns why a request must not run, unless as a trial.
     pub fn refusal(&mut self, request: &Request) -> Option<Refusal> {
-        let (order, records) = (&self.order, &self.records);
+        let (order, records, crashes) = (&self.order, &self.records, &self.crashes);
         let culprits = self.culprits.get_or_insert_with(|| {
-            let least = (culprit::REFUSE_AT, 0, Fingerprint(0));
-            let heavy = order.range(least..);
-            let records = heavy.filter_map(|(_, _, fingerprint)| records.get(fingerprint));
-            culprit::Culprits::new(records.map(|record| &record.evidence))
+            let heavy = order.range(LEAST_HEAVY..);
+            let heavy = heavy.filter_map(|(_, _, fingerprint)| records.get(fingerprint));
+            let heavy: Vec<&Record> = heavy.collect();
+            let has_old = heavy.iter().any(|record| record.has_old_runs());
+            let timeline = has_old.then(|| Timeline::new(crashes));
+            let suspicions = heavy.iter().map(|record| culprit::Suspicion {
+                fingerprint: record.evidence.fingerprint,
+                answered: record.evidence.answered,
+                goes_on: !record.evidence.answered || !record.evidence.later.is_empty(),
+                crashes: record.counted(timeline.as_ref()),
+            });
+            culprit::Culprits::new(suspicions.collect())
         });
-        culprits.refusal(request)
+        let mut refusal = culprits.refusal(request)?;
+        // A trial of a request with another suspect would accuse the wrong one.
+        refusal.has_others |= request.subjects().any(|subject| {
+            let strikes = records
+                .get(&subject)
+                .map_or(0, |record| record.evidence.strikes());
+            strikes >= NO_RESEND_AT && !culprits.are_one(subject, refusal.fingerprint)
+        });
+        Some(refusal)
+    }
+
+    /// Returns how long a refused request is no trial, as it has other likely suspects;
+    /// `None` if it may be one.
+    pub fn others_wait_ms(&self, refusal: Refusal, now_ms: u64) -> Option<u64> {
+        let last_ms = self.last_crash_ms(refusal.fingerprint)?;
+        let wait_ms = (last_ms + OTHERS_WAIT_MS).saturating_sub(now_ms);
+        (refusal.has_others && wait_ms > 0).then_some(wait_ms)
     }
 
     /// Returns whether a request that broke off may be sent to another backend server. A
@@ -281,11 +381,27 @@
         records.any(|record| record.evidence.strikes() > 0 && !record.evidence.answered)
     }
 
-    /// Returns whether no backend server crashed recently under another request. A trial
-    /// at such a time shows best whether it is the cause.
+    /// Returns whether no backend server crashed recently without a suspect. A trial at
+    /// such a time shows best whether it is the cause.
     pub fn is_calm(&self, fingerprint: Fingerprint, now_ms: u64) -> bool {
-        let mut crashes = self.last_crashes.iter().flatten();
-        !crashes.any(|(other, at_ms)| *other != fingerprint && now_ms < at_ms + CALM_MS)
+        self.calm_in_ms(fingerprint, now_ms) == 0
+    }
+
+    /// Returns the time until the fleet is calm for a trial of a suspect if no other
+    /// backend server crashes, in milliseconds.
+    pub fn calm_in_ms(&self, fingerprint: Fingerprint, now_ms: u64) -> u64 {
+        let last_ms = self.crashes_without(fingerprint).max();
+        last_ms.map_or(0, |last_ms| (last_ms + CALM_MS).saturating_sub(now_ms))
+    }
+
+    /// Returns whether backend servers crashed without a suspect at about the time of the
+    /// last crash that it is accused of.
+    pub fn was_disturbed(&self, fingerprint: Fingerprint) -> bool {
+        let Some(last_ms) = self.last_crash_ms(fingerprint) else {
+            return false;
+        };
+        let mut others = self.crashes_without(fingerprint);
+        others.any(|at_ms| at_ms.abs_diff(last_ms) < CALM_MS)
     }
 
     /// Returns when this process learned of the last crash of any backend server, in
@@ -294,6 +410,17 @@
         self.crashes.values().max().copied()
     }
 
+    /// Returns when this process learned of the crashes that a suspect was never accused
+    /// of.
+    fn crashes_without(&self, fingerprint: Fingerprint) -> impl Iterator<Item = u64> {
+        let evidence = self.records.get(&fingerprint);
+        let evidence = evidence.map(|record| &record.evidence);
+        let crashes = self.crashes.iter();
+        let others =
+            crashes.filter(move |(crash, _)| !evidence.is_some_and(|known| known.knows(crash)));
+        others.map(|(_, at_ms)| *at_ms)
+    }
+
     /// Adds a strike for a content of which nothing else is known.
     pub fn crashed(
         &mut self,
@@ -302,31 +429,33 @@
         now_ms: u64,
     ) -> Evidence {
         let request = Request::new(fingerprint, &[]);
-        self.request_crashed(&request, incarnation, now_ms, now_ms);
+        self.request_crashed(&request, incarnation, Run::sent(now_ms), now_ms);
         self.evidence(fingerprint)
     }
 
     /// Adds a strike against a request and its parts, as an incarnation of a backend
-    /// server broke the connection of a run that was sent at `sent_ms`. Returns what is
-    /// known now where it changed, for the other processes.
+    /// server broke the connection of a run. Returns what is known now where it changed,
+    /// for the other processes.
     pub fn request_crashed(
         &mut self,
         request: &Request,
         incarnation: Incarnation,
-        sent_ms: u64,
+        run: Run,
         now_ms: u64,
     ) -> Vec<Evidence> {
         let crash = self.crash(incarnation, now_ms);
+        let age = run.age(now_ms);
         let parts = request.parts().len();
         let subjects = request.subjects().enumerate();
         let changed = subjects.filter_map(|(index, subject)| {
             let mut evidence = self.evidence(subject);
-            if !evidence.crashes.insert(crash) {
+            let is_new = evidence.crashes.insert(crash);
+            if !evidence.note_age(crash, age) && !is_new {
                 return None;
             }
             let record = self.records.get(&subject);
             let first_ms = record.and_then(|record| record.learned_ms.values().min());
-            if first_ms.is_some_and(|first_ms| first_ms + LATER_MS <= sent_ms) {
+            if first_ms.is_some_and(|first_ms| first_ms + LATER_MS <= run.sent_ms) {
                 evidence.later.insert(crash);
             }
             evidence.answered |= index < parts && self.answers.contains(subject, now_ms);
@@ -365,6 +494,43 @@
         changed
     }
 
+    /// Clears the parts of a request of the crashes that a run of it has outlived. Has no
+    /// effect before the run has written for [`SURVIVAL_MS`], and is of use whenever it
+    /// has written for as long again. Returns what is known now where it changed, for the
+    /// other processes.
+    pub fn request_lived(&mut self, request: &Request, run: Run, now_ms: u64) -> Vec<Evidence> {
+        if run.written_ms < SURVIVAL_MS {
+            return Vec::new();
+        }
+        let parts = request.parts().iter();
+        let changed = parts.filter_map(|part| {
+            self.answers.note_sound(*part, now_ms);
+            self.clear_outlived(*part, run, now_ms)
+        });
+        changed.collect()
+    }
+
+    /// Returns whether there are strikes against a part of a request.
+    pub fn has_struck_part(&self, request: &Request) -> bool {
+        request.parts().iter().any(|part| self.strikes(*part) > 0)
+    }
+
+    /// Clears a part of the crashes that a run has outlived.
+    fn clear_outlived(&mut self, part: Fingerprint, run: Run, now_ms: u64) -> Option<Evidence> {
+        let record = self.records.get(&part)?;
+        let mut evidence = record.evidence.clone();
+        let learned = record.learned_ms.iter();
+        let outlived = learned
+            .filter(|(crash, learned_ms)| run.outlives(record.evidence.age(crash), **learned_ms));
+        evidence.cleared.extend(outlived.map(|(crash, _)| crash));
+        if evidence.cleared.len() == record.evidence.cleared.len() {
+            return None;
+        }
+        evidence.answered = true;
+        let is_new = self.merge(&evidence, now_ms);
+        is_new.then(|| self.evidence(part))
+    }
+
     /// Clears a suspect of the crashes that were known at `sent_ms`.
     fn clear(&mut self, subject: Fingerprint, sent_ms: u64, now_ms: u64) -> Option<Evidence> {
         let record = self.records.get(&subject)?;
@@ -409,11 +575,6 @@
             record
                 .learned_ms
                 .insert(*crash, learned_ms.unwrap_or(now_ms));
-            let [last, other] = &mut self.last_crashes;
-            if last.is_some_and(|(last, _)| last != fingerprint) {
-                *other = *last;
-            }
-            *last = Some((fingerprint, now_ms));
         }
         record.learned_ms.retain(|crash, _| crashes.contains(crash));
         self.order.remove(&record.rank);
@@ -457,7 +618,11 @@
     /// that were cleared already have a number, too.
     fn note_crashes(&mut self, evidence: &Evidence, now_ms: u64) {
         for crash in evidence.crashes.iter().chain(&evidence.cleared) {
-            self.crashes.entry(*crash).or_insert(now_ms);
+            if !self.crashes.contains_key(crash) {
+                self.crashes.insert(*crash, now_ms);
+                // It may show that others are not alone accused.
+                self.culprits = None;
+            }
             let last = self.incarnations.entry(crash.incarnation);
             let last = last.or_insert((crash.number, now_ms));
             if crash.number > last.0 {
--- a/crates/suspect/src/request.rs
+++ b/crates/suspect/src/request.rs
@@ -7,7 +7,7 @@
 const PARTS_MAX: usize = 64;
 
 /// The content of a request and the parts of its prompt, by their fingerprints.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Request {
     content: Option<Fingerprint>,
     parts: Box<[Fingerprint]>,
--- a/crates/suspect/tests/culprit.rs
+++ b/crates/suspect/tests/culprit.rs
@@ -205,8 +205,12 @@
             let run = self.runs.remove(&number).expect("a run");
             let known = &mut self.vms[run.vm];
             let now_ms = self.now_ms;
-            let changed =
-                known.request_crashed(&request(&run.ids), incarnation, run.sent_ms, now_ms);
+            let changed = known.request_crashed(
+                &request(&run.ids),
+                incarnation,
+                bw_suspect::Run::sent(run.sent_ms),
+                now_ms,
+            );
             self.tell(run.vm, changed);
             if run.attempt < ATTEMPTS {
                 let (vm, ids, attempt) = (run.vm, run.ids, run.attempt + 1);
@@ -442,7 +446,12 @@
     for number in 0..40 {
         let now_ms = 1_000 + number * 200;
         let incarnation = Incarnation::new(&format!("server-{number}"), 1);
-        let changed = here.request_crashed(&request(&ids), incarnation, now_ms, now_ms);
+        let changed = here.request_crashed(
+            &request(&ids),
+            incarnation,
+            bw_suspect::Run::sent(now_ms),
+            now_ms,
+        );
         for evidence in changed.iter().filter(|_| number < 8) {
             cut_off.merge(evidence, now_ms);
         }
@@ -467,7 +476,12 @@
         let content = Fingerprint::new("host", &crash.to_string(), b"");
         let incarnation = Incarnation::new(&format!("server-{crash}"), 1);
         let sent_ms = crash * 200;
-        known.request_crashed(&Request::new(content, ids), incarnation, sent_ms, sent_ms);
+        known.request_crashed(
+            &Request::new(content, ids),
+            incarnation,
+            bw_suspect::Run::sent(sent_ms),
+            sent_ms,
+        );
     }
     let content = Fingerprint::new("host", "new", b"");
     assert_eq!(known.refusal(&Request::new(content, sound)), None);
@@ -489,7 +503,12 @@
                 break;
             }
             let incarnation = Incarnation::new(&format!("server-{crashes}"), 1);
-            known.request_crashed(&request, incarnation, crashes * 1_000, crashes * 1_000);
+            known.request_crashed(
+                &request,
+                incarnation,
+                bw_suspect::Run::sent(crashes * 1_000),
+                crashes * 1_000,
+            );
             crashes += 1;
         }
     }
--- a/programs/entry/src/controller/run.rs
+++ b/programs/entry/src/controller/run.rs
@@ -326,8 +326,8 @@
                 let incarnation =
                     bw_suspect::Incarnation::new(&disconnect.backend, disconnect.incarnation);
                 evidence.extend(shared.with_parts(|known, now_ms| {
-                    let (parts, sent_ms) = (&disconnect.parts, disconnect.sent_ms);
-                    known.request_crashed(parts, incarnation, sent_ms, now_ms)
+                    let run = bw_suspect::Run::sent(disconnect.sent_ms);
+                    known.request_crashed(&disconnect.parts, incarnation, run, now_ms)
                 }));
                 commands.extend(shared.with_suspects(|suspects, now_ms| {
                     suspects.crashed(&disconnect.backend, disconnect.incarnation, &runs, now_ms)
--- a/programs/entry/src/filter/part.rs
+++ b/programs/entry/src/filter/part.rs
@@ -24,8 +24,8 @@
 ///
 /// # Errors
 ///
-/// Refuses a request with a part of which no trial is due, and one with several such
-/// parts, as its trial would show nothing.
+/// Refuses a request with a part of which no trial is due. The trial of a request with
+/// several such parts waits for those of others, as it would show little.
 pub fn check(
     shared: &context::Shared,
     parts: &Request,
@@ -36,7 +36,7 @@
         };
         let last_ms = known.last_crash_ms(refused.fingerprint);
         let is_due = last_ms.is_none_or(|last_ms| now_ms >= last_ms + PAUSE_MS);
-        match is_due && !refused.has_others {
+        match is_due && known.others_wait_ms(refused, now_ms).is_none() {
             true => Ok(Some(refused.fingerprint)),
             false => Err(refusal()),
         }
--- a/programs/entry/src/online/run/part.rs
+++ b/programs/entry/src/online/run/part.rs
@@ -53,7 +53,8 @@
     pub(super) fn note_part_crash(&self, choice: &router::Choice) {
         let incarnation = Incarnation::new(&choice.id, choice.incarnation);
         let changed = self.context.shared.with_parts(|known, now_ms| {
-            known.request_crashed(&self.request.parts, incarnation, self.sent_ms, now_ms)
+            let run = bw_suspect::Run::sent(self.sent_ms);
+            known.request_crashed(&self.request.parts, incarnation, run, now_ms)
         });
         self.send_evidence(changed);
     }
--- a/programs/gateway/src/control/hub/mod.rs
+++ b/programs/gateway/src/control/hub/mod.rs
@@ -3,7 +3,7 @@
 
 mod backends;
 mod jobs;
-mod suspects;
+pub(crate) mod suspects;
 
 use std::{
     cell::{Cell, RefCell},
@@ -258,7 +258,7 @@
             published: self.published.borrow().clone(),
             backends: backends.collect(),
             loads: Some(self.loads.borrow().snapshot()),
-            suspects: self.suspects.borrow().all(),
+            suspects: self.all_suspects(),
         }
     }
 
@@ -312,8 +312,15 @@
             },
             message::Request::Trial {
                 fingerprint,
+                is_part,
                 ticket,
-            } => self.begin_trial(fingerprint, ticket).await,
+            } => {
+                let subject = match is_part {
+                    true => suspects::Subject::Part { backend: None },
+                    false => suspects::Subject::Content,
+                };
+                self.begin_trial(fingerprint, ticket, subject).await
+            }
             message::Request::Submit(job) => self.submit(*job).await,
             message::Request::Results {
                 job,
@@ -473,6 +480,7 @@
         for evidence in &leading.suspects {
             self.suspects.borrow_mut().merge(evidence, now_ms);
         }
+        self.trial_waits.borrow_mut().clear();
         *self.evacuated.borrow_mut() = leading.evacuated;
         *self.known_vms.borrow_mut() = leading.known_vms;
         self.leading_since_ms.set(now_ms);
@@ -558,8 +566,8 @@
             continue;
         }
         let now_ms = clock::monotonic_ms();
-        for evidence in &update.suspects {
-            hub.suspects.borrow_mut().merge(evidence, now_ms);
+        for report in update.suspects {
+            hub.suspects.borrow_mut().merge(&report.into(), now_ms);
         }
         let mut registry = hub.registry.borrow_mut();
         for announcement in update.backends {
@@ -599,7 +607,7 @@
         quiet = 0;
         let update = message::Update {
             loads: changes,
-            suspects,
+            suspects: suspects.into_iter().map(Into::into).collect(),
             ..message::Update::default()
         };
         hub.sessions
--- a/programs/gateway/src/control/hub/suspects.rs
+++ b/programs/gateway/src/control/hub/suspects.rs
@@ -1,12 +1,33 @@
 //! The leader's view of requests that may crash backend servers.
 
-use bw_relay::{ledger, message, suspect, suspect::trial};
+use bw_relay::{
+    ledger, message, registry, suspect,
+    suspect::{part, trial},
+};
 use tokio::sync::oneshot;
 
 use super::{Hub, refusal};
 use crate::{clock, control::replica, metrics};
 
+/// What a trial is about.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Subject {
+    /// The content of a request.
+    Content,
+    /// A part of prompts.
+    Part {
+        /// The backend server that is to run the trial, if it is chosen.
+        backend: Option<suspect::Incarnation>,
+    },
+}
+
 impl Hub {
+    /// Returns what is known about all suspects, for a process that connects.
+    pub(super) fn all_suspects(&self) -> Vec<suspect::Report> {
+        let all = self.suspects.borrow().all();
+        all.into_iter().map(Into::into).collect()
+    }
+
     /// Merges evidence against a suspect. If any of it is new, records all that is known
     /// about this suspect and broadcasts it with the next loads.
     pub(crate) fn apply_evidence(&self, evidence: &suspect::Evidence) {
@@ -26,6 +47,7 @@
     pub(crate) fn publish_evidence(&self, changed: Vec<suspect::Evidence>) {
         for known in changed {
             log::warn!(fingerprint = known.fingerprint.0, strikes = known.strikes(); "suspect changed");
+            self.trial_waits.borrow_mut().remove(&known.fingerprint);
             self.changed_suspects.borrow_mut().insert(known.fingerprint);
             self.record_suspect(known);
         }
@@ -88,17 +110,31 @@
         &self,
         fingerprint: suspect::Fingerprint,
         ticket: u64,
+        subject: Subject,
     ) -> message::Reply {
-        let calm = {
+        let (calm_in_ms, was_disturbed) = {
             let suspects = self.suspects.borrow();
-            suspects.is_calm(fingerprint, clock::monotonic_ms())
+            let calm_in_ms = suspects.calm_in_ms(fingerprint, clock::monotonic_ms());
+            (calm_in_ms, suspects.was_disturbed(fingerprint))
         };
+        let calm = calm_in_ms == 0;
         let now_ms = self.unix_ms();
-        let command = trial::Command::Begin {
-            fingerprint,
-            ticket,
-            calm,
-            now_ms,
+        let command = match subject {
+            Subject::Content => trial::Command::Begin {
+                fingerprint,
+                ticket,
+                calm,
+                now_ms,
+            },
+            Subject::Part { backend } => trial::Command::BeginPart(part::Begin {
+                fingerprint,
+                ticket,
+                backend,
+                calm_in_ms,
+                was_disturbed,
+                oldest_start_ms: self.oldest_start_ms(),
+                now_ms,
+            }),
         };
         let verdict = match self.propose(ledger::Command::Suspect(command)).await {
             Ok(ledger::Applied::Trial(verdict)) => verdict,
@@ -111,7 +147,7 @@
             trial::Verdict::Exhausted => ("exhausted", 0),
         };
         log::info!(
-            fingerprint = fingerprint.0, ticket = ticket, calm = calm,
+            fingerprint = fingerprint.0, ticket = ticket, calm = calm, was_disturbed = was_disturbed,
             outcome = outcome, retry_after_ms = retry_after_ms;
             "trial of a suspected request"
         );
@@ -128,6 +164,7 @@
     ) {
         let outcome: &'static str = end.into();
         log::info!(fingerprint = fingerprint.0, ticket = ticket, outcome = outcome; "trial of a suspected request reported");
+        self.trial_waits.borrow_mut().remove(&fingerprint);
         let now_ms = self.unix_ms();
         self.propose_unanswered(trial::Command::End {
             fingerprint,
@@ -137,6 +174,24 @@
         });
     }
 
+    /// Ends the trials of items that former leaders began at backend servers which still
+    /// run: their results are lost, and they crashed nothing.
+    pub(crate) fn end_abandoned_trials(&self, running: Vec<suspect::Incarnation>) {
+        let now_ms = self.unix_ms();
+        self.propose_unanswered(trial::Command::Abandoned { running, now_ms });
+    }
+
+    /// Returns when the backend server that runs for longest has started, in Unix
+    /// milliseconds; 0 if there is none, or one that did not say.
+    fn oldest_start_ms(&self) -> u64 {
+        let registry = self.registry.borrow();
+        let ready = registry
+            .backends()
+            .map(|backend| &backend.announcement)
+            .filter(|known| known.state == registry::State::Ready);
+        ready.map(|known| known.started_ms).min().unwrap_or(0)
+    }
+
     /// Proposes a command whose loss with a leader only delays or costs a trial.
     fn propose_unanswered(&self, command: trial::Command) {
         let (reply, _) = oneshot::channel();
--- a/programs/gateway/src/control/item.rs
+++ b/programs/gateway/src/control/item.rs
@@ -10,12 +10,15 @@
 
 use crate::{
     clock,
-    control::{hub::Hub, runner::Ended},
+    control::{
+        hub::{Hub, suspects},
+        runner::Ended,
+    },
 };
 
 /// Time after which an item asks for a trial again if the group did not decide, in
 /// milliseconds.
-const NO_VERDICT_RETRY_MS: u64 = 1_000;
+const NO_VERDICT_RETRY_MS: u64 = 200;
 
 /// A run of an item, by what it can be suspected for.
 pub(super) struct Subject {
@@ -55,19 +58,52 @@
         hub.suspects.borrow().is_suspect(&self.request)
     }
 
-    /// Adds a strike, as the backend server broke the connection.
-    pub(super) fn note_crash(&self, hub: &Hub) {
+    /// Returns the run after it has written for some time.
+    fn run(&self, written_ms: u64) -> suspect::Run {
+        suspect::Run {
+            sent_ms: self.sent_ms,
+            written_ms,
+        }
+    }
+
+    /// Clears the parts of the crashes that the run has outlived.
+    pub(super) fn note_lived(&self, hub: &Hub, written_ms: u64) {
+        let run = self.run(written_ms);
+        let now_ms = clock::monotonic_ms();
+        let changed = hub
+            .suspects
+            .borrow_mut()
+            .request_lived(&self.request, run, now_ms);
+        for evidence in &changed {
+            log::info!(
+                request = &*self.id, parts = self.parts.as_str(), backend = &*self.backend,
+                fingerprint = evidence.fingerprint.0, strikes = evidence.strikes(), written_ms = written_ms;
+                "item with a suspected part outlived the crashes, suspicion cleared"
+            );
+        }
+        hub.publish_evidence(changed);
+    }
+
+    /// Returns whether a part of the prompt is refused.
+    pub(super) fn is_refused(&self, hub: &Hub) -> bool {
+        let refusal = hub.suspects.borrow_mut().refusal(&self.request);
+        refusal.is_some()
+    }
+
+    /// Adds a strike, as the backend server broke the connection after the run had written
+    /// for some time.
+    pub(super) fn note_crash(&self, hub: &Hub, written_ms: u64) {
         let now_ms = clock::monotonic_ms();
         let changed = hub.suspects.borrow_mut().request_crashed(
             &self.request,
             self.incarnation,
-            self.sent_ms,
+            self.run(written_ms),
             now_ms,
         );
         let strikes = changed.iter().map(suspect::Evidence::strikes).max();
         log::warn!(
             request = &*self.id, parts = self.parts.as_str(), backend = &*self.backend,
-            part_strikes = strikes.unwrap_or(0);
+            part_strikes = strikes.unwrap_or(0), written_ms = written_ms;
             "item broke off, its parts are suspected of crashing backend servers"
         );
         hub.publish_evidence(changed);
@@ -96,12 +132,7 @@
     /// It may run, as a trial if there is a permit.
     Admitted(Option<Permit>),
     /// It must not run now.
-    Refused {
-        /// The part that it is refused for.
-        part: suspect::Fingerprint,
-        /// Time for which it does not start, in milliseconds.
-        retry_after_ms: u64,
-    },
+    Refused(dispatch::Refusal),
 }
 
 /// The permission to run an item as a trial of a part.
@@ -112,31 +143,42 @@
 
 impl Permit {
     /// Reports what became of the trial, unless the evidence says so.
-    pub(super) fn end(self, hub: &Hub, ended: Ended) {
+    pub(super) fn end(self, hub: &Hub, ended: &Ended) {
         let end = match ended {
             Ended::Completed | Ended::Disconnected => return,
-            Ended::NotRun | Ended::Refused { .. } => trial::End::NotRun,
-            Ended::Stopped | Ended::Broken | Ended::Failed | Ended::Impossible | Ended::Crowded => {
-                trial::End::Inconclusive
-            }
+            Ended::NotRun | Ended::Refused(_) => trial::End::NotRun,
+            Ended::Stopped | Ended::Crowded => trial::End::Preempted,
+            Ended::Broken | Ended::Failed | Ended::Impossible => trial::End::Inconclusive,
         };
         hub.trial_ended(self.fingerprint, self.ticket, end);
     }
+
+    /// Reports that the run goes on although the part is still refused, so that another
+    /// trial may begin beside it.
+    pub(super) fn lived(&self, hub: &Hub) {
+        hub.trial_ended(self.fingerprint, self.ticket, trial::End::Streaming);
+    }
 }
 
 /// Decides whether an item may run. Asks the group for a trial if a part of its prompt is
 /// refused.
 pub(super) async fn admit(hub: &Rc<Hub>, subject: &Subject) -> Admission {
-    let Some(refusal) = hub.suspects.borrow_mut().refusal(&subject.request) else {
-        return Admission::Admitted(None);
+    let now_ms = clock::monotonic_ms();
+    let (refusal, wait_ms) = {
+        let mut suspects = hub.suspects.borrow_mut();
+        let Some(refusal) = suspects.refusal(&subject.request) else {
+            return Admission::Admitted(None);
+        };
+        (refusal, suspects.others_wait_ms(refusal, now_ms))
     };
     let fingerprint = refusal.fingerprint;
-    let retry_after_ms = match hub.trial_wait_ms(fingerprint) {
+    let retry_after_ms = match hub.trial_wait_ms(fingerprint).or(wait_ms) {
         Some(wait_ms) => wait_ms,
-        None if refusal.has_others => trial::PAUSE_MS,
         None => {
             let ticket = rand::random();
-            let wait_ms = match hub.begin_trial(fingerprint, ticket).await {
+            let backend = Some(subject.incarnation);
+            let about = suspects::Subject::Part { backend };
+            let wait_ms = match hub.begin_trial(fingerprint, ticket, about).await {
                 message::Reply::Trial(trial::Verdict::Granted) => {
                     let permit = Permit {
                         fingerprint,
@@ -145,7 +187,7 @@
                     return Admission::Admitted(Some(permit));
                 }
                 message::Reply::Trial(trial::Verdict::Wait { retry_after_ms }) => retry_after_ms,
-                message::Reply::Trial(trial::Verdict::Exhausted) => trial::EXHAUSTED_RETRY_MS,
+                message::Reply::Trial(trial::Verdict::Exhausted) => trial::EXHAUSTED_ASK_MS,
                 _ => NO_VERDICT_RETRY_MS,
             };
             hub.set_trial_wait(fingerprint, wait_ms);
@@ -157,8 +199,9 @@
         retry_after_ms = retry_after_ms;
         "item with a suspected part is not admitted"
     );
-    Admission::Refused {
-        part: fingerprint,
+    Admission::Refused(dispatch::Refusal {
+        request: subject.request.clone(),
+        fingerprint,
         retry_after_ms,
-    }
+    })
 }
--- a/programs/gateway/src/control/orphan.rs
+++ b/programs/gateway/src/control/orphan.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::VecDeque, net, rc::Rc, time};
 
-use bw_relay::dispatch;
+use bw_relay::{dispatch, suspect};
 use bw_wire::name::Name;
 use bytes::Bytes;
 use futures_util::future;
@@ -61,6 +61,11 @@
     }
     let surveys: Vec<_> = surveys.into_iter().flatten().collect();
     let runs: usize = surveys.iter().map(|survey| survey.runs.len()).sum();
+    let running = surveys.iter().map(|survey| {
+        let id = &survey.server.id;
+        suspect::Incarnation::new(id, hub.backend_started_ms(id))
+    });
+    hub.end_abandoned_trials(running.collect());
     let adoption = hub.dispatch.borrow_mut().adopt(&surveys, hub.unix_ms());
     log::info!(
         backends = backends, answered = surveys.len(), runs = runs, adopted = adoption.starts.len(),
--- a/programs/gateway/src/control/runner.rs
+++ b/programs/gateway/src/control/runner.rs
@@ -68,6 +68,7 @@
 pub(crate) fn plan(hub: &Rc<Hub>) {
     let servers = hub.ready_servers();
     let routes = Rc::clone(&hub.routes.borrow());
+    release_holds(hub);
     let actions = hub
         .dispatch
         .borrow_mut()
@@ -76,6 +77,20 @@
     execute(hub, actions);
 }
 
+/// Lets items start whose parts are not refused any more.
+fn release_holds(hub: &Hub) {
+    let mut suspects = hub.suspects.borrow_mut();
+    let mut dispatch = hub.dispatch.borrow_mut();
+    let released = dispatch.release_holds(|request| suspects.refusal(request).is_some());
+    let now_ms = hub.unix_ms();
+    for hold in released {
+        log::info!(
+            fingerprint = hold.fingerprint.0, held_ms = now_ms.saturating_sub(hold.since_ms);
+            "items with a part that was refused may start"
+        );
+    }
+}
+
 /// Logs changes of items that are suspected of crashing backend servers.
 fn log_trials(hub: &Hub) {
     let notes = hub.dispatch.borrow_mut().take_notes();
@@ -145,22 +160,25 @@
     let mut progress = start.progress.clone();
     let first = progress.last;
     let subject = item::Subject::new(&hub, &start);
-    let ended = match item::admit(&hub, &subject).await {
-        item::Admission::Refused {
-            part,
-            retry_after_ms,
-        } => Ended::Refused {
-            part,
-            retry_after_ms,
-        },
+    // A run that a former leader left behind has begun and crashed nothing.
+    let admission = match start.orphan {
+        Some(_) => item::Admission::Admitted(None),
+        None => item::admit(&hub, &subject).await,
+    };
+    let ended = match admission {
+        item::Admission::Refused(refusal) => Ended::Refused(refusal),
         item::Admission::Admitted(permit) => {
-            let running = exchange(&hub, &start, &subject, &mut progress, term);
+            if permit.is_some() && hub.term() == term {
+                let mut dispatch = hub.dispatch.borrow_mut();
+                dispatch.trial_began(&start.key, hub.unix_ms());
+            }
+            let running = exchange(&hub, &start, &subject, permit.as_ref(), &mut progress, term);
             let ended = tokio::select! {
                 ended = running => ended,
                 () = stop.cancelled() => Ended::Stopped,
             };
             if let Some(permit) = permit {
-                permit.end(&hub, ended);
+                permit.end(&hub, &ended);
             }
             ended
         }
@@ -193,14 +211,7 @@
     let outcome = match ended {
         Ended::Completed => dispatch::Outcome::Completed(progress),
         Ended::Stopped | Ended::Broken | Ended::Disconnected => dispatch::Outcome::Broken(progress),
-        Ended::Refused {
-            part,
-            retry_after_ms,
-        } => dispatch::Outcome::Refused {
-            progress,
-            part,
-            retry_after_ms,
-        },
+        Ended::Refused(refusal) => dispatch::Outcome::Refused { progress, refusal },
         Ended::Failed => dispatch::Outcome::Failed(progress),
         Ended::Impossible => dispatch::Outcome::Impossible,
         Ended::NotRun => dispatch::Outcome::NotRun(progress),
@@ -251,7 +262,7 @@
 }
 
 /// How a run ended, printed in snake case in logs and metrics.
-#[derive(Clone, Copy, strum::IntoStaticStr)]
+#[derive(Clone, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub(super) enum Ended {
     Completed,
@@ -263,12 +274,7 @@
     #[strum(serialize = "broken")]
     Disconnected,
     /// A part of the prompt crashes backend servers.
-    Refused {
-        /// The part.
-        part: suspect::Fingerprint,
-        /// Time for which the item does not start, in milliseconds.
-        retry_after_ms: u64,
-    },
+    Refused(dispatch::Refusal),
     /// The backend server responded with status 500.
     Failed,
     /// The item is invalid, so that no backend server can run it (status 422).
@@ -283,12 +289,14 @@
     hub: &Rc<Hub>,
     start: &dispatch::Start,
     subject: &item::Subject,
+    permit: Option<&item::Permit>,
     progress: &mut dispatch::Progress,
     term: Option<u64>,
 ) -> Ended {
-    let ended = send(hub, start, subject, progress, term).await;
+    let mut writing = suspect::Writing::default();
+    let ended = send(hub, start, subject, permit, progress, &mut writing, term).await;
     if let Ended::Disconnected = ended {
-        subject.note_crash(hub);
+        subject.note_crash(hub, writing.written_ms());
     }
     ended
 }
@@ -297,7 +305,9 @@
     hub: &Rc<Hub>,
     start: &dispatch::Start,
     subject: &item::Subject,
+    permit: Option<&item::Permit>,
     progress: &mut dispatch::Progress,
+    writing: &mut suspect::Writing,
     term: Option<u64>,
 ) -> Ended {
     let read = replica::Read::Body {
@@ -362,12 +372,16 @@
                 };
                 may_be_cut &= bytes.is_empty();
                 parser.push(&bytes);
+                let before = progress.last;
                 let fits = take_events(&mut parser, progress)
                     && progress.bytes <= OUTPUT_BYTES_MAX
                     && reservation.resize(parser.pending() + progress.unsaved_bytes());
                 if !fits {
                     return Ended::Broken;
                 }
+                if progress.last > before && writing.note_event(clock::monotonic_ms()) {
+                    note_lived(hub, start, subject, permit, writing.written_ms(), term);
+                }
                 if trial && progress.last > start.progress.last {
                     trial = false;
                     end_trial(hub, &start.key, term);
@@ -384,6 +398,25 @@
     }
 }
 
+/// Notes that a run writes on, which clears its parts of crashes. Lets the next trial begin
+/// beside it if a part is still refused.
+fn note_lived(
+    hub: &Hub,
+    start: &dispatch::Start,
+    subject: &item::Subject,
+    permit: Option<&item::Permit>,
+    written_ms: u64,
+    term: Option<u64>,
+) {
+    subject.note_lived(hub, written_ms);
+    let still_refused = permit.filter(|_| subject.is_refused(hub));
+    if let Some(permit) = still_refused.filter(|_| term.is_some() && hub.term() == term) {
+        permit.lived(hub);
+        let mut dispatch = hub.dispatch.borrow_mut();
+        dispatch.trial_lived(&start.key, hub.unix_ms());
+    }
+}
+
 /// Reports the first event of a trial to the dispatch, unless the leader has changed:
 /// the dispatch may then have another run of the same item.
 fn end_trial(hub: &Hub, key: &dispatch::Key, term: Option<u64>) {
--- a/programs/gateway/src/control/sessions.rs
+++ b/programs/gateway/src/control/sessions.rs
@@ -235,7 +235,7 @@
             while calls.try_join_next().is_some() {}
             match frame {
                 message::Frame::Usage(loads) => hub.set_loads(id, loads),
-                message::Frame::Suspect(evidence) => hub.apply_evidence(&evidence),
+                message::Frame::Suspect(report) => hub.apply_evidence(&report.into()),
                 message::Frame::TrialEnded {
                     fingerprint,
                     ticket,
--- a/programs/gateway/src/entry/attempt.rs
+++ b/programs/gateway/src/entry/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::{error, io, net, rc::Rc, time};
 
-use bw_relay::balance;
+use bw_relay::{balance, suspect};
 use bw_wire::{name::Name, verdict};
 use bytes::{Bytes, BytesMut};
 use futures_util::stream;
@@ -55,6 +55,18 @@
     pub(crate) backend_started_ms: u64,
     /// When the run was sent, in monotonic milliseconds.
     pub(crate) sent_ms: u64,
+    /// Time from the first to the last event of its stream, in milliseconds.
+    pub(crate) written_ms: u64,
+}
+
+impl Run<'_> {
+    /// Returns the run as evidence knows it.
+    pub(crate) fn evidence(self) -> suspect::Run {
+        suspect::Run {
+            sent_ms: self.sent_ms,
+            written_ms: self.written_ms,
+        }
+    }
 }
 
 /// What the head of a whole answer says.
@@ -72,6 +84,7 @@
             backend: &self.id,
             backend_started_ms: self.backend_started_ms,
             sent_ms: self.started_ms,
+            written_ms: 0,
         }
     }
 }
--- a/programs/gateway/src/entry/state.rs
+++ b/programs/gateway/src/entry/state.rs
@@ -177,7 +177,7 @@
         }
         let is_first = update.loads.as_ref().is_some_and(|loads| loads.is_snapshot);
         self.suspects
-            .apply_update(&self.link, &update.suspects, is_first);
+            .apply_update(&self.link, update.suspects, is_first);
         if let Some(loads) = update.loads {
             self.loads_received_ms.set(now_ms);
             let changed = self.loads.borrow_mut().apply(&loads);
--- a/programs/gateway/src/entry/stream.rs
+++ b/programs/gateway/src/entry/stream.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::VecDeque, io, rc::Rc, time};
 
-use bw_relay::event;
+use bw_relay::{event, suspect};
 use bytes::Bytes;
 use futures_util::stream;
 use http_body_util::BodyExt;
@@ -64,6 +64,7 @@
             body,
             is_framed,
             has_data: false,
+            writing: suspect::Writing::default(),
             lease: accepted.lease,
             slot: accepted.slot,
         }),
@@ -95,10 +96,21 @@
     is_framed: bool,
     /// Whether any of the body has arrived.
     has_data: bool,
+    writing: suspect::Writing,
     lease: upstream::Lease,
     slot: Slot,
 }
 
+impl Run {
+    /// Returns the run of its slot with the time for which it has been writing.
+    fn evidence(&self) -> attempt::Run<'_> {
+        attempt::Run {
+            written_ms: self.writing.written_ms(),
+            ..self.slot.run()
+        }
+    }
+}
+
 /// The events of a stream, over all the runs that it takes.
 struct Source {
     state: Rc<State>,
@@ -189,6 +201,9 @@
         {
             permit.streaming();
         }
+        if self.last_event != before {
+            self.note_event();
+        }
         let fits = self.reservation.resize(self.parser.pending());
         match fits && !self.parser.is_too_large() {
             true => Ok(()),
@@ -196,6 +211,20 @@
         }
     }
 
+    /// Notes that the current run writes on, which clears its parts of crashes.
+    fn note_event(&mut self) {
+        let Some(run) = &mut self.run else {
+            return;
+        };
+        if run.writing.note_event(clock::monotonic_ms()) {
+            let suspects = &self.state.suspects;
+            suspects.note_lived(&self.state.link, &self.forward.subject, run.evidence());
+            if let Some(permit) = &self.forward.permit {
+                permit.lived();
+            }
+        }
+    }
+
     fn push(&mut self, bytes: Vec<u8>) {
         if !bytes.is_empty() {
             self.output.push_back(Bytes::from(bytes));
@@ -233,11 +262,11 @@
     /// Resumes the stream at another backend server, or fails if that is not allowed
     /// or none accepts it.
     async fn resume(&mut self, reason: Reason) -> io::Result<()> {
-        let slot = self.run.take().map(|run| run.slot);
-        if let Some(slot) = &slot {
-            self.attempts.note_broken(&self.state, &slot.id);
+        let run = self.run.take();
+        if let Some(run) = &run {
+            self.attempts.note_broken(&self.state, &run.slot.id);
         }
-        let backend = slot.as_ref().map_or("", |slot| &*slot.id);
+        let backend = run.as_ref().map_or("", |run| &*run.slot.id);
         log::warn!(
             request = self.forward.subject.id.as_str(), backend = backend, reason = reason.name(),
             last = self.last_event.unwrap_or(0), left_ms = self.forward.deadline_ms.saturating_sub(clock::monotonic_ms());
@@ -245,8 +274,8 @@
         );
         metrics::RETRIES.with_label_values(&[reason.name()]).inc();
         // A request may crash its backend server after any number of events.
-        if let Some(slot) = slot.filter(|_| reason == Reason::Broken) {
-            self.state.note_crash(&self.forward, slot.run());
+        if let Some(run) = run.filter(|_| reason == Reason::Broken) {
+            self.state.note_crash(&self.forward, run.evidence());
         }
         let repeatable = self.forward.route.kind.repeatable() && self.is_event_stream;
         if !repeatable {
@@ -261,6 +290,7 @@
                 self.run = Some(Run {
                     is_framed: upstream::is_framed(&accepted.response),
                     has_data: false,
+                    writing: suspect::Writing::default(),
                     body: accepted.response.into_body(),
                     lease: accepted.lease,
                     slot: accepted.slot,
--- a/programs/gateway/src/entry/suspects.rs
+++ b/programs/gateway/src/entry/suspects.rs
@@ -84,6 +84,7 @@
             backend: &self.backend,
             backend_started_ms: self.backend_started_ms,
             sent_ms: self.sent_ms,
+            written_ms: 0,
         }
     }
 
@@ -113,18 +114,22 @@
 /// one may be due.
 pub(crate) async fn admit(state: &Rc<State>, request: &suspect::Request) -> Admission {
     let suspects = &state.suspects;
-    let Some(refusal) = suspects.refusal(request) else {
-        return Admission::Admitted;
+    let now_ms = clock::monotonic_ms();
+    let (refusal, others_wait_ms) = {
+        let mut known = suspects.known.borrow_mut();
+        let Some(refusal) = known.refusal(request) else {
+            return Admission::Admitted;
+        };
+        (refusal, known.others_wait_ms(refusal, now_ms))
     };
     let fingerprint = refusal.fingerprint;
-    let now_ms = clock::monotonic_ms();
     let refused = |reason, retry_after_ms| Admission::Refused {
         fingerprint,
         reason,
         retry_after_ms,
     };
     let wait_ms = suspects.wait_ms(fingerprint, now_ms);
-    if let Some(wait_ms) = wait_ms.or(refusal.has_others.then_some(trial::PAUSE_MS)) {
+    if let Some(wait_ms) = wait_ms.or(others_wait_ms) {
         return refused(reason_of(refusal), wait_ms);
     }
     if state.link.leader().is_none() {
@@ -132,29 +137,32 @@
     }
     // Other requests with this content or part wait for the reply.
     suspects.set_wait(fingerprint, ASK_TIMEOUT.as_millis() as u64);
-    let permit = Permit::new(state, fingerprint);
+    let is_part = refusal.part.is_some();
+    let permit = Permit::new(state, fingerprint, is_part);
     let request = message::Request::Trial {
         fingerprint,
+        is_part,
         ticket: permit.ticket,
     };
-    let (reason, wait_ms) = match state.link.call(request, ASK_TIMEOUT).await {
+    let (reason, ask_ms, retry_after_ms) = match state.link.call(request, ASK_TIMEOUT).await {
         message::Reply::Trial(trial::Verdict::Granted) => return Admission::Trial(permit),
         message::Reply::Trial(trial::Verdict::Wait { retry_after_ms }) => {
             permit.settle();
-            (reason_of(refusal), retry_after_ms)
+            (reason_of(refusal), retry_after_ms, retry_after_ms)
         }
         message::Reply::Trial(trial::Verdict::Exhausted) => {
             permit.settle();
-            (reason_of(refusal), trial::EXHAUSTED_RETRY_MS)
+            let ask_ms = trial::EXHAUSTED_ASK_MS;
+            (reason_of(refusal), ask_ms, trial::EXHAUSTED_RETRY_MS)
         }
         // The trial may have been granted: the permit, which ends unused, returns it.
         reply => {
             log::info!(fingerprint = fingerprint.0, reply = format!("{reply:?}").as_str(); "no verdict on a trial");
-            (Reason::NoLeader, NO_LEADER_RETRY_MS)
+            (Reason::NoLeader, NO_LEADER_RETRY_MS, NO_LEADER_RETRY_MS)
         }
     };
-    suspects.set_wait(fingerprint, wait_ms);
-    refused(reason, wait_ms)
+    suspects.set_wait(fingerprint, ask_ms);
+    refused(reason, retry_after_ms)
 }
 
 fn reason_of(refusal: suspect::Refusal) -> Reason {
@@ -180,15 +188,18 @@
     state: Rc<State>,
     /// The content or the part that is tried.
     pub(crate) fingerprint: suspect::Fingerprint,
+    /// Whether it is a part.
+    is_part: bool,
     ticket: u64,
     stage: Cell<Stage>,
 }
 
 impl Permit {
-    fn new(state: &Rc<State>, fingerprint: suspect::Fingerprint) -> Permit {
+    fn new(state: &Rc<State>, fingerprint: suspect::Fingerprint, is_part: bool) -> Permit {
         Permit {
             state: Rc::clone(state),
             fingerprint,
+            is_part,
             ticket: state.random_u64(),
             stage: Cell::new(Stage::NotRun),
         }
@@ -204,8 +215,16 @@
         self.stage.set(Stage::NotRun);
     }
 
-    /// Notes that the response is a stream whose first event has arrived.
+    /// Notes that the response is a stream whose first event has arrived. A deadly part may
+    /// crash the backend server after it.
     pub(crate) fn streaming(&self) {
+        if !self.is_part {
+            self.lived();
+        }
+    }
+
+    /// Notes that the run goes on, so that other trials may begin beside it.
+    pub(crate) fn lived(&self) {
         if self.stage.get() == Stage::Running {
             self.stage.set(Stage::Streaming);
             self.report(trial::End::Streaming);
@@ -322,14 +341,14 @@
         let changed =
             self.known
                 .borrow_mut()
-                .request_crashed(request, incarnation, run.sent_ms, now_ms);
+                .request_crashed(request, incarnation, run.evidence(), now_ms);
         let content = request.content();
         let part_strikes = request.parts().iter().map(|part| self.strikes(*part));
         log::warn!(
             request = subject.id.as_str(), parts = subject.logged_parts.as_str(), backend = run.backend,
             started_ms = run.backend_started_ms, fingerprint = content.map_or(0, |content| content.0),
             strikes = content.map_or(0, |content| self.strikes(content)),
-            part_strikes = part_strikes.max().unwrap_or(0);
+            part_strikes = part_strikes.max().unwrap_or(0), written_ms = run.written_ms;
             "request is suspected of crashing backend servers"
         );
         metrics::SUSPECTS.with_label_values(&["strike"]).inc();
@@ -364,6 +383,30 @@
         self.report(link, changed);
     }
 
+    /// Clears the parts of a request of the crashes that a run of it has outlived.
+    pub(crate) fn note_lived(&self, link: &link::Link, subject: &Subject, run: Run<'_>) {
+        // Most requests have no part with strikes, and are answered soon.
+        if !self.known.borrow().has_struck_part(&subject.request) {
+            return;
+        }
+        let now_ms = clock::monotonic_ms();
+        let changed =
+            self.known
+                .borrow_mut()
+                .request_lived(&subject.request, run.evidence(), now_ms);
+        for evidence in &changed {
+            let fingerprint = evidence.fingerprint;
+            log::info!(
+                request = subject.id.as_str(), backend = run.backend, fingerprint = fingerprint.0,
+                part = subject.part_id(fingerprint), strikes = evidence.strikes(), written_ms = run.written_ms;
+                "request with a suspected part outlived the crashes, suspicion cleared"
+            );
+            metrics::SUSPECTS.with_label_values(&["cleared"]).inc();
+            self.waits.borrow_mut().remove(&fingerprint);
+        }
+        self.report(link, changed);
+    }
+
     /// Notes an answer that ended with its connection, until it is known whether its
     /// backend server crashed.
     pub(crate) fn note_unconfirmed(&self, subject: &Rc<Subject>, succeeded: bool, run: Run<'_>) {
@@ -411,14 +454,15 @@
     pub(crate) fn apply_update(
         &self,
         link: &link::Link,
-        suspects: &[suspect::Evidence],
+        suspects: Vec<suspect::Report>,
         is_first: bool,
     ) {
         let now_ms = clock::monotonic_ms();
+        let suspects: Vec<suspect::Evidence> = suspects.into_iter().map(Into::into).collect();
         let mut known = self.known.borrow_mut();
-        for evidence in suspects {
-            known.merge(evidence, now_ms);
-            if known.strikes(evidence.fingerprint) == 0 {
+        for evidence in &suspects {
+            if known.merge(evidence, now_ms) {
+                // What the leader said about a trial was about less evidence.
                 self.waits.borrow_mut().remove(&evidence.fingerprint);
             }
             if known.note_answered(evidence, now_ms) {
@@ -441,7 +485,7 @@
         let mut unreported = self.unreported.borrow_mut();
         while let Some(fingerprint) = unreported.pop_first() {
             let evidence = self.known.borrow().evidence(fingerprint);
-            if !link.notify(&message::Frame::Suspect(evidence)) {
+            if !link.notify(&message::Frame::Suspect(evidence.into())) {
                 unreported.insert(fingerprint);
                 return;
             }
