Skip parts without strikes when a run is answered or writes on

Each whole answer cloned and merged the evidence of its parts, also where no crash is held against them, and each crash discarded the search for the culprits, also where no suspect's crashes depend on those of others. Both are skipped now.

--- a/crates/suspect/src/lib.rs
+++ b/crates/suspect/src/lib.rs
@@ -301,6 +301,8 @@
     answers: Answers,
     /// What requests are refused for; `None` if the evidence has changed.
     culprits: Option<culprit::Culprits>,
+    /// Whether the culprits depend on crashes that they are not accused of.
+    uses_timeline: bool,
 }
 
 impl Suspects {
@@ -313,11 +315,13 @@
     /// Returns why a request must not run, unless as a trial.
     pub fn refusal(&mut self, request: &Request) -> Option<Refusal> {
         let (order, records, crashes) = (&self.order, &self.records, &self.crashes);
+        let uses_timeline = &mut self.uses_timeline;
         let culprits = self.culprits.get_or_insert_with(|| {
             let heavy = order.range(LEAST_HEAVY..);
             let heavy = heavy.filter_map(|(_, _, fingerprint)| records.get(fingerprint));
             let heavy: Vec<&Record> = heavy.collect();
             let has_old = heavy.iter().any(|record| record.has_old_runs());
+            *uses_timeline = has_old;
             let timeline = has_old.then(|| Timeline::new(crashes));
             let suspicions = heavy.iter().map(|record| culprit::Suspicion {
                 fingerprint: record.evidence.fingerprint,
@@ -518,6 +522,9 @@
     /// Clears a part of the crashes that a run has outlived.
     fn clear_outlived(&mut self, part: Fingerprint, run: Run, now_ms: u64) -> Option<Evidence> {
         let record = self.records.get(&part)?;
+        if record.evidence.strikes() == 0 {
+            return None;
+        }
         let mut evidence = record.evidence.clone();
         let learned = record.learned_ms.iter();
         let outlived = learned
@@ -534,6 +541,9 @@
     /// Clears a suspect of the crashes that were known at `sent_ms`.
     fn clear(&mut self, subject: Fingerprint, sent_ms: u64, now_ms: u64) -> Option<Evidence> {
         let record = self.records.get(&subject)?;
+        if record.evidence.strikes() == 0 {
+            return None;
+        }
         let mut evidence = record.evidence.clone();
         let known = record.learned_ms.iter();
         let known = known.filter(|(_, learned_ms)| **learned_ms <= sent_ms);
@@ -620,8 +630,9 @@
         for crash in evidence.crashes.iter().chain(&evidence.cleared) {
             if !self.crashes.contains_key(crash) {
                 self.crashes.insert(*crash, now_ms);
-                // It may show that others are not alone accused.
-                self.culprits = None;
+                if self.uses_timeline {
+                    self.culprits = None;
+                }
             }
             let last = self.incarnations.entry(crash.incarnation);
             let last = last.or_insert((crash.number, now_ms));
