End endless responses at the deadline of their request

A frame that has already arrived was read whatever time was left: a timeout of 0 polls its future once. An endless response always has a frame ready, so that it was forwarded past the deadline until the caller closed: on the routes `once` and `plain` (with a stated length), and on `stream` and `fixed` (errors, documents and events). `next_frame` reads nothing after the deadline.

--- a/programs/gateway/src/entry/attempt.rs
+++ b/programs/gateway/src/entry/attempt.rs
@@ -597,15 +597,11 @@
 
 impl Passthrough {
     async fn next(&mut self) -> Option<io::Result<body::Frame<Bytes>>> {
-        let next = tokio::time::timeout(
-            super::remaining(self.forward.deadline_ms),
-            self.body.frame(),
-        )
-        .await;
-        let frame = match next {
-            Ok(None) if self.may_be_cut => Err(self.note_crash(Reason::Broken.name())),
-            Ok(frame) => frame?.map_err(|error| self.note_crash(error)),
-            Err(late) => Err(io::Error::other(late)),
+        let timeout = super::remaining(self.forward.deadline_ms);
+        let frame = match super::next_frame(&mut self.body, timeout).await {
+            Some(None) if self.may_be_cut => Err(self.note_crash(Reason::Broken.name())),
+            Some(frame) => frame?.map_err(|error| self.note_crash(error)),
+            None => Err(io::Error::other(Reason::Timeout.name())),
         };
         let bytes = frame.as_ref().ok().and_then(body::Frame::data_ref);
         let length = bytes.map_or(0, |bytes| bytes.len() as u64);
--- a/programs/gateway/src/entry/mod.rs
+++ b/programs/gateway/src/entry/mod.rs
@@ -17,6 +17,8 @@
 use std::{net, rc::Rc, sync::Arc, time};
 
 use bw_relay::message;
+use http_body_util::BodyExt;
+use hyper::body;
 use tokio::{sync::mpsc, task};
 
 use crate::{clock, dialect, link, local, settings, socket, upstream};
@@ -172,4 +174,20 @@
     time::Duration::from_millis(until_ms.saturating_sub(clock::monotonic_ms()))
 }
 
+/// Waits for the next frame of a response; `None` if it does not arrive in time. After a
+/// timeout of 0 there is none, even if one has already arrived: an endless response always
+/// has one.
+async fn next_frame<B>(
+    body: &mut B,
+    timeout: time::Duration,
+) -> Option<Option<Result<body::Frame<B::Data>, B::Error>>>
+where
+    B: body::Body + Unpin,
+{
+    if timeout.is_zero() {
+        return None;
+    }
+    tokio::time::timeout(timeout, body.frame()).await.ok()
+}
+
 type Pool = upstream::Pool;
--- a/programs/gateway/src/entry/stream.rs
+++ b/programs/gateway/src/entry/stream.rs
@@ -8,7 +8,6 @@
 use bw_relay::{event, suspect};
 use bytes::Bytes;
 use futures_util::stream;
-use http_body_util::BodyExt;
 use hyper::{Response, StatusCode, body};
 
 use crate::{
@@ -155,11 +154,11 @@
         let Some(run) = &mut self.run else {
             return Err(Reason::Broken);
         };
-        let frame = match tokio::time::timeout(timeout, run.body.frame()).await {
-            Err(_) => return Err(Reason::Silent),
-            Ok(Some(Err(_))) => return Err(Reason::Broken),
-            Ok(Some(Ok(frame))) => frame,
-            Ok(None) => return self.complete(),
+        let frame = match super::next_frame(&mut run.body, timeout).await {
+            None => return Err(Reason::Silent),
+            Some(Some(Err(_))) => return Err(Reason::Broken),
+            Some(Some(Ok(frame))) => frame,
+            Some(None) => return self.complete(),
         };
         let Ok(bytes) = frame.into_data() else {
             return Ok(true);
