Limit the bytes that a backend server sends without progress

The HTTP library skips informational (1xx) responses and the leading zeros of a chunk size without a limit. Each read of such bytes made the connection's task run on, so that a few connections occupied the only thread of an entry program: no request on that machine ended in time, on any route. A batch run counted as waiting in a queue (`Crowded`) and was repeated.

A meter in the connection (`meter::BYTES_MAX`, 64 KiB) counts the bytes since the request was sent, its head arrived, or a piece of its body arrived. Beyond the limit, reads fail, the failure is `Endless`, and the request is sent to another backend server. `upstream::Body` counts pieces and reports failures of the body, so that all readers (answers, streams, batch runs, calls on runs and KV memory) have the same limit.

Changed tests: an_endless_head_is_rejected becomes the case header_line of an_endless_response_is_rejected, with four more cases.

--- a/programs/gateway/src/control/runner.rs
+++ b/programs/gateway/src/control/runner.rs
@@ -402,8 +402,8 @@
                     return Ended::Stopped;
                 }
             }
-            Ok(None | Some(Err(_))) => return Ended::Disconnected,
-            Err(_) => return Ended::Broken,
+            Ok(None | Some(Err(upstream::Failure::Broken))) => return Ended::Disconnected,
+            Ok(Some(Err(_))) | Err(_) => return Ended::Broken,
         }
     }
 }
--- a/programs/gateway/src/entry/attempt.rs
+++ b/programs/gateway/src/entry/attempt.rs
@@ -1,6 +1,6 @@
 //! Attempts to send a request to a backend server until one responds.
 
-use std::{error, io, net, rc::Rc, time};
+use std::{io, net, rc::Rc, time};
 
 use bw_relay::{balance, suspect};
 use bw_wire::{name::Name, verdict};
@@ -98,7 +98,7 @@
 
 /// A response of a backend server that is to be forwarded.
 pub(crate) struct Accepted {
-    pub(crate) response: Response<body::Incoming>,
+    pub(crate) response: Response<upstream::Body>,
     pub(crate) lease: upstream::Lease,
     pub(crate) slot: Slot,
 }
@@ -516,12 +516,12 @@
 
 /// Reads a whole body into memory, within the size limit and the memory budget.
 async fn read_whole(
-    mut body: body::Incoming,
+    mut body: upstream::Body,
     mut reservation: memory::Reservation,
 ) -> Result<BytesMut, Reason> {
     let mut whole = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| Reason::Broken)?;
+        let frame = frame.map_err(Reason::from)?;
         let Ok(bytes) = frame.into_data() else {
             continue;
         };
@@ -582,7 +582,7 @@
 /// A response that is streamed to the caller.
 struct Passthrough {
     state: Rc<State>,
-    body: body::Incoming,
+    body: upstream::Body,
     /// Whether the response ends with its connection and no byte of it has arrived, as
     /// where the backend server stops after the head.
     may_be_cut: bool,
@@ -599,8 +599,8 @@
     async fn next(&mut self) -> Option<io::Result<body::Frame<Bytes>>> {
         let timeout = super::remaining(self.forward.deadline_ms);
         let frame = match super::next_frame(&mut self.body, timeout).await {
-            Some(None) if self.may_be_cut => Err(self.note_crash(Reason::Broken.name())),
-            Some(frame) => frame?.map_err(|error| self.note_crash(error)),
+            Some(None) if self.may_be_cut => Err(self.note_failure(upstream::Failure::Broken)),
+            Some(frame) => frame?.map_err(|failure| self.note_failure(failure)),
             None => Err(io::Error::other(Reason::Timeout.name())),
         };
         let bytes = frame.as_ref().ok().and_then(body::Frame::data_ref);
@@ -614,10 +614,12 @@
         Some(frame)
     }
 
-    fn note_crash(&self, error: impl Into<Box<dyn error::Error + Send + Sync>>) -> io::Error {
-        self.note_broken(Reason::Broken);
-        self.state.note_crash(&self.forward, self.slot.run());
-        io::Error::other(error)
+    fn note_failure(&self, failure: upstream::Failure) -> io::Error {
+        self.note_broken(failure.into());
+        if failure == upstream::Failure::Broken {
+            self.state.note_crash(&self.forward, self.slot.run());
+        }
+        io::Error::other(failure)
     }
 
     fn note_broken(&self, reason: Reason) {
--- a/programs/gateway/src/entry/stream.rs
+++ b/programs/gateway/src/entry/stream.rs
@@ -84,13 +84,13 @@
 }
 
 /// Returns whether a response can begin or continue a stream.
-fn is_event_stream(response: &Response<body::Incoming>) -> bool {
+fn is_event_stream(response: &Response<upstream::Body>) -> bool {
     response.status() == StatusCode::OK && upstream::has_events(response.headers())
 }
 
 /// The response of one backend server, which may be a part of the stream.
 struct Run {
-    body: body::Incoming,
+    body: upstream::Body,
     /// Whether the response states where its body ends.
     is_framed: bool,
     /// Whether any of the body has arrived.
@@ -156,7 +156,7 @@
         };
         let frame = match super::next_frame(&mut run.body, timeout).await {
             None => return Err(Reason::Silent),
-            Some(Some(Err(_))) => return Err(Reason::Broken),
+            Some(Some(Err(failure))) => return Err(failure.into()),
             Some(Some(Ok(frame))) => frame,
             Some(None) => return self.complete(),
         };
--- a/programs/gateway/src/lib.rs
+++ b/programs/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod link;
 mod local;
 pub mod memory;
+mod meter;
 pub mod metrics;
 pub mod settings;
 pub mod socket;
--- a/programs/gateway/src/upstream.rs
+++ b/programs/gateway/src/upstream.rs
@@ -4,16 +4,24 @@
 //! a complete response; dropping a [`Lease`] before that closes the connection,
 //! which makes the backend server cancel the request.
 
-use std::{cell::RefCell, collections::HashMap, net, rc::Rc, time};
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    error, fmt, net,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll, ready},
+    time,
+};
 
 use bw_wire::verdict;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{HeaderMap, StatusCode, body, body::Body, client::conn::http1, header};
+use hyper::{HeaderMap, StatusCode, body, body::Body as _, client::conn::http1, header};
 use hyper_util::rt::TokioIo;
 use tokio::task;
 
-use crate::{dialect, memory, metrics, socket};
+use crate::{dialect, memory, meter, metrics, socket};
 
 /// Timeout of a new connection. Connecting takes a few milliseconds, so a backend
 /// server that needs longer is dead or cut off.
@@ -40,6 +48,7 @@
 
 struct Idle {
     sender: Sender,
+    meter: meter::Meter,
     task: task::AbortHandle,
     expires_at: time::Instant,
     idle_since: time::Instant,
@@ -63,7 +72,8 @@
     /// The response lacks the headers that every backend server sets, or is
     /// compressed.
     ForeignAnswer,
-    /// The response head is larger than any valid one.
+    /// More bytes arrived than any valid response has before its head, or between two pieces
+    /// of its body.
     Endless,
 }
 
@@ -108,6 +118,23 @@
     }
 }
 
+impl fmt::Display for Failure {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Failure::Connect => "no connection to the backend server",
+            Failure::Broken => "the connection broke",
+            Failure::Timeout => "no response in time",
+            Failure::Full => "the backend server is at capacity",
+            Failure::OtherBackend => "another backend server listens at the address",
+            Failure::CrossedAnswer => "the response belongs to another request",
+            Failure::ForeignAnswer => "the response does not come from a backend server",
+            Failure::Endless => "the response is endless",
+        })
+    }
+}
+
+impl error::Error for Failure {}
+
 /// Checks that the head of a response comes from the expected backend server and
 /// belongs to the request with this id.
 fn check_head<B>(
@@ -147,7 +174,7 @@
 /// Returns whether a response states where its body ends, by a length, by chunks or as it
 /// has none. The body of another one ends with its connection, also where the backend
 /// server stops.
-pub fn is_framed(response: &hyper::Response<body::Incoming>) -> bool {
+pub fn is_framed(response: &hyper::Response<Body>) -> bool {
     let has_chunks = response.headers().contains_key(header::TRANSFER_ENCODING);
     has_chunks || response.body().size_hint().exact().is_some()
 }
@@ -164,6 +191,7 @@
     pool: Pool,
     address: net::SocketAddr,
     sender: Option<Sender>,
+    meter: meter::Meter,
     task: task::AbortHandle,
     idle_timeout: Option<time::Duration>,
 }
@@ -189,6 +217,7 @@
         let now = time::Instant::now();
         let idle = Idle {
             sender,
+            meter: self.meter.clone(),
             task: self.task.clone(),
             expires_at: now + idle_timeout,
             idle_since: now,
@@ -205,7 +234,7 @@
 /// A response whose body is yet to be read, with the connection that carries it.
 pub struct Exchange {
     /// The response head and the unread body.
-    pub response: hyper::Response<body::Incoming>,
+    pub response: hyper::Response<Body>,
     /// The connection, to be released once the body was read in whole.
     pub lease: Lease,
     /// Whether a send before the one that got the response may have run.
@@ -228,6 +257,59 @@
     }
 }
 
+impl Exchange {
+    fn new(
+        response: hyper::Response<body::Incoming>,
+        mut lease: Lease,
+        earlier: verdict::Verdict,
+    ) -> Exchange {
+        lease.idle_timeout = idle_timeout(response.headers());
+        lease.meter.reset();
+        let meter = lease.meter.clone();
+        let response = response.map(|incoming| Body { incoming, meter });
+        Exchange {
+            response,
+            lease,
+            earlier,
+        }
+    }
+}
+
+/// The body of a response, which is yet to be read.
+pub struct Body {
+    incoming: body::Incoming,
+    meter: meter::Meter,
+}
+
+impl body::Body for Body {
+    type Data = Bytes;
+    type Error = Failure;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<body::Frame<Bytes>, Failure>>> {
+        let frame = ready!(Pin::new(&mut self.incoming).poll_frame(context));
+        Poll::Ready(frame.map(|frame| match frame {
+            Ok(frame) => {
+                if frame.data_ref().is_some_and(|bytes| !bytes.is_empty()) {
+                    self.meter.reset();
+                }
+                Ok(frame)
+            }
+            Err(error) => Err(failure(&self.meter, &error)),
+        }))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.incoming.is_end_stream()
+    }
+
+    fn size_hint(&self) -> body::SizeHint {
+        self.incoming.size_hint()
+    }
+}
+
 impl Pool {
     /// Returns the memory budget for the responses that arrive on the connections.
     pub fn budget(&self) -> &memory::Budget {
@@ -267,15 +349,9 @@
                 continue;
             };
             let retry = idempotent.then(|| request.clone());
+            lease.meter.reset();
             match sender.try_send_request(request).await {
-                Ok(response) => {
-                    lease.idle_timeout = idle_timeout(response.headers());
-                    return Ok(Exchange {
-                        response,
-                        lease,
-                        earlier: not_run,
-                    });
-                }
+                Ok(response) => return Ok(Exchange::new(response, lease, not_run)),
                 Err(mut error) => match (error.take_message(), retry) {
                     // The idle connection was already closed and nothing was sent.
                     (Some(unsent), _) => request = unsent,
@@ -292,7 +368,7 @@
                             .await
                             .map_err(|_| Error::after(earlier, Failure::Broken));
                     }
-                    (None, None) => return Err(failure(address, error.error()).into()),
+                    (None, None) => return Err(failure(&lease.meter, error.error()).into()),
                 },
             }
         }
@@ -311,17 +387,10 @@
             return Err(Failure::Connect);
         };
         match sender.try_send_request(request).await {
-            Ok(response) => {
-                lease.idle_timeout = idle_timeout(response.headers());
-                Ok(Exchange {
-                    response,
-                    lease,
-                    earlier,
-                })
-            }
+            Ok(response) => Ok(Exchange::new(response, lease, earlier)),
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(Failure::Connect),
-                None => Err(failure(address, error.error())),
+                None => Err(failure(&lease.meter, error.error())),
             },
         }
     }
@@ -337,6 +406,7 @@
                     pool: self.clone(),
                     address,
                     sender: Some(idle.sender),
+                    meter: idle.meter,
                     task: idle.task,
                     idle_timeout: None,
                 });
@@ -360,9 +430,10 @@
         metrics::BACKEND_CONNECTIONS
             .with_label_values(&["opened"])
             .inc();
+        let meter = meter::Meter::default();
         let handshake = http1::Builder::new()
             .max_buf_size(HEAD_BYTES_MAX)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(meter::Stream::new(stream, meter.clone())))
             .await;
         let (sender, connection) = handshake.map_err(|_| Failure::Connect)?;
         // The task ends when the sender, which the lease or the pool owns, is dropped.
@@ -375,6 +446,7 @@
             pool: self.clone(),
             address,
             sender: Some(sender),
+            meter,
             task: task.abort_handle(),
             idle_timeout: None,
         })
@@ -397,9 +469,9 @@
 }
 
 /// Logs the error of an exchange whose request was sent, and returns its failure.
-fn failure(address: net::SocketAddr, error: &hyper::Error) -> Failure {
-    log::debug!(address = address.to_string().as_str(); "exchange failed: {error}");
-    match error.is_parse_too_large() {
+fn failure(meter: &meter::Meter, error: &hyper::Error) -> Failure {
+    log::debug!("exchange failed: {error}");
+    match meter.is_exceeded() || error.is_parse_too_large() {
         true => Failure::Endless,
         false => Failure::Broken,
     }
--- a/programs/gateway/tests/upstream.rs
+++ b/programs/gateway/tests/upstream.rs
@@ -51,12 +51,7 @@
     let host = hyper::header::HeaderValue::from_static("desk.example");
     request.headers_mut().insert(hyper::header::HOST, host);
     let exchange = pool.send(address, request, idempotent, TIMEOUT).await?;
-    exchange
-        .response
-        .into_body()
-        .collect()
-        .await
-        .expect("a body");
+    exchange.response.into_body().collect().await?;
     exchange.lease.release();
     Ok(())
 }
@@ -185,22 +180,27 @@
     task::LocalSet::new().run_until(test).await;
 }
 
-/// Guards against an endless response head that is buffered until the timeout, and
+/// Guards against an endless response that is buffered, or read until the timeout, and
 /// against a connection that stays open after it was rejected.
+#[rstest]
+#[case::status_line("HTTP/1.1 200 ", "x")]
+#[case::header_line("HTTP/1.1 200 OK\r\nx: ", "x")]
+#[case::header_lines("HTTP/1.1 200 OK\r\n", "x: y\r\n")]
+#[case::informational("", "HTTP/1.1 102 Processing\r\n\r\n")]
+#[case::chunk_size("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "0")]
 #[tokio::test]
-async fn an_endless_head_is_rejected() {
+async fn an_endless_response_is_rejected(#[case] beginning: &'static str, #[case] unit: &str) {
+    let units = unit.repeat(1_024);
     let test = async {
         let (listener, address) = listen().await;
         let backend = task::spawn_local(async move {
             let (mut stream, _) = listener.accept().await.expect("a connection");
             read_request(&mut stream).await;
-            stream
-                .write_all(b"HTTP/1.1 200 OK\r\nx: ")
-                .await
-                .expect("open");
+            let begun = stream.write_all(beginning.as_bytes()).await;
+            begun.expect("open");
             let mut sent = 0;
-            while stream.write_all(&[b'x'; 1_024]).await.is_ok() {
-                sent += 1_024;
+            while stream.write_all(units.as_bytes()).await.is_ok() {
+                sent += units.len();
             }
             sent
         });
