Do not count invalid bytes of a backend server as a crash

Bytes that are no HTTP response, invalid chunks, and chunk extensions or trailers beyond the library's limits (16 KiB) were `Failure::Broken`, the failure of a closed connection. So were endless heads that followed on an idle connection. A request with this failure counts as one that may have crashed its backend server: after a few, the request and the parts of its prompt are refused on all machines, also where other backend servers are sound.

Invalid bytes are now `ForeignAnswer`, and the failure of a second send on a new connection is kept, unless it says that the request has not run. Other backend servers are tried as before. An endless response on an idle connection is not sent again to the same backend server.

--- a/programs/gateway/src/upstream.rs
+++ b/programs/gateway/src/upstream.rs
@@ -7,7 +7,7 @@
 use std::{
     cell::RefCell,
     collections::HashMap,
-    error, fmt, net,
+    error, fmt, io, net,
     pin::Pin,
     rc::Rc,
     task::{Context, Poll, ready},
@@ -69,7 +69,7 @@
     OtherBackend,
     /// The response carries the id of another request.
     CrossedAnswer,
-    /// The response lacks the headers that every backend server sets, or is
+    /// The response is not valid, lacks the headers that every backend server sets, or is
     /// compressed.
     ForeignAnswer,
     /// More bytes arrived than any valid response has before its head, or between two pieces
@@ -355,20 +355,27 @@
                 Err(mut error) => match (error.take_message(), retry) {
                     // The idle connection was already closed and nothing was sent.
                     (Some(unsent), _) => request = unsent,
-                    // The backend server may have dropped the connection while it
-                    // was idle, so the failure is not the request's fault.
-                    (None, Some(retry)) => {
+                    (None, retry) => {
+                        let failure = failure(&lease.meter, error.error());
+                        // The backend server may have dropped the connection, or sent bytes
+                        // that belong to no request, while it was idle.
+                        let Some(retry) = retry.filter(|_| failure != Failure::Endless) else {
+                            return Err(failure.into());
+                        };
                         metrics::BACKEND_CONNECTIONS
                             .with_label_values(&["dropped"])
                             .inc();
                         // The first send may have run, whatever becomes of the second.
                         let earlier = Failure::Broken.verdict();
                         let second = self.exchange_on_new_connection(address, retry, earlier);
-                        return second
-                            .await
-                            .map_err(|_| Error::after(earlier, Failure::Broken));
+                        return second.await.map_err(|failure| {
+                            let kept = match failure.verdict().may_have_run() {
+                                true => failure,
+                                false => Failure::Broken,
+                            };
+                            Error::after(earlier, kept)
+                        });
                     }
-                    (None, None) => return Err(failure(&lease.meter, error.error()).into()),
                 },
             }
         }
@@ -471,12 +478,28 @@
 /// Logs the error of an exchange whose request was sent, and returns its failure.
 fn failure(meter: &meter::Meter, error: &hyper::Error) -> Failure {
     log::debug!("exchange failed: {error}");
-    match meter.is_exceeded() || error.is_parse_too_large() {
-        true => Failure::Endless,
+    if meter.is_exceeded() || error.is_parse_too_large() {
+        return Failure::Endless;
+    }
+    match error.is_parse() || is_invalid_body(error) {
+        true => Failure::ForeignAnswer,
         false => Failure::Broken,
     }
 }
 
+/// Returns whether an error is that of bytes which are not a valid body, such as those of
+/// chunks, rather than that of a broken connection.
+fn is_invalid_body(error: &hyper::Error) -> bool {
+    let source = error::Error::source(error);
+    let source = source.and_then(|source| source.downcast_ref::<io::Error>());
+    source.is_some_and(|source| {
+        matches!(
+            source.kind(),
+            io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput
+        )
+    })
+}
+
 /// Returns how long a connection may stay idle after this response; `None` if it
 /// must be closed.
 fn idle_timeout(headers: &HeaderMap) -> Option<time::Duration> {
--- a/programs/gateway/tests/upstream.rs
+++ b/programs/gateway/tests/upstream.rs
@@ -215,6 +215,51 @@
     task::LocalSet::new().run_until(test).await;
 }
 
+/// Guards against a request that counts as one that crashed its backend server because the
+/// backend server sent bytes that are no response, on a new or an idle connection.
+#[rstest]
+#[case::garbage("x", upstream::Failure::ForeignAnswer)]
+#[case::header_line("HTTP/1.1 200 OK\r\nx: ", upstream::Failure::Endless)]
+#[case::chunk_extension(
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;x=",
+    upstream::Failure::ForeignAnswer
+)]
+#[case::trailer(
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\nx: ",
+    upstream::Failure::ForeignAnswer
+)]
+#[tokio::test]
+async fn invalid_bytes_are_no_crash(
+    #[case] beginning: &'static str,
+    #[case] expected: upstream::Failure,
+    #[values(false, true)] on_idle_connection: bool,
+) {
+    let test = async {
+        let (listener, address) = listen().await;
+        task::spawn_local(async move {
+            let mut serve_first = on_idle_connection;
+            loop {
+                let (mut stream, _) = listener.accept().await.expect("a connection");
+                if std::mem::take(&mut serve_first) {
+                    serve(&mut stream).await;
+                }
+                task::spawn_local(async move {
+                    read_request(&mut stream).await;
+                    let begun = stream.write_all(beginning.as_bytes()).await;
+                    begun.expect("open");
+                    while stream.write_all(&[b'x'; 1_024]).await.is_ok() {}
+                });
+            }
+        });
+        let pool = upstream::Pool::default();
+        if on_idle_connection {
+            assert_eq!(send(&pool, address, true).await, Ok(()));
+        }
+        assert_eq!(send(&pool, address, true).await, Err(expected));
+    };
+    task::LocalSet::new().run_until(test).await;
+}
+
 /// Guards against bytes that follow a complete response and are parsed as the next
 /// response, or accumulate while the connection is idle.
 #[tokio::test]
