Limit the events that a response repeats

Events that a reader had before are skipped, as a resumed stream may begin with them. A backend server that repeats an event without end was read until the deadline of a stream, although other backend servers are sound, and a batch run of it had no end: it was neither silent nor too large.

`event::Parser::note_repeated` counts skipped events. Beyond 1 MiB (`event::REPEATED_BYTES_MAX`) the response is endless, on streams and in batch runs.

--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -5,6 +5,10 @@
 /// sends unnumbered ones without end, is faulty.
 pub const EVENT_BYTES_MAX: usize = 64 << 10;
 
+/// Most bytes of events that a response repeats. A backend server may send a resumed stream
+/// from its start, but one that repeats events without end is faulty.
+pub const REPEATED_BYTES_MAX: usize = 1 << 20;
+
 /// A complete server-sent event.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Event {
@@ -37,6 +41,8 @@
     searched: usize,
     /// Bytes of complete events since the last numbered one.
     unnumbered: usize,
+    /// Bytes of events that the reader had before.
+    repeated: usize,
 }
 
 impl Parser {
@@ -59,6 +65,11 @@
         Some(Event { id, bytes })
     }
 
+    /// Counts an event that the reader had before and skips.
+    pub fn note_repeated(&mut self, event: &Event) {
+        self.repeated += event.bytes.len();
+    }
+
     /// Returns whether no bytes are buffered. Otherwise the stream ends within an event
     /// if it ends now.
     pub fn is_empty(&self) -> bool {
@@ -71,9 +82,9 @@
     }
 
     /// Returns whether more than [`EVENT_BYTES_MAX`] bytes were received since the last
-    /// numbered event.
+    /// numbered event, or more than [`REPEATED_BYTES_MAX`] bytes of repeated events.
     pub fn is_too_large(&self) -> bool {
-        self.buffer.len() + self.unnumbered > EVENT_BYTES_MAX
+        self.buffer.len() + self.unnumbered > EVENT_BYTES_MAX || self.repeated > REPEATED_BYTES_MAX
     }
 
     /// Returns the length of the first event if it is complete.
--- a/crates/relay/tests/event.rs
+++ b/crates/relay/tests/event.rs
@@ -51,6 +51,20 @@
     assert!(!parser.is_too_large(), "a numbered event resets the limit");
 }
 
+/// Guards against a run that lasts as long as a faulty backend server repeats events.
+#[test]
+fn repeated_events_are_limited() {
+    let mut parser = event::Parser::default();
+    let mut repeated = 0;
+    while !parser.is_too_large() {
+        parser.push(b"id: 1\ndata: x\n\n");
+        let event = parser.next_event().expect("a complete event");
+        parser.note_repeated(&event);
+        repeated += event.bytes.len();
+        assert!(repeated <= event::REPEATED_BYTES_MAX + event.bytes.len());
+    }
+}
+
 proptest! {
     #[test]
     fn chunk_boundaries_do_not_matter(mut cuts in proptest::collection::vec(0..STREAM.len(), 0..6)) {
--- a/programs/gateway/src/control/runner.rs
+++ b/programs/gateway/src/control/runner.rs
@@ -466,6 +466,7 @@
             continue;
         };
         if id <= progress.last {
+            parser.note_repeated(&event);
             continue;
         }
         if id != progress.last + 1 {
--- a/programs/gateway/src/entry/stream.rs
+++ b/programs/gateway/src/entry/stream.rs
@@ -184,6 +184,7 @@
             if let Some(id) = event.id {
                 let expected = self.last_event.map(|last_event| last_event + 1);
                 if expected.is_some_and(|expected| id < expected) {
+                    self.parser.note_repeated(&event);
                     continue;
                 }
                 if expected.is_some_and(|expected| id > expected) {
