Limit the events without data of a batch run

The output limit of an item counted the data of its events. A backend server that sends numbered events without data was never at the limit: each 64 events went to the ledger, for as long as they came, and unsaved events did not count against the memory budget.

--- a/crates/relay/src/dispatch/run.rs
+++ b/crates/relay/src/dispatch/run.rs
@@ -5,6 +5,10 @@
 use super::{Key, Refusal};
 use crate::ledger;
 
+/// Size of an event beside its data, in bytes: the line feed after it in the output, and its
+/// share of the record that saves it. Without it, events without data would be unlimited.
+const EVENT_OVERHEAD_BYTES: usize = 8;
+
 /// The output of an item so far.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Progress {
@@ -14,7 +18,8 @@
     pub last: u64,
     /// The data of the events that are not stored yet, in order.
     pub data: Vec<String>,
-    /// The size of the data of all events that this leader received, in bytes.
+    /// The size of all events that this leader received, in bytes: their data and
+    /// [`EVENT_OVERHEAD_BYTES`] for each.
     pub bytes: usize,
 }
 
@@ -22,13 +27,14 @@
     /// Appends the data of the next event.
     pub fn push(&mut self, data: String) {
         self.last += 1;
-        self.bytes += data.len();
+        self.bytes += data.len() + EVENT_OVERHEAD_BYTES;
         self.data.push(data);
     }
 
-    /// Returns the size of the output that is not stored yet, in bytes.
+    /// Returns the size of the events that are not stored yet, in bytes.
     pub fn unsaved_bytes(&self) -> usize {
-        self.data.iter().map(String::len).sum()
+        let sizes = self.data.iter();
+        sizes.map(|data| data.len() + EVENT_OVERHEAD_BYTES).sum()
     }
 
     /// Returns the output that is not stored yet.
