Limit documents on routes of streams

A response on a route of streams that is not an event stream, such as an error, was forwarded as it came, without the limit of 4 MiB that documents without a stated length have on other routes (`UNSIZED_BYTES_MAX`). An endless one was forwarded until the deadline.

--- a/programs/gateway/src/entry/attempt.rs
+++ b/programs/gateway/src/entry/attempt.rs
@@ -33,7 +33,7 @@
 const BUFFERED_BYTES_MAX: u64 = 1 << 20;
 /// Largest response without a stated length that is streamed to the caller, in
 /// bytes: the usual size limit of a request's body.
-const UNSIZED_BYTES_MAX: u64 = 4 << 20;
+pub(crate) const UNSIZED_BYTES_MAX: u64 = 4 << 20;
 /// Retry-after time of a request on a route without a service, in milliseconds. A
 /// new configuration is in force everywhere within that time.
 const NO_SERVICE_RETRY_MS: u64 = 1_000;
--- a/programs/gateway/src/entry/stream.rs
+++ b/programs/gateway/src/entry/stream.rs
@@ -8,7 +8,7 @@
 use bw_relay::{event, suspect};
 use bytes::Bytes;
 use futures_util::stream;
-use hyper::{Response, StatusCode, body};
+use hyper::{Response, StatusCode, body, body::Body};
 
 use crate::{
     clock,
@@ -59,6 +59,10 @@
         attempts,
         status,
         is_event_stream,
+        document_left: body
+            .size_hint()
+            .exact()
+            .unwrap_or(attempt::UNSIZED_BYTES_MAX),
         run: Some(Run {
             body,
             is_framed,
@@ -120,6 +124,8 @@
     /// False if the response is an error or another document, whose body is forwarded as
     /// it is.
     is_event_stream: bool,
+    /// The number of bytes of another document that may still follow.
+    document_left: u64,
     run: Option<Run>,
     parser: event::Parser,
     /// The memory that the parser uses.
@@ -165,6 +171,8 @@
         };
         run.has_data |= !bytes.is_empty();
         if !self.is_event_stream {
+            let left = self.document_left.checked_sub(bytes.len() as u64);
+            self.document_left = left.ok_or(Reason::Endless)?;
             self.output.push_back(bytes);
             return Ok(true);
         }
