entry: End responses of services at the deadline of their request

The body of a repeatable request to a plain service was forwarded without a limit of time or size, so that an endless one was forwarded until the caller closed. `Forwarded` ends the body with an error at the deadline, as the answer to a request that is not repeatable already does.

--- a/programs/entry/src/api/service.rs
+++ b/programs/entry/src/api/service.rs
@@ -1,6 +1,6 @@
 //! `/services/{service}/...`: requests to plain services.
 
-use std::{io, sync};
+use std::{io, pin::Pin, sync, task};
 
 use bw_policy::{retry, router};
 use bw_wire::{intent, name, refusal};
@@ -171,12 +171,14 @@
         // The request counts as in flight until the whole body is forwarded. An
         // error in the body closes the caller's connection, so that the caller does
         // not take a truncated body for a complete one.
-        let body = body.map_frame(move |frame| {
-            let _guards = (&slot, &self);
-            frame
-        });
-        let body = body.map_err(io::Error::other).boxed_unsync();
-        Ok(http::Response::from_parts(parts, body))
+        let left = online::time_left(&self.context.shared, self.deadline_ms);
+        let body = Forwarded {
+            body,
+            deadline: Box::pin(tokio::time::sleep(left)),
+            _slot: slot,
+            _call: self,
+        };
+        Ok(http::Response::from_parts(parts, body.boxed_unsync()))
     }
 
     /// Runs a request that is not repeatable to its end.
@@ -308,6 +310,39 @@
     }
 }
 
+/// A response body that is forwarded until the deadline of its request. An endless one
+/// would be forwarded until the caller closes.
+struct Forwarded {
+    body: body::Incoming,
+    deadline: Pin<Box<tokio::time::Sleep>>,
+    _slot: routing::Slot,
+    _call: Call,
+}
+
+impl body::Body for Forwarded {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<Option<io::Result<body::Frame<Bytes>>>> {
+        if self.deadline.as_mut().poll(context).is_ready() {
+            return task::Poll::Ready(Some(Err(io::ErrorKind::TimedOut.into())));
+        }
+        let frame = task::ready!(Pin::new(&mut self.body).poll_frame(context));
+        task::Poll::Ready(frame.map(|frame| frame.map_err(io::Error::other)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> body::SizeHint {
+        self.body.size_hint()
+    }
+}
+
 fn unknown_outcome(message: String) -> online::Outcome {
     let reason = refusal::Reason::OutcomeUnknown;
     online::Outcome::Unknown(refusal::Refusal::may_have_run(reason, message))
--- a/programs/entry/tests/fault.rs
+++ b/programs/entry/tests/fault.rs
@@ -9,13 +9,24 @@
     caller, chat_body, fleet, fleet_with, wait_for,
 };
 
-use std::{thread, time};
+use std::{
+    io::{Read, Write},
+    net, thread, time,
+};
 
 fn shorten_token_timeouts(settings: &mut bw_entry::settings::Settings) {
     settings.timeouts.first_token_ms = 300;
     settings.timeouts.between_tokens_ms = 300;
 }
 
+/// Beginnings of responses without an end.
+const UNFRAMED: &str = "HTTP/1.1 200 OK\r\nbw-request-id: ID\r\nconnection: close\r\n\r\n";
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\nbw-request-id: ID\r\ntransfer-encoding: chunked\r\n\r\n";
+const EXTENSION: &str =
+    "HTTP/1.1 200 OK\r\nbw-request-id: ID\r\ntransfer-encoding: chunked\r\n\r\n1;x=";
+const TRAILERS: &str =
+    "HTTP/1.1 200 OK\r\nbw-request-id: ID\r\ntransfer-encoding: chunked\r\n\r\n0\r\n";
+
 /// Guards against text that is lost, duplicated or from another request when an
 /// answer continues on another backend server after a fault.
 #[rstest]
@@ -32,6 +43,13 @@
 #[case::crossed_id(Answer::CrossedId)]
 #[case::crossed_chunk(Answer::CrossedChunk)]
 #[case::garbage(Answer::Garbage)]
+#[case::endless_header_line(Answer::Endless("HTTP/1.1 200 OK\r\nx: ", "x"))]
+#[case::endless_informational(Answer::Endless("", "HTTP/1.1 102 Processing\r\n\r\n"))]
+#[case::endless_chunk_size(Answer::Endless(CHUNKED, "0"))]
+#[case::endless_chunk_extension(Answer::Endless(EXTENSION, "x"))]
+#[case::endless_trailers(Answer::Endless(TRAILERS, "x: y\r\n"))]
+#[case::endless_line(Answer::Endless(UNFRAMED, "x"))]
+#[case::endless_comments(Answer::Endless(UNFRAMED, ": x\n\n"))]
 fn a_later_attempt_completes_the_answer(
     #[case] fault: Answer,
     #[values(true, false)] stream: bool,
@@ -380,3 +398,30 @@
     }
     assert_eq!(fleet.backends[1].count(), 6);
 }
+
+/// Guards against an endless response of a service that is forwarded until the caller closes.
+#[rstest]
+fn an_endless_response_of_a_service_ends_at_the_deadline() {
+    let answer = Answer::Endless(UNFRAMED, "x");
+    let fleet = fleet(vec![Backend::service("s1", "quote", &[answer])]);
+    wait_for("a response of the service", || {
+        let began = time::Instant::now();
+        let mut stream = net::TcpStream::connect(fleet.address()).expect("a connection");
+        let headers = [("bw-deadline-ms", "1000")];
+        let head = caller::head("GET", "/services/quote/x", &headers, 0);
+        stream.write_all(&head).expect("sent");
+        let (mut buffer, mut received) = (vec![0; 64 << 10], 0);
+        loop {
+            match stream.read(&mut buffer) {
+                Ok(0) | Err(_) => break,
+                Ok(size) => received += size,
+            }
+            let took = began.elapsed();
+            assert!(
+                took < time::Duration::from_secs(3),
+                "{received} bytes in {took:?}"
+            );
+        }
+        received > 64 << 10
+    });
+}
--- a/programs/entry/tests/support/backend.rs
+++ b/programs/entry/tests/support/backend.rs
@@ -59,6 +59,8 @@
     NumberedGap,
     /// A chunk is not JSON.
     Garbage,
+    /// These bytes, in which `ID` stands for the request id, and then these without end.
+    Endless(&'static str, &'static str),
 }
 
 /// A request as received.
@@ -303,6 +305,14 @@
                 return send(stream, &whole(404, &headers, "{}"));
             }
             Answer::Status(status) => return send(stream, &whole(status, &echo, "{}")),
+            Answer::Endless(beginning, unit) => {
+                let units = unit.repeat(1_024);
+                let mut open = send(stream, &beginning.replace("ID", &id));
+                while open {
+                    open = send(stream, &units);
+                }
+                return false;
+            }
             _ => {}
         }
         if !request.path.starts_with("/v1/") {
