Judge items before they start, and trials by the backend server that ran them

Change: the dispatch knows the parts of each item, and holds are kept by the refused part, so that one refusal holds all items with it. A trial counts if the backend server that ran it crashed, or if its result is lost. An item that is itself suspected asks after all others, and never for the last trial. Evidence keeps the latest clearings, and as many again for other processes. A new leader corrects times of the one before. The wait for calm counts from the last strike. Trials that callers leave back off to 16 s. A run also reports how long it wrote when it ends. Trials that a former version counted leave one to this version. Looking at the items that wait no longer copies all of them.

In the test in simulated time, callers' requests are answered now; before, the part that stands for them was refused in place of those of the items.

--- a/crates/relay/src/dispatch/end.rs
+++ b/crates/relay/src/dispatch/end.rs
@@ -95,7 +95,7 @@
             }
             Outcome::Refused { progress, refusal } => {
                 waiting.progress = progress;
-                self.holds.hold(waiting, refusal, now_ms);
+                self.holds.hold(refusal, now_ms);
                 return None;
             }
             // A run that did not begin counts neither as failed nor as broken.
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -84,9 +84,6 @@
 struct Waiting {
     /// Unix time of the end of the last run, or of the acceptance of the job.
     since_ms: u64,
-    /// The parts of its prompt if one of them was refused. The item is held back as long
-    /// as [`hold::Holds`] has an entry for them.
-    held: Option<suspect::Request>,
     /// Runs that failed according to the backend server.
     failures: u32,
     /// Runs in a row that broke off without an event.
@@ -120,6 +117,8 @@
     path: Name,
     headers: Vec<(Name, Name)>,
     tokens: u64,
+    /// The parts of its prompt that it is judged by.
+    request: suspect::Request,
     state: State,
     waiting: Waiting,
 }
@@ -172,19 +171,35 @@
     }
 
     /// Adds the unlisted items of an open job that was submitted to this leader. A known
-    /// job does not change.
-    pub fn add(&mut self, id: &Name, job: &ledger::Job) {
-        self.insert(id, job, 0);
+    /// job does not change. `judge` returns what an item is judged by, from its headers.
+    pub fn add(
+        &mut self,
+        id: &Name,
+        job: &ledger::Job,
+        judge: impl Fn(&[(Name, Name)]) -> suspect::Request,
+    ) {
+        self.insert(id, job, 0, judge);
     }
 
     /// Adds an open job like [`Dispatcher::add`] that was submitted to a former leader.
     /// The clock of that leader may have been behind, so the items are given up later by
     /// the largest clock skew.
-    pub fn inherit(&mut self, id: &Name, job: &ledger::Job) {
-        self.insert(id, job, unix_time::MAX_SKEW_MS);
+    pub fn inherit(
+        &mut self,
+        id: &Name,
+        job: &ledger::Job,
+        judge: impl Fn(&[(Name, Name)]) -> suspect::Request,
+    ) {
+        self.insert(id, job, unix_time::MAX_SKEW_MS, judge);
     }
 
-    fn insert(&mut self, id: &Name, job: &ledger::Job, skew_ms: u64) {
+    fn insert(
+        &mut self,
+        id: &Name,
+        job: &ledger::Job,
+        skew_ms: u64,
+        judge: impl Fn(&[(Name, Name)]) -> suspect::Request,
+    ) {
         if self.jobs.contains_key(id) || !job.is_open() {
             return;
         }
@@ -194,7 +209,10 @@
             .enumerate()
             .filter(|(_, item)| !item.listed);
         let since_ms = job.submitted_ms;
-        let items = unlisted.map(|(index, item)| (index as u32, new_item(item, since_ms)));
+        let items = unlisted.map(|(index, item)| {
+            let request = judge(&item.headers);
+            (index as u32, new_item(item, request, since_ms))
+        });
         let due_ms = job.submitted_ms.saturating_add(job.complete_ms);
         let known = Job {
             route: job.route.clone(),
@@ -262,9 +280,26 @@
         self.holds.release(is_refused)
     }
 
-    /// Records that an item runs as a trial of a part of its prompt.
-    pub fn trial_began(&mut self, key: &Key, now_ms: u64) {
-        self.holds.trial_began(key, now_ms);
+    /// Records that an item that started runs, as no part of its prompt is refused.
+    pub fn admitted(&mut self, key: &Key) {
+        self.holds.admitted(key);
+    }
+
+    /// Records that an item runs as a trial of a part of its prompt that is refused.
+    pub fn trial_began(&mut self, key: &Key, refusal: Refusal, now_ms: u64) {
+        self.holds.trial_began(key, refusal, now_ms);
+    }
+
+    /// Returns whether an item is itself suspected of crashing backend servers.
+    pub fn is_suspect(&self, key: &Key) -> bool {
+        let job = self.jobs.get(&key.job);
+        let item = job.and_then(|job| job.items.get(&key.item));
+        item.is_some_and(|item| self.has_suspect_breaks(item.waiting.breaks))
+    }
+
+    /// Returns whether an item with this number of broken runs in a row is suspected.
+    fn has_suspect_breaks(&self, breaks: u32) -> bool {
+        breaks >= self.options.trials.breaks.max(1)
     }
 
     /// Records that a run that is the trial of a part has outlived the time in which a
@@ -307,16 +342,16 @@
     }
 }
 
-fn new_item(item: &ledger::Item, since_ms: u64) -> Item {
+fn new_item(item: &ledger::Item, request: suspect::Request, since_ms: u64) -> Item {
     Item {
         id: item.id.clone(),
         path: item.path.clone(),
         headers: item.headers.clone(),
         tokens: item.tokens,
+        request,
         state: State::Waiting,
         waiting: Waiting {
             since_ms,
-            held: None,
             failures: item.failures,
             breaks: 0,
             not_before_ms: 0,
--- a/crates/relay/src/dispatch/start.rs
+++ b/crates/relay/src/dispatch/start.rs
@@ -56,15 +56,20 @@
                 estimate: self.estimate,
                 now_ms,
             };
-            self.start_trials(pass, &mut candidates, routes, &mut trials, actions);
+            self.start_trials(pass, false, &mut candidates, routes, &mut trials, actions);
             self.start_regular(pass, &mut candidates, routes, &mut remaining, actions);
+            // The crash of an item that is itself suspected says little about its parts, so
+            // other items go before it as trials of these.
+            self.start_trials(pass, true, &mut candidates, routes, &mut trials, actions);
         }
     }
 
-    /// Starts trials of suspects, those with the fewest broken trials first.
+    /// Starts trials of suspects, those with the fewest broken trials first: those with a
+    /// part that is refused, or the others.
     fn start_trials(
         &mut self,
         pass: Pass,
+        held: bool,
         candidates: &mut [(u32, &Server)],
         routes: &route::Table,
         remaining: &mut usize,
@@ -88,7 +93,10 @@
             let Some(item) = job.items.get_mut(&key.item) else {
                 continue;
             };
-            if !pass.admits(item, due_ms) || !self.holds.admits(&item.waiting, now_ms) {
+            if !pass.admits(item, due_ms)
+                || self.holds.get(&item.request).is_some() != held
+                || !self.holds.admits(&item.request, now_ms)
+            {
                 continue;
             }
             let Some(route) = routes.find(&job.route.host, &item.path) else {
@@ -111,7 +119,7 @@
             *free -= 1;
             *remaining -= 1;
             self.trials.trial_began(&key, &server.id, now_ms);
-            self.holds.started(&item.waiting, &key);
+            self.holds.started(&item.request, &key);
             let host = &job.route.host;
             let start = self.runs.begin(key, host, item, server, now_ms);
             actions.push(Action::Start(Start {
@@ -141,7 +149,7 @@
                 }
                 if item.waiting.breaks >= suspect_breaks
                     || !pass.admits(item, *due_ms)
-                    || !self.holds.admits(&item.waiting, pass.now_ms)
+                    || !self.holds.admits(&item.request, pass.now_ms)
                 {
                     continue;
                 }
@@ -150,7 +158,7 @@
                 };
                 let avoid = item.waiting.avoid.clone();
                 // A crash for another reason would end the trial of a part.
-                let asks = self.holds.get(&item.waiting).is_some();
+                let asks = self.holds.get(&item.request).is_some();
                 let trials = &self.trials;
                 let chosen = candidates
                     .iter_mut()
@@ -169,7 +177,7 @@
                     job: id.clone(),
                     item: *index,
                 };
-                self.holds.started(&item.waiting, &key);
+                self.holds.started(&item.request, &key);
                 let host = &job.route.host;
                 let start = self.runs.begin(key, host, item, server, pass.now_ms);
                 actions.push(Action::Start(start));
--- a/crates/relay/src/dispatch/wait.rs
+++ b/crates/relay/src/dispatch/wait.rs
@@ -1,8 +1,10 @@
 //! Why items wait.
 
+use std::collections::{BTreeMap, BinaryHeap};
+
 use bw_wire::name::Name;
 
-use super::{Dispatcher, Job, Key, Server, State, Waiting};
+use super::{Dispatcher, Item, Job, Key, Server, State};
 use crate::{route, suspect};
 
 /// Why an item does not run now.
@@ -60,22 +62,43 @@
     paused: u32,
 }
 
+/// The items that wait for one reason.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Group {
+    /// The number of items.
+    pub items: usize,
+    /// Unix time since which the first of them waits.
+    pub since_ms: u64,
+}
+
 /// The items that wait, and the room for them.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
-    /// The items, in the order in which they are due.
-    pub waits: Vec<Wait>,
+    /// The number of items that wait.
+    pub items: usize,
+    /// The items by the reason why they wait.
+    pub groups: BTreeMap<Reason, Group>,
+    /// Those that have waited for longest, at most as many as were asked for.
+    pub longest: Vec<Wait>,
     /// Free slots, wherever they are.
     pub free_slots: u32,
 }
 
 impl Dispatcher {
-    /// Returns the items that wait now, with the reason of each.
-    pub fn queue(&self, servers: &[Server], routes: &route::Table, now_ms: u64) -> Queue {
+    /// Returns the items that wait now by their reasons, with at most `longest_max` of
+    /// those that have waited for longest.
+    pub fn queue(
+        &self,
+        servers: &[Server],
+        routes: &route::Table,
+        longest_max: usize,
+        now_ms: u64,
+    ) -> Queue {
         let mut queue = Queue::default();
         for server in servers {
             queue.free_slots += self.free_slots(server);
         }
+        let mut longest = BinaryHeap::new();
         for (_, id) in &self.order {
             let Some(job) = self.jobs.get(id) else {
                 continue;
@@ -86,38 +109,52 @@
                 if !matches!(item.state, State::Waiting) {
                     continue;
                 }
-                let (reason, until_ms) = self.wait_reason(&item.waiting, room, now_ms);
-                let hold = self.holds.get(&item.waiting);
-                queue.waits.push(Wait {
-                    key: Key {
-                        job: id.clone(),
-                        item: *index,
-                    },
-                    id: item.id.clone(),
-                    since_ms: item.waiting.since_ms,
-                    reason,
-                    until_ms,
-                    part: hold.map(|hold| hold.fingerprint),
-                    breaks: item.waiting.breaks,
-                });
+                let (reason, _) = self.wait_reason(item, room, now_ms);
+                let since_ms = item.waiting.since_ms;
+                let group = queue
+                    .groups
+                    .entry(reason)
+                    .or_insert(Group { items: 0, since_ms });
+                group.items += 1;
+                group.since_ms = group.since_ms.min(since_ms);
+                queue.items += 1;
+                longest.push((since_ms, id, *index));
+                if longest.len() > longest_max {
+                    longest.pop();
+                }
             }
         }
+        let longest = longest.into_sorted_vec().into_iter();
+        let waits = longest.filter_map(|(_, id, index)| {
+            let job = self.jobs.get(id)?;
+            let item = job.items.get(&index)?;
+            let room = self.room(job, servers, routes);
+            let (reason, until_ms) = self.wait_reason(item, room, now_ms);
+            Some(Wait {
+                key: Key {
+                    job: id.clone(),
+                    item: index,
+                },
+                id: item.id.clone(),
+                since_ms: item.waiting.since_ms,
+                reason,
+                until_ms,
+                part: self.holds.get(&item.request).map(|hold| hold.part),
+                breaks: item.waiting.breaks,
+            })
+        });
+        queue.longest = waits.collect();
         queue
     }
 
-    /// Returns whether an item of this wait is itself in crashes that no other backend
-    /// server had at that time, so that it may wait for longer.
-    pub fn is_suspect(&self, wait: &Wait) -> bool {
-        wait.breaks >= self.options.trials.breaks.max(1)
-    }
-
-    fn wait_reason(&self, waiting: &Waiting, room: Room, now_ms: u64) -> (Reason, Option<u64>) {
+    fn wait_reason(&self, item: &Item, room: Room, now_ms: u64) -> (Reason, Option<u64>) {
         if now_ms < self.no_starts_before_ms {
             return (Reason::NewLeader, Some(self.no_starts_before_ms));
         }
-        if let Some(hold) = self.holds.get(waiting) {
+        if let Some(hold) = self.holds.get(&item.request) {
             return (Reason::RefusedPart, Some(hold.until_ms));
         }
+        let waiting = &item.waiting;
         if now_ms < waiting.not_before_ms {
             return (Reason::Pause, Some(waiting.not_before_ms));
         }
@@ -127,7 +164,7 @@
                 open: 0, paused: 0, ..
             } => Reason::NoSlot,
             Room { open: 0, .. } => Reason::BackendPause,
-            _ if waiting.breaks >= self.options.trials.breaks.max(1) => Reason::Trial,
+            _ if self.has_suspect_breaks(waiting.breaks) => Reason::Trial,
             _ => Reason::Turn,
         };
         (reason, None)
--- a/crates/relay/src/suspect/part.rs
+++ b/crates/relay/src/suspect/part.rs
@@ -26,6 +26,11 @@
 /// in milliseconds. A deadly part crashes its backend server sooner, and a sound one has
 /// outlived that time.
 const TRIAL_MS: u64 = 2_000;
+/// Time after which an item that is itself suspected asks again for the last trial of a
+/// part, which is left to others, in milliseconds.
+const SUSPECTED_RETRY_MS: u64 = 1_000;
+/// Most doublings of the pause after trials that ended without a result.
+const INCONCLUSIVE_DOUBLINGS_MAX: u32 = 3;
 /// Time after a trial that we stopped ourselves, in milliseconds: a backend server at which
 /// an item gave way to online requests takes none for as long.
 const PREEMPTED_PAUSE_MS: u64 = 200;
@@ -43,6 +48,9 @@
     /// The backend server that is to run the trial of an item; `None` for a caller's
     /// request, which is placed later.
     pub backend: Option<Incarnation>,
+    /// Whether the item that is to run the trial is itself suspected of crashing backend
+    /// servers.
+    pub is_suspected: bool,
     /// Time until the fleet is calm if no other backend server crashes, in milliseconds.
     pub calm_in_ms: u64,
     /// Whether other backend servers crashed at about the time of the part's last crash.
@@ -81,6 +89,8 @@
     /// Whether the last trial that crashed its backend server may still be excused.
     may_excuse: bool,
     open: Vec<Open>,
+    /// Trials in a row that ended without a result.
+    inconclusive: u32,
     /// When the next trial may begin, if any.
     not_before_ms: u64,
     /// When a trial began last.
@@ -106,15 +116,19 @@
         if counted >= TRIALS_MAX {
             return Verdict::Exhausted;
         }
-        let pause_ms = PAUSE_MS << (2 * counted);
-        let due_ms = (struck_ms + pause_ms)
+        if begin.is_suspected && counted + 1 >= TRIALS_MAX {
+            let retry_after_ms = SUSPECTED_RETRY_MS;
+            return Verdict::Wait { retry_after_ms };
+        }
+        let paused_until_ms = struck_ms + (PAUSE_MS << (2 * counted));
+        let due_ms = paused_until_ms
             .max(self.not_before_ms)
             .max(self.place_from_ms(now_ms));
         if now_ms < due_ms {
             let retry_after_ms = due_ms - now_ms;
             return Verdict::Wait { retry_after_ms };
         }
-        let calm_by_ms = due_ms + (CALM_WAIT_MS << (2 * self.excused));
+        let calm_by_ms = paused_until_ms + (CALM_WAIT_MS << (2 * self.excused));
         if begin.calm_in_ms > 0 && now_ms < calm_by_ms {
             let retry_after_ms = begin.calm_in_ms.min(calm_by_ms - now_ms);
             return Verdict::Wait { retry_after_ms };
@@ -163,7 +177,11 @@
             }
             End::NotRun => 0,
             End::Preempted => PREEMPTED_PAUSE_MS,
-            End::Inconclusive => PAUSE_MS,
+            End::Inconclusive => {
+                let doublings = self.inconclusive.min(INCONCLUSIVE_DOUBLINGS_MAX);
+                self.inconclusive += 1;
+                PAUSE_MS << doublings
+            }
         };
         self.open.remove(index);
         self.not_before_ms = now_ms + pause_ms;
@@ -175,12 +193,17 @@
 pub(super) struct Parts(BTreeMap<Fingerprint, Part>);
 
 impl Parts {
-    /// Decides whether a trial may begin. `struck_ms` is the time of the last strike.
-    pub(super) fn begin(&mut self, begin: &Begin, struck_ms: u64) -> Verdict {
+    /// Decides whether a trial may begin. `struck_ms` is the time of the last strike, and
+    /// `former` the number of trials that a former version counted.
+    pub(super) fn begin(&mut self, begin: &Begin, struck_ms: u64, former: u32) -> Verdict {
         if !self.0.contains_key(&begin.fingerprint) && self.0.len() >= SUSPECTS_MAX {
             self.evict();
         }
-        let part = self.0.entry(begin.fingerprint).or_default();
+        let part = self.0.entry(begin.fingerprint).or_insert_with(|| Part {
+            // Chance or a preemption may have ended them, so one more is left.
+            broken: former.min(TRIALS_MAX - 1),
+            ..Part::default()
+        });
         part.begin(begin, struck_ms)
     }
 
@@ -191,15 +214,20 @@
         }
     }
 
-    /// Notes another strike: open trials crashed their backend servers.
-    pub(super) fn struck(&mut self, fingerprint: Fingerprint) {
-        if let Some(part) = self.0.get_mut(&fingerprint)
-            && !part.open.is_empty()
-        {
-            part.open.clear();
-            part.broken += 1;
-            part.may_excuse = true;
-        }
+    /// Notes strikes for the crashes of these backend servers. A trial that ran at one of
+    /// them, or at one that is not known, caused it.
+    pub(super) fn struck(&mut self, fingerprint: Fingerprint, crashed: &[Incarnation]) {
+        let Some(part) = self.0.get_mut(&fingerprint) else {
+            return;
+        };
+        let open = part.open.len();
+        part.open.retain(|open| {
+            let is_elsewhere = |backend: Incarnation| !crashed.contains(&backend);
+            open.backend.is_some_and(is_elsewhere)
+        });
+        let broken = open - part.open.len();
+        part.broken += broken as u32;
+        part.may_excuse |= broken > 0;
     }
 
     /// Notes that a run has shown that a part is sound.
@@ -208,7 +236,7 @@
     }
 
     /// Ends the trials that former leaders ran at backend servers which have not crashed
-    /// since.
+    /// since. The clock of the new leader may be behind, so no time is later than its own.
     pub(super) fn abandoned(&mut self, running: &[Incarnation], now_ms: u64) {
         let is_running = |open: &Open| {
             open.backend
@@ -220,6 +248,11 @@
             for ticket in tickets {
                 part.end(ticket, End::NotRun, now_ms);
             }
+            for open in &mut part.open {
+                open.began_ms = open.began_ms.min(now_ms);
+            }
+            part.not_before_ms = part.not_before_ms.min(now_ms);
+            part.began_ms = part.began_ms.min(now_ms);
         }
     }
 
--- a/crates/relay/src/suspect/trial.rs
+++ b/crates/relay/src/suspect/trial.rs
@@ -195,10 +195,14 @@
             Command::BeginPart(begin) => {
                 let suspect = self.suspects.get(&begin.fingerprint);
                 let struck_ms = suspect.map_or(0, |suspect| suspect.changed_ms);
-                Some(self.parts.begin(&begin, struck_ms))
+                let former = suspect.map_or(0, |suspect| suspect.trials);
+                Some(self.parts.begin(&begin, struck_ms, former))
             }
             Command::Abandoned { running, now_ms } => {
                 self.parts.abandoned(&running, now_ms);
+                for suspect in self.suspects.values_mut() {
+                    suspect.changed_ms = suspect.changed_ms.min(now_ms);
+                }
                 None
             }
             Command::Begin {
@@ -228,13 +232,16 @@
         }
         let suspect = self.suspect(fingerprint, now_ms);
         let before = suspect.evidence.strikes();
+        let crashed = suspect.evidence.new_crashes(evidence);
         suspect.evidence.merge(evidence);
         let strikes = suspect.evidence.strikes();
         if strikes > before {
             suspect.open.clear();
-            suspect.changed_ms = now_ms;
             suspect.not_before_ms = now_ms + pause_ms(suspect.trials);
-            self.parts.struck(fingerprint);
+        }
+        if !crashed.is_empty() {
+            suspect.changed_ms = now_ms;
+            self.parts.struck(fingerprint, &crashed);
         }
         if strikes < before {
             self.parts.cleared(fingerprint);
--- a/crates/relay/tests/burst.rs
+++ b/crates/relay/tests/burst.rs
@@ -14,6 +14,7 @@
         trial::{self, End, Verdict},
     },
 };
+use bw_wire::name::Name;
 use rstest::rstest;
 use support::work;
 
@@ -184,7 +185,8 @@
             attempts: 3,
             items: items.collect(),
         })));
-        self.dispatch.add(&job.into(), &self.ledger.jobs()[job]);
+        self.dispatch
+            .add(&job.into(), &self.ledger.jobs()[job], judge);
         for index in 0..8 {
             self.waiting.insert(format!("{job}-{index}"), self.now_ms);
         }
@@ -198,11 +200,10 @@
         self.servers[server] = (self.now_ms + DOWN_MS, starts + 1);
         self.last_crash_ms = self.now_ms;
         // Callers' requests are at all backend servers.
-        let online = Request::of_parts(&["online", "own"]);
         let run = suspect::Run::sent(self.now_ms);
         let incarnation = Incarnation::new(&name(server), starts);
         self.suspects
-            .request_crashed(&online, incarnation, run, self.now_ms);
+            .request_crashed(&online(), incarnation, run, self.now_ms);
         let runs = std::mem::take(&mut self.runs).into_iter();
         let (broken, kept) = runs.partition::<Vec<Run>, _>(|run| run.server == server);
         self.runs = kept;
@@ -213,7 +214,7 @@
     }
 
     fn note_crash(&mut self, run: &Run, incarnation: Incarnation) {
-        let request = request(&run.start);
+        let request = judge(&run.start.headers);
         let changed = self.suspects.request_crashed(
             &request,
             incarnation,
@@ -248,6 +249,9 @@
         for run in self.runs.clone() {
             self.advance(&run);
         }
+        // Callers' requests are answered all the time.
+        self.suspects
+            .request_answered(&online(), true, self.now_ms, self.now_ms);
         self.measure();
     }
 
@@ -274,8 +278,17 @@
         match self.admit(&run) {
             Ok(trial) => {
                 run.trial = trial;
-                if trial.is_some() {
-                    self.dispatch.trial_began(&run.start.key, self.now_ms);
+                match trial {
+                    Some((part, _)) => {
+                        let refusal = Refusal {
+                            request: judge(&run.start.headers),
+                            part,
+                            retry_after_ms: 0,
+                        };
+                        self.dispatch
+                            .trial_began(&run.start.key, refusal, self.now_ms);
+                    }
+                    None => self.dispatch.admitted(&run.start.key),
                 }
                 self.waiting.remove(&*run.start.id);
                 self.runs.push(run);
@@ -284,8 +297,8 @@
                 let outcome = Outcome::Refused {
                     progress: run.start.progress.clone(),
                     refusal: Refusal {
-                        request: request(&run.start),
-                        fingerprint,
+                        request: judge(&run.start.headers),
+                        part: fingerprint,
                         retry_after_ms,
                     },
                 };
@@ -297,7 +310,7 @@
     /// Decides whether an item may run, and for which part it is a trial; else returns the
     /// part and how long it must not.
     fn admit(&mut self, run: &Run) -> Result<Option<(Fingerprint, u64)>, (Fingerprint, u64)> {
-        let Some(refusal) = self.suspects.refusal(&request(&run.start)) else {
+        let Some(refusal) = self.suspects.refusal(&judge(&run.start.headers)) else {
             return Ok(None);
         };
         let (part, now_ms) = (refusal.fingerprint, self.now_ms);
@@ -311,6 +324,7 @@
             fingerprint: part,
             ticket: self.tickets,
             backend: Some(incarnation),
+            is_suspected: run.start.trial,
             calm_in_ms: self.suspects.calm_in_ms(part, now_ms),
             was_disturbed: self.suspects.was_disturbed(part),
             oldest_start_ms: 0,
@@ -329,7 +343,7 @@
     fn advance(&mut self, run: &Run) {
         let evidence = run.evidence(self.now_ms);
         if evidence.written_ms > 0 && evidence.written_ms.is_multiple_of(SURVIVAL_MS) {
-            let request = request(&run.start);
+            let request = judge(&run.start.headers);
             let changed = self.suspects.request_lived(&request, evidence, self.now_ms);
             self.record(changed);
             if let Some((fingerprint, ticket)) = run.trial
@@ -343,9 +357,12 @@
             return;
         }
         self.runs.retain(|known| known.start.key != run.start.key);
-        let changed =
-            self.suspects
-                .request_answered(&request(&run.start), true, run.sent_ms, self.now_ms);
+        let changed = self.suspects.request_answered(
+            &judge(&run.start.headers),
+            true,
+            run.sent_ms,
+            self.now_ms,
+        );
         self.record(changed);
         self.end(run, Outcome::Completed(work::progress(EVENTS)));
     }
@@ -384,10 +401,11 @@
 
     /// Returns the items that wait, and why.
     fn queue(&self) -> Vec<wait::Wait> {
+        let servers = self.ready_servers();
         let queue = self
             .dispatch
-            .queue(&self.ready_servers(), &self.routes, self.now_ms);
-        queue.waits
+            .queue(&servers, &self.routes, usize::MAX, self.now_ms);
+        queue.longest
     }
 
     /// Updates the longest wait. Only the time counts for which the fleet has been calm
@@ -414,9 +432,14 @@
     format!("s{server}")
 }
 
-/// Returns what an item can be suspected for.
-fn request(start: &Start) -> Request {
-    Request::of_parts(&[&start.headers[0].1, &start.id])
+/// Returns what callers' requests can be suspected for.
+fn online() -> Request {
+    Request::of_parts(&["online", "own"])
+}
+
+/// Returns what an item with these headers can be suspected for.
+fn judge(headers: &[(Name, Name)]) -> Request {
+    Request::of_parts(&[&headers[0].1, "own"])
 }
 
 /// Plays a burst until all items are complete. Returns the longest wait in the calm fleet.
--- a/crates/relay/tests/dispatch.rs
+++ b/crates/relay/tests/dispatch.rs
@@ -44,7 +44,7 @@
     };
     let mut dispatcher = Dispatcher::new(options);
     let job = job(&mut Ledger::default(), "job", items, 18_000);
-    dispatcher.add(&"job".into(), &job);
+    dispatcher.add(&"job".into(), &job, work::unjudged);
     dispatcher
 }
 
@@ -129,7 +129,7 @@
 fn a_backend_server_is_paused_after_a_preemption() {
     let mut dispatcher = Dispatcher::new(Options::default());
     let job = job(&mut Ledger::default(), "job", 3, 18_000);
-    dispatcher.add(&"job".into(), &job);
+    dispatcher.add(&"job".into(), &job, work::unjudged);
     let routes = routes();
     assert_eq!(
         starts(&dispatcher.plan(&servers(&[0, 4]), &routes, 0)).len(),
@@ -158,7 +158,7 @@
     let mut dispatcher = Dispatcher::new(Options::default());
     for (id, due) in [("late", 30_000), ("early", 10_000)] {
         let job = job(&mut ledger, id, 3, due);
-        dispatcher.add(&id.into(), &job);
+        dispatcher.add(&id.into(), &job, work::unjudged);
     }
     let started = starts(&dispatcher.plan(&servers(&[0]), &routes(), 0));
     let jobs: Vec<&str> = started.iter().map(|start| &*start.key.job).collect();
@@ -254,7 +254,7 @@
     let job = job(&mut Ledger::default(), "job", 1, 18_000);
     let given_up = |now_ms| {
         let mut dispatcher = Dispatcher::new(Options::default());
-        dispatcher.inherit(&"job".into(), &job);
+        dispatcher.inherit(&"job".into(), &job, work::unjudged);
         let actions = dispatcher.plan(&[], &routes(), now_ms);
         matches!(actions[..], [Action::GiveUp(_, Reason::Expired)])
     };
@@ -404,7 +404,7 @@
     let mut dispatcher = Dispatcher::new(Options::default());
     for (id, due) in [("first", 6_000), ("second", 7_500), ("third", 20_000)] {
         let job = job(&mut ledger, id, 1, due);
-        dispatcher.add(&id.into(), &job);
+        dispatcher.add(&id.into(), &job, work::unjudged);
     }
     let names = |actions: &[Action]| -> Vec<String> {
         let started = starts(actions).into_iter();
@@ -439,7 +439,7 @@
     let mut dispatcher = Dispatcher::new(Options::default());
     for (id, due, now_ms) in [("later", 18_000, 0), ("sooner", 12_000, 50)] {
         let job = job(&mut ledger, id, 1, due);
-        dispatcher.add(&id.into(), &job);
+        dispatcher.add(&id.into(), &job, work::unjudged);
         assert_eq!(
             starts(&dispatcher.plan(&servers(&[0]), &routes(), now_ms)).len(),
             1
@@ -494,7 +494,7 @@
         ledger.execute(Command::Fail { job, item: 0 });
     }
     let mut dispatcher = Dispatcher::new(Options::default());
-    dispatcher.add(&"job".into(), &ledger.jobs()["job"]);
+    dispatcher.add(&"job".into(), &ledger.jobs()["job"], work::unjudged);
     let started = starts(&dispatcher.plan(&servers(&[0]), &routes(), 0));
     // The route allows three failed runs.
     let ended = dispatcher.ended(&started[0].key, Outcome::Failed(progress(0)), 10);
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -125,7 +125,8 @@
             attempts: 3,
             items: items.collect(),
         })));
-        self.dispatch.add(&id.into(), &self.ledger.jobs()[id]);
+        self.dispatch
+            .add(&id.into(), &self.ledger.jobs()[id], work::unjudged);
     }
 
     /// Submits a job whose items crash every backend server.
--- a/crates/relay/tests/support/work.rs
+++ b/crates/relay/tests/support/work.rs
@@ -1,6 +1,7 @@
 //! Progress and routes for tests of the dispatcher.
 
-use bw_relay::{dispatch::Progress, route};
+use bw_relay::{dispatch::Progress, route, suspect};
+use bw_wire::name::Name;
 
 /// Returns the progress of an item up to an event, none of it stored.
 pub fn progress(last: u64) -> Progress {
@@ -42,3 +43,8 @@
         },
     })
 }
+
+/// Judges items by nothing.
+pub fn unjudged(_: &[(Name, Name)]) -> suspect::Request {
+    suspect::Request::default()
+}
--- a/crates/suspect/src/lib.rs
+++ b/crates/suspect/src/lib.rs
@@ -59,12 +59,17 @@
 const NO_RESEND_AT: usize = 2;
 /// Time after the last crash of a suspect in which a request with other likely suspects is
 /// no trial of it, in milliseconds. Requests without them have been tried by then.
-const OTHERS_WAIT_MS: u64 = 10_000;
+const OTHERS_WAIT_MS: u64 = 3_000;
 /// Most suspects in memory. Those with the fewest strikes are dropped first, and of
 /// these the oldest.
 pub const SUSPECTS_MAX: usize = 10_000;
-/// Most crashes that are kept of one suspect, and as many that it was cleared of.
+/// Most crashes that are kept of one suspect.
 const CRASHES_MAX: usize = 16;
+/// Most crashes in evidence that a suspect was cleared of.
+const CLEARED_MAX: usize = 64;
+/// Number of these that a process keeps, the latest ones. It leaves room for those of
+/// another process that are to be told to all.
+const CLEARED_KEPT: usize = 32;
 /// Most backend servers whose last crash is kept, and most crashes.
 const INCARNATIONS_MAX: usize = 4_096;
 /// The part of the entries that is dropped when there are too many, as a divisor.
@@ -193,6 +198,13 @@
         self.crashes.is_empty() && self.cleared.is_empty()
     }
 
+    /// Returns the backend servers whose crashes another process holds against the suspect
+    /// and this evidence does not know.
+    pub fn new_crashes(&self, other: &Evidence) -> Vec<Incarnation> {
+        let crashes = other.crashes.iter().filter(|crash| !self.knows(crash));
+        crashes.map(|crash| crash.incarnation).collect()
+    }
+
     /// Returns whether a crash is held against the suspect or was.
     fn knows(&self, crash: &Crash) -> bool {
         self.crashes.contains(crash) || self.cleared.contains(crash)
@@ -217,7 +229,7 @@
         self.crashes.extend(&other.crashes);
         let cleared = &self.cleared;
         self.crashes.retain(|crash| !cleared.contains(crash));
-        while self.cleared.len() > CRASHES_MAX {
+        while self.cleared.len() > CLEARED_MAX {
             self.cleared.pop_first();
         }
         while self.crashes.len() > CRASHES_MAX {
@@ -334,10 +346,11 @@
         let mut refusal = culprits.refusal(request)?;
         // A trial of a request with another suspect would accuse the wrong one.
         refusal.has_others |= request.subjects().any(|subject| {
-            let strikes = records
-                .get(&subject)
-                .map_or(0, |record| record.evidence.strikes());
-            strikes >= NO_RESEND_AT && !culprits.are_one(subject, refusal.fingerprint)
+            let is_likely = |record: &Record| {
+                record.evidence.strikes() >= NO_RESEND_AT && !record.evidence.answered
+            };
+            records.get(&subject).is_some_and(is_likely)
+                && !culprits.are_one(subject, refusal.fingerprint)
         });
         Some(refusal)
     }
@@ -569,6 +582,13 @@
         self.created += 1;
         let before = record.evidence.clone();
         record.evidence.merge(evidence);
+        if record.evidence.cleared.len() > CLEARED_KEPT {
+            let learned = &self.crashes;
+            let mut cleared: Vec<Crash> = record.evidence.cleared.iter().copied().collect();
+            cleared.sort_by_key(|crash| std::cmp::Reverse(learned.get(crash).copied()));
+            cleared.truncate(CLEARED_KEPT);
+            record.evidence.cleared = cleared.into_iter().collect();
+        }
         if let Some(sent_ms) = self.answers.sent_ms(fingerprint) {
             let learned = |crash: &Crash| self.crashes.get(crash).copied().unwrap_or(now_ms);
             record.evidence.clear(|crash| learned(crash) <= sent_ms);
--- a/crates/suspect/src/run.rs
+++ b/crates/suspect/src/run.rs
@@ -12,8 +12,8 @@
 pub struct Run {
     /// When it was sent, in monotonic milliseconds.
     pub sent_ms: u64,
-    /// Time from its first to its last event, in milliseconds. The time in which the
-    /// backend server is silent does not count.
+    /// Time from its first to its last event, in milliseconds. The time after the last one
+    /// does not count: a backend server may have fallen silent.
     pub written_ms: u64,
 }
 
--- a/crates/suspect/tests/culprit.rs
+++ b/crates/suspect/tests/culprit.rs
@@ -534,3 +534,92 @@
     let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
     assert_eq!(Request::of_parts(&ids).parts().len(), 64);
 }
+
+/// Guards against a part that stays refused although its runs write on, as none of them
+/// is answered in whole (incident LOST).
+#[rstest]
+#[case::outlives_a_young_run(0, 1_000, 500, true)]
+#[case::writes_for_too_short(0, 1_000, 499, false)]
+#[case::sent_with_the_crashed_one(0, 0, 500, true)]
+#[case::outlives_an_old_run(2_000, 1_000, 2_500, true)]
+#[case::is_younger_than_the_crashed_one(2_000, 1_000, 2_400, false)]
+#[case::sent_before_the_crashed_one(0, -1, 5_000, false)]
+fn a_run_that_outlives_the_crashes_clears_their_parts(
+    #[case] crashed_written_ms: u64,
+    #[case] sent_after_ms: i64,
+    #[case] written_ms: u64,
+    #[case] is_cleared: bool,
+) {
+    let request = Request::of_parts(&["part", "own"]);
+    let mut known = Suspects::default();
+    let sent_ms = 10_000;
+    let crash_ms = sent_ms + 100 + crashed_written_ms;
+    for server in 0..3 {
+        let incarnation = Incarnation::new(&format!("server-{server}"), 1);
+        let run = bw_suspect::Run {
+            sent_ms,
+            written_ms: crashed_written_ms,
+        };
+        known.request_crashed(&request, incarnation, run, crash_ms);
+    }
+    assert!(known.refusal(&request).is_some());
+    let run = bw_suspect::Run {
+        sent_ms: sent_ms.saturating_add_signed(sent_after_ms),
+        written_ms,
+    };
+    known.request_lived(&request, run, 20_000);
+    assert_eq!(known.refusal(&request).is_none(), is_cleared);
+}
+
+/// Guards against crashes that a run has outlived and that come back from a process which
+/// heard of the clearing, after many others.
+#[test]
+fn crashes_that_were_outlived_do_not_count_again() {
+    let request = Request::of_parts(&["part", "own"]);
+    let part = Fingerprint::of_part("part");
+    let (mut here, mut there) = (Suspects::default(), Suspects::default());
+    for number in 0..60 {
+        let now_ms = 1_000 + number * 2_000;
+        let incarnation = Incarnation::new(&format!("server-{number}"), 1);
+        let run = bw_suspect::Run::sent(now_ms);
+        here.request_crashed(&request, incarnation, run, now_ms);
+        there.merge(&here.evidence(part), now_ms + 20);
+        let run = bw_suspect::Run {
+            sent_ms: now_ms,
+            written_ms: 500,
+        };
+        here.request_lived(&request, run, now_ms + 600);
+        there.merge(&here.evidence(part), now_ms + 620);
+        assert_eq!(there.strikes(part), 0, "after {number} crashes");
+    }
+    here.merge(&there.evidence(part), 200_000);
+    assert_eq!(here.strikes(part), 0);
+}
+
+/// Guards against refusing a part that most of the work shares, as many backend servers
+/// crash within a short time under runs that had long been writing.
+#[rstest]
+#[case::alone(0, true)]
+#[case::among_others(1, false)]
+fn old_runs_among_other_crashes_do_not_refuse_their_part(
+    #[case] others: u64,
+    #[case] is_refused: bool,
+) {
+    let request = Request::of_parts(&["part", "own"]);
+    let mut known = Suspects::default();
+    for crash in 0..3 {
+        let now_ms = 10_000 + crash * 1_000;
+        let run = bw_suspect::Run {
+            sent_ms: now_ms - 3_000,
+            written_ms: 2_900,
+        };
+        let incarnation = Incarnation::new(&format!("server-{crash}"), 1);
+        known.request_crashed(&request, incarnation, run, now_ms);
+        for other in 0..others {
+            let incarnation = Incarnation::new(&format!("other-{crash}-{other}"), 1);
+            let request = Request::of_parts(&[&format!("{crash}-{other}"), "own"]);
+            known.request_crashed(&request, incarnation, run, now_ms);
+        }
+    }
+    assert_eq!(known.refusal(&request).is_some(), is_refused);
+}
--- a/programs/gateway/src/control/hub/mod.rs
+++ b/programs/gateway/src/control/hub/mod.rs
@@ -22,7 +22,9 @@
 
 use crate::{
     clock,
-    control::{effect, evacuation, identity, members, orphan, peers, replica, runner, sessions},
+    control::{
+        effect, evacuation, identity, item, members, orphan, peers, replica, runner, sessions,
+    },
     dialect, link, metrics, settings, socket, upstream,
 };
 
@@ -316,7 +318,10 @@
                 ticket,
             } => {
                 let subject = match is_part {
-                    true => suspects::Subject::Part { backend: None },
+                    true => suspects::Subject::Part {
+                        backend: None,
+                        is_suspected: false,
+                    },
                     false => suspects::Subject::Content,
                 };
                 self.begin_trial(fingerprint, ticket, subject).await
@@ -368,7 +373,10 @@
         }
         match effect {
             effect::Effect::Published(published) => self.activate_config(&published),
-            effect::Effect::Accepted(id, job) => self.dispatch.borrow_mut().add(&id, &job),
+            effect::Effect::Accepted(id, job) => {
+                let judge = |headers: &[(Name, Name)]| item::judge(self, headers);
+                self.dispatch.borrow_mut().add(&id, &job, judge);
+            }
             effect::Effect::Ended(id) => self.stop_job(&id),
             effect::Effect::Evacuated(node) => {
                 self.evacuated.borrow_mut().insert(node);
@@ -470,7 +478,8 @@
             self.set_published(published);
         }
         for (id, job) in &leading.jobs {
-            self.dispatch.borrow_mut().inherit(id, job);
+            let judge = |headers: &[(Name, Name)]| item::judge(self, headers);
+            self.dispatch.borrow_mut().inherit(id, job, judge);
         }
         *self.recorded_suspects.borrow_mut() = leading
             .suspects
--- a/programs/gateway/src/control/hub/suspects.rs
+++ b/programs/gateway/src/control/hub/suspects.rs
@@ -18,6 +18,8 @@
     Part {
         /// The backend server that is to run the trial, if it is chosen.
         backend: Option<suspect::Incarnation>,
+        /// Whether the item that is to run it is itself a suspect.
+        is_suspected: bool,
     },
 }
 
@@ -126,10 +128,14 @@
                 calm,
                 now_ms,
             },
-            Subject::Part { backend } => trial::Command::BeginPart(part::Begin {
+            Subject::Part {
+                backend,
+                is_suspected,
+            } => trial::Command::BeginPart(part::Begin {
                 fingerprint,
                 ticket,
                 backend,
+                is_suspected,
                 calm_in_ms,
                 was_disturbed,
                 oldest_start_ms: self.oldest_start_ms(),
--- a/programs/gateway/src/control/item.rs
+++ b/programs/gateway/src/control/item.rs
@@ -20,12 +20,32 @@
 /// milliseconds.
 const NO_VERDICT_RETRY_MS: u64 = 200;
 
+/// Returns what an item with these headers can be suspected for.
+pub(super) fn judge(hub: &Hub, headers: &[(Name, Name)]) -> suspect::Request {
+    let ids = part_ids(hub, headers);
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    suspect::Request::of_parts(&ids)
+}
+
+/// Returns the ids of all parts of the prompt of an item with these headers.
+fn part_ids(hub: &Hub, headers: &[(Name, Name)]) -> Vec<String> {
+    let name = hub.dialect().headers().prompt_prefix.as_str();
+    let headers = headers.iter();
+    let prefix = headers.filter(|(known, _)| known.eq_ignore_ascii_case(name));
+    let prefix: Vec<&str> = prefix.map(|(_, value)| &**value).collect();
+    let prefix = prefix.join(",");
+    let ids = hub.dialect().decode_parts(&prefix);
+    ids.into_iter().map(str::to_owned).collect()
+}
+
 /// A run of an item, by what it can be suspected for.
 pub(super) struct Subject {
     id: Name,
     request: suspect::Request,
     /// The ids of all parts of the prompt, separated by commas.
     parts: String,
+    /// Whether the item is itself suspected of crashing backend servers.
+    is_suspected: bool,
     backend: Name,
     incarnation: suspect::Incarnation,
     sent_ms: u64,
@@ -34,16 +54,12 @@
 impl Subject {
     /// Creates the subject of a run that is about to start.
     pub(super) fn new(hub: &Hub, start: &dispatch::Start) -> Subject {
-        let name = hub.dialect().headers().prompt_prefix.as_str();
-        let headers = start.headers.iter();
-        let prefix = headers.filter(|(known, _)| known.eq_ignore_ascii_case(name));
-        let prefix: Vec<&str> = prefix.map(|(_, value)| &**value).collect();
-        let prefix = prefix.join(",");
-        let ids = hub.dialect().decode_parts(&prefix);
+        let ids = part_ids(hub, &start.headers);
         Subject {
             id: start.id.clone(),
-            request: suspect::Request::of_parts(&ids),
+            request: judge(hub, &start.headers),
             parts: ids.join(","),
+            is_suspected: start.trial,
             backend: start.server.clone(),
             incarnation: suspect::Incarnation::new(
                 &start.server,
@@ -153,6 +169,15 @@
         hub.trial_ended(self.fingerprint, self.ticket, end);
     }
 
+    /// Returns the refusal that the trial is about.
+    pub(super) fn refusal(&self, subject: &Subject) -> dispatch::Refusal {
+        dispatch::Refusal {
+            request: subject.request.clone(),
+            part: self.fingerprint,
+            retry_after_ms: 0,
+        }
+    }
+
     /// Reports that the run goes on although the part is still refused, so that another
     /// trial may begin beside it.
     pub(super) fn lived(&self, hub: &Hub) {
@@ -177,7 +202,10 @@
         None => {
             let ticket = rand::random();
             let backend = Some(subject.incarnation);
-            let about = suspects::Subject::Part { backend };
+            let about = suspects::Subject::Part {
+                backend,
+                is_suspected: subject.is_suspected,
+            };
             let wait_ms = match hub.begin_trial(fingerprint, ticket, about).await {
                 message::Reply::Trial(trial::Verdict::Granted) => {
                     let permit = Permit {
@@ -201,7 +229,7 @@
     );
     Admission::Refused(dispatch::Refusal {
         request: subject.request.clone(),
-        fingerprint,
+        part: fingerprint,
         retry_after_ms,
     })
 }
--- a/programs/gateway/src/control/queue.rs
+++ b/programs/gateway/src/control/queue.rs
@@ -18,6 +18,8 @@
 /// Time after which a log line says why an item waits, in milliseconds. Most items wait
 /// for less.
 const LOGGED_WAIT_MS: u64 = 1_000;
+/// Most items that are looked at one by one each time, those that have waited for longest.
+const LONGEST_MAX: usize = 64;
 /// Most log lines for each look, those of the items that have waited for longest.
 const LINES_MAX: usize = 16;
 
@@ -45,7 +47,7 @@
             watch.look(&hub);
         } else {
             watch = Watch::default();
-            set_gauges(&[], 0);
+            set_gauges(&BTreeMap::new(), 0);
         }
     }
 }
@@ -56,21 +58,19 @@
         let routes = Rc::clone(&hub.routes.borrow());
         let now_ms = hub.unix_ms();
         let dispatch = hub.dispatch.borrow();
-        let queue = dispatch.queue(&servers, &routes, now_ms);
-        set_gauges(&queue.waits, now_ms);
-        let has_room = queue.waits.len() <= queue.free_slots as usize;
+        let queue = dispatch.queue(&servers, &routes, LONGEST_MAX, now_ms);
+        set_gauges(&queue.groups, now_ms);
+        let has_room = queue.items <= queue.free_slots as usize;
         if !has_room || self.room_since_ms == 0 {
             self.room_since_ms = now_ms;
         }
         let since_ms = self.room_since_ms.max(calm_since_ms(hub, now_ms));
-        let mut waits = queue.waits;
-        waits.sort_by_key(|wait| wait.since_ms);
         let mut lines = 0;
         let mut logged = BTreeMap::new();
-        for wait in &waits {
+        for wait in &queue.longest {
             let waited_ms = now_ms.saturating_sub(wait.since_ms);
             let kept_ms = now_ms.saturating_sub(wait.since_ms.max(since_ms));
-            let is_overdue = has_room && kept_ms > WAIT_MAX_MS && !dispatch.is_suspect(wait);
+            let is_overdue = has_room && kept_ms > WAIT_MAX_MS && !dispatch.is_suspect(&wait.key);
             let known = self.logged.get(&wait.key).copied();
             let current = Logged {
                 reason: wait.reason,
@@ -102,18 +102,15 @@
     now_ms.saturating_sub(age_ms)
 }
 
-fn set_gauges(waits: &[wait::Wait], now_ms: u64) {
+fn set_gauges(groups: &BTreeMap<wait::Reason, wait::Group>, now_ms: u64) {
     for reason in wait::Reason::iter() {
         let name: &'static str = reason.into();
-        let since = waits.iter().filter(|wait| wait.reason == reason);
-        let since = since.map(|wait| wait.since_ms);
-        let oldest_ms = since
-            .clone()
-            .min()
-            .map_or(0, |since_ms| now_ms.saturating_sub(since_ms));
+        let group = groups.get(&reason);
+        let items = group.map_or(0, |group| group.items);
+        let oldest_ms = group.map_or(0, |group| now_ms.saturating_sub(group.since_ms));
         metrics::WAITING_ITEMS
             .with_label_values(&[name])
-            .set(since.count() as i64);
+            .set(items as i64);
         metrics::OLDEST_WAIT_MS
             .with_label_values(&[name])
             .set(oldest_ms as i64);
--- a/programs/gateway/src/control/runner.rs
+++ b/programs/gateway/src/control/runner.rs
@@ -85,7 +85,7 @@
     let now_ms = hub.unix_ms();
     for hold in released {
         log::info!(
-            fingerprint = hold.fingerprint.0, held_ms = now_ms.saturating_sub(hold.since_ms);
+            fingerprint = hold.part.0, held_ms = now_ms.saturating_sub(hold.since_ms);
             "items with a part that was refused may start"
         );
     }
@@ -168,15 +168,37 @@
     let ended = match admission {
         item::Admission::Refused(refusal) => Ended::Refused(refusal),
         item::Admission::Admitted(permit) => {
-            if permit.is_some() && hub.term() == term {
+            if hub.term() == term {
                 let mut dispatch = hub.dispatch.borrow_mut();
-                dispatch.trial_began(&start.key, hub.unix_ms());
+                match &permit {
+                    Some(permit) => {
+                        let refusal = permit.refusal(&subject);
+                        dispatch.trial_began(&start.key, refusal, hub.unix_ms());
+                    }
+                    None => dispatch.admitted(&start.key),
+                }
             }
-            let running = exchange(&hub, &start, &subject, permit.as_ref(), &mut progress, term);
-            let ended = tokio::select! {
-                ended = running => ended,
-                () = stop.cancelled() => Ended::Stopped,
+            let mut writing = suspect::Writing::default();
+            let permit_ref = permit.as_ref();
+            let ended = {
+                let sending = send(
+                    &hub,
+                    &start,
+                    &subject,
+                    permit_ref,
+                    &mut progress,
+                    &mut writing,
+                    term,
+                );
+                tokio::select! {
+                    ended = sending => ended,
+                    () = stop.cancelled() => Ended::Stopped,
+                }
             };
+            subject.note_lived(&hub, writing.written_ms());
+            if let Ended::Disconnected = ended {
+                subject.note_crash(&hub, writing.written_ms());
+            }
             if let Some(permit) = permit {
                 permit.end(&hub, &ended);
             }
@@ -296,22 +318,6 @@
     }
 }
 
-async fn exchange(
-    hub: &Rc<Hub>,
-    start: &dispatch::Start,
-    subject: &item::Subject,
-    permit: Option<&item::Permit>,
-    progress: &mut dispatch::Progress,
-    term: Option<u64>,
-) -> Ended {
-    let mut writing = suspect::Writing::default();
-    let ended = send(hub, start, subject, permit, progress, &mut writing, term).await;
-    if let Ended::Disconnected = ended {
-        subject.note_crash(hub, writing.written_ms());
-    }
-    ended
-}
-
 async fn send(
     hub: &Rc<Hub>,
     start: &dispatch::Start,
--- a/programs/gateway/tests/upstream.rs
+++ b/programs/gateway/tests/upstream.rs
@@ -255,7 +255,8 @@
         if on_idle_connection {
             assert_eq!(send(&pool, address, true).await, Ok(()));
         }
-        assert_eq!(send(&pool, address, true).await, Err(expected));
+        let sent = send(&pool, address, true).await;
+        assert_eq!(sent.map_err(|error| error.failure), Err(expected));
     };
     task::LocalSet::new().run_until(test).await;
 }
