entry: Limit lines of engines to 64 KiB

A line of an engine's answer without an end was buffered up to 1 MiB for each request, without a limit for all requests together. Chunks have some hundred bytes. With 64 KiB, 128 requests (four engines of 32 slots) buffer 8 MiB.

--- a/programs/entry/src/upstream/sse.rs
+++ b/programs/entry/src/upstream/sse.rs
@@ -2,8 +2,9 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 
-/// The longest accepted line, in bytes.
-const MAX_LINE_BYTES: usize = 1024 * 1024;
+/// The longest accepted line, in bytes. Chunks of engines have some hundred bytes; all
+/// engines of a small VM may send a line without an end to each of its requests.
+const MAX_LINE_BYTES: usize = 64 * 1024;
 
 /// The error of a line longer than [`MAX_LINE_BYTES`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/programs/entry/tests/support/backend.rs
+++ b/programs/entry/tests/support/backend.rs
@@ -61,6 +61,8 @@
     Garbage,
     /// These bytes, in which `ID` stands for the request id, and then these without end.
     Endless(&'static str, &'static str),
+    /// A line of this many bytes without its end, after which nothing more is sent.
+    LongLine(usize),
 }
 
 /// A request as received.
@@ -305,6 +307,18 @@
                 return send(stream, &whole(404, &headers, "{}"));
             }
             Answer::Status(status) => return send(stream, &whole(status, &echo, "{}")),
+            Answer::LongLine(bytes) => {
+                send(
+                    stream,
+                    &format!("HTTP/1.1 200 OK\r\n{echo}connection: close\r\n\r\n"),
+                );
+                // The fake runs in the process whose memory a test measures.
+                let piece = "x".repeat(1_000);
+                for _ in 0..bytes / piece.len() {
+                    send(stream, &piece);
+                }
+                return wait_for_close(stream);
+            }
             Answer::Endless(beginning, unit) => {
                 let units = unit.repeat(1_024);
                 let mut open = send(stream, &beginning.replace("ID", &id));
