gateway: Wait for responses until they are with their callers

A request counted as done once its handler had built the response, so a stopping entry program exited while it still wrote buffered answers and pages of jobs, and a stopping control program aborted its responses to operators.

`bw_base::responses` counts each response from its request until it is written or its connection is gone. After a stop signal it counts until the caller has closed the connection, for 5 s at most, as the kernel may still hold the last bytes.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod logs;
 pub mod metrics;
 pub mod program;
+pub mod responses;
 pub mod server;
 pub mod settings;
--- a/programs/gateway/src/control/api.rs
+++ b/programs/gateway/src/control/api.rs
@@ -2,6 +2,7 @@
 
 use std::{rc::Rc, time};
 
+use bw_base::responses;
 use bw_wire::name::Name;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -20,12 +21,16 @@
 type FullResponse = Response<Full<Bytes>>;
 
 /// Serves operators and backend servers.
-pub(crate) async fn serve(hub: Rc<Hub>, listener: net::TcpListener) {
+pub(crate) async fn serve(
+    hub: Rc<Hub>,
+    responses: responses::Responses,
+    listener: net::TcpListener,
+) {
     let handler = move |request| {
         let hub = Rc::clone(&hub);
         async move { handle(&hub, request).await }
     };
-    socket::serve_http(listener, HEADER_TIMEOUT, handler).await;
+    socket::serve_http(listener, HEADER_TIMEOUT, responses, handler).await;
 }
 
 async fn handle(hub: &Rc<Hub>, request: Request<body::Incoming>) -> FullResponse {
--- a/programs/gateway/src/control/mod.rs
+++ b/programs/gateway/src/control/mod.rs
@@ -20,6 +20,7 @@
 
 use std::{rc::Rc, sync::Arc, thread, time};
 
+use bw_base::responses;
 use bw_relay::message;
 use tokio::{sync::mpsc, task};
 
@@ -76,6 +77,7 @@
         sender,
     );
     let hub = Rc::new(hub::Hub::new(context, link));
+    let responses = responses::Responses::default();
     let mut tasks = task::JoinSet::new();
     tasks.spawn_local(driver);
     tasks.spawn_local(hub::handle_link_events(Rc::clone(&hub), events));
@@ -89,15 +91,33 @@
         Rc::clone(&hub),
         socket::listen(settings.internal_address())?,
     ));
-    tasks.spawn_local(api::serve(Rc::clone(&hub), socket::listen(operators)?));
+    tasks.spawn_local(api::serve(
+        Rc::clone(&hub),
+        responses.clone(),
+        socket::listen(operators)?,
+    ));
     if let Some(port) = settings.metrics_port {
         let address = std::net::SocketAddr::new(settings.ip, port);
-        tasks.spawn_local(api::serve(Rc::clone(&hub), socket::listen(address)?));
+        tasks.spawn_local(api::serve(
+            Rc::clone(&hub),
+            responses.clone(),
+            socket::listen(address)?,
+        ));
     }
     log::info!(node = settings.node.as_str(), operators = operators.to_string().as_str(); "control program started");
     settings::stop_signal().await?;
     log::info!("stop signal");
+    let exit = tokio::time::Instant::now() + settings.exit_timeout();
+    responses.advance(responses::Stage::Stopping);
     hub.transfer_leadership(TRANSFER_TIMEOUT).await;
+    responses.advance(responses::Stage::Closing);
+    // The calls need the other tasks.
+    if tokio::time::timeout_at(exit, responses.finished())
+        .await
+        .is_err()
+    {
+        log::warn!(responses = responses.unfinished(); "responses are cut off at the end of the grace");
+    }
     tasks.shutdown().await;
     log::info!(node = settings.node.as_str(); "control program stopped");
     Ok(())
--- a/programs/gateway/src/entry/forward.rs
+++ b/programs/gateway/src/entry/forward.rs
@@ -2,6 +2,7 @@
 
 use std::{rc::Rc, sync::Arc};
 
+use bw_base::responses;
 use bw_relay::{route, suspect};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -83,7 +84,7 @@
         Err(response) => return *response,
     };
     // It might not end before the process does.
-    if *state.closing.borrow() {
+    if state.responses.stage() >= responses::Stage::Closing {
         note_refusal(&forward.subject.id, Reason::Stopping, STOPPING_RETRY_MS);
         return response::not_run("this VM is stopping", STOPPING_RETRY_MS);
     }
--- a/programs/gateway/src/entry/front.rs
+++ b/programs/gateway/src/entry/front.rs
@@ -2,6 +2,7 @@
 
 use std::{convert, rc::Rc, time};
 
+use bw_base::responses;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request, Response, StatusCode, body, header, server::conn::http1, service};
@@ -24,14 +25,12 @@
 /// Serves callers. Stops accepting connections shortly before the process exits,
 /// because requests on them might be cut off.
 pub(crate) async fn serve_callers(state: Rc<State>, listener: net::TcpListener) {
-    let mut closing = state.closing.subscribe();
     let mut connections = task::JoinSet::new();
     loop {
         while connections.try_join_next().is_some() {}
         let stream = tokio::select! {
             stream = socket::accept(&listener) => stream,
-            // The sender lives as long as the process.
-            _ = closing.wait_for(|closing| *closing) => break,
+            () = state.responses.reached(responses::Stage::Closing) => break,
         };
         let state = Rc::clone(&state);
         connections.spawn_local(async move {
@@ -54,27 +53,16 @@
     let bytes = limits.map_or(HEADER_BYTES_DEFAULT, |limits| {
         limits.header_bytes.max(HEADER_BYTES_DEFAULT)
     });
-    let mut closing = state.closing.subscribe();
+    let responses = state.responses.clone();
     let service = service::service_fn(move |request| {
         let state = Rc::clone(&state);
         async move { Ok::<_, convert::Infallible>(handle(state, request).await) }
     });
-    let serving = http1::Builder::new()
-        .timer(rt::TokioTimer::new())
+    let mut http = http1::Builder::new();
+    http.timer(rt::TokioTimer::new())
         .header_read_timeout(timeout)
-        .max_buf_size(bytes + REQUEST_LINE_BYTES)
-        .serve_connection(rt::TokioIo::new(stream), service);
-    let mut serving = std::pin::pin!(serving);
-    let result = tokio::select! {
-        result = &mut serving => result,
-        // The sender lives as long as the process.
-        _ = closing.wait_for(|closing| *closing) => {
-            // Closes an idle connection at once and a busy one after its response.
-            serving.as_mut().graceful_shutdown();
-            serving.await
-        }
-    };
-    if let Err(error) = result {
+        .max_buf_size(bytes + REQUEST_LINE_BYTES);
+    if let Err(error) = responses.serve(http, stream, service).await {
         log::debug!("connection of a caller failed: {error}");
     }
 }
@@ -115,11 +103,12 @@
 
 /// Serves the readiness checks of the load balancer, and metrics.
 pub(crate) async fn serve_readiness(state: Rc<State>, listener: net::TcpListener) {
+    let responses = state.responses.clone();
     let handle = move |request| {
         let response = handle_readiness(&state, &request);
         async move { response }
     };
-    socket::serve_http(listener, HEADER_TIMEOUT, handle).await;
+    socket::serve_http(listener, HEADER_TIMEOUT, responses, handle).await;
 }
 
 fn handle_readiness(state: &State, request: &Request<body::Incoming>) -> Response<Full<Bytes>> {
--- a/programs/gateway/src/entry/mod.rs
+++ b/programs/gateway/src/entry/mod.rs
@@ -16,6 +16,7 @@
 
 use std::{net, rc::Rc, sync::Arc, time};
 
+use bw_base::responses;
 use bw_relay::message;
 use http_body_util::BodyExt;
 use hyper::body;
@@ -41,13 +42,9 @@
 /// Retry-after time of a request that needs a leader and found none, in
 /// milliseconds. Elections take up to a second.
 const NO_LEADER_RETRY_MS: u64 = 700;
-/// Interval at which a drain checks for running requests.
-const DRAIN_POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
 /// Time before the exit by which a request that came after the stop signal is answered.
 /// The answer has to reach its caller.
 const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(100);
-/// Time before the kill at which the process exits by itself.
-const EXIT_MARGIN: time::Duration = time::Duration::from_millis(700);
 
 /// Runs the entry program until a stop signal.
 ///
@@ -81,7 +78,7 @@
         seeds,
         sender,
     );
-    let grace = time::Duration::from_millis(settings.grace_ms);
+    let exit_timeout = settings.exit_timeout();
     let metrics_port = settings.metrics_port;
     let ip = settings.ip;
     let state = Rc::new(State::new(settings, dialect, link));
@@ -107,7 +104,7 @@
     ));
     log::info!(node = state.settings.node.as_str(), callers = callers.to_string().as_str(); "entry program started");
     crate::settings::stop_signal().await?;
-    drain(&state, grace).await;
+    drain(&state, exit_timeout).await;
     tasks.shutdown().await;
     log::info!(node = state.settings.node.as_str(); "entry program stopped");
     Ok(())
@@ -147,26 +144,24 @@
 }
 
 /// Stops gracefully: fails the readiness checks, serves requests for a while
-/// longer, closes connections after their responses and waits for running requests.
-async fn drain(state: &State, grace: time::Duration) {
+/// longer, closes connections after their responses and waits until these are with the
+/// callers.
+async fn drain(state: &State, timeout: time::Duration) {
     state.draining.set(true);
-    let started = time::Instant::now();
-    let timeout = grace.saturating_sub(EXIT_MARGIN);
+    state.responses.advance(responses::Stage::Stopping);
+    let started = tokio::time::Instant::now();
+    let exit = started + timeout;
     let answer_within = timeout.saturating_sub(ANSWER_MARGIN).as_millis() as u64;
     state
         .answer_until_ms
         .set(clock::monotonic_ms() + answer_within);
-    log::info!(requests = state.active_requests.get(), connections = state.connections.get(); "stop signal, draining");
-    tokio::time::sleep(DRAIN_LINGER.min(grace)).await;
-    state.closing.send_replace(true);
-    while started.elapsed() < timeout {
-        tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-        if state.active_requests.get() == 0 {
-            break;
-        }
-    }
+    log::info!(requests = state.responses.unfinished(), connections = state.connections.get(); "stop signal, draining");
+    tokio::time::sleep(DRAIN_LINGER.min(timeout)).await;
+    state.responses.advance(responses::Stage::Closing);
+    // The log line below counts what is cut off.
+    let _ = tokio::time::timeout_at(exit, state.responses.finished()).await;
     let took_ms = started.elapsed().as_millis() as u64;
-    log::info!(requests = state.active_requests.get(), after_ms = took_ms; "drained");
+    log::info!(requests = state.responses.unfinished(), after_ms = took_ms; "drained");
 }
 
 /// Returns the time from now until a time of the monotonic clock, 0 if it is past.
--- a/programs/gateway/src/entry/state.rs
+++ b/programs/gateway/src/entry/state.rs
@@ -6,9 +6,10 @@
     sync::Arc,
 };
 
+use bw_base::responses;
 use bw_relay::{balance, ledger, load, message, registry, route};
 use rand::{RngCore, SeedableRng};
-use tokio::sync::{Notify, watch};
+use tokio::sync::Notify;
 
 use crate::{
     clock, dialect,
@@ -60,8 +61,8 @@
     /// Until when requests must be answered, as the process exits, in monotonic
     /// milliseconds.
     pub(crate) answer_until_ms: Cell<u64>,
-    /// Set to true once callers' idle connections must be closed.
-    pub(crate) closing: watch::Sender<bool>,
+    /// The responses of all ports.
+    pub(crate) responses: responses::Responses,
     pub(crate) active_requests: Cell<u64>,
     pub(crate) connections: Cell<u64>,
     pub(crate) suspects: Suspects,
@@ -103,7 +104,7 @@
             connected: Cell::new(false),
             draining: Cell::new(false),
             answer_until_ms: Cell::new(u64::MAX),
-            closing: watch::Sender::new(false),
+            responses: responses::Responses::default(),
             active_requests: Cell::new(0),
             connections: Cell::new(0),
             suspects: Suspects::default(),
--- a/programs/gateway/src/settings.rs
+++ b/programs/gateway/src/settings.rs
@@ -1,12 +1,15 @@
 //! Settings of the entry, control and worker programs.
 
-use std::{net, path};
+use std::{net, path, time};
 
 use bw_base::settings;
 use bw_relay::{balance, dispatch, health};
 use serde::Deserialize;
 use tokio::signal::unix;
 
+/// Time before the kill at which a process exits by itself.
+const EXIT_MARGIN: time::Duration = time::Duration::from_millis(700);
+
 /// Default of [`Settings::tolerated_losses`].
 const TOLERATED_LOSSES: usize = 2;
 
@@ -85,6 +88,11 @@
         self.internal_ports.first().copied().unwrap_or(0)
     }
 
+    /// Returns the time from a stop signal until the process exits at the latest.
+    pub(crate) fn exit_timeout(&self) -> time::Duration {
+        time::Duration::from_millis(self.grace_ms).saturating_sub(EXIT_MARGIN)
+    }
+
     /// Returns the address at which the other programs connect to this VM.
     pub fn internal_address(&self) -> net::SocketAddr {
         net::SocketAddr::new(self.ip, self.internal_port())
--- a/programs/gateway/src/socket.rs
+++ b/programs/gateway/src/socket.rs
@@ -2,6 +2,7 @@
 
 use std::{convert, io, net, time};
 
+use bw_base::responses;
 use bw_relay::message;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -106,10 +107,12 @@
 }
 
 /// Serves HTTP to operators, backend servers and readiness checks, each
-/// connection in its own task. `handle` is called for each request.
+/// connection in its own task. `handle` is called for each request. Returns once a stop
+/// closes the connections and all have ended.
 pub async fn serve_http<H, F>(
     listener: tokio::net::TcpListener,
     header_timeout: time::Duration,
+    responses: responses::Responses,
     handle: H,
 ) where
     H: Fn(Request<body::Incoming>) -> F + Clone + 'static,
@@ -118,22 +121,27 @@
     let mut connections = task::JoinSet::new();
     loop {
         while connections.try_join_next().is_some() {}
-        let stream = accept(&listener).await;
+        let stream = tokio::select! {
+            stream = accept(&listener) => stream,
+            () = responses.reached(responses::Stage::Closing) => break,
+        };
         let handle = handle.clone();
         let service = service::service_fn(move |request| {
             let handling = handle(request);
             async move { Ok::<_, convert::Infallible>(handling.await) }
         });
+        let mut http = http1::Builder::new();
+        http.timer(rt::TokioTimer::new())
+            .header_read_timeout(header_timeout);
+        let responses = responses.clone();
         connections.spawn_local(async move {
-            let serving = http1::Builder::new()
-                .timer(rt::TokioTimer::new())
-                .header_read_timeout(header_timeout)
-                .serve_connection(rt::TokioIo::new(stream), service);
-            if let Err(error) = serving.await {
+            if let Err(error) = responses.serve(http, stream, service).await {
                 log::debug!("connection ended: {error}");
             }
         });
     }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
 }
 
 /// Decodes frames from one half of a connection, each prefixed by its length in
