gateway: Answer requests that still run at the end of the grace

A request that was sent before a stop signal keeps its own time limit, which may lie beyond the end of the process. Its connection was closed without a response.

50 ms before the exit, the entry program answers such requests with 504, as their outcome is unknown.

--- a/programs/gateway/src/entry/front.rs
+++ b/programs/gateway/src/entry/front.rs
@@ -10,7 +10,7 @@
 use tokio::{net, task};
 
 use crate::{
-    entry::{forward, response, state::State},
+    entry::{forward, reason::Reason, response, state::State},
     metrics, socket,
 };
 
@@ -70,7 +70,13 @@
 async fn handle(state: Rc<State>, request: Request<body::Incoming>) -> response::Response {
     let started = time::Instant::now();
     let active = Active::new(&state);
-    let mut response = forward::handle(&state, request, active).await;
+    let id = forward::header_text(request.headers(), &state.dialect.headers().request_id);
+    let id = id.to_owned();
+    let mut response = tokio::select! {
+        biased;
+        response = forward::handle(&state, request, active) => response,
+        () = state.responses.reached(responses::Stage::Ending) => refuse_unfinished(&id),
+    };
     if state.draining.get() {
         let close = header::HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
@@ -85,6 +91,14 @@
     response
 }
 
+/// Answers a request that still runs when the process ends, whose outcome is unknown.
+fn refuse_unfinished(id: &str) -> response::Response {
+    let reason = Reason::Stopping.name();
+    log::warn!(request = id, reason = reason, verdict = "may_have_run"; "failed");
+    metrics::REFUSALS.with_label_values(&[reason]).inc();
+    response::plain(StatusCode::GATEWAY_TIMEOUT, reason)
+}
+
 /// Counts a request as active until dropped.
 pub(crate) struct Active(Rc<State>);
 
--- a/programs/gateway/src/entry/mod.rs
+++ b/programs/gateway/src/entry/mod.rs
@@ -45,6 +45,9 @@
 /// Time before the exit by which a request that came after the stop signal is answered.
 /// The answer has to reach its caller.
 const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(100);
+/// Time before the exit at which requests are answered that still run, whatever their
+/// own time limit.
+const LAST_ANSWER_MARGIN: time::Duration = time::Duration::from_millis(50);
 
 /// Runs the entry program until a stop signal.
 ///
@@ -158,8 +161,12 @@
     log::info!(requests = state.responses.unfinished(), connections = state.connections.get(); "stop signal, draining");
     tokio::time::sleep(DRAIN_LINGER.min(timeout)).await;
     state.responses.advance(responses::Stage::Closing);
-    // The log line below counts what is cut off.
-    let _ = tokio::time::timeout_at(exit, state.responses.finished()).await;
+    let last_answer = started + timeout.saturating_sub(LAST_ANSWER_MARGIN);
+    let finished = tokio::time::timeout_at(last_answer, state.responses.finished()).await;
+    if finished.is_err() {
+        state.responses.advance(responses::Stage::Ending);
+        tokio::time::sleep_until(exit).await;
+    }
     let took_ms = started.elapsed().as_millis() as u64;
     log::info!(requests = state.responses.unfinished(), after_ms = took_ms; "drained");
 }
