entry: Wait for responses, not for half a request, in a shutdown

A shutdown of bw-entry waited for all connections, also for those on which only a part of a request had arrived, and gave responses to operators one second. It ended once the kernel had taken the last answer.

The server loop uses `bw_base::responses`: it waits until all responses are with their clients, and then drops connections without a whole request. Responses to operators have the rest of the time limit.

Now it ends after the last byte and within 1 s. The limit of responses to operators has no test.

--- a/crates/base/src/server.rs
+++ b/crates/base/src/server.rs
@@ -6,10 +6,12 @@
 
 use std::{io, net, panic, sync, time};
 
-use gotham::{handler, hyper, service, state};
-use hyper_util::{rt, server};
+use gotham::{handler, service, state};
+use hyper_util::rt;
 use tokio::{net as async_net, sync as async_sync, task};
 
+use crate::responses;
+
 /// Pause after a failed accept, which usually means that file descriptors ran out.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
 
@@ -53,16 +55,16 @@
     {
         let listener = async_net::TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        let (stop, stopped) = async_sync::watch::channel(false);
+        let responses = responses::Responses::default();
         let acceptor = Acceptor {
             builder: self,
             listener,
             handler: sync::Arc::new(handler),
-            stopped,
+            responses: responses.clone(),
         };
         Ok(Server {
             address,
-            stop,
+            responses,
             task: tokio::spawn(acceptor.run()),
         })
     }
@@ -71,7 +73,7 @@
 /// A running server.
 pub struct Server {
     address: net::SocketAddr,
-    stop: async_sync::watch::Sender<bool>,
+    responses: responses::Responses,
     task: task::JoinHandle<()>,
 }
 
@@ -81,20 +83,24 @@
         self.address
     }
 
+    /// Notes that the process was told to stop. Requests are still served.
+    pub fn begin_stop(&self) {
+        self.responses.advance(responses::Stage::Stopping);
+    }
+
     /// Stops accepting connections, lets running requests finish and closes all
-    /// connections.
+    /// connections once their clients have the responses.
     ///
-    /// Requests that still run after the time limit are aborted. Returns whether all
-    /// finished.
-    pub async fn drain(mut self, limit: time::Duration) -> bool {
-        // Sending fails only if the accept loop, which holds the receiver, has ended.
-        let _ = self.stop.send(true);
-        if tokio::time::timeout(limit, &mut self.task).await.is_ok() {
-            return true;
-        }
+    /// Responses that are not with their clients after the time limit are cut off.
+    /// Returns whether there were none.
+    pub async fn drain(self, limit: time::Duration) -> bool {
+        self.responses.advance(responses::Stage::Closing);
+        let finished = tokio::time::timeout(limit, self.responses.finished()).await;
+        // What is left are connections on which no whole request has arrived.
         self.task.abort();
+        // The task was ended on purpose.
         let _ = self.task.await;
-        false
+        finished.is_ok()
     }
 }
 
@@ -103,31 +109,30 @@
     builder: Builder,
     listener: async_net::TcpListener,
     handler: sync::Arc<H>,
-    stopped: async_sync::watch::Receiver<bool>,
+    responses: responses::Responses,
 }
 
 impl<H> Acceptor<H>
 where
     H: handler::NewHandler + Send + Sync + panic::RefUnwindSafe + 'static,
 {
-    async fn run(mut self) {
-        let graceful = server::graceful::GracefulShutdown::new();
+    async fn run(self) {
         let permits = sync::Arc::new(async_sync::Semaphore::new(self.builder.max_connections));
         let mut connections = task::JoinSet::new();
         loop {
             let permit = tokio::select! {
                 permit = sync::Arc::clone(&permits).acquire_owned() => permit,
-                _ = self.stopped.wait_for(|stop| *stop) => break,
+                () = self.responses.reached(responses::Stage::Closing) => break,
             };
             let accepted = tokio::select! {
                 accepted = self.listener.accept() => accepted,
-                _ = self.stopped.wait_for(|stop| *stop) => break,
+                () = self.responses.reached(responses::Stage::Closing) => break,
             };
             match accepted {
                 Ok((stream, peer)) => {
                     // Without this option, only latency is worse.
                     let _ = stream.set_nodelay(true);
-                    let connection = graceful.watch(self.serve_connection(stream, peer));
+                    let connection = self.serve_connection(stream, peer);
                     connections.spawn(async move {
                         // A failed connection affects only its own client.
                         let _ = connection.await;
@@ -142,7 +147,6 @@
             while connections.try_join_next().is_some() {}
         }
         drop(self.listener);
-        graceful.shutdown().await;
         while connections.join_next().await.is_some() {}
     }
 
@@ -150,16 +154,17 @@
         &self,
         stream: async_net::TcpStream,
         peer: net::SocketAddr,
-    ) -> impl server::graceful::GracefulConnection<Error = hyper::Error> + Send + use<H> {
+    ) -> impl Future<Output = hyper::Result<()>> + Send + use<H> {
+        let responses = self.responses.clone();
         let handler = sync::Arc::clone(&self.handler);
         let service = hyper::service::service_fn(move |request| {
             let handler = sync::Arc::clone(&handler);
             let state = state::State::from_request(request, peer);
             service::call_handler(handler, panic::AssertUnwindSafe(state))
         });
-        hyper::server::conn::http1::Builder::new()
-            .timer(rt::TokioTimer::new())
-            .header_read_timeout(self.builder.header_timeout)
-            .serve_connection(rt::TokioIo::new(stream), service)
+        let mut http = hyper::server::conn::http1::Builder::new();
+        http.timer(rt::TokioTimer::new())
+            .header_read_timeout(self.builder.header_timeout);
+        async move { responses.serve(http, stream, service).await }
     }
 }
--- a/programs/entry/src/program.rs
+++ b/programs/entry/src/program.rs
@@ -1,6 +1,6 @@
 //! Starts and stops the parts of the entry program.
 
-use std::{net, sync, thread};
+use std::{net, sync, thread, time};
 
 use anyhow::Context as _;
 use bw_base::server;
@@ -12,6 +12,8 @@
 /// Stack size of a traffic thread. Request handlers need little stack; the
 /// default of 2 MiB would only use more address space.
 const STACK_BYTES: usize = 1024 * 1024;
+/// Least time for responses to operators at the end of a shutdown.
+const ADMIN_DRAIN_MIN: time::Duration = time::Duration::from_secs(1);
 
 /// A running entry program.
 pub struct Handle {
@@ -244,6 +246,10 @@
     shared.drain.started().await;
     log::info!("entry VM is shutting down");
     let timeouts = &shared.settings.timeouts;
+    let started = time::Instant::now();
+    let grace = settings::ms(timeouts.linger_ms) + settings::ms(timeouts.drain_ms);
+    callers.begin_stop();
+    admin.begin_stop();
     let online = async {
         // Requests that arrive before the load balancer stops sending are refused.
         tokio::time::sleep(settings::ms(timeouts.linger_ms)).await;
@@ -256,7 +262,10 @@
         log::error!("requests were cut off after the time limit of the shutdown");
     }
     shared.drain.tasks_finished().await;
-    admin.drain(settings::ms(1_000)).await;
+    let left = grace.saturating_sub(started.elapsed());
+    if !admin.drain(left.max(ADMIN_DRAIN_MIN)).await {
+        log::error!("responses to operators were cut off after the time limit of the shutdown");
+    }
     log::info!("entry VM stopped");
 }
 
--- a/programs/entry/tests/drain.rs
+++ b/programs/entry/tests/drain.rs
@@ -7,7 +7,7 @@
 use rstest::rstest;
 use support::{
     backend::{Answer, Backend, whole_text},
-    caller, chat_body, fleet, fleet_with, wait_for,
+    caller, chat_body, fleet, fleet_with, slow, wait_for,
 };
 
 /// Guards against requests that a shutdown interrupts, against new work during
@@ -84,3 +84,50 @@
     );
     assert!(done, "{outcome:?}");
 }
+
+/// Size of a large answer.
+const ANSWER_BYTES: usize = 1_000_000;
+/// Time within which a shutdown ends after the last byte of its last answer has arrived.
+const EXIT_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
+
+/// Guards against a shutdown that cuts off an answer while a caller receives it, that ends
+/// before the caller has it, or that waits longer, for example for half a request.
+#[rstest]
+fn an_answer_is_written_to_its_end() {
+    let fleet = fleet(vec![Backend::service("s1", "invoice", &[Answer::Whole])]);
+    let address = fleet.entry.address();
+    let request = |key: usize| {
+        format!(
+            "POST /services/invoice/new HTTP/1.1\r\nhost: x\r\nidempotency-key: k{key}\r\n\
+             content-length: 12\r\n\r\nfor the roll"
+        )
+    };
+    let mut connections: Vec<_> = (0..3).map(|_| slow::Connection::open(address)).collect();
+    for (key, connection) in connections.iter_mut().enumerate() {
+        connection.send(request(key).as_bytes());
+        assert!(connection.read().is_whole());
+    }
+    *fleet.backends[0].script.lock().expect("lock") = [Answer::Large(ANSWER_BYTES)].into();
+    let mut half = slow::Connection::open(address);
+    half.send(b"POST /services/invoice/new HTTP/1.1\r\nhost: ");
+    let readers: Vec<_> = connections
+        .into_iter()
+        .enumerate()
+        .map(|(key, mut connection)| {
+            connection.send(request(10 + key).as_bytes());
+            thread::spawn(move || connection.read())
+        })
+        .collect();
+    wait_for("the requests to run", || fleet.backends[0].count() == 6);
+    thread::sleep(time::Duration::from_millis(300));
+    fleet.entry.drain();
+    fleet.entry.join();
+    let finished = time::Instant::now();
+    for reader in readers {
+        let answer = reader.join().expect("joined");
+        assert!(answer.is_whole(), "{answer:?}");
+        assert!(finished >= answer.ended, "the shutdown ended first");
+        let after = finished.duration_since(answer.ended);
+        assert!(after < EXIT_TIMEOUT, "the shutdown ended {after:?} later");
+    }
+}
--- a/programs/entry/tests/support/backend.rs
+++ b/programs/entry/tests/support/backend.rs
@@ -63,6 +63,8 @@
     Endless(&'static str, &'static str),
     /// A line of this many bytes without its end, after which nothing more is sent.
     LongLine(usize),
+    /// A service answers with this many bytes.
+    Large(usize),
 }
 
 /// A request as received.
@@ -327,6 +329,7 @@
                 }
                 return false;
             }
+            Answer::Large(bytes) => return send(stream, &whole(200, &echo, &"x".repeat(bytes))),
             _ => {}
         }
         if !request.path.starts_with("/v1/") {
--- a/programs/entry/tests/support/mod.rs
+++ b/programs/entry/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod backend;
 pub mod caller;
 pub mod control;
+pub mod slow;
 
 use std::{thread, time};
 
