--- a/crates/relay/src/dispatch/run.rs
+++ b/crates/relay/src/dispatch/run.rs
@@ -19,7 +19,7 @@
     /// The data of the events that are not stored yet, in order.
     pub data: Vec<String>,
     /// The size of all events that this leader received, in bytes: their data and
-    /// [`EVENT_OVERHEAD_BYTES`] for each.
+    /// `EVENT_OVERHEAD_BYTES` for each.
     pub bytes: usize,
 }
 
