Count an item as overdue once, and name the run of an admitted item

The counter and the warning of an item that waits beyond its bound came again with each change of its reason. The part of a run that follows its admission is a function of its own.

--- a/programs/gateway/src/control/queue.rs
+++ b/programs/gateway/src/control/queue.rs
@@ -72,9 +72,10 @@
             let kept_ms = now_ms.saturating_sub(wait.since_ms.max(since_ms));
             let is_overdue = has_room && kept_ms > WAIT_MAX_MS && !dispatch.is_suspect(&wait.key);
             let known = self.logged.get(&wait.key).copied();
+            let was_overdue = known.is_some_and(|known| known.is_overdue);
             let current = Logged {
                 reason: wait.reason,
-                is_overdue: is_overdue || known.is_some_and(|known| known.is_overdue),
+                is_overdue: is_overdue || was_overdue,
             };
             if waited_ms < LOGGED_WAIT_MS {
                 continue;
@@ -84,7 +85,7 @@
                 continue;
             }
             lines += 1;
-            log_wait(hub, wait, waited_ms, known != Some(current) && is_overdue);
+            log_wait(hub, wait, waited_ms, is_overdue && !was_overdue);
             logged.insert(wait.key.clone(), current);
         }
         self.logged = logged;
--- a/programs/gateway/src/control/runner.rs
+++ b/programs/gateway/src/control/runner.rs
@@ -168,41 +168,7 @@
     let ended = match admission {
         item::Admission::Refused(refusal) => Ended::Refused(refusal),
         item::Admission::Admitted(permit) => {
-            if hub.term() == term {
-                let mut dispatch = hub.dispatch.borrow_mut();
-                match &permit {
-                    Some(permit) => {
-                        let refusal = permit.refusal(&subject);
-                        dispatch.trial_began(&start.key, refusal, hub.unix_ms());
-                    }
-                    None => dispatch.admitted(&start.key),
-                }
-            }
-            let mut writing = suspect::Writing::default();
-            let permit_ref = permit.as_ref();
-            let ended = {
-                let sending = send(
-                    &hub,
-                    &start,
-                    &subject,
-                    permit_ref,
-                    &mut progress,
-                    &mut writing,
-                    term,
-                );
-                tokio::select! {
-                    ended = sending => ended,
-                    () = stop.cancelled() => Ended::Stopped,
-                }
-            };
-            subject.note_lived(&hub, writing.written_ms());
-            if let Ended::Disconnected = ended {
-                subject.note_crash(&hub, writing.written_ms());
-            }
-            if let Some(permit) = permit {
-                permit.end(&hub, &ended);
-            }
-            ended
+            run_admitted(&hub, &start, &subject, permit, &mut progress, &stop, term).await
         }
     };
     let name: &'static str = (&ended).into();
@@ -249,6 +215,51 @@
     }
 }
 
+/// Runs an item that was admitted, as a trial if there is a permit, and reports what the run
+/// shows about the parts of its prompt.
+async fn run_admitted(
+    hub: &Rc<Hub>,
+    start: &dispatch::Start,
+    subject: &item::Subject,
+    permit: Option<item::Permit>,
+    progress: &mut dispatch::Progress,
+    stop: &CancellationToken,
+    term: Option<u64>,
+) -> Ended {
+    if hub.term() == term {
+        let mut dispatch = hub.dispatch.borrow_mut();
+        match &permit {
+            Some(permit) => {
+                let refusal = permit.refusal(subject);
+                dispatch.trial_began(&start.key, refusal, hub.unix_ms());
+            }
+            None => dispatch.admitted(&start.key),
+        }
+    }
+    let mut writing = suspect::Writing::default();
+    let sending = send(
+        hub,
+        start,
+        subject,
+        permit.as_ref(),
+        progress,
+        &mut writing,
+        term,
+    );
+    let ended = tokio::select! {
+        ended = sending => ended,
+        () = stop.cancelled() => Ended::Stopped,
+    };
+    subject.note_lived(hub, writing.written_ms());
+    if let Ended::Disconnected = ended {
+        subject.note_crash(hub, writing.written_ms());
+    }
+    if let Some(permit) = permit {
+        permit.end(hub, &ended);
+    }
+    ended
+}
+
 /// Records durably that a run of an item failed, because the limit of failed runs per
 /// item holds across leaders.
 async fn record_failure(hub: &Hub, key: &dispatch::Key) {
