review: case 9, a replica that is not used after a restart of control

Change: case 9 (RECOVER, a replica that was silent when all control programs were restarted gets no request for good) and its stand-in.

--- a/review/tools-2/adopted.rs
+++ b/review/tools-2/adopted.rs
@@ -84,4 +84,3 @@
     }
     Err("the items did not begin to run".to_owned())
 }
-
--- a/review/tools-2/engine.rs
+++ b/review/tools-2/engine.rs
@@ -10,7 +10,7 @@
     net::{SocketAddr, TcpStream},
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -69,6 +69,10 @@
     state: Arc<Mutex<State>>,
     /// While it is set, the replica does not run and nothing listens at its address.
     down: Arc<AtomicBool>,
+    /// While it is set, heartbeats reach no control program.
+    cut: Arc<AtomicBool>,
+    /// The number of heartbeats that were acknowledged.
+    acknowledged: Arc<AtomicU64>,
     lifetime: Arc<Mutex<Lifetime>>,
 }
 
@@ -106,6 +110,8 @@
             record: record.clone(),
             state: Arc::default(),
             down: Arc::default(),
+            cut: Arc::default(),
+            acknowledged: Arc::default(),
             lifetime: Arc::new(Mutex::new(lifetime)),
         };
         let server = replica.clone();
@@ -123,6 +129,22 @@
         self.state().begun.clone()
     }
 
+    /// Returns how many heartbeats were acknowledged.
+    pub fn acknowledged(&self) -> u64 {
+        self.acknowledged.load(Ordering::Relaxed)
+    }
+
+    /// Cuts the replica off from the control programs, or lets its heartbeats through again.
+    pub fn set_cut(&self, cut: bool) {
+        let what = match cut {
+            true => "is cut off from control",
+            false => "reaches control again",
+        };
+        self.record
+            .note(&format!("replica {} {what}", self.lifetime().id));
+        self.cut.store(cut, Ordering::Relaxed);
+    }
+
     /// Returns how many requests it runs now.
     pub fn running(&self) -> usize {
         self.state().runs.len()
@@ -138,7 +160,10 @@
     /// Begins a new lifetime after a crash.
     pub fn restart(&self) {
         {
-            let mut lifetime = self.lifetime.lock().expect("no thread panics with the lock");
+            let mut lifetime = self
+                .lifetime
+                .lock()
+                .expect("no thread panics with the lock");
             *lifetime = Lifetime::begin(&self.options.id, lifetime.number + 1);
         }
         self.down.store(false, Ordering::Relaxed);
@@ -163,11 +188,14 @@
         let options = &self.options;
         let mut to = controls[0];
         loop {
-            while self.is_down() {
+            while self.is_down() || self.cut.load(Ordering::Relaxed) {
                 thread::sleep(Duration::from_millis(20));
             }
             let lifetime = {
-                let mut lifetime = self.lifetime.lock().expect("no thread panics with the lock");
+                let mut lifetime = self
+                    .lifetime
+                    .lock()
+                    .expect("no thread panics with the lock");
                 lifetime.sequence += 1;
                 lifetime.clone()
             };
@@ -191,6 +219,7 @@
                 if let Ok(answer) = answer
                     && (200..300).contains(&answer.status())
                 {
+                    self.acknowledged.fetch_add(1, Ordering::Relaxed);
                     to = heartbeat_address(&answer.text()).unwrap_or(to);
                     break;
                 }
@@ -257,14 +286,19 @@
     /// memory, or `None` if there is no such run.
     fn take_run(&self, order: &str) -> Option<String> {
         let mut state = self.state();
-        let id = state.runs.keys().find(|id| order.contains(id.as_str()))?.clone();
+        let id = state
+            .runs
+            .keys()
+            .find(|id| order.contains(id.as_str()))?
+            .clone();
         let stop = state.runs.remove(&id)?;
         stop.store(true, Ordering::Relaxed);
         state.note_change();
         state.handles += 1;
         let own = self.lifetime().id;
         let handle = format!("{own}-{}", state.handles);
-        self.record.note(&format!("replica {own} moves the memory of {id}"));
+        self.record
+            .note(&format!("replica {own} moves the memory of {id}"));
         Some(handle)
     }
 
@@ -365,7 +399,9 @@
         let lost_end = self.options.lost_end.lock();
         let mut lost_end = lost_end.expect("no thread panics with the lock");
         if lost_end.take_if(|request| request == id).is_some() {
-            self.record.note(&format!("the connection of {id} is reset after its last event"));
+            self.record.note(&format!(
+                "the connection of {id} is reset after its last event"
+            ));
             // The bytes that were sent arrive before the reset.
             thread::sleep(Duration::from_millis(20));
             http::reset_on_close(stream)?;
--- a/review/tools-2/fleet.rs
+++ b/review/tools-2/fleet.rs
@@ -1,8 +1,9 @@
 //! The project's programs as processes on loopback addresses, and the record of a case.
 
 use std::{
-    env, fs,
+    env,
     ffi::{c_int, c_ulong},
+    fs,
     io::{self, Write},
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
     os::unix::process::CommandExt,
@@ -134,7 +135,10 @@
         let mut fleet = Fleet {
             record,
             folder,
-            prefix: [1 + (process_id % 250) as u8, 1 + (process_id / 250 % 250) as u8],
+            prefix: [
+                1 + (process_id % 250) as u8,
+                1 + (process_id / 250 % 250) as u8,
+            ],
             ports: Ports {
                 internal: 0,
                 operators: 0,
@@ -263,14 +267,16 @@
     /// Sends a configuration until it is acknowledged, and returns the time of the
     /// acknowledgement.
     pub fn publish(&self, version: u64, config: &str) -> Result<u64, String> {
-        self.record.note(&format!("operator sends config {version}: {config}"));
+        self.record
+            .note(&format!("operator sends config {version}: {config}"));
         for attempt in 0..40 {
             let operators = self.operators();
             let to = operators[attempt % operators.len()];
             let result = http::call(to, "PUT", "/config", &[], config.as_bytes(), CALL_TIMEOUT);
             match result.map(|answer| answer.status()) {
                 Ok(200) => {
-                    self.record.note(&format!("config {version} is acknowledged by {to}"));
+                    self.record
+                        .note(&format!("config {version} is acknowledged by {to}"));
                     return Ok(self.record.now_ms());
                 }
                 Ok(status @ 400..=499) => return Err(format!("config refused with {status}")),
@@ -282,14 +288,18 @@
 
     /// Returns the index of the control program that leads, as its log says it last.
     pub fn leader(&self) -> Option<usize> {
-        let terms = self.controls.iter().enumerate().filter_map(|(index, process)| {
-            let log = fs::read_to_string(process.settings.with_extension("log")).ok()?;
-            let mut lines = log.lines().rev();
-            let line = lines.find(|line| line.contains("\"message\":\"leading\""))?;
-            let (_, term) = line.split_once("\"term\":")?;
-            let digits = term.split(|digit: char| !digit.is_ascii_digit()).next()?;
-            Some((digits.parse::<u64>().ok()?, index))
-        });
+        let terms = self
+            .controls
+            .iter()
+            .enumerate()
+            .filter_map(|(index, process)| {
+                let log = fs::read_to_string(process.settings.with_extension("log")).ok()?;
+                let mut lines = log.lines().rev();
+                let line = lines.find(|line| line.contains("\"message\":\"leading\""))?;
+                let (_, term) = line.split_once("\"term\":")?;
+                let digits = term.split(|digit: char| !digit.is_ascii_digit()).next()?;
+                Some((digits.parse::<u64>().ok()?, index))
+            });
         terms.max().map(|(_, index)| index)
     }
 
@@ -308,6 +318,25 @@
         Ok(())
     }
 
+    /// Returns the number of control programs.
+    pub fn controls(&self) -> usize {
+        self.controls.len()
+    }
+
+    /// Removes the disk of a control program that was killed. It starts with `first_start`
+    /// false from then on.
+    pub fn lose_disk(&mut self, index: usize) -> io::Result<()> {
+        let process = &self.controls[index];
+        let data = self.folder.join(format!("{}.data", process.name));
+        fs::remove_dir_all(&data)?;
+        fs::create_dir_all(&data)?;
+        let settings = fs::read_to_string(&process.settings)?;
+        let later = settings.replace("first_start: true", "first_start: false");
+        fs::write(&process.settings, later)?;
+        self.record.note(&format!("disk lost: {}", process.name));
+        Ok(())
+    }
+
     /// Waits until all entry programs are ready for clients.
     pub fn await_ready(&self) -> Result<(), String> {
         let entries = self.entries.len() as u8;
--- a/review/tools-2/http.rs
+++ b/review/tools-2/http.rs
@@ -126,7 +126,10 @@
     let stream = TcpStream::connect_timeout(&to, timeout.min(Duration::from_secs(1)))?;
     stream.set_nodelay(true)?;
     let mut request = format!("{method} {path} HTTP/1.1\r\nConnection: close\r\n");
-    if !headers.iter().any(|(name, _)| name.eq_ignore_ascii_case("host")) {
+    if !headers
+        .iter()
+        .any(|(name, _)| name.eq_ignore_ascii_case("host"))
+    {
         request.push_str(&format!("Host: {to}\r\n"));
     }
     for (name, value) in headers {
--- a/review/tools-2/jobs.rs
+++ b/review/tools-2/jobs.rs
@@ -12,6 +12,17 @@
 
 /// Returns a configuration with one route for batch jobs, which `service` runs.
 pub fn config(version: u64, service: &str, services: &[&str]) -> String {
+    let route = format!(
+        "{{\"Name\":\"r-plan\",\"Host\":\"{HOST}\",\"PathPrefix\":\"{PREFIX}\",\"Kind\":\"batch\",\
+         \"TimeoutMs\":15000,\"TargetLatencyMs\":500,\"TargetCompletionMs\":18000,\
+         \"MaxQueueS\":{MAX_QUEUE_S},\"Priority\":2,\"MaxAttempts\":3,\
+         \"Service\":\"{service}\",\"Sticky\":true,\"Resumable\":true}}"
+    );
+    document(version, &route, services)
+}
+
+/// Returns a configuration with one route.
+pub fn document(version: u64, route: &str, services: &[&str]) -> String {
     let services = services.iter().map(|name| {
         format!(
             "{{\"Name\":\"{name}\",\"HealthPath\":\"/health\",\"MaxConns\":360,\"Protocol\":\"h1\",\
@@ -20,10 +31,7 @@
     });
     let services: Vec<String> = services.collect();
     format!(
-        "{{\"Version\":{version},\"Routes\":[{{\"Name\":\"r-plan\",\"Host\":\"{HOST}\",\
-         \"PathPrefix\":\"{PREFIX}\",\"Kind\":\"batch\",\"TimeoutMs\":15000,\"TargetLatencyMs\":500,\
-         \"TargetCompletionMs\":18000,\"MaxQueueS\":{MAX_QUEUE_S},\"Priority\":2,\"MaxAttempts\":3,\
-         \"Service\":\"{service}\",\"Sticky\":true,\"Resumable\":true}}],\"Services\":[{}],\
+        "{{\"Version\":{version},\"Routes\":[{route}],\"Services\":[{}],\
          \"Limits\":{{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,\
          \"IdleTimeoutMs\":15000}}}}",
         services.join(",")
@@ -61,7 +69,9 @@
         let to = fleet.callers(attempt % 2);
         let answer = http::call(to, "POST", &path, &headers, body.as_bytes(), CALL_TIMEOUT);
         let status = answer.map_or(0, |answer| answer.status());
-        fleet.record.note(&format!("client submits batch job {job} to {to}: {status}"));
+        fleet
+            .record
+            .note(&format!("client submits batch job {job} to {to}: {status}"));
         if status == 202 {
             return Ok(fleet.record.now_ms());
         }
--- a/review/tools-2/main.rs
+++ b/review/tools-2/main.rs
@@ -11,6 +11,7 @@
 mod jobs;
 mod uncleared;
 mod unended;
+mod unused;
 
 use std::{env, path::Path, process};
 
@@ -34,12 +35,16 @@
         "adopted" => adopted::play(&record),
         "uncleared" => uncleared::play(&record),
         "unended" => unended::play(&record),
+        "unused" => unused::play(&record),
         _ => Err(format!("no case {case}")),
     };
     let (code, text) = match outcome {
         Ok(true) => (0, "the rule held".to_owned()),
         Ok(false) => (1, "the rule was broken".to_owned()),
-        Err(reason) => (fleet::EXIT_NOT_RUN, format!("the case could not run: {reason}")),
+        Err(reason) => (
+            fleet::EXIT_NOT_RUN,
+            format!("the case could not run: {reason}"),
+        ),
     };
     record.note(&text);
     println!("{text}");
