--- a/review/tools-2/adopted.rs
+++ b/review/tools-2/adopted.rs
@@ -21,7 +21,7 @@
 
 pub fn play(record: &Record) -> Outcome {
     let text = |error: std::io::Error| error.to_string();
-    let mut fleet = Fleet::start(record.clone(), 2).map_err(text)?;
+    let mut fleet = Fleet::start(record.clone(), 5, 2).map_err(text)?;
     let mut replicas = Vec::new();
     for (host, (id, service)) in (21..).zip([
         ("i-old1", "old-desk"),
--- a/review/tools-2/fleet.rs
+++ b/review/tools-2/fleet.rs
@@ -127,8 +127,9 @@
 }
 
 impl Fleet {
-    /// Starts five control programs, of which three are seeds, and some entry programs.
-    pub fn start(record: Record, entries: u8) -> io::Result<Fleet> {
+    /// Starts some control programs, of which the first three are seeds, and some entry
+    /// programs.
+    pub fn start(record: Record, controls: u8, entries: u8) -> io::Result<Fleet> {
         let process_id = std::process::id();
         let folder = env::temp_dir().join(format!("bilberrywind-review-{process_id}"));
         fs::create_dir_all(&folder)?;
@@ -155,12 +156,13 @@
             callers: fleet.free_port(),
             readiness: fleet.free_port(),
         };
-        for number in 0..5 {
-            let process = fleet.control(number)?;
+        let seeds: Vec<u8> = (1..=3).collect();
+        for number in 0..controls {
+            let process = fleet.control(number, true, &seeds)?;
             fleet.controls.push(process);
         }
         for number in 0..entries {
-            let process = fleet.entry(number)?;
+            let process = fleet.entry(number, &seeds)?;
             fleet.entries.push(process);
         }
         let all = fleet.controls.iter_mut().chain(&mut fleet.entries);
@@ -193,8 +195,9 @@
         SocketAddr::new(self.ip(host), self.free_port())
     }
 
-    fn settings(&self, name: &str, host: u8, extra: &str) -> io::Result<PathBuf> {
-        let seeds = (1..=3).map(|host| format!("\"{}:{}\"", self.ip(host), self.ports.operators));
+    fn settings(&self, name: &str, host: u8, seeds: &[u8], extra: &str) -> io::Result<PathBuf> {
+        let seeds = seeds.iter();
+        let seeds = seeds.map(|host| format!("\"{}:{}\"", self.ip(*host), self.ports.operators));
         let seeds: Vec<String> = seeds.collect();
         let zone = ["zone-a", "zone-b", "zone-c"][usize::from(host) % 3];
         let text = format!(
@@ -209,18 +212,18 @@
         Ok(file)
     }
 
-    fn control(&self, number: u8) -> io::Result<Process> {
+    fn control(&self, number: u8, first_start: bool, seeds: &[u8]) -> io::Result<Process> {
         let host = number + 1;
         let name = format!("control-{number}");
         let data = self.folder.join(format!("{name}.data"));
         fs::create_dir_all(&data)?;
         let extra = format!(
-            "operators: \"{}:{}\"\nfirst_start: true\ndata: \"{}\"\ntolerated_losses: 2\n",
+            "operators: \"{}:{}\"\nfirst_start: {first_start}\ndata: \"{}\"\ntolerated_losses: 2\n",
             self.ip(host),
             self.ports.operators,
             data.display()
         );
-        let settings = self.settings(&name, host, &extra)?;
+        let settings = self.settings(&name, host, seeds, &extra)?;
         let program = "bw-platform-control";
         Ok(Process {
             name,
@@ -230,7 +233,7 @@
         })
     }
 
-    fn entry(&self, number: u8) -> io::Result<Process> {
+    fn entry(&self, number: u8, seeds: &[u8]) -> io::Result<Process> {
         let host = number + 11;
         let name = format!("entry-{number}");
         let extra = format!(
@@ -238,7 +241,7 @@
             self.callers(number),
             self.readiness(number)
         );
-        let settings = self.settings(&name, host, &extra)?;
+        let settings = self.settings(&name, host, seeds, &extra)?;
         let program = "bw-platform-entry";
         Ok(Process {
             name,
@@ -259,11 +262,40 @@
 
     /// Returns the addresses at which the control programs serve operators and replicas.
     pub fn operators(&self) -> Vec<SocketAddr> {
-        let hosts = 1..=5;
-        let addresses = hosts.map(|host| SocketAddr::new(self.ip(host), self.ports.operators));
+        let hosts = (1..).zip(&self.controls);
+        let running = hosts.filter(|(_, process)| process.child.is_some());
+        let addresses =
+            running.map(|(host, _)| SocketAddr::new(self.ip(host), self.ports.operators));
         addresses.collect()
     }
 
+    /// Starts a control program with an empty disk at a new address. Its seeds are control
+    /// programs that run.
+    pub fn add_control(&mut self) -> io::Result<()> {
+        let hosts = (1..).zip(&self.controls);
+        let running = hosts.filter(|(_, process)| process.child.is_some());
+        let seeds: Vec<u8> = running.map(|(host, _)| host).take(3).collect();
+        let mut process = self.control(self.controls.len() as u8, false, &seeds)?;
+        process.start()?;
+        self.record.note(&format!(
+            "started at a new address with an empty disk: {}",
+            process.name
+        ));
+        self.controls.push(process);
+        Ok(())
+    }
+
+    /// Returns the document that a control program gives as the configuration, if it gives
+    /// one.
+    pub fn read_config(&self, from: SocketAddr) -> Option<String> {
+        let answer = http::call(from, "GET", "/config", &[], b"", CALL_TIMEOUT);
+        let status = answer.as_ref().map_or(0, |answer| answer.status());
+        self.record
+            .note(&format!("operator reads the config from {from}: {status}"));
+        let answer = answer.ok().filter(|answer| answer.status() == 200);
+        answer.map(|answer| answer.text())
+    }
+
     /// Sends a configuration until it is acknowledged, and returns the time of the
     /// acknowledgement.
     pub fn publish(&self, version: u64, config: &str) -> Result<u64, String> {
--- a/review/tools-2/main.rs
+++ b/review/tools-2/main.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod http;
 mod jobs;
+mod stranded;
 mod uncleared;
 mod unended;
 mod unused;
@@ -33,6 +34,7 @@
     };
     let outcome = match case.as_str() {
         "adopted" => adopted::play(&record),
+        "stranded" => stranded::play(&record),
         "uncleared" => uncleared::play(&record),
         "unended" => unended::play(&record),
         "unused" => unused::play(&record),
--- a/review/tools-2/unended.rs
+++ b/review/tools-2/unended.rs
@@ -30,7 +30,7 @@
 
 pub fn play(record: &Record) -> Outcome {
     let text = |error: std::io::Error| error.to_string();
-    let mut fleet = Fleet::start(record.clone(), 2).map_err(text)?;
+    let mut fleet = Fleet::start(record.clone(), 5, 2).map_err(text)?;
     let item = jobs::item_id(LOST_ITEM);
     let lost_end = fleet::has_trouble().then(|| item.clone());
     let lost_end = Arc::new(Mutex::new(lost_end));
--- a/review/tools-2/unused.rs
+++ b/review/tools-2/unused.rs
@@ -40,7 +40,7 @@
 
 pub fn play(record: &Record) -> Outcome {
     let text = |error: std::io::Error| error.to_string();
-    let mut fleet = Fleet::start(record.clone(), 2).map_err(text)?;
+    let mut fleet = Fleet::start(record.clone(), 5, 2).map_err(text)?;
     let mut replicas = Vec::new();
     for number in 0..REPLICAS {
         let options = engine::Options {
