--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2024 -O -o target/review-2/review-2 review/tools-2/main.rs
+rustc --edition 2024 -O -o target/review-2/review-2 review/tools-2/cases.rs
