control: Exchange the votes of lost replicas instead of adding voters

Cause: a replica that asked to join replaced a silent member only if the group had `2 * tolerated_losses + 1` members, a number that was assumed and not counted. A group of three became one of four voters, one of them lost for good, so that the next loss left two of four. On the untouched code the log of the leader shows `adding a replica` and then four members until the second loss, and no line `replacing a silent replica`.

Change: `bw_coord::member::plan` decides from the members that the leader hears. A replica joins without a vote and gets one in exchange for that of a voter that is silent (which goes first, so that a successor that is lost at once costs no majority) or that leaves (which goes last), to make the number of voters odd, or together with a second learner. A replica that stops on a signal hands its vote over, and a learner that was removed while it was silent finds out. The leader logs each exchange with its reason, and counts members by role (`bw_gateway_members`).

--- a/crates/coord/src/host/builder.rs
+++ b/crates/coord/src/host/builder.rs
@@ -52,6 +52,7 @@
     pub pending_bytes: u64,
     pub span_domains: bool,
     pub lease_reads: bool,
+    pub automatic_promotion: bool,
     pub seed: u64,
 }
 
@@ -101,6 +102,7 @@
                 pending_bytes: PENDING_BYTES,
                 span_domains: false,
                 lease_reads: true,
+                automatic_promotion: true,
                 seed: replica.0,
             },
         }
@@ -131,6 +133,13 @@
         self
     }
 
+    /// Sets whether the leader promotes each learner that has caught up. If not, learners
+    /// vote only after [`member::Change::Promote`].
+    pub fn automatic_promotion(mut self, enabled: bool) -> Builder<T> {
+        self.options.automatic_promotion = enabled;
+        self
+    }
+
     /// Sets the minimum election timeout in milliseconds, and a tenth of it as the
     /// heartbeat interval and the drift margin. All replicas must use the same.
     pub fn election_timeout_ms(mut self, timeout_ms: u64) -> Builder<T> {
--- a/crates/coord/src/host/group.rs
+++ b/crates/coord/src/host/group.rs
@@ -93,6 +93,10 @@
         }
     }
 
+    pub fn peers(&self) -> Option<Vec<member::plan::Peer>> {
+        self.node.peers()
+    }
+
     pub fn propose(&mut self, ticket: u64, command: Vec<u8>, emit: &mut dyn FnMut(Output)) {
         match self.node.propose(command) {
             Ok(index) => self.add_pending(index, ticket),
--- a/crates/coord/src/host/mod.rs
+++ b/crates/coord/src/host/mod.rs
@@ -248,6 +248,12 @@
         self.groups.get(&group).map(group::Group::status)
     }
 
+    /// Returns the members of a group as this replica sees them, `None` unless it leads
+    /// the group. [`member::plan`] decides on them.
+    pub fn peers(&self, group: GroupId) -> Option<Vec<member::plan::Peer>> {
+        self.groups.get(&group).and_then(group::Group::peers)
+    }
+
     /// Returns the counters since the host was opened.
     pub fn stats(&self) -> Stats {
         self.stats
--- a/crates/coord/src/member/list.rs
+++ b/crates/coord/src/member/list.rs
@@ -79,6 +79,10 @@
         match change {
             Change::Add(member) => self.with(member),
             Change::Remove { replica } => self.without(*replica, span_domains),
+            Change::Promote { replica } => Ok(match self.get(*replica) {
+                Some(member) if !member.voter => Some(self.promoted(*replica)),
+                _ => None,
+            }),
         }
     }
 
--- a/crates/coord/src/member/mod.rs
+++ b/crates/coord/src/member/mod.rs
@@ -1,6 +1,7 @@
 //! Members of a group, membership changes and quorums.
 
 mod list;
+pub mod plan;
 
 use std::fmt;
 
@@ -54,9 +55,10 @@
 /// A membership change of a group.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum Change {
-    /// Adds a replica as a learner, whatever its `voter` field says. The leader
-    /// promotes it to voter once it has caught up. Adding a present member again
-    /// only updates its address.
+    /// Adds a replica as a learner, whatever its `voter` field says. Unless
+    /// [`crate::host::Builder::automatic_promotion`] is off, the leader promotes it to
+    /// voter once it has caught up. Adding a present member again only updates its
+    /// address.
     Add(Member),
     /// Removes a replica permanently; its id cannot be added again. Removing an
     /// absent replica has no effect.
@@ -64,6 +66,11 @@
         /// The id of the replica to remove.
         replica: ReplicaId,
     },
+    /// Lets a learner vote. Promoting a voter has no effect.
+    Promote {
+        /// The id of the learner.
+        replica: ReplicaId,
+    },
 }
 
 /// Why a membership change is invalid.
@@ -78,6 +85,8 @@
     NoVoter,
     /// The remaining voters would span fewer failure domains than a commit needs.
     TooFewFailureDomains,
+    /// The replica to promote is no member, does not reply or lacks committed entries.
+    NotCaughtUp,
 }
 
 impl fmt::Display for Invalid {
@@ -89,6 +98,7 @@
             Invalid::TooFewFailureDomains => {
                 "the remaining voters would span too few failure domains"
             }
+            Invalid::NotCaughtUp => "the replica does not hold what is committed",
         })
     }
 }
--- a/crates/coord/src/node/mod.rs
+++ b/crates/coord/src/node/mod.rs
@@ -283,6 +283,9 @@
         } else if self.campaign_is_due() {
             self.log_campaign_start();
             self.start_campaign(Vote::Pre);
+        } else if self.role == Role::Learner && self.now_ms >= self.election_due_ms {
+            // It may have been removed, and only a replica without a leader finds out.
+            self.leader = None;
         }
     }
 
--- a/crates/coord/tests/common/mod.rs
+++ b/crates/coord/tests/common/mod.rs
@@ -172,6 +172,7 @@
     pub payloads: Payloads,
     /// Index into [`DOMAINS`] for each initial member.
     pub domains: Vec<usize>,
+    pub automatic_promotion: bool,
 }
 
 impl Options {
@@ -188,6 +189,7 @@
             padding: 0,
             payloads: Payloads::default(),
             domains: (0..replicas as usize).collect(),
+            automatic_promotion: true,
         }
     }
 }
@@ -346,6 +348,7 @@
             .election_timeout_ms(ELECTION_TIMEOUT_MS)
             .span_failure_domains(self.options.span_domains)
             .lease_reads(self.options.lease_reads)
+            .automatic_promotion(self.options.automatic_promotion)
             .snapshot_log_bytes(self.options.snapshot_log_bytes)
             .retained_bytes(self.options.retained_bytes)
             .segment_bytes(self.options.segment_bytes)
@@ -521,6 +524,13 @@
         panic!("replica {id} is not a voter at {} ms", self.now);
     }
 
+    /// Returns the members as the leader of a group sees them.
+    pub fn peers(&self, group: GroupId) -> Vec<member::plan::Peer> {
+        let leader = self.leader(group).and_then(|id| self.replicas.get(&id));
+        let host = leader.and_then(|replica| replica.host.as_ref());
+        host.and_then(|host| host.peers(group)).unwrap_or_default()
+    }
+
     pub fn is_voter(&self, group: GroupId, id: u64) -> bool {
         let Some(status) = self.leader(group).and_then(|l| self.status(l, group)) else {
             return false;
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -132,6 +132,11 @@
         /// Identifies the trial; chosen at random by the entry VM.
         ticket: u64,
     },
+    /// A control replica that stops asks to hand its vote over to a spare replica.
+    Resign {
+        /// The name of its VM.
+        node: Name,
+    },
 }
 
 /// The reply to a request.
--- a/programs/gateway/src/control/evacuation.rs
+++ b/programs/gateway/src/control/evacuation.rs
@@ -1,6 +1,6 @@
 //! Evacuation of VMs, ordered by operators.
 
-use std::rc::Rc;
+use std::{collections::BTreeSet, rc::Rc};
 
 use bw_coord::member;
 use bw_relay::{evacuation, ledger, message};
@@ -19,6 +19,7 @@
 fn vms(hub: &Hub) -> Vec<evacuation::Vm> {
     let members = hub.members();
     let evacuated = hub.evacuated.borrow();
+    let resigning = hub.resigning.borrow();
     let sessions = hub.sessions.borrow();
     let own_node: Name = hub.settings().node.as_str().into();
     let address: Name = hub.settings().internal_address().to_string().into();
@@ -34,20 +35,34 @@
                     Some(member) if member.voter => evacuation::Role::Voter,
                     Some(_) => evacuation::Role::Learner,
                 },
-                evacuated: evacuated.contains(&node),
+                evacuated: evacuated.contains(&node) || resigning.contains_key(&node),
                 node,
             }
         })
         .collect()
 }
 
-/// Returns the number of members on VMs whose evacuation was ordered.
-pub(crate) fn leaving_members(hub: &Hub) -> usize {
-    let vms = vms(hub);
-    let leaving = vms
-        .iter()
-        .filter(|vm| vm.evacuated && vm.role != evacuation::Role::Standby);
-    leaving.count()
+/// Returns the addresses of the members that are about to be removed from their VMs.
+pub(crate) fn leaving_addresses(hub: &Hub) -> BTreeSet<Name> {
+    let leaving = vms(hub).into_iter().filter(|vm| vm.evacuated);
+    let own: Name = hub.settings().internal_address().to_string().into();
+    let sessions = hub.sessions.borrow();
+    let addresses = leaving.filter_map(|vm| match *vm.node == *hub.settings().node {
+        true => Some(own.clone()),
+        false => sessions.replica_address(&vm.node),
+    });
+    addresses.collect()
+}
+
+/// Returns the number of voters, those on VMs that are left included.
+fn voters(hub: &Hub) -> usize {
+    hub.members().iter().filter(|member| member.voter).count()
+}
+
+/// Returns the number of voters on VMs that are left.
+fn leaving_voters(vms: &[evacuation::Vm]) -> usize {
+    let leaves = |vm: &&evacuation::Vm| vm.evacuated && vm.role == evacuation::Role::Voter;
+    vms.iter().filter(leaves).count()
 }
 
 /// Returns whether the VM of every member is connected.
@@ -78,7 +93,10 @@
         hub.sessions.borrow().has_worker(&node) || hub.evacuated.borrow().contains(&node);
     let verdict = match accepted {
         true => evacuation::Verdict::Accepted,
-        false => evacuation::decide(&vms, &node, hub.settings().replicas()),
+        false => {
+            let required = member::plan::required_voters(voters(hub), 0);
+            evacuation::decide(&vms, &node, required)
+        }
     };
     log::info!(node = &*node, known = vms.len(), verdict = format!("{verdict:?}").as_str(); "evacuation of a VM ordered");
     match verdict {
@@ -124,11 +142,13 @@
 pub(crate) async fn run(hub: Rc<Hub>) {
     loop {
         tokio::time::sleep(members::JOIN_INTERVAL).await;
-        if !hub.is_leader() || hub.evacuated.borrow().is_empty() {
+        let is_idle = hub.evacuated.borrow().is_empty() && hub.resigning.borrow().is_empty();
+        if !hub.is_leader() || is_idle {
             continue;
         }
         let vms = vms(&hub);
-        let Some(vm) = evacuation::removable(&vms, hub.settings().replicas()) else {
+        let required = member::plan::required_voters(voters(&hub), leaving_voters(&vms));
+        let Some(vm) = evacuation::removable(&vms, required) else {
             continue;
         };
         log::info!(node = &*vm.node; "a replica leaves the VM that is evacuated");
--- a/programs/gateway/src/control/hub/mod.rs
+++ b/programs/gateway/src/control/hub/mod.rs
@@ -60,7 +60,6 @@
     leader: Cell<Option<ReplicaId>>,
     own_id: Cell<Option<ReplicaId>>,
     members: RefCell<Vec<member::Member>>,
-    last_heard_ms: RefCell<HashMap<ReplicaId, u64>>,
     published: RefCell<Option<Arc<ledger::Published>>>,
     pub(crate) routes: RefCell<Rc<route::Table>>,
     pub(crate) dispatch: RefCell<dispatch::Dispatcher>,
@@ -76,6 +75,9 @@
     recorded_suspects: RefCell<BTreeSet<suspect::Fingerprint>>,
     /// VMs whose evacuation was ordered; valid while this replica is the leader.
     pub(crate) evacuated: RefCell<BTreeSet<Name>>,
+    /// VMs whose replicas stop and hand their votes over, with the monotonic time in
+    /// milliseconds until which that is attempted.
+    pub(crate) resigning: RefCell<BTreeMap<Name, u64>>,
     /// VMs that can be evacuated, even while they are disconnected; valid while this
     /// replica is the leader.
     known_vms: RefCell<BTreeSet<Name>>,
@@ -109,7 +111,6 @@
             leader: Cell::new(None),
             own_id: Cell::new(None),
             members: RefCell::default(),
-            last_heard_ms: RefCell::default(),
             published: RefCell::new(None),
             routes: RefCell::default(),
             runs: RefCell::default(),
@@ -119,6 +120,7 @@
             changed_suspects: RefCell::default(),
             recorded_suspects: RefCell::default(),
             evacuated: RefCell::default(),
+            resigning: RefCell::default(),
             known_vms: RefCell::default(),
             throughput: RefCell::new(quota::Throughput::new(quota::Options::default())),
             swept_ms: Cell::new(0),
@@ -205,20 +207,6 @@
             .any(|member| Some(member.replica) == self.own_id.get())
     }
 
-    /// Returns when the last message of a replica arrived. A member without one counts
-    /// from when it was added or this replica became the leader.
-    pub(crate) fn last_heard_ms(&self, replica: ReplicaId) -> u64 {
-        self.last_heard_ms
-            .borrow()
-            .get(&replica)
-            .copied()
-            .unwrap_or(0)
-    }
-
-    pub(crate) fn note_heard(&self, replica: ReplicaId, now_ms: u64) {
-        self.last_heard_ms.borrow_mut().insert(replica, now_ms);
-    }
-
     /// Adds a replica that sends messages of the log, by its address.
     pub(crate) fn add_peer(&self, replica: ReplicaId, address: &str) {
         self.peers.borrow_mut().add(replica, address);
@@ -350,6 +338,7 @@
                 };
                 members::handle_join(self, applicant).await
             }
+            message::Request::Resign { node } => members::handle_resign(self, node).await,
         }
     }
 
@@ -469,11 +458,6 @@
             }
             registry.refresh(now_ms);
         }
-        for member in self.members.borrow().iter() {
-            self.last_heard_ms
-                .borrow_mut()
-                .insert(member.replica, now_ms);
-        }
         if let Some(published) = &leading.published {
             self.set_published(published);
         }
@@ -543,14 +527,8 @@
             replica::Notice::Members { own, members } => {
                 hub.own_id.set(Some(own));
                 hub.peers.borrow_mut().set_members(own, &members);
-                log::info!(own = own.0, members = members.len(); "members changed");
-                let now_ms = clock::monotonic_ms();
-                for member in &members {
-                    hub.last_heard_ms
-                        .borrow_mut()
-                        .entry(member.replica)
-                        .or_insert(now_ms);
-                }
+                let voters = members.iter().filter(|member| member.voter).count();
+                log::info!(own = own.0, members = members.len(), voters = voters; "members changed");
                 *hub.members.borrow_mut() = members;
                 hub.broadcast_members();
             }
--- a/programs/gateway/src/control/members.rs
+++ b/programs/gateway/src/control/members.rs
@@ -1,4 +1,4 @@
-//! Group membership: replicas ask to join, and the leader decides.
+//! Group membership: replicas ask to join, and the leader decides which members vote.
 
 use std::{rc::Rc, time};
 
@@ -10,11 +10,16 @@
 use crate::{
     clock,
     control::{evacuation, hub::Hub, replica},
+    metrics,
 };
 
-/// Silence after which a member may be replaced by a replica that asks to join, in
-/// milliseconds. A restart takes one to two seconds.
-const SILENT_AFTER_MS: u64 = 3_000;
+/// Interval at which the leader looks for members to promote or to remove.
+const PLAN_INTERVAL: time::Duration = time::Duration::from_millis(250);
+/// Interval at which a replica that stops asks whether its vote is handed over.
+const RESIGN_INTERVAL: time::Duration = time::Duration::from_millis(100);
+/// How long the leader tries to hand over the vote of a replica that stops after its last
+/// request, in milliseconds.
+const RESIGN_MS: u64 = 500;
 /// Interval at which a replica that is not a member asks to join.
 pub(crate) const JOIN_INTERVAL: time::Duration = time::Duration::from_millis(500);
 /// Timeout of such a call.
@@ -84,16 +89,9 @@
     if hub.evacuated.borrow().contains(&node) {
         return message::Reply::Standby;
     }
-    // Members on evacuated VMs stay until others have replaced them, so they do not
-    // count towards the limit.
-    if members.len() >= hub.settings().replicas() + evacuation::leaving_members(hub) {
-        let Some(silent) = longest_silent(hub, &members) else {
-            return message::Reply::Standby;
-        };
-        log::warn!(replica = silent.0, by = id.0; "replacing a silent replica");
-        return reply_to_change(
-            change_members(hub, member::Change::Remove { replica: silent }).await,
-        );
+    match peers(hub).await {
+        Some(peers) if member::plan::takes_learner(&peers) => {}
+        _ => return message::Reply::Standby,
     }
     log::info!(replica = id.0, address = &*address; "adding a replica");
     let member = member::Member::learner(id, &*address, &*failure_domain);
@@ -106,14 +104,138 @@
     }
 }
 
-fn longest_silent(hub: &Hub, members: &[member::Member]) -> Option<ReplicaId> {
+/// Returns the members as this leader sees them, `None` if it does not lead any more.
+async fn peers(hub: &Hub) -> Option<Vec<member::plan::Peer>> {
+    let (reply, receiver) = oneshot::channel();
+    hub.send_call(replica::Call::Peers { reply });
+    let mut peers = receiver.await.ok().flatten()?;
+    let leaving = evacuation::leaving_addresses(hub);
+    let members = hub.members();
+    for peer in &mut peers {
+        let member = members.iter().find(|member| member.replica == peer.replica);
+        peer.leaving = member.is_some_and(|member| leaving.contains(member.address.as_str()));
+    }
+    Some(peers)
+}
+
+/// Lets replicas vote, and removes silent ones, as [`member::plan`] says while this
+/// replica leads.
+pub(crate) async fn keep_voters(hub: Rc<Hub>) {
+    loop {
+        tokio::time::sleep(PLAN_INTERVAL).await;
+        if !hub.is_leader() {
+            continue;
+        }
+        expire_resignations(&hub);
+        let Some(peers) = peers(&hub).await else {
+            continue;
+        };
+        count_members(&peers);
+        let Some(change) = member::plan::next(&peers, hub.settings().voters_max()) else {
+            continue;
+        };
+        log_change(&change, &peers);
+        if let Err(refusal) = change_members(&hub, change).await {
+            log::info!("membership change refused: {refusal}");
+        }
+    }
+}
+
+fn count_members(peers: &[member::plan::Peer]) {
+    let counts = [
+        ("voter", count(peers, |peer| peer.voter)),
+        (
+            "silent_voter",
+            count(peers, |peer| peer.voter && peer.is_silent()),
+        ),
+        ("learner", count(peers, |peer| !peer.voter)),
+        ("spare", count(peers, member::plan::Peer::is_spare)),
+    ];
+    for (role, members) in counts {
+        let gauge = metrics::MEMBERS.with_label_values(&[role]);
+        gauge.set(members as i64);
+    }
+}
+
+fn count(peers: &[member::plan::Peer], holds: impl Fn(&member::plan::Peer) -> bool) -> usize {
+    peers.iter().filter(|peer| holds(peer)).count()
+}
+
+/// Logs a change with what decided it.
+fn log_change(change: &member::Change, peers: &[member::plan::Peer]) {
+    let (member::Change::Remove { replica } | member::Change::Promote { replica }) = change else {
+        return;
+    };
+    let Some(peer) = peers.iter().find(|peer| peer.replica == *replica) else {
+        return;
+    };
+    let voters = count(peers, |peer| peer.voter);
+    let spares = count(peers, member::plan::Peer::is_spare);
+    let (level, message) = match (change, peer.voter) {
+        (member::Change::Promote { .. }, _) => (log::Level::Info, "a replica gets a vote"),
+        (_, true) => (log::Level::Warn, "replacing a silent replica"),
+        (_, false) => (
+            log::Level::Warn,
+            "removing a silent replica that does not vote",
+        ),
+    };
+    log::log!(
+        level,
+        replica = replica.0, silent_ms = peer.silent_ms, voters = voters, spares = spares;
+        "{message}"
+    );
+}
+
+fn expire_resignations(hub: &Hub) {
     let now_ms = clock::monotonic_ms();
-    let others = members
+    let mut resigning = hub.resigning.borrow_mut();
+    resigning.retain(|_, until_ms| now_ms < *until_ms);
+}
+
+/// Handles the request of a replica that stops: its vote goes to a spare replica, if
+/// there is one. Otherwise the replica keeps it, as it probably comes back.
+pub(crate) async fn handle_resign(hub: &Hub, node: Name) -> message::Reply {
+    let Some(peers) = peers(hub).await else {
+        return message::Reply::NotLeader;
+    };
+    let address = hub.sessions.borrow().replica_address(&node);
+    let members = hub.members();
+    let member = members
         .iter()
-        .filter(|member| Some(member.replica) != hub.own_replica());
-    let silent = others.map(|member| (hub.last_heard_ms(member.replica), member.replica));
-    let silent = silent.filter(|(heard, _)| now_ms > heard + SILENT_AFTER_MS);
-    silent.min().map(|(_, replica)| replica)
+        .find(|member| address.as_deref() == Some(member.address.as_str()));
+    let Some(member) = member.filter(|member| member.voter) else {
+        return message::Reply::Done;
+    };
+    // Once a spare has got a vote, the number of voters is even.
+    let is_even = count(&peers, |peer| peer.voter).is_multiple_of(2);
+    let has_successor = is_even || peers.iter().any(member::plan::Peer::is_spare);
+    if !has_successor {
+        return message::Reply::TooFew;
+    }
+    let until_ms = clock::monotonic_ms() + RESIGN_MS;
+    let is_new = hub.resigning.borrow_mut().insert(node.clone(), until_ms);
+    if is_new.is_none() {
+        log::info!(node = &*node, replica = member.replica.0; "a replica that stops hands its vote over");
+    }
+    message::Reply::Busy
+}
+
+/// Asks the leader to hand over the vote of this replica, which stops. Returns once that
+/// is done, there is no other replica for it, or the timeout has passed.
+pub(crate) async fn resign(hub: &Hub, timeout: time::Duration) {
+    let asking = async {
+        loop {
+            let node = hub.settings().node.as_str().into();
+            let request = message::Request::Resign { node };
+            match hub.link().call(request, CALL_TIMEOUT).await {
+                message::Reply::Done | message::Reply::TooFew => return,
+                _ => tokio::time::sleep(RESIGN_INTERVAL).await,
+            }
+        }
+    };
+    if tokio::time::timeout(timeout, asking).await.is_err() {
+        log::warn!("stopping while still a voter: no other replica took over the vote in time");
+    }
 }
 
 fn reply_to_change(result: Result<(), host::Refusal>) -> message::Reply {
--- a/programs/gateway/src/control/mod.rs
+++ b/programs/gateway/src/control/mod.rs
@@ -28,6 +28,8 @@
 
 /// How long a stop waits for another replica to become the leader.
 const TRANSFER_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
+/// How long a stop waits for another replica to take over the vote.
+const RESIGN_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 
 /// Runs the control program until a stop signal.
 ///
@@ -86,6 +88,7 @@
     tasks.spawn_local(hub::send_heartbeats(Rc::clone(&hub)));
     tasks.spawn_local(queue::watch(Rc::clone(&hub)));
     tasks.spawn_local(members::join(Rc::clone(&hub)));
+    tasks.spawn_local(members::keep_voters(Rc::clone(&hub)));
     tasks.spawn_local(evacuation::run(Rc::clone(&hub)));
     tasks.spawn_local(sessions::listen(
         Rc::clone(&hub),
@@ -110,6 +113,7 @@
     let exit = tokio::time::Instant::now() + settings.exit_timeout();
     responses.advance(responses::Stage::Stopping);
     hub.transfer_leadership(TRANSFER_TIMEOUT).await;
+    members::resign(&hub, RESIGN_TIMEOUT).await;
     responses.advance(responses::Stage::Closing);
     // The calls need the other tasks.
     if tokio::time::timeout_at(exit, responses.finished())
--- a/programs/gateway/src/control/replica.rs
+++ b/programs/gateway/src/control/replica.rs
@@ -74,6 +74,10 @@
         change: member::Change,
         reply: oneshot::Sender<Result<(), host::Refusal>>,
     },
+    /// Returns the members as the leader sees them; `None` unless this replica leads.
+    Peers {
+        reply: oneshot::Sender<Option<Vec<member::plan::Peer>>>,
+    },
     /// Clears the disk and restarts under a new id, after the replica was removed.
     Reset,
     /// Transfers the leadership to another replica.
@@ -235,6 +239,7 @@
         log::info!(replica = identity.replica.0, founders = identity.members.len(); "opening the log");
         host::Builder::<Edge>::new(identity.replica, identity.members)
             .group(GROUP, ledger::Ledger::default())
+            .automatic_promotion(false)
             .election_timeout_ms(ELECTION_TIMEOUT_MS)
             .snapshot_log_bytes(SNAPSHOT_LOG_BYTES)
             .segment_bytes(SEGMENT_BYTES)
@@ -354,6 +359,10 @@
                     change,
                 });
             }
+            Call::Peers { reply } => {
+                // The caller may have given up.
+                let _ = reply.send(self.host.peers(GROUP));
+            }
             Call::Transfer => inputs.push(host::Input::Transfer { group: GROUP }),
             Call::Reset | Call::Stop => {}
         }
--- a/programs/gateway/src/control/sessions.rs
+++ b/programs/gateway/src/control/sessions.rs
@@ -167,7 +167,6 @@
     let mut next = Some(first);
     loop {
         if let Some(message) = next {
-            hub.note_heard(from, clock::monotonic_ms());
             hub.send_call(replica::Call::Log { from, message });
         }
         next = match reader.next_before_timeout().await {
--- a/programs/gateway/src/metrics.rs
+++ b/programs/gateway/src/metrics.rs
@@ -94,6 +94,16 @@
     )
 });
 
+/// Members of the group of control replicas as the leader sees them, by their role. The
+/// group bears as many further losses as living voters exceed half of all voters.
+pub static MEMBERS: LazyLock<prometheus::IntGaugeVec> = LazyLock::new(|| {
+    metrics::gauge(
+        "bw_gateway_members",
+        "Members of the group of control replicas, by role.",
+        &["role"],
+    )
+});
+
 /// Suspected items whose trial is pending or under way.
 pub static SUSPECT_ITEMS: LazyLock<prometheus::IntGauge> = LazyLock::new(|| {
     metrics::plain_gauge(
--- a/programs/gateway/src/settings.rs
+++ b/programs/gateway/src/settings.rs
@@ -12,6 +12,9 @@
 
 /// Default of [`Settings::tolerated_losses`].
 const TOLERATED_LOSSES: usize = 2;
+/// Size up to which the group grows whatever losses are to be tolerated. Two VMs of five
+/// may restart at once.
+const VOTERS_MIN: usize = 5;
 
 /// The content of a settings file; all three programs read the same format.
 #[derive(Clone, Debug, Deserialize)]
@@ -45,8 +48,8 @@
     /// The folder of durable data; control program only.
     #[serde(default)]
     pub data: Option<path::PathBuf>,
-    /// The number of replicas that may fail at once without an outage; control
-    /// program only.
+    /// The number of replicas that may fail at once without an outage, if there are VMs
+    /// enough; control program only. It limits the growth of the group.
     #[serde(default = "tolerated_losses")]
     pub tolerated_losses: usize,
     /// Interval between the announcements of a backend server, in milliseconds.
@@ -77,10 +80,10 @@
 }
 
 impl Settings {
-    /// Returns the number of replicas in the group, of which a majority is left
-    /// after the tolerated losses.
-    pub fn replicas(&self) -> usize {
-        2 * self.tolerated_losses + 1
+    /// Returns the largest number of replicas that vote. A majority of them is left after
+    /// the tolerated losses.
+    pub fn voters_max(&self) -> usize {
+        (2 * self.tolerated_losses + 1).max(VOTERS_MIN)
     }
 
     /// Returns the port for connections between the programs, 0 if none is set.
