bw-control: Remove a silent replica before its replacement votes

Cause: the command added the new replica, waited for its vote and only then removed the lost one, and the work groups followed in the same order. In between the group has four voters, one of them lost for good, so that the new one counts as a second loss.

Change: if the leader has not heard the lost replica for 3 s, it is removed first, in group 0 by the command and in the work groups by their leaders. A replica that answers is still removed last. `status` says which members the leader does not hear (`silent`).

--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -139,6 +139,9 @@
     pub leader: Option<u64>,
     /// The members.
     pub members: Vec<member::Member>,
+    /// The ids of members that the leader has not heard for 3 s; empty on other replicas.
+    #[serde(default)]
+    pub silent: Vec<u64>,
 }
 
 /// The state of an entry VM.
--- a/programs/bilberry/src/control.rs
+++ b/programs/bilberry/src/control.rs
@@ -86,6 +86,14 @@
 
 async fn replace(session: &output::Session, args: &args::Replace) -> Result<(), exit::Failure> {
     let client = session.control()?;
+    let remove = member::Change::Remove { replica: args.lost };
+    // While a silent replica still votes, the new one would count as a second loss if it
+    // was lost in its turn. A replica that still answers goes last instead, so that no
+    // vote is missing meanwhile.
+    if is_silent(session, args.lost).await? {
+        client.members(&remove).await?;
+        session.progress(&format!("replica {} is silent and removed", args.lost));
+    }
     let member = learner(args.replica, &args.address, &args.failure_domain);
     client.members(&member::Change::Add(member)).await?;
     session.progress(&format!("replica {} is added and catches up", args.replica));
@@ -93,8 +101,8 @@
     while !votes(session, args.replica).await? {
         if start.elapsed() > CATCH_UP_WAIT {
             let message = format!(
-                "replica {} has not caught up; replica {} is still a member. \
-                 Run the command again when it has",
+                "replica {} has not caught up. Run the command again when it has, \
+                 so that replica {} is removed if it is still a member",
                 args.replica, args.lost
             );
             return Err(exit::Failure::failed(message));
@@ -102,11 +110,17 @@
         tokio::time::sleep(CATCH_UP_PAUSE).await;
     }
     session.progress(&format!("replica {} votes", args.replica));
-    let remove = member::Change::Remove { replica: args.lost };
     let members = client.members(&remove).await?;
     print_members(session, &members)
 }
 
+/// Returns whether the leader of group 0 does not hear a replica.
+async fn is_silent(session: &output::Session, replica: u64) -> Result<bool, exit::Failure> {
+    let polled = session.statuses().await?;
+    let group = leading(&polled).find(|group| group.group == 0);
+    Ok(group.is_some_and(|group| group.silent.contains(&replica)))
+}
+
 /// Whether a replica votes in every group.
 async fn votes(session: &output::Session, replica: u64) -> Result<bool, exit::Failure> {
     let polled = session.statuses().await?;
--- a/programs/control/src/core/members.rs
+++ b/programs/control/src/core/members.rs
@@ -3,7 +3,7 @@
 
 use std::{collections, mem};
 
-use bw_coord::{GroupId, ReplicaId, host, member as coord_member, node};
+use bw_coord::{GroupId, ReplicaId, host, member as coord_member};
 use bw_wire::member;
 
 use crate::{
@@ -134,29 +134,34 @@
 
     fn next_change(&self, now_ms: u64, group: GroupId) -> Option<coord_member::Change> {
         let status = self.parts.host.status(group)?;
-        if status.role != node::Role::Leader {
-            return None;
-        }
+        let peers = self.parts.host.peers(group)?;
         let membership = &self.membership;
         let wanted = &membership.members;
+        let is_stable = now_ms >= membership.since_ms + REMOVE_AFTER_MS;
+        let surplus = peers.iter().filter(|peer| {
+            let replica = peer.replica;
+            !contains(wanted, replica) && (is_stable || membership.known.contains(&replica))
+        });
+        // A silent replica that still votes when its replacement does counts as a second
+        // loss as soon as the replacement is lost.
+        let surplus = surplus.max_by_key(|peer| peer.silent_ms);
+        let remove = |peer: &coord_member::plan::Peer| coord_member::Change::Remove {
+            replica: peer.replica,
+        };
+        if let Some(silent) = surplus.filter(|peer| peer.is_silent()) {
+            return Some(remove(silent));
+        }
         let missing = wanted
             .iter()
             .find(|member| !contains(&status.members, member.replica));
         if let Some(member) = missing {
             return Some(coord_member::Change::Add(member.clone()));
         }
-        // A removal waits until the replacement is a voter.
-        if status.members.iter().any(|member| !member.voter) {
+        // The removal of a living replica waits until its replacement is a voter.
+        if peers.iter().any(|peer| !peer.voter) {
             return None;
         }
-        let is_stable = now_ms >= membership.since_ms + REMOVE_AFTER_MS;
-        let surplus = status.members.iter().find(|member| {
-            let replica = member.replica;
-            !contains(wanted, replica) && (is_stable || membership.known.contains(&replica))
-        })?;
-        Some(coord_member::Change::Remove {
-            replica: surplus.replica,
-        })
+        surplus.map(remove)
     }
 }
 
--- a/programs/control/src/core/mod.rs
+++ b/programs/control/src/core/mod.rs
@@ -382,6 +382,8 @@
 
     fn group_status(&self, group: u32) -> Option<rpc::GroupStatus> {
         let status = self.parts.host.status(GroupId(group))?;
+        let peers = self.parts.host.peers(GroupId(group)).unwrap_or_default();
+        let silent = peers.iter().filter(|peer| peer.is_silent());
         Some(rpc::GroupStatus {
             group,
             role: status.role.to_string(),
@@ -390,6 +392,7 @@
             applied: status.applied,
             leader: status.leader.map(|leader| leader.0),
             members: status.members.iter().map(members::to_wire).collect(),
+            silent: silent.map(|peer| peer.replica.0).collect(),
         })
     }
 
--- a/programs/dev/tests/control_failures.rs
+++ b/programs/dev/tests/control_failures.rs
@@ -2,7 +2,11 @@
 
 mod fleet;
 
-use std::{fs, time};
+use std::{
+    fs,
+    io::{self, BufRead},
+    process, time,
+};
 
 use bw_wire::member;
 
@@ -59,6 +63,54 @@
     assert_eq!(job["request_counts"]["completed"], 3, "{job}");
 }
 
+/// Guards against a replacement that votes beside the lost replica: after the command was
+/// interrupted, its loss would leave no majority.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_interrupted_replacement_that_is_lost_costs_no_majority() {
+    let mut fleet = fleet::Builder::default().start().await;
+    fleet.controls[2].take().expect("replica").kill();
+    fleet
+        .until("the lost replica is silent", || async {
+            for index in 0..2 {
+                for group in 0..=2 {
+                    let state = fleet.group(index, group).await;
+                    if state.is_none_or(|state| state.role == "leader" && state.silent != [3]) {
+                        return false;
+                    }
+                }
+            }
+            true
+        })
+        .await;
+    fleet.start_replacement(2, 4);
+    let controls: Vec<String> = (0..3).map(|index| fleet.control_address(index)).collect();
+    let mut command = process::Command::new(fleet::process::binary("bilberry"))
+        .args(["--control", &controls.join(",")])
+        .args(["control", "replace", "--lost", "3", "--replica", "4"])
+        .args(["--address", &fleet.control_address(2)])
+        .args(["--failure-domain", &fleet::settings::failure_domain(2)])
+        .stderr(process::Stdio::piped())
+        .spawn()
+        .expect("bilberry runs");
+    let progress = io::BufReader::new(command.stderr.take().expect("a pipe"));
+    let mut progress = progress.lines().map_while(Result::ok);
+    let is_added = progress.any(|line| line.contains("catches up"));
+    command.kill().expect("own child");
+    command.wait().expect("own child");
+    assert!(is_added, "{}", fleet.logs());
+    wait_until_votes(&fleet, 4).await;
+    fleet.controls[2].take().expect("replica").kill();
+
+    let address = fleet.entry_address(0);
+    let job = fleet
+        .submit(&address, &fleet::batch_lines(3, 2), None)
+        .await;
+    let job = fleet
+        .ended(&address, job["id"].as_str().expect("job id"))
+        .await;
+    assert_eq!(job["request_counts"]["completed"], 3, "{job}");
+}
+
 /// Guards against a foreign process on a control port that harms the replica.
 #[tokio::test(flavor = "multi_thread")]
 async fn garbage_on_a_control_port_harms_nothing() {
