control: Notice a freeze right after the start of a leader

Callers were refused (503, no_backend) after a leader had been frozen for 8 s: it marked all backend servers as silent, although it was the one that had not listened. Found as a test that failed on this machine.

Cause: the leader notices its own freeze by the time since it last looked for silent backend servers, every 20 ms, and a new leader had not looked yet. In the log of the failed test it was frozen 11 ms after `leading`.

Change: becoming the leader counts as a look.

Tests: `entries_survive_a_freeze_right_after_the_start_of_a_leader` failed before.

--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -265,8 +265,10 @@
     }
 
     /// Treats every backend server as if it announced itself now. A new leader does so,
-    /// as it did not receive the announcements before.
+    /// as it did not receive the announcements before. It may be frozen before its first
+    /// call of [`Registry::expire`].
     pub fn refresh(&mut self, now_ms: u64) {
+        self.checked_ms = Some(now_ms);
         for backend in self.backends.values_mut() {
             backend.last_seen_ms = now_ms;
         }
--- a/crates/relay/tests/registry.rs
+++ b/crates/relay/tests/registry.rs
@@ -86,6 +86,17 @@
     assert_eq!(state(&registry, "x"), State::Ready);
 }
 
+/// Guards against a new leader that is frozen before it looks for silent backend servers
+/// for the first time, and then marks all of them as silent.
+#[test]
+fn entries_survive_a_freeze_right_after_the_start_of_a_leader() {
+    let mut registry = Registry::default();
+    registry.announce(announcement("x", 10, 1, State::Ready), 0);
+    registry.refresh(1_000);
+    assert!(registry.expire(9_000, 5_000).is_empty());
+    assert_eq!(state(&registry, "x"), State::Ready);
+}
+
 /// Guards against a leader that was frozen and marks all backend servers as silent, as
 /// it received no announcements meanwhile.
 #[test]
