--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -128,6 +128,28 @@
     pub last_seen_ms: u64,
 }
 
+/// What is known of one start of a backend server.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Sign {
+    /// The id of the backend server.
+    pub id: Name,
+    /// When it started, in Unix milliseconds.
+    pub started_ms: u64,
+    /// What is known.
+    pub kind: Kind,
+}
+
+/// Whether a backend server runs on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// It has ended.
+    Ended,
+    /// Its announcements have stopped.
+    Silent,
+    /// It announced itself.
+    Alive,
+}
+
 /// The effect of an announcement.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
@@ -169,6 +191,36 @@
         })
     }
 
+    /// Returns what an announcement that is not applied yet shows of starts of backend
+    /// servers: an earlier one under the same id has ended, and so have earlier ones at the
+    /// same address; its own start was alive if its state changed, or is silent.
+    pub fn signs(&self, announcement: &Announcement) -> Vec<Sign> {
+        let sign = |of: &Announcement, kind| Sign {
+            id: of.id.clone(),
+            started_ms: of.started_ms,
+            kind,
+        };
+        let known = self.backends.values().map(|backend| &backend.announcement);
+        let ended = known.filter(|known| {
+            known.started_ms < announcement.started_ms
+                && (known.id == announcement.id || known.shares_address(announcement))
+        });
+        let mut signs: Vec<Sign> = ended.map(|ended| sign(ended, Kind::Ended)).collect();
+        let known = self.get(&announcement.id);
+        let is_changed = known.is_some_and(|known| {
+            let known = &known.announcement;
+            known.started_ms == announcement.started_ms && known.state != announcement.state
+        });
+        if is_changed {
+            let kind = match announcement.state {
+                State::Silent => Kind::Silent,
+                State::Ready | State::Leaving => Kind::Alive,
+            };
+            signs.push(sign(announcement, kind));
+        }
+        signs
+    }
+
     /// Applies an announcement that came from the backend server or from another
     /// process.
     ///
--- a/crates/suspect/src/lib.rs
+++ b/crates/suspect/src/lib.rs
@@ -1,7 +1,8 @@
 //! Detection of what crashes backend servers: whole requests, and parts of prompts.
 //!
-//! A request whose backend server breaks the connection gets a strike for that crash, and
-//! so does each part of its prompt but the last, which belongs to the request alone.
+//! A request gets a strike if its backend server breaks the connection, or ends in another
+//! way before the answer is complete (see [`unsettled`]). So does each part of its prompt
+//! but the last, which belongs to the request alone.
 //! Requests are known by a fingerprint of their content, as callers retry them under
 //! other ids and through other entry VMs. A request is refused for a culprit that explains
 //! the crashes; see [`culprit`].
@@ -29,6 +30,7 @@
 mod request;
 mod run;
 mod timeline;
+pub mod unsettled;
 
 use std::{
     borrow::Cow,
@@ -296,6 +298,18 @@
 /// The lowest rank of a suspect that can be a culprit.
 const LEAST_HEAVY: Rank = (culprit::REFUSE_AT, 0, Fingerprint(0));
 
+/// The last crash of a backend server.
+#[derive(Clone, Copy, Debug)]
+struct Last {
+    /// See [`Crash::number`].
+    number: u32,
+    /// When this process learned of it, in monotonic milliseconds.
+    at_ms: u64,
+    /// Whether the backend server is taken to have ended with it, so that connections that
+    /// break now show nothing new.
+    is_end: bool,
+}
+
 /// The suspects that one process knows, with their strikes.
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
@@ -303,9 +317,8 @@
     /// The records in the order in which they are dropped.
     order: BTreeSet<Rank>,
     created: u64,
-    /// The last crash of each backend server, by its number, with the monotonic time at
-    /// which this process learned of it.
-    incarnations: HashMap<Incarnation, (u32, u64)>,
+    /// The last crash of each backend server.
+    incarnations: HashMap<Incarnation, Last>,
     /// When this process learned of each crash, under whichever request, in monotonic
     /// milliseconds. Evidence of a crash that is long cleared may come late.
     crashes: HashMap<Crash, u64>,
@@ -461,6 +474,55 @@
         now_ms: u64,
     ) -> Vec<Evidence> {
         let crash = self.crash(incarnation, now_ms);
+        self.strike(request, crash, run, now_ms)
+    }
+
+    /// Adds a strike against a request and its parts, as an incarnation of a backend
+    /// server has ended after the process had dropped the run at `ended_ms`. It counts once
+    /// with the strikes of others for its end. Returns the strike, and what is known now
+    /// where it changed, for the other processes.
+    pub fn request_lost(
+        &mut self,
+        request: &Request,
+        incarnation: Incarnation,
+        run: Run,
+        ended_ms: u64,
+    ) -> (Crash, Vec<Evidence>) {
+        let last = self.incarnations.entry(incarnation).or_insert(Last {
+            number: 0,
+            at_ms: ended_ms,
+            is_end: true,
+        });
+        last.is_end = true;
+        let crash = Crash {
+            incarnation,
+            number: last.number,
+        };
+        (crash, self.strike(request, crash, run, ended_ms))
+    }
+
+    /// Withdraws a strike against a request and its parts, as the backend server goes on.
+    /// Returns what is known now where it changed, for the other processes.
+    pub fn withdraw(&mut self, request: &Request, crash: Crash, now_ms: u64) -> Vec<Evidence> {
+        if let Some(last) = self.incarnations.get_mut(&crash.incarnation) {
+            last.is_end = false;
+        }
+        let subjects = request.subjects().filter_map(|subject| {
+            let record = self.records.get(&subject)?;
+            if !record.evidence.crashes.contains(&crash) {
+                return None;
+            }
+            let mut evidence = record.evidence.clone();
+            evidence.clear(|known| *known == crash);
+            self.merge(&evidence, now_ms)
+                .then(|| self.evidence(subject))
+        });
+        subjects.collect()
+    }
+
+    /// Adds a strike for a crash that this process knows of since a monotonic time in
+    /// milliseconds.
+    fn strike(&mut self, request: &Request, crash: Crash, run: Run, now_ms: u64) -> Vec<Evidence> {
         let age = run.age(now_ms);
         let parts = request.parts().len();
         let subjects = request.subjects().enumerate();
@@ -654,28 +716,35 @@
                     self.culprits = None;
                 }
             }
-            let last = self.incarnations.entry(crash.incarnation);
-            let last = last.or_insert((crash.number, now_ms));
-            if crash.number > last.0 {
-                *last = (crash.number, now_ms);
+            let known = Last {
+                number: crash.number,
+                at_ms: now_ms,
+                is_end: false,
+            };
+            let last = self.incarnations.entry(crash.incarnation).or_insert(known);
+            if crash.number > last.number {
+                *last = known;
             }
         }
         drop_oldest(&mut self.crashes, INCARNATIONS_MAX, |at_ms| *at_ms);
-        drop_oldest(&mut self.incarnations, INCARNATIONS_MAX, |(_, at_ms)| {
-            *at_ms
-        });
+        drop_oldest(&mut self.incarnations, INCARNATIONS_MAX, |last| last.at_ms);
     }
 
     /// Returns the crash of an incarnation that this process sees now.
     fn crash(&mut self, incarnation: Incarnation, now_ms: u64) -> Crash {
         let last = self.incarnations.get(&incarnation).copied();
         let number = match last {
-            Some((number, at_ms)) if now_ms < at_ms + SAME_CRASH_MS => number,
-            Some((number, _)) => number + 1,
+            Some(last) if last.is_end || now_ms < last.at_ms + SAME_CRASH_MS => last.number,
+            Some(last) => last.number + 1,
             None => 0,
         };
-        if last.is_none_or(|(last, _)| last < number) {
-            self.incarnations.insert(incarnation, (number, now_ms));
+        if last.is_none_or(|last| last.number < number) {
+            let last = Last {
+                number,
+                at_ms: now_ms,
+                is_end: false,
+            };
+            self.incarnations.insert(incarnation, last);
         }
         Crash {
             incarnation,
--- a/programs/dev/tests/control_failures.rs
+++ b/programs/dev/tests/control_failures.rs
@@ -88,7 +88,7 @@
         .args(["--control", &controls.join(",")])
         .args(["control", "replace", "--lost", "3", "--replica", "4"])
         .args(["--address", &fleet.control_address(2)])
-        .args(["--failure-domain", &fleet::settings::failure_domain(2)])
+        .args(["--failure-domain", fleet::settings::failure_domain(2)])
         .stderr(process::Stdio::piped())
         .spawn()
         .expect("bilberry runs");
--- a/programs/gateway/src/control/hub/backends.rs
+++ b/programs/gateway/src/control/hub/backends.rs
@@ -2,14 +2,14 @@
 
 use std::rc::Rc;
 
-use bw_relay::{dispatch, ledger, load, message, registry};
+use bw_relay::{dispatch, ledger, load, message, registry, suspect};
 use bw_wire::name::Name;
 use tokio::sync::oneshot;
 
 use super::{Hub, refusal};
 use crate::{
     clock,
-    control::{replica, runner},
+    control::{item, replica, runner},
 };
 
 /// Announcements that a backend server may miss before it expires. One may arrive
@@ -74,7 +74,8 @@
             return message::Reply::Invalid;
         }
         let leaving = announcement.state == registry::State::Leaving;
-        let id = announcement.id.clone();
+        let (id, started_ms) = (announcement.id.clone(), announcement.started_ms);
+        item::note_announcement(self, &announcement);
         let outcome = self
             .registry
             .borrow_mut()
@@ -82,6 +83,7 @@
         if outcome == registry::Outcome::Stale {
             return message::Reply::Stale;
         }
+        item::note_call(self, &id, started_ms);
         if outcome == registry::Outcome::Changed {
             self.broadcast_backend(&id);
         }
@@ -130,6 +132,7 @@
 
     pub(super) async fn leave(&self, id: &str, started_ms: u64) -> message::Reply {
         let now_ms = clock::monotonic_ms();
+        item::note_call(self, id, started_ms);
         let left = self.registry.borrow_mut().leave(id, started_ms, now_ms);
         if let Some(announcement) = left {
             self.broadcast_backend(&announcement.id);
@@ -241,6 +244,8 @@
         let now_ms = clock::monotonic_ms();
         let silent = self.registry.borrow_mut().expire(now_ms, silent_ms);
         for announcement in silent {
+            let incarnation = suspect::Incarnation::new(&announcement.id, announcement.started_ms);
+            item::note_lost(self, incarnation, "silent");
             self.broadcast_backend(&announcement.id);
         }
     }
--- a/programs/gateway/src/control/hub/mod.rs
+++ b/programs/gateway/src/control/hub/mod.rs
@@ -51,7 +51,7 @@
     pub(crate) sessions: RefCell<sessions::Sessions>,
     loads: RefCell<load::Publisher>,
     peers: RefCell<peers::Peers>,
-    registry: RefCell<registry::Registry>,
+    pub(crate) registry: RefCell<registry::Registry>,
     leading_term: Cell<Option<u64>>,
     /// Notified whenever the result of [`Hub::welcome`] may have changed.
     leadership_changed: watch::Sender<()>,
@@ -67,6 +67,10 @@
     result_waiters: RefCell<HashMap<Name, Rc<Notify>>>,
     health: RefCell<health::Health>,
     pub(crate) suspects: RefCell<suspect::Suspects>,
+    /// Runs of items of which it is not known yet what they show; of this leader only.
+    pub(crate) unsettled: RefCell<suspect::unsettled::Runs<item::Held>>,
+    /// Backend servers that are being checked, as they fell silent.
+    pub(crate) checked: RefCell<BTreeSet<suspect::Incarnation>>,
     /// Until when no trial of a suspect is asked for, in monotonic milliseconds.
     trial_waits: RefCell<BTreeMap<suspect::Fingerprint, u64>>,
     /// Suspects that changed since the last broadcast.
@@ -116,6 +120,8 @@
             runs: RefCell::default(),
             result_waiters: RefCell::default(),
             suspects: RefCell::default(),
+            unsettled: RefCell::default(),
+            checked: RefCell::default(),
             trial_waits: RefCell::default(),
             changed_suspects: RefCell::default(),
             recorded_suspects: RefCell::default(),
@@ -438,6 +444,7 @@
             self.sessions.borrow_mut().close();
             *self.loads.borrow_mut() = load::Publisher::default();
             self.runs.borrow_mut().stop_all();
+            *self.unsettled.borrow_mut() = suspect::unsettled::Runs::default();
             *self.dispatch.borrow_mut() = dispatch::Dispatcher::new(self.settings().dispatch);
         }
     }
@@ -581,6 +588,7 @@
             continue;
         }
         hub.expire_silent();
+        item::expire(&hub);
         hub.sweep();
         runner::plan(&hub);
         let loads = hub.loads();
--- a/programs/gateway/src/control/hub/suspects.rs
+++ b/programs/gateway/src/control/hub/suspects.rs
@@ -4,6 +4,7 @@
     ledger, message, registry, suspect,
     suspect::{part, trial},
 };
+use bw_wire::name::Name;
 use tokio::sync::oneshot;
 
 use super::{Hub, refusal};
@@ -77,6 +78,14 @@
         backend.map_or(0, |backend| backend.announcement.started_ms)
     }
 
+    /// Returns the address of a backend server, if it is known.
+    pub(crate) fn backend_address(&self, id: &str) -> Option<Name> {
+        let registry = self.registry.borrow();
+        registry
+            .get(id)
+            .map(|backend| backend.announcement.address.clone())
+    }
+
     /// Removes and returns what has to be broadcast. The crash of a failure domain
     /// changes thousands of suspects at once, which single messages would not carry to
     /// hundreds of sessions.
--- a/programs/gateway/src/control/item.rs
+++ b/programs/gateway/src/control/item.rs
@@ -3,22 +3,33 @@
 //! The parts are judged together with those of callers' requests. The content of an item
 //! is not: the dispatch runs an item that crashes backend servers as a trial.
 
-use std::rc::Rc;
+use std::{
+    cell::{Cell, RefCell},
+    net,
+    rc::Rc,
+};
 
-use bw_relay::{dispatch, message, suspect, suspect::trial};
+use bw_relay::{
+    dispatch, message, registry, suspect,
+    suspect::{trial, unsettled},
+};
 use bw_wire::name::Name;
 
 use crate::{
-    clock,
+    check, clock,
     control::{
         hub::{Hub, suspects},
         runner::Ended,
     },
+    upstream,
 };
 
 /// Time after which an item asks for a trial again if the group did not decide, in
 /// milliseconds.
 const NO_VERDICT_RETRY_MS: u64 = 200;
+/// Age of an announcement up to which it may have been sent before its backend server
+/// ended, in intervals between announcements.
+const TRANSIT_ANNOUNCEMENTS: u64 = 2;
 
 /// Returns what an item with these headers can be suspected for.
 pub(super) fn judge(hub: &Hub, headers: &[(Name, Name)]) -> suspect::Request {
@@ -49,6 +60,10 @@
     backend: Name,
     incarnation: suspect::Incarnation,
     sent_ms: u64,
+    /// Whether the run may have reached the backend server.
+    is_sent: Cell<bool>,
+    /// Whether its answer was complete.
+    is_answered: Cell<bool>,
 }
 
 impl Subject {
@@ -66,6 +81,49 @@
                 hub.backend_started_ms(&start.server),
             ),
             sent_ms: clock::monotonic_ms(),
+            is_sent: Cell::new(false),
+            is_answered: Cell::new(false),
+        }
+    }
+
+    /// Notes that the run is sent.
+    pub(super) fn sent(&self) {
+        self.is_sent.set(true);
+    }
+
+    /// Returns whether it is not known yet what the run shows.
+    pub(super) fn is_unsettled(&self, ended: &Ended) -> bool {
+        let is_open = match ended {
+            // One that ends with its connection may have crashed its backend server.
+            Ended::Completed => !self.is_answered.get(),
+            Ended::Stopped | Ended::Broken | Ended::Silent | Ended::Crowded => true,
+            Ended::Disconnected
+            | Ended::Refused(_)
+            | Ended::Failed
+            | Ended::Impossible
+            | Ended::NotRun => false,
+        };
+        is_open && self.is_sent.get()
+    }
+
+    /// Notes that the backend server has responded to the run.
+    pub(super) fn note_response(&self, hub: &Hub) {
+        note_alive(hub, self.incarnation, self.sent_ms);
+    }
+
+    /// Notes what a send without a response shows of the start of the backend server.
+    pub(super) fn note_failure(&self, hub: &Hub, failure: upstream::Failure) {
+        match failure {
+            upstream::Failure::Refused => note_ended(hub, self.incarnation, "refused"),
+            upstream::Failure::OtherBackend => note_ended(hub, self.incarnation, "replaced"),
+            upstream::Failure::Unreachable => note_lost(hub, self.incarnation, "unreachable"),
+            upstream::Failure::Full => self.note_response(hub),
+            upstream::Failure::Connect
+            | upstream::Failure::Broken
+            | upstream::Failure::Timeout
+            | upstream::Failure::CrossedAnswer
+            | upstream::Failure::ForeignAnswer
+            | upstream::Failure::Endless => {}
         }
     }
 
@@ -116,17 +174,55 @@
             self.run(written_ms),
             now_ms,
         );
+        self.log_strike(&changed, written_ms, "broken");
+        hub.publish_evidence(changed);
+        note_lost(hub, self.incarnation, "broken");
+    }
+
+    /// Adds a strike for a run that ended before it was known that the backend server had.
+    fn note_lost(&self, hub: &Hub, run: &unsettled::Run<Held>, sign: &str) -> suspect::Crash {
+        let (crash, changed) = hub.suspects.borrow_mut().request_lost(
+            &self.request,
+            self.incarnation,
+            run.run,
+            run.ended_ms,
+        );
+        if !changed.is_empty() {
+            self.log_strike(&changed, run.run.written_ms, sign);
+        }
+        hub.publish_evidence(changed);
+        crash
+    }
+
+    /// Logs a strike and the sign that it rests on.
+    fn log_strike(&self, changed: &[suspect::Evidence], written_ms: u64, sign: &str) {
         let strikes = changed.iter().map(suspect::Evidence::strikes).max();
         log::warn!(
             request = &*self.id, parts = self.parts.as_str(), backend = &*self.backend,
-            part_strikes = strikes.unwrap_or(0), written_ms = written_ms;
+            part_strikes = strikes.unwrap_or(0), written_ms = written_ms, sign = sign;
             "item broke off, its parts are suspected of crashing backend servers"
         );
+    }
+
+    /// Withdraws a strike, as the backend server goes on.
+    fn withdraw(&self, hub: &Hub, crash: suspect::Crash) {
+        let now_ms = clock::monotonic_ms();
+        let changed = hub
+            .suspects
+            .borrow_mut()
+            .withdraw(&self.request, crash, now_ms);
+        if !changed.is_empty() {
+            log::info!(
+                request = &*self.id, parts = self.parts.as_str(), backend = &*self.backend;
+                "backend server of an item goes on, strike withdrawn"
+            );
+        }
         hub.publish_evidence(changed);
     }
 
     /// Clears the parts of an item that was completed.
     pub(super) fn note_answered(&self, hub: &Hub) {
+        self.is_answered.set(true);
         let now_ms = clock::monotonic_ms();
         let changed =
             hub.suspects
@@ -143,6 +239,140 @@
     }
 }
 
+/// A run of an item that is kept until it is known what became of its backend server.
+pub(crate) struct Held {
+    subject: Rc<Subject>,
+    /// The permission for a trial, which has not been reported as ended.
+    permit: RefCell<Option<Permit>>,
+}
+
+/// Keeps a run that ended without a complete answer, or whose answer ended with its
+/// connection. `ended` says how.
+pub(super) fn hold(
+    hub: &Rc<Hub>,
+    subject: &Rc<Subject>,
+    permit: Option<Permit>,
+    written_ms: u64,
+    ended: &Ended,
+) {
+    let held = Held {
+        subject: Rc::clone(subject),
+        permit: RefCell::new(permit),
+    };
+    let succeeded = matches!(ended, Ended::Completed).then_some(true);
+    let run = unsettled::Run::new(
+        held,
+        subject.incarnation,
+        subject.run(written_ms),
+        clock::monotonic_ms(),
+        succeeded,
+    );
+    hub.unsettled.borrow_mut().add(run);
+    if matches!(ended, Ended::Silent | Ended::Crowded) {
+        check(hub, subject);
+    }
+}
+
+/// Connects to a backend server that fell silent. One that does not respond has probably
+/// ended.
+fn check(hub: &Rc<Hub>, subject: &Subject) {
+    let address = hub.backend_address(&subject.backend);
+    let Some(address) = address.and_then(|address| address.parse::<net::SocketAddr>().ok()) else {
+        return;
+    };
+    let (backend, incarnation) = (subject.backend.clone(), subject.incarnation);
+    if !hub.checked.borrow_mut().insert(incarnation) {
+        return;
+    }
+    let task_hub = Rc::clone(hub);
+    hub.runs.borrow_mut().spawn(async move {
+        let outcome = check::connect(&task_hub.pool, &backend, address).await;
+        task_hub.checked.borrow_mut().remove(&incarnation);
+        match outcome {
+            check::Outcome::Refused => note_ended(&task_hub, incarnation, outcome.name()),
+            // A leader that is cut off is none any more after an election timeout.
+            check::Outcome::Unreachable if task_hub.is_leader() => {
+                note_lost(&task_hub, incarnation, outcome.name());
+            }
+            check::Outcome::Connected | check::Outcome::Unreachable | check::Outcome::Unknown => {}
+        }
+    });
+}
+
+/// Notes what an announcement, which is not applied yet, shows of the starts of backend
+/// servers under which runs of items have ended.
+pub(crate) fn note_announcement(hub: &Hub, announcement: &registry::Announcement) {
+    if hub.unsettled.borrow().is_empty() {
+        return;
+    }
+    let signs = hub.registry.borrow().signs(announcement);
+    for sign in signs {
+        let incarnation = suspect::Incarnation::new(&sign.id, sign.started_ms);
+        match sign.kind {
+            registry::Kind::Ended => note_ended(hub, incarnation, "replaced"),
+            registry::Kind::Silent => note_lost(hub, incarnation, "silent"),
+            registry::Kind::Alive => note_alive(hub, incarnation, clock::monotonic_ms()),
+        }
+    }
+}
+
+/// Notes a call of a backend server, which announces itself or leaves. One call may have
+/// been under way when a run ended, two hardly.
+pub(crate) fn note_call(hub: &Hub, id: &str, started_ms: u64) {
+    let incarnation = suspect::Incarnation::new(id, started_ms);
+    let transit_ms = TRANSIT_ANNOUNCEMENTS * hub.settings().announce_ms;
+    let at_ms = clock::monotonic_ms().saturating_sub(transit_ms);
+    note_alive(hub, incarnation, at_ms);
+}
+
+/// Adds strikes against the items whose runs are kept of a start of a backend server that
+/// has ended.
+fn note_ended(hub: &Hub, incarnation: suspect::Incarnation, sign: &str) {
+    let ended = hub.unsettled.borrow_mut().ended(incarnation);
+    for run in &ended {
+        run.subject.subject.note_lost(hub, run, sign);
+    }
+}
+
+/// Adds strikes like [`note_ended`] for a sign that leaves a doubt.
+pub(crate) fn note_lost(hub: &Hub, incarnation: suspect::Incarnation, sign: &str) {
+    let mut unsettled = hub.unsettled.borrow_mut();
+    unsettled.presume_ended(incarnation, |run| {
+        run.subject.permit.borrow_mut().take();
+        run.subject.subject.note_lost(hub, run, sign)
+    });
+}
+
+/// Notes a sign of life of a backend server, given at a monotonic time in milliseconds.
+fn note_alive(hub: &Hub, incarnation: suspect::Incarnation, at_ms: u64) {
+    let runs = hub.unsettled.borrow_mut().heard(incarnation, at_ms);
+    for run in runs {
+        let held = &run.subject;
+        if let Some(crash) = run.strike() {
+            held.subject.withdraw(hub, crash);
+        }
+        match run.succeeded {
+            Some(_) => held.subject.note_answered(hub),
+            None => end_without_result(hub, held),
+        }
+    }
+}
+
+/// Drops the runs of which nothing will become known any more.
+pub(crate) fn expire(hub: &Hub) {
+    let expired = hub.unsettled.borrow_mut().expire(clock::monotonic_ms());
+    for run in expired {
+        end_without_result(hub, &run.subject);
+    }
+}
+
+/// Reports that the trial of a run, if it was one, has shown nothing.
+fn end_without_result(hub: &Hub, held: &Held) {
+    if let Some(permit) = held.permit.borrow_mut().take() {
+        hub.trial_ended(permit.fingerprint, permit.ticket, trial::End::Inconclusive);
+    }
+}
+
 /// Whether an item may run.
 pub(super) enum Admission {
     /// It may run, as a trial if there is a permit.
@@ -164,7 +394,9 @@
             Ended::Completed | Ended::Disconnected => return,
             Ended::NotRun | Ended::Refused(_) => trial::End::NotRun,
             Ended::Stopped | Ended::Crowded => trial::End::Preempted,
-            Ended::Broken | Ended::Failed | Ended::Impossible => trial::End::Inconclusive,
+            Ended::Broken | Ended::Silent | Ended::Failed | Ended::Impossible => {
+                trial::End::Inconclusive
+            }
         };
         hub.trial_ended(self.fingerprint, self.ticket, end);
     }
--- a/programs/gateway/src/control/runner.rs
+++ b/programs/gateway/src/control/runner.rs
@@ -159,7 +159,7 @@
     let began_ms = clock::monotonic_ms();
     let mut progress = start.progress.clone();
     let first = progress.last;
-    let subject = item::Subject::new(&hub, &start);
+    let subject = Rc::new(item::Subject::new(&hub, &start));
     // A run that a former leader left behind has begun and crashed nothing.
     let admission = match start.orphan {
         Some(_) => item::Admission::Admitted(None),
@@ -186,7 +186,7 @@
     let node = hub.settings().node.as_str().into();
     let (succeeded, failed) = match ended {
         Ended::Completed => (1, 0),
-        Ended::Broken | Ended::Disconnected | Ended::Failed => (0, 1),
+        Ended::Broken | Ended::Silent | Ended::Disconnected | Ended::Failed => (0, 1),
         _ => (0, 0),
     };
     hub.note_results(&start.server, &node, succeeded, failed);
@@ -198,7 +198,9 @@
     }
     let outcome = match ended {
         Ended::Completed => dispatch::Outcome::Completed(progress),
-        Ended::Stopped | Ended::Broken | Ended::Disconnected => dispatch::Outcome::Broken(progress),
+        Ended::Stopped | Ended::Broken | Ended::Silent | Ended::Disconnected => {
+            dispatch::Outcome::Broken(progress)
+        }
         Ended::Refused(refusal) => dispatch::Outcome::Refused { progress, refusal },
         Ended::Failed => dispatch::Outcome::Failed(progress),
         Ended::Impossible => dispatch::Outcome::Impossible,
@@ -220,8 +222,8 @@
 async fn run_admitted(
     hub: &Rc<Hub>,
     start: &dispatch::Start,
-    subject: &item::Subject,
-    permit: Option<item::Permit>,
+    subject: &Rc<item::Subject>,
+    mut permit: Option<item::Permit>,
     progress: &mut dispatch::Progress,
     stop: &CancellationToken,
     term: Option<u64>,
@@ -254,6 +256,13 @@
     if let Ended::Disconnected = ended {
         subject.note_crash(hub, writing.written_ms());
     }
+    if subject.is_unsettled(&ended) {
+        // The result of a trial is what becomes known of the backend server, unless this VM
+        // stopped the run.
+        let is_awaited = matches!(ended, Ended::Silent | Ended::Completed);
+        let awaited = permit.take_if(|_| is_awaited);
+        item::hold(hub, subject, awaited, writing.written_ms(), &ended);
+    }
     if let Some(permit) = permit {
         permit.end(hub, &ended);
     }
@@ -301,8 +310,11 @@
     Completed,
     /// The run was cancelled, or this replica is not the leader any more.
     Stopped,
-    /// The connection fell silent or carried an invalid response.
+    /// The connection carried an invalid response.
     Broken,
+    /// The connection fell silent.
+    #[strum(serialize = "broken")]
+    Silent,
     /// The connection broke, as it does when the backend server crashes.
     #[strum(serialize = "broken")]
     Disconnected,
@@ -367,12 +379,17 @@
     }
     // The pool would send it to a backend server that it may have crashed.
     let resend = !subject.is_suspect(hub);
+    subject.sent();
     let sent = hub.pool.send(address, request, resend, HEAD_TIMEOUT).await;
     let names = hub.dialect().headers();
     let exchange = match sent.and_then(|exchange| exchange.check(names, &start.id)) {
         Ok(exchange) => exchange,
-        Err(error) => return error.into(),
+        Err(error) => {
+            subject.note_failure(hub, error.failure);
+            return error.into();
+        }
     };
+    subject.note_response(hub);
     if let Some(ended) = check_response(hub, &exchange.response) {
         return ended;
     }
@@ -420,7 +437,8 @@
                 }
             }
             Ok(None | Some(Err(upstream::Failure::Broken))) => return Ended::Disconnected,
-            Ok(Some(Err(_))) | Err(_) => return Ended::Broken,
+            Ok(Some(Err(_))) => return Ended::Broken,
+            Err(_) => return Ended::Silent,
         }
     }
 }
--- a/programs/gateway/src/entry/attempt.rs
+++ b/programs/gateway/src/entry/attempt.rs
@@ -1,6 +1,6 @@
 //! Attempts to send a request to a backend server until one responds.
 
-use std::{io, net, rc::Rc, time};
+use std::{cell::Cell, io, net, rc::Rc, time};
 
 use bw_relay::{balance, suspect};
 use bw_wire::{name::Name, verdict};
@@ -11,7 +11,15 @@
 
 use crate::{
     clock, dialect,
-    entry::{forward, forward::Forward, front::Active, reason::Reason, response, state::State},
+    entry::{
+        forward,
+        forward::Forward,
+        front::Active,
+        reason::Reason,
+        response,
+        state::State,
+        suspects::{Permit, Subject},
+    },
     memory, metrics, upstream,
 };
 
@@ -34,17 +42,28 @@
 /// Largest response without a stated length that is streamed to the caller, in
 /// bytes: the usual size limit of a request's body.
 pub(crate) const UNSIZED_BYTES_MAX: u64 = 4 << 20;
+/// Time for which bytes may be under way after their backend server has ended, in
+/// milliseconds.
+const TRANSIT_MS: u64 = 500;
 /// Retry-after time of a request on a route without a service, in milliseconds. A
 /// new configuration is in force everywhere within that time.
 const NO_SERVICE_RETRY_MS: u64 = 1_000;
 
-/// The slot that a request occupies at a backend server until dropped.
+/// The slot that a request occupies at a backend server until dropped. A run that then has
+/// neither been answered nor crashed is kept until it is known what became of the backend
+/// server.
 pub(crate) struct Slot {
     state: Rc<State>,
+    subject: Rc<Subject>,
+    permit: Option<Rc<Permit>>,
     pub(crate) id: Name,
+    address: Name,
     /// When the backend server announced to have started, in Unix milliseconds.
     backend_started_ms: u64,
     started_ms: u64,
+    written_ms: Cell<u64>,
+    /// Whether there is no run, or all is known or kept that it shows of the request.
+    settled: Cell<bool>,
 }
 
 /// A run of a request at a backend server.
@@ -59,7 +78,22 @@
     pub(crate) written_ms: u64,
 }
 
-impl Run<'_> {
+impl<'a> Run<'a> {
+    /// Creates a run that is not looked at, to refer to a start of a backend server.
+    pub(crate) fn at(backend: &'a str, backend_started_ms: u64) -> Run<'a> {
+        Run {
+            backend,
+            backend_started_ms,
+            sent_ms: 0,
+            written_ms: 0,
+        }
+    }
+
+    /// Returns the start of the backend server.
+    pub(crate) fn incarnation(self) -> suspect::Incarnation {
+        suspect::Incarnation::new(self.backend, self.backend_started_ms)
+    }
+
     /// Returns the run as evidence knows it.
     pub(crate) fn evidence(self) -> suspect::Run {
         suspect::Run {
@@ -84,13 +118,83 @@
             backend: &self.id,
             backend_started_ms: self.backend_started_ms,
             sent_ms: self.started_ms,
-            written_ms: 0,
+            written_ms: self.written_ms.get(),
+        }
+    }
+
+    /// Notes that all is known that the run shows of the request.
+    pub(crate) fn settle(&self) {
+        self.settled.set(true);
+    }
+
+    /// Sets the time from the first to the last event.
+    pub(crate) fn note_written(&self, written_ms: u64) {
+        self.written_ms.set(written_ms);
+    }
+
+    /// Notes that bytes of the response have arrived.
+    pub(crate) fn note_alive(&self) {
+        let suspects = &self.state.suspects;
+        if suspects.has_settled_all() {
+            return;
+        }
+        let at_ms = clock::monotonic_ms().saturating_sub(TRANSIT_MS);
+        suspects.note_alive(&self.state.link, self.run(), at_ms);
+    }
+
+    /// Adds a strike, as the backend server broke the connection.
+    pub(crate) fn note_crash(&self) {
+        self.settle();
+        let suspects = &self.state.suspects;
+        suspects.note_crash(&self.state.link, &self.subject, self.run());
+        if let Some(permit) = &self.permit {
+            permit.settle();
+        }
+    }
+
+    /// Notes that the request was answered in whole. A server error may be sent before the
+    /// request has run and shows nothing.
+    pub(crate) fn note_answered(&self, answer: Answer) {
+        self.settle();
+        if answer.status.is_server_error() {
+            return;
+        }
+        let succeeded = answer.status.is_success();
+        if !answer.is_framed {
+            self.hold(Some(succeeded));
+            return;
         }
+        let suspects = &self.state.suspects;
+        suspects.note_answered(&self.state.link, &self.subject, succeeded, self.run());
+        if let Some(permit) = &self.permit {
+            permit.settle();
+        }
+    }
+
+    /// Notes that nothing came for a while. The run may go on.
+    fn note_silent(&self) {
+        self.hold(None);
+        self.check();
+    }
+
+    /// Has the backend server checked.
+    pub(crate) fn check(&self) {
+        let suspects = &self.state.suspects;
+        suspects.request_check(&self.address, self.run());
+    }
+
+    /// Keeps the run until it is known what became of the backend server.
+    fn hold(&self, succeeded: Option<bool>) {
+        let suspects = &self.state.suspects;
+        suspects.hold(&self.subject, self.permit.clone(), succeeded, self.run());
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
+        if !self.settled.get() {
+            self.hold(None);
+        }
         let took_ms = clock::monotonic_ms().saturating_sub(self.started_ms);
         self.state.balance.borrow_mut().finished(&self.id, took_ms);
     }
@@ -246,9 +350,14 @@
         }
         let slot = Slot {
             state: Rc::clone(state),
+            subject: Rc::clone(&forward.subject),
+            permit: forward.permit.clone(),
             id: place.id.clone(),
+            address: place.address.clone(),
             backend_started_ms: place.started_ms,
             started_ms: clock::monotonic_ms(),
+            written_ms: Cell::new(0),
+            settled: Cell::new(true),
         };
         Ok((place, slot))
     }
@@ -269,7 +378,6 @@
         };
         let repeatable = forward.route.kind.repeatable();
         let timeout = self.head_timeout(forward, repeatable);
-        let run = slot.run();
         let known_load = state.balance.borrow().view(&place.id);
         if let Some(permit) = &forward.permit {
             permit.sent();
@@ -277,20 +385,25 @@
         // A suspect is not sent again by the pool, as each send may crash the backend
         // server.
         let resend = repeatable && !state.suspects.is_suspect(&forward.subject.request);
-        let sent = state.pool.send(address, request, resend, timeout).await;
+        slot.settled.set(false);
+        let sending = state.pool.send(address, request, resend, timeout);
+        let sent = watch_silence(sending, silence(forward), &slot).await;
         let names = state.dialect.headers();
         let checked = sent.and_then(|exchange| exchange.check(names, &forward.subject.id));
-        self.log_send(state, forward, place, known_load, run.sent_ms, &checked);
+        self.log_send(state, forward, place, known_load, slot.started_ms, &checked);
         let exchange = match checked {
             Ok(exchange) => exchange,
             Err(error) => {
-                self.note_failure(state, forward, run, error);
+                self.note_failure(state, forward, &slot, error);
                 return Err(error.failure.into());
             }
         };
-        state.suspects.note_response(&state.link, run);
+        // The backend server was alive when the request reached it.
+        let suspects = &state.suspects;
+        suspects.note_alive(&state.link, slot.run(), slot.started_ms);
         self.tally.add(verdict::Verdict::Run);
         if self.note_response(state, forward, place, exchange.response.status()) {
+            slot.settle();
             self.tried.push(place.id.clone());
             return Err(Reason::ServerError);
         }
@@ -337,19 +450,30 @@
         &mut self,
         state: &State,
         forward: &Forward,
-        run: Run<'_>,
+        slot: &Slot,
         error: upstream::Error,
     ) {
+        let run = slot.run();
         self.tried.push(run.backend.into());
         self.tally.add(error.verdict);
-        let permit = forward.permit.as_ref();
-        if let Some(permit) = permit.filter(|_| !error.verdict.may_have_run()) {
-            permit.not_run();
+        if !error.verdict.may_have_run() {
+            slot.settle();
+            if let Some(permit) = &forward.permit {
+                permit.not_run();
+            }
         }
+        let (suspects, link) = (&state.suspects, &state.link);
         match error.failure {
-            upstream::Failure::Broken => state.note_crash(forward, run),
-            upstream::Failure::Connect => state.suspects.note_unreachable(&state.link, run),
-            _ => {}
+            upstream::Failure::Broken => slot.note_crash(),
+            upstream::Failure::Timeout => slot.check(),
+            upstream::Failure::Refused => suspects.note_ended(link, run, "refused"),
+            upstream::Failure::OtherBackend => suspects.note_ended(link, run, "replaced"),
+            upstream::Failure::Unreachable => suspects.note_lost(link, run, "unreachable"),
+            upstream::Failure::Full => suspects.note_alive(link, run, run.sent_ms),
+            upstream::Failure::Connect
+            | upstream::Failure::CrossedAnswer
+            | upstream::Failure::ForeignAnswer
+            | upstream::Failure::Endless => {}
         }
         let now_ms = clock::monotonic_ms();
         let mut balance = state.balance.borrow_mut();
@@ -357,9 +481,14 @@
             upstream::Failure::Full => balance.refused(run.backend, now_ms),
             // A request that ran out of its own time does not make the backend server
             // unhealthy.
-            upstream::Failure::Connect | upstream::Failure::Timeout
+            upstream::Failure::Connect
+            | upstream::Failure::Unreachable
+            | upstream::Failure::Refused
+            | upstream::Failure::Timeout
                 if now_ms >= forward.deadline_ms => {}
             upstream::Failure::Connect
+            | upstream::Failure::Unreachable
+            | upstream::Failure::Refused
             | upstream::Failure::Timeout
             | upstream::Failure::OtherBackend => {
                 balance.failed(run.backend, balance::Failure::Unreachable, now_ms);
@@ -398,10 +527,7 @@
         if !repeatable || is_last {
             return remaining;
         }
-        let objective_ms = forward.route.target_ms * HEAD_TIMEOUT_OBJECTIVES;
-        remaining.min(time::Duration::from_millis(
-            objective_ms.max(HEAD_TIMEOUT_MIN_MS),
-        ))
+        remaining.min(silence(forward))
     }
 
     fn build_request(
@@ -442,6 +568,29 @@
     }
 }
 
+/// Returns the time without a response head after which a repeatable request is sent
+/// elsewhere. The backend server of any request is checked then.
+fn silence(forward: &Forward) -> time::Duration {
+    let objective_ms = forward.route.target_ms * HEAD_TIMEOUT_OBJECTIVES;
+    time::Duration::from_millis(objective_ms.max(HEAD_TIMEOUT_MIN_MS))
+}
+
+/// Waits for bytes of a backend server, and has it checked if none come for a while.
+pub(crate) async fn watch_silence<T>(
+    waiting: impl Future<Output = T>,
+    silence: time::Duration,
+    slot: &Slot,
+) -> T {
+    let mut waiting = std::pin::pin!(waiting);
+    match tokio::time::timeout(silence, waiting.as_mut()).await {
+        Ok(output) => output,
+        Err(_) => {
+            slot.note_silent();
+            waiting.await
+        }
+    }
+}
+
 /// Returns how often a request may run. A trial is permitted for one run.
 fn runs_max(forward: &Forward) -> u32 {
     match forward.permit {
@@ -481,7 +630,8 @@
         let is_framed = upstream::is_framed(&accepted.response);
         let (parts, body) = accepted.response.into_parts();
         let reading = async {
-            let body = read_whole(body, state.pool.budget().reserve()).await?;
+            let reading = read_whole(body, state.pool.budget().reserve());
+            let body = watch_silence(reading, silence(&forward), &slot).await?;
             match is_framed || !body.is_empty() {
                 true => Ok(body),
                 // The backend server may have stopped after the head.
@@ -495,7 +645,7 @@
                     status: parts.status,
                     is_framed,
                 };
-                state.note_answered(&forward, answer, slot.run());
+                slot.note_answered(answer);
                 let mut response = Response::from_parts(parts, response::full(body));
                 forward::remove_hop_headers(response.headers_mut());
                 return response;
@@ -505,7 +655,7 @@
                 metrics::RETRIES.with_label_values(&[reason.name()]).inc();
                 // An endless response does not make its request a suspect.
                 if reason == Reason::Broken {
-                    state.note_crash(&forward, slot.run());
+                    slot.note_crash();
                 }
                 attempts.note_broken(state, &slot.id);
             }
@@ -566,11 +716,7 @@
             Some(Ok(frame)) => Some((Ok(frame), Some(passthrough))),
             Some(Err(error)) => Some((Err(error), None)),
             None => {
-                passthrough.state.note_answered(
-                    &passthrough.forward,
-                    passthrough.answer,
-                    passthrough.slot.run(),
-                );
+                passthrough.slot.note_answered(passthrough.answer);
                 passthrough.lease.release();
                 None
             }
@@ -598,11 +744,15 @@
 impl Passthrough {
     async fn next(&mut self) -> Option<io::Result<body::Frame<Bytes>>> {
         let timeout = super::remaining(self.forward.deadline_ms);
-        let frame = match super::next_frame(&mut self.body, timeout).await {
+        let reading = super::next_frame(&mut self.body, timeout);
+        let frame = match watch_silence(reading, silence(&self.forward), &self.slot).await {
             Some(None) if self.may_be_cut => Err(self.note_failure(upstream::Failure::Broken)),
             Some(frame) => frame?.map_err(|failure| self.note_failure(failure)),
             None => Err(io::Error::other(Reason::Timeout.name())),
         };
+        if frame.is_ok() {
+            self.slot.note_alive();
+        }
         let bytes = frame.as_ref().ok().and_then(body::Frame::data_ref);
         let length = bytes.map_or(0, |bytes| bytes.len() as u64);
         self.may_be_cut &= length == 0;
@@ -617,7 +767,7 @@
     fn note_failure(&self, failure: upstream::Failure) -> io::Error {
         self.note_broken(failure.into());
         if failure == upstream::Failure::Broken {
-            self.state.note_crash(&self.forward, self.slot.run());
+            self.slot.note_crash();
         }
         io::Error::other(failure)
     }
--- a/programs/gateway/src/entry/forward.rs
+++ b/programs/gateway/src/entry/forward.rs
@@ -53,7 +53,7 @@
     /// placed together.
     pub(crate) affinity: u64,
     /// The permission to run it although it is refused.
-    pub(crate) permit: Option<Permit>,
+    pub(crate) permit: Option<Rc<Permit>>,
 }
 
 /// Handles one request of a caller.
@@ -98,7 +98,7 @@
                 "suspected request is admitted as a trial"
             );
             metrics::SUSPECTS.with_label_values(&["trial"]).inc();
-            forward.permit = Some(permit);
+            forward.permit = Some(Rc::new(permit));
         }
         Admission::Refused {
             fingerprint,
--- a/programs/gateway/src/entry/mod.rs
+++ b/programs/gateway/src/entry/mod.rs
@@ -90,6 +90,8 @@
     tasks.spawn_local(handle_link_events(Rc::clone(&state), events));
     tasks.spawn_local(report_loads(Rc::clone(&state)));
     tasks.spawn_local(confirm::run(Rc::clone(&state)));
+    let checks = state.suspects.take_checks();
+    tasks.spawn_local(suspects::check_backends(Rc::clone(&state), checks));
     tasks.spawn_local(front::serve_readiness(
         Rc::clone(&state),
         socket::listen(readiness)?,
--- a/programs/gateway/src/entry/reason.rs
+++ b/programs/gateway/src/entry/reason.rs
@@ -64,7 +64,9 @@
 impl From<upstream::Failure> for Reason {
     fn from(failure: upstream::Failure) -> Reason {
         match failure {
-            upstream::Failure::Connect => Reason::Connect,
+            upstream::Failure::Connect
+            | upstream::Failure::Unreachable
+            | upstream::Failure::Refused => Reason::Connect,
             upstream::Failure::Broken => Reason::Broken,
             upstream::Failure::Timeout => Reason::Timeout,
             upstream::Failure::Full => Reason::Full,
--- a/programs/gateway/src/entry/state.rs
+++ b/programs/gateway/src/entry/state.rs
@@ -13,13 +13,7 @@
 
 use crate::{
     clock, dialect,
-    entry::{
-        self,
-        attempt::{self, Run},
-        confirm,
-        forward::Forward,
-        suspects::Suspects,
-    },
+    entry::{self, attempt::Run, confirm, suspects::Suspects},
     link, metrics, settings,
 };
 
@@ -173,6 +167,7 @@
         if let Some(published) = update.published {
             self.apply_config(&published);
         }
+        self.note_lifetimes(&update.backends, now_ms);
         for announcement in update.backends {
             self.apply_announcement(announcement, now_ms);
         }
@@ -218,39 +213,13 @@
         Some(report)
     }
 
-    /// Adds a strike against a request that a backend server broke off.
-    pub(crate) fn note_crash(&self, forward: &Forward, run: Run<'_>) {
-        self.suspects.note_crash(&self.link, &forward.subject, run);
-        if let Some(permit) = &forward.permit {
-            permit.settle();
-        }
-    }
-
-    /// Notes that a request was answered in whole. A server error may be sent before the
-    /// request has run and shows nothing.
-    pub(crate) fn note_answered(&self, forward: &Forward, answer: attempt::Answer, run: Run<'_>) {
-        if answer.status.is_server_error() {
-            return;
-        }
-        let succeeded = answer.status.is_success();
-        if !answer.is_framed {
-            self.suspects
-                .note_unconfirmed(&forward.subject, succeeded, run);
-            return;
-        }
-        self.suspects
-            .note_answered(&self.link, &forward.subject, succeeded, run);
-        if let Some(permit) = &forward.permit {
-            permit.settle();
-        }
-    }
-
     /// Closes expired idle connections if the sweep interval has passed.
     pub(crate) fn sweep_if_due(&self) {
         let now_ms = clock::monotonic_ms();
         if now_ms >= self.swept_ms.get() + SWEEP_MS {
             self.swept_ms.set(now_ms);
             self.pool.sweep();
+            self.suspects.expire();
         }
     }
 
@@ -271,6 +240,35 @@
         self.config_changed.notify_waiters();
     }
 
+    /// Notes what announcements show of the starts of backend servers under which runs have
+    /// ended without a complete answer.
+    fn note_lifetimes(&self, announcements: &[registry::Announcement], now_ms: u64) {
+        if self.suspects.has_settled_all() {
+            return;
+        }
+        let registry = self.registry.borrow();
+        let signs = announcements
+            .iter()
+            .flat_map(|announcement| registry.signs(announcement));
+        // The end of a start is in another announcement than what is known of that start.
+        let signs: Vec<registry::Sign> = signs.collect();
+        for ended in signs
+            .iter()
+            .filter(|sign| sign.kind == registry::Kind::Ended)
+        {
+            let run = Run::at(&ended.id, ended.started_ms);
+            self.suspects.note_ended(&self.link, run, "replaced");
+        }
+        for sign in &signs {
+            let run = Run::at(&sign.id, sign.started_ms);
+            match sign.kind {
+                registry::Kind::Ended => {}
+                registry::Kind::Silent => self.suspects.note_lost(&self.link, run, "silent"),
+                registry::Kind::Alive => self.suspects.note_alive(&self.link, run, now_ms),
+            }
+        }
+    }
+
     fn apply_announcement(&self, announcement: registry::Announcement, now_ms: u64) {
         let id = announcement.id.clone();
         let mut registry = self.registry.borrow_mut();
--- a/programs/gateway/src/entry/stream.rs
+++ b/programs/gateway/src/entry/stream.rs
@@ -104,16 +104,6 @@
     slot: Slot,
 }
 
-impl Run {
-    /// Returns the run of its slot with the time for which it has been writing.
-    fn evidence(&self) -> attempt::Run<'_> {
-        attempt::Run {
-            written_ms: self.writing.written_ms(),
-            ..self.slot.run()
-        }
-    }
-}
-
 /// The events of a stream, over all the runs that it takes.
 struct Source {
     state: Rc<State>,
@@ -157,10 +147,12 @@
     /// Reads from the current run. Returns false once the stream is complete.
     async fn read(&mut self) -> Result<bool, Reason> {
         let timeout = self.silence_timeout();
+        let silence = self.silence();
         let Some(run) = &mut self.run else {
             return Err(Reason::Broken);
         };
-        let frame = match super::next_frame(&mut run.body, timeout).await {
+        let reading = super::next_frame(&mut run.body, timeout);
+        let frame = match attempt::watch_silence(reading, silence, &run.slot).await {
             None => return Err(Reason::Silent),
             Some(Some(Err(failure))) => return Err(failure.into()),
             Some(Some(Ok(frame))) => frame,
@@ -170,6 +162,7 @@
             return Ok(true);
         };
         run.has_data |= !bytes.is_empty();
+        run.slot.note_alive();
         if !self.is_event_stream {
             let left = self.document_left.checked_sub(bytes.len() as u64);
             self.document_left = left.ok_or(Reason::Endless)?;
@@ -224,9 +217,11 @@
         let Some(run) = &mut self.run else {
             return;
         };
-        if run.writing.note_event(clock::monotonic_ms()) {
+        let is_due = run.writing.note_event(clock::monotonic_ms());
+        run.slot.note_written(run.writing.written_ms());
+        if is_due {
             let suspects = &self.state.suspects;
-            suspects.note_lived(&self.state.link, &self.forward.subject, run.evidence());
+            suspects.note_lived(&self.state.link, &self.forward.subject, run.slot.run());
             if let Some(permit) = &self.forward.permit {
                 permit.lived();
             }
@@ -249,13 +244,12 @@
         // A run that had nothing left to send shows nothing about the request.
         let has_run = self.last_event != self.attempts.last_event || !self.is_event_stream;
         if let Some(run) = self.run.take() {
-            if has_run {
-                let answer = attempt::Answer {
+            match has_run {
+                true => run.slot.note_answered(attempt::Answer {
                     status: self.status,
                     is_framed: run.is_framed,
-                };
-                self.state
-                    .note_answered(&self.forward, answer, run.slot.run());
+                }),
+                false => run.slot.settle(),
             }
             run.lease.release();
             drop(run.slot);
@@ -282,8 +276,10 @@
         );
         metrics::RETRIES.with_label_values(&[reason.name()]).inc();
         // A request may crash its backend server after any number of events.
-        if let Some(run) = run.filter(|_| reason == Reason::Broken) {
-            self.state.note_crash(&self.forward, run.evidence());
+        match (run, reason) {
+            (Some(run), Reason::Broken) => run.slot.note_crash(),
+            (Some(run), Reason::Silent) => run.slot.check(),
+            _ => {}
         }
         let repeatable = self.forward.route.kind.repeatable() && self.is_event_stream;
         if !repeatable {
@@ -318,7 +314,12 @@
         if !self.forward.route.kind.repeatable() {
             return left;
         }
+        left.min(self.silence())
+    }
+
+    /// Returns the silence after which a backend server is checked.
+    fn silence(&self) -> time::Duration {
         let gap_ms = self.forward.route.gap_ms * SILENCE_TARGET_GAPS;
-        left.min(time::Duration::from_millis(gap_ms.max(SILENCE_MIN_MS)))
+        time::Duration::from_millis(gap_ms.max(SILENCE_MIN_MS))
     }
 }
--- a/programs/gateway/src/entry/suspects.rs
+++ b/programs/gateway/src/entry/suspects.rs
@@ -2,16 +2,21 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, BTreeSet},
+    net,
     rc::Rc,
     time,
 };
 
-use bw_relay::{message, suspect, suspect::trial};
+use bw_relay::{
+    message, suspect,
+    suspect::{trial, unsettled},
+};
 use bw_wire::name::Name;
+use tokio::{sync::mpsc, task};
 
 use crate::{
-    clock,
+    check, clock,
     entry::{NO_LEADER_RETRY_MS, attempt::Run, forward::Forward, reason::Reason, state::State},
     link, metrics,
 };
@@ -22,11 +27,11 @@
 
 /// Most bytes of the ids of parts in a log line.
 const LOGGED_PARTS_BYTES: usize = 256;
-/// Time for which an answer that ended with its connection waits for a sign that its
-/// backend server had not crashed, or had, in milliseconds.
-const UNCONFIRMED_MS: u64 = 30_000;
-/// Most such answers; the oldest are dropped.
-const UNCONFIRMED_MAX: usize = 1_000;
+/// Most backend servers that are checked concurrently, and that wait for it.
+const CHECKS_MAX: usize = 16;
+/// Silence of the leader from which this VM may be cut off, in milliseconds. That backend
+/// servers can't be reached then shows nothing. The leader sends a heartbeat each 0.4 s.
+const CUT_OFF_MS: u64 = 1_000;
 
 /// What a request can be suspected for, and what logs say of it.
 pub(crate) struct Subject {
@@ -66,31 +71,63 @@
     }
 }
 
-/// An answer that ended with its connection, as it also does where its backend server
-/// crashes. It counts for its request once that backend server has answered again, and
-/// against it if that can't be reached any more.
-struct Unconfirmed {
+/// Whose run is kept until it is known what became of its backend server.
+struct Held {
     subject: Rc<Subject>,
-    succeeded: bool,
+    /// The permission for a trial. It ends without a result if the run shows nothing.
+    permit: Option<Rc<Permit>>,
     backend: Name,
     backend_started_ms: u64,
-    sent_ms: u64,
-    ended_ms: u64,
 }
 
-impl Unconfirmed {
-    fn run(&self) -> Run<'_> {
+impl Held {
+    /// Returns a run at its backend server.
+    fn run(&self, run: suspect::Run) -> Run<'_> {
         Run {
-            backend: &self.backend,
-            backend_started_ms: self.backend_started_ms,
-            sent_ms: self.sent_ms,
-            written_ms: 0,
+            sent_ms: run.sent_ms,
+            written_ms: run.written_ms,
+            ..Run::at(&self.backend, self.backend_started_ms)
+        }
+    }
+
+    fn settle(&self) {
+        if let Some(permit) = &self.permit {
+            permit.settle();
         }
     }
+}
+
+/// A backend server that fell silent and is to be connected to.
+pub(crate) struct Check {
+    backend: Name,
+    backend_started_ms: u64,
+    address: net::SocketAddr,
+}
 
-    /// Returns whether the answer came from this start of a backend server.
-    fn is_from(&self, run: Run<'_>) -> bool {
-        *self.backend == *run.backend && self.backend_started_ms == run.backend_started_ms
+/// Connects to backend servers that fell silent, until the program ends. One that does not
+/// respond has probably ended.
+pub(crate) async fn check_backends(state: Rc<State>, mut queue: mpsc::Receiver<Check>) {
+    let mut checks = task::JoinSet::new();
+    while let Some(check) = queue.recv().await {
+        while checks.len() >= CHECKS_MAX {
+            checks.join_next().await;
+        }
+        while checks.try_join_next().is_some() {}
+        checks.spawn_local(check_backend(Rc::clone(&state), check));
+    }
+}
+
+async fn check_backend(state: Rc<State>, check: Check) {
+    let outcome = check::connect(&state.pool, &check.backend, check.address).await;
+    let run = Run::at(&check.backend, check.backend_started_ms);
+    let (suspects, link) = (&state.suspects, &state.link);
+    suspects.checked.borrow_mut().remove(&run.incarnation());
+    match outcome {
+        check::Outcome::Refused => suspects.note_ended(link, run, outcome.name()),
+        check::Outcome::Unreachable if state.silence_ms() < CUT_OFF_MS => {
+            suspects.note_lost(link, run, outcome.name());
+        }
+        check::Outcome::Connected | check::Outcome::Unreachable | check::Outcome::Unknown => {}
     }
 }
 
@@ -270,8 +307,12 @@
     unreported: RefCell<BTreeSet<suspect::Fingerprint>>,
     /// Ends of trials that the leader was not told yet.
     ended: RefCell<Vec<message::Frame>>,
-    /// Answers that ended with their connection, the oldest first.
-    unconfirmed: RefCell<VecDeque<Unconfirmed>>,
+    /// Runs without a complete answer of which it is not known yet what they show.
+    unsettled: RefCell<unsettled::Runs<Held>>,
+    /// Backend servers to be checked; set once the program runs.
+    checks: RefCell<Option<mpsc::Sender<Check>>>,
+    /// Those that are being checked.
+    checked: RefCell<BTreeSet<suspect::Incarnation>>,
 }
 
 impl Suspects {
@@ -319,40 +360,168 @@
         waits.insert(fingerprint, now_ms + wait_ms);
     }
 
+    /// Returns the queue of backend servers to be checked.
+    pub(crate) fn take_checks(&self) -> mpsc::Receiver<Check> {
+        let (sender, queue) = mpsc::channel(CHECKS_MAX);
+        *self.checks.borrow_mut() = Some(sender);
+        queue
+    }
+
+    /// Has a backend server checked that fell silent, unless it is being checked or too many
+    /// wait for it.
+    pub(crate) fn request_check(&self, address: &str, run: Run<'_>) {
+        let Ok(address) = address.parse() else {
+            return;
+        };
+        let checks = self.checks.borrow();
+        let mut checked = self.checked.borrow_mut();
+        if checked.contains(&run.incarnation()) {
+            return;
+        }
+        let check = Check {
+            backend: run.backend.into(),
+            backend_started_ms: run.backend_started_ms,
+            address,
+        };
+        match checks.as_ref().map(|checks| checks.try_send(check)) {
+            Some(Ok(())) => {
+                checked.insert(run.incarnation());
+            }
+            _ => log::warn!(backend = run.backend; "too many backend servers to check"),
+        }
+    }
+
+    /// Keeps a run that ended without a complete answer, or whose answer ended with its
+    /// connection.
+    pub(crate) fn hold(
+        &self,
+        subject: &Rc<Subject>,
+        permit: Option<Rc<Permit>>,
+        succeeded: Option<bool>,
+        run: Run<'_>,
+    ) {
+        let held = Held {
+            subject: Rc::clone(subject),
+            permit,
+            backend: run.backend.into(),
+            backend_started_ms: run.backend_started_ms,
+        };
+        let now_ms = clock::monotonic_ms();
+        let run = unsettled::Run::new(held, run.incarnation(), run.evidence(), now_ms, succeeded);
+        self.unsettled.borrow_mut().add(run);
+    }
+
+    /// Returns whether no run is kept.
+    pub(crate) fn has_settled_all(&self) -> bool {
+        self.unsettled.borrow().is_empty()
+    }
+
+    /// Drops the runs of which nothing will become known any more.
+    pub(crate) fn expire(&self) {
+        // Permits report their end when they are dropped.
+        let expired = self.unsettled.borrow_mut().expire(clock::monotonic_ms());
+        drop(expired);
+    }
+
     /// Adds a strike against a request and its parts, as the backend server broke its
     /// connection, as one does that crashes.
     pub(crate) fn note_crash(&self, link: &link::Link, subject: &Subject, run: Run<'_>) {
-        self.strike(link, subject, run);
-        self.note_unreachable(link, run);
+        let now_ms = clock::monotonic_ms();
+        let changed = self.known.borrow_mut().request_crashed(
+            &subject.request,
+            run.incarnation(),
+            run.evidence(),
+            now_ms,
+        );
+        self.log_strike(subject, run, "broken");
+        self.report(link, changed);
+        self.note_lost(link, run, "broken");
+    }
+
+    /// Adds strikes against the requests whose runs are kept of a start of a backend server
+    /// that has ended.
+    pub(crate) fn note_ended(&self, link: &link::Link, run: Run<'_>, sign: &'static str) {
+        let ended = self.unsettled.borrow_mut().ended(run.incarnation());
+        for run in &ended {
+            self.strike_lost(link, run, sign);
+        }
+    }
+
+    /// Adds strikes like [`Suspects::note_ended`] for a sign that leaves a doubt. They are
+    /// withdrawn once the backend server is heard again.
+    pub(crate) fn note_lost(&self, link: &link::Link, run: Run<'_>, sign: &'static str) {
+        let mut unsettled = self.unsettled.borrow_mut();
+        unsettled.presume_ended(run.incarnation(), |run| self.strike_lost(link, run, sign));
     }
 
-    /// Adds strikes against the requests whose answers ended with the connection to a
-    /// backend server that can't be reached any more.
-    pub(crate) fn note_unreachable(&self, link: &link::Link, run: Run<'_>) {
-        for answer in self.take_unconfirmed(|answer| answer.is_from(run)) {
-            self.strike(link, &answer.subject, answer.run());
+    fn strike_lost(
+        &self,
+        link: &link::Link,
+        run: &unsettled::Run<Held>,
+        sign: &'static str,
+    ) -> suspect::Crash {
+        let held = &run.subject;
+        held.settle();
+        let (crash, changed) = self.known.borrow_mut().request_lost(
+            &held.subject.request,
+            run.incarnation,
+            run.run,
+            run.ended_ms,
+        );
+        if !changed.is_empty() {
+            self.log_strike(&held.subject, held.run(run.run), sign);
         }
+        self.report(link, changed);
+        crash
     }
 
-    fn strike(&self, link: &link::Link, subject: &Subject, run: Run<'_>) {
-        let incarnation = suspect::Incarnation::new(run.backend, run.backend_started_ms);
+    /// Notes a sign of life of a backend server, given at a monotonic time in milliseconds:
+    /// it has not ended under the runs that ended before.
+    pub(crate) fn note_alive(&self, link: &link::Link, run: Run<'_>, at_ms: u64) {
+        let runs = self.unsettled.borrow_mut().heard(run.incarnation(), at_ms);
+        for run in runs {
+            let held = &run.subject;
+            if let Some(crash) = run.strike() {
+                self.withdraw(link, held, crash);
+            }
+            if let Some(succeeded) = run.succeeded {
+                held.settle();
+                self.note_answered(link, &held.subject, succeeded, held.run(run.run));
+            }
+        }
+    }
+
+    fn withdraw(&self, link: &link::Link, held: &Held, crash: suspect::Crash) {
         let now_ms = clock::monotonic_ms();
+        let request = &held.subject.request;
+        let changed = self.known.borrow_mut().withdraw(request, crash, now_ms);
+        if changed.is_empty() {
+            return;
+        }
+        log::info!(
+            request = held.subject.id.as_str(), backend = &*held.backend, started_ms = held.backend_started_ms;
+            "backend server goes on, strike withdrawn"
+        );
+        metrics::SUSPECTS.with_label_values(&["withdrawn"]).inc();
+        for evidence in &changed {
+            self.waits.borrow_mut().remove(&evidence.fingerprint);
+        }
+        self.report(link, changed);
+    }
+
+    /// Logs a strike and the sign that it rests on.
+    fn log_strike(&self, subject: &Subject, run: Run<'_>, sign: &'static str) {
         let request = &subject.request;
-        let changed =
-            self.known
-                .borrow_mut()
-                .request_crashed(request, incarnation, run.evidence(), now_ms);
         let content = request.content();
         let part_strikes = request.parts().iter().map(|part| self.strikes(*part));
         log::warn!(
             request = subject.id.as_str(), parts = subject.logged_parts.as_str(), backend = run.backend,
             started_ms = run.backend_started_ms, fingerprint = content.map_or(0, |content| content.0),
             strikes = content.map_or(0, |content| self.strikes(content)),
-            part_strikes = part_strikes.max().unwrap_or(0), written_ms = run.written_ms;
+            part_strikes = part_strikes.max().unwrap_or(0), written_ms = run.written_ms, sign = sign;
             "request is suspected of crashing backend servers"
         );
         metrics::SUSPECTS.with_label_values(&["strike"]).inc();
-        self.report(link, changed);
     }
 
     /// Clears a request that was answered in whole, and its parts if it `succeeded`.
@@ -364,6 +533,10 @@
         run: Run<'_>,
     ) {
         let now_ms = clock::monotonic_ms();
+        let content = subject.request.content();
+        self.unsettled.borrow_mut().answered(run.sent_ms, |held| {
+            held.subject.request.content() == content
+        });
         let changed = self.known.borrow_mut().request_answered(
             &subject.request,
             succeeded,
@@ -407,48 +580,6 @@
         self.report(link, changed);
     }
 
-    /// Notes an answer that ended with its connection, until it is known whether its
-    /// backend server crashed.
-    pub(crate) fn note_unconfirmed(&self, subject: &Rc<Subject>, succeeded: bool, run: Run<'_>) {
-        let mut unconfirmed = self.unconfirmed.borrow_mut();
-        unconfirmed.push_back(Unconfirmed {
-            subject: Rc::clone(subject),
-            succeeded,
-            backend: run.backend.into(),
-            backend_started_ms: run.backend_started_ms,
-            sent_ms: run.sent_ms,
-            ended_ms: clock::monotonic_ms(),
-        });
-        if unconfirmed.len() > UNCONFIRMED_MAX {
-            unconfirmed.pop_front();
-        }
-    }
-
-    /// Counts the answers that ended with their connection before a run was sent, to which
-    /// the same backend server has responded.
-    pub(crate) fn note_response(&self, link: &link::Link, run: Run<'_>) {
-        let confirmed =
-            |answer: &Unconfirmed| answer.is_from(run) && answer.ended_ms <= run.sent_ms;
-        for answer in self.take_unconfirmed(confirmed) {
-            self.note_answered(link, &answer.subject, answer.succeeded, answer.run());
-        }
-    }
-
-    /// Removes and returns some of the answers that ended with their connection, and drops
-    /// those that have waited for long.
-    fn take_unconfirmed(&self, is_taken: impl Fn(&Unconfirmed) -> bool) -> Vec<Unconfirmed> {
-        let mut unconfirmed = self.unconfirmed.borrow_mut();
-        if unconfirmed.is_empty() {
-            return Vec::new();
-        }
-        let now_ms = clock::monotonic_ms();
-        let all = std::mem::take(&mut *unconfirmed).into_iter();
-        let recent = all.filter(|answer| now_ms < answer.ended_ms + UNCONFIRMED_MS);
-        let (taken, kept): (Vec<_>, Vec<_>) = recent.partition(is_taken);
-        *unconfirmed = kept.into();
-        taken
-    }
-
     /// Merges what the leader knows. `is_first` tells whether this is all that a new
     /// leader knows; it is then told whatever it lacks.
     pub(crate) fn apply_update(
--- a/programs/gateway/src/upstream.rs
+++ b/programs/gateway/src/upstream.rs
@@ -57,8 +57,12 @@
 /// Why a send got no valid response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Failure {
-    /// No connection could be established.
+    /// No connection could be established, for a reason of this VM.
     Connect,
+    /// The VM of the backend server did not respond.
+    Unreachable,
+    /// No program listens at the address: the backend server has ended.
+    Refused,
     /// The connection broke before the response.
     Broken,
     /// No response head arrived in time.
@@ -82,7 +86,11 @@
     /// covers the sends before it.
     fn verdict(self) -> verdict::Verdict {
         match self {
-            Failure::Connect | Failure::Full | Failure::OtherBackend => verdict::Verdict::NotRun,
+            Failure::Connect
+            | Failure::Unreachable
+            | Failure::Refused
+            | Failure::Full
+            | Failure::OtherBackend => verdict::Verdict::NotRun,
             Failure::Broken
             | Failure::Timeout
             | Failure::CrossedAnswer
@@ -122,6 +130,8 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
             Failure::Connect => "no connection to the backend server",
+            Failure::Unreachable => "the VM of the backend server does not respond",
+            Failure::Refused => "the backend server refused the connection",
             Failure::Broken => "the connection broke",
             Failure::Timeout => "no response in time",
             Failure::Full => "the backend server is at capacity",
@@ -431,7 +441,7 @@
                     .with_label_values(&["failed"])
                     .inc();
                 log::debug!(address = address.to_string().as_str(); "cannot connect: {error}");
-                return Err(Failure::Connect);
+                return Err(connect_failure(&error));
             }
         };
         metrics::BACKEND_CONNECTIONS
@@ -459,6 +469,19 @@
         })
     }
 
+    /// Connects to a backend server, to find out whether it is there. The connection is kept
+    /// for the next request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no connection.
+    pub async fn reach(&self, address: net::SocketAddr) -> Result<(), Failure> {
+        let mut lease = self.connect(address).await?;
+        lease.idle_timeout = Some(IDLE_TIMEOUT);
+        lease.release();
+        Ok(())
+    }
+
     /// Closes idle connections that have expired.
     pub fn sweep(&self) {
         let now = time::Instant::now();
@@ -475,6 +498,16 @@
     }
 }
 
+fn connect_failure(error: &io::Error) -> Failure {
+    match error.kind() {
+        io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset => Failure::Refused,
+        io::ErrorKind::TimedOut
+        | io::ErrorKind::HostUnreachable
+        | io::ErrorKind::NetworkUnreachable => Failure::Unreachable,
+        _ => Failure::Connect,
+    }
+}
+
 /// Logs the error of an exchange whose request was sent, and returns its failure.
 fn failure(meter: &meter::Meter, error: &hyper::Error) -> Failure {
     log::debug!("exchange failed: {error}");
