bw-entry: Count the end of an engine that fell silent

Only a broken connection was looked at, though the controller already kept those until a restart is announced.

Change: runs that time out, whose caller leaves or that are cancelled are kept too. They count if the engine refuses connections or announces a later incarnation within two minutes, and not if it was heard meanwhile or leaves.

--- a/crates/policy/src/suspect/mod.rs
+++ b/crates/policy/src/suspect/mod.rs
@@ -107,24 +107,26 @@
     }
 }
 
-/// Observations about a backend server to which connections broke while requests ran.
+/// Observations about a backend server under which runs ended without a complete answer.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Evidence {
     /// Connections to it broke while requests ran.
     pub broken: bool,
+    /// It fell silent while requests ran.
+    pub silent: bool,
     /// A new connection was refused after that.
     pub refused: bool,
     /// It announced a later incarnation.
     pub restarted: bool,
-    /// It announced that it is leaving before the connections broke.
+    /// It announced that it is leaving before that.
     pub leaving: bool,
 }
 
 impl Evidence {
-    /// Returns whether the backend server crashed. A broken connection alone may be
-    /// a network failure, and a leaving server shuts down in an orderly way.
+    /// Returns whether the backend server crashed. A broken or a silent connection alone
+    /// may be a network failure, and a leaving server shuts down in an orderly way.
     pub fn is_crash(self) -> bool {
-        self.broken && !self.leaving && (self.refused || self.restarted)
+        (self.broken || self.silent) && !self.leaving && (self.refused || self.restarted)
     }
 }
 
--- a/crates/policy/tests/suspect.rs
+++ b/crates/policy/tests/suspect.rs
@@ -63,13 +63,17 @@
     assert_eq!(suspects.treatment(POISON), Treatment::Dispersed);
 }
 
-/// Guards against strikes for network failures, orderly shutdowns and restarts
-/// without broken connections.
+/// Guards against strikes for network failures, orderly shutdowns and restarts under
+/// which no run ended.
 #[rstest]
 #[case::connection_only(Evidence { broken: true, ..Evidence::default() }, false)]
 #[case::then_refused(Evidence { broken: true, refused: true, ..Evidence::default() }, true)]
 #[case::restarted(Evidence { broken: true, restarted: true, ..Evidence::default() }, true)]
 #[case::orderly_shutdown(Evidence { broken: true, refused: true, leaving: true, ..Evidence::default() }, false)]
+#[case::silence_only(Evidence { silent: true, ..Evidence::default() }, false)]
+#[case::silent_then_refused(Evidence { silent: true, refused: true, ..Evidence::default() }, true)]
+#[case::silent_then_restarted(Evidence { silent: true, restarted: true, ..Evidence::default() }, true)]
+#[case::silent_and_leaving(Evidence { silent: true, refused: true, leaving: true, ..Evidence::default() }, false)]
 #[case::restarted_without_streams(Evidence { restarted: true, ..Evidence::default() }, false)]
 fn only_crashes_are_counted(#[case] evidence: Evidence, #[case] expected: bool) {
     assert_eq!(evidence.is_crash(), expected);
--- a/programs/entry/src/batch/item.rs
+++ b/programs/entry/src/batch/item.rs
@@ -11,7 +11,7 @@
 
 use super::{crash, queue::Item};
 use crate::{
-    context, settings,
+    context, controller, settings,
     upstream::{self, Cause, Event},
 };
 
@@ -176,24 +176,29 @@
         let table = &self.context.shared.table;
         table.with(|state, now_ms| state.health.end(health_attempt, outcome, now_ms));
         let fingerprint = self.item.work.fingerprint;
+        let run = suspect::Run {
+            fingerprint,
+            isolated: self.placement.is_trial(),
+        };
+        let (context, server) = (&self.context, &self.server);
         match end {
-            End::Done(_) => crash::clear_suspect(&self.context, fingerprint),
-            End::Failed(error) if error.cause == Cause::Broken => {
-                let run = suspect::Run {
-                    fingerprint,
-                    isolated: self.placement.is_trial(),
-                };
-                let server = &self.server;
-                crash::handle_broken_connection(
-                    &self.context,
-                    &server.backend,
-                    server.incarnation,
-                    &server.address,
-                    run,
-                )
-                .await;
-            }
-            End::Failed(_) | End::Cancelled => {}
+            End::Done(_) => crash::clear_suspect(context, fingerprint),
+            End::Cancelled => crash::keep(context, server, run, controller::Loss::Dropped),
+            End::Failed(error) => match error.cause {
+                Cause::Broken => {
+                    crash::handle_loss(context, server, run, controller::Loss::Broken).await;
+                }
+                Cause::FirstTokenTimeout | Cause::TokenTimeout => {
+                    crash::handle_loss(context, server, run, controller::Loss::Dropped).await;
+                }
+                Cause::Unreachable
+                | Cause::Refused
+                | Cause::Rejected
+                | Cause::Failed
+                | Cause::Mismatched
+                | Cause::Malformed
+                | Cause::Corrupt => {}
+            },
         }
     }
 }
--- a/programs/entry/src/controller/mod.rs
+++ b/programs/entry/src/controller/mod.rs
@@ -50,8 +50,8 @@
     /// What is known about suspected parts has changed and is to be sent to the other
     /// entry VMs.
     Evidence(Vec<bw_suspect::Evidence>),
-    /// The connection to a backend server was lost while it ran a request, and it is
-    /// not known yet whether the backend server crashed.
+    /// The connection to a backend server was lost or dropped while it ran a request, and
+    /// it is not known yet whether the backend server crashed.
     #[strum(serialize = "broken")]
     Disconnected(Disconnect),
     /// A backend server is reserved for the isolated run of a suspect, or no longer.
@@ -63,6 +63,16 @@
     },
 }
 
+/// How a run ended without a complete answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Loss {
+    /// The connection broke.
+    Broken,
+    /// This entry VM dropped the connection: nothing came for a while, the caller left, or
+    /// another run was faster. The backend server may have ended before.
+    Dropped,
+}
+
 /// A request whose connection to its backend server was lost.
 #[derive(Clone, Debug)]
 pub struct Disconnect {
@@ -76,6 +86,8 @@
     pub parts: sync::Arc<bw_suspect::Request>,
     /// When the run was sent, in milliseconds of the process clock.
     pub sent_ms: u64,
+    /// How it ended.
+    pub loss: Loss,
 }
 
 /// Sends events to the control thread.
--- a/programs/entry/src/controller/registry.rs
+++ b/programs/entry/src/controller/registry.rs
@@ -131,6 +131,13 @@
         self.known.get(id).map(|known| &known.announcement)
     }
 
+    /// Returns when an incarnation of a backend server was last heard, if it is the latest
+    /// one that is known.
+    pub(super) fn heard_ms(&self, id: &str, incarnation: u64) -> Option<u64> {
+        let known = self.known.get(id)?;
+        (known.announcement.incarnation == incarnation).then_some(known.heard_ms)
+    }
+
     /// Forgets backend servers that were not heard of for a minute.
     pub(super) fn sweep(&mut self, now_ms: u64) {
         self.known
--- a/programs/entry/src/controller/run.rs
+++ b/programs/entry/src/controller/run.rs
@@ -8,7 +8,7 @@
 use tokio::{sync as async_sync, task, time as async_time};
 
 use super::{
-    Disconnect, Event, Sender,
+    Disconnect, Event, Loss, Sender,
     exchange::{Schedule, Synced},
     health, listing, peers, probe, registry,
 };
@@ -31,6 +31,14 @@
 /// How long after a lost connection a restart of the backend server is taken as
 /// its cause, in milliseconds.
 const CRASH_WINDOW_MS: u64 = 30_000;
+/// How long after a dropped connection a restart of a backend server that has not been
+/// heard since is taken as its cause, in milliseconds. VMs start again within that time.
+const DROPPED_WINDOW_MS: u64 = 120_000;
+/// Age of an announcement up to which it may have been sent before its backend server
+/// ended, in milliseconds.
+const ANNOUNCEMENT_TRANSIT_MS: u64 = 2_000;
+/// Most lost and dropped connections that are kept; the oldest are forgotten.
+const DISCONNECTS_MAX: usize = 1_000;
 /// Interval of the checks of requests that wait for admission.
 const ADMISSION_TICK: time::Duration = time::Duration::from_millis(20);
 /// Smallest limit on the requests of a model that run on this entry VM at once.
@@ -220,6 +228,8 @@
             Event::Disconnected(disconnect) => {
                 let now_ms = self.shared.clock.now_ms();
                 self.disconnects.push((now_ms, disconnect));
+                let excess = self.disconnects.len().saturating_sub(DISCONNECTS_MAX);
+                self.disconnects.drain(..excess);
             }
             Event::Reserved {
                 backend,
@@ -313,10 +323,11 @@
     }
 
     /// Counts a strike for each lost connection whose backend server has announced a
-    /// later incarnation since, and drops connections that were lost long ago.
+    /// later incarnation since. Forgets connections that were lost long ago, and those that
+    /// were dropped and whose backend servers go on or leave.
     fn resolve_disconnects(&mut self, now_ms: u64) {
         let (mut commands, mut evidence) = (Vec::new(), Vec::new());
-        let shared = &self.shared;
+        let (shared, registry) = (&self.shared, &self.registry);
         self.disconnects.retain(|(at_ms, disconnect)| {
             if shared
                 .table
@@ -334,7 +345,17 @@
                 }));
                 return false;
             }
-            now_ms.saturating_sub(*at_ms) < CRASH_WINDOW_MS
+            let age_ms = now_ms.saturating_sub(*at_ms);
+            match disconnect.loss {
+                Loss::Broken => age_ms < CRASH_WINDOW_MS,
+                Loss::Dropped => {
+                    let backend = &disconnect.backend;
+                    let heard_ms = registry.heard_ms(backend, disconnect.incarnation);
+                    let goes_on =
+                        heard_ms.is_some_and(|heard| heard > at_ms + ANNOUNCEMENT_TRANSIT_MS);
+                    age_ms < DROPPED_WINDOW_MS && !goes_on && !shared.table.is_leaving(backend)
+                }
+            }
         });
         for command in commands {
             self.record_suspect(command);
--- a/programs/entry/src/online/run/account.rs
+++ b/programs/entry/src/online/run/account.rs
@@ -36,6 +36,9 @@
         self.finished = true;
         if let Some(mut attempt) = self.current.take() {
             attempt.claim.slot.set_outcome(health::Outcome::Done);
+            if let Some(flight) = &mut attempt.claim.flight {
+                flight.settle();
+            }
         }
         let model = &self.request.target.model;
         self.context
--- a/programs/entry/src/online/run/attempt.rs
+++ b/programs/entry/src/online/run/attempt.rs
@@ -2,14 +2,14 @@
 
 use std::{future, sync, time};
 
-use bw_policy::router;
+use bw_policy::{router, suspect};
 use bw_wire::{name, refusal};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use tokio::time as async_time;
 
-use super::{Attempt, Claim, Run, Started, Starting};
+use super::{Attempt, Claim, Run, Started, Starting, flight::Flight};
 use crate::{
-    context, filter, metrics,
+    context, controller, filter, metrics,
     reservation::Reservation,
     routing, settings,
     upstream::{self, Event},
@@ -99,6 +99,7 @@
         let claim = Claim {
             slot,
             reservation: None,
+            flight: None,
         };
         Some(self.start(claim, true))
     }
@@ -125,6 +126,7 @@
             return Ok(Claim {
                 slot,
                 reservation: None,
+                flight: None,
             });
         }
         let backend = slot.choice().id.clone();
@@ -135,14 +137,26 @@
         Ok(Claim {
             slot,
             reservation: Some(reservation),
+            flight: None,
         })
     }
 
-    fn start(&mut self, claim: Claim, is_hedge: bool) -> Starting {
+    fn start(&mut self, mut claim: Claim, is_hedge: bool) -> Starting {
         self.attempts += 1;
         self.running = true;
         self.sent_ms = self.context.shared.clock.now_ms();
         let choice = claim.slot.choice();
+        let disconnect = controller::Disconnect {
+            backend: choice.id.clone(),
+            incarnation: choice.incarnation,
+            run: suspect::Run {
+                fingerprint: self.request.fingerprint,
+                isolated: claim.slot.sharing() == router::Sharing::Isolated,
+            },
+            parts: sync::Arc::clone(&self.request.parts),
+            sent_ms: self.sent_ms,
+            loss: controller::Loss::Dropped,
+        };
         // Later attempts of this request prefer other backend servers.
         self.avoid.push(choice.id.clone());
         let timeouts = &self.context.shared.settings.timeouts;
@@ -158,6 +172,7 @@
                 between_tokens: settings::ms(timeouts.between_tokens_ms),
             },
         };
+        claim.flight = Some(Flight::new(&self.context, disconnect));
         let pending = Pending {
             context: sync::Arc::clone(&self.context),
             model: self.request.target.model.clone(),
--- a/programs/entry/src/online/run/failure.rs
+++ b/programs/entry/src/online/run/failure.rs
@@ -1,11 +1,9 @@
 //! Handles failed attempts.
 
-use std::sync;
-
 use bw_policy::{health, retry, router, suspect};
 use bw_wire::refusal;
 
-use super::{Claim, Run};
+use super::{Claim, Run, flight::Flight};
 use crate::{
     controller, filter, metrics,
     upstream::{self, Cause},
@@ -29,6 +27,7 @@
         let Claim {
             mut slot,
             mut reservation,
+            mut flight,
         } = claim;
         log::info!(
             request_id = self.request.id.as_str(),
@@ -41,6 +40,9 @@
         let is_isolated = slot.sharing() == router::Sharing::Isolated;
         let choice = slot.choice().clone();
         drop(slot);
+        if let Some(flight) = &mut flight {
+            self.note_flight(flight, error.cause, &choice).await;
+        }
         if error.cause == Cause::Broken {
             // Whether it was a crash may become known only when the backend server
             // announces itself again.
@@ -48,7 +50,6 @@
                 reservation.spend();
             }
             self.spend_trial();
-            self.check_crash(&choice, is_isolated).await;
         }
         // Kept until the strike is counted, so that no other run of the same
         // request begins in between.
@@ -131,47 +132,55 @@
         Ok(())
     }
 
-    /// Checks whether a backend server to which the connection broke has
-    /// crashed, and counts a strike against the request if so.
-    async fn check_crash(&self, choice: &router::Choice, isolated: bool) {
+    /// Counts a strike against the request if its backend server has ended. Otherwise the
+    /// controller keeps the run, as that may become known only later.
+    async fn note_flight(&self, flight: &mut Flight, cause: Cause, choice: &router::Choice) {
+        let upstream = &self.context.upstream;
+        let (broken, refused) = match cause {
+            // The run did not begin, or the backend server goes on.
+            Cause::Unreachable | Cause::Refused | Cause::Rejected | Cause::Failed => {
+                return flight.settle();
+            }
+            Cause::Broken => (true, upstream.refuses_connections(&choice.address).await),
+            // One that does not respond may only be cut off.
+            Cause::FirstTokenTimeout | Cause::TokenTimeout => {
+                (false, upstream.has_ended(&choice.address).await)
+            }
+            Cause::Mismatched | Cause::Malformed | Cause::Corrupt => return,
+        };
         let table = &self.context.shared.table;
         let evidence = suspect::Evidence {
-            broken: true,
-            refused: self
-                .context
-                .upstream
-                .refuses_connections(&choice.address)
-                .await,
+            broken,
+            silent: !broken,
+            refused,
             restarted: table.has_restarted(&choice.id, choice.incarnation),
             leaving: table.is_leaving(&choice.id),
         };
-        let flight = suspect::Run {
-            fingerprint: self.request.fingerprint,
-            isolated,
-        };
-        if !evidence.is_crash() {
+        if evidence.is_crash() {
+            let isolated = flight.run().is_some_and(|run| run.isolated);
+            flight.settle();
+            self.count_crash(choice, isolated, refused);
+        } else if broken {
             // After a fast restart, the crash is detected only when the new incarnation
             // announces itself.
-            let disconnect = controller::Disconnect {
-                backend: choice.id.clone(),
-                incarnation: choice.incarnation,
-                run: flight,
-                parts: sync::Arc::clone(&self.request.parts),
-                sent_ms: self.sent_ms,
-            };
-            self.context
-                .events
-                .send(controller::Event::Disconnected(disconnect));
-            return;
+            flight.note_broken();
         }
-        if evidence.refused {
-            table.connection_refused(&choice.id);
+    }
+
+    /// Counts a strike against the request and its parts.
+    fn count_crash(&self, choice: &router::Choice, isolated: bool, refused: bool) {
+        if refused {
+            self.context.shared.table.connection_refused(&choice.id);
         }
         self.note_part_crash(choice);
+        let run = suspect::Run {
+            fingerprint: self.request.fingerprint,
+            isolated,
+        };
         let label = if isolated { "yes" } else { "no" };
         metrics::STRIKES.with_label_values(&[label]).inc();
         let commands = self.context.shared.with_suspects(|suspects, now_ms| {
-            suspects.crashed(&choice.id, choice.incarnation, &[flight], now_ms)
+            suspects.crashed(&choice.id, choice.incarnation, &[run], now_ms)
         });
         for command in commands {
             self.context
--- a/programs/entry/src/online/run/mod.rs
+++ b/programs/entry/src/online/run/mod.rs
@@ -3,6 +3,7 @@
 mod account;
 mod attempt;
 mod failure;
+mod flight;
 mod part;
 mod pick;
 
@@ -26,6 +27,8 @@
 struct Claim {
     slot: routing::Slot,
     reservation: Option<Reservation>,
+    /// The run, once it is sent.
+    flight: Option<flight::Flight>,
 }
 
 /// An attempt that has sent its first event.
--- a/programs/entry/src/upstream/call.rs
+++ b/programs/entry/src/upstream/call.rs
@@ -1,6 +1,6 @@
 //! Sends requests to backend servers.
 
-use std::time;
+use std::{io, time};
 
 use bw_wire::{header, name, verdict};
 use bytes::Bytes;
@@ -11,7 +11,7 @@
     client::legacy::{self, connect},
     rt,
 };
-use tokio::time as async_time;
+use tokio::{net, time as async_time};
 
 use super::{
     error::{Cause, Error},
@@ -228,6 +228,16 @@
         false
     }
 
+    /// Returns whether no process listens at the address of a backend server. One whose VM
+    /// does not respond may go on, as after a network failure.
+    pub async fn has_ended(&self, address: &name::Name) -> bool {
+        let connecting = net::TcpStream::connect(address.as_str());
+        match async_time::timeout(CONNECT_PROBE_TIMEOUT, connecting).await {
+            Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
+            Ok(Ok(_)) | Err(_) => false,
+        }
+    }
+
     async fn send(
         &self,
         request: http::Request<Full<Bytes>>,
--- a/programs/entry/tests/fault.rs
+++ b/programs/entry/tests/fault.rs
@@ -264,6 +264,93 @@
     assert!(strikes[2].1, "the third run was isolated");
 }
 
+/// How engines end under a request, after they fell silent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum End {
+    /// Their ports are closed.
+    Refuses,
+    /// They come back as another incarnation after the entry VM dropped the run.
+    Restarts,
+    /// They do so after the caller has left.
+    RestartsWithoutCaller,
+}
+
+/// Guards against a request that takes down one backend server after the other and is not
+/// suspected, because they fall silent and don't reset their connections (second report
+/// BUDGET).
+#[rstest]
+fn a_request_under_which_backend_servers_fall_silent_is_refused(
+    #[values(End::Refuses, End::Restarts, End::RestartsWithoutCaller)] end: End,
+    #[values(Answer::Freeze, Answer::FreezeAfter(1))] answer: Answer,
+) {
+    let ids = ["e1", "e2", "e3", "e4", "e5", "e6"];
+    let freezing = ids.map(|id| Backend::engine(id, &[answer]));
+    let fleet = fleet_with(freezing.into(), shorten_token_timeouts);
+    if end == End::Refuses {
+        for backend in &fleet.backends {
+            backend.refuse_after(1);
+        }
+    }
+    let runs = || fleet.backends.iter().map(Backend::count).sum::<usize>();
+    let restart = || {
+        for backend in fleet.backends.iter().filter(|_| end != End::Refuses) {
+            backend.change(|announcement| announcement.incarnation += 1);
+            backend.announce(&fleet.address());
+        }
+        // The controller looks at dropped connections periodically.
+        thread::sleep(time::Duration::from_millis(200));
+    };
+    if end == End::RestartsWithoutCaller {
+        let body = serde_json::to_vec(&chat_body(false)).expect("JSON");
+        for left in 1..=3 {
+            let mut stream = caller::connect(&fleet.address());
+            let head = caller::head("POST", "/v1/chat/completions", &[], body.len());
+            stream
+                .write_all(&[head.as_slice(), &body].concat())
+                .expect("sent");
+            wait_for("the request to arrive", || runs() >= left);
+            drop(stream);
+            thread::sleep(time::Duration::from_millis(200));
+            restart();
+        }
+    }
+    let mut last = (String::new(), String::new());
+    for _ in 0..4 {
+        last = fleet.chat(&chat_body(false)).refusal();
+        restart();
+    }
+    assert_eq!(last.0, "poisonous_request", "after {} runs", runs());
+    let before = runs();
+    fleet.chat(&chat_body(false)).refusal();
+    assert_eq!(runs(), before, "a refused request runs");
+}
+
+/// Guards against a sound request that is held to account for engines which were slow and
+/// restarted long after they had gone on.
+#[rstest]
+fn engines_that_go_on_are_no_evidence() {
+    let slow = ["e1", "e2", "e3", "e4"].map(|id| Backend::engine(id, &[Answer::Freeze]));
+    let fleet = fleet_with(slow.into(), shorten_token_timeouts);
+    for _ in 0..2 {
+        fleet.chat(&chat_body(true)).refusal();
+    }
+    // Their announcements go on meanwhile.
+    thread::sleep(time::Duration::from_millis(3_000));
+    for backend in &fleet.backends {
+        backend.change(|announcement| announcement.incarnation += 1);
+        backend
+            .script
+            .lock()
+            .expect("lock")
+            .push_front(Answer::Whole);
+    }
+    thread::sleep(time::Duration::from_millis(600));
+    assert_eq!(fleet.control.lock().strikes, []);
+    wait_for("the request is served", || {
+        fleet.chat(&chat_body(true)).status == 200
+    });
+}
+
 /// Guards against requests with one message that crash one backend server after another,
 /// as no two of them have the same content (second incident BUDGET).
 #[rstest]
