upstream: Take the end of a connection for that of a response only if the request arrived

Cause: the end of a connection ends a response without length and chunks. The HTTP library also takes status 600 to 999 and 101, a 204 with a body and unknown transfer encodings, which were passed on.

Change: `bw_base::outgoing`, for both ways in. After the end of such a response the client closes its side and waits, for at most 300 ms, until the kernel of the backend server has acknowledged all that was sent; CONNECT_TIMEOUT has the same bound, a round trip takes a few milliseconds. Heads that are not valid are refused and logged with their reason; a length that is repeated is stated once.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod access;
 pub mod logs;
 pub mod metrics;
+pub mod outgoing;
 pub mod program;
 pub mod responses;
 pub mod server;
--- a/programs/entry/src/api/service.rs
+++ b/programs/entry/src/api/service.rs
@@ -2,6 +2,7 @@
 
 use std::{io, pin::Pin, sync, task};
 
+use bw_base::outgoing;
 use bw_policy::{retry, router};
 use bw_wire::{intent, name, refusal};
 use bytes::Bytes;
@@ -211,7 +212,7 @@
     /// gives up.
     async fn send(
         &mut self,
-    ) -> Result<(routing::Slot, http::Response<body::Incoming>), refusal::Refusal> {
+    ) -> Result<(routing::Slot, http::Response<outgoing::Body>), refusal::Refusal> {
         loop {
             let slot = self.pick().await?;
             let forward = self.forward(&slot);
@@ -313,7 +314,7 @@
 /// A response body that is forwarded until the deadline of its request. An endless one
 /// would be forwarded until the caller closes.
 struct Forwarded {
-    body: body::Incoming,
+    body: outgoing::Body,
     deadline: Pin<Box<tokio::time::Sleep>>,
     _slot: routing::Slot,
     _call: Call,
--- a/programs/entry/src/upstream/call.rs
+++ b/programs/entry/src/upstream/call.rs
@@ -2,6 +2,7 @@
 
 use std::{io, time};
 
+use bw_base::outgoing;
 use bw_wire::{header, name, verdict};
 use bytes::Bytes;
 use gotham::http;
@@ -12,6 +13,7 @@
     rt,
 };
 use tokio::{net, time as async_time};
+use tower::{ServiceExt, util};
 
 use super::{
     error::{Cause, Error},
@@ -123,20 +125,24 @@
         let mut connector = connect::HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(self.connect_timeout));
+        let open: Open = |tcp| rt::TokioIo::new(outgoing::Stream::new(tcp.into_inner()));
         let http = legacy::Client::builder(rt::TokioExecutor::new())
             .pool_timer(rt::TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_max_idle_per_host(self.max_idle)
             .http1_max_buf_size(64 * 1024)
-            .build(connector);
+            .build(connector.map_response(open));
         Client { http }
     }
 }
 
+/// Turns a TCP connection into one that tells which responses are whole.
+type Open = fn(rt::TokioIo<net::TcpStream>) -> rt::TokioIo<outgoing::Stream>;
+
 /// A pooled client. Clones share their connections.
 #[derive(Clone)]
 pub struct Client {
-    http: legacy::Client<connect::HttpConnector, Full<Bytes>>,
+    http: legacy::Client<util::MapResponse<connect::HttpConnector, Open>, Full<Bytes>>,
 }
 
 impl Client {
@@ -170,7 +176,7 @@
     /// # Errors
     ///
     /// Fails like [`Client::generate`].
-    pub async fn forward(&self, forward: Forward) -> Result<http::Response<body::Incoming>, Error> {
+    pub async fn forward(&self, forward: Forward) -> Result<http::Response<outgoing::Body>, Error> {
         let deadline = async_time::Instant::now() + forward.timeout;
         let mut request = http::Request::builder()
             .method(forward.method)
@@ -242,9 +248,9 @@
         &self,
         request: http::Request<Full<Bytes>>,
         deadline: async_time::Instant,
-    ) -> Result<http::Response<body::Incoming>, Error> {
+    ) -> Result<http::Response<outgoing::Body>, Error> {
         match async_time::timeout_at(deadline, self.http.request(request)).await {
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) => whole_body(response),
             // Nothing is sent before the connection is established.
             Ok(Err(error)) if error.is_connect() => {
                 Err(Error::not_run(Cause::Unreachable, error_chain(&error)))
@@ -258,6 +264,27 @@
     }
 }
 
+/// Checks the head of a response and gives it a body that ends without an error only if it
+/// is whole.
+fn whole_body(
+    mut response: http::Response<body::Incoming>,
+) -> Result<http::Response<outgoing::Body>, Error> {
+    if let Err(why) = outgoing::normalize_head(&mut response) {
+        let message = format!(
+            "the head of the answer has an invalid {}",
+            <&str>::from(why)
+        );
+        return Err(Error::may_have_run(Cause::Malformed, message));
+    }
+    match response.extensions_mut().remove::<outgoing::Probe>() {
+        Some(probe) => Ok(outgoing::Body::of(response, probe)),
+        None => Err(Error::may_have_run(
+            Cause::Broken,
+            "the connection is not known",
+        )),
+    }
+}
+
 fn request(call: &Call) -> Result<http::Request<Full<Bytes>>, Error> {
     let mut request = http::Request::post(format!("http://{}{}", call.address, call.api.path()))
         .header(http::header::CONTENT_TYPE, "application/json")
@@ -327,7 +354,7 @@
 /// Returns the error that an unsuccessful response stands for. Without the request's id
 /// it may be the refusal of an earlier request, which says nothing about this one.
 async fn response_error(
-    response: http::Response<body::Incoming>,
+    response: http::Response<outgoing::Body>,
     request_id: &name::Name,
 ) -> Error {
     let status = response.status();
--- a/programs/entry/src/upstream/stream.rs
+++ b/programs/entry/src/upstream/stream.rs
@@ -2,10 +2,10 @@
 
 use std::time;
 
+use bw_base::outgoing;
 use bw_wire::name;
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body;
 use tokio::time as async_time;
 
 use super::{
@@ -25,7 +25,7 @@
 /// An answer counts as complete only when a finish reason and the end mark
 /// arrived. Dropping the stream cancels the request at the engine.
 pub struct Stream {
-    body: body::Incoming,
+    body: outgoing::Body,
     lines: sse::Lines,
     request_id: name::Name,
     /// The deadline of the first token, or none once it has arrived.
@@ -43,7 +43,7 @@
 
 impl Stream {
     pub(super) fn new(
-        body: body::Incoming,
+        body: outgoing::Body,
         request_id: name::Name,
         first_token_deadline: async_time::Instant,
         between_tokens: time::Duration,
--- a/programs/gateway/src/control/runner.rs
+++ b/programs/gateway/src/control/runner.rs
@@ -393,16 +393,14 @@
     if let Some(ended) = check_response(hub, &exchange.response) {
         return ended;
     }
-    // An empty response that ends with its connection may have been cut after the head.
-    let is_framed = upstream::is_framed(&exchange.response);
-    let mut may_be_cut = !is_framed;
+    let is_framed = exchange.response.body().is_framed();
     let mut body = exchange.response.into_body();
     let mut parser = event::Parser::default();
     let mut reservation = hub.pool.budget().reserve();
     let mut trial = start.trial;
     loop {
         match tokio::time::timeout(SILENCE_TIMEOUT, body.frame()).await {
-            Ok(None) if parser.is_empty() && progress.last > 0 && !may_be_cut => {
+            Ok(None) if parser.is_empty() && progress.last > 0 => {
                 exchange.lease.release();
                 // One that ends with its connection may have crashed its backend server.
                 if is_framed {
@@ -414,7 +412,6 @@
                 let Ok(bytes) = frame.into_data() else {
                     continue;
                 };
-                may_be_cut &= bytes.is_empty();
                 parser.push(&bytes);
                 let before = progress.last;
                 let fits = take_events(&mut parser, progress)
--- a/programs/gateway/src/entry/attempt.rs
+++ b/programs/gateway/src/entry/attempt.rs
@@ -627,16 +627,11 @@
             return pass_through(state, accepted, active, forward);
         }
         let slot = accepted.slot;
-        let is_framed = upstream::is_framed(&accepted.response);
+        let is_framed = accepted.response.body().is_framed();
         let (parts, body) = accepted.response.into_parts();
         let reading = async {
             let reading = read_whole(body, state.pool.budget().reserve());
-            let body = watch_silence(reading, silence(&forward), &slot).await?;
-            match is_framed || !body.is_empty() {
-                true => Ok(body),
-                // The backend server may have stopped after the head.
-                false => Err(Reason::Broken),
-            }
+            watch_silence(reading, silence(&forward), &slot).await
         };
         match tokio::time::timeout(super::remaining(forward.deadline_ms), reading).await {
             Ok(Ok(body)) => {
@@ -692,14 +687,13 @@
     active: Active,
     forward: Forward,
 ) -> response::Response {
-    let is_framed = upstream::is_framed(&accepted.response);
+    let is_framed = accepted.response.body().is_framed();
     let (mut parts, body) = accepted.response.into_parts();
     forward::remove_hop_headers(&mut parts.headers);
     let stated = body.size_hint().exact();
     let passthrough = Passthrough {
         state: Rc::clone(state),
         body,
-        may_be_cut: !is_framed,
         answer: Answer {
             status: parts.status,
             is_framed,
@@ -729,9 +723,6 @@
 struct Passthrough {
     state: Rc<State>,
     body: upstream::Body,
-    /// Whether the response ends with its connection and no byte of it has arrived, as
-    /// where the backend server stops after the head.
-    may_be_cut: bool,
     answer: Answer,
     /// The number of bytes that may still follow.
     left: u64,
@@ -746,7 +737,6 @@
         let timeout = super::remaining(self.forward.deadline_ms);
         let reading = super::next_frame(&mut self.body, timeout);
         let frame = match watch_silence(reading, silence(&self.forward), &self.slot).await {
-            Some(None) if self.may_be_cut => Err(self.note_failure(upstream::Failure::Broken)),
             Some(frame) => frame?.map_err(|failure| self.note_failure(failure)),
             None => Err(io::Error::other(Reason::Timeout.name())),
         };
@@ -755,7 +745,6 @@
         }
         let bytes = frame.as_ref().ok().and_then(body::Frame::data_ref);
         let length = bytes.map_or(0, |bytes| bytes.len() as u64);
-        self.may_be_cut &= length == 0;
         let Some(left) = self.left.checked_sub(length) else {
             self.note_broken(Reason::Endless);
             return Some(Err(io::Error::other(Reason::Endless.name())));
--- a/programs/gateway/src/entry/stream.rs
+++ b/programs/gateway/src/entry/stream.rs
@@ -47,7 +47,7 @@
         .parse()
         .ok();
     let is_event_stream = is_event_stream(&accepted.response);
-    let is_framed = upstream::is_framed(&accepted.response);
+    let is_framed = accepted.response.body().is_framed();
     let (mut parts, body) = accepted.response.into_parts();
     forward::remove_hop_headers(&mut parts.headers);
     let status = parts.status;
@@ -66,7 +66,6 @@
         run: Some(Run {
             body,
             is_framed,
-            has_data: false,
             writing: suspect::Writing::default(),
             lease: accepted.lease,
             slot: accepted.slot,
@@ -97,8 +96,6 @@
     body: upstream::Body,
     /// Whether the response states where its body ends.
     is_framed: bool,
-    /// Whether any of the body has arrived.
-    has_data: bool,
     writing: suspect::Writing,
     lease: upstream::Lease,
     slot: Slot,
@@ -161,7 +158,6 @@
         let Ok(bytes) = frame.into_data() else {
             return Ok(true);
         };
-        run.has_data |= !bytes.is_empty();
         run.slot.note_alive();
         if !self.is_event_stream {
             let left = self.document_left.checked_sub(bytes.len() as u64);
@@ -235,10 +231,7 @@
     }
 
     fn complete(&mut self) -> Result<bool, Reason> {
-        // A backend server that stops after the head sends the same as one whose response
-        // is empty and ends with its connection.
-        let is_empty = |run: &Run| !run.is_framed && !run.has_data;
-        if !self.parser.is_empty() || self.run.as_ref().is_some_and(is_empty) {
+        if !self.parser.is_empty() {
             return Err(Reason::Broken);
         }
         // A run that had nothing left to send shows nothing about the request.
@@ -292,8 +285,7 @@
         match self.attempts.run(&self.state, &self.forward).await {
             Ok(accepted) if is_event_stream(&accepted.response) => {
                 self.run = Some(Run {
-                    is_framed: upstream::is_framed(&accepted.response),
-                    has_data: false,
+                    is_framed: accepted.response.body().is_framed(),
                     writing: suspect::Writing::default(),
                     body: accepted.response.into_body(),
                     lease: accepted.lease,
--- a/programs/gateway/src/meter.rs
+++ b/programs/gateway/src/meter.rs
@@ -6,10 +6,8 @@
 
 use std::{cell::Cell, io, pin::Pin, rc::Rc, task};
 
-use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
-};
+use bw_base::outgoing;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// Most bytes that are received from the sending of a request to the head of its response,
 /// and between two pieces of its body, in bytes. A head or a chunk, the bytes that are read
@@ -44,13 +42,13 @@
 /// A connection whose reads fail once its meter is exceeded.
 #[derive(Debug)]
 pub(crate) struct Stream {
-    tcp: TcpStream,
+    inner: outgoing::Stream,
     meter: Meter,
 }
 
 impl Stream {
-    pub(crate) fn new(tcp: TcpStream, meter: Meter) -> Stream {
-        Stream { tcp, meter }
+    pub(crate) fn new(inner: outgoing::Stream, meter: Meter) -> Stream {
+        Stream { inner, meter }
     }
 }
 
@@ -65,7 +63,7 @@
             return task::Poll::Ready(Err(error));
         }
         let before = buffer.filled().len();
-        let result = task::ready!(Pin::new(&mut self.tcp).poll_read(context, buffer));
+        let result = task::ready!(Pin::new(&mut self.inner).poll_read(context, buffer));
         self.meter.add(buffer.filled().len() - before);
         task::Poll::Ready(result)
     }
@@ -77,7 +75,7 @@
         context: &mut task::Context<'_>,
         bytes: &[u8],
     ) -> task::Poll<io::Result<usize>> {
-        Pin::new(&mut self.tcp).poll_write(context, bytes)
+        Pin::new(&mut self.inner).poll_write(context, bytes)
     }
 
     fn poll_write_vectored(
@@ -85,24 +83,24 @@
         context: &mut task::Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> task::Poll<io::Result<usize>> {
-        Pin::new(&mut self.tcp).poll_write_vectored(context, slices)
+        Pin::new(&mut self.inner).poll_write_vectored(context, slices)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.tcp.is_write_vectored()
+        self.inner.is_write_vectored()
     }
 
     fn poll_flush(
         mut self: Pin<&mut Self>,
         context: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<()>> {
-        Pin::new(&mut self.tcp).poll_flush(context)
+        Pin::new(&mut self.inner).poll_flush(context)
     }
 
     fn poll_shutdown(
         mut self: Pin<&mut Self>,
         context: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<()>> {
-        Pin::new(&mut self.tcp).poll_shutdown(context)
+        Pin::new(&mut self.inner).poll_shutdown(context)
     }
 }
--- a/programs/gateway/src/upstream.rs
+++ b/programs/gateway/src/upstream.rs
@@ -14,10 +14,11 @@
     time,
 };
 
+use bw_base::outgoing;
 use bw_wire::verdict;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{HeaderMap, StatusCode, body, body::Body as _, client::conn::http1, header};
+use hyper::{HeaderMap, StatusCode, body, client::conn::http1, header};
 use hyper_util::rt::TokioIo;
 use tokio::task;
 
@@ -49,6 +50,7 @@
 struct Idle {
     sender: Sender,
     meter: meter::Meter,
+    probe: outgoing::Probe,
     task: task::AbortHandle,
     expires_at: time::Instant,
     idle_since: time::Instant,
@@ -150,7 +152,7 @@
 fn check_head<B>(
     names: &dialect::Headers,
     id: &str,
-    response: &hyper::Response<B>,
+    response: &mut hyper::Response<B>,
 ) -> Result<(), Failure> {
     let headers = response.headers();
     let echoed_id = headers.get(&names.request_id);
@@ -171,7 +173,13 @@
     if encoded || !headers.contains_key(&names.response_stamp) {
         return Err(Failure::ForeignAnswer);
     }
-    Ok(())
+    outgoing::normalize_head(response).map_err(|why| {
+        log::warn!(
+            request = id, status = response.status().as_u16(), why = <&str>::from(why);
+            "invalid response head"
+        );
+        Failure::ForeignAnswer
+    })
 }
 
 /// Returns whether the body of a response with these headers is a stream of events,
@@ -181,14 +189,6 @@
     stated.is_none_or(|value| value.as_bytes().starts_with(EVENT_STREAM))
 }
 
-/// Returns whether a response states where its body ends, by a length, by chunks or as it
-/// has none. The body of another one ends with its connection, also where the backend
-/// server stops.
-pub fn is_framed(response: &hyper::Response<Body>) -> bool {
-    let has_chunks = response.headers().contains_key(header::TRANSFER_ENCODING);
-    has_chunks || response.body().size_hint().exact().is_some()
-}
-
 /// Idle connections to all backend servers, by address; clones share them.
 #[derive(Clone, Default)]
 pub struct Pool {
@@ -202,6 +202,7 @@
     address: net::SocketAddr,
     sender: Option<Sender>,
     meter: meter::Meter,
+    probe: outgoing::Probe,
     task: task::AbortHandle,
     idle_timeout: Option<time::Duration>,
 }
@@ -228,6 +229,7 @@
         let idle = Idle {
             sender,
             meter: self.meter.clone(),
+            probe: self.probe.clone(),
             task: self.task.clone(),
             expires_at: now + idle_timeout,
             idle_since: now,
@@ -259,8 +261,8 @@
     ///
     /// Fails if the response is not that of a backend server which ran the request. A
     /// refusal covers only the send that it responds to; an earlier one may have run.
-    pub fn check(self, names: &dialect::Headers, id: &str) -> Result<Exchange, Error> {
-        match check_head(names, id, &self.response) {
+    pub fn check(mut self, names: &dialect::Headers, id: &str) -> Result<Exchange, Error> {
+        match check_head(names, id, &mut self.response) {
             Ok(()) => Ok(self),
             Err(failure) => Err(Error::after(self.earlier, failure)),
         }
@@ -276,7 +278,8 @@
         lease.idle_timeout = idle_timeout(response.headers());
         lease.meter.reset();
         let meter = lease.meter.clone();
-        let response = response.map(|incoming| Body { incoming, meter });
+        let response = outgoing::Body::of(response, lease.probe.clone());
+        let response = response.map(|inner| Body { inner, meter });
         Exchange {
             response,
             lease,
@@ -287,10 +290,18 @@
 
 /// The body of a response, which is yet to be read.
 pub struct Body {
-    incoming: body::Incoming,
+    inner: outgoing::Body,
     meter: meter::Meter,
 }
 
+impl Body {
+    /// Returns whether a length or chunks state where the body ends, or there is none. The
+    /// end of another one may be that of its backend server.
+    pub fn is_framed(&self) -> bool {
+        self.inner.is_framed()
+    }
+}
+
 impl body::Body for Body {
     type Data = Bytes;
     type Error = Failure;
@@ -299,7 +310,7 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<body::Frame<Bytes>, Failure>>> {
-        let frame = ready!(Pin::new(&mut self.incoming).poll_frame(context));
+        let frame = ready!(Pin::new(&mut self.inner).poll_frame(context));
         Poll::Ready(frame.map(|frame| match frame {
             Ok(frame) => {
                 if frame.data_ref().is_some_and(|bytes| !bytes.is_empty()) {
@@ -307,16 +318,20 @@
                 }
                 Ok(frame)
             }
-            Err(error) => Err(failure(&self.meter, &error)),
+            Err(outgoing::Failure::Http(error)) => Err(failure(&self.meter, &error)),
+            Err(error @ outgoing::Failure::Cut) => {
+                log::debug!("exchange failed: {error}");
+                Err(Failure::Broken)
+            }
         }))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.incoming.is_end_stream()
+        self.inner.is_end_stream()
     }
 
     fn size_hint(&self) -> body::SizeHint {
-        self.incoming.size_hint()
+        self.inner.size_hint()
     }
 }
 
@@ -424,6 +439,7 @@
                     address,
                     sender: Some(idle.sender),
                     meter: idle.meter,
+                    probe: idle.probe,
                     task: idle.task,
                     idle_timeout: None,
                 });
@@ -448,6 +464,8 @@
             .with_label_values(&["opened"])
             .inc();
         let meter = meter::Meter::default();
+        let stream = outgoing::Stream::new(stream);
+        let probe = stream.probe();
         let handshake = http1::Builder::new()
             .max_buf_size(HEAD_BYTES_MAX)
             .handshake(TokioIo::new(meter::Stream::new(stream, meter.clone())))
@@ -464,6 +482,7 @@
             address,
             sender: Some(sender),
             meter,
+            probe,
             task: task.abort_handle(),
             idle_timeout: None,
         })
