--- a/programs/gateway/src/lib.rs
+++ b/programs/gateway/src/lib.rs
@@ -7,8 +7,8 @@
 //! and clocks. Header names and call formats come from a [`dialect::Dialect`],
 //! so that the same programs run on different platforms.
 
-pub mod check;
-mod clock;
+mod check;
+pub mod clock;
 pub mod control;
 pub mod dialect;
 pub mod entry;
