gateway: End a trial whose backend server goes on

Callers whose prompts have a sound part in common, as the first part of all prompts of a route, were refused for 30 s and more after a burst of crashes: a trial of the part met a backend server that stalled.

Cause: since the permission of a trial is kept with its run until it is known whether the backend server has ended. If it goes on, an entry VM isn't told so, and learns it only from the next response, which doesn't come while all requests with the part are refused. So the trial was open until the run expired after 30 s. From its third second on the leader counted the result as lost, and with one trial that had crashed, the part as exhausted.

Change: an entry VM reports a trial as ended without a result once the leader would have missed the backend server, six announcements after the run's last sign. Until 10 s after its begin the leader takes an overdue result for outstanding: the next trial waits, and nothing is refused for good.

--- a/crates/relay/src/suspect/part.rs
+++ b/crates/relay/src/suspect/part.rs
@@ -26,6 +26,10 @@
 /// in milliseconds. A deadly part crashes its backend server sooner, and a sound one has
 /// outlived that time.
 const TRIAL_MS: u64 = 2_000;
+/// Time after which the result of a trial counts as lost, in milliseconds. Before, a
+/// backend server that fell silent may prove to go on, and the process that sent the trial
+/// reports it as ended without a result.
+const RESULT_MS: u64 = 10_000;
 /// Time after which an item that is itself suspected asks again for the last trial of a
 /// part, which is left to others, in milliseconds.
 const SUSPECTED_RETRY_MS: u64 = 1_000;
@@ -114,7 +118,12 @@
         }
         let counted = self.counted(now_ms);
         if counted >= TRIALS_MAX {
-            return Verdict::Exhausted;
+            return match self.result_due_ms(now_ms) {
+                Some(due_ms) => Verdict::Wait {
+                    retry_after_ms: due_ms - now_ms,
+                },
+                None => Verdict::Exhausted,
+            };
         }
         if begin.is_suspected && counted + 1 >= TRIALS_MAX {
             let retry_after_ms = SUSPECTED_RETRY_MS;
@@ -143,8 +152,16 @@
         Verdict::Granted
     }
 
+    /// Returns when the next result is due or lost that can let another trial begin.
+    fn result_due_ms(&self, now_ms: u64) -> Option<u64> {
+        let open = self.open.iter().filter(|open| !open.has_lived);
+        let due = open.map(|open| open.began_ms + RESULT_MS);
+        let due = due.filter(|due_ms| now_ms < *due_ms);
+        due.min().filter(|_| self.broken < TRIALS_MAX)
+    }
+
     /// Returns the number of trials that crashed their backend servers, or whose results
-    /// were lost.
+    /// are overdue or lost.
     fn counted(&self, now_ms: u64) -> u32 {
         let open = self.open.iter();
         let lost = open.filter(|open| !open.has_lived && !open.is_awaited(now_ms));
--- a/crates/relay/tests/part.rs
+++ b/crates/relay/tests/part.rs
@@ -9,6 +9,7 @@
 
 const PAUSE_MS: u64 = 2_000;
 const TRIAL_MS: u64 = 2_000;
+const RESULT_MS: u64 = 10_000;
 const MINUTE_MS: u64 = 60_000;
 const DAY_MS: u64 = 24 * 60 * MINUTE_MS;
 
@@ -104,6 +105,28 @@
     }
 }
 
+/// Guards against a part that is refused for good while it is not known yet whether the
+/// backend server of its last trial, which fell silent, goes on.
+#[test]
+fn a_trial_without_a_result_is_awaited() {
+    let mut part = Part::refused();
+    assert_eq!(part.ask(10, PAUSE_MS), Verdict::Granted);
+    part.strike(10, PAUSE_MS);
+    let second_ms = 5 * PAUSE_MS;
+    assert_eq!(part.ask(11, second_ms), Verdict::Granted);
+    for waited_ms in [TRIAL_MS, RESULT_MS - 1] {
+        let verdict = part.ask(12, second_ms + waited_ms);
+        assert_eq!(verdict, wait(RESULT_MS - waited_ms));
+    }
+    let mut lost = part.trials.clone();
+    let lost_ms = second_ms + RESULT_MS;
+    part.end(11, End::Inconclusive, lost_ms);
+    assert_eq!(part.ask(12, lost_ms), wait(PAUSE_MS));
+    assert_eq!(part.ask(12, lost_ms + PAUSE_MS), Verdict::Granted);
+    std::mem::swap(&mut part.trials, &mut lost);
+    assert_eq!(part.ask(12, lost_ms), Verdict::Exhausted);
+}
+
 /// Guards against a sound part whose trials are used up by crashes elsewhere, by runs that
 /// we stopped ourselves, or by trials that found no backend server (incident LOST).
 #[rstest]
--- a/crates/suspect/src/unsettled.rs
+++ b/crates/suspect/src/unsettled.rs
@@ -99,6 +99,12 @@
         expired
     }
 
+    /// Returns the runs that ended at least this time ago, in milliseconds.
+    pub fn older_than(&self, age_ms: u64, now_ms: u64) -> impl Iterator<Item = &Run<S>> {
+        let runs = self.0.iter();
+        runs.filter(move |run| now_ms >= run.ended_ms + age_ms)
+    }
+
     /// Returns whether there are none.
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
--- a/programs/gateway/src/entry/state.rs
+++ b/programs/gateway/src/entry/state.rs
@@ -219,7 +219,7 @@
         if now_ms >= self.swept_ms.get() + SWEEP_MS {
             self.swept_ms.set(now_ms);
             self.pool.sweep();
-            self.suspects.expire();
+            self.suspects.expire(self.settings.announce_ms);
         }
     }
 
--- a/programs/gateway/src/entry/suspects.rs
+++ b/programs/gateway/src/entry/suspects.rs
@@ -29,6 +29,9 @@
 const LOGGED_PARTS_BYTES: usize = 256;
 /// Most backend servers that are checked concurrently, and that wait for it.
 const CHECKS_MAX: usize = 16;
+/// Time after the last sign of a run by which the leader has missed its backend server if
+/// that has ended, in intervals between announcements. One more than the leader waits for.
+const MISSED_ANNOUNCEMENTS: u64 = 6;
 /// Silence of the leader from which this VM may be cut off, in milliseconds. That backend
 /// servers can't be reached then shows nothing. The leader sends a heartbeat each 0.4 s.
 const CUT_OFF_MS: u64 = 1_000;
@@ -268,6 +271,14 @@
         }
     }
 
+    /// Notes that the run has no result yet although its backend server goes on.
+    fn give_up(&self) {
+        if self.stage.get() == Stage::Running {
+            self.settle();
+            self.report(trial::End::Inconclusive);
+        }
+    }
+
     /// Notes that the request crashed a backend server or was answered.
     pub(crate) fn settle(&self) {
         self.stage.set(Stage::Settled);
@@ -416,11 +427,20 @@
         self.unsettled.borrow().is_empty()
     }
 
-    /// Drops the runs of which nothing will become known any more.
-    pub(crate) fn expire(&self) {
+    /// Drops the runs of which nothing will become known any more. A trial ends sooner, as
+    /// it holds back all requests with its part: once the leader would have missed its
+    /// backend server. `announce_ms` is the interval between announcements.
+    pub(crate) fn expire(&self, announce_ms: u64) {
+        let now_ms = clock::monotonic_ms();
         // Permits report their end when they are dropped.
-        let expired = self.unsettled.borrow_mut().expire(clock::monotonic_ms());
+        let expired = self.unsettled.borrow_mut().expire(now_ms);
         drop(expired);
+        let missed_ms = MISSED_ANNOUNCEMENTS * announce_ms;
+        let unsettled = self.unsettled.borrow();
+        let permits = unsettled
+            .older_than(missed_ms, now_ms)
+            .filter_map(|run| run.subject.permit.as_ref());
+        permits.for_each(|permit| permit.give_up());
     }
 
     /// Adds a strike against a request and its parts, as the backend server broke its
