outgoing: Pass responses on as HTTP/1.1

A caller got the part of an answer as a whole one if its backend server answered in HTTP/1.0 without a length and broke off: the entry program noticed it, logged `stream ended early` and closed the connection, but its response to the caller had taken over the version, in which that is the regular end.

Cause: the head of a response was passed on with its version. Only responses to callers that speak HTTP/1.0 themselves are reset when they break off.

Change: `outgoing::normalize_head`, which both ways in call, sets the version to that of the program. A body without a length then goes out in chunks.

--- a/crates/base/src/outgoing/head.rs
+++ b/crates/base/src/outgoing/head.rs
@@ -1,6 +1,6 @@
 //! Checks of the head of a response.
 
-use hyper::{HeaderMap, Response, StatusCode, header};
+use hyper::{HeaderMap, Response, StatusCode, Version, header};
 use strum::IntoStaticStr;
 
 /// Why the head of a response is not valid. The snake-case name is used in logs.
@@ -18,7 +18,9 @@
 }
 
 /// Checks that the head of a response states a final status and says where the body ends
-/// in one way only. A length that is repeated is stated once afterwards.
+/// in one way only. Afterwards a length that was repeated is stated once, and the version
+/// is that of this program: under an older one the body would be passed on without chunks,
+/// and a part of it would look whole to the caller.
 ///
 /// # Errors
 ///
@@ -28,6 +30,7 @@
     if !(200..600).contains(&status.as_u16()) {
         return Err(Invalid::Status);
     }
+    *response.version_mut() = Version::HTTP_11;
     let headers = response.headers_mut();
     let is_chunked = is_chunked(headers)?;
     let length = stated_length(headers)?;
--- a/programs/entry/tests/framing.rs
+++ b/programs/entry/tests/framing.rs
@@ -88,10 +88,11 @@
 }
 
 /// Guards against a part of an answer that looks whole, as the backend server stops while
-/// the request is still being sent.
+/// the request is still being sent, or as the answer states an older version of HTTP.
 #[rstest]
 fn an_answer_that_is_cut_during_the_upload_is_not_whole(
     #[values("quote", "invoice")] service: &str,
+    #[values("HTTP/1.0", "HTTP/1.1")] version: &str,
     #[values(End::Reset, End::HalfClose)] end: End,
     #[values(
         "\r\npart",
@@ -100,7 +101,7 @@
     )]
     rest: &str,
 ) {
-    let response = format!("HTTP/1.1 200 OK\r\n{ECHO}{rest}");
+    let response = format!("{version} 200 OK\r\n{ECHO}{rest}");
     let fleet = fleet(vec![start_early(service, response, end)]);
     for attempt in 0..3 {
         assert_eq!(whole_body(&fleet, service, attempt), None);
