bw-gateway: Find control replicas by the members of the log

A control VM that restarted after all VMs of its seeds had been replaced took part in the log, but answered reads and orders of the operator with 503: its calls go to the leader over connections that start from the seeds alone.

Cause: the members of the stored log were used for the log's own messages only.

Change: whenever the members change, and at the start, the control program tells them to its link.

Test that failed before: platform replacement, a_vm_finds_the_others_by_the_members_of_its_log.

--- a/programs/gateway/src/control/hub/mod.rs
+++ b/programs/gateway/src/control/hub/mod.rs
@@ -536,6 +536,10 @@
                 hub.peers.borrow_mut().set_members(own, &members);
                 let voters = members.iter().filter(|member| member.voter).count();
                 log::info!(own = own.0, members = members.len(), voters = voters; "members changed");
+                let addresses = members
+                    .iter()
+                    .filter_map(|member| member.address.parse().ok());
+                hub.link.add_replicas(addresses.collect());
                 *hub.members.borrow_mut() = members;
                 hub.broadcast_members();
             }
--- a/programs/gateway/src/link.rs
+++ b/programs/gateway/src/link.rs
@@ -111,6 +111,7 @@
 #[derive(Clone)]
 pub struct Link {
     shared: Rc<RefCell<Shared>>,
+    reports: mpsc::UnboundedSender<Members>,
 }
 
 /// Returns addresses at which control replicas may be found.
@@ -126,7 +127,9 @@
         seeds: Seeds,
         events: mpsc::UnboundedSender<Event>,
     ) -> (Link, impl Future<Output = ()>) {
+        let (reports, reported) = mpsc::unbounded_channel();
         let link = Link {
+            reports,
             shared: Rc::new(RefCell::new(Shared {
                 next_ticket: 0,
                 pending: HashMap::new(),
@@ -148,7 +151,18 @@
             connections: BTreeMap::new(),
             tasks: task::JoinSet::new(),
         };
-        (link, supervisor.run())
+        (link, supervisor.run(reported))
+    }
+
+    /// Adds control replicas that are known from elsewhere. A control program knows the
+    /// members of its stored log, also after all of its seeds were replaced.
+    pub(crate) fn add_replicas(&self, replicas: Vec<net::SocketAddr>) {
+        let members = Members {
+            replicas,
+            authoritative: false,
+        };
+        // The receiver is dropped only when the process ends.
+        let _ = self.reports.send(members);
     }
 
     /// Returns the internal address of the leader; `None` while not connected.
@@ -246,8 +260,8 @@
 }
 
 impl Supervisor {
-    async fn run(mut self) {
-        let (sender, mut reports) = mpsc::unbounded_channel();
+    async fn run(mut self, mut reports: mpsc::UnboundedReceiver<Members>) {
+        let sender = self.link.reports.clone();
         let mut seeds: BTreeSet<net::SocketAddr> = (self.seeds)().into_iter().collect();
         let mut seeds_due = tokio::time::interval(SEEDS_INTERVAL);
         loop {
