bw-dev: Complete a job in one place

Cause: two tests of lost control replicas end with the same submission of a job and the same checks.

Change: both call `complete_job`, which has these checks.

--- a/programs/dev/tests/control_failures.rs
+++ b/programs/dev/tests/control_failures.rs
@@ -54,11 +54,14 @@
     assert_eq!(job["request_counts"]["completed"], 40, "{job}");
     let output = job["output_file_id"].as_str().expect("output file");
     assert_eq!(fleet.lines(&address, output).await.len(), 40);
+    complete_job(&fleet, &address).await;
+}
+
+/// Submits a small job and waits until it is complete.
+async fn complete_job(fleet: &fleet::Fleet, address: &str) {
+    let job = fleet.submit(address, &fleet::batch_lines(3, 2), None).await;
     let job = fleet
-        .submit(&address, &fleet::batch_lines(3, 2), None)
-        .await;
-    let job = fleet
-        .ended(&address, job["id"].as_str().expect("job id"))
+        .ended(address, job["id"].as_str().expect("job id"))
         .await;
     assert_eq!(job["request_counts"]["completed"], 3, "{job}");
 }
@@ -102,13 +105,7 @@
     fleet.controls[2].take().expect("replica").kill();
 
     let address = fleet.entry_address(0);
-    let job = fleet
-        .submit(&address, &fleet::batch_lines(3, 2), None)
-        .await;
-    let job = fleet
-        .ended(&address, job["id"].as_str().expect("job id"))
-        .await;
-    assert_eq!(job["request_counts"]["completed"], 3, "{job}");
+    complete_job(&fleet, &address).await;
 }
 
 /// Guards against a foreign process on a control port that harms the replica.
