--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../tools-3/run.sh" item-gone "$(dirname "$0")"
+exec "$(dirname "$0")/../tools-3/run.sh" forgotten "$(dirname "$0")"
--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../tools-3/run.sh" foreign-born "$(dirname "$0")"
+exec "$(dirname "$0")/../tools-3/run.sh" own-503 "$(dirname "$0")"
--- a/review/tools-3/cases.rs
+++ b/review/tools-3/cases.rs
@@ -36,6 +36,7 @@
         "item-route" => item_route(&record),
         "item-gone" => item_gone(&record),
         "cold-prompt" => cold_prompt(&record),
+        "forgotten" => forgotten(&record),
         "reserved-prefix" => reserved_prefix(&record),
         _ => COULD_NOT_RUN,
     };
@@ -869,3 +870,233 @@
     record.line(format!("answered 404 by the system: {denied} of 100"));
     if denied > 5 { BROKEN } else { HELD }
 }
+
+/// Returns the control process that leads, by the address that it names for heartbeats.
+fn leader(fleet: &Fleet) -> Option<usize> {
+    let address = "127.0.0.1:9".parse().ok()?;
+    let body = rig::heartbeat(
+        "probe",
+        address,
+        "ljub-a",
+        8,
+        "ready",
+        1,
+        Some(rig::unix_ms()),
+    );
+    let until = Instant::now() + Duration::from_secs(10);
+    while Instant::now() < until {
+        for to in fleet.all_operators() {
+            let path = "/instances/i-probe";
+            let answer = call(
+                to,
+                "PUT",
+                path,
+                &[],
+                body.as_bytes(),
+                Duration::from_secs(1),
+            );
+            let Ok(answer) = answer else { continue };
+            let named = answer.text();
+            let named = (0..fleet.controls.len())
+                .find(|index| named.contains(&format!("\"{}\"", fleet.operators(*index))));
+            if answer.status() == 200 && named.is_some() {
+                return named;
+            }
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    None
+}
+
+/// Returns the index of the last snapshot that a control process has stored.
+fn last_snapshot(fleet: &Fleet, control: usize) -> u64 {
+    let files = std::fs::read_dir(fleet.log_folder(control));
+    let names = files.into_iter().flatten().flatten();
+    let names = names.filter_map(|file| file.file_name().into_string().ok());
+    let indexes = names.filter_map(|name| {
+        let (_, index) = name.strip_prefix("snapshot-")?.split_once('-')?;
+        u64::from_str_radix(index, 16).ok()
+    });
+    indexes.max().unwrap_or(0)
+}
+
+/// Returns the version that a node reads, `None` without a clear answer.
+fn read_version(to: std::net::SocketAddr) -> Option<u64> {
+    let answer = call(to, "GET", "/config", &[], b"", Duration::from_secs(1)).ok()?;
+    let text = answer.text();
+    let version = text.split_once("\"Version\":")?.1;
+    let digits: String = version.chars().take_while(char::is_ascii_digit).collect();
+    digits.parse().ok().filter(|_| answer.status() == 200)
+}
+
+/// A control process is killed while it stores a snapshot, and later forgets what it has
+/// acknowledged since. The kill has to come within some hundred microseconds, so that it is
+/// tried again if nothing is lost.
+fn forgotten(record: &Record) -> i32 {
+    let tries = if trouble() { 3 } else { 1 };
+    let mut code = COULD_NOT_RUN;
+    for number in 0..tries {
+        record.line(format!("try {number}"));
+        match forgotten_once(record) {
+            BROKEN => return BROKEN,
+            HELD => code = HELD,
+            _ => {}
+        }
+    }
+    code
+}
+
+fn forgotten_once(record: &Record) -> i32 {
+    let mut fleet = Fleet::new(record, 3, 2);
+    let routes = [batch_route("plans", "/plans/", "desk")];
+    if !fleet.start(&config(1, &routes, &["desk"])) {
+        return COULD_NOT_RUN;
+    }
+    let Some(old) = leader(&fleet) else {
+        return COULD_NOT_RUN;
+    };
+    record.line(format!("core-{old} leads"));
+    // Jobs come while the core is killed. The leader goes last, and nobody has its last entries.
+    let go = Arc::new(AtomicBool::new(false));
+    let clients: Vec<_> = (0..120)
+        .map(|client| {
+            let (go, to) = (Arc::clone(&go), fleet.callers(client % 2));
+            thread::spawn(move || {
+                let job = Job::new(1, |_| format!("/plans/0/{client}"));
+                let body = job.body("", b"plan", 500);
+                while !go.load(Ordering::Relaxed) {
+                    thread::sleep(Duration::from_millis(1));
+                }
+                let headers = [
+                    ("Host", HOST),
+                    ("Bilberrywind-Request-Id", job.id.as_str()),
+                    ("Bilberrywind-Deadline-Ms", "800"),
+                ];
+                let limit = Duration::from_millis(800);
+                let answer = call(to, "POST", "/plans/0", &headers, body.as_bytes(), limit);
+                answer.map_or(0, |answer| answer.status())
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(300));
+    for index in (0..3).filter(|index| *index != old) {
+        fleet.controls[index].kill();
+    }
+    go.store(true, Ordering::Relaxed);
+    thread::sleep(Duration::from_millis(220));
+    fleet.controls[old].kill();
+    record.line("platform: all control processes are killed, the leader last");
+    let answers: Vec<u16> = clients
+        .into_iter()
+        .map(|client| client.join().unwrap_or(0))
+        .collect();
+    record.line(format!("client: 120 jobs are answered {answers:?}"));
+    for index in (0..3).filter(|index| *index != old) {
+        fleet.controls[index].start();
+    }
+    record.line("platform: the other two are back");
+    let Some(new) = leader(&fleet) else {
+        return COULD_NOT_RUN;
+    };
+    record.line(format!("core-{new} leads"));
+    for number in 0..3 {
+        let job = Job::new(200, |index| format!("/plans/{number}/{index}"));
+        let body = job.body("", &[b'x'; 14_000], 500);
+        if submit(&fleet, record, "/plans/1", &job, &body, 10).is_none() {
+            return COULD_NOT_RUN;
+        }
+    }
+    let until = Instant::now() + Duration::from_secs(10);
+    while last_snapshot(&fleet, new) == 0 {
+        if Instant::now() > until {
+            record.line("no snapshot");
+            return COULD_NOT_RUN;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    thread::sleep(Duration::from_millis(500));
+    let snapshot = last_snapshot(&fleet, new);
+    record.line(format!("core-{new} has a snapshot of entry {snapshot}"));
+    let stored = fleet
+        .log_folder(old)
+        .join(format!("snapshot-00000000-{snapshot:016x}"));
+    fleet.controls[old].start();
+    let until = Instant::now() + Duration::from_secs(10);
+    while !stored.exists() {
+        if Instant::now() > until {
+            record.line("the snapshot is not sent");
+            return COULD_NOT_RUN;
+        }
+    }
+    if trouble() {
+        fleet.controls[old].kill();
+        record.line(format!(
+            "platform: core-{old} is killed as it stores the snapshot"
+        ));
+        thread::sleep(Duration::from_millis(300));
+        fleet.controls[old].start();
+    }
+    record.line(format!("platform: core-{old} is back"));
+    if !fleet.publish(&config(2, &routes, &["desk"])) {
+        return COULD_NOT_RUN;
+    }
+    let until = Instant::now() + Duration::from_secs(10);
+    while !fleet.has_applied(old, 2) {
+        if Instant::now() > until {
+            record.line("the process that was back does not catch up");
+            return COULD_NOT_RUN;
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    // It has caught up for longer than `CatchUpS`.
+    thread::sleep(Duration::from_millis(5_000));
+    let Some(leads) = leader(&fleet).filter(|leads| *leads != old) else {
+        record.line("the process that was back leads");
+        return COULD_NOT_RUN;
+    };
+    let third = 3 - old - leads;
+    fleet.controls[third].kill();
+    record.line(format!("platform: core-{third} is killed"));
+    thread::sleep(Duration::from_millis(500));
+    if !fleet.publish(&config(3, &routes, &["desk"])) {
+        return COULD_NOT_RUN;
+    }
+    let acknowledged = Instant::now();
+    fleet.controls[old].kill();
+    fleet.controls[leads].kill();
+    record.line(format!(
+        "platform: the others, core-{old} and core-{leads}, are killed"
+    ));
+    thread::sleep(Duration::from_millis(700));
+    fleet.controls[old].start();
+    fleet.controls[third].start();
+    record.line(format!("platform: core-{old} and core-{third} are back"));
+    thread::sleep(Duration::from_millis(2_500).saturating_sub(acknowledged.elapsed()));
+    let mut older = 0;
+    for _ in 0..4 {
+        for index in [old, third] {
+            let version = read_version(fleet.operators(index));
+            record.line(format!("operator: core-{index} reads version {version:?}"));
+            older += usize::from(version.is_some_and(|version| version < 3));
+        }
+        thread::sleep(Duration::from_millis(250));
+    }
+    fleet.controls[leads].start();
+    record.line(format!("platform: core-{leads} is back"));
+    if older == 0 && trouble() {
+        return HELD;
+    }
+    // `RecoveryS` and more.
+    thread::sleep(Duration::from_millis(13_000));
+    let mut last = Vec::new();
+    for index in 0..3 {
+        let version = read_version(fleet.operators(index));
+        record.line(format!(
+            "operator: at the end core-{index} reads version {version:?}"
+        ));
+        last.push(version);
+    }
+    record.line(format!("version 3 was acknowledged; older versions were read {older} times, and at the end {last:?}"));
+    let lost = last.iter().flatten().any(|version| *version < 3);
+    if older > 0 || lost { BROKEN } else { HELD }
+}
--- a/review/tools-3/rig.rs
+++ b/review/tools-3/rig.rs
@@ -266,6 +266,8 @@
     pub fn new(record: &Record, controls: usize, entries: usize) -> Fleet {
         let target = std::env::var("RIG_BIN").unwrap_or_else(|_| "target/release".to_owned());
         let folder = PathBuf::from(std::env::var("RIG_TMP").expect("RIG_TMP names a folder"));
+        let folder = folder.join(new_id("fleet-"));
+        fs::create_dir_all(&folder).expect("the folder can be created");
         let net = 20 + (std::process::id() % 200) as u8;
         let mut ports = Vec::new();
         let mut held = Vec::new();
@@ -346,6 +348,20 @@
         format!("127.{}.2.{}", self.net, index + 1)
     }
 
+    /// Returns the folder of the log of a control process.
+    pub fn log_folder(&self, index: usize) -> PathBuf {
+        self.folder.join(format!("data-{index}")).join("log")
+    }
+
+    /// Returns whether a control process has logged that it applied a configuration.
+    pub fn has_applied(&self, index: usize, version: u64) -> bool {
+        let log =
+            fs::read_to_string(self.folder.join(format!("core-{index}.log"))).unwrap_or_default();
+        let version = format!("\"version\":{version}");
+        let mut lines = log.lines();
+        lines.any(|line| line.contains("configuration applied") && line.contains(&version))
+    }
+
     pub fn server_ip(&self, index: usize) -> String {
         format!("127.{}.3.{}", self.net, index + 1)
     }
