--- a/crates/coord/src/host/recovery.rs
+++ b/crates/coord/src/host/recovery.rs
@@ -34,30 +34,31 @@
     let mut groups = BTreeMap::new();
     for (id, machine) in machines {
         let replay = replays.remove(&id);
-        if let Some(mut source) = backups.remove(&id) {
-            let segment_bytes = options.payload_segment_bytes;
-            let stored = backup::restore(&mut disk, id, &list, segment_bytes, &mut source)?;
-            let (term, vote) = (stored.meta.term, None);
-            wal.push(id, &wal::Record::Vote { term, vote });
-            let replay = wal::Replay::new(term);
-            let group = recover(&mut disk, replica, id, options, machine, stored, replay)?;
-            groups.insert(id, group);
-            continue;
-        }
-        let stored = match snapshots.remove(&id) {
-            Some(stored) => stored,
-            None if replay.is_none() => initial_snapshot(&mut disk, id, &list)?,
-            None => return Err(incomplete(id, "the snapshot is missing")),
-        };
-        if replay.is_none() {
-            if stored.meta.index > 0 {
-                return Err(Error::corrupt(&stored.name, 0, "the log is missing"));
+        let (stored, replay) = match backups.remove(&id) {
+            Some(mut source) => {
+                let segment_bytes = options.payload_segment_bytes;
+                let stored = backup::restore(&mut disk, id, &list, segment_bytes, &mut source)?;
+                let replay = wal::Replay::new(stored.meta.term);
+                wal.push(id, &replay.vote_record());
+                (stored, replay)
             }
-            let (term, vote) = (0, None);
-            wal.push(id, &wal::Record::Vote { term, vote });
-        }
-        let replay = replay.unwrap_or_default();
-        let group = recover(&mut disk, replica, id, options, machine, stored, replay)?;
+            None => {
+                let stored = match snapshots.remove(&id) {
+                    Some(stored) => stored,
+                    None if replay.is_none() => initial_snapshot(&mut disk, id, &list)?,
+                    None => return Err(incomplete(id, "the snapshot is missing")),
+                };
+                if replay.is_none() {
+                    if stored.meta.index > 0 {
+                        return Err(Error::corrupt(&stored.name, 0, "the log is missing"));
+                    }
+                    wal.push(id, &wal::Replay::default().vote_record());
+                }
+                (stored, replay.unwrap_or_default())
+            }
+        };
+        let durable = finish_log(&mut wal, id, &stored.meta, replay)?;
+        let group = recover(&mut disk, replica, id, options, machine, stored, durable)?;
         groups.insert(id, group);
     }
     if wal.opens_segment() {
@@ -128,6 +129,38 @@
     Writer::new(group, meta, &[]).complete(disk)
 }
 
+/// Returns the durable state of a group. If a snapshot from another replica was stored
+/// and a crash came before the log was reset to it, adds the missing records.
+fn finish_log(
+    wal: &mut wal::Wal,
+    id: GroupId,
+    snapshot: &SnapshotMeta,
+    replay: wal::Replay,
+) -> Result<node::Durable, Error> {
+    // The term of the snapshot may have been lost with the reset.
+    let term = replay.term.max(snapshot.term);
+    let vote = replay.vote.filter(|_| term == replay.term);
+    let tail = replay
+        .after(snapshot.index, snapshot.term)
+        .ok_or_else(|| incomplete(id, "entries are missing"))?;
+    if tail.reset_missing {
+        log::warn!(
+            "group {id}: the log was not reset to the stored snapshot of entry {} in term {}, \
+             resetting it with {} later entries",
+            snapshot.index,
+            snapshot.term,
+            tail.entries.len()
+        );
+        wal.push_reset(id, snapshot, &tail.entries);
+    }
+    Ok(node::Durable {
+        term,
+        vote,
+        snapshot: snapshot.clone(),
+        entries: tail.entries,
+    })
+}
+
 fn recover<D: Disk, M: Machine>(
     disk: &mut D,
     replica: ReplicaId,
@@ -135,7 +168,7 @@
     options: Options,
     mut machine: M,
     stored: Stored,
-    replay: wal::Replay,
+    durable: node::Durable,
 ) -> Result<group::Group<M>, Error> {
     let data = stored.read_all(disk)?;
     let (state, list) = data
@@ -147,16 +180,6 @@
             .restore(state)
             .map_err(|source| Error::Restore { group: id, source })?;
     }
-    let (term, vote) = (replay.term, replay.vote);
-    let entries = replay
-        .after(stored.meta.index, stored.meta.term)
-        .ok_or_else(|| incomplete(id, "entries are missing"))?;
-    let durable = node::Durable {
-        term,
-        vote,
-        snapshot: stored.meta.clone(),
-        entries,
-    };
     let node = node::Node::new(replica, id, options, durable);
     Ok(group::Group::new(id, node, machine, payloads, stored))
 }
--- a/crates/coord/src/storage/memory.rs
+++ b/crates/coord/src/storage/memory.rs
@@ -42,6 +42,10 @@
     capacity: Option<u64>,
     failing_syncs: u64,
     syncs: u64,
+    /// Number of appends, syncs, renames and removals so far.
+    changes: u64,
+    /// The number of changes after which all further ones fail.
+    last_change: Option<u64>,
     /// Whether started syncs are kept from finishing.
     held: bool,
     /// Whether the started sync may finish although syncs are held.
@@ -66,6 +70,7 @@
     pub fn crash(&self, loss: Loss) {
         let mut content = self.lock();
         content.started = None;
+        content.last_change = None;
         for file in content.files.values_mut() {
             file.lose(loss);
         }
@@ -93,6 +98,14 @@
         self.lock().failing_syncs = count;
     }
 
+    /// Makes all appends, syncs, renames and removals after the next `changes` ones fail
+    /// until [`Memory::crash`], as if the process died there. If the first one that
+    /// fails is an append, half of its data is written.
+    pub fn stop_after(&self, changes: u64) {
+        let mut content = self.lock();
+        content.last_change = Some(content.changes + changes);
+    }
+
     /// Keeps started syncs from finishing, or stops doing so.
     pub fn hold_syncs(&self, held: bool) {
         self.lock().held = held;
@@ -145,6 +158,15 @@
     fn used(&self) -> u64 {
         self.files.values().map(|file| file.data.len() as u64).sum()
     }
+
+    /// Counts a change, which fails if the disk has stopped.
+    fn change(&mut self, operation: &'static str, name: &str) -> Result<(), Error> {
+        self.changes += 1;
+        if self.last_change.is_some_and(|last| self.changes > last) {
+            return Err(Error::io(operation, name, io::Error::other("stopped")));
+        }
+        Ok(())
+    }
 }
 
 impl Stored {
@@ -170,6 +192,14 @@
 impl Disk for Memory {
     fn append(&mut self, name: &str, data: &[u8]) -> Result<(), Error> {
         let mut content = self.lock();
+        let stopped = content.change("append to", name);
+        if let Err(error) = stopped {
+            if content.last_change == Some(content.changes - 1) {
+                let file = content.files.entry(name.to_owned()).or_default();
+                file.data.extend_from_slice(&data[..data.len() / 2]);
+            }
+            return Err(error);
+        }
         let room = content.capacity.map(|capacity| {
             let room = capacity.saturating_sub(content.used());
             usize::try_from(room).unwrap_or(usize::MAX)
@@ -188,6 +218,7 @@
 
     fn sync(&mut self, name: &str) -> Result<(), Error> {
         let mut content = self.lock();
+        content.change("sync", name)?;
         content.syncs += 1;
         if content.failing_syncs > 0 {
             content.failing_syncs -= 1;
@@ -235,12 +266,15 @@
     }
 
     fn remove(&mut self, name: &str) -> Result<(), Error> {
-        self.lock().files.remove(name);
+        let mut content = self.lock();
+        content.change("remove", name)?;
+        content.files.remove(name);
         Ok(())
     }
 
     fn rename(&mut self, from: &str, to: &str) -> Result<(), Error> {
         let mut content = self.lock();
+        content.change("rename", from)?;
         let Some(file) = content.files.remove(from) else {
             return Err(missing("rename", from));
         };
--- a/crates/coord/src/wal/mod.rs
+++ b/crates/coord/src/wal/mod.rs
@@ -111,6 +111,21 @@
         self.frame.push(group, record);
     }
 
+    /// Adds the records that replace the whole log of a group by a stored snapshot and
+    /// the entries after it.
+    pub fn push_reset(
+        &mut self,
+        group: GroupId,
+        snapshot: &message::SnapshotMeta,
+        tail: &[message::Entry],
+    ) {
+        let (index, term) = (snapshot.index, snapshot.term);
+        self.push(group, &Record::Reset { index, term });
+        for entry in tail {
+            self.push(group, &Record::Entry(entry.clone()));
+        }
+    }
+
     /// Returns whether the frame holds records to be written.
     pub fn has_pending(&self) -> bool {
         !self.frame.is_empty()
--- a/crates/coord/src/wal/replay.rs
+++ b/crates/coord/src/wal/replay.rs
@@ -18,8 +18,15 @@
     pub vote: Option<ReplicaId>,
     /// Entries by index. Those of removed segments are missing at the beginning.
     pub entries: BTreeMap<u64, message::Entry>,
-    /// The index and term of the last snapshot that replaced the log of the group.
-    reset: Option<(u64, u64)>,
+}
+
+/// The part of a group's log that follows its snapshot.
+#[derive(Debug)]
+pub(crate) struct Tail {
+    pub entries: Vec<message::Entry>,
+    /// Whether the log also holds entries that the snapshot has replaced, because the
+    /// [`Record::Reset`] that drops them was not logged before a crash.
+    pub reset_missing: bool,
 }
 
 impl Replay {
@@ -31,6 +38,14 @@
         }
     }
 
+    /// Returns the record of the term and vote.
+    pub fn vote_record(&self) -> Record {
+        Record::Vote {
+            term: self.term,
+            vote: self.vote,
+        }
+    }
+
     fn add(&mut self, record: Record) {
         match record {
             Record::Vote { term, vote } => {
@@ -38,10 +53,7 @@
                 self.vote = vote;
             }
             Record::Entry(entry) => self.add_entry(entry),
-            Record::Reset { index, term } => {
-                self.entries.clear();
-                self.reset = Some((index, term));
-            }
+            Record::Reset { .. } => self.entries.clear(),
         }
     }
 
@@ -57,22 +69,28 @@
     /// Returns the entries after a snapshot, or `None` if some are missing.
     ///
     /// A crash after a snapshot from another replica was stored and before its
-    /// [`Record::Reset`] was logged leaves entries that the snapshot replaces. They
-    /// are dropped if the entry at its index has another term.
-    pub fn after(mut self, index: u64, term: u64) -> Option<Vec<message::Entry>> {
-        let agrees = match self.entries.get(&index) {
-            Some(entry) => entry.term == term,
-            None => true,
-        };
-        let later = self.entries.split_off(&(index + 1));
-        if !agrees && self.reset != Some((index, term)) {
-            return Some(Vec::new());
+    /// [`Record::Reset`] was logged leaves entries that the snapshot replaces. Terms
+    /// never decrease along a log, so entries of an earlier term than the snapshot's do
+    /// not follow it. All others are kept: this replica may have appended and
+    /// acknowledged them after it was opened with the snapshot. One that it did not
+    /// append then is uncommitted, and the leader replaces it.
+    pub fn after(mut self, index: u64, term: u64) -> Option<Tail> {
+        let replaced = |entry: &message::Entry| entry.term != term;
+        let mut reset_missing = self.entries.get(&index).is_some_and(replaced);
+        let mut later = self.entries.split_off(&(index + 1));
+        let first_term = later.first_key_value().map(|(_, entry)| entry.term);
+        if first_term.is_some_and(|first| first < term) {
+            reset_missing = true;
+            later.clear();
         }
         let contiguous = later
             .keys()
             .zip(index + 1..)
             .all(|(key, next)| *key == next);
-        contiguous.then(|| later.into_values().collect())
+        contiguous.then(|| Tail {
+            entries: later.into_values().collect(),
+            reset_missing,
+        })
     }
 }
 
