coord: Make the entry of a data folder durable when it is opened

Without the identity the next start clears the log and joins under a new id; without the folder an initial member starts with an empty log under its old id, having forgotten its votes and what it acknowledged.

`Directory::open` now syncs the folder above its own, which holds both. It is one sync at each start.

--- a/crates/coord/src/storage/directory.rs
+++ b/crates/coord/src/storage/directory.rs
@@ -31,14 +31,19 @@
 impl Directory {
     /// Opens and locks a directory, which is created if it is absent.
     ///
+    /// The entry of the directory in its parent is durable on success, as are all earlier
+    /// changes of the parent's entries, unless the parent cannot be opened.
+    ///
     /// # Errors
     ///
-    /// Fails if the directory cannot be created, or cannot be locked because another
-    /// process uses it.
+    /// Fails if the directory cannot be created or synced, or cannot be locked because
+    /// another process uses it.
     pub fn open(path: impl Into<path::PathBuf>) -> Result<Directory, Error> {
         let path = path.into();
         let name = path.display().to_string();
         fs::create_dir_all(&path).map_err(|error| Error::io("create", &name, error))?;
+        // An earlier process may have created the directory and died before this sync.
+        sync_parent(&path).map_err(|error| Error::io("sync the parent of", &name, error))?;
         let lock = fs::File::options()
             .create(true)
             .truncate(false)
@@ -135,6 +140,24 @@
     }
 }
 
+fn sync_parent(path: &path::Path) -> io::Result<()> {
+    let parent = match path.parent() {
+        Some(parent) if parent != path::Path::new("") => parent,
+        Some(_) => path::Path::new("."),
+        None => return Ok(()),
+    };
+    match fs::File::open(parent) {
+        Err(error) if error.kind() == io::ErrorKind::PermissionDenied => {
+            log::warn!(
+                "{}: cannot be opened to be synced: {error}",
+                parent.display()
+            );
+            Ok(())
+        }
+        opened => opened?.sync_all(),
+    }
+}
+
 /// Syncs the content of a file, and the directory if one is given because the file's
 /// entry in it is not durable yet.
 fn sync_files(file: &fs::File, entries: Option<&fs::File>) -> io::Result<()> {
--- a/programs/gateway/src/control/identity.rs
+++ b/programs/gateway/src/control/identity.rs
@@ -36,6 +36,8 @@
 /// Fails if the disk cannot be read or written.
 pub(crate) fn load(settings: &settings::Settings, data: &path::Path) -> io::Result<Identity> {
     if let Some(identity) = read(data)? {
+        // Its rename may not be durable yet. Opening the log syncs this folder before
+        // anything relies on the identity.
         return Ok(identity);
     }
     fs::create_dir_all(data)?;
