coord: Repeat a restore from a backup that was interrupted

`bw-control` restored only into an empty folder. Two of three such replicas elect a leader without the data of the backup. docs/operations.md said that such a start is refused.

A restore now begins with a file that marks it, which is synced first and removed once the log of all groups is durable. With it, `restore_from` starts the restore anew, and a start without `restore_from` is refused.

--- a/crates/coord/src/host/backup.rs
+++ b/crates/coord/src/host/backup.rs
@@ -13,7 +13,7 @@
     message::SnapshotMeta,
     payload,
     snapshot::{self, Stored, Writer},
-    storage::{Disk, Error},
+    storage::{self, Disk, Error},
 };
 
 /// Number of bytes of a backup that are read at a time.
@@ -22,6 +22,9 @@
 /// A larger size means that the bytes are not a backup.
 const MAX_METADATA_BYTES: usize = 1 << 20;
 
+/// The file that is on the disk as long as a restore has not finished.
+const UNFINISHED_FILE: &str = "restore-unfinished";
+
 /// A chunk of a group's backup.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Chunk {
@@ -83,6 +86,48 @@
     }
 }
 
+/// Returns whether a disk can be filled from backups: it is empty, or an earlier restore
+/// stopped before it had finished.
+///
+/// # Errors
+///
+/// Fails if the disk cannot be read.
+pub fn awaits_restore<D: Disk + ?Sized>(disk: &mut D) -> Result<bool, Error> {
+    let files = disk.list()?;
+    Ok(files.is_empty() || files.iter().any(is_mark))
+}
+
+/// Returns an error if an earlier restore stopped before it had finished.
+pub(super) fn check_finished<D: Disk>(disk: &mut D) -> Result<(), Error> {
+    match disk.list()?.iter().any(is_mark) {
+        true => Err(Error::UnfinishedRestore),
+        false => Ok(()),
+    }
+}
+
+/// Marks a disk as one with an unfinished restore. Removes what an earlier one left.
+pub(super) fn begin<D: Disk>(disk: &mut D) -> Result<(), Error> {
+    if !awaits_restore(disk)? {
+        return Err(Error::NotEmpty);
+    }
+    for file in disk.list()? {
+        if !is_mark(&file) {
+            disk.remove(&file.name)?;
+        }
+    }
+    disk.append(UNFINISHED_FILE, b"1")?;
+    disk.sync(UNFINISHED_FILE)
+}
+
+/// Records that all groups are restored and their log is durable.
+pub(super) fn finish<D: Disk>(disk: &mut D) -> Result<(), Error> {
+    disk.remove(UNFINISHED_FILE)
+}
+
+fn is_mark(file: &storage::File) -> bool {
+    file.name == UNFINISHED_FILE
+}
+
 /// Stores a backup on an empty disk as the first snapshot of a group. The given
 /// members replace those of the backup.
 pub(super) fn restore<D: Disk>(
--- a/crates/coord/src/host/builder.rs
+++ b/crates/coord/src/host/builder.rs
@@ -114,8 +114,9 @@
         self
     }
 
-    /// Starts a group on an empty disk with the state of a backup, as read by
-    /// [`host::Host::read_backup`], instead of the initial state.
+    /// Starts a group with the state of a backup, as read by
+    /// [`host::Host::read_backup`], instead of the initial state. The disk must be empty
+    /// or hold an interrupted restore, see [`host::awaits_restore`].
     ///
     /// The members are the ones given to [`Builder::new`], and all of them must be
     /// restored from the same backup. Commands acknowledged after the backup are
--- a/crates/coord/src/host/mod.rs
+++ b/crates/coord/src/host/mod.rs
@@ -14,7 +14,7 @@
     wal,
 };
 
-pub use backup::Chunk;
+pub use backup::{Chunk, awaits_restore};
 pub use builder::Builder;
 pub(crate) use builder::Options;
 pub use event::{Input, Output, Refusal};
--- a/crates/coord/src/host/recovery.rs
+++ b/crates/coord/src/host/recovery.rs
@@ -13,7 +13,8 @@
     wal,
 };
 
-/// Opens a host from the state on its disk, or from backups if the disk is empty.
+/// Opens a host from the state on its disk, or from backups if the disk is empty or an
+/// earlier restore was interrupted.
 pub(super) fn open<T: Types>(
     replica: ReplicaId,
     members: Vec<Member>,
@@ -22,9 +23,11 @@
     options: Options,
     mut disk: T::Disk,
 ) -> Result<Host<T>, Error> {
-    // An interrupted restore also leaves files, so that it must start on an empty disk.
-    if !backups.is_empty() && !disk.list()?.is_empty() {
-        return Err(Error::NotEmpty);
+    let restores = !backups.is_empty();
+    match restores {
+        true => backup::begin(&mut disk)?,
+        // Groups that were not restored yet would start empty.
+        false => backup::check_finished(&mut disk)?,
     }
     let mut snapshots = latest_snapshots(&mut disk)?;
     let (mut wal, mut replays) = wal::Wal::open(&mut disk, replica, options.segment_bytes)?;
@@ -69,6 +72,9 @@
     if wal.has_pending() {
         wal.commit(&mut disk)?;
     }
+    if restores {
+        backup::finish(&mut disk)?;
+    }
     Ok(Host {
         replica,
         options,
--- a/crates/coord/src/storage/error.rs
+++ b/crates/coord/src/storage/error.rs
@@ -46,6 +46,8 @@
     },
     /// A backup cannot be restored, because the disk already holds data.
     NotEmpty,
+    /// A restore from backups was interrupted and has to be repeated.
+    UnfinishedRestore,
     /// Another process uses the directory.
     Locked {
         /// The path of the lock file.
@@ -110,6 +112,9 @@
             Error::NotEmpty => {
                 formatter.write_str("a backup can only be restored on an empty disk")
             }
+            Error::UnfinishedRestore => {
+                formatter.write_str("a restore was interrupted and has to be repeated")
+            }
             Error::Locked { file } => write!(formatter, "another process holds {file}"),
             Error::Restore { group, source } => {
                 write!(formatter, "cannot restore group {group}: {source}")
--- a/crates/coord/tests/backup.rs
+++ b/crates/coord/tests/backup.rs
@@ -6,7 +6,7 @@
 
 use bw_coord::{
     GroupId, ReplicaId, host, member, node,
-    storage::{self, Memory},
+    storage::{self, Disk, Loss, Memory},
 };
 use common::{Cluster, FIRST, GROUPS, Host, Journal, Options, Types};
 use rstest::rstest;
@@ -162,6 +162,53 @@
     }
 }
 
+/// Guards against a replica that starts empty, as the first member of a new cluster,
+/// after a restore that stopped at any write.
+#[rstest]
+fn an_interrupted_restore_is_repeated(
+    #[values(Loss::Nothing, Loss::All, Loss::Torn { keep: 9 })] loss: Loss,
+) {
+    let mut cluster = Cluster::new(Options::new(3, 6));
+    let backups = GROUPS.map(|group| {
+        cluster.await_leader(group);
+        for size in 0..40 {
+            cluster.write_acked(group, 8 + size);
+        }
+        (group, backup(&mut cluster, group))
+    });
+    let backups = BTreeMap::from(backups);
+    let members = new_members();
+    for changes in 0.. {
+        let disk = Memory::new();
+        disk.stop_after(changes);
+        let finished = open_from_backups(11, &members, &backups, disk.clone()).is_ok();
+        disk.crash(loss);
+        // As the control program decides.
+        let mut host = match host::awaits_restore(&mut disk.clone()).expect("readable") {
+            true => {
+                if !disk.clone().list().expect("readable").is_empty() {
+                    let error = builder(11, &members).open(disk.clone()).err();
+                    let unfinished = matches!(error, Some(storage::Error::UnfinishedRestore));
+                    assert!(unfinished, "after {changes} changes: {error:?}");
+                }
+                open_from_backups(11, &members, &backups, disk)
+            }
+            false => builder(11, &members).open(disk),
+        }
+        .unwrap_or_else(|error| panic!("after {changes} changes: {error}"));
+        for group in GROUPS {
+            let commands = &host.machine(group).expect("known group").commands;
+            assert_eq!(commands.len(), 40, "after {changes} changes");
+        }
+        host.step(vec![host::Input::Tick], 1, &mut |_| {})
+            .expect("the disk works");
+        if finished {
+            assert!(changes > 10, "only {changes} changes");
+            return;
+        }
+    }
+}
+
 fn check_state(hosts: &mut BTreeMap<u64, Host>, expected: &BTreeMap<GroupId, Vec<u64>>) {
     for host in hosts.values_mut() {
         for (group, commands) in expected {
--- a/programs/control/src/handle.rs
+++ b/programs/control/src/handle.rs
@@ -204,7 +204,7 @@
 }
 
 /// Opens the replicated groups in a data folder. Restores them from a backup first if
-/// the folder is empty and the settings name one.
+/// the folder is empty, or an earlier restore was interrupted, and the settings name one.
 fn open(
     settings: &settings::Settings,
     mut folder: Box<dyn storage::Flusher>,
@@ -217,10 +217,10 @@
     for group in 0..=settings.work_groups {
         builder = builder.group(GroupId(group), machine::Machine::for_group(group));
     }
-    let is_empty = storage::Disk::list(folder.as_mut())?.is_empty();
-    if let Some(backups) = settings.restore_from.as_ref().filter(|_| is_empty) {
+    let awaits_restore = host::awaits_restore(folder.as_mut())?;
+    if let Some(backups) = settings.restore_from.as_ref().filter(|_| awaits_restore) {
         log::warn!(
-            "the data folder is empty and is filled from {}",
+            "the data folder is empty or incomplete and is filled from {}",
             backups.display()
         );
         for group in 0..=settings.work_groups {
