dispatch: Run items by the route of their job, not by their paths

Cause: the dispatcher looked up the route of an item by the item's path, as for a caller's request, in four places: giving up, both kinds of starts, and the reason for which an item waits. The path is only what the backend server is asked for. So a route that is removed takes items with it, and a route that is added with a longer prefix takes them to its service.

Change: `route::Table::get` finds a route by its key, and the dispatcher asks for the key of the job, which the acceptance recorded; the stored record does not change. An item whose own route is removed is given up as before, at once and with the reason `route_gone`.

--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -114,6 +114,7 @@
 #[derive(Clone, Debug)]
 struct Item {
     id: Name,
+    /// What the backend server is asked for. It says nothing about the route.
     path: Name,
     headers: Vec<(Name, Name)>,
     tokens: u64,
@@ -125,6 +126,7 @@
 
 #[derive(Clone, Debug)]
 struct Job {
+    /// The route of the submission, which all items belong to.
     route: route::Key,
     /// Unix time at which the results are due.
     due_ms: u64,
@@ -321,16 +323,15 @@
 
     fn expire(&mut self, routes: &route::Table, now_ms: u64, actions: &mut Vec<Action>) {
         for (id, job) in &mut self.jobs {
-            let expired = now_ms >= job.expires_ms;
+            let reason = match routes.get(&job.route) {
+                None => Reason::RouteGone,
+                Some(_) if now_ms >= job.expires_ms => Reason::Expired,
+                Some(_) => continue,
+            };
             for (index, item) in &mut job.items {
                 if !matches!(item.state, State::Waiting) {
                     continue;
                 }
-                let reason = match routes.find(&job.route.host, &item.path) {
-                    None => Reason::RouteGone,
-                    Some(_) if expired => Reason::Expired,
-                    Some(_) => continue,
-                };
                 item.state = State::Recording;
                 let key = Key {
                     job: id.clone(),
--- a/crates/relay/src/dispatch/start.rs
+++ b/crates/relay/src/dispatch/start.rs
@@ -99,7 +99,7 @@
             {
                 continue;
             }
-            let Some(route) = routes.find(&job.route.host, &item.path) else {
+            let Some(route) = routes.get(&job.route) else {
                 continue;
             };
             let avoid = item.waiting.avoid.as_ref();
@@ -143,6 +143,9 @@
             let Some(job) = self.jobs.get_mut(id) else {
                 continue;
             };
+            let Some(route) = routes.get(&job.route) else {
+                continue;
+            };
             for (index, item) in &mut job.items {
                 if *remaining == 0 || candidates.is_empty() {
                     return;
@@ -153,9 +156,6 @@
                 {
                     continue;
                 }
-                let Some(route) = routes.find(&job.route.host, &item.path) else {
-                    continue;
-                };
                 let avoid = item.waiting.avoid.clone();
                 // A crash for another reason would end the trial of a part.
                 let asks = self.holds.get(&item.request).is_some();
--- a/crates/relay/src/dispatch/wait.rs
+++ b/crates/relay/src/dispatch/wait.rs
@@ -172,8 +172,7 @@
 
     fn room(&self, job: &Job, servers: &[Server], routes: &route::Table) -> Room {
         let mut room = Room::default();
-        let item = job.items.values().next();
-        let Some(route) = item.and_then(|item| routes.find(&job.route.host, &item.path)) else {
+        let Some(route) = routes.get(&job.route) else {
             return room;
         };
         for server in servers
--- a/crates/relay/src/route.rs
+++ b/crates/relay/src/route.rs
@@ -258,11 +258,17 @@
         Table { hosts }
     }
 
-    /// Returns the route of the host whose prefix is the longest that matches the path.
-    /// A port in the host is ignored.
+    /// Returns the route of a request: that of the host whose prefix is the longest that
+    /// matches the path. A port in the host is ignored.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let host = host.split(':').next().unwrap_or(host);
         let routes = self.hosts.get(host)?;
         routes.iter().find(|route| path.starts_with(&*route.prefix))
     }
+
+    /// Returns the route with a key.
+    pub fn get(&self, key: &Key) -> Option<&Arc<Route>> {
+        let routes = self.hosts.get(&key.host)?;
+        routes.iter().find(|route| route.has_key(key))
+    }
 }
--- a/crates/relay/tests/dispatch.rs
+++ b/crates/relay/tests/dispatch.rs
@@ -4,7 +4,7 @@
 
 use bw_relay::{
     dispatch::{
-        Action, Dispatcher, EVICTION_MS, Key, Options, Outcome, Reason, Server, Start, Survey,
+        Action, Dispatcher, EVICTION_MS, Key, Options, Outcome, Reason, Server, Start, Survey, wait,
     },
     ledger::{Command, End, Job, Ledger, NewItem, NewJob},
     route,
@@ -15,9 +15,13 @@
 const SLOTS: u32 = 4;
 
 fn job(ledger: &mut Ledger, id: &str, items: usize, complete_ms: u64) -> Job {
-    let items = (0..items).map(|index| NewItem {
+    job_with_paths(ledger, id, &vec!["/p/x"; items], complete_ms)
+}
+
+fn job_with_paths(ledger: &mut Ledger, id: &str, paths: &[&str], complete_ms: u64) -> Job {
+    let items = paths.iter().enumerate().map(|(index, path)| NewItem {
         id: format!("{id}-{index}").as_str().into(),
-        path: "/p/x".into(),
+        path: (*path).into(),
         headers: Vec::new(),
         body: Vec::new(),
         tokens: 10,
@@ -500,3 +504,59 @@
     let ended = dispatcher.ended(&started[0].key, Outcome::Failed(progress(0)), 10);
     assert!(matches!(ended, Some((End::GivenUp, _))), "{ended:?}");
 }
+
+/// Backend servers of two services: `desk` and `billing`.
+fn two_services() -> [Server; 2] {
+    let mut servers = servers(&[0, 0]);
+    servers[1].service = "billing".into();
+    servers.try_into().expect("two backend servers")
+}
+
+/// Guards against giving up accepted items, or running them at another service, because
+/// of the routes of other requests: the path of an item is what the backend server is
+/// asked for, and it need not be under the prefix of the item's own route.
+#[rstest]
+#[case::under_the_own_prefix("/p/x")]
+#[case::under_another_prefix("/checks/1")]
+#[case::under_a_longer_prefix("/p/3/1")]
+#[case::under_no_prefix("/elsewhere/1")]
+#[case::without_a_slash("x")]
+fn items_belong_to_the_route_of_their_job(#[case] path: &str) {
+    let own = work::job_route("/p/", "desk", 60_000);
+    let others = ["/checks/", "/p/3/"].map(|prefix| route::Route {
+        kind: route::Kind::NonIdempotent,
+        ..work::job_route(prefix, "billing", 60_000)
+    });
+    let with_others = work::table([&others[..], std::slice::from_ref(&own)].concat());
+    let alone = work::table(vec![own.clone()]);
+    let mut dispatcher = Dispatcher::new(Options::default());
+    let paths = [path; 8];
+    let job = job_with_paths(&mut Ledger::default(), "job", &paths, 18_000);
+    dispatcher.add(&"job".into(), &job, work::unjudged);
+    let mut run = |routes: &route::Table, now_ms| {
+        let actions = dispatcher.plan(&two_services(), routes, now_ms);
+        assert!(
+            !actions
+                .iter()
+                .any(|action| matches!(action, Action::GiveUp(..))),
+            "{actions:?}"
+        );
+        let started = starts(&actions);
+        assert_eq!(started.len(), SLOTS as usize, "{actions:?}");
+        assert!(started.iter().all(|start| &*start.server == "s0"));
+        let queue = dispatcher.queue(&two_services(), routes, 1, now_ms);
+        assert_eq!(queue.longest[0].reason, wait::Reason::NoSlot);
+        for start in started {
+            dispatcher.ended(&start.key, Outcome::Broken(progress(0)), now_ms);
+        }
+    };
+    run(&with_others, 0);
+    // Between breaks without an event the items pause, and then run as trials.
+    run(&alone, 20_000);
+    let routes = work::table(others.to_vec());
+    let actions = dispatcher.plan(&two_services(), &routes, 20_100);
+    let given_up = actions
+        .iter()
+        .filter(|action| matches!(action, Action::GiveUp(_, Reason::RouteGone)));
+    assert_eq!(given_up.count(), paths.len(), "{actions:?}");
+}
--- a/crates/relay/tests/support/work.rs
+++ b/crates/relay/tests/support/work.rs
@@ -16,24 +16,34 @@
 
 /// Returns a table with one route for jobs.
 pub fn routes(give_up_ms: u64) -> route::Table {
-    let service = "desk".into();
+    table(vec![job_route("/p/", "desk", give_up_ms)])
+}
+
+/// Returns a route for jobs, whose items one service runs.
+pub fn job_route(prefix: &str, service: &str, give_up_ms: u64) -> route::Route {
+    let service = service.into();
+    route::Route {
+        name: "r".into(),
+        host: "a.example".into(),
+        prefix: prefix.into(),
+        kind: route::Kind::Batch,
+        timeout_ms: 1_000,
+        target_ms: 500,
+        gap_ms: 0,
+        shares: vec![route::Share { service, weight: 1 }],
+        attempts: 3,
+        priority: 2,
+        complete_ms: 18_000,
+        give_up_ms,
+        waiting_tokens: 0,
+    }
+}
+
+/// Returns a table of routes.
+pub fn table(routes: Vec<route::Route>) -> route::Table {
     route::Table::new(&route::Config {
         version: 1,
-        routes: vec![route::Route {
-            name: "r".into(),
-            host: "a.example".into(),
-            prefix: "/p/".into(),
-            kind: route::Kind::Batch,
-            timeout_ms: 1_000,
-            target_ms: 500,
-            gap_ms: 0,
-            shares: vec![route::Share { service, weight: 1 }],
-            attempts: 3,
-            priority: 2,
-            complete_ms: 18_000,
-            give_up_ms,
-            waiting_tokens: 0,
-        }],
+        routes,
         services: Vec::new(),
         limits: route::Limits {
             header_bytes: 1,
