dispatch: Stop runs of a former leader at a service that their route has left

Cause: a new leader continues the runs that it finds at a backend server of the same service, without asking the routes. Where the run is gone by then, it is sent as a new one.

Change: `adopt` asks the route of the job. A run at a service that it does not allow, or whose route is gone, is stopped like one without a free slot, and its item waits for the eviction and then starts where the route allows.

--- a/crates/relay/src/dispatch/adopt.rs
+++ b/crates/relay/src/dispatch/adopt.rs
@@ -5,6 +5,7 @@
 use bw_wire::name::Name;
 
 use super::{Action, Dispatcher, Key, Server, Start, State};
+use crate::route;
 
 /// The runs that a backend server reported to a new leader.
 #[derive(Clone, Debug)]
@@ -53,7 +54,10 @@
     /// A backend server continues a run whose caller froze or lost power. Without an
     /// adoption the item would run twice, and the run whose output nobody reads would
     /// deny its slot to online requests for seconds.
-    pub fn adopt(&mut self, surveys: &[Survey], now_ms: u64) -> Adoption {
+    ///
+    /// A run at a service that the route of its job does not allow any more is stopped, and
+    /// its item starts anew elsewhere.
+    pub fn adopt(&mut self, surveys: &[Survey], routes: &route::Table, now_ms: u64) -> Adoption {
         self.no_starts_before_ms = 0;
         let mut run_locations = BTreeMap::new();
         for (index, survey) in surveys.iter().enumerate() {
@@ -70,29 +74,33 @@
         let scarce = orphans > free.iter().map(|free| (*free).max(0)).sum();
         let mut adoption = Adoption::default();
         for (id, job) in &mut self.jobs {
+            let route = routes.get(&job.route);
             for (index, item) in &mut job.items {
                 let location = run_locations.get(&item.id);
                 let Some(&from) = location.filter(|_| matches!(item.state, State::Waiting)) else {
                     continue;
                 };
                 let service = &surveys[from].server.service;
+                let allowed = route.is_some_and(|route| route.allows(service));
                 let others = surveys
                     .iter()
                     .enumerate()
                     .filter(|(other, survey)| *other != from && survey.server.service == *service);
                 // The memory of a run can be moved to another backend server only. If
                 // there is none, the run continues to its end.
-                let Some((to, target)) = others.max_by_key(|(other, _)| free[*other]) else {
+                let target = others.max_by_key(|(other, _)| free[*other]);
+                if allowed && target.is_none() {
                     continue;
-                };
-                if scarce || free[to] <= 0 {
+                }
+                let target = target.filter(|(to, _)| allowed && !scarce && free[*to] > 0);
+                let Some((to, target)) = target else {
                     item.waiting.not_before_ms = now_ms + EVICTION_MS;
                     adoption.evictions.push(Eviction {
                         id: item.id.clone(),
                         from: surveys[from].server.address.clone(),
                     });
                     continue;
-                }
+                };
                 // The slot that the run leaves does not count as free, as all moves begin
                 // at the same time.
                 free[to] -= 1;
--- a/crates/relay/tests/dispatch.rs
+++ b/crates/relay/tests/dispatch.rs
@@ -377,6 +377,7 @@
             &["online-4", "online-5", "online-6"],
             &["online-7"],
         ]),
+        &routes(),
         0,
     );
     let adopted = starts(&adoption.starts);
@@ -396,10 +397,34 @@
 #[test]
 fn a_run_is_not_moved_without_another_backend_server() {
     let mut dispatcher = dispatcher(1);
-    let adoption = dispatcher.adopt(&surveys(&[&["job-0"]]), 0);
+    let adoption = dispatcher.adopt(&surveys(&[&["job-0"]]), &routes(), 0);
     assert!(adoption.starts.is_empty() && adoption.evictions.is_empty());
 }
 
+/// Guards against a new leader that sends items to the service that their route has left,
+/// or to that of a route that was removed.
+#[rstest]
+#[case::moved(vec![work::job_route("/p/", "billing", 60_000)], 2)]
+#[case::removed(Vec::new(), 0)]
+fn runs_at_a_service_that_the_route_has_left_are_stopped(
+    #[case] routes: Vec<route::Route>,
+    #[case] started: usize,
+) {
+    let routes = work::table(routes);
+    let mut dispatcher = dispatcher(2);
+    let mut surveys = surveys(&[&["job-0"], &["job-1"], &[]]);
+    surveys[2].server.service = "billing".into();
+    let adoption = dispatcher.adopt(&surveys, &routes, 0);
+    assert!(adoption.starts.is_empty(), "{:?}", adoption.starts);
+    let evicted: Vec<&str> = adoption.evictions.iter().map(|run| &*run.id).collect();
+    assert_eq!(evicted, ["job-0", "job-1"]);
+    let servers: Vec<Server> = surveys.into_iter().map(|survey| survey.server).collect();
+    let actions = dispatcher.plan(&servers, &routes, EVICTION_MS);
+    let starts = starts(&actions);
+    assert_eq!(starts.len(), started, "{actions:?}");
+    assert!(starts.iter().all(|start| &*start.server == "s2"));
+}
+
 /// Replays an overload in which not all items can be complete in time. Guards against
 /// running late items first, which makes all later ones late too.
 #[test]
@@ -464,6 +489,7 @@
             &["job-0", "online-1", "online-2", "online-3"],
             &["job-1", "online-4", "online-5"],
         ]),
+        &routes(),
         0,
     );
     assert!(starts(&adoption.starts).is_empty(), "one slot for two runs");
@@ -475,6 +501,7 @@
             &["job-0", "online-1", "online-2", "online-3"],
             &["job-1", "online-4", "online-5", "online-6"],
         ]),
+        &routes(),
         0,
     );
     assert!(adoption.starts.is_empty());
--- a/programs/gateway/src/control/orphan.rs
+++ b/programs/gateway/src/control/orphan.rs
@@ -66,7 +66,11 @@
         suspect::Incarnation::new(id, hub.backend_started_ms(id))
     });
     hub.end_abandoned_trials(running.collect());
-    let adoption = hub.dispatch.borrow_mut().adopt(&surveys, hub.unix_ms());
+    let routes = Rc::clone(&hub.routes.borrow());
+    let adoption = hub
+        .dispatch
+        .borrow_mut()
+        .adopt(&surveys, &routes, hub.unix_ms());
     log::info!(
         backends = backends, answered = surveys.len(), runs = runs, adopted = adoption.starts.len(),
         evicted = adoption.evictions.len(), took_ms = clock::monotonic_ms().saturating_sub(began_ms);
