gateway: Do not pass on a refusal that a backend server does not state

To a caller 503 promises that nothing has run, so it sends the request again, and it runs twice.

Cause: the verdict over all sends decides about the statuses that an entry VM gives itself; the status of a backend server was passed on beside it.

The log has the status, the counters the reason `unstated_refusal`. A 503 of this kind counts against the health of the backend server; it counted as a success, so that one that refuses all requests looked idle.

--- a/programs/entry/tests/once.rs
+++ b/programs/entry/tests/once.rs
@@ -114,6 +114,34 @@
     }
 }
 
+/// Guards against telling a caller that a request has not run because its backend server
+/// answered with a status like that of a refusal, and against running it again. What is
+/// promised here is the verdict: the status of a service is passed on without one.
+#[rstest]
+fn a_status_without_a_verdict_is_no_promise(
+    #[values(INVOICE, "/v1/chat/completions")] path: &str,
+    #[values(408, 421, 429, 503)] status: u16,
+) {
+    let body = chat_body(false).to_string();
+    let backend = |id| match path {
+        INVOICE => Backend::service(id, "invoice", &[Answer::Status(status)]),
+        _ => Backend::engine(id, &[Answer::Status(status)]),
+    };
+    let fleet = fleet(vec![backend("s1"), backend("s2")]);
+    let headers = [("idempotency-key", "k1"), ("bw-repeatable", "no")];
+    for _ in 0..2 {
+        let response = caller::post(&fleet.address(), path, &headers, &body);
+        match path {
+            INVOICE => {
+                assert_eq!((response.status, response.text().as_str()), (status, "{}"));
+                assert_eq!(response.header("bw-verdict"), None);
+            }
+            _ => assert_eq!(response.refusal().1, "may_have_run"),
+        }
+        assert_eq!(runs(&fleet), 1);
+    }
+}
+
 /// Guards against an outcome that is not recorded because the caller disconnects:
 /// the request must finish, and a resend must get its answer.
 #[rstest]
--- a/programs/gateway/src/control/item.rs
+++ b/programs/gateway/src/control/item.rs
@@ -117,7 +117,9 @@
             upstream::Failure::Refused => note_ended(hub, self.incarnation, "refused"),
             upstream::Failure::OtherBackend => note_ended(hub, self.incarnation, "replaced"),
             upstream::Failure::Unreachable => note_lost(hub, self.incarnation, "unreachable"),
-            upstream::Failure::Full => self.note_response(hub),
+            upstream::Failure::Full | upstream::Failure::UnstatedRefusal(_) => {
+                self.note_response(hub);
+            }
             upstream::Failure::Connect
             | upstream::Failure::Broken
             | upstream::Failure::Timeout
--- a/programs/gateway/src/entry/attempt.rs
+++ b/programs/gateway/src/entry/attempt.rs
@@ -470,6 +470,11 @@
             upstream::Failure::OtherBackend => suspects.note_ended(link, run, "replaced"),
             upstream::Failure::Unreachable => suspects.note_lost(link, run, "unreachable"),
             upstream::Failure::Full => suspects.note_alive(link, run, run.sent_ms),
+            // Like a server error, it shows nothing about the request.
+            upstream::Failure::UnstatedRefusal(_) => {
+                slot.settle();
+                suspects.note_alive(link, run, run.sent_ms);
+            }
             upstream::Failure::Connect
             | upstream::Failure::CrossedAnswer
             | upstream::Failure::ForeignAnswer
@@ -479,6 +484,10 @@
         let mut balance = state.balance.borrow_mut();
         match error.failure {
             upstream::Failure::Full => balance.refused(run.backend, now_ms),
+            // It may concern this request or its caller alone, such as a limit on a caller.
+            upstream::Failure::UnstatedRefusal(status) if status.is_client_error() => {
+                balance.succeeded(run.backend, now_ms);
+            }
             // A request that ran out of its own time does not make the backend server
             // unhealthy.
             upstream::Failure::Connect
@@ -496,6 +505,7 @@
             upstream::Failure::Broken
             | upstream::Failure::CrossedAnswer
             | upstream::Failure::ForeignAnswer
+            | upstream::Failure::UnstatedRefusal(_)
             | upstream::Failure::Endless => {
                 balance.failed(run.backend, balance::Failure::Broken, now_ms);
             }
--- a/programs/gateway/src/entry/reason.rs
+++ b/programs/gateway/src/entry/reason.rs
@@ -38,6 +38,9 @@
     Broken,
     /// The backend server refused the request because it is at capacity.
     Full,
+    /// The backend server ran the request and answered with a status that promises callers
+    /// that it has not run.
+    UnstatedRefusal,
     /// A different backend server than expected listens at the address.
     OtherBackend,
     /// The response carries the id of another request.
@@ -70,6 +73,7 @@
             upstream::Failure::Broken => Reason::Broken,
             upstream::Failure::Timeout => Reason::Timeout,
             upstream::Failure::Full => Reason::Full,
+            upstream::Failure::UnstatedRefusal(_) => Reason::UnstatedRefusal,
             upstream::Failure::OtherBackend => Reason::OtherBackend,
             upstream::Failure::CrossedAnswer => Reason::CrossedAnswer,
             upstream::Failure::ForeignAnswer => Reason::ForeignAnswer,
--- a/programs/gateway/src/upstream.rs
+++ b/programs/gateway/src/upstream.rs
@@ -71,6 +71,9 @@
     Timeout,
     /// The backend server refused the request because it is at capacity.
     Full,
+    /// The backend server ran the request and answered with a status that promises callers
+    /// that it has not run.
+    UnstatedRefusal(StatusCode),
     /// A different backend server than expected listens at the address.
     OtherBackend,
     /// The response carries the id of another request.
@@ -98,6 +101,7 @@
             | Failure::CrossedAnswer
             | Failure::ForeignAnswer
             | Failure::Endless => verdict::Verdict::MayHaveRun,
+            Failure::UnstatedRefusal(_) => verdict::Verdict::Run,
         }
     }
 }
@@ -137,6 +141,7 @@
             Failure::Broken => "the connection broke",
             Failure::Timeout => "no response in time",
             Failure::Full => "the backend server is at capacity",
+            Failure::UnstatedRefusal(_) => "the backend server refused the request after it ran",
             Failure::OtherBackend => "another backend server listens at the address",
             Failure::CrossedAnswer => "the response belongs to another request",
             Failure::ForeignAnswer => "the response does not come from a backend server",
@@ -147,8 +152,20 @@
 
 impl error::Error for Failure {}
 
-/// Checks that the head of a response comes from the expected backend server and
-/// belongs to the request with this id.
+/// Returns whether a status promises callers that their request has not run and will not.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
+/// Checks that the head of a response comes from the expected backend server, belongs to
+/// the request with this id, and can be passed on. A status that promises that the request
+/// has not run cannot, unless the backend server states that.
 fn check_head<B>(
     names: &dialect::Headers,
     id: &str,
@@ -173,6 +190,14 @@
     if encoded || !headers.contains_key(&names.response_stamp) {
         return Err(Failure::ForeignAnswer);
     }
+    if promises_not_run(response.status()) {
+        let status = response.status();
+        log::warn!(
+            request = id, status = status.as_u16();
+            "backend server refused a request after it ran"
+        );
+        return Err(Failure::UnstatedRefusal(status));
+    }
     outgoing::normalize_head(response).map_err(|why| {
         log::warn!(
             request = id, status = response.status().as_u16(), why = <&str>::from(why);
