control: Admit announcements by one rule

Cause: a missing start was taken for 0, which skipped the check of age, so that the new id took the address over; leaving is final until a restart. The service was looked at only where another id had the address. Fields that the relay does not read could be missing or of any type.

Change: the adapter requires each named field with its type. The registry decides in one place whether an announcement may change an entry: values in range, a known start, and a service that is configured or the one that is known under the id. An announcement of a service that is not configured is kept aside and applied once the service is, so that a server that started before its configuration is used at once. A new leader applies the same rule to what the ledger holds.

--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -22,6 +22,9 @@
 /// from the far future would outrank every later one.
 const CLOCK_SKEW_MAX_MS: u64 = 60 * 60 * 1_000;
 
+/// Most backend servers of services that are not configured whose announcements are kept.
+const DEFERRED_MAX: usize = 4_096;
+
 /// Why an announcement cannot be meant.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -32,10 +35,22 @@
     Address,
     /// There are no slots, or more than any backend server has.
     Slots,
-    /// The start lies in the future.
+    /// The start is unknown or lies in the future.
     Start,
 }
 
+/// Whether an announcement may change an entry.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Admission {
+    /// It comes from a backend server of a service that is configured.
+    Admitted,
+    /// Its service is not configured, so that it may come from another writer. It changes
+    /// nothing until the service is.
+    Deferred,
+    /// It cannot be meant.
+    Refused(Invalid),
+}
+
 /// The state of a backend server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -63,8 +78,8 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub state: State,
-    /// When the process started, in Unix milliseconds of its own clock; 0 if unknown. A
-    /// restart under the same id has a later time.
+    /// When the process started, in Unix milliseconds of its own clock; 0 if only its
+    /// leaving is known. A restart under the same id has a later time.
     pub started_ms: u64,
     /// Sequence number, which increases with each announcement since the start.
     pub sequence: u64,
@@ -92,7 +107,8 @@
         if self.slots == 0 || self.slots > SLOTS_MAX {
             return Err(Invalid::Slots);
         }
-        if self.started_ms > unix_ms.saturating_add(CLOCK_SKEW_MAX_MS) {
+        let latest_ms = unix_ms.saturating_add(CLOCK_SKEW_MAX_MS);
+        if self.started_ms == 0 || self.started_ms > latest_ms {
             return Err(Invalid::Start);
         }
         Ok(())
@@ -180,15 +196,28 @@
         self.backends.get(id)
     }
 
-    /// Returns another backend server that takes new work at the address of an
-    /// announcement.
-    pub fn ready_at_address(&self, announcement: &Announcement) -> Option<&Announcement> {
-        let mut known = self.backends.values().map(|backend| &backend.announcement);
-        known.find(|known| {
-            known.state == State::Ready
-                && known.id != announcement.id
-                && known.shares_address(announcement)
-        })
+    /// Decides whether an announcement of a backend server may change an entry, at a Unix
+    /// time in milliseconds.
+    ///
+    /// This is the only place where that is decided: whatever the id or the address is, an
+    /// announcement that is not admitted must not be applied. A backend server that is known
+    /// goes on to be heard if its service is removed from the configuration.
+    pub fn admit(
+        &self,
+        announcement: &Announcement,
+        is_configured: impl Fn(&Name) -> bool,
+        unix_ms: u64,
+    ) -> Admission {
+        if let Err(invalid) = announcement.check(unix_ms) {
+            return Admission::Refused(invalid);
+        }
+        let known = self.get(&announcement.id);
+        let service = &announcement.service;
+        let is_known = known.is_some_and(|known| known.announcement.service == *service);
+        match is_known || is_configured(service) {
+            true => Admission::Admitted,
+            false => Admission::Deferred,
+        }
     }
 
     /// Returns what an announcement that is not applied yet shows of starts of backend
@@ -249,7 +278,6 @@
         let superseded = self.backends.values().any(|other| {
             other.announcement.shares_address(&announcement)
                 && other.announcement.started_ms > announcement.started_ms
-                && announcement.started_ms > 0
         });
         if superseded {
             return Outcome::Stale;
@@ -327,6 +355,53 @@
     }
 }
 
+/// The newest announcements of backend servers whose services are not configured.
+#[derive(Clone, Debug, Default)]
+pub struct Deferred {
+    backends: BTreeMap<Name, Backend>,
+}
+
+impl Deferred {
+    /// Adds an announcement. Returns whether the backend server was not in the list before;
+    /// a full list takes no more of them.
+    pub fn add(&mut self, announcement: Announcement, now_ms: u64) -> bool {
+        let known = self.backends.get(&announcement.id);
+        if known.is_some_and(|known| is_older(&announcement, &known.announcement)) {
+            return false;
+        }
+        let is_new = known.is_none();
+        if is_new && self.backends.len() >= DEFERRED_MAX {
+            return false;
+        }
+        let id = announcement.id.clone();
+        let backend = Backend {
+            announcement,
+            last_seen_ms: now_ms,
+        };
+        self.backends.insert(id, backend);
+        is_new
+    }
+
+    /// Removes a backend server that leaves.
+    pub fn remove(&mut self, id: &str) {
+        self.backends.remove(id);
+    }
+
+    /// Removes and returns the announcements of services that are configured now.
+    pub fn take(&mut self, is_configured: impl Fn(&Name) -> bool) -> Vec<Announcement> {
+        let taken = self.backends.extract_if(.., |_, backend| {
+            is_configured(&backend.announcement.service)
+        });
+        taken.map(|(_, backend)| backend.announcement).collect()
+    }
+
+    /// Removes backend servers that did not announce themselves for more than `silent_ms`.
+    pub fn expire(&mut self, now_ms: u64, silent_ms: u64) {
+        self.backends
+            .retain(|_, backend| now_ms <= backend.last_seen_ms.saturating_add(silent_ms));
+    }
+}
+
 /// Returns whether an announcement must not replace the known one with the same id.
 fn is_older(new: &Announcement, old: &Announcement) -> bool {
     if new.started_ms != old.started_ms {
--- a/crates/relay/tests/registry.rs
+++ b/crates/relay/tests/registry.rs
@@ -1,6 +1,7 @@
 //! The registry under announcements that are late, out of order or of another start.
 
-use bw_relay::registry::{Announcement, Outcome, Registry, State};
+use bw_relay::registry::{Admission, Announcement, Deferred, Invalid, Outcome, Registry, State};
+use bw_wire::name::Name;
 use rstest::rstest;
 
 fn announcement(id: &str, started_ms: u64, sequence: u64, state: State) -> Announcement {
@@ -140,3 +141,79 @@
     assert!(registry.leave("x", 20, 1).is_some());
     assert_eq!(state(&registry, "x"), State::Leaving);
 }
+
+const NOW_MS: u64 = 10_000_000;
+
+fn is_desk(service: &Name) -> bool {
+    **service == *"desk"
+}
+
+/// Guards against an announcement that is taken for that of a backend server although its
+/// service is not configured or its start is unknown, whichever id or address it names.
+#[rstest]
+#[case::of_a_configured_service("desk", 10, Admission::Admitted)]
+#[case::of_another_service("elsewhere", 10, Admission::Deferred)]
+#[case::without_a_start("desk", 0, Admission::Refused(Invalid::Start))]
+#[case::from_the_future("desk", 2 * NOW_MS, Admission::Refused(Invalid::Start))]
+fn only_announcements_of_configured_services_are_admitted(
+    #[values("x", "new")] id: &str,
+    #[values("10.0.0.9:8080", "10.0.0.7:80")] address: &str,
+    #[values(State::Ready, State::Leaving)] state: State,
+    #[case] service: &str,
+    #[case] started_ms: u64,
+    #[case] expected: Admission,
+) {
+    let mut registry = Registry::default();
+    registry.announce(announcement("x", 10, 4, State::Ready), 0);
+    let announcement = Announcement {
+        service: service.into(),
+        address: address.into(),
+        ..announcement(id, started_ms, 5, state)
+    };
+    assert_eq!(registry.admit(&announcement, is_desk, NOW_MS), expected);
+}
+
+/// Guards against a backend server that counts as silent, or whose leave is not heard,
+/// while its service is not configured for a time.
+#[test]
+fn a_known_backend_server_is_heard_without_its_service() {
+    let mut registry = Registry::default();
+    registry.announce(announcement("x", 10, 4, State::Ready), 0);
+    for next in [State::Ready, State::Leaving] {
+        let renewed = announcement("x", 10, 5, next);
+        let admission = registry.admit(&renewed, |_| false, NOW_MS);
+        assert_eq!(admission, Admission::Admitted);
+    }
+}
+
+/// Guards against an announcement without a start, stored by a former version or sent by
+/// one, that takes an address over.
+#[test]
+fn an_announcement_without_a_start_takes_no_address_over() {
+    let mut registry = Registry::default();
+    registry.announce(announcement("x", 10, 4, State::Ready), 0);
+    for next in [State::Ready, State::Leaving] {
+        let outcome = registry.announce(announcement("agent", 0, 1, next), 1);
+        assert_eq!(outcome, Outcome::Stale);
+    }
+    assert_eq!(state(&registry, "x"), State::Ready);
+}
+
+/// Guards against a deferred announcement that is applied although its backend server has
+/// left or is silent, or that a later announcement has replaced.
+#[test]
+fn deferred_announcements_are_taken_once_their_service_is_configured() {
+    let mut deferred = Deferred::default();
+    assert!(deferred.add(announcement("x", 10, 4, State::Ready), 0));
+    assert!(!deferred.add(announcement("x", 10, 6, State::Ready), 1_000));
+    assert!(!deferred.add(announcement("x", 10, 5, State::Ready), 2_000));
+    deferred.add(announcement("left", 10, 1, State::Ready), 1_000);
+    deferred.remove("left");
+    deferred.add(announcement("silent", 10, 1, State::Ready), 0);
+    deferred.expire(6_000, 5_000);
+    assert!(deferred.take(|_| false).is_empty());
+    let taken = deferred.take(is_desk);
+    let taken: Vec<(&str, u64)> = taken.iter().map(|one| (&*one.id, one.sequence)).collect();
+    assert_eq!(taken, [("x", 6)]);
+    assert!(deferred.take(is_desk).is_empty());
+}
--- a/programs/entry/tests/control.rs
+++ b/programs/entry/tests/control.rs
@@ -186,6 +186,38 @@
     assert_eq!(send_and_count(&fleet, 3), 3, "a later incarnation is back");
 }
 
+/// Guards against an announcement that costs a backend server its work although it cannot
+/// come from one: a field is missing or has another type.
+#[rstest]
+fn an_incomplete_announcement_changes_nothing() {
+    let fleet = fleet(vec![Backend::engine("e1", &[Answer::Whole])]);
+    assert_eq!(send_and_count(&fleet, 3), 3);
+    let mut whole = serde_json::Value::Null;
+    fleet.backends[0].change(|announcement| {
+        let mut later = announcement.clone();
+        later.incarnation += 1;
+        later.state = protocol::State::Leaving;
+        whole = serde_json::to_value(&later).expect("JSON");
+    });
+    let fields: Vec<String> = whole.as_object().expect("fields").keys().cloned().collect();
+    for id in ["e1", "agent"] {
+        for field in &fields {
+            for damage in [None, Some(serde_json::Value::Null), Some([[1]].into())] {
+                let mut body = whole.clone();
+                body["id"] = id.into();
+                match damage {
+                    Some(value) => body[field] = value,
+                    None => drop(body.as_object_mut().expect("fields").remove(field)),
+                }
+                let path = protocol::ANNOUNCE_PATH;
+                let response = caller::post(&fleet.address(), path, &[], &body.to_string());
+                assert_eq!(response.status, 400, "{field}: {body}");
+            }
+        }
+    }
+    assert_eq!(send_and_count(&fleet, 3), 3);
+}
+
 /// Guards against new work for a backend server that left without announcing it. It
 /// must get none 3 s after its last announcement or successful probe, also on an
 /// entry VM that cannot reach control.
--- a/programs/gateway/src/control/hub/backends.rs
+++ b/programs/gateway/src/control/hub/backends.rs
@@ -70,9 +70,33 @@
     }
 
     pub(super) async fn announce(&self, announcement: registry::Announcement) -> message::Reply {
-        if !self.is_plausible(&announcement) {
-            return message::Reply::Invalid;
+        let id = announcement.id.clone();
+        let admission = self.registry.borrow().admit(
+            &announcement,
+            |service| self.is_configured(service),
+            self.unix_ms(),
+        );
+        match admission {
+            registry::Admission::Admitted => {}
+            registry::Admission::Deferred => {
+                self.defer(announcement);
+                return message::Reply::Done;
+            }
+            registry::Admission::Refused(invalid) => {
+                log::warn!(backend = &*id, reason = invalid.to_string().as_str(); "announcement ignored");
+                return message::Reply::Invalid;
+            }
         }
+        let leaving = announcement.state == registry::State::Leaving;
+        match (leaving, self.apply_announcement(announcement)) {
+            (_, registry::Outcome::Stale) => message::Reply::Stale,
+            (true, _) => self.record(&id).await,
+            (false, _) => message::Reply::Done,
+        }
+    }
+
+    /// Applies an announcement that is admitted, and tells the other processes of a change.
+    fn apply_announcement(&self, announcement: registry::Announcement) -> registry::Outcome {
         let leaving = announcement.state == registry::State::Leaving;
         let (id, started_ms) = (announcement.id.clone(), announcement.started_ms);
         item::note_announcement(self, &announcement);
@@ -81,58 +105,84 @@
             .borrow_mut()
             .announce(announcement, clock::monotonic_ms());
         if outcome == registry::Outcome::Stale {
-            return message::Reply::Stale;
+            return outcome;
         }
         item::note_call(self, &id, started_ms);
         if outcome == registry::Outcome::Changed {
             self.broadcast_backend(&id);
         }
-        match (leaving, outcome) {
-            (true, _) => self.record(&id).await,
-            (false, registry::Outcome::Changed) => {
-                // The announcement is repeated, so there is no need to wait until it
-                // is durable.
-                let (reply, _) = oneshot::channel();
-                if let Some(command) = self.record_command(&id) {
-                    self.send_call(replica::Call::Propose { command, reply });
+        if outcome == registry::Outcome::Changed && !leaving {
+            // The announcement is repeated, so there is no need to wait until it is durable.
+            let (reply, _) = oneshot::channel();
+            if let Some(command) = self.record_command(&id) {
+                self.send_call(replica::Call::Propose { command, reply });
+            }
+        }
+        outcome
+    }
+
+    /// Starts with the backend servers that the ledger knows. A former version stored those
+    /// of other writers as well.
+    pub(super) fn restore_backends(
+        &self,
+        backends: Vec<registry::Announcement>,
+        now_ms: u64,
+        unix_ms: u64,
+    ) {
+        for announcement in backends {
+            let mut registry = self.registry.borrow_mut();
+            let is_leaving = announcement.state == registry::State::Leaving;
+            let is_configured = |service: &Name| self.is_configured(service);
+            match registry.admit(&announcement, is_configured, unix_ms) {
+                registry::Admission::Admitted => {
+                    registry.announce(announcement, now_ms);
+                }
+                // It may be known to entry VMs.
+                _ if is_leaving => {
+                    registry.announce(announcement, now_ms);
+                }
+                registry::Admission::Deferred => self.defer(announcement),
+                registry::Admission::Refused(invalid) => {
+                    log::warn!(
+                        backend = &*announcement.id, reason = invalid.to_string().as_str();
+                        "stored announcement ignored"
+                    );
                 }
-                message::Reply::Done
             }
-            (false, _) => message::Reply::Done,
         }
+        self.registry.borrow_mut().refresh(now_ms);
     }
 
-    /// Returns whether an announcement may come from a backend server. A service that is
-    /// not configured does not take the address of a backend server that is in use.
-    fn is_plausible(&self, announcement: &registry::Announcement) -> bool {
-        let id = &*announcement.id;
-        if let Err(invalid) = announcement.check(self.unix_ms()) {
-            log::warn!(backend = id, reason = invalid.to_string().as_str(); "announcement ignored");
-            return false;
+    /// Keeps the announcement of a backend server until its service is configured.
+    fn defer(&self, announcement: registry::Announcement) {
+        let (id, service) = (announcement.id.clone(), announcement.service.clone());
+        let now_ms = clock::monotonic_ms();
+        if self.deferred.borrow_mut().add(announcement, now_ms) {
+            log::info!(backend = &*id, service = &*service; "announcement deferred: its service is not configured");
+        }
+    }
+
+    /// Applies the announcements of backend servers whose services have been configured.
+    pub(super) fn apply_deferred(&self) {
+        let is_configured = |service: &Name| self.is_configured(service);
+        let deferred = self.deferred.borrow_mut().take(is_configured);
+        for announcement in deferred {
+            self.apply_announcement(announcement);
         }
+    }
+
+    fn is_configured(&self, service: &Name) -> bool {
         let published = self.published.borrow();
         let services = published
             .as_ref()
             .map(|published| &published.config.services);
-        let is_configured = |service: &Name| {
-            services.is_some_and(|services| services.iter().any(|known| known.name == *service))
-        };
-        let registry = self.registry.borrow();
-        let conflict = registry
-            .ready_at_address(announcement)
-            .filter(|known| is_configured(&known.service) && !is_configured(&announcement.service));
-        if let Some(known) = conflict {
-            log::warn!(
-                backend = id, service = &*announcement.service, used_by = &*known.id;
-                "announcement ignored: its service is not configured and its address is in use"
-            );
-        }
-        conflict.is_none()
+        services.is_some_and(|services| services.iter().any(|known| known.name == *service))
     }
 
     pub(super) async fn leave(&self, id: &str, started_ms: u64) -> message::Reply {
         let now_ms = clock::monotonic_ms();
         item::note_call(self, id, started_ms);
+        self.deferred.borrow_mut().remove(id);
         let left = self.registry.borrow_mut().leave(id, started_ms, now_ms);
         if let Some(announcement) = left {
             self.broadcast_backend(&announcement.id);
@@ -242,6 +292,7 @@
     pub(super) fn expire_silent(&self) {
         let silent_ms = self.settings().announce_ms * SILENT_ANNOUNCEMENTS;
         let now_ms = clock::monotonic_ms();
+        self.deferred.borrow_mut().expire(now_ms, silent_ms);
         let silent = self.registry.borrow_mut().expire(now_ms, silent_ms);
         for announcement in silent {
             let incarnation = suspect::Incarnation::new(&announcement.id, announcement.started_ms);
--- a/programs/gateway/src/control/hub/mod.rs
+++ b/programs/gateway/src/control/hub/mod.rs
@@ -52,6 +52,8 @@
     loads: RefCell<load::Publisher>,
     peers: RefCell<peers::Peers>,
     pub(crate) registry: RefCell<registry::Registry>,
+    /// Backend servers of services that are not configured.
+    deferred: RefCell<registry::Deferred>,
     leading_term: Cell<Option<u64>>,
     /// Notified whenever the result of [`Hub::welcome`] may have changed.
     leadership_changed: watch::Sender<()>,
@@ -109,6 +111,7 @@
             loads: RefCell::default(),
             peers: RefCell::new(peers),
             registry: RefCell::default(),
+            deferred: RefCell::default(),
             leading_term: Cell::new(None),
             leadership_changed: watch::Sender::new(()),
             heartbeat: watch::Sender::new(()),
@@ -387,6 +390,8 @@
         if !self.set_published(published) {
             return;
         }
+        // Entry VMs learn of the backend servers before the routes that need them.
+        self.apply_deferred();
         let version = published.config.version;
         let update = message::Update {
             published: Some(Arc::clone(published)),
@@ -454,20 +459,10 @@
         let unix_ms = clock::unix_ms();
         log::info!(term = leading.term, open_jobs = leading.jobs.len(), unix_ms = unix_ms; "leading");
         self.unix_clock.set(unix_time::Clock::new(unix_ms, now_ms));
-        {
-            let mut registry = self.registry.borrow_mut();
-            let backends = leading.backends.into_iter().filter(|announcement| {
-                let is_leaving = announcement.state == registry::State::Leaving;
-                is_leaving || announcement.check(unix_ms).is_ok()
-            });
-            for announcement in backends {
-                registry.announce(announcement, now_ms);
-            }
-            registry.refresh(now_ms);
-        }
         if let Some(published) = &leading.published {
             self.set_published(published);
         }
+        self.restore_backends(leading.backends, now_ms, unix_ms);
         for (id, job) in &leading.jobs {
             let judge = |headers: &[(Name, Name)]| item::judge(self, headers);
             self.dispatch.borrow_mut().inherit(id, job, judge);
