suspect: Let a response count for a start once no later one is announced

Cause: a backend server that falls silent under a request gets a strike that is withdrawn when it is heard again. Responses don't say which start sends them.

Change: a response to a request that was sent a second or more after the run ended is remembered and counts once two intervals between announcements have passed without a later start, not while no leader is heard. Announcements count at once, as do responses that are too soon for a restart, and all responses for complete answers without a length: sound parts must not wait for seconds.

--- a/crates/suspect/src/unsettled.rs
+++ b/crates/suspect/src/unsettled.rs
@@ -9,6 +9,10 @@
 //!
 //! Some signs leave a doubt: a backend server that can't be reached may only be cut off.
 //! The strike of such a sign is withdrawn if the incarnation is heard again.
+//!
+//! A response does not say which incarnation sends it. One to a request that was sent long
+//! after the run ended may come from the next incarnation before that one has announced
+//! itself, so it counts only once an announcement would have come.
 
 use std::collections::VecDeque;
 
@@ -20,6 +24,9 @@
 /// Time for which a run with a strike is kept that may be withdrawn, in milliseconds. Cuts
 /// of networks and stalls of VMs are mostly shorter.
 const STRUCK_RETENTION_MS: u64 = 300_000;
+/// Shortest time in which a backend server that has ended is back, in milliseconds. A
+/// response to a request that was sent sooner comes from the same incarnation.
+const RESTART_MIN_MS: u64 = 1_000;
 /// Most runs that are kept; the oldest are dropped.
 const RUNS_MAX: usize = 1_000;
 
@@ -39,6 +46,9 @@
     pub succeeded: Option<bool>,
     /// The strike for a sign that leaves a doubt.
     strike: Option<Crash>,
+    /// When the first response came that may be that of a later incarnation, in monotonic
+    /// milliseconds.
+    responded_ms: Option<u64>,
 }
 
 impl<S> Run<S> {
@@ -57,6 +67,7 @@
             ended_ms,
             succeeded,
             strike: None,
+            responded_ms: None,
         }
     }
 
@@ -116,12 +127,42 @@
         runs.any(|run| run.incarnation == incarnation && run.strike.is_none())
     }
 
-    /// Removes and returns the runs that ended before an incarnation gave a sign of life,
-    /// at a monotonic time in milliseconds: it has not ended under them.
+    /// Removes and returns the runs that ended before an incarnation announced itself, at a
+    /// monotonic time in milliseconds: it has not ended under them.
     pub fn heard(&mut self, incarnation: Incarnation, at_ms: u64) -> Vec<Run<S>> {
         self.take(|run| run.incarnation == incarnation && run.ended_ms <= at_ms)
     }
 
+    /// Records bytes of a response that came at a monotonic time in milliseconds, to a
+    /// request that was sent to an incarnation at another. Removes and returns the runs under
+    /// which it has not ended; [`Runs::confirm`] decides on the others.
+    pub fn responded(&mut self, incarnation: Incarnation, sent_ms: u64, at_ms: u64) -> Vec<Run<S>> {
+        for run in &mut self.0 {
+            if run.incarnation == incarnation && run.ended_ms <= at_ms {
+                run.responded_ms.get_or_insert(at_ms);
+            }
+        }
+        self.take(|run| {
+            // A complete answer that counts late holds back all requests with its parts.
+            let is_certain = run.succeeded.is_some() || sent_ms < run.ended_ms + RESTART_MIN_MS;
+            run.incarnation == incarnation && run.ended_ms <= at_ms && is_certain
+        })
+    }
+
+    /// Removes and returns the runs whose backend servers have responded before a time, in
+    /// monotonic milliseconds: a later incarnation would have announced itself since.
+    pub fn confirm(&mut self, before_ms: u64) -> Vec<Run<S>> {
+        self.take(|run| run.responded_ms.is_some_and(|at_ms| at_ms < before_ms))
+    }
+
+    /// Forgets the responses that [`Runs::confirm`] waits for, as announcements did not
+    /// arrive for a time.
+    pub fn forget_responses(&mut self) {
+        for run in &mut self.0 {
+            run.responded_ms = None;
+        }
+    }
+
     /// Removes the runs of an incarnation that has ended. Returns those without a strike.
     pub fn ended(&mut self, incarnation: Incarnation) -> Vec<Run<S>> {
         let mut runs = self.take(|run| run.incarnation == incarnation);
--- a/crates/suspect/tests/unsettled.rs
+++ b/crates/suspect/tests/unsettled.rs
@@ -7,6 +7,8 @@
 use rstest::rstest;
 
 const CONTENT: Fingerprint = Fingerprint(7);
+/// Time after a response by which a later start would be known.
+const CONFIRMATION_MS: u64 = 2_500;
 
 fn incarnation(start: u64) -> Incarnation {
     Incarnation::new("backend", start)
@@ -49,9 +51,24 @@
     }
 
     fn alive(&mut self, start: u64, at_ms: u64) {
-        for run in self.runs.heard(incarnation(start), at_ms) {
+        let runs = self.runs.heard(incarnation(start), at_ms);
+        self.settle(runs, at_ms);
+    }
+
+    fn responded(&mut self, start: u64, sent_ms: u64, at_ms: u64) {
+        let runs = self.runs.responded(incarnation(start), sent_ms, at_ms);
+        self.settle(runs, at_ms);
+    }
+
+    fn confirm(&mut self, now_ms: u64) {
+        let runs = self.runs.confirm(now_ms - CONFIRMATION_MS);
+        self.settle(runs, now_ms);
+    }
+
+    fn settle(&mut self, runs: Vec<unsettled::Run<&'static str>>, now_ms: u64) {
+        for run in runs {
             if let Some(crash) = run.strike() {
-                self.suspects.withdraw(&Process::request(), crash, at_ms);
+                self.suspects.withdraw(&Process::request(), crash, now_ms);
             }
         }
     }
@@ -150,3 +167,52 @@
     assert_eq!(process.runs.expire(100_000).len(), 1_000);
     assert!(process.runs.is_empty());
 }
+
+/// Guards against a backend server that starts again, responds and only then announces its
+/// start: the response is taken for one of the start before, whose end then counts against
+/// nobody. `l` the former start is probably lost, `e` it is known to have ended, `q` a
+/// response to a request that was sent right after the run, `r` one to a request that was
+/// sent later, `c` the time has come by which a later start would be known, `f` announcements
+/// did not arrive.
+#[rstest]
+#[case::end_is_known_later("re", 1)]
+#[case::end_is_known_later_after_a_strike("lre", 1)]
+#[case::it_goes_on("rc", 0)]
+#[case::it_goes_on_after_a_strike("lrc", 0)]
+#[case::it_goes_on_and_ends_later("rce", 0)]
+#[case::it_is_too_early_to_say("lr", 1)]
+#[case::it_cannot_have_started_again_so_soon("qe", 0)]
+#[case::it_cannot_have_started_again_so_soon_after_a_strike("lqe", 0)]
+#[case::nothing_is_heard("lrfc", 1)]
+#[case::it_responds_again("lrfrc", 0)]
+fn a_response_does_not_say_which_start_sends_it(#[case] signs: &str, #[case] strikes: usize) {
+    let mut process = Process::default();
+    process.drop_run(1, 10_000, None);
+    let mut now_ms = 12_010;
+    for sign in signs.chars() {
+        match sign {
+            'e' => process.ended(1),
+            'l' => process.lost(1),
+            'q' => process.responded(1, 10_900, now_ms),
+            'r' => process.responded(1, now_ms, now_ms),
+            'f' => process.runs.forget_responses(),
+            _ => {
+                now_ms += CONFIRMATION_MS;
+                process.confirm(now_ms);
+            }
+        }
+        now_ms += 2_000;
+    }
+    assert_eq!(process.strikes(), strikes);
+}
+
+/// Guards against a complete answer without a length that clears its parts seconds late,
+/// while all requests with them are refused: the next response settles it.
+#[test]
+fn a_complete_answer_counts_with_the_next_response() {
+    let mut process = Process::default();
+    process.drop_run(1, 10_000, Some(true));
+    let settled = process.runs.responded(incarnation(1), 15_000, 15_000);
+    assert_eq!(settled.len(), 1);
+    assert_eq!(settled[0].succeeded, Some(true));
+}
--- a/programs/gateway/src/control/item.rs
+++ b/programs/gateway/src/control/item.rs
@@ -27,6 +27,9 @@
 /// Time after which an item asks for a trial again if the group did not decide, in
 /// milliseconds.
 const NO_VERDICT_RETRY_MS: u64 = 200;
+/// Time after a response by which a later start of its backend server has announced itself,
+/// in intervals between announcements. One of them may be lost.
+const CONFIRMING_ANNOUNCEMENTS: u64 = 2;
 /// Age of an announcement up to which it may have been sent before its backend server
 /// ended, in intervals between announcements.
 const TRANSIT_ANNOUNCEMENTS: u64 = 2;
@@ -108,7 +111,11 @@
 
     /// Notes that the backend server has responded to the run.
     pub(super) fn note_response(&self, hub: &Hub) {
-        note_alive(hub, self.incarnation, self.sent_ms);
+        let sent_ms = self.sent_ms;
+        let mut unsettled = hub.unsettled.borrow_mut();
+        let runs = unsettled.responded(self.incarnation, sent_ms, sent_ms);
+        drop(unsettled);
+        settle_alive(hub, runs);
     }
 
     /// Notes what a send without a response shows of the start of the backend server.
@@ -345,9 +352,15 @@
     });
 }
 
-/// Notes a sign of life of a backend server, given at a monotonic time in milliseconds.
+/// Notes that a start of a backend server announced itself at a monotonic time in
+/// milliseconds.
 fn note_alive(hub: &Hub, incarnation: suspect::Incarnation, at_ms: u64) {
     let runs = hub.unsettled.borrow_mut().heard(incarnation, at_ms);
+    settle_alive(hub, runs);
+}
+
+/// Settles runs under which their backend servers have not ended.
+fn settle_alive(hub: &Hub, runs: Vec<unsettled::Run<Held>>) {
     for run in runs {
         let held = &run.subject;
         if let Some(crash) = run.strike() {
@@ -360,8 +373,13 @@
     }
 }
 
-/// Drops the runs of which nothing will become known any more.
+/// Settles the runs whose backend servers have responded and would have announced a later
+/// start since, and drops those of which nothing will become known any more.
 pub(crate) fn expire(hub: &Hub) {
+    let wait_ms = CONFIRMING_ANNOUNCEMENTS * hub.settings().announce_ms;
+    let before_ms = clock::monotonic_ms().saturating_sub(wait_ms);
+    let confirmed = hub.unsettled.borrow_mut().confirm(before_ms);
+    settle_alive(hub, confirmed);
     let expired = hub.unsettled.borrow_mut().expire(clock::monotonic_ms());
     for run in expired {
         end_without_result(hub, &run.subject);
--- a/programs/gateway/src/entry/attempt.rs
+++ b/programs/gateway/src/entry/attempt.rs
@@ -139,7 +139,7 @@
             return;
         }
         let at_ms = clock::monotonic_ms().saturating_sub(TRANSIT_MS);
-        suspects.note_alive(&self.state.link, self.run(), at_ms);
+        suspects.note_responded(&self.state.link, self.run(), at_ms);
     }
 
     /// Adds a strike, as the backend server broke the connection.
@@ -400,7 +400,7 @@
         };
         // The backend server was alive when the request reached it.
         let suspects = &state.suspects;
-        suspects.note_alive(&state.link, slot.run(), slot.started_ms);
+        suspects.note_responded(&state.link, slot.run(), slot.started_ms);
         self.tally.add(verdict::Verdict::Run);
         if self.note_response(state, forward, place, exchange.response.status()) {
             slot.settle();
@@ -469,11 +469,11 @@
             upstream::Failure::Refused => suspects.note_ended(link, run, "refused"),
             upstream::Failure::OtherBackend => suspects.note_ended(link, run, "replaced"),
             upstream::Failure::Unreachable => suspects.note_lost(link, run, "unreachable"),
-            upstream::Failure::Full => suspects.note_alive(link, run, run.sent_ms),
+            upstream::Failure::Full => suspects.note_responded(link, run, run.sent_ms),
             // Like a server error, it shows nothing about the request.
             upstream::Failure::UnstatedRefusal(_) => {
                 slot.settle();
-                suspects.note_alive(link, run, run.sent_ms);
+                suspects.note_responded(link, run, run.sent_ms);
             }
             upstream::Failure::Connect
             | upstream::Failure::CrossedAnswer
--- a/programs/gateway/src/entry/state.rs
+++ b/programs/gateway/src/entry/state.rs
@@ -219,7 +219,11 @@
         if now_ms >= self.swept_ms.get() + SWEEP_MS {
             self.swept_ms.set(now_ms);
             self.pool.sweep();
-            self.suspects.expire(self.settings.announce_ms);
+            let announce_ms = self.settings.announce_ms;
+            let connected = self.connected.get();
+            self.suspects
+                .confirm_alive(&self.link, announce_ms, connected);
+            self.suspects.expire(announce_ms);
         }
     }
 
--- a/programs/gateway/src/entry/suspects.rs
+++ b/programs/gateway/src/entry/suspects.rs
@@ -32,6 +32,9 @@
 /// Time after the last sign of a run by which the leader has missed its backend server if
 /// that has ended, in intervals between announcements. One more than the leader waits for.
 const MISSED_ANNOUNCEMENTS: u64 = 6;
+/// Time after a response by which a later start of its backend server would be known here,
+/// in intervals between announcements. One announcement may be lost.
+const CONFIRMING_ANNOUNCEMENTS: u64 = 2;
 /// Silence of the leader from which this VM may be cut off, in milliseconds. That backend
 /// servers can't be reached then shows nothing. The leader sends a heartbeat each 0.4 s.
 const CUT_OFF_MS: u64 = 1_000;
@@ -495,10 +498,36 @@
         crash
     }
 
-    /// Notes a sign of life of a backend server, given at a monotonic time in milliseconds:
-    /// it has not ended under the runs that ended before.
+    /// Notes that a start of a backend server announced itself at a monotonic time in
+    /// milliseconds: it has not ended under the runs that ended before.
     pub(crate) fn note_alive(&self, link: &link::Link, run: Run<'_>, at_ms: u64) {
         let runs = self.unsettled.borrow_mut().heard(run.incarnation(), at_ms);
+        self.settle_alive(link, runs);
+    }
+
+    /// Notes bytes of a response to a run that came at a monotonic time in milliseconds.
+    pub(crate) fn note_responded(&self, link: &link::Link, run: Run<'_>, at_ms: u64) {
+        let incarnation = run.incarnation();
+        let runs = self
+            .unsettled
+            .borrow_mut()
+            .responded(incarnation, run.sent_ms, at_ms);
+        self.settle_alive(link, runs);
+    }
+
+    /// Settles the runs whose backend servers have responded and would have announced a
+    /// later start since. `connected` says whether announcements arrive.
+    pub(crate) fn confirm_alive(&self, link: &link::Link, announce_ms: u64, connected: bool) {
+        if !connected {
+            return self.unsettled.borrow_mut().forget_responses();
+        }
+        let wait_ms = CONFIRMING_ANNOUNCEMENTS * announce_ms;
+        let before_ms = clock::monotonic_ms().saturating_sub(wait_ms);
+        let runs = self.unsettled.borrow_mut().confirm(before_ms);
+        self.settle_alive(link, runs);
+    }
+
+    fn settle_alive(&self, link: &link::Link, runs: Vec<unsettled::Run<Held>>) {
         for run in runs {
             let held = &run.subject;
             if let Some(crash) = run.strike() {
