--- a/programs/gateway/src/control/hub/mod.rs
+++ b/programs/gateway/src/control/hub/mod.rs
@@ -22,7 +22,9 @@
 
 use crate::{
     clock,
-    control::{effect, evacuation, identity, item, members, orphan, replica, runner, sessions},
+    control::{
+        effect, evacuation, identity, item, members, orphan, peers, replica, runner, sessions,
+    },
     dialect, link, metrics, settings, socket, upstream,
 };
 
@@ -48,6 +50,7 @@
     pub(crate) pool: upstream::Pool,
     pub(crate) sessions: RefCell<sessions::Sessions>,
     loads: RefCell<load::Publisher>,
+    peers: RefCell<peers::Peers>,
     pub(crate) registry: RefCell<registry::Registry>,
     /// Backend servers of services that are not configured.
     deferred: RefCell<registry::Deferred>,
@@ -96,6 +99,8 @@
 
 impl Hub {
     pub(crate) fn new(context: Context, link: link::Link) -> Hub {
+        let address = context.settings.internal_address().to_string();
+        let peers = peers::Peers::new(address.into());
         Hub {
             dispatch: RefCell::new(dispatch::Dispatcher::new(context.settings.dispatch)),
             health: RefCell::new(health::Health::new(context.settings.health)),
@@ -104,6 +109,7 @@
             pool: upstream::Pool::default(),
             sessions: RefCell::default(),
             loads: RefCell::default(),
+            peers: RefCell::new(peers),
             registry: RefCell::default(),
             deferred: RefCell::default(),
             leading_term: Cell::new(None),
@@ -210,6 +216,11 @@
             .any(|member| Some(member.replica) == self.own_id.get())
     }
 
+    /// Adds a replica that sends messages of the log, by its address.
+    pub(crate) fn add_peer(&self, replica: ReplicaId, address: &str) {
+        self.peers.borrow_mut().add(replica, address);
+    }
+
     /// Sends a call to the control thread.
     pub(crate) fn send_call(&self, call: replica::Call) {
         if self.context.calls.send(call).is_err() {
@@ -514,8 +525,10 @@
 ) {
     while let Some(notice) = notices.recv().await {
         match notice {
+            replica::Notice::Send { to, message } => hub.peers.borrow().send(to, message),
             replica::Notice::Members { own, members } => {
                 hub.own_id.set(Some(own));
+                hub.peers.borrow_mut().set_members(own, &members);
                 let voters = members.iter().filter(|member| member.voter).count();
                 log::info!(own = own.0, members = members.len(), voters = voters; "members changed");
                 let addresses = members
@@ -562,7 +575,6 @@
     loop {
         tokio::time::sleep(socket::HEARTBEAT_INTERVAL).await;
         hub.heartbeat.send_replace(());
-        hub.send_call(replica::Call::Alive);
     }
 }
 
--- a/programs/gateway/src/control/mod.rs
+++ b/programs/gateway/src/control/mod.rs
@@ -1,8 +1,8 @@
 //! The control program: one replica of the ledger, the hub to which entry VMs,
 //! operators and backend servers connect, and the leader's runner of batch items.
 //!
-//! The control thread owns the replicated log and its disk, and the transport thread
-//! carries its messages; everything else runs on the network thread.
+//! The control thread owns the replicated log and its disk; everything else runs on
+//! the network thread.
 
 mod api;
 mod effect;
@@ -12,11 +12,11 @@
 mod item;
 mod members;
 mod orphan;
+mod peers;
 mod queue;
 mod replica;
 mod runner;
 mod sessions;
-mod transport;
 
 use std::{rc::Rc, sync::Arc, thread, time};
 
@@ -26,8 +26,6 @@
 
 use crate::{dialect, link, local, settings, socket};
 
-/// Most connections that wait for the network thread; further ones wait to be accepted.
-const ARRIVALS_MAX: usize = 1_024;
 /// How long a stop waits for another replica to become the leader.
 const TRANSFER_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 /// How long a stop waits for another replica to take over the vote.
@@ -45,15 +43,7 @@
 ) -> anyhow::Result<()> {
     let (notices, notice_queue) = mpsc::unbounded_channel();
     let (calls, call_queue) = std::sync::mpsc::channel();
-    let (orders, order_queue) = mpsc::unbounded_channel();
-    let (arrivals, arrival_queue) = mpsc::channel(ARRIVALS_MAX);
-    let replica = replica::Replica::new(&settings, notices, orders)?;
-    let channels = transport::Channels {
-        orders: order_queue,
-        calls: calls.clone(),
-        arrivals,
-    };
-    let transport = transport::start(settings.internal_address(), channels)?;
+    let replica = replica::Replica::new(&settings, notices)?;
     let control = thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || replica.run(&call_queue))?;
@@ -62,16 +52,12 @@
         dialect,
         calls: calls.clone(),
     };
-    let result = local::run(serve(context, seeds, notice_queue, arrival_queue));
+    let result = local::run(serve(context, seeds, notice_queue));
     // The control thread may have ended by itself, for example after a disk failure.
     let _ = calls.send(replica::Call::Stop);
     if control.join().is_err() {
         log::error!("the control thread panicked");
     }
-    // It ends with the control thread, whose orders it carries out.
-    if transport.join().is_err() {
-        log::error!("the transport thread panicked");
-    }
     result
 }
 
@@ -79,7 +65,6 @@
     context: hub::Context,
     seeds: link::Seeds,
     notices: mpsc::UnboundedReceiver<replica::Notice>,
-    arrivals: mpsc::Receiver<transport::Arrival>,
 ) -> anyhow::Result<()> {
     let settings = context.settings.clone();
     let operators = settings
@@ -105,7 +90,10 @@
     tasks.spawn_local(members::join(Rc::clone(&hub)));
     tasks.spawn_local(members::keep_voters(Rc::clone(&hub)));
     tasks.spawn_local(evacuation::run(Rc::clone(&hub)));
-    tasks.spawn_local(sessions::serve_all(Rc::clone(&hub), arrivals));
+    tasks.spawn_local(sessions::listen(
+        Rc::clone(&hub),
+        socket::listen(settings.internal_address())?,
+    ));
     tasks.spawn_local(api::serve(
         Rc::clone(&hub),
         responses.clone(),
--- a/programs/gateway/src/control/replica.rs
+++ b/programs/gateway/src/control/replica.rs
@@ -17,9 +17,9 @@
     clock,
     control::{
         effect::{Effect, Subject},
-        identity, transport,
+        identity,
     },
-    settings, socket,
+    settings,
 };
 
 /// The id of the only consensus group.
@@ -40,12 +40,6 @@
 const CALLS_PER_STEP: usize = 256;
 /// Pause before the log is opened again after a disk failure.
 const REOPEN_PAUSE: time::Duration = time::Duration::from_millis(1_000);
-/// Silence of the network thread after which this replica gives up the lead, as the other
-/// processes then close their connections to it.
-const NETWORK_SILENCE: time::Duration = socket::SILENCE_TIMEOUT;
-/// Longest time between two steps that counts as silence of the network thread. In a longer
-/// one this thread stalled, and perhaps both.
-const COUNTED_GAP: time::Duration = time::Duration::from_millis(100);
 /// Size of the log since the last snapshot at which the next snapshot is taken, in
 /// bytes. The disk has 128 MB.
 const SNAPSHOT_LOG_BYTES: u64 = 6 << 20;
@@ -61,12 +55,10 @@
 /// of at most 1 MB.
 pub(crate) const PAGE_BYTES: usize = 600 << 10;
 
-/// A call to the control thread. All but [`Call::Log`] come from the network thread.
+/// A call of the network thread to the control thread.
 pub(crate) enum Call {
     /// Handles a consensus message of another replica.
     Log { from: ReplicaId, message: Vec<u8> },
-    /// Shows that the network thread goes on.
-    Alive,
     /// Commits and applies a command.
     Propose {
         command: ledger::Command,
@@ -120,6 +112,8 @@
 
 /// A notification from the control thread to the network thread.
 pub(crate) enum Notice {
+    /// A consensus message has to be sent to another replica.
+    Send { to: ReplicaId, message: Vec<u8> },
     /// The members changed.
     Members {
         own: ReplicaId,
@@ -184,7 +178,6 @@
     settings: settings::Settings,
     data: path::PathBuf,
     notices: async_mpsc::UnboundedSender<Notice>,
-    transport: async_mpsc::UnboundedSender<transport::Order>,
 }
 
 impl Replica {
@@ -194,14 +187,12 @@
     pub(crate) fn new(
         settings: &settings::Settings,
         notices: async_mpsc::UnboundedSender<Notice>,
-        transport: async_mpsc::UnboundedSender<transport::Order>,
     ) -> anyhow::Result<Replica> {
         let data = settings.data.clone();
         Ok(Replica {
             settings: settings.clone(),
             data: data.ok_or_else(|| anyhow::anyhow!("data is not set"))?,
             notices,
-            transport,
         })
     }
 
@@ -272,12 +263,6 @@
         // The receiver is dropped only when the process ends.
         let _ = self.notices.send(notice);
     }
-
-    fn order(&self, order: transport::Order) {
-        if self.transport.send(order).is_err() {
-            log::error!("the transport of the replicated log has ended");
-        }
-    }
 }
 
 /// A running host and its pending calls.
@@ -294,8 +279,6 @@
     logged_version: u64,
     /// Inputs that this thread adds to the next step by itself.
     own_inputs: Vec<host::Input>,
-    /// Time since the last call of the network thread, without the stalls of this thread.
-    network_silence: time::Duration,
 }
 
 impl<'a> Running<'a> {
@@ -308,12 +291,10 @@
             notified_members: None,
             logged_version: 0,
             own_inputs: Vec::new(),
-            network_silence: time::Duration::ZERO,
         }
     }
 
     fn run(mut self, calls: &mpsc::Receiver<Call>) -> Ended {
-        let mut began = time::Instant::now();
         loop {
             self.notify_members();
             self.log_version_change();
@@ -337,29 +318,13 @@
                     false => None,
                 };
             }
-            let gap = began.elapsed();
-            began += gap;
-            self.network_silence += gap.min(COUNTED_GAP);
-            if self.network_silence > NETWORK_SILENCE && self.leads() {
-                log::warn!("the network thread is busy, giving up the lead");
-                self.network_silence = time::Duration::ZERO;
-                inputs.push(host::Input::Transfer { group: GROUP });
-            }
             if let Err(error) = self.step(inputs) {
                 return Ended::Failed(error);
             }
         }
     }
 
-    fn leads(&self) -> bool {
-        let status = self.host.status(GROUP);
-        status.is_some_and(|status| status.role == node::Role::Leader)
-    }
-
     fn enqueue(&mut self, call: Call, inputs: &mut Vec<host::Input>) {
-        if !matches!(call, Call::Log { .. }) {
-            self.network_silence = time::Duration::ZERO;
-        }
         match call {
             Call::Log { from, message } => match message::decode(&message) {
                 Ok(message) => inputs.push(host::Input::Message { from, message }),
@@ -399,7 +364,7 @@
                 let _ = reply.send(self.host.peers(GROUP));
             }
             Call::Transfer => inputs.push(host::Input::Transfer { group: GROUP }),
-            Call::Alive | Call::Reset | Call::Stop => {}
+            Call::Reset | Call::Stop => {}
         }
     }
 
@@ -417,7 +382,7 @@
         let result = self
             .host
             .step(inputs, clock::monotonic_ms(), &mut |output| match output {
-                host::Output::Send { to, message } => replica.order(transport::Order::Send {
+                host::Output::Send { to, message } => replica.notify(Notice::Send {
                     to,
                     message: message::encode(&message),
                 }),
@@ -565,10 +530,6 @@
             self.notified_members = Some(status.members.clone());
             let own = self.host.replica();
             let members = status.members;
-            self.replica.order(transport::Order::Members {
-                own,
-                members: members.clone(),
-            });
             self.replica.notify(Notice::Members { own, members });
         }
     }
--- a/programs/gateway/src/control/sessions.rs
+++ b/programs/gateway/src/control/sessions.rs
@@ -2,13 +2,14 @@
 
 use std::{collections::HashMap, rc::Rc, sync::Arc};
 
+use bw_coord::ReplicaId;
 use bw_relay::message;
 use bw_wire::name::Name;
 use tokio::{net, sync::mpsc, task};
 
 use crate::{
     clock,
-    control::{hub::Hub, transport},
+    control::{hub::Hub, replica},
     metrics, socket,
 };
 
@@ -125,24 +126,54 @@
     }
 }
 
-/// Serves the processes that connect.
-pub(crate) async fn serve_all(hub: Rc<Hub>, mut arrivals: mpsc::Receiver<transport::Arrival>) {
+/// Accepts connections at the internal address.
+pub(crate) async fn listen(hub: Rc<Hub>, listener: net::TcpListener) {
     let mut connections = task::JoinSet::new();
-    while let Some(arrival) = arrivals.recv().await {
+    loop {
         while connections.try_join_next().is_some() {}
-        connections.spawn_local(serve_arrival(Rc::clone(&hub), arrival));
+        let stream = socket::accept(&listener).await;
+        connections.spawn_local(handle_connection(Rc::clone(&hub), stream));
+    }
+}
+
+async fn handle_connection(hub: Rc<Hub>, stream: net::TcpStream) {
+    let (read, write) = stream.into_split();
+    let mut reader = socket::Reader::new(read);
+    match reader.next_before_timeout().await {
+        Ok(message::Frame::Hello {
+            node,
+            role,
+            address,
+        }) => {
+            let peer = (node, role, address);
+            serve(&hub, peer, reader, socket::Writer::new(write)).await;
+        }
+        Ok(message::Frame::Log {
+            from,
+            address,
+            message,
+        }) => {
+            let from = ReplicaId(from);
+            hub.add_peer(from, &address);
+            receive_log(&hub, from, message, reader).await;
+        }
+        Ok(_) => log::warn!("the first frame of a connection is unexpected"),
+        Err(error) => log::debug!("internal connection ended before its first frame: {error}"),
     }
 }
 
-async fn serve_arrival(hub: Rc<Hub>, arrival: transport::Arrival) {
-    let peer = (arrival.node, arrival.role, arrival.address);
-    match net::TcpStream::from_std(arrival.stream) {
-        Ok(stream) => {
-            let (read, write) = stream.into_split();
-            let (reader, writer) = (socket::Reader::new(read), socket::Writer::new(write));
-            serve(&hub, peer, reader, writer).await;
+/// Passes the log messages of another replica to the control thread.
+async fn receive_log(hub: &Hub, from: ReplicaId, first: Vec<u8>, mut reader: socket::Reader) {
+    let mut next = Some(first);
+    loop {
+        if let Some(message) = next {
+            hub.send_call(replica::Call::Log { from, message });
+        }
+        next = match reader.next_before_timeout().await {
+            Ok(message::Frame::Log { message, .. }) => Some(message),
+            Ok(message::Frame::Heartbeat) => None,
+            _ => return,
         }
-        Err(error) => log::warn!(node = &*peer.0; "a process cannot be served: {error}"),
     }
 }
 
--- a/programs/gateway/src/socket.rs
+++ b/programs/gateway/src/socket.rs
@@ -71,20 +71,7 @@
 /// # Errors
 ///
 /// Fails if the address is in use.
-///
-/// # Panics
-///
-/// Panics outside of a runtime; see [`bind`].
 pub fn listen(address: net::SocketAddr) -> io::Result<tokio::net::TcpListener> {
-    tokio::net::TcpListener::from_std(bind(address)?)
-}
-
-/// Listens as [`listen`] does, for the runtime of another thread.
-///
-/// # Errors
-///
-/// Fails if the address is in use.
-pub fn bind(address: net::SocketAddr) -> io::Result<net::TcpListener> {
     let socket = socket2::Socket::new(
         socket2::Domain::for_address(address),
         socket2::Type::STREAM,
@@ -94,7 +81,7 @@
     socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
-    Ok(socket.into())
+    tokio::net::TcpListener::from_std(socket.into())
 }
 
 /// Pause after a failed accept, whose usual cause is that file descriptors ran out.
@@ -204,20 +191,6 @@
         }
     }
 
-    /// Returns the connection for the runtime of another thread.
-    ///
-    /// # Errors
-    ///
-    /// Fails if bytes behind the last frame were read, or the other half belongs to another
-    /// connection.
-    pub fn into_stream(self, other: tokio::net::tcp::OwnedWriteHalf) -> io::Result<net::TcpStream> {
-        if self.start < self.buffer.len() {
-            return Err(io::Error::other("it sent more than its first frame"));
-        }
-        let stream = self.half.reunite(other).map_err(io::Error::other)?;
-        stream.into_std()
-    }
-
     fn next_buffered(&mut self) -> io::Result<Option<message::Frame>> {
         let available = &self.buffer[self.start..];
         let Some((length, rest)) = available.split_first_chunk::<4>() else {
